--- /dev/null
+++ b/Makefile
@@ -0,0 +1,100 @@
+# radishchute: one binary, its tests and the stand-ins they talk to.
+#
+#   make                 build the binary
+#   make check           build and run the numbered tests
+#   make sanitize        the same under ASan and UBSan
+#   make format-check lint
+#   make demo            a whole session on loopback
+#   make bench           the standard measurements
+#   make install         DESTDIR and PREFIX are honoured
+
+BUILD ?= build
+PREFIX ?= /usr/local
+CC ?= gcc
+PACKAGES = glib-2.0 gio-2.0 gio-unix-2.0 libsoup-3.0 json-c libtirpc
+PKG_CFLAGS := $(shell pkg-config --cflags $(PACKAGES))
+PKG_LIBS := $(shell pkg-config --libs $(PACKAGES))
+OPTIMIZE ?= -O2
+SANITIZE ?=
+CFLAGS ?= -g
+WARNINGS = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+  -Wmissing-prototypes -Wno-unused-parameter -Wno-missing-field-initializers
+ALL_CFLAGS = -std=gnu11 $(OPTIMIZE) $(SANITIZE) $(WARNINGS) -I. \
+  $(PKG_CFLAGS) -MMD -MP $(CFLAGS)
+LIBS = $(PKG_LIBS) -lm
+
+LAYERS = base state coordination protocol transport
+LIB_SRCS := $(filter-out protocol/peer_xdr.c,$(wildcard $(LAYERS:%=%/*.c)))
+GENERATED_SRCS := $(wildcard protocol/peer_xdr.c)
+COMMAND_SRCS := $(wildcard commands/*.c)
+STANDIN_SRCS := $(wildcard t/standin/*.c)
+SUPPORT_SRCS := $(wildcard t/support/*.c)
+TEST_SRCS := $(wildcard t/t[0-9]*.c)
+
+LIB_OBJS := $(LIB_SRCS:%.c=$(BUILD)/%.o) $(GENERATED_SRCS:%.c=$(BUILD)/%.o)
+COMMAND_OBJS := $(COMMAND_SRCS:%.c=$(BUILD)/%.o)
+STANDIN_OBJS := $(STANDIN_SRCS:%.c=$(BUILD)/%.o)
+SUPPORT_OBJS := $(SUPPORT_SRCS:%.c=$(BUILD)/%.o)
+TESTS := $(TEST_SRCS:t/%.c=$(BUILD)/t/%)
+PROGRAMS := $(BUILD)/radishchute $(if $(STANDIN_SRCS),$(BUILD)/standin)
+
+HAND_SRCS := $(LIB_SRCS) $(COMMAND_SRCS) $(STANDIN_SRCS) $(SUPPORT_SRCS) \
+  $(TEST_SRCS) $(wildcard t/fuzz/*.c)
+HAND_HDRS := $(wildcard $(LAYERS:%=%/*.h) commands/*.h t/*.h t/standin/*.h \
+  t/support/*.h)
+HAND_HDRS := $(filter-out protocol/peer_xdr.h,$(HAND_HDRS))
+
+all: $(PROGRAMS)
+
+$(BUILD)/libradishchute.a: $(LIB_OBJS)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/radishchute: $(COMMAND_OBJS) $(BUILD)/libradishchute.a
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/standin: $(STANDIN_OBJS) $(BUILD)/libradishchute.a
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/t/t%: $(BUILD)/t/t%.o $(SUPPORT_OBJS) $(BUILD)/libradishchute.a
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(ALL_CFLAGS) -c -o $@ $<
+
+# rpcgen's output does not compile cleanly under the project's warnings.
+$(BUILD)/protocol/peer_xdr.o: WARNINGS = -w
+
+check: all $(TESTS)
+	t/run $(BUILD) $(sort $(TESTS))
+
+SANITIZE_FLAGS = -fsanitize=address,undefined -fno-omit-frame-pointer \
+  -fno-sanitize-recover=undefined
+sanitize:
+	$(MAKE) BUILD=build-sanitize OPTIMIZE=-O1 SANITIZE="$(SANITIZE_FLAGS)" check
+
+format:
+	clang-format -i $(HAND_SRCS) $(HAND_HDRS)
+
+format-check:
+	clang-format --dry-run --Werror $(HAND_SRCS) $(HAND_HDRS)
+
+LINT_STAMPS := $(HAND_SRCS:%.c=$(BUILD)/lint/%.ok)
+lint: layers-check $(LINT_STAMPS)
+
+$(BUILD)/lint/%.ok: %.c .clang-tidy $(HAND_HDRS)
+	@mkdir -p $(@D)
+	@clang-tidy --quiet $< -- -std=gnu11 -I. $(PKG_CFLAGS) 2>$@.log \
+	  || { cat $@.log; exit 1; }
+	@touch $@
+
+layers-check:
+	t/check-layers
+
+clean:
+	rm -rf build build-sanitize
+
+.PHONY: all check sanitize format format-check lint layers-check clean
+.SECONDARY:
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/base/list.h
@@ -0,0 +1,70 @@
+/*
+ * Intrusive doubly linked lists.
+ *
+ * A list is a circle through one head node.  The linked object embeds a
+ * struct list_node, so linking allocates nothing and an object can leave its
+ * list without knowing which one it is on.  A node that is on no list must be
+ * initialised with list_init (); list_remove () leaves it so.  Lists own
+ * nothing.
+ */
+#ifndef BASE_LIST_H
+#define BASE_LIST_H
+
+#include <glib.h>
+#include <stddef.h>
+
+struct list_node
+{
+  struct list_node *prev;
+  struct list_node *next;
+};
+
+/* The object of type TYPE whose member MEMBER is the node NODE.  */
+#define list_entry(node, type, member)                                        \
+  ((type *)(void *)((char *)(node)-offsetof (type, member)))
+
+/* Walks a list; the current node may be removed, no other.  */
+#define list_for_each(node, after, head)                                      \
+  for ((node) = (head)->next, (after) = (node)->next; (node) != (head);       \
+       (node) = (after), (after) = (node)->next)
+
+/* Makes NODE an empty list, or a node that is on no list.  */
+static inline void
+list_init (struct list_node *node)
+{
+  node->prev = node;
+  node->next = node;
+}
+
+static inline gboolean
+list_is_empty (const struct list_node *head)
+{
+  return head->next == head;
+}
+
+/* Links NODE behind POSITION.  */
+static inline void
+list_insert_after (struct list_node *position, struct list_node *node)
+{
+  node->prev = position;
+  node->next = position->next;
+  position->next->prev = node;
+  position->next = node;
+}
+
+static inline void
+list_append (struct list_node *head, struct list_node *node)
+{
+  list_insert_after (head->prev, node);
+}
+
+/* Unlinks NODE; harmless when it is on no list.  */
+static inline void
+list_remove (struct list_node *node)
+{
+  node->prev->next = node->next;
+  node->next->prev = node->prev;
+  list_init (node);
+}
+
+#endif
--- /dev/null
+++ b/commands/entry.c
@@ -0,0 +1,7 @@
+#include "commands/command.h"
+
+int
+command_entry (int argc, char **argv)
+{
+  return EXIT_STATUS_FAILED;
+}
