state, coordination, protocol: add jobs, documents and the thin dispatcher

Decisions take typed events and a clock reading and answer through a driver's vtable, so that tests and benches drive them without sockets. Jansson reads JSON, since it refuses duplicate members and names line and column; json-c exports the same symbols and cannot be linked beside it, so comments in settings are blanked before parsing.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,8 @@
 BUILD ?= build
 PREFIX ?= /usr/local
 CC ?= gcc
-PACKAGES = glib-2.0 gio-2.0 gio-unix-2.0 libsoup-3.0 json-c libtirpc
+# Jansson, not json-c: both export json_object_get, so only one may be linked.
+PACKAGES = glib-2.0 gio-2.0 gio-unix-2.0 libsoup-3.0 jansson libtirpc
 PKG_CFLAGS := $(shell pkg-config --cflags $(PACKAGES))
 PKG_LIBS := $(shell pkg-config --libs $(PACKAGES))
 OPTIMIZE ?= -O2
--- a/base/event_log.c
+++ b/base/event_log.c
@@ -1,7 +1,8 @@
 #include "base/event_log.h"
 
-#include <json-c/json.h>
+#include <jansson.h>
 #include <stdio.h>
+#include <stdlib.h>
 
 static const struct event_info catalogue[] = {
 #define EVENT(number, name, level, text)                                      \
@@ -73,18 +74,15 @@
 write_json (const struct event_info *info, const char *when,
             const char *message)
 {
-  struct json_object *line = json_object_new_object ();
-
-  json_object_object_add (line, "time", json_object_new_string (when));
-  json_object_object_add (line, "level",
-                          json_object_new_string (level_names[info->level]));
-  json_object_object_add (line, "event",
-                          json_object_new_int ((int)info->number));
-  json_object_object_add (line, "name", json_object_new_string (info->name));
-  json_object_object_add (line, "message", json_object_new_string (message));
-  fprintf (stderr, "%s\n",
-           json_object_to_json_string_ext (line, JSON_C_TO_STRING_PLAIN));
-  json_object_put (line);
+  json_t *line
+      = json_pack ("{s:s, s:s, s:i, s:s, s:s}", "time", when, "level",
+                   level_names[info->level], "event", (int)info->number,
+                   "name", info->name, "message", message);
+  char *text = line != NULL ? json_dumps (line, JSON_COMPACT) : NULL;
+
+  fprintf (stderr, "%s\n", text != NULL ? text : "{}");
+  free (text);
+  json_decref (line);
 }
 
 static void
--- /dev/null
+++ b/state/upstream.h
@@ -0,0 +1,47 @@
+/*
+ * The run-time state of one upstream of a service.
+ *
+ * Reference counted: running tasks keep their upstream alive after a new
+ * document has dropped it.
+ */
+#ifndef STATE_UPSTREAM_H
+#define STATE_UPSTREAM_H
+
+#include "base/list.h"
+#include "state/document.h"
+
+#include <glib.h>
+
+struct upstream_health;
+
+struct upstream
+{
+  guint ref_count;
+  char *name;
+  char *address; /* "IP:PORT" */
+  char *availability_zone;
+  char *rack;
+  struct shape shape;
+  guint slots; /* tasks it runs at once */
+  guint share; /* of its slots, those that this VM may fill */
+  guint max_connections;
+  guint n_running;                /* tasks of this VM that occupy a slot */
+  gboolean is_leaving;            /* gets no new task */
+  gboolean is_removed;            /* no longer in the document */
+  gint64 renew_due_us;            /* when its leases are to be renewed */
+  struct list_node running;       /* struct task by upstream_link */
+  struct upstream_health *health; /* owned by the coordination layer */
+  void *transport_data;           /* owned by the transport layer */
+};
+
+/* A new upstream with one reference, made from SPEC.  */
+struct upstream *upstream_new (const struct upstream_spec *spec,
+                               const struct service *service);
+
+struct upstream *upstream_ref (struct upstream *upstream);
+void upstream_unref (struct upstream *upstream);
+
+/* Slots that this VM may fill now: 0 when the upstream is leaving.  */
+guint upstream_count_free_slots (const struct upstream *upstream);
+
+#endif
