--- a/coordination/pool.c
+++ b/coordination/pool.c
@@ -46,6 +46,7 @@
   upstream->slots = service->slots_per_upstream;
   upstream->share = service->slots_per_upstream;
   upstream->max_connections = service->connections_per_upstream;
+  upstream->lease_ms = service->lease_ms;
 }
 
 static void
--- /dev/null
+++ b/protocol/settings.c
@@ -0,0 +1,349 @@
+#include "protocol/settings.h"
+
+#include "base/error.h"
+#include "protocol/json_read.h"
+#include "state/job_id.h"
+
+#include <gio/gio.h>
+#include <string.h>
+
+#define MAX_PORT 65535
+#define MIN_BODY_BYTES 1024
+#define MAX_BODY_BYTES (256 * 1024 * 1024)
+#define DEFAULT_BODY_BYTES (8 * 1024 * 1024)
+#define MIN_STATE_BYTES (1024 * 1024)
+#define MAX_STATE_BYTES (2047u * 1024 * 1024)
+#define DEFAULT_STATE_BYTES (32 * 1024 * 1024)
+#define MAX_CALLER_CONNECTIONS 1000000
+#define DEFAULT_CALLER_CONNECTIONS 4096
+#define MIN_REQUEST_TIMEOUT_MS 100
+#define MAX_REQUEST_TIMEOUT_MS 600000
+#define DEFAULT_REQUEST_TIMEOUT_MS 10000
+#define MAX_DRAIN_TIMEOUT_MS 3600000
+#define DEFAULT_DRAIN_TIMEOUT_MS 600000
+#define MIN_KEY_DIGITS 32
+
+static const char *const settings_keys[] = { "vm",
+                                             "availability_zone",
+                                             "region",
+                                             "listen",
+                                             "peer_listen",
+                                             "peer_seeds",
+                                             "log_url",
+                                             "vm_list_url",
+                                             "config_stream",
+                                             "snapshot_stream",
+                                             "keys",
+                                             "operator_token",
+                                             "tls",
+                                             "log",
+                                             "limits",
+                                             NULL };
+static const char *const tls_keys[] = { "certificate", "key", NULL };
+static const char *const log_keys[] = { "level", "format", NULL };
+static const char *const limit_keys[]
+    = { "body_bytes",         "state_bytes",      "connections",
+        "request_timeout_ms", "drain_timeout_ms", NULL };
+
+static gboolean
+parse_endpoint (const char *text, struct endpoint *endpoint)
+{
+  g_autoptr (GError) error = NULL;
+  const char *colon = strrchr (text, ':');
+  guint64 port = 0;
+
+  if (colon == NULL
+      || !g_ascii_string_to_unsigned (colon + 1, 10, 0, MAX_PORT, &port,
+                                      &error))
+    return FALSE;
+  g_free (endpoint->ip);
+  endpoint->ip = g_strndup (text, (gsize)(colon - text));
+  if (endpoint->ip[0] == '[' && g_str_has_suffix (endpoint->ip, "]"))
+    {
+      char *inner = g_strndup (endpoint->ip + 1, strlen (endpoint->ip) - 2);
+
+      g_free (endpoint->ip);
+      endpoint->ip = inner;
+    }
+  endpoint->port = (guint)port;
+  return g_hostname_is_ip_address (endpoint->ip);
+}
+
+static void
+read_endpoint (struct json_check *check, json_t *root, const char *key,
+               gboolean is_required, struct endpoint *endpoint)
+{
+  const char *text = NULL;
+
+  if (!json_read_string (check, "settings", root, key, is_required, &text))
+    return;
+  if (!parse_endpoint (text, endpoint))
+    json_check_fail (check, key, "must be IP:PORT, as in 10.0.1.5:8080");
+}
+
+static void
+read_text (struct json_check *check, const char *path, json_t *root,
+           const char *key, gboolean is_required, char **value)
+{
+  const char *text = NULL;
+
+  if (!json_read_string (check, path, root, key, is_required, &text))
+    return;
+  g_free (*value);
+  *value = g_strdup (text);
+}
+
+static void
+read_url (struct json_check *check, json_t *root, const char *key,
+          char **value)
+{
+  g_autoptr (GUri) uri = NULL;
+
+  read_text (check, "settings", root, key, TRUE, value);
+  if (*value == NULL)
+    return;
+  uri = g_uri_parse (*value, G_URI_FLAGS_NONE, NULL);
+  if (uri == NULL || !g_str_has_prefix (*value, "http")
+      || !g_hostname_is_ip_address (g_uri_get_host (uri)))
+    json_check_fail (check, key,
+                     "must be a URL with an IP number, as in "
+                     "http://10.0.0.2:7000");
+  else if (g_str_has_suffix (*value, "/"))
+    (*value)[strlen (*value) - 1] = '\0';
+}
+
+static void
+read_names (struct json_check *check, json_t *root, struct settings *settings)
+{
+  read_text (check, "settings", root, "vm", TRUE, &settings->vm);
+  if (settings->vm != NULL && !vm_name_is_valid (settings->vm))
+    json_check_fail (check, "vm", "must have 1 to 63 of a-z, 0-9 and '-'");
+  read_text (check, "settings", root, "availability_zone", TRUE,
+             &settings->availability_zone);
+  read_text (check, "settings", root, "region", FALSE, &settings->region);
+  read_text (check, "settings", root, "config_stream", FALSE,
+             &settings->config_stream);
+  read_text (check, "settings", root, "snapshot_stream", FALSE,
+             &settings->snapshot_stream);
+  read_text (check, "settings", root, "operator_token", FALSE,
+             &settings->operator_token);
+}
+
+static void
+read_seeds (struct json_check *check, json_t *root, struct settings *settings)
+{
+  json_t *seeds = NULL;
+
+  if (!json_read_array (check, "settings", root, "peer_seeds", FALSE, &seeds))
+    return;
+  for (size_t i = 0; i < json_array_size (seeds); i++)
+    {
+      const char *text = json_string_value (json_array_get (seeds, i));
+      struct endpoint endpoint = { NULL, 0 };
+
+      if (text == NULL || !parse_endpoint (text, &endpoint)
+          || endpoint.port == 0)
+        json_check_fail (check, "peer_seeds",
+                         "entry %u must be IP:PORT, as in 10.0.1.6:9000",
+                         (guint)i);
+      else
+        g_ptr_array_add (settings->peer_seeds, g_strdup (text));
+      g_free (endpoint.ip);
+    }
+}
+
+static gboolean
+is_key (const char *text)
+{
+  size_t n = text != NULL ? strlen (text) : 0;
+
+  if (n < MIN_KEY_DIGITS || n % 2 != 0)
+    return FALSE;
+  return strspn (text, "0123456789abcdefABCDEF") == n;
+}
+
+static void
+read_keys (struct json_check *check, json_t *root, struct settings *settings)
+{
+  json_t *keys = NULL;
+
+  if (!json_read_array (check, "settings", root, "keys", FALSE, &keys))
+    return;
+  for (size_t i = 0; i < json_array_size (keys); i++)
+    {
+      const char *text = json_string_value (json_array_get (keys, i));
+
+      if (!is_key (text))
+        json_check_fail (check, "keys",
+                         "entry %u must be an even number of at least %d "
+                         "hexadecimal digits",
+                         (guint)i, MIN_KEY_DIGITS);
+      else
+        g_ptr_array_add (settings->keys, g_strdup (text));
+    }
+}
+
+static void
+read_tls (struct json_check *check, json_t *root, struct settings *settings)
+{
+  json_t *tls = NULL;
+
+  if (!json_read_object (check, "settings", root, "tls", FALSE, &tls))
+    return;
+  json_check_keys (check, "tls", tls, tls_keys);
+  read_text (check, "tls", tls, "certificate", TRUE,
+             &settings->tls_certificate);
+  read_text (check, "tls", tls, "key", TRUE, &settings->tls_key);
+}
+
+static void
+read_log (struct json_check *check, json_t *root, struct settings *settings)
+{
+  const char *level = NULL;
+  const char *format = NULL;
+  json_t *log = NULL;
+
+  if (!json_read_object (check, "settings", root, "log", FALSE, &log))
+    return;
+  json_check_keys (check, "log", log, log_keys);
+  if (json_read_string (check, "log", log, "level", FALSE, &level)
+      && !log_level_from_name (level, &settings->log_level))
+    json_check_fail (check, "log.level",
+                     "must be one of: error, warning, info, debug");
+  if (!json_read_string (check, "log", log, "format", FALSE, &format))
+    return;
+  if (g_str_equal (format, "json"))
+    settings->log_format = LOG_FORMAT_JSON;
+  else if (!g_str_equal (format, "text"))
+    json_check_fail (check, "log.format", "must be one of: text, json");
+}
+
+static void
+read_limits (struct json_check *check, json_t *root, struct settings *settings)
+{
+  json_t *limits = NULL;
+
+  if (!json_read_object (check, "settings", root, "limits", FALSE, &limits))
+    return;
+  json_check_keys (check, "limits", limits, limit_keys);
+  json_read_uint (check, "limits", limits, "body_bytes", MIN_BODY_BYTES,
+                  MAX_BODY_BYTES, &settings->max_body_bytes);
+  json_read_uint (check, "limits", limits, "state_bytes", MIN_STATE_BYTES,
+                  MAX_STATE_BYTES, &settings->max_state_bytes);
+  json_read_uint (check, "limits", limits, "connections", 1,
+                  MAX_CALLER_CONNECTIONS, &settings->max_connections);
+  json_read_uint (check, "limits", limits, "request_timeout_ms",
+                  MIN_REQUEST_TIMEOUT_MS, MAX_REQUEST_TIMEOUT_MS,
+                  &settings->request_timeout_ms);
+  json_read_uint (check, "limits", limits, "drain_timeout_ms", 0,
+                  MAX_DRAIN_TIMEOUT_MS, &settings->drain_timeout_ms);
+}
+
+static void
+check_clashes (struct json_check *check, const struct settings *settings)
+{
+  const struct endpoint *a = &settings->listen;
+  const struct endpoint *b = &settings->peer_listen;
+
+  if (a->port != 0 && a->port == b->port && g_strcmp0 (a->ip, b->ip) == 0)
+    json_check_fail (check, "peer_listen",
+                     "is the same address as 'listen'; give it another port");
+}
+
+static struct settings *
+settings_new (void)
+{
+  struct settings *settings = g_new0 (struct settings, 1);
+
+  settings->peer_seeds = g_ptr_array_new_with_free_func (g_free);
+  settings->keys = g_ptr_array_new_with_free_func (g_free);
+  settings->region = g_strdup ("");
+  settings->config_stream = g_strdup ("radishchute-config");
+  settings->snapshot_stream = g_strdup ("radishchute-snapshots");
+  settings->log_level = LOG_LEVEL_INFO;
+  settings->max_body_bytes = DEFAULT_BODY_BYTES;
+  settings->max_state_bytes = DEFAULT_STATE_BYTES;
+  settings->max_connections = DEFAULT_CALLER_CONNECTIONS;
+  settings->request_timeout_ms = DEFAULT_REQUEST_TIMEOUT_MS;
+  settings->drain_timeout_ms = DEFAULT_DRAIN_TIMEOUT_MS;
+  return settings;
+}
+
+static void
+read_settings (struct json_check *check, json_t *root,
+               struct settings *settings)
+{
+  if (!json_is_object (root))
+    {
+      json_check_fail (check, "settings", "must be an object");
+      return;
+    }
+  json_check_keys (check, "settings", root, settings_keys);
+  read_names (check, root, settings);
+  read_endpoint (check, root, "listen", TRUE, &settings->listen);
+  read_endpoint (check, root, "peer_listen", TRUE, &settings->peer_listen);
+  read_seeds (check, root, settings);
+  read_url (check, root, "log_url", &settings->log_url);
+  read_url (check, root, "vm_list_url", &settings->vm_list_url);
+  read_keys (check, root, settings);
+  read_tls (check, root, settings);
+  read_log (check, root, settings);
+  read_limits (check, root, settings);
+  check_clashes (check, settings);
+}
+
+struct settings *
+settings_parse (const char *text, gsize length, const char *source,
+                GError **error)
+{
+  json_t *root = json_parse_with_comments (text, length, error);
+  struct settings *settings;
+  struct json_check check;
+
+  if (root == NULL)
+    {
+      g_prefix_error (error, "%s: ", source);
+      return NULL;
+    }
+  settings = settings_new ();
+  json_check_init (&check, source);
+  read_settings (&check, root, settings);
+  json_decref (root);
+  if (!json_check_end (&check, error))
+    g_clear_pointer (&settings, settings_free);
+  return settings;
+}
+
+struct settings *
+settings_load (const char *path, GError **error)
+{
+  g_autofree char *text = NULL;
+  gsize length = 0;
+
+  if (!g_file_get_contents (path, &text, &length, error))
+    {
+      g_prefix_error (error, "settings cannot be read; check the path: ");
+      return NULL;
+    }
+  return settings_parse (text, length, path, error);
+}
+
+void
+settings_free (struct settings *settings)
+{
+  g_free (settings->vm);
+  g_free (settings->availability_zone);
+  g_free (settings->region);
+  g_free (settings->listen.ip);
+  g_free (settings->peer_listen.ip);
+  g_ptr_array_unref (settings->peer_seeds);
+  g_free (settings->log_url);
+  g_free (settings->vm_list_url);
+  g_free (settings->config_stream);
+  g_free (settings->snapshot_stream);
+  g_ptr_array_unref (settings->keys);
+  g_free (settings->operator_token);
+  g_free (settings->tls_certificate);
+  g_free (settings->tls_key);
+  g_free (settings);
+}
--- a/state/upstream.c
+++ b/state/upstream.c
@@ -14,6 +14,7 @@
   upstream->slots = service->slots_per_upstream;
   upstream->share = service->slots_per_upstream;
   upstream->max_connections = service->connections_per_upstream;
+  upstream->lease_ms = service->lease_ms;
   list_init (&upstream->running);
   return upstream;
 }
--- a/state/upstream.h
+++ b/state/upstream.h
@@ -25,6 +25,7 @@
   guint slots; /* tasks it runs at once */
   guint share; /* of its slots, those that this VM may fill */
   guint max_connections;
+  guint lease_ms;                 /* of its service */
   guint n_running;                /* tasks of this VM that occupy a slot */
   gboolean is_leaving;            /* gets no new task */
   gboolean is_removed;            /* no longer in the document */
--- /dev/null
+++ b/transport/caller_server.c
@@ -0,0 +1,307 @@
+#include "transport/caller_server.h"
+
+#include "base/clock.h"
+#include "base/event_log.h"
+#include "transport/listener.h"
+
+#include <libsoup/soup.h>
+#include <string.h>
+
+#define JSON_TYPE "application/json"
+#define JOBS_PATH "/v1/jobs"
+
+struct caller_server
+{
+  const struct settings *settings;
+  struct home *home;
+  SoupServer *soup;
+  guint port;
+};
+
+/* A caller who waits for the answer to its job.  */
+struct caller
+{
+  struct job_waiter waiter;
+  SoupServerMessage *message;
+  gulong finished_handler;
+};
+
+static void
+answer_bytes (SoupServerMessage *message, guint status, GBytes *body)
+{
+  SoupMessageHeaders *headers
+      = soup_server_message_get_response_headers (message);
+
+  soup_server_message_set_status (message, status, NULL);
+  soup_message_headers_set_content_type (headers, JSON_TYPE, NULL);
+  soup_message_body_append_bytes (
+      soup_server_message_get_response_body (message), body);
+}
+
+static void
+answer_error (SoupServerMessage *message, const GError *error)
+{
+  g_autoptr (GBytes) body = error_format_answer (error, NULL);
+
+  answer_bytes (message, error_kind_http_status (error_get_kind (error)),
+                body);
+}
+
+static void
+refuse_method (SoupServerMessage *message, const char *allowed)
+{
+  g_autoptr (GError) error = NULL;
+
+  error_set (&error, ERROR_INVALID, "this path takes %s", allowed);
+  answer_error (message, error);
+  soup_server_message_set_status (message, SOUP_STATUS_METHOD_NOT_ALLOWED,
+                                  NULL);
+  soup_message_headers_replace (
+      soup_server_message_get_response_headers (message), "Allow", allowed);
+}
+
+static void
+caller_free (struct caller *caller)
+{
+  list_remove (&caller->waiter.link);
+  g_signal_handler_disconnect (caller->message, caller->finished_handler);
+  g_object_unref (caller->message);
+  g_free (caller);
+}
+
+static void
+caller_answer (struct job_waiter *waiter, struct job *job)
+{
+  struct caller *caller = list_entry (waiter, struct caller, waiter);
+
+  answer_bytes (caller->message, job->answer_status, job->answer);
+  soup_server_message_unpause (caller->message);
+  caller_free (caller);
+}
+
+static void
+on_caller_gone (SoupServerMessage *message, gpointer data)
+{
+  caller_free (data);
+}
+
+static void
+wait_for_job (struct caller_server *server, SoupServerMessage *message,
+              struct job *job)
+{
+  struct caller *caller = g_new0 (struct caller, 1);
+
+  list_init (&caller->waiter.link);
+  caller->waiter.answer = caller_answer;
+  caller->message = g_object_ref (message);
+  caller->finished_handler = g_signal_connect (
+      message, "finished", G_CALLBACK (on_caller_gone), caller);
+  soup_server_message_pause (message);
+  home_wait (server->home, job, &caller->waiter);
+}
+
+static gboolean
+wants_async (SoupServerMessage *message)
+{
+  SoupMessageHeaders *headers
+      = soup_server_message_get_request_headers (message);
+
+  return soup_message_headers_header_contains (headers, "Prefer",
+                                               "respond-async");
+}
+
+static void
+answer_accepted (SoupServerMessage *message, const struct job *job)
+{
+  g_autoptr (GBytes) body = job_format_running (job);
+  g_autofree char *location = g_strconcat (JOBS_PATH "/", job->id, NULL);
+
+  answer_bytes (message, SOUP_STATUS_ACCEPTED, body);
+  soup_message_headers_replace (
+      soup_server_message_get_response_headers (message), "Location",
+      location);
+}
+
+static void
+submit_job (struct caller_server *server, SoupServerMessage *message)
+{
+  g_autoptr (GBytes) body = soup_message_body_flatten (
+      soup_server_message_get_request_body (message));
+  g_autoptr (GError) error = NULL;
+  struct submission *submission
+      = submission_parse (body, clock_now_us (), &error);
+  struct job *job = NULL;
+
+  if (submission != NULL)
+    {
+      job = home_submit (server->home, submission, &error);
+      if (job == NULL)
+        event_log (EVENT_JOB_REFUSED, "%s", error->message);
+    }
+  if (job == NULL)
+    answer_error (message, error);
+  else if (wants_async (message) && job->state == JOB_ACTIVE)
+    answer_accepted (message, job);
+  else
+    wait_for_job (server, message, job);
+  if (submission != NULL)
+    submission_free (submission);
+}
+
+static void
+show_job (struct caller_server *server, SoupServerMessage *message,
+          const char *id)
+{
+  g_autoptr (GError) error = NULL;
+  struct job *job = home_find (server->home, id, &error);
+
+  if (job == NULL)
+    answer_error (message, error);
+  else if (job->state == JOB_ACTIVE)
+    answer_accepted (message, job);
+  else
+    answer_bytes (message, job->answer_status, job->answer);
+}
+
+static void
+cancel_job (struct caller_server *server, SoupServerMessage *message,
+            const char *id)
+{
+  g_autoptr (GError) error = NULL;
+  struct job *job = home_find (server->home, id, &error);
+
+  if (job == NULL)
+    {
+      answer_error (message, error);
+      return;
+    }
+  home_cancel (server->home, job);
+  answer_bytes (message, job->answer_status, job->answer);
+}
+
+static void
+handle_jobs (SoupServer *soup, SoupServerMessage *message, const char *path,
+             GHashTable *query, gpointer data)
+{
+  struct caller_server *server = data;
+  const char *method = soup_server_message_get_method (message);
+  const char *id = path + strlen (JOBS_PATH);
+
+  if (*id == '/')
+    id++;
+  if (*id == '\0' && g_str_equal (method, SOUP_METHOD_POST))
+    submit_job (server, message);
+  else if (*id == '\0')
+    refuse_method (message, "POST");
+  else if (g_str_equal (method, SOUP_METHOD_GET))
+    show_job (server, message, id);
+  else if (g_str_equal (method, SOUP_METHOD_DELETE))
+    cancel_job (server, message, id);
+  else
+    refuse_method (message, "GET, DELETE");
+}
+
+static gboolean
+read_count (GHashTable *query, guint64 *count, GError **error)
+{
+  const char *text
+      = query != NULL ? g_hash_table_lookup (query, "count") : NULL;
+
+  *count = 1;
+  if (text == NULL
+      || g_ascii_string_to_unsigned (text, 10, 1, MAX_TICKETS, count, NULL))
+    return TRUE;
+  error_set (error, ERROR_INVALID, "'count' must be from 1 to %d",
+             MAX_TICKETS);
+  return FALSE;
+}
+
+static void
+handle_tickets (SoupServer *soup, SoupServerMessage *message, const char *path,
+                GHashTable *query, gpointer data)
+{
+  struct caller_server *server = data;
+  g_autoptr (GString) text = g_string_new ("{\"tickets\":[");
+  g_autoptr (GBytes) body = NULL;
+  g_autoptr (GError) error = NULL;
+  guint64 count = 0;
+
+  if (!g_str_equal (soup_server_message_get_method (message),
+                    SOUP_METHOD_POST))
+    {
+      refuse_method (message, "POST");
+      return;
+    }
+  if (!read_count (query, &count, &error))
+    {
+      answer_error (message, error);
+      return;
+    }
+  for (guint64 i = 0; i < count; i++)
+    {
+      g_autofree char *ticket = home_draw_ticket (server->home);
+
+      g_string_append_printf (text, "%s\"%s\"", i > 0 ? "," : "", ticket);
+    }
+  g_string_append (text, "]}\n");
+  body = g_bytes_new (text->str, text->len);
+  answer_bytes (message, SOUP_STATUS_OK, body);
+}
+
+static void
+handle_health (SoupServer *soup, SoupServerMessage *message, const char *path,
+               GHashTable *query, gpointer data)
+{
+  struct caller_server *server = data;
+  gboolean is_draining
+      = dispatcher_is_draining (home_get_dispatcher (server->home));
+  g_autoptr (GBytes) body = NULL;
+  const char *text = is_draining ? "{\"status\":\"draining\"}\n"
+                                 : "{\"status\":\"serving\"}\n";
+
+  body = g_bytes_new_static (text, strlen (text));
+  answer_bytes (message,
+                is_draining ? SOUP_STATUS_SERVICE_UNAVAILABLE : SOUP_STATUS_OK,
+                body);
+}
+
+struct caller_server *
+caller_server_new (const struct settings *settings, struct home *home,
+                   GError **error)
+{
+  g_autoptr (GSocket) socket = listener_open (&settings->listen, error);
+  struct caller_server *server;
+
+  if (socket == NULL)
+    return NULL;
+  server = g_new0 (struct caller_server, 1);
+  server->settings = settings;
+  server->home = home;
+  server->port = listener_get_port (socket);
+  server->soup = soup_server_new ("server-header", "radishchute", NULL);
+  soup_server_add_handler (server->soup, JOBS_PATH, handle_jobs, server, NULL);
+  soup_server_add_handler (server->soup, "/v1/tickets", handle_tickets, server,
+                           NULL);
+  soup_server_add_handler (server->soup, "/v1/health", handle_health, server,
+                           NULL);
+  if (!soup_server_listen_socket (server->soup, socket, 0, error))
+    {
+      caller_server_free (server);
+      return NULL;
+    }
+  return server;
+}
+
+void
+caller_server_free (struct caller_server *server)
+{
+  soup_server_disconnect (server->soup);
+  g_object_unref (server->soup);
+  g_free (server);
+}
+
+guint
+caller_server_get_port (const struct caller_server *server)
+{
+  return server->port;
+}
--- /dev/null
+++ b/transport/caller_server.h
@@ -0,0 +1,25 @@
+/*
+ * The HTTP interface for callers: tickets, jobs, health.
+ */
+#ifndef TRANSPORT_CALLER_SERVER_H
+#define TRANSPORT_CALLER_SERVER_H
+
+#include "protocol/settings.h"
+#include "transport/home.h"
+
+#include <glib.h>
+
+struct caller_server;
+
+/* Listens as SETTINGS say and serves jobs of HOME; both must outlive the
+   server.  Returns NULL with ERROR when the address is taken.  */
+struct caller_server *caller_server_new (const struct settings *settings,
+                                         struct home *home, GError **error);
+
+/* Closes all connections.  */
+void caller_server_free (struct caller_server *server);
+
+/* The port that it listens on.  */
+guint caller_server_get_port (const struct caller_server *server);
+
+#endif
--- /dev/null
+++ b/transport/home.h
@@ -0,0 +1,65 @@
+/*
+ * The home of jobs: the dispatcher of this process, driven from the main
+ * loop, with its upstream client and the ids that it issues.
+ */
+#ifndef TRANSPORT_HOME_H
+#define TRANSPORT_HOME_H
+
+#include "coordination/dispatcher.h"
+#include "protocol/job_json.h"
+#include "protocol/settings.h"
+#include "state/job_id.h"
+#include "transport/upstream_client.h"
+
+#include <glib.h>
+
+/* How long a ticket may be used for a first submission, in milliseconds.  */
+#define TICKET_LIFE_MS (10 * 60 * 1000)
+
+/* The most tickets that are drawn at once.  */
+#define MAX_TICKETS 10000
+
+struct home;
+
+/* A home with the names and limits of SETTINGS, which must outlive it.  */
+struct home *home_new (const struct settings *settings);
+void home_free (struct home *home);
+
+struct dispatcher *home_get_dispatcher (struct home *home);
+struct upstream_client *home_get_upstream_client (struct home *home);
+
+/* Tells this process from earlier ones of the same VM.  */
+guint64 home_get_incarnation (const struct home *home);
+
+/* A new ticket, which is a job id not yet used.  Free with g_free ().  */
+char *home_draw_ticket (struct home *home);
+
+/* Whether ID was issued by this very process.  */
+gboolean home_owns (const struct home *home, const struct job_id *id);
+
+/*
+ * Submits the job of SUBMISSION, under its ticket or a new id.  A ticket that
+ * was used before leads to the job that it started.  Returns the job, not
+ * referenced for the caller, or NULL with ERROR when it was refused.
+ */
+struct job *home_submit (struct home *home, struct submission *submission,
+                         GError **error);
+
+/* The job of that id, or NULL with ERROR_NOT_FOUND or ERROR_EXPIRED.  */
+struct job *home_find (struct home *home, const char *id, GError **error);
+
+/*
+ * Makes WAITER wait for JOB.  Its answer function is called at once when the
+ * job has finished already.
+ */
+void home_wait (struct home *home, struct job *job, struct job_waiter *waiter);
+
+/* Cancels JOB; FALSE when it had finished before.  */
+gboolean home_cancel (struct home *home, struct job *job);
+
+/* Refuses new jobs from now on; tells through DRAINED, once, that nothing is
+   left to do.  */
+void home_drain (struct home *home, void (*drained) (gpointer data),
+                 gpointer data);
+
+#endif
