--- a/coordination/dispatcher.c
+++ b/coordination/dispatcher.c
@@ -192,6 +192,12 @@
   return g_hash_table_lookup (d->documents, team);
 }
 
+GHashTable *
+dispatcher_get_documents (struct dispatcher *d)
+{
+  return d->documents;
+}
+
 static gboolean
 check_shapes (struct pool *pool, const struct job *job, GError **error)
 {
--- a/coordination/dispatcher.h
+++ b/coordination/dispatcher.h
@@ -74,6 +74,9 @@
 struct document *dispatcher_find_document (struct dispatcher *dispatcher,
                                            const char *team);
 
+/* The documents in force, team -> struct document.  Owned by DISPATCHER.  */
+GHashTable *dispatcher_get_documents (struct dispatcher *dispatcher);
+
 /*
  * Accepts JOB, taking a reference, or refuses it: on FALSE no task of it was
  * started, and ERROR is of a kind that says so.
--- a/transport/caller_server.c
+++ b/transport/caller_server.c
@@ -2,7 +2,9 @@
 
 #include "base/clock.h"
 #include "base/event_log.h"
+#include "protocol/json_read.h"
 #include "transport/listener.h"
+#include "transport/state_dump.h"
 
 #include <libsoup/soup.h>
 #include <string.h>
@@ -265,6 +267,19 @@
                 body);
 }
 
+static void
+handle_state (SoupServer *soup, SoupServerMessage *message, const char *path,
+              GHashTable *query, gpointer data)
+{
+  struct caller_server *server = data;
+  json_t *state = state_dump_build (server->settings, server->home);
+  char *text = json_format (state);
+  g_autoptr (GBytes) body = g_bytes_new_take (text, strlen (text));
+
+  json_decref (state);
+  answer_bytes (message, SOUP_STATUS_OK, body);
+}
+
 struct caller_server *
 caller_server_new (const struct settings *settings, struct home *home,
                    GError **error)
@@ -284,6 +299,8 @@
                            NULL);
   soup_server_add_handler (server->soup, "/v1/health", handle_health, server,
                            NULL);
+  soup_server_add_handler (server->soup, "/v1/state", handle_state, server,
+                           NULL);
   if (!soup_server_listen_socket (server->soup, socket, 0, error))
     {
       caller_server_free (server);
--- /dev/null
+++ b/transport/state_dump.h
@@ -0,0 +1,15 @@
+/*
+ * The dump of a process's state for operators and tests.
+ */
+#ifndef TRANSPORT_STATE_DUMP_H
+#define TRANSPORT_STATE_DUMP_H
+
+#include "protocol/settings.h"
+#include "transport/home.h"
+
+#include <jansson.h>
+
+/* The state of HOME as a new JSON object, owned by the caller.  */
+json_t *state_dump_build (const struct settings *settings, struct home *home);
+
+#endif
