--- a/t/standin/platform.c
+++ b/t/standin/platform.c
@@ -288,6 +288,7 @@
   int port = 0;
   int second_port = -1;
   int vms_lag_ms = 0;
+  int status;
   struct platform platform = { 0 };
   const GOptionEntry entries[] = {
     { "port", 0, 0, G_OPTION_ARG_INT, &port, "Port, 0 for any", "PORT" },
@@ -310,5 +311,8 @@
   add_port (server, port, ports);
   if (second_port >= 0)
     add_port (server, second_port, ports);
-  return program_run ((const guint16 *)(void *)ports->data, ports->len);
+  status = program_run ((const guint16 *)(void *)ports->data, ports->len);
+  json_decref (platform.vms);
+  g_hash_table_unref (platform.streams);
+  return status;
 }
