transport: bound what a caller can cost

A connection guard accepts for the HTTP server: it bounds the number of connections, closes one that has not delivered a whole request by its deadline, and answers 413 while a body is still arriving. An empty body was answered with 'wrong arguments'; it now names the line like any other text.

--- a/protocol/json_read.c
+++ b/protocol/json_read.c
@@ -41,8 +41,9 @@
 json_parse (const char *text, gsize length, GError **error)
 {
   json_error_t problem;
+  const char *readable = text != NULL ? text : "";
   json_t *value = json_loadb (
-      text, length, JSON_REJECT_DUPLICATES | JSON_DECODE_ANY, &problem);
+      readable, length, JSON_REJECT_DUPLICATES | JSON_DECODE_ANY, &problem);
 
   if (value == NULL)
     error_set (error, ERROR_INVALID,
--- a/t/support/deployment.c
+++ b/t/support/deployment.c
@@ -67,6 +67,17 @@
          && (guint64)json_get_int (document, "version") >= *version;
 }
 
+void
+deployment_wait_in_force (struct deployment *d)
+{
+  for (guint i = 0; i < d->n_entries; i++)
+    {
+      g_autofree char *state = deployment_url (d, i, "/v1/state");
+
+      json_decref (http_poll_until (state, is_in_force, &d->version));
+    }
+}
+
 void
 deployment_publish (struct deployment *d, json_t *document)
 {
@@ -83,12 +94,7 @@
   json_t *body = http_answer_json (answer);
 
   d->version = (guint64)json_get_int (body, "offset") + 1;
-  for (guint i = 0; i < d->n_entries; i++)
-    {
-      g_autofree char *state = deployment_url (d, i, "/v1/state");
-
-      json_decref (http_poll_until (state, is_in_force, &d->version));
-    }
+  deployment_wait_in_force (d);
   json_decref (body);
   http_answer_free (answer);
   free (text);
--- a/t/support/deployment.h
+++ b/t/support/deployment.h
@@ -37,6 +37,9 @@
 /* Publishes DOCUMENT and waits until every entry VM has it in force.  */
 void deployment_publish (struct deployment *deployment, json_t *document);
 
+/* Waits until every entry VM has the document published last in force.  */
+void deployment_wait_in_force (struct deployment *deployment);
+
 /* The settings of entry VM INDEX, to be changed before it starts.  The caller
    owns them.  */
 json_t *deployment_settings (struct deployment *deployment, guint index);
--- a/transport/caller_server.c
+++ b/transport/caller_server.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "protocol/json_read.h"
+#include "transport/connection_guard.h"
 #include "transport/listener.h"
 #include "transport/state_dump.h"
 
@@ -12,14 +13,26 @@
 #define JSON_TYPE "application/json"
 #define JOBS_PATH "/v1/jobs"
 
+/* A connection may stay idle between two requests for this long.  */
+#define IDLE_TIMEOUT_MS 75000
+
 struct caller_server
 {
   const struct settings *settings;
   struct home *home;
   SoupServer *soup;
+  struct connection_guard *guard;
   guint port;
 };
 
+/* A request whose body is being received.  */
+struct upload
+{
+  struct caller_server *server;
+  GByteArray *body;
+  gboolean is_rejected;
+};
+
 /* A caller who waits for the answer to its job.  */
 struct caller
 {
@@ -62,6 +75,17 @@
       soup_server_message_get_response_headers (message), "Allow", allowed);
 }
 
+static void
+handle_unknown_path (SoupServer *soup, SoupServerMessage *message,
+                     const char *path, GHashTable *query, gpointer data)
+{
+  g_autoptr (GError) error = NULL;
+
+  error_set (&error, ERROR_NOT_FOUND,
+             "there is nothing at this path; jobs go to " JOBS_PATH);
+  answer_error (message, error);
+}
+
 static void
 caller_free (struct caller *caller)
 {
@@ -102,6 +126,77 @@
   home_wait (server->home, job, &caller->waiter);
 }
 
+static void
+upload_free (gpointer data)
+{
+  struct upload *upload = data;
+
+  g_byte_array_unref (upload->body);
+  g_free (upload);
+}
+
+static void
+reject_upload (SoupServerMessage *message, struct upload *upload)
+{
+  guint limit = upload->server->settings->max_body_bytes;
+  g_autofree char *response = NULL;
+  g_autoptr (GError) error = NULL;
+  g_autoptr (GBytes) body = NULL;
+
+  error_set (&error, ERROR_TOO_LARGE,
+             "the body is over %u bytes; send fewer or smaller tasks", limit);
+  body = error_format_answer (error, NULL);
+  response = g_strdup_printf (
+      "HTTP/1.1 413 Content Too Large\r\nContent-Type: " JSON_TYPE
+      "\r\nContent-Length: %" G_GSIZE_FORMAT
+      "\r\nConnection: close\r\n\r\n%.*s",
+      g_bytes_get_size (body), (int)g_bytes_get_size (body),
+      (const char *)g_bytes_get_data (body, NULL));
+  upload->is_rejected = TRUE;
+  g_byte_array_set_size (upload->body, 0);
+  connection_guard_reject (upload->server->guard, message, response);
+}
+
+static void
+on_got_chunk (SoupServerMessage *message, GBytes *chunk, gpointer data)
+{
+  struct upload *upload = data;
+  gsize length = g_bytes_get_size (chunk);
+
+  if (upload->is_rejected)
+    return;
+  if (upload->body->len + length > upload->server->settings->max_body_bytes)
+    {
+      reject_upload (message, upload);
+      return;
+    }
+  g_byte_array_append (upload->body, g_bytes_get_data (chunk, NULL),
+                       (guint)length);
+}
+
+/* Runs once the headers are there: receives the body within its limit.  */
+static void
+begin_upload (SoupServer *soup, SoupServerMessage *message, const char *path,
+              GHashTable *query, gpointer data)
+{
+  struct caller_server *server = data;
+  SoupMessageHeaders *headers
+      = soup_server_message_get_request_headers (message);
+  struct upload *upload = g_new0 (struct upload, 1);
+
+  upload->server = server;
+  upload->body = g_byte_array_new ();
+  soup_message_body_set_accumulate (
+      soup_server_message_get_request_body (message), FALSE);
+  g_object_set_data_full (G_OBJECT (message), "upload", upload, upload_free);
+  g_signal_connect (message, "got-chunk", G_CALLBACK (on_got_chunk), upload);
+  if (soup_message_headers_get_encoding (headers)
+          == SOUP_ENCODING_CONTENT_LENGTH
+      && soup_message_headers_get_content_length (headers)
+             > server->settings->max_body_bytes)
+    reject_upload (message, upload);
+}
+
 static gboolean
 wants_async (SoupServerMessage *message)
 {
@@ -127,8 +222,9 @@
 static void
 submit_job (struct caller_server *server, SoupServerMessage *message)
 {
-  g_autoptr (GBytes) body = soup_message_body_flatten (
-      soup_server_message_get_request_body (message));
+  struct upload *upload = g_object_get_data (G_OBJECT (message), "upload");
+  g_autoptr (GBytes) body
+      = g_bytes_new_static (upload->body->data, upload->body->len);
   g_autoptr (GError) error = NULL;
   struct submission *submission
       = submission_parse (body, clock_now_us (), &error);
@@ -280,38 +376,74 @@
   answer_bytes (message, SOUP_STATUS_OK, body);
 }
 
+static GTlsCertificate *
+load_certificate (const struct settings *settings, GError **error)
+{
+  GTlsCertificate *certificate = g_tls_certificate_new_from_files (
+      settings->tls_certificate, settings->tls_key, error);
+
+  if (certificate == NULL)
+    g_prefix_error (
+        error, "tls: %s: correct the settings: ", settings->tls_certificate);
+  return certificate;
+}
+
+/* Serves PATH by HANDLER, with bodies received within their limit.  */
+static void
+add_handler (struct caller_server *server, const char *path,
+             SoupServerCallback handler)
+{
+  soup_server_add_early_handler (server->soup, path, begin_upload, server,
+                                 NULL);
+  soup_server_add_handler (server->soup, path, handler, server, NULL);
+}
+
+static void
+add_handlers (struct caller_server *server)
+{
+  add_handler (server, "/", handle_unknown_path);
+  add_handler (server, JOBS_PATH, handle_jobs);
+  add_handler (server, "/v1/tickets", handle_tickets);
+  add_handler (server, "/v1/health", handle_health);
+  add_handler (server, "/v1/state", handle_state);
+}
+
 struct caller_server *
 caller_server_new (const struct settings *settings, struct home *home,
                    GError **error)
 {
   g_autoptr (GSocket) socket = listener_open (&settings->listen, error);
+  g_autoptr (GTlsCertificate) certificate = NULL;
   struct caller_server *server;
+  struct connection_limits limits = {
+    .max_connections = settings->max_connections,
+    .request_timeout_ms = settings->request_timeout_ms,
+    .idle_timeout_ms = IDLE_TIMEOUT_MS,
+  };
 
   if (socket == NULL)
     return NULL;
+  if (settings->tls_certificate != NULL)
+    {
+      certificate = load_certificate (settings, error);
+      if (certificate == NULL)
+        return NULL;
+    }
   server = g_new0 (struct caller_server, 1);
   server->settings = settings;
   server->home = home;
   server->port = listener_get_port (socket);
   server->soup = soup_server_new ("server-header", "radishchute", NULL);
-  soup_server_add_handler (server->soup, JOBS_PATH, handle_jobs, server, NULL);
-  soup_server_add_handler (server->soup, "/v1/tickets", handle_tickets, server,
-                           NULL);
-  soup_server_add_handler (server->soup, "/v1/health", handle_health, server,
-                           NULL);
-  soup_server_add_handler (server->soup, "/v1/state", handle_state, server,
-                           NULL);
-  if (!soup_server_listen_socket (server->soup, socket, 0, error))
-    {
-      caller_server_free (server);
-      return NULL;
-    }
+  add_handlers (server);
+  server->guard
+      = connection_guard_new (socket, server->soup, certificate, &limits);
   return server;
 }
 
 void
 caller_server_free (struct caller_server *server)
 {
+  connection_guard_free (server->guard);
   soup_server_disconnect (server->soup);
   g_object_unref (server->soup);
   g_free (server);
