transport: bound the wait for upstreams that went silent

Renewals and stops use a session of their own with a short time limit, so a connection that lost track is replaced. An upstream that denies a task in two renewals in a row does not run it: the attempt ends as silent. A request that cannot be written within a second is taken back as not sent. Proxies of the environment are never asked.

--- a/transport/log_client.c
+++ b/transport/log_client.c
@@ -150,8 +150,8 @@
   client->next = from;
   client->reader = reader;
   client->retry_ms = FIRST_RETRY_MS;
-  client->session
-      = soup_session_new_with_options ("timeout", POLL_TIMEOUT_SEC, NULL);
+  client->session = soup_session_new_with_options (
+      "proxy-resolver", NULL, "timeout", POLL_TIMEOUT_SEC, NULL);
   client->cancellable = g_cancellable_new ();
   poll_log (client);
   return client;
--- a/transport/upstream_client.c
+++ b/transport/upstream_client.c
@@ -13,15 +13,32 @@
 /* Idle connections are closed before the upstream closes them.  */
 #define IDLE_TIMEOUT_SEC 30
 
-/* The answer to a renewal or a stop is awaited no longer.  */
-#define CONTROL_TIMEOUT_US (2 * USEC_PER_SEC)
+/* A request that is not on its way by then is taken back.  */
+#define SEND_TIMEOUT_US USEC_PER_SEC
+
+/* The answer to a renewal or a stop is awaited no longer; the connection is
+   then taken for dead.  */
+#define CONTROL_TIMEOUT_SEC 2
+
+/* How often the deadlines of attempts are looked at.  */
+#define SWEEP_INTERVAL_MS 250
+
+/* An attempt whose lease has lapsed is given up this much later.  */
+#define ABANDON_GRACE_US USEC_PER_SEC
+
+/* An upstream that denies a task in this many renewals does not run it.  */
+#define MAX_DENIALS 2
 
 struct upstream_client
 {
   struct upstream_client_owner *owner;
-  SoupSession *session;
+  SoupSession *session;         /* for starts */
+  SoupSession *control_session; /* for renewals and stops */
   GCancellable *shutdown;
-  struct list_node attempts; /* struct attempt by link */
+  struct list_node attempts;  /* struct attempt by link */
+  struct list_node unsent;    /* struct attempt by wait_link, oldest first */
+  struct list_node abandoned; /* struct attempt by wait_link */
+  guint sweep_source;
   struct upstream_client_counts counts;
 };
 
@@ -38,6 +55,10 @@
   gsize buffer_size;
   gboolean is_sending;
   gboolean is_sent;
+  gboolean is_silent; /* given up before an answer came */
+  guint n_denials;    /* renewals in which the upstream denied it */
+  struct list_node wait_link;
+  gint64 give_up_us; /* when to give up, once it is abandoned */
 };
 
 /* The stops that wait to be sent to one upstream.  */
@@ -49,6 +70,41 @@
   guint source;
 };
 
+/* Ends the wait; what follows is reported from the main loop.  */
+static void
+give_up (struct attempt *attempt)
+{
+  attempt->is_silent = TRUE;
+  list_remove (&attempt->wait_link);
+  g_cancellable_cancel (attempt->cancellable);
+}
+
+static void
+give_up_overdue (struct list_node *waiting, gint64 now_us)
+{
+  struct list_node *node;
+  struct list_node *after;
+
+  list_for_each (node, after, waiting)
+    {
+      struct attempt *attempt = list_entry (node, struct attempt, wait_link);
+
+      if (attempt->give_up_us <= now_us)
+        give_up (attempt);
+    }
+}
+
+static gboolean
+on_sweep (gpointer data)
+{
+  struct upstream_client *client = data;
+  gint64 now_us = clock_now_us ();
+
+  give_up_overdue (&client->unsent, now_us);
+  give_up_overdue (&client->abandoned, now_us);
+  return G_SOURCE_CONTINUE;
+}
+
 struct upstream_client *
 upstream_client_new (struct upstream_client_owner *owner)
 {
@@ -56,11 +112,18 @@
 
   client->owner = owner;
   client->session = soup_session_new_with_options (
-      "max-conns", MAX_CONNECTIONS, "max-conns-per-host",
-      MAX_CONNECTIONS_PER_UPSTREAM, "idle-timeout", IDLE_TIMEOUT_SEC,
-      "timeout", 0, NULL);
+      "proxy-resolver", NULL, "max-conns", MAX_CONNECTIONS,
+      "max-conns-per-host", MAX_CONNECTIONS_PER_UPSTREAM, "idle-timeout",
+      IDLE_TIMEOUT_SEC, "timeout", 0, NULL);
+  client->control_session = soup_session_new_with_options (
+      "proxy-resolver", NULL, "max-conns", MAX_CONNECTIONS,
+      "max-conns-per-host", MAX_CONNECTIONS_PER_UPSTREAM, "idle-timeout",
+      IDLE_TIMEOUT_SEC, "timeout", CONTROL_TIMEOUT_SEC, NULL);
   client->shutdown = g_cancellable_new ();
   list_init (&client->attempts);
+  list_init (&client->unsent);
+  list_init (&client->abandoned);
+  client->sweep_source = g_timeout_add (SWEEP_INTERVAL_MS, on_sweep, client);
   return client;
 }
 
@@ -81,6 +144,7 @@
   g_cancellable_cancel (client->shutdown);
   g_object_unref (client->shutdown);
   g_object_unref (client->session);
+  g_object_unref (client->control_session);
   g_free (client);
 }
 
@@ -88,6 +152,8 @@
 attempt_free (struct attempt *attempt)
 {
   list_remove (&attempt->link);
+  list_remove (&attempt->wait_link);
+  g_signal_handlers_disconnect_by_data (attempt->message, attempt);
   g_object_unref (attempt->message);
   g_object_unref (attempt->cancellable);
   g_free (attempt->buffer);
@@ -115,7 +181,10 @@
 
   if (client != NULL
       && client->owner->ops->may_send (client->owner, attempt->task))
-    attempt->is_sending = TRUE;
+    {
+      attempt->is_sending = TRUE;
+      list_remove (&attempt->wait_link);
+    }
   else
     g_cancellable_cancel (attempt->cancellable);
 }
@@ -133,6 +202,8 @@
 {
   if (!attempt->is_sending)
     return ATTEMPT_NOT_SENT;
+  if (attempt->is_silent)
+    return ATTEMPT_SILENT;
   if (!attempt->is_sent)
     return ATTEMPT_CUT_WHILE_SENDING;
   return ATTEMPT_CUT_BEFORE_ANSWER;
@@ -190,7 +261,9 @@
 
   if (!g_input_stream_read_all_finish (stream, result, &length, NULL))
     {
-      end_attempt (attempt, ATTEMPT_CUT_IN_ANSWER, NULL);
+      end_attempt (attempt,
+                   attempt->is_silent ? ATTEMPT_SILENT : ATTEMPT_CUT_IN_ANSWER,
+                   NULL);
       return;
     }
   end_with_answer (attempt, length);
@@ -266,6 +339,8 @@
   attempt->cancellable = g_cancellable_new ();
   attempt->message = build_start (task, service);
   list_append (&client->attempts, &attempt->link);
+  attempt->give_up_us = clock_now_us () + SEND_TIMEOUT_US;
+  list_append (&client->unsent, &attempt->wait_link);
   task->transport_data = attempt;
   client->counts.starts++;
   g_signal_connect (attempt->message, "starting", G_CALLBACK (on_starting),
@@ -277,6 +352,25 @@
                            on_answer_started, attempt);
 }
 
+/* Nobody waits for ATTEMPT any more; it ends with its lease at the latest.  */
+static void
+abandon (struct upstream_client *client, struct attempt *attempt)
+{
+  gint64 now_us = clock_now_us ();
+
+  if (!list_is_empty (&attempt->wait_link))
+    return;
+  attempt->give_up_us
+      = MAX (attempt->task->lease_deadline_us, now_us) + ABANDON_GRACE_US;
+  list_append (&client->abandoned, &attempt->wait_link);
+}
+
+static char *
+format_task_id (const struct task *task)
+{
+  return g_strdup_printf ("%s/%u", task->job->id, task->index);
+}
+
 static json_t *
 describe_task (const struct task *task)
 {
@@ -303,6 +397,63 @@
   gint64 deadline_us;
 };
 
+static gboolean
+is_listed (json_t *lapsed, const char *id)
+{
+  json_t *entry;
+  size_t i;
+
+  json_array_foreach (lapsed, i, entry)
+  {
+    if (g_strcmp0 (json_string_value (entry), id) == 0)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+/*
+ * Takes note of tasks that the upstream says it does not run.  An answer may
+ * still be under way after one such denial; after several the connection that
+ * was to bring it is dead.
+ */
+static void
+note_denials (struct upstream *upstream, json_t *lapsed)
+{
+  struct list_node *node;
+  struct list_node *after;
+
+  list_for_each (node, after, &upstream->running)
+    {
+      struct task *task = list_entry (node, struct task, upstream_link);
+      struct attempt *attempt = task->transport_data;
+      g_autofree char *id = format_task_id (task);
+
+      if (attempt == NULL || !is_listed (lapsed, id))
+        continue;
+      attempt->n_denials++;
+      if (attempt->n_denials >= MAX_DENIALS)
+        give_up (attempt);
+    }
+}
+
+static void
+handle_renewed (struct renewal *renewal, GBytes *body)
+{
+  struct upstream_client *client = renewal->client;
+  json_t *root = json_parse (g_bytes_get_data (body, NULL),
+                             g_bytes_get_size (body), NULL);
+  json_t *lapsed = json_object_get (root, "lapsed");
+
+  if (json_is_array (lapsed))
+    {
+      client->owner->ops->leases_renewed (client->owner, renewal->upstream,
+                                          renewal->deadline_us);
+      if (json_array_size (lapsed) > 0)
+        note_denials (renewal->upstream, lapsed);
+    }
+  json_decref (root);
+}
+
 static void
 on_renewed (GObject *source, GAsyncResult *result, gpointer data)
 {
@@ -312,11 +463,9 @@
   g_autoptr (GError) error = NULL;
   g_autoptr (GBytes) body = soup_session_send_and_read_finish (
       SOUP_SESSION (source), result, &error);
-  struct upstream_client *client = renewal->client;
 
   if (body != NULL && soup_message_get_status (message) == SOUP_STATUS_OK)
-    client->owner->ops->leases_renewed (client->owner, renewal->upstream,
-                                        renewal->deadline_us);
+    handle_renewed (renewal, body);
   upstream_unref (renewal->upstream);
   g_free (renewal);
 }
@@ -347,7 +496,7 @@
   g_autoptr (SoupMessage) message
       = build_control (upstream, "/v1/leases", root);
   json_decref (root);
-  soup_session_send_and_read_async (client->session, message,
+  soup_session_send_and_read_async (client->control_session, message,
                                     G_PRIORITY_DEFAULT, client->shutdown,
                                     on_renewed, renewal);
 }
@@ -372,7 +521,7 @@
 
   json_decref (root);
   client->counts.stops++;
-  soup_session_send_and_read_async (client->session, message,
+  soup_session_send_and_read_async (client->control_session, message,
                                     G_PRIORITY_DEFAULT, client->shutdown,
                                     on_stopped, NULL);
   batch->upstream->transport_data = NULL;
@@ -388,12 +537,15 @@
   struct attempt *attempt = task->transport_data;
   struct stop_batch *batch = upstream->transport_data;
 
-  if (attempt != NULL && !attempt->is_sending)
+  if (attempt == NULL)
+    return;
+  if (!attempt->is_sending)
     {
       /* Reported from the main loop as not sent.  */
       g_cancellable_cancel (attempt->cancellable);
       return;
     }
+  abandon (client, attempt);
   if (batch == NULL)
     {
       batch = g_new0 (struct stop_batch, 1);
