transport: keep callers' connections open and release closed ones

Cause: with connections handed over by soup_server_accept_iostream () the server closes each one after its first answer without announcing it, because it has no listener of its own. Ruled out: the bound on connections (never reached) and the client's resend (the reset came on the first write to a reused connection).

The server now listens by itself. Tests: two requests on one connection, 200 closed connections released.

--- a/t/standin/listener.c
+++ b/t/standin/listener.c
@@ -1,9 +1,10 @@
 #include "t/standin/listener.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
 
+/* A stand-in waits for requests without a limit.  */
+#define NO_TIMEOUT_MS G_MAXINT
+
 GSocket *
 listen_on_loopback (guint16 port, guint16 *bound_port, GError **error)
 {
@@ -28,50 +29,16 @@
   return g_steal_pointer (&socket);
 }
 
-static void
-on_connection_gone (gpointer data, GObject *connection)
-{
-  struct listener *listener = data;
-
-  listener->n_connections--;
-}
-
-static void
-accept_connection (struct listener *listener, GSocket *socket)
+static struct connection_guard *
+guard_server (SoupServer *server, guint max_connections)
 {
-  g_autoptr (GSocketConnection) connection
-      = g_socket_connection_factory_create_connection (socket);
-  g_autoptr (GSocketAddress) local = g_socket_get_local_address (socket, NULL);
-  g_autoptr (GSocketAddress) remote
-      = g_socket_get_remote_address (socket, NULL);
-
-  if (listener->max_connections != 0
-      && listener->n_connections >= listener->max_connections)
-    {
-      listener->closed_connections++;
-      g_io_stream_close (G_IO_STREAM (connection), NULL, NULL);
-      return;
-    }
-  g_socket_set_option (socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
-  listener->n_connections++;
-  listener->most_connections
-      = MAX (listener->most_connections, listener->n_connections);
-  g_object_weak_ref (G_OBJECT (connection), on_connection_gone, listener);
-  soup_server_accept_iostream (listener->server, G_IO_STREAM (connection),
-                               local, remote, NULL);
-}
+  struct connection_limits limits = {
+    .max_connections = max_connections != 0 ? max_connections : G_MAXUINT,
+    .request_timeout_ms = NO_TIMEOUT_MS,
+    .idle_timeout_ms = NO_TIMEOUT_MS,
+  };
 
-static gboolean
-on_listening_socket (GSocket *listening, GIOCondition condition, gpointer data)
-{
-  GSocket *socket;
-
-  while ((socket = g_socket_accept (listening, NULL, NULL)) != NULL)
-    {
-      accept_connection (data, socket);
-      g_object_unref (socket);
-    }
-  return G_SOURCE_CONTINUE;
+  return connection_guard_new (server, &limits);
 }
 
 struct listener *
@@ -80,20 +47,20 @@
 {
   struct listener *listener;
   guint16 bound_port;
+  gboolean is_first;
   GSocket *socket = listen_on_loopback (port, &bound_port, error);
-  g_autoptr (GSource) source = NULL;
 
   if (socket == NULL)
     return NULL;
+  is_first = soup_server_get_listeners (server) == NULL;
+  if (!soup_server_listen_socket (server, socket, 0, error))
+    return NULL;
   listener = g_new0 (struct listener, 1);
   listener->server = g_object_ref (server);
   listener->socket = socket;
   listener->port = bound_port;
-  listener->max_connections = max_connections;
-  source = g_socket_create_source (socket, G_IO_IN, NULL);
-  g_source_set_callback (source, G_SOURCE_FUNC (on_listening_socket), listener,
-                         NULL);
-  g_source_attach (source, NULL);
+  if (is_first)
+    listener->guard = guard_server (server, max_connections);
   return listener;
 }
 
--- a/t/standin/listener.h
+++ b/t/standin/listener.h
@@ -5,6 +5,8 @@
 #ifndef T_STANDIN_LISTENER_H
 #define T_STANDIN_LISTENER_H
 
+#include "transport/connection_guard.h"
+
 #include <jansson.h>
 #include <libsoup/soup.h>
 
@@ -20,16 +22,13 @@
   SoupServer *server; /* one reference; shared between listeners */
   GSocket *socket;
   guint16 port;
-  guint n_connections;
-  guint max_connections; /* more are closed at once; 0 for no bound */
-  guint most_connections;
-  guint closed_connections; /* closed for being over the bound */
+  struct connection_guard *guard; /* of a server's first listener */
 };
 
 /*
  * Listens on PORT of 127.0.0.1, or on an ephemeral one for 0, and hands
- * accepted connections to SERVER.  Returns NULL on error.  Lives as long as
- * the process.
+ * accepted connections to SERVER, MAX_CONNECTIONS at a time (0 for no bound).
+ * Returns NULL on error.  Lives as long as the process.
  */
 struct listener *listener_new (SoupServer *server, guint16 port,
                                guint max_connections, GError **error);
--- a/t/t9001-whole-path.c
+++ b/t/t9001-whole-path.c
@@ -16,7 +16,8 @@
   struct http_answer *answer = http_request ("POST", url, job, NULL);
   json_t *body = http_answer_json (answer);
 
-  g_assert_cmpuint (answer->status, ==, 200);
+  if (answer->status != 200)
+    g_error ("status %u: %s", answer->status, answer->body);
   deployment_assert_whole (body, 130, 1000);
   g_assert_cmpuint (deployment_assert_starts (d), ==, 130);
   json_decref (body);
@@ -40,7 +41,8 @@
   process_signal (d->entries[0], SIGTERM);
   answer = http_finish (call);
   body = http_answer_json (answer);
-  g_assert_cmpuint (answer->status, ==, 200);
+  if (answer->status != 200)
+    g_error ("status %u: %s", answer->status, answer->body);
   deployment_assert_whole (body, 20, 0);
   g_assert_cmpint (process_wait_exit (d->entries[0]), ==, 0);
   json_decref (body);
--- a/t/t9400-bad-input.c
+++ b/t/t9400-bad-input.c
@@ -236,6 +236,44 @@
   assert_serves_others ();
 }
 
+/* A connection that was not told to close serves further requests.  */
+static void
+test_keep_alive (void)
+{
+  static const char request[]
+      = "GET /v1/health HTTP/1.1\r\nHost: x\r\n\r\n"
+        "GET /v1/health HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+  g_autofree char *answer = http_raw (deployment->entries[0]->ports[0],
+                                      request, sizeof request - 1, FALSE);
+  char *first = strstr (answer, "serving");
+
+  g_assert_nonnull (first);
+  g_assert_nonnull (strstr (first + 1, "serving"));
+}
+
+static gboolean
+is_alone (json_t *state, gpointer data)
+{
+  return json_get_int (state, "connections") <= 1;
+}
+
+/* Connections that callers closed between two requests are released.  */
+static void
+test_closed_connections_are_released (void)
+{
+  g_autofree char *url = deployment_url (deployment, 0, "/v1/health");
+  g_autofree char *state = deployment_url (deployment, 0, "/v1/state");
+
+  for (int i = 0; i < 200; i++)
+    {
+      struct http_answer *answer = http_request ("GET", url, NULL, NULL);
+
+      g_assert_cmpuint (answer->status, ==, 200);
+      http_answer_free (answer);
+    }
+  json_decref (http_poll_until (state, is_alone, NULL));
+}
+
 static gboolean
 nothing_unfinished (json_t *state, gpointer data)
 {
@@ -281,6 +319,9 @@
   g_test_add_func ("/bad-input/streamed-size", test_streamed_size_over_limit);
   g_test_add_func ("/bad-input/incomplete", test_incomplete_requests);
   g_test_add_func ("/bad-input/header-flood", test_header_flood);
+  g_test_add_func ("/bad-input/keep-alive", test_keep_alive);
+  g_test_add_func ("/bad-input/closed-connections",
+                   test_closed_connections_are_released);
   g_test_add_func ("/bad-input/caller-leaves", test_caller_leaves);
   status = g_test_run ();
   deployment_stop (deployment);
--- a/transport/caller_server.c
+++ b/transport/caller_server.c
@@ -135,26 +135,32 @@
   g_free (upload);
 }
 
-static void
-reject_upload (SoupServerMessage *message, struct upload *upload)
+static GBytes *
+format_too_large (const struct caller_server *server)
 {
-  guint limit = upload->server->settings->max_body_bytes;
-  g_autofree char *response = NULL;
   g_autoptr (GError) error = NULL;
-  g_autoptr (GBytes) body = NULL;
 
   error_set (&error, ERROR_TOO_LARGE,
-             "the body is over %u bytes; send fewer or smaller tasks", limit);
-  body = error_format_answer (error, NULL);
-  response = g_strdup_printf (
+             "the body is over %u bytes; send fewer or smaller tasks",
+             server->settings->max_body_bytes);
+  return error_format_answer (error, NULL);
+}
+
+static void
+reject_upload (SoupServerMessage *message, struct upload *upload)
+{
+  g_autoptr (GBytes) body = format_too_large (upload->server);
+  g_autofree char *response = g_strdup_printf (
       "HTTP/1.1 413 Content Too Large\r\nContent-Type: " JSON_TYPE
       "\r\nContent-Length: %" G_GSIZE_FORMAT
       "\r\nConnection: close\r\n\r\n%.*s",
       g_bytes_get_size (body), (int)g_bytes_get_size (body),
       (const char *)g_bytes_get_data (body, NULL));
+
   upload->is_rejected = TRUE;
   g_byte_array_set_size (upload->body, 0);
-  connection_guard_reject (upload->server->guard, message, response);
+  if (upload->server->settings->tls_certificate == NULL)
+    connection_guard_reject (upload->server->guard, message, response);
 }
 
 static void
@@ -226,10 +232,18 @@
   g_autoptr (GBytes) body
       = g_bytes_new_static (upload->body->data, upload->body->len);
   g_autoptr (GError) error = NULL;
-  struct submission *submission
-      = submission_parse (body, clock_now_us (), &error);
+  struct submission *submission = NULL;
   struct job *job = NULL;
 
+  if (upload->is_rejected)
+    {
+      g_autoptr (GBytes) answer = format_too_large (server);
+
+      answer_bytes (message, error_kind_http_status (ERROR_TOO_LARGE), answer);
+      return;
+    }
+  submission = submission_parse (body, clock_now_us (), &error);
+
   if (submission != NULL)
     {
       job = home_submit (server->home, submission, &error);
@@ -369,9 +383,13 @@
 {
   struct caller_server *server = data;
   json_t *state = state_dump_build (server->settings, server->home);
-  char *text = json_format (state);
-  g_autoptr (GBytes) body = g_bytes_new_take (text, strlen (text));
+  g_autoptr (GBytes) body = NULL;
+  char *text;
 
+  json_object_set_new (state, "connections",
+                       json_integer (connection_guard_count (server->guard)));
+  text = json_format (state);
+  body = g_bytes_new_take (text, strlen (text));
   json_decref (state);
   answer_bytes (message, SOUP_STATUS_OK, body);
 }
@@ -435,16 +453,23 @@
   server->port = listener_get_port (socket);
   server->soup = soup_server_new ("server-header", "radishchute", NULL);
   add_handlers (server);
-  server->guard
-      = connection_guard_new (socket, server->soup, certificate, &limits);
+  soup_server_set_tls_certificate (server->soup, certificate);
+  server->guard = connection_guard_new (server->soup, &limits);
+  if (!soup_server_listen_socket (
+          server->soup, socket,
+          certificate != NULL ? SOUP_SERVER_LISTEN_HTTPS : 0, error))
+    {
+      caller_server_free (server);
+      return NULL;
+    }
   return server;
 }
 
 void
 caller_server_free (struct caller_server *server)
 {
-  connection_guard_free (server->guard);
   soup_server_disconnect (server->soup);
+  connection_guard_free (server->guard);
   g_object_unref (server->soup);
   g_free (server);
 }
--- a/transport/connection_guard.h
+++ b/transport/connection_guard.h
@@ -1,5 +1,5 @@
 /*
- * Accepts the connections of an HTTP server and bounds them.
+ * Watches the connections of an HTTP server and bounds them.
  *
  * No more than a given number of connections is open at a time; the rest is
  * closed at once.  A connection that does not deliver a whole request before
@@ -20,30 +20,27 @@
   guint idle_timeout_ms;    /* between two requests, the second included */
 };
 
-/*
- * Accepts from LISTENER, which must not be blocking, on behalf of SERVER.
- * With a CERTIFICATE, connections speak TLS.  Takes references.
- */
+/* Watches the connections of SERVER, which keeps its own listener.  Takes a
+   reference.  */
 struct connection_guard *
-connection_guard_new (GSocket *listener, SoupServer *server,
-                      GTlsCertificate *certificate,
+connection_guard_new (SoupServer *server,
                       const struct connection_limits *limits);
 void connection_guard_free (struct connection_guard *guard);
 
-/* Accepts no further connections; open ones go on.  */
-void connection_guard_stop_accepting (struct connection_guard *guard);
-
 /*
  * Writes the bytes of RESPONSE to the connection of MESSAGE, whose request has
  * not been read whole, and closes it soon after.  What else arrives is
- * discarded.
+ * discarded.  Only for connections without TLS.
  */
 void connection_guard_reject (struct connection_guard *guard,
                               SoupServerMessage *message,
                               const char *response);
 
 /* Connections that are open.  */
-guint connection_guard_count (const struct connection_guard *guard);
+guint connection_guard_count (struct connection_guard *guard);
+
+/* The most connections that were open at a time.  */
+guint connection_guard_count_most (const struct connection_guard *guard);
 
 /* Connections closed because of a limit or a deadline.  */
 guint64 connection_guard_count_closed (const struct connection_guard *guard);
