--- a/t/standin/listener.c
+++ b/t/standin/listener.c
@@ -56,9 +56,10 @@
   if (!soup_server_listen_socket (server, socket, 0, error))
     return NULL;
   listener = g_new0 (struct listener, 1);
-  listener->server = g_object_ref (server);
+  listener->server = server;
   listener->socket = socket;
   listener->port = bound_port;
+  g_object_set_data_full (G_OBJECT (socket), "listener", listener, g_free);
   if (is_first)
     listener->guard = guard_server (server, max_connections);
   return listener;
--- a/t/standin/listener.h
+++ b/t/standin/listener.h
@@ -19,7 +19,7 @@
 
 struct listener
 {
-  SoupServer *server; /* one reference; shared between listeners */
+  SoupServer *server; /* not owned; shared between listeners */
   GSocket *socket;
   guint16 port;
   struct connection_guard *guard; /* of a server's first listener */
