t: keep the stand-ins' connections open between requests

libsoup 3.2 closes a connection after each answer unless the server has a listener of its own, and an accepted stream alone does not count. The stand-in now registers its socket with libsoup, too, and still accepts first. libsoup then never notices that an idle connection was closed by the other side, so ended connections are swept.

--- a/t/standin/listener.c
+++ b/t/standin/listener.c
@@ -3,6 +3,9 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
+
+#define SWEEP_INTERVAL_MS 100
 
 GSocket *
 listen_on_loopback (guint16 port, guint16 *bound_port, GError **error)
@@ -28,12 +31,52 @@
   return g_steal_pointer (&socket);
 }
 
+/* Whether the other side of SOCKET has closed it.  */
+static gboolean
+is_at_end (GSocket *socket)
+{
+  char byte;
+
+  return recv (g_socket_get_fd (socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT)
+         == 0;
+}
+
+/* libsoup 3.2 does not notice that an idle connection was closed.  */
 static void
-on_connection_gone (gpointer data, GObject *connection)
+close_ended_connections (struct listener *listener)
+{
+  for (guint i = listener->sockets->len; i > 0; i--)
+    {
+      GSocket *socket = g_ptr_array_index (listener->sockets, i - 1);
+
+      if (!g_socket_is_closed (socket) && is_at_end (socket))
+        g_socket_close (socket, NULL);
+      if (g_socket_is_closed (socket))
+        g_ptr_array_remove_index_fast (listener->sockets, i - 1);
+    }
+}
+
+static gboolean
+on_sweep (gpointer data)
 {
-  struct listener *listener = data;
+  close_ended_connections (data);
+  return G_SOURCE_CONTINUE;
+}
 
-  listener->n_connections--;
+guint
+listener_count_connections (struct listener *listener)
+{
+  close_ended_connections (listener);
+  return listener->sockets->len;
+}
+
+static gboolean
+is_full (struct listener *listener)
+{
+  guint most = listener->max_connections + SPARE_CONNECTIONS;
+
+  return listener->max_connections != 0 && listener->sockets->len >= most
+         && listener_count_connections (listener) >= most;
 }
 
 static void
@@ -45,18 +88,16 @@
   g_autoptr (GSocketAddress) remote
       = g_socket_get_remote_address (socket, NULL);
 
-  if (listener->max_connections != 0
-      && listener->n_connections >= listener->max_connections)
+  if (is_full (listener))
     {
       listener->closed_connections++;
       g_io_stream_close (G_IO_STREAM (connection), NULL, NULL);
       return;
     }
   g_socket_set_option (socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
-  listener->n_connections++;
+  g_ptr_array_add (listener->sockets, g_object_ref (socket));
   listener->most_connections
-      = MAX (listener->most_connections, listener->n_connections);
-  g_object_weak_ref (G_OBJECT (connection), on_connection_gone, listener);
+      = MAX (listener->most_connections, listener->sockets->len);
   soup_server_accept_iostream (listener->server, G_IO_STREAM (connection),
                                local, remote, NULL);
 }
@@ -83,17 +124,22 @@
   GSocket *socket = listen_on_loopback (port, &bound_port, error);
   g_autoptr (GSource) source = NULL;
 
-  if (socket == NULL)
+  /* libsoup keeps a connection open between requests only while it has a
+     listener.  Ours has the higher priority and takes every connection.  */
+  if (socket == NULL || !soup_server_listen_socket (server, socket, 0, error))
     return NULL;
   listener = g_new0 (struct listener, 1);
   listener->server = g_object_ref (server);
   listener->socket = socket;
+  listener->sockets = g_ptr_array_new_with_free_func (g_object_unref);
   listener->port = bound_port;
   listener->max_connections = max_connections;
   source = g_socket_create_source (socket, G_IO_IN, NULL);
+  g_source_set_priority (source, G_PRIORITY_HIGH);
   g_source_set_callback (source, G_SOURCE_FUNC (on_listening_socket), listener,
                          NULL);
   g_source_attach (source, NULL);
+  g_timeout_add (SWEEP_INTERVAL_MS, on_sweep, listener);
   return listener;
 }
 
--- a/t/standin/listener.h
+++ b/t/standin/listener.h
@@ -11,6 +11,9 @@
 /* The backlog of listening sockets, in connections.  */
 #define LISTEN_BACKLOG 1024
 
+/* Connections above the bound that are left for test controls.  */
+#define SPARE_CONNECTIONS 8
+
 /* Makes a non-blocking socket that listens on PORT of 127.0.0.1.  */
 GSocket *listen_on_loopback (guint16 port, guint16 *bound_port,
                              GError **error);
@@ -20,8 +23,8 @@
   SoupServer *server; /* one reference; shared between listeners */
   GSocket *socket;
   guint16 port;
-  guint n_connections;
-  guint max_connections; /* more are closed at once; 0 for no bound */
+  GPtrArray *sockets;    /* of GSocket, accepted; some may be closed by now */
+  guint max_connections; /* as many and the spare ones; 0 for no bound */
   guint most_connections;
   guint closed_connections; /* closed for being over the bound */
 };
@@ -34,6 +37,9 @@
 struct listener *listener_new (SoupServer *server, guint16 port,
                                guint max_connections, GError **error);
 
+/* The number of connections that are open.  */
+guint listener_count_connections (struct listener *listener);
+
 /* Answers MSG with STATUS and BODY, which is taken over (may be NULL).  */
 void answer_text (SoupServerMessage *msg, guint status, char *body);
 
--- a/t/standin/upstream_http.c
+++ b/t/standin/upstream_http.c
@@ -281,7 +281,8 @@
   for (int i = 0; i < REQUEST_KIND_COUNT; i++)
     json_add_int (body, request_names[i], (gint64)upstream->requests[i]);
   json_add_int (body, "refused", (gint64)upstream->records->refusals);
-  json_add_int (body, "connections", upstream->listener->n_connections);
+  json_add_int (body, "connections",
+                listener_count_connections (upstream->listener));
   json_add_int (body, "max_connections", upstream->listener->most_connections);
   json_add_int (body, "closed_connections",
                 upstream->listener->closed_connections);
--- a/t/support/http.c
+++ b/t/support/http.c
@@ -201,6 +201,53 @@
   return g_string_free (answer, FALSE);
 }
 
+/* Reads up to the end of one answer, whose body is JSON.  */
+static gboolean
+read_one_answer (GInputStream *input)
+{
+  g_autoptr (GString) answer = g_string_new (NULL);
+  char buf[4096];
+  gssize n;
+
+  for (;;)
+    {
+      const char *body = strstr (answer->str, "\r\n\r\n");
+
+      if (body != NULL)
+        {
+          json_t *value = json_loads (body, JSON_DISABLE_EOF_CHECK, NULL);
+
+          json_decref (value);
+          if (value != NULL)
+            return TRUE;
+        }
+      n = g_input_stream_read (input, buf, sizeof buf, NULL, NULL);
+      if (n <= 0)
+        return FALSE;
+      g_string_append_len (answer, buf, n);
+    }
+}
+
+guint
+http_count_on_one_connection (guint16 port, const char *path, guint n)
+{
+  g_autoptr (GSocketClient) client = g_socket_client_new ();
+  g_autoptr (GSocketConnection) connection = g_socket_client_connect_to_host (
+      client, "127.0.0.1", port, NULL, NULL);
+  GIOStream *stream = G_IO_STREAM (connection);
+  g_autofree char *request
+      = g_strdup_printf ("GET %s HTTP/1.1\r\nHost: localhost\r\n\r\n", path);
+
+  for (guint i = 0; i < n; i++)
+    {
+      g_output_stream_write_all (g_io_stream_get_output_stream (stream),
+                                 request, strlen (request), NULL, NULL, NULL);
+      if (!read_one_answer (g_io_stream_get_input_stream (stream)))
+        return i;
+    }
+  return n;
+}
+
 static gboolean
 set_flag (gpointer data)
 {
--- a/t/support/http.h
+++ b/t/support/http.h
@@ -66,6 +66,12 @@
 char *http_raw (guint16 port, const void *bytes, gsize length,
                 gboolean stop_after_headers);
 
+/*
+ * Sends one GET after the other, N of them, for PATH to PORT of 127.0.0.1 over
+ * a single connection.  Returns how many were answered before it was closed.
+ */
+guint http_count_on_one_connection (guint16 port, const char *path, guint n);
+
 typedef gboolean http_predicate (json_t *body, gpointer data);
 
 /*
--- a/t/t8001-standin.c
+++ b/t/t8001-standin.c
@@ -1,3 +1,4 @@
+#include "t/standin/listener.h"
 #include "t/support/http.h"
 #include "t/support/process.h"
 
@@ -203,18 +204,29 @@
   struct process *upstream = process_start_standin (
       "upstream", "--connections", "1", "--count", "3", NULL);
   guint16 port = upstream->ports[2];
-  g_autoptr (GSocketConnection) first = NULL;
-  g_autoptr (GSocketConnection) second = NULL;
+  g_autoptr (GPtrArray) connections
+      = g_ptr_array_new_with_free_func (g_object_unref);
+  GIOStream *last;
   char byte;
 
   g_assert_cmpuint (upstream->n_ports, ==, 3);
-  first = connect_to (port);
-  g_assert_true (g_socket_connection_is_connected (first));
-  second = connect_to (port);
-  g_assert_cmpint (
-      g_input_stream_read (g_io_stream_get_input_stream (G_IO_STREAM (second)),
-                           &byte, 1, NULL, NULL),
-      <=, 0);
+  for (int i = 0; i < 1 + SPARE_CONNECTIONS + 1; i++)
+    g_ptr_array_add (connections, connect_to (port));
+  last = g_ptr_array_index (connections, connections->len - 1);
+  g_assert_cmpint (g_input_stream_read (g_io_stream_get_input_stream (last),
+                                        &byte, 1, NULL, NULL),
+                   <=, 0);
+  process_free (upstream);
+}
+
+static void
+test_connection_kept (void)
+{
+  struct process *upstream = process_start_standin ("upstream", NULL);
+
+  g_assert_cmpuint (
+      http_count_on_one_connection (upstream->ports[0], "/v1/usage", 3), ==,
+      3);
   process_free (upstream);
 }
 
@@ -321,6 +333,7 @@
   g_test_add_func ("/standin/lease-renewed", test_lease_renewed);
   g_test_add_func ("/standin/faults", test_faults);
   g_test_add_func ("/standin/connection-bound", test_connection_bound);
+  g_test_add_func ("/standin/connection-kept", test_connection_kept);
   g_test_add_func ("/standin/log", test_log);
   g_test_add_func ("/standin/outage", test_outage);
   g_test_add_func ("/standin/vms", test_vms);
