--- a/t/standin/listener.c
+++ b/t/standin/listener.c
@@ -88,6 +88,8 @@
   g_autoptr (GSocketAddress) remote
       = g_socket_get_remote_address (socket, NULL);
 
+  if (local == NULL || remote == NULL)
+    return;
   if (is_full (listener))
     {
       listener->closed_connections++;
--- a/t/standin/main.c
+++ b/t/standin/main.c
@@ -12,6 +12,7 @@
 static const struct subcommand subcommands[] = {
   { "platform", standin_platform },
   { "upstream", standin_upstream },
+  { "proxy", standin_proxy },
 };
 
 int
@@ -21,6 +22,6 @@
        i++)
     if (strcmp (subcommands[i].name, argv[1]) == 0)
       return subcommands[i].run (argc - 1, argv + 1);
-  fprintf (stderr, "usage: standin platform|upstream [OPTION...]\n");
+  fprintf (stderr, "usage: standin platform|upstream|proxy [OPTION...]\n");
   return 2;
 }
--- a/t/standin/standin.h
+++ b/t/standin/standin.h
@@ -9,5 +9,6 @@
 
 int standin_platform (int argc, char **argv);
 int standin_upstream (int argc, char **argv);
+int standin_proxy (int argc, char **argv);
 
 #endif
