--- a/t/standin/listener.c
+++ b/t/standin/listener.c
@@ -33,11 +33,13 @@
 guard_server (SoupServer *server, guint max_connections)
 {
   struct connection_limits limits = {
-    .max_connections = max_connections != 0 ? max_connections : G_MAXUINT,
+    .max_connections = G_MAXUINT,
     .request_timeout_ms = NO_TIMEOUT_MS,
     .idle_timeout_ms = NO_TIMEOUT_MS,
   };
 
+  if (max_connections != 0)
+    limits.max_connections = max_connections + SPARE_CONNECTIONS;
   return connection_guard_new (server, &limits);
 }
 
--- a/t/standin/listener.h
+++ b/t/standin/listener.h
@@ -13,6 +13,9 @@
 /* The backlog of listening sockets, in connections.  */
 #define LISTEN_BACKLOG 1024
 
+/* Connections above the bound that are left for test controls.  */
+#define SPARE_CONNECTIONS 8
+
 /* Makes a non-blocking socket that listens on PORT of 127.0.0.1.  */
 GSocket *listen_on_loopback (guint16 port, guint16 *bound_port,
                              GError **error);
