coordination: split the dispatcher and decide by policy

The thin dispatcher kept one FIFO queue a service, scanned every upstream for every task and every queue for every report. Its parts are now modules with one job each: lanes (heaps by job), an index of free upstreams, placement and order behind small tables of functions, admission, quotas, health, run-time estimates, leases, and the rollout of documents.

Faults of the sketch that this removes: a dropped upstream's leases were not renewed, renewals were repeated at every tick, a task that fitted no free upstream blocked all behind it, and a refused task went straight back to the upstream that had refused it.

--- a/coordination/dispatcher.h
+++ b/coordination/dispatcher.h
@@ -79,7 +79,10 @@
 
 /*
  * Accepts JOB, taking a reference, or refuses it: on FALSE no task of it was
- * started, and ERROR is of a kind that says so.
+ * started, and ERROR is of a kind that says so.  job->retry_at_us is then the
+ * time, on the dispatcher's clock, from which the same job may be sent again;
+ * 0 when that is of no use.  The same holds for an accepted job that ends with
+ * a kind which says that it was not run.
  */
 gboolean dispatcher_submit (struct dispatcher *dispatcher, struct job *job,
                             gint64 now_us, GError **error);
@@ -92,7 +95,8 @@
                               const struct task *task, gint64 now_us);
 
 /* Tells how the attempt on TASK ended; OUTPUT, for a task that is done, is
-   referenced.  */
+   referenced.  Called once for each start_task; a report on a task that is
+   not running is ignored.  */
 void dispatcher_report (struct dispatcher *dispatcher, struct task *task,
                         enum attempt_end end, GBytes *output, gint64 now_us);
 
@@ -100,6 +104,11 @@
 void dispatcher_lease_renewed (struct dispatcher *dispatcher,
                                struct upstream *upstream, gint64 deadline_us);
 
+/* Tells that the upstream no longer runs TASK under its lease, although it has
+   renewed others: the lease is let lapse.  */
+void dispatcher_lease_refused (struct dispatcher *dispatcher,
+                               struct task *task);
+
 /*
  * Cancels JOB.  After the call none of its tasks starts.  Returns FALSE when
  * the job had finished before.
@@ -107,7 +116,8 @@
 gboolean dispatcher_cancel (struct dispatcher *dispatcher, struct job *job,
                             gint64 now_us);
 
-/* Marks the upstreams of that name as leaving, or as back.  */
+/* Marks the upstreams of that name, also those of later documents, as leaving,
+   or as back.  */
 void dispatcher_set_leaving (struct dispatcher *dispatcher, const char *name,
                              gboolean is_leaving, gint64 now_us);
 
@@ -118,7 +128,59 @@
 /* Jobs that are not finished plus tasks that still occupy an upstream.  */
 guint dispatcher_count_unfinished (const struct dispatcher *dispatcher);
 
-/* Passes the time: deadlines, leases, expiry.  */
+/*
+ * Tells how far Unix time is ahead of the dispatcher's clock, in microseconds;
+ * called at the start and whenever the wall clock has been stepped.  Without
+ * it no shutdown date is kept.
+ */
+void dispatcher_set_unix_offset (struct dispatcher *dispatcher,
+                                 gint64 offset_us, gint64 now_us);
+
+/*
+ * Tells how many entry VMs share the quotas, and which of them this is, from
+ * 0.  Without it this VM takes itself for the only one.
+ */
+void dispatcher_set_vm_count (struct dispatcher *dispatcher, guint n_vms,
+                              guint own_index, gint64 now_us);
+
+/* Grants this VM a share of TEAM's quota until DEADLINE_US; see
+   coordination/quota.h for what holds without one.  */
+void dispatcher_set_quota_share (struct dispatcher *dispatcher,
+                                 const char *team, guint slots,
+                                 guint starts_per_second, gint64 deadline_us,
+                                 gint64 now_us);
+
+/*
+ * Grants this VM SHARE of the slots of an upstream of POOL_KEY, which is
+ * "team/service", until DEADLINE_US.  Once a share has lapsed, the VM keeps at
+ * most its even part of the slots.
+ */
+void dispatcher_set_slot_share (struct dispatcher *dispatcher,
+                                const char *pool_key,
+                                const char *upstream_name, guint share,
+                                gint64 deadline_us, gint64 now_us);
+
+/* What a service wants and has on this VM, for the exchange of shares.  */
+struct dispatcher_load
+{
+  guint n_queued;        /* tasks */
+  guint n_running;       /* tasks */
+  guint n_slots;         /* slots of upstreams in use */
+  gint64 queued_work_us; /* estimated slot time of the queued tasks */
+  gint64 wait_us;        /* estimated wait of a task that comes now */
+};
+
+/* Fills *LOAD for POOL_KEY, "team/service".  Returns FALSE when there is
+   none.  */
+gboolean dispatcher_get_load (struct dispatcher *dispatcher,
+                              const char *pool_key,
+                              struct dispatcher_load *load);
+
+/*
+ * Passes the time: deadlines, leases, expiry.  When it is called late, as
+ * after a pause of the process, nothing is judged before a second call shortly
+ * after, so that the owner can report what its sockets hold.
+ */
 void dispatcher_advance (struct dispatcher *dispatcher, gint64 now_us);
 
 /* The jobs, for lookups by id.  Owned by DISPATCHER.  */
--- /dev/null
+++ b/coordination/order.c
@@ -0,0 +1,50 @@
+#include "coordination/order.h"
+
+#include "base/clock.h"
+
+/* By how much a queued task's estimate delays its job's key.  */
+#define AGEING_FACTOR 1
+
+static gint64
+compute_fifo_key (const struct job *job)
+{
+  return job->accepted_us;
+}
+
+/*
+ * The job whose queued tasks need the least time goes first.  A job that is
+ * about to miss its deadline is not put behind that.
+ */
+static gint64
+compute_remaining_key (const struct job *job)
+{
+  gint64 ageing_us = job->queued_work_us * AGEING_FACTOR;
+  gint64 key = job->accepted_us + MIN (ageing_us, ORDER_MAX_AGEING_US);
+  gint64 start_by_us = job->deadline_us - job->longest_estimate_us;
+
+  return MIN (key, MAX (start_by_us, job->accepted_us));
+}
+
+static const struct order_ops fifo = { "fifo", compute_fifo_key };
+static const struct order_ops fewest_remaining
+    = { "fewest-remaining", compute_remaining_key };
+
+static const struct order_ops *const orders[]
+    = { &fewest_remaining, &fifo, NULL };
+
+const struct order_ops *const *
+order_list (void)
+{
+  return orders;
+}
+
+const struct order_ops *
+order_find (const char *name)
+{
+  for (guint i = 0; orders[i] != NULL; i++)
+    {
+      if (g_str_equal (orders[i]->name, name))
+        return orders[i];
+    }
+  return NULL;
+}
--- /dev/null
+++ b/coordination/placement_late.c
@@ -0,0 +1,99 @@
+/*
+ * Late binding: a task is given an upstream when a slot is free.
+ *
+ * Of the upstreams with free slots, the fastest class goes first, then the
+ * fewest running tasks, which spreads a job over machines and racks.
+ * Upstreams with accelerators are left to tasks that need them as long as
+ * others are free.
+ */
+#include "coordination/placement.h"
+
+#include "coordination/shape_check.h"
+
+/* Levels of one speed class.  */
+#define LEVELS_PER_SPEED (POOL_N_LEVELS / HEALTH_N_SPEEDS)
+
+/* Upstreams of one level that are tried, when resources are short.  */
+#define LOOKAHEAD 8
+
+/* Added to the level of a kind that has more than the task needs.  */
+#define SCARCE_PENALTY POOL_N_LEVELS
+
+guint
+placement_compute_level (const struct upstream *upstream)
+{
+  guint base = health_get_speed_class (upstream) * LEVELS_PER_SPEED;
+
+  return base + MIN (upstream->n_running, LEVELS_PER_SPEED - 1);
+}
+
+static struct upstream *
+search_level (struct list_node *level, const struct shape *need)
+{
+  struct list_node *node;
+  struct list_node *after;
+  guint n = 0;
+
+  list_for_each (node, after, level)
+    {
+      struct upstream *upstream
+          = list_entry (node, struct upstream, level_link);
+
+      if (shape_fits_beside (need, &upstream->used, &upstream->shape))
+        return upstream;
+      if (++n == LOOKAHEAD)
+        break;
+    }
+  return NULL;
+}
+
+static struct upstream *
+search_index (struct pool_index *index, const struct shape *need)
+{
+  guint64 levels = index->used_levels;
+
+  while (levels != 0)
+    {
+      guint level = (guint)__builtin_ctzll (levels);
+      struct upstream *upstream = search_level (&index->levels[level], need);
+
+      if (upstream != NULL)
+        return upstream;
+      levels &= levels - 1;
+    }
+  return NULL;
+}
+
+static guint
+rank_upstream (const struct upstream *upstream, const struct shape *need)
+{
+  gboolean is_scarce
+      = upstream->shape.accelerators > 0 && need->accelerators == 0;
+
+  return upstream->level + (is_scarce ? SCARCE_PENALTY : 0);
+}
+
+static struct upstream *
+choose_late (struct pool *pool, guint64 kinds, const struct shape *need,
+             GRand *random)
+{
+  struct upstream *best = NULL;
+
+  while (kinds != 0)
+    {
+      guint kind = (guint)__builtin_ctzll (kinds);
+      struct upstream *upstream
+          = search_index (g_ptr_array_index (pool->indexes, kind), need);
+
+      kinds &= kinds - 1;
+      if (upstream == NULL)
+        continue;
+      if (best == NULL
+          || rank_upstream (upstream, need) < rank_upstream (best, need))
+        best = upstream;
+    }
+  return best;
+}
+
+const struct placement_ops placement_late_binding
+    = { "late-binding", FALSE, choose_late };
--- a/coordination/pool.c
+++ b/coordination/pool.c
@@ -1,26 +1,39 @@
 #include "coordination/pool.h"
 
+#include "base/clock.h"
+#include "coordination/host.h"
+#include "coordination/placement.h"
+#include "coordination/shape_check.h"
+
 struct pool *
-pool_new (const char *team, const char *service_name)
+pool_new (struct team *team, const char *service_name)
 {
   struct pool *pool = g_new0 (struct pool, 1);
 
-  pool->team = g_strdup (team);
+  pool->key = g_strconcat (team->name, "/", service_name, NULL);
   pool->service_name = g_strdup (service_name);
+  pool->team = team;
+  g_ptr_array_add (team->pools, pool);
+  pool->placement = placement_find (PLACEMENT_DEFAULT);
+  pool->order = order_find (ORDER_DEFAULT);
   pool->upstreams
       = g_ptr_array_new_with_free_func ((GDestroyNotify)upstream_unref);
-  list_init (&pool->queue);
+  pool->kinds = g_array_new (FALSE, FALSE, sizeof (struct shape));
+  pool->indexes = g_ptr_array_new_with_free_func (g_free);
+  pool->lanes = g_ptr_array_new_with_free_func ((GDestroyNotify)lane_free);
+  pool->shutdown_us = DEADLINE_NEVER;
   return pool;
 }
 
 void
 pool_free (struct pool *pool)
 {
-  g_free (pool->team);
-  g_free (pool->service_name);
+  g_ptr_array_unref (pool->lanes);
+  g_ptr_array_unref (pool->indexes);
+  g_array_unref (pool->kinds);
   g_ptr_array_unref (pool->upstreams);
-  if (pool->document != NULL)
-    document_unref (pool->document);
+  g_free (pool->service_name);
+  g_free (pool->key);
   g_free (pool);
 }
 
@@ -42,23 +55,68 @@
 update_upstream (struct upstream *upstream, const struct upstream_spec *spec,
                  const struct service *service)
 {
+  gboolean is_shared = upstream->share != upstream->slots;
+
   upstream->shape = spec->shape;
   upstream->slots = service->slots_per_upstream;
-  upstream->share = service->slots_per_upstream;
+  if (!is_shared)
+    upstream->share = service->slots_per_upstream;
   upstream->max_connections = service->connections_per_upstream;
   upstream->lease_ms = service->lease_ms;
 }
 
 static void
-mark_removed (gpointer data, gpointer user_data)
+add_upstream (struct pool *pool, struct upstream *upstream, GHashTable *hosts)
 {
-  struct upstream *upstream = data;
+  if (upstream->health == NULL)
+    upstream->health = health_new ();
+  upstream->pool = pool;
+  upstream->lane = NULL;
+  upstream->shape_kind = shape_kinds_add (pool->kinds, &upstream->shape);
+  if (upstream->host == NULL)
+    host_attach (hosts, upstream);
+  else
+    host_update_slots (upstream->host);
+  g_ptr_array_add (pool->upstreams, upstream);
+}
 
+static void
+remove_upstream (struct upstream *upstream, GHashTable *hosts)
+{
+  health_leave_pool (upstream, &upstream->pool->health);
   upstream->is_removed = TRUE;
+  upstream->pool = NULL;
+  upstream->lane = NULL;
+  if (upstream->n_running == 0)
+    host_detach (hosts, upstream);
+}
+
+static struct pool_index *
+pool_index_new (void)
+{
+  struct pool_index *index = g_new0 (struct pool_index, 1);
+
+  for (guint i = 0; i < POOL_N_LEVELS; i++)
+    list_init (&index->levels[i]);
+  return index;
+}
+
+static void
+clear_index (struct pool *pool)
+{
+  for (guint i = 0; i < pool->upstreams->len; i++)
+    {
+      struct upstream *upstream = g_ptr_array_index (pool->upstreams, i);
+
+      list_remove (&upstream->level_link);
+    }
+  g_ptr_array_set_size (pool->lanes, 0);
+  g_ptr_array_set_size (pool->indexes, 0);
+  g_array_set_size (pool->kinds, 0);
 }
 
 static void
-replace_upstreams (struct pool *pool)
+take_over_upstreams (struct pool *pool, GHashTable *hosts)
 {
   GPtrArray *former = pool->upstreams;
 
@@ -74,33 +132,158 @@
         update_upstream (upstream, spec, pool->service);
       else
         upstream = upstream_new (spec, pool->service);
-      g_ptr_array_add (pool->upstreams, upstream);
+      add_upstream (pool, upstream, hosts);
     }
-  g_ptr_array_foreach (former, mark_removed, NULL);
+  for (guint i = 0; i < former->len; i++)
+    remove_upstream (g_ptr_array_index (former, i), hosts);
   g_ptr_array_unref (former);
 }
 
-void
-pool_apply_document (struct pool *pool, struct document *document)
+static void
+choose_policies (struct pool *pool)
 {
-  document_ref (document);
-  if (pool->document != NULL)
-    document_unref (pool->document);
-  pool->document = document;
-  pool->service = document_find_service (document, pool->service_name);
-  replace_upstreams (pool);
+  const struct placement_ops *placement
+      = placement_find (pool->service->placement);
+  const struct order_ops *order = order_find (pool->service->order);
+
+  pool->placement
+      = placement != NULL ? placement : placement_find (PLACEMENT_DEFAULT);
+  pool->order = order != NULL ? order : order_find (ORDER_DEFAULT);
 }
 
 void
-pool_enqueue (struct pool *pool, struct task *task)
+pool_apply_document (struct pool *pool, GHashTable *hosts)
+{
+  clear_index (pool);
+  pool->service
+      = document_find_service (pool->team->document, pool->service_name);
+  if (pool->service != NULL)
+    choose_policies (pool);
+  take_over_upstreams (pool, hosts);
+  for (guint i = 0; i < pool->kinds->len; i++)
+    g_ptr_array_add (pool->indexes, pool_index_new ());
+  pool->health.n_upstreams = pool->upstreams->len;
+  pool_count_slots (pool);
+}
+
+static struct lane *
+add_lane (struct pool *pool, guint64 kinds, struct upstream *upstream)
+{
+  struct lane *lane = lane_new (kinds, upstream, pool->order);
+
+  g_ptr_array_add (pool->lanes, lane);
+  return lane;
+}
+
+static struct lane *
+ensure_shared_lane (struct pool *pool, guint64 kinds)
+{
+  for (guint i = 0; i < pool->lanes->len; i++)
+    {
+      struct lane *lane = g_ptr_array_index (pool->lanes, i);
+
+      if (lane->upstream == NULL && lane->kinds == kinds)
+        return lane;
+    }
+  return add_lane (pool, kinds, NULL);
+}
+
+static struct lane *
+choose_lane (struct pool *pool, const struct task *task, guint64 kinds,
+             GRand *random)
+{
+  struct upstream *upstream;
+
+  if (!pool->placement->binds_early)
+    return ensure_shared_lane (pool, kinds);
+  upstream = pool->placement->choose (pool, kinds, &task->need, random);
+  if (upstream == NULL)
+    return ensure_shared_lane (pool, kinds);
+  if (upstream->lane == NULL)
+    upstream->lane = add_lane (pool, kinds, upstream);
+  return upstream->lane;
+}
+
+gboolean
+pool_enqueue (struct pool *pool, struct task *task, gboolean at_front,
+              GRand *random)
 {
-  list_append (&pool->queue, &task->queue_link);
+  guint64 kinds = shape_kinds_match (pool->kinds, &task->need);
+
+  if (kinds == 0)
+    return FALSE;
+  lane_add (choose_lane (pool, task, kinds, random), task, at_front);
   pool->n_queued++;
+  pool->queued_work_us += task->estimate_us;
+  return TRUE;
 }
 
 void
 pool_dequeue (struct pool *pool, struct task *task)
 {
-  list_remove (&task->queue_link);
+  lane_remove (task);
   pool->n_queued--;
+  pool->queued_work_us -= task->estimate_us;
+}
+
+gboolean
+pool_may_start_on (const struct upstream *upstream, gint64 now_us)
+{
+  return upstream->pool != NULL && upstream_count_free_slots (upstream) > 0
+         && !host_is_full (upstream->host)
+         && health_may_start (upstream, now_us);
+}
+
+static void
+leave_index (struct pool_index *index, struct upstream *upstream)
+{
+  if (list_is_empty (&upstream->level_link))
+    return;
+  list_remove (&upstream->level_link);
+  if (list_is_empty (&index->levels[upstream->level]))
+    index->used_levels &= ~(G_GUINT64_CONSTANT (1) << upstream->level);
+}
+
+void
+pool_update_index (struct upstream *upstream, gint64 now_us)
+{
+  struct pool *pool = upstream->pool;
+  struct pool_index *index;
+
+  if (pool == NULL)
+    {
+      list_remove (&upstream->level_link);
+      return;
+    }
+  index = g_ptr_array_index (pool->indexes, upstream->shape_kind);
+  leave_index (index, upstream);
+  if (!pool_may_start_on (upstream, now_us))
+    return;
+  upstream->level = placement_compute_level (upstream);
+  list_append (&index->levels[upstream->level], &upstream->level_link);
+  index->used_levels |= G_GUINT64_CONSTANT (1) << upstream->level;
+}
+
+void
+pool_count_slots (struct pool *pool)
+{
+  pool->n_slots = 0;
+  for (guint i = 0; i < pool->upstreams->len; i++)
+    {
+      struct upstream *upstream = g_ptr_array_index (pool->upstreams, i);
+
+      if (upstream->is_leaving || upstream->health->state == HEALTH_PROBATION)
+        continue;
+      pool->n_slots += upstream->share;
+    }
+}
+
+gint64
+pool_estimate_wait_us (const struct pool *pool)
+{
+  gint64 n_slots = MAX (pool->n_slots, 1);
+
+  if (pool->n_queued == 0 && pool->n_running < pool->n_slots)
+    return 0;
+  return (pool->queued_work_us + pool->running_work_us / 2) / n_slots;
 }
--- /dev/null
+++ b/coordination/serve.c
@@ -0,0 +1,410 @@
+#include "coordination/serve.h"
+
+#include "base/clock.h"
+#include "coordination/host.h"
+#include "coordination/placement.h"
+#include "coordination/shape_check.h"
+
+/* Jobs of one lane that are looked at when the first ones do not fit.  */
+#define LOOKAHEAD 8
+
+/* Leases are renewed when this part of them has passed.  */
+#define RENEW_PART 3
+
+/* Updates the indexes after UPSTREAM's count has changed; those of the host's
+   other upstreams only when it became full or is no longer full.  */
+static void
+update_indexes (struct upstream *upstream, gint64 now_us)
+{
+  struct host *host = upstream->host;
+  struct list_node *node;
+  struct list_node *after;
+
+  if (host_is_full (host) == host->is_indexed_full)
+    {
+      pool_update_index (upstream, now_us);
+      return;
+    }
+  host->is_indexed_full = host_is_full (host);
+  list_for_each (node, after, &host->upstreams)
+    pool_update_index (list_entry (node, struct upstream, host_link), now_us);
+}
+
+static void
+occupy_upstream (struct dispatcher *d, struct task *task,
+                 struct upstream *upstream, gint64 now_us)
+{
+  struct pool *pool = upstream->pool;
+  gint64 lease_us = pool->service->lease_ms * USEC_PER_MSEC;
+
+  if (upstream->n_running == 0)
+    {
+      upstream->renew_due_us = now_us + lease_us / RENEW_PART;
+      list_append (&d->busy, &upstream->busy_link);
+    }
+  upstream->n_running++;
+  upstream->host->n_running++;
+  list_append (&upstream->running, &task->upstream_link);
+  shape_add (&upstream->used, &task->need);
+  pool->n_running++;
+  pool->running_work_us += task->estimate_us;
+  quota_note_start (&pool->team->quota, now_us);
+  host_charge (upstream, task->estimate_us, team_get_pool_weight (pool->team));
+  d->n_running++;
+}
+
+static void
+start_task (struct dispatcher *d, struct task *task, struct upstream *upstream,
+            gint64 now_us)
+{
+  struct pool *pool = upstream->pool;
+  struct job *job = job_ref (task->job);
+
+  pool_dequeue (pool, task);
+  job->n_queued--;
+  job->n_running++;
+  job->n_started++;
+  job->queued_work_us -= task->estimate_us;
+  task->state = TASK_RUNNING;
+  task->upstream = upstream_ref (upstream);
+  task->token = d->next_token++;
+  task->started_us = now_us;
+  task->lease_deadline_us = now_us + pool->service->lease_ms * USEC_PER_MSEC;
+  task->is_lease_refused = FALSE;
+  occupy_upstream (d, task, upstream, now_us);
+  lane_update_job (job);
+  d->driver->ops->start_task (d->driver, task);
+}
+
+/* Whether POOL's team may start a task; notes when to ask again.  */
+static gboolean
+check_quota (struct dispatcher *d, struct pool *pool, gint64 now_us)
+{
+  gint64 retry_at_us;
+
+  if (quota_may_start (&pool->team->quota, &d->vms, now_us, &retry_at_us))
+    return TRUE;
+  pool->team->is_throttled = TRUE;
+  d->throttle_retry_us = MIN (d->throttle_retry_us, retry_at_us);
+  return FALSE;
+}
+
+static struct upstream *
+find_upstream (struct dispatcher *d, struct pool *pool,
+               const struct lane *lane, const struct task *task, gint64 now_us)
+{
+  struct upstream *upstream = lane->upstream;
+
+  if (upstream == NULL)
+    return placement_late_binding.choose (pool, lane->kinds, &task->need,
+                                          d->random);
+  if (!pool_may_start_on (upstream, now_us)
+      || !shape_fits_beside (&task->need, &upstream->used, &upstream->shape))
+    return NULL;
+  return upstream;
+}
+
+/* Starts one task of LANE.  Returns FALSE when none of the first fits.  */
+static gboolean
+serve_lane_once (struct dispatcher *d, struct pool *pool, struct lane *lane,
+                 gint64 now_us)
+{
+  for (guint i = 0; i < MIN (lane->heap->len, LOOKAHEAD); i++)
+    {
+      struct task *task = lane_entry_peek (g_ptr_array_index (lane->heap, i));
+      struct upstream *upstream = find_upstream (d, pool, lane, task, now_us);
+
+      if (upstream == NULL)
+        continue;
+      start_task (d, task, upstream, now_us);
+      update_indexes (upstream, now_us);
+      return TRUE;
+    }
+  return FALSE;
+}
+
+/* The lane that is not blocked whose first job precedes all others'.  */
+static struct lane *
+find_first_lane (struct pool *pool)
+{
+  struct lane *first = NULL;
+
+  for (guint i = 0; i < pool->lanes->len; i++)
+    {
+      struct lane *lane = g_ptr_array_index (pool->lanes, i);
+
+      if (lane->is_blocked || lane->n_tasks == 0)
+        continue;
+      if (first == NULL
+          || lane_entry_precedes (lane_peek (lane), lane_peek (first)))
+        first = lane;
+    }
+  return first;
+}
+
+static gboolean
+has_free_upstream (const struct pool *pool)
+{
+  for (guint i = 0; i < pool->indexes->len; i++)
+    {
+      const struct pool_index *index = g_ptr_array_index (pool->indexes, i);
+
+      if (index->used_levels != 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+unblock_lanes (struct pool *pool)
+{
+  for (guint i = 0; i < pool->lanes->len; i++)
+    {
+      struct lane *lane = g_ptr_array_index (pool->lanes, i);
+
+      lane->is_blocked = FALSE;
+    }
+}
+
+void
+serve_pool (struct dispatcher *d, struct pool *pool, gint64 now_us)
+{
+  if (pool->n_queued == 0 || !has_free_upstream (pool))
+    return;
+  unblock_lanes (pool);
+  while (pool->n_queued > 0 && has_free_upstream (pool)
+         && check_quota (d, pool, now_us))
+    {
+      struct lane *lane = find_first_lane (pool);
+
+      if (lane == NULL)
+        return;
+      if (!serve_lane_once (d, pool, lane, now_us))
+        lane->is_blocked = TRUE;
+    }
+}
+
+/* The task of LANE to start on UPSTREAM, or NULL.  */
+static struct task *
+find_task_in_lane (const struct lane *lane, const struct upstream *upstream)
+{
+  const struct lane_entry *best = NULL;
+
+  if ((lane->kinds >> upstream->shape_kind & 1) == 0
+      || (lane->upstream != NULL && lane->upstream != upstream))
+    return NULL;
+  for (guint i = 0; i < MIN (lane->heap->len, LOOKAHEAD); i++)
+    {
+      const struct lane_entry *entry = g_ptr_array_index (lane->heap, i);
+
+      if (!shape_fits_beside (&lane_entry_peek (entry)->need, &upstream->used,
+                              &upstream->shape))
+        continue;
+      if (best == NULL || lane_entry_precedes (entry, best))
+        best = entry;
+      if (i == 0)
+        break;
+    }
+  return best != NULL ? lane_entry_peek (best) : NULL;
+}
+
+/* The waiting task that goes first on UPSTREAM, or NULL.  */
+static struct task *
+find_task (struct pool *pool, const struct upstream *upstream)
+{
+  struct task *best = NULL;
+
+  for (guint i = 0; i < pool->lanes->len; i++)
+    {
+      struct task *task
+          = find_task_in_lane (g_ptr_array_index (pool->lanes, i), upstream);
+
+      if (task == NULL)
+        continue;
+      if (best == NULL
+          || lane_entry_precedes (task->queue_entry, best->queue_entry))
+        best = task;
+    }
+  return best;
+}
+
+/* The upstream of HOST, of those whose pools have tasks for it, that is due
+   the next slot, and its task; or NULL.  */
+static struct upstream *
+find_due_upstream (struct dispatcher *d, struct host *host, struct task **task,
+                   gint64 now_us)
+{
+  struct upstream *best = NULL;
+  struct list_node *node;
+  struct list_node *after;
+
+  list_for_each (node, after, &host->upstreams)
+    {
+      struct upstream *upstream
+          = list_entry (node, struct upstream, host_link);
+      struct task *first;
+
+      if (upstream->pool == NULL || upstream->pool->n_queued == 0
+          || !pool_may_start_on (upstream, now_us))
+        continue;
+      if (best != NULL
+          && host_get_virtual_us (upstream) >= host_get_virtual_us (best))
+        continue;
+      if (!check_quota (d, upstream->pool, now_us))
+        continue;
+      first = find_task (upstream->pool, upstream);
+      if (first == NULL)
+        continue;
+      best = upstream;
+      *task = first;
+    }
+  return best;
+}
+
+void
+serve_upstream (struct dispatcher *d, struct upstream *upstream, gint64 now_us)
+{
+  struct host *host = upstream->host;
+
+  if (host == NULL)
+    return;
+  while (!host_is_full (host))
+    {
+      struct task *task = NULL;
+      struct upstream *due = find_due_upstream (d, host, &task, now_us);
+
+      if (due == NULL)
+        break;
+      start_task (d, task, due, now_us);
+      pool_update_index (due, now_us);
+    }
+  update_indexes (upstream, now_us);
+}
+
+void
+serve_team (struct dispatcher *d, struct team *team, gint64 now_us)
+{
+  team->is_throttled = FALSE;
+  for (guint i = 0; i < team->pools->len; i++)
+    serve_pool (d, g_ptr_array_index (team->pools, i), now_us);
+}
+
+void
+serve_throttled (struct dispatcher *d, gint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (d->throttle_retry_us > now_us)
+    return;
+  d->throttle_retry_us = DEADLINE_NEVER;
+  g_hash_table_iter_init (&iter, d->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct team *team = value;
+
+      if (team->is_throttled)
+        serve_team (d, team, now_us);
+    }
+}
+
+static int
+compare_rests (gconstpointer a, gconstpointer b, gpointer user_data)
+{
+  const struct upstream *x = a;
+  const struct upstream *y = b;
+  gint64 x_us = x->health->rest_until_us;
+  gint64 y_us = y->health->rest_until_us;
+
+  return (x_us > y_us) - (x_us < y_us);
+}
+
+void
+serve_forget_rest (struct upstream *upstream)
+{
+  if (upstream->rest_iter != NULL)
+    g_sequence_remove (upstream->rest_iter);
+  upstream->rest_iter = NULL;
+}
+
+void
+serve_note_rest (struct dispatcher *d, struct upstream *upstream,
+                 gint64 now_us)
+{
+  serve_forget_rest (upstream);
+  if (upstream->pool == NULL)
+    return;
+  if (upstream->health->rest_until_us > now_us)
+    upstream->rest_iter
+        = g_sequence_insert_sorted (d->resting, upstream, compare_rests, NULL);
+  pool_update_index (upstream, now_us);
+}
+
+void
+serve_rested (struct dispatcher *d, gint64 now_us)
+{
+  for (;;)
+    {
+      GSequenceIter *first = g_sequence_get_begin_iter (d->resting);
+      struct upstream *upstream;
+
+      if (g_sequence_iter_is_end (first))
+        return;
+      upstream = g_sequence_get (first);
+      if (upstream->health->rest_until_us > now_us)
+        return;
+      serve_forget_rest (upstream);
+      serve_upstream (d, upstream, now_us);
+    }
+}
+
+void
+serve_unbind (struct dispatcher *d, struct upstream *upstream)
+{
+  struct lane *lane = upstream->lane;
+
+  while (lane != NULL && lane->n_tasks > 0)
+    {
+      struct task *task = lane_entry_peek (lane_peek (lane));
+
+      pool_dequeue (upstream->pool, task);
+      upstream->lane = NULL;
+      pool_enqueue (upstream->pool, task, FALSE, d->random);
+      upstream->lane = lane;
+    }
+}
+
+/* Gives up what UPSTREAM's last task has kept up.  */
+static void
+note_idle (struct dispatcher *d, struct upstream *upstream)
+{
+  list_remove (&upstream->busy_link);
+  health_note_renewed (upstream);
+  if (upstream->is_removed && upstream->host != NULL)
+    host_detach (d->hosts, upstream);
+}
+
+void
+serve_release (struct dispatcher *d, struct task *task, gint64 now_us)
+{
+  struct upstream *upstream = task->upstream;
+  struct job *job = task->job;
+  struct pool *pool = job->pool;
+  gint64 run_time_us = now_us - task->started_us;
+
+  list_remove (&task->upstream_link);
+  upstream->n_running--;
+  upstream->host->n_running--;
+  shape_subtract (&upstream->used, &task->need);
+  host_charge (upstream, run_time_us - task->estimate_us,
+               team_get_pool_weight (pool->team));
+  pool->n_running--;
+  pool->running_work_us -= task->estimate_us;
+  quota_note_end (&pool->team->quota);
+  job->n_running--;
+  d->n_running--;
+  if (upstream->n_running == 0)
+    note_idle (d, upstream);
+  task->upstream = NULL;
+  upstream_unref (upstream);
+}
--- /dev/null
+++ b/coordination/team.h
@@ -0,0 +1,30 @@
+/*
+ * One team on this VM: its document, its quota and what it occupies.
+ */
+#ifndef COORDINATION_TEAM_H
+#define COORDINATION_TEAM_H
+
+#include "coordination/quota.h"
+#include "state/document.h"
+
+struct team
+{
+  char *name;
+  struct document *document; /* referenced; NULL before the first */
+  struct quota quota;
+  GPtrArray *pools;      /* struct pool, not owned */
+  gsize bytes;           /* of its unfinished jobs */
+  gboolean is_throttled; /* has tasks that its quota holds back */
+};
+
+struct team *team_new (const char *name);
+void team_free (struct team *team);
+
+/* Puts DOCUMENT in force; takes a reference.  */
+void team_apply_document (struct team *team, struct document *document);
+
+/* The weight of each of TEAM's pools against those of other teams: the team's
+   weight divided by the number of its pools, times a constant.  */
+guint team_get_pool_weight (const struct team *team);
+
+#endif
--- a/state/document.c
+++ b/state/document.c
@@ -80,8 +80,8 @@
   struct service *service = g_new0 (struct service, 1);
 
   service->name = g_strdup (name);
-  service->placement = g_strdup ("least-outstanding");
-  service->order = g_strdup ("fifo");
+  service->placement = g_strdup ("late-binding");
+  service->order = g_strdup ("fewest-remaining");
   service->slots_per_upstream = DEFAULT_SLOTS_PER_UPSTREAM;
   service->connections_per_upstream = DEFAULT_CONNECTIONS_PER_UPSTREAM;
   service->lease_ms = DEFAULT_LEASE_MS;
--- a/state/job.h
+++ b/state/job.h
@@ -17,6 +17,8 @@
 #define JOB_MAX_TASKS 130
 
 struct job;
+struct lane_entry;
+struct pool;
 struct upstream;
 
 enum task_state
@@ -33,13 +35,16 @@
   struct job *job; /* not owned; TASK_RUNNING implies a reference */
   struct list_node queue_link;    /* in the queue of its pool */
   struct list_node upstream_link; /* in upstream->running */
+  struct lane_entry *queue_entry; /* while it is queued; not owned */
   enum task_state state;
   guint index;
   guint n_moves; /* definite refusals so far */
   gboolean is_idempotent;
   gboolean is_stop_requested;
+  gboolean is_lease_refused; /* the upstream does not renew its lease */
   struct shape need;
   gint64 declared_run_time_us; /* 0 when none was declared */
+  gint64 estimate_us;          /* learned; only orders and refuses */
   GBytes *input;               /* JSON text */
   GBytes *output;              /* JSON text, of a task that is done */
   struct upstream *upstream;   /* referenced while TASK_RUNNING */
@@ -74,8 +79,13 @@
   char *service;
   enum job_state state;
   gint64 accepted_us;
-  gint64 deadline_us; /* the answer is due */
-  gint64 forget_us;   /* the kept answer may be dropped */
+  gint64 deadline_us;    /* the answer is due */
+  gint64 due_us;         /* when the dispatcher looks at its deadline */
+  gint64 forget_us;      /* the kept answer may be dropped */
+  gint64 retry_at_us;    /* when a refused job may be sent again; 0 for none */
+  gint64 queued_work_us; /* estimates of its queued tasks, added up */
+  gint64 longest_estimate_us; /* of its tasks */
+  guint64 sequence;           /* order of acceptance */
   guint n_tasks;
   guint n_queued;
   guint n_running;
@@ -93,6 +103,7 @@
   struct list_node table_link;  /* in the job table, by age */
   struct list_node order_link;  /* for the queueing order's use */
   void *order_data;             /* for the queueing order's use */
+  struct pool *pool;            /* once accepted; not owned */
 };
 
 /* A new job with N_TASKS queued tasks and one reference.  */
--- a/state/upstream.c
+++ b/state/upstream.c
@@ -1,5 +1,7 @@
 #include "state/upstream.h"
 
+#include "base/clock.h"
+
 struct upstream *
 upstream_new (const struct upstream_spec *spec, const struct service *service)
 {
@@ -15,7 +17,11 @@
   upstream->share = service->slots_per_upstream;
   upstream->max_connections = service->connections_per_upstream;
   upstream->lease_ms = service->lease_ms;
+  upstream->share_deadline_us = DEADLINE_NEVER;
   list_init (&upstream->running);
+  list_init (&upstream->host_link);
+  list_init (&upstream->level_link);
+  list_init (&upstream->busy_link);
   return upstream;
 }
 
--- a/state/upstream.h
+++ b/state/upstream.h
@@ -12,6 +12,9 @@
 
 #include <glib.h>
 
+struct host;
+struct lane;
+struct pool;
 struct upstream_health;
 
 struct upstream
@@ -33,6 +36,20 @@
   struct list_node running;       /* struct task by upstream_link */
   struct upstream_health *health; /* owned by the coordination layer */
   void *transport_data;           /* owned by the transport layer */
+
+  /* For the coordination layer's use.  */
+  struct shape used;           /* what its running tasks asked for, summed */
+  gint64 share_deadline_us;    /* when the share lapses */
+  struct pool *pool;           /* NULL once removed; not owned */
+  struct host *host;           /* NULL once removed; not owned */
+  struct lane *lane;           /* tasks bound to it; NULL for late binding */
+  guint shape_kind;            /* index in the pool's distinct shapes */
+  gint64 host_virtual_us;      /* its pool's virtual time on the host */
+  struct list_node host_link;  /* in host->upstreams */
+  struct list_node level_link; /* in the pool's index of free upstreams */
+  guint level;                 /* its place in that index */
+  struct list_node busy_link;  /* in the list of upstreams that run tasks */
+  GSequenceIter *rest_iter;    /* in the dispatcher's resting upstreams */
 };
 
 /* A new upstream with one reference, made from SPEC.  */
