--- a/Makefile
+++ b/Makefile
@@ -39,9 +39,12 @@
 TESTS := $(TEST_SRCS:t/%.c=$(BUILD)/t/%)
 PROGRAMS := $(BUILD)/radishchute $(if $(STANDIN_SRCS),$(BUILD)/standin)
 
-HAND_SRCS := $(LIB_SRCS) $(COMMAND_SRCS) $(STANDIN_SRCS) $(SUPPORT_SRCS) \
+BENCH_SRCS := $(wildcard bench/*.c)
+BENCH_OBJS := $(BENCH_SRCS:%.c=$(BUILD)/%.o)
+
+HAND_SRCS := $(LIB_SRCS) $(BENCH_SRCS) $(COMMAND_SRCS) $(STANDIN_SRCS) $(SUPPORT_SRCS) \
   $(TEST_SRCS) $(wildcard t/fuzz/*.c)
-HAND_HDRS := $(wildcard $(LAYERS:%=%/*.h) commands/*.h t/*.h t/standin/*.h \
+HAND_HDRS := $(wildcard $(LAYERS:%=%/*.h) commands/*.h bench/*.h t/*.h t/standin/*.h \
   t/support/*.h)
 HAND_HDRS := $(filter-out protocol/peer_xdr.h,$(HAND_HDRS))
 
@@ -70,6 +73,13 @@
 check: all $(TESTS)
 	t/run $(BUILD) $(sort $(TESTS))
 
+# The decisions of one entry VM, against fake upstreams.
+bench-decisions: $(BUILD)/bench-decisions
+	$<
+
+$(BUILD)/bench-decisions: $(BENCH_OBJS) $(BUILD)/libradishchute.a
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
+
 SANITIZE_FLAGS = -fsanitize=address,undefined -fno-omit-frame-pointer \
   -fno-sanitize-recover=undefined
 sanitize:
@@ -96,6 +106,6 @@
 clean:
 	rm -rf build build-sanitize
 
-.PHONY: all check sanitize format format-check lint layers-check clean
+.PHONY: all bench-decisions check sanitize format format-check lint layers-check clean
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
