coordination: learn from stopped tasks, age later, share hosts fairly

Cause: estimates were learned from complete tasks only, so that under overload the long ones, which are stopped, were never seen, and jobs that seemed short were the underestimated ones. Stopped tasks now count as run time without an end, a job may wait for 0.4 of the time that its run leaves, and an upstream's speed is measured against its pool's, because estimates that are off for all alike had put half of the upstreams on probation.

A job is overtaken for up to 60 s, before 10 s, and by twice its queued work.

Five starts without a success between them are the most that an upstream gets, successes of tasks from before a failure prove nothing, and the window grows more slowly after each probation.

Fair sharing. Virtual time alone let a team that had been idle pass all others for long. Pools within their share now compete by the queueing order, the others by virtual time.

--- a/bench/decisions.c
+++ b/bench/decisions.c
@@ -116,7 +116,7 @@
 measure_overload_at (const struct workload_shape *shape, gdouble load)
 {
   struct workload *workload
-      = workload_new (shape, N_SLOTS, load, 90 * USEC_PER_SEC, SEED);
+      = workload_new (shape, N_SLOTS, load, DURATION_US, SEED);
   struct fake_options options = default_options (shape);
   struct fake_result *result;
   gdouble goodput;
@@ -125,9 +125,10 @@
   result = fake_cell_run (workload, &options);
   goodput = divide ((gdouble)result->useful_us,
                     (gdouble)result->span_us * N_SLOTS);
-  printf ("  %-10s %5.1f %9.3f %9u %9u %9u %9u %9.4f\n", shape->name, load,
+  printf ("  %-10s %5.1f %9.3f %9u %9u %9u %9u %9u %9.4f\n", shape->name, load,
           goodput, result->teams[0].n_offered, result->teams[0].n_complete,
           result->teams[0].n_refused, result->teams[0].n_late,
+          result->teams[0].n_failed,
           divide ((gdouble)result->n_stops, (gdouble)result->n_tasks_done));
   fake_result_free (result);
   workload_free (workload);
@@ -139,8 +140,9 @@
   static const gdouble overloads[] = { 1, 2, 4, 10 };
 
   printf ("overload: work of complete jobs over capacity\n");
-  printf ("  %-10s %5s %9s %9s %9s %9s %9s %9s\n", "jobs", "load", "goodput",
-          "offered", "complete", "refused", "late", "stops");
+  printf ("  %-10s %5s %9s %9s %9s %9s %9s %9s %9s\n", "jobs", "load",
+          "goodput", "offered", "complete", "refused", "late", "failed",
+          "stops");
   for (guint i = 0; i < workload_n_shapes; i++)
     for (guint j = 0; j < G_N_ELEMENTS (overloads); j++)
       measure_overload_at (&workload_shapes[i], overloads[j]);
--- a/bench/fake_cell.c
+++ b/bench/fake_cell.c
@@ -232,6 +232,17 @@
                                     .upstream = upstream_ref (upstream) });
 }
 
+/* Goodput counts the jobs that end while load is offered.  */
+static void
+count_useful (struct fake_cell *cell, const struct workload_job *spec)
+{
+  if (cell->now_us < cell->options->warm_up_us
+      || cell->now_us > cell->workload->end_us)
+    return;
+  for (guint i = 0; i < spec->n_tasks; i++)
+    cell->result->useful_us += spec->run_us[i];
+}
+
 static void
 count_complete (struct fake_cell *cell, const struct fake_job *fake)
 {
@@ -241,11 +252,6 @@
                                + 2 * cell->options->travel_us);
   gdouble ratio = (gdouble)(cell->now_us - spec->arrival_us) / ideal_us;
 
-  for (guint i = 0; i < spec->n_tasks; i++)
-    {
-      if (cell->now_us <= cell->workload->end_us)
-        cell->result->useful_us += spec->run_us[i];
-    }
   cell->result->n_tasks_done += spec->n_tasks;
   team->n_complete++;
   g_array_append_val (team->ratios, ratio);
@@ -262,6 +268,8 @@
   g_ptr_array_remove_fast (cell->active, fake);
   /* The job table and the running tasks keep it.  */
   job_unref (job);
+  if (job->state == JOB_COMPLETE)
+    count_useful (cell, fake->spec);
   if (fake->spec->arrival_us < cell->options->warm_up_us)
     return;
   if (job->state == JOB_COMPLETE)
--- a/bench/omniscient.c
+++ b/bench/omniscient.c
@@ -6,7 +6,8 @@
 #include <string.h>
 
 /* As the dispatcher's order has it.  */
-#define MAX_AGEING_US (10 * USEC_PER_SEC)
+#define MAX_AGEING_US (60 * USEC_PER_SEC)
+#define AGEING_FACTOR 2
 
 struct waiting_job
 {
@@ -28,7 +29,8 @@
 {
   if (!queue->by_work)
     return job->spec->arrival_us;
-  return job->spec->arrival_us + MIN (job->remaining_us, MAX_AGEING_US);
+  return job->spec->arrival_us
+         + MIN (job->remaining_us * AGEING_FACTOR, MAX_AGEING_US);
 }
 
 static int
--- a/coordination/admission.c
+++ b/coordination/admission.c
@@ -8,9 +8,11 @@
 #define MIN_RETRY_US (100 * USEC_PER_MSEC)
 #define MAX_RETRY_US (30 * USEC_PER_SEC)
 
-/* A job is accepted when its wait and run take at most this part of the time
-   that it has.  */
-#define DEADLINE_PART 0.8
+/* The part of the time left beside its run that a job may wait.  */
+#define WAIT_PART 0.4
+
+/* How far below its estimate a run may stay.  */
+#define MAX_UNDERRUN 4
 
 static void
 advise_retry (struct job *job, gint64 wait_us, gint64 now_us)
@@ -82,32 +84,47 @@
     }
 }
 
-/* When the last task of JOB is expected to end.  */
+/* How long JOB's tasks take once there is room for them.  */
 static gint64
-estimate_end_us (const struct pool *pool, const struct job *job, gint64 now_us)
+estimate_run_us (const struct pool *pool, const struct job *job)
 {
   gint64 n_slots = MAX (pool->n_slots, 1);
-  gint64 own_us = job->queued_work_us / n_slots;
 
-  return now_us + pool_estimate_wait_us (pool)
-         + MAX (own_us, job->longest_estimate_us);
+  return MAX (job->queued_work_us / n_slots, job->longest_estimate_us);
+}
+
+/*
+ * Estimates are means, and the jobs that seem short enough are those that have
+ * been underestimated.  So a job may wait for a part only of the time that its
+ * run leaves; and while nothing waits, it is refused only when its deadline is
+ * far below its estimate.
+ */
+static gboolean
+can_meet_deadline (gint64 left_us, gint64 wait_us, gint64 run_us)
+{
+  if (wait_us == 0)
+    return run_us <= left_us * MAX_UNDERRUN;
+  return (gdouble)wait_us <= (gdouble)(left_us - run_us) * WAIT_PART;
 }
 
 static gboolean
-check_deadline (struct pool *pool, struct job *job, gint64 end_us,
-                gint64 now_us, GError **error)
+check_deadline (struct pool *pool, struct job *job, gint64 now_us,
+                GError **error)
 {
-  gdouble allowed_us = (gdouble)(job->deadline_us - now_us) * DEADLINE_PART;
-  gint64 excess_us = end_us - now_us - (gint64)allowed_us;
+  gint64 left_us = job->deadline_us - now_us;
+  gint64 wait_us = pool_estimate_wait_us (pool);
+  gint64 run_us = estimate_run_us (pool, job);
 
-  if (job->deadline_us == DEADLINE_NEVER || excess_us <= 0)
+  if (job->deadline_us == DEADLINE_NEVER
+      || can_meet_deadline (left_us, wait_us, run_us))
     return TRUE;
-  advise_retry (job, excess_us, now_us);
+  advise_retry (job, wait_us, now_us);
   error_set (error, ERROR_NOT_RUN,
-             "the job is expected to take %" G_GINT64_FORMAT
+             "the job is expected to wait for %" G_GINT64_FORMAT
+             " ms and to run for %" G_GINT64_FORMAT
              " ms, which its deadline does not leave; send it again later or "
              "with a later deadline",
-             (end_us - now_us) / USEC_PER_MSEC);
+             wait_us / USEC_PER_MSEC, run_us / USEC_PER_MSEC);
   return FALSE;
 }
 
@@ -141,7 +158,7 @@
       || !check_quota (d, pool, job, now_us, error))
     return FALSE;
   set_estimates (pool, job);
-  end_us = estimate_end_us (pool, job, now_us);
+  end_us = now_us + pool_estimate_wait_us (pool) + estimate_run_us (pool, job);
   return wind_down_admit (pool, end_us, now_us, &job->retry_at_us, error)
-         && check_deadline (pool, job, end_us, now_us, error);
+         && check_deadline (pool, job, now_us, error);
 }
--- a/coordination/estimate.c
+++ b/coordination/estimate.c
@@ -6,10 +6,10 @@
 #define UNKNOWN_US (200 * USEC_PER_MSEC)
 
 /* A class with fewer samples is blended with the service's mean.  */
-#define MIN_SAMPLES 8
+#define MIN_SAMPLES 8.0
 
 /* The length of the moving average, in samples.  */
-#define MAX_SAMPLES 256
+#define MAX_SAMPLES 256.0
 
 static guint
 classify (gint64 declared_us)
@@ -30,32 +30,31 @@
 estimate_get (const struct estimate_table *table, gint64 declared_us)
 {
   const struct estimate_class *class = &table->classes[classify (declared_us)];
-  gdouble fallback_us = table->all.mean_us;
-  gdouble mean_us;
-
-  if (table->all.n_seen == 0)
-    fallback_us = declared_us > 0 ? (gdouble)declared_us : UNKNOWN_US;
-  if (class->n_seen >= MIN_SAMPLES)
-    mean_us = class->mean_us;
-  else
-    mean_us = (class->mean_us * class->n_seen
-               + fallback_us * (MIN_SAMPLES - class->n_seen))
-              / MIN_SAMPLES;
-  return MAX ((gint64)mean_us, 1);
+  gdouble n_missing = MAX (MIN_SAMPLES - class->n_complete, 0);
+  gdouble fallback_us = declared_us > 0 ? (gdouble)declared_us : UNKNOWN_US;
+
+  if (table->all.n_complete >= 1)
+    fallback_us = table->all.sum_us / table->all.n_complete;
+  return MAX ((gint64)((class->sum_us + n_missing * fallback_us)
+                       / (class->n_complete + n_missing)),
+              1);
 }
 
 static void
-learn (struct estimate_class *class, gint64 actual_us)
+learn (struct estimate_class *class, gint64 actual_us, gboolean is_complete)
 {
-  if (class->n_seen < MAX_SAMPLES)
-    class->n_seen++;
-  class->mean_us += ((gdouble)actual_us - class->mean_us) / class->n_seen;
+  class->sum_us += (gdouble)actual_us;
+  class->n_complete += is_complete ? 1 : 0;
+  if (class->n_complete <= MAX_SAMPLES)
+    return;
+  class->sum_us *= MAX_SAMPLES / class->n_complete;
+  class->n_complete = MAX_SAMPLES;
 }
 
 void
 estimate_learn (struct estimate_table *table, gint64 declared_us,
-                gint64 actual_us)
+                gint64 actual_us, gboolean is_complete)
 {
-  learn (&table->classes[classify (declared_us)], actual_us);
-  learn (&table->all, actual_us);
+  learn (&table->classes[classify (declared_us)], actual_us, is_complete);
+  learn (&table->all, actual_us, is_complete);
 }
--- a/coordination/estimate.h
+++ b/coordination/estimate.h
@@ -2,9 +2,10 @@
  * Learned run times of one service.
  *
  * Declared run times are far off, so each is taken as a label only: tasks
- * whose declared times are within a factor of two share an estimate, which is
- * a moving average of the run times seen.  Estimates order and refuse; they
- * never end a task.
+ * whose declared times are within a factor of two share an estimate: the run
+ * time seen, also of tasks that were stopped, over the number of tasks that
+ * ran to their end.  Leaving out the stopped ones would miss the long tasks.
+ * Estimates order and refuse; they never end a task.
  */
 #ifndef COORDINATION_ESTIMATE_H
 #define COORDINATION_ESTIMATE_H
@@ -15,8 +16,8 @@
 
 struct estimate_class
 {
-  guint n_seen;
-  gdouble mean_us;
+  gdouble n_complete; /* decays */
+  gdouble sum_us;     /* decays with it */
 };
 
 struct estimate_table
@@ -29,8 +30,9 @@
    one microsecond.  */
 gint64 estimate_get (const struct estimate_table *table, gint64 declared_us);
 
-/* Notes that a task that declared DECLARED_US took ACTUAL_US.  */
+/* Notes that a task that declared DECLARED_US ran for ACTUAL_US, to its end or
+   until it was stopped.  */
 void estimate_learn (struct estimate_table *table, gint64 declared_us,
-                     gint64 actual_us);
+                     gint64 actual_us, gboolean is_complete);
 
 #endif
--- a/coordination/health.c
+++ b/coordination/health.c
@@ -4,7 +4,16 @@
 #include "base/event_log.h"
 
 /* Tasks at once on an upstream that has not completed one yet.  */
-#define UNPROVEN_WINDOW 4
+#define UNPROVEN_WINDOW 3
+
+/* Starts without a success between them.  */
+#define MAX_UNANSWERED 5
+
+/* Successes in a row after which one former probation is forgotten.  */
+#define FORGET_RUN 64
+
+/* The window of an upstream that was on probation grows more slowly.  */
+#define MAX_GROWTH_DOUBLINGS 5
 #define MAX_WINDOW 1024
 
 /* Failures in a row that lead to probation.  */
@@ -51,7 +60,8 @@
 {
   const struct upstream_health *health = upstream->health;
 
-  if (health->is_silent || health->rest_until_us > now_us)
+  if (health->is_silent || health->rest_until_us > now_us
+      || health->n_unanswered >= MAX_UNANSWERED)
     return FALSE;
   return upstream->n_running < health->window;
 }
@@ -120,6 +130,23 @@
              upstream->address);
 }
 
+static void
+note_speed (struct upstream *upstream, struct pool_health *pool, gdouble ratio,
+            gint64 now_us)
+{
+  struct upstream_health *health = upstream->health;
+  gdouble sample;
+
+  /* Estimates may be off for all alike.  */
+  pool->slowdown
+      += (ratio - pool->slowdown) / (pool->slowdown > 0 ? POOL_SAMPLES : 1);
+  sample = CLAMP (ratio / pool->slowdown, 0, MAX_RATIO);
+  health->slowdown += (sample - health->slowdown) / UPSTREAM_SAMPLES;
+  if (health->state == HEALTH_NORMAL && health->n_seen >= MIN_SAMPLES
+      && health->slowdown >= MAX_SLOWDOWN)
+    start_probation (upstream, pool, "far slower than the others", now_us);
+}
+
 static void
 average (struct upstream_health *health, gdouble failed)
 {
@@ -134,27 +161,56 @@
   pool->failure_rate += (failed - pool->failure_rate) / POOL_SAMPLES;
 }
 
+/* Doubles the window, after more successes the more often it was on
+   probation.  */
 static void
-note_speed (struct upstream *upstream, struct pool_health *pool, gdouble ratio,
-            gint64 now_us)
+grow_window (struct upstream_health *health)
+{
+  guint n_needed = 1u << MIN (health->n_probations, MAX_GROWTH_DOUBLINGS);
+
+  health->n_done_run++;
+  if (health->n_done_run % n_needed == 0)
+    health->window = MIN (health->window * 2, MAX_WINDOW);
+  if (health->n_done_run % FORGET_RUN == 0 && health->n_probations > 0)
+    health->n_probations--;
+}
+
+void
+health_note_start (struct upstream *upstream)
+{
+  upstream->health->n_unanswered++;
+}
+
+gboolean
+health_note_idle (struct upstream *upstream, struct pool_health *pool,
+                  gint64 now_us)
 {
   struct upstream_health *health = upstream->health;
-  gdouble sample = MIN (ratio, MAX_RATIO);
 
-  health->slowdown += (sample - health->slowdown) / UPSTREAM_SAMPLES;
-  if (health->state == HEALTH_NORMAL && health->n_seen >= MIN_SAMPLES
-      && health->slowdown >= MAX_SLOWDOWN)
-    start_probation (upstream, pool, "far slower than the others", now_us);
+  health_note_renewed (upstream);
+  if (health->n_unanswered < MAX_UNANSWERED)
+    return FALSE;
+  /* One start is left to it, as on probation.  */
+  health->n_unanswered = MAX_UNANSWERED - 1;
+  if (health->n_failed_run == 0 || health->state == HEALTH_PROBATION)
+    return FALSE;
+  return start_probation (upstream, pool, "none of its tasks is done", now_us);
 }
 
 void
 health_note_done (struct upstream *upstream, struct pool_health *pool,
-                  gdouble ratio, gint64 now_us)
+                  gint64 started_us, gdouble ratio, gint64 now_us)
 {
   struct upstream_health *health = upstream->health;
 
+  average (health, 0);
+  average_pool (pool, 0);
+  if (started_us <= health->last_failure_us)
+    return;
+
   health->n_failed_run = 0;
   health->n_refused_run = 0;
+  health->n_unanswered = 0;
   if (health->state == HEALTH_PROBATION && ratio >= MAX_SLOWDOWN)
     {
       rest_on_probation (health, now_us);
@@ -162,11 +218,7 @@
     }
   if (health->state == HEALTH_PROBATION)
     end_probation (upstream, pool);
-  health->window = MIN (health->window * 2, MAX_WINDOW);
-  if (health->window >= upstream->slots)
-    health->n_probations = 0;
-  average (health, 0);
-  average_pool (pool, 0);
+  grow_window (health);
   note_speed (upstream, pool, ratio, now_us);
 }
 
@@ -187,7 +239,9 @@
 {
   struct upstream_health *health = upstream->health;
 
+  health->last_failure_us = now_us;
   health->n_failed_run++;
+  health->n_done_run = 0;
   average (health, 1);
   average_pool (pool, 1);
   if (health->state == HEALTH_PROBATION)
@@ -196,8 +250,7 @@
         rest_on_probation (health, now_us);
       return FALSE;
     }
-  health->window = CLAMP (MIN (health->window, upstream->slots) / 2, 1,
-                          UNPROVEN_WINDOW / 2);
+  health->window = 1;
   if (!is_failing (health, pool))
     return FALSE;
   return start_probation (upstream, pool, "fails what it gets", now_us);
@@ -216,6 +269,8 @@
     rest (health, UNREACHABLE_REST_US, health->n_refused_run,
           UNREACHABLE_MAX_DOUBLINGS, now_us);
   health->n_refused_run++;
+  if (health->n_unanswered > 0)
+    health->n_unanswered--;
   if (was_sent || health->n_refused_run != MAX_FAILED_RUN)
     return FALSE;
   health->window = 1;
--- a/coordination/health.h
+++ b/coordination/health.h
@@ -2,7 +2,8 @@
  * What this VM has learned about one upstream, and what it does with it.
  *
  * An upstream that is not proven yet, or that has just failed, gets few tasks
- * at once; every success doubles that.  One that fails several tasks in a
+ * at once; successes double that.  No upstream gets more than five starts
+ * without a success between them.  One that fails several tasks in a
  * row, fails far more of them than its pool does, or has become far slower is
  * put on probation: it rests, then gets one task at a time.  A refusal makes
  * it rest for a moment.  At most half of a pool is on probation, so that a
@@ -26,9 +27,12 @@
   guint n_failed_run;  /* failures since the last success */
   guint n_refused_run; /* refusals since the last success */
   guint n_probations;  /* since it was last fully back */
+  guint n_done_run;    /* successes since the last failure */
+  guint n_unanswered;  /* starts since the last success */
   guint n_seen;        /* results in the averages, up to their length */
   gdouble failure_rate;
-  gdouble slowdown;     /* run time over the estimate */
+  gdouble slowdown; /* run time over the estimate, against the pool\'s */
+  gint64 last_failure_us;
   gint64 rest_until_us; /* no start before */
   gint64 renew_by_us;   /* an answer to the renewal is due; 0 for none */
   gboolean is_silent;   /* the renewal was not answered */
@@ -40,6 +44,7 @@
   guint n_upstreams;
   guint n_on_probation;
   gdouble failure_rate;
+  gdouble slowdown; /* 0 before the first sample */
 };
 
 struct upstream_health *health_new (void);
@@ -52,9 +57,17 @@
 #define HEALTH_N_SPEEDS 4
 guint health_get_speed_class (const struct upstream *upstream);
 
-/* A task took RATIO of its estimate.  */
+/* A task was started.  */
+void health_note_start (struct upstream *upstream);
+
+/* The last running task has ended.  Returns as health_note_failure.  */
+gboolean health_note_idle (struct upstream *upstream, struct pool_health *pool,
+                           gint64 now_us);
+
+/* A task that was started at STARTED_US is done and took RATIO of its
+   estimate.  One that was started before the last failure proves nothing.  */
 void health_note_done (struct upstream *upstream, struct pool_health *pool,
-                       gdouble ratio, gint64 now_us);
+                       gint64 started_us, gdouble ratio, gint64 now_us);
 
 /* A task failed, or its outcome is unknown, through no request of ours.
    Returns TRUE when that puts the upstream on probation.  */
--- a/coordination/host.c
+++ b/coordination/host.c
@@ -91,18 +91,43 @@
 gint64
 host_get_virtual_us (const struct upstream *upstream)
 {
-  return MAX (upstream->host_virtual_us,
-              upstream->host->virtual_us - HOST_CREDIT_US);
+  return MAX (upstream->host_virtual_us, upstream->host->virtual_us);
 }
 
 void
-host_charge (struct upstream *upstream, gint64 cost_us, guint weight)
+host_note_start (struct upstream *upstream)
 {
-  gint64 virtual_us;
+  gint64 virtual_us = host_get_virtual_us (upstream);
+
+  upstream->host->virtual_us = virtual_us;
+  upstream->host_virtual_us = virtual_us;
+}
+
+/* How long WEIGHT's share of the host takes to make up for COST_US.  */
+static gint64
+compute_share_time_us (const struct host *host, gint64 cost_us, guint weight)
+{
+  gint64 all = MAX (host->active_weight, weight);
+
+  return cost_us * all / ((gint64)weight * MAX (host->slots, 1));
+}
+
+void
+host_charge (struct upstream *upstream, gint64 cost_us, guint weight,
+             gint64 now_us)
+{
+  gint64 paid_us;
 
   if (upstream->host == NULL)
     return;
-  virtual_us = host_get_virtual_us (upstream);
-  upstream->host->virtual_us = MAX (upstream->host->virtual_us, virtual_us);
-  upstream->host_virtual_us = virtual_us + cost_us / (gint64)weight;
+  upstream->host_virtual_us += cost_us / (gint64)weight;
+  paid_us = MAX (upstream->host_paid_us, now_us)
+            + compute_share_time_us (upstream->host, cost_us, weight);
+  upstream->host_paid_us = MIN (paid_us, now_us + 2 * HOST_TOLERANCE_US);
+}
+
+gboolean
+host_is_within_share (const struct upstream *upstream, gint64 now_us)
+{
+  return upstream->host_paid_us <= now_us + HOST_TOLERANCE_US;
 }
--- a/coordination/host.h
+++ b/coordination/host.h
@@ -2,19 +2,25 @@
  * A host: one address that upstreams of several teams may name.
  *
  * Teams whose documents name the same address compete for its slots.  A host
- * counts the tasks of all of them, and shares its slots among those that wait
- * by weighted fair queueing: each upstream that names the host has a virtual
- * time, in microseconds of slot time over weight, and the lowest goes first.
- * An upstream that has been idle comes back with at most HOST_CREDIT_US of
- * advantage.
+ * counts the tasks of all of them, and decides whose turn it is:
+ *
+ * - Pools that have used no more than their weighted share, give or take
+ *   HOST_TOLERANCE_US of it, go first, and among them the job that the
+ * queueing order prefers.
+ * - The others share the rest by weighted fair queueing: each has a virtual
+ *   time, in microseconds of slot time over weight, and the lowest goes first.
+ *   One that has been idle comes back at the time of the last start.
+ *
+ * A pool that always has tasks waiting is kept from its share for at most
+ * HOST_TOLERANCE_US and the longest task, when all others burst at once.
  */
 #ifndef COORDINATION_HOST_H
 #define COORDINATION_HOST_H
 
 #include "state/upstream.h"
 
-/* The most by which an idle upstream's virtual time may lag behind.  */
-#define HOST_CREDIT_US (G_GINT64_CONSTANT (500000))
+/* How far ahead of its share a pool may be and still go first.  */
+#define HOST_TOLERANCE_US (4 * G_GINT64_CONSTANT (1000000))
 
 struct host
 {
@@ -22,6 +28,8 @@
   guint slots;     /* the largest that an upstream names */
   guint n_running; /* tasks of this VM, of all teams */
   gint64 virtual_us;
+  guint active_weight; /* of the pools that had tasks when a slot was offered
+                          last; 0 before */
   gboolean is_indexed_full;   /* what its upstreams' indexes tell */
   struct list_node upstreams; /* struct upstream by host_link */
 };
@@ -50,7 +58,14 @@
 /* The virtual time at which UPSTREAM competes.  */
 gint64 host_get_virtual_us (const struct upstream *upstream);
 
+/* Moves the host's virtual time on to that of UPSTREAM, which is due.  */
+void host_note_start (struct upstream *upstream);
+
 /* Charges COST_US of slot time, which may be negative, to UPSTREAM.  */
-void host_charge (struct upstream *upstream, gint64 cost_us, guint weight);
+void host_charge (struct upstream *upstream, gint64 cost_us, guint weight,
+                  gint64 now_us);
+
+/* Whether UPSTREAM's pool has used no more than its share.  */
+gboolean host_is_within_share (const struct upstream *upstream, gint64 now_us);
 
 #endif
--- a/coordination/order.c
+++ b/coordination/order.c
@@ -3,7 +3,7 @@
 #include "base/clock.h"
 
 /* By how much a queued task's estimate delays its job's key.  */
-#define AGEING_FACTOR 1
+#define AGEING_FACTOR 2
 
 static gint64
 compute_fifo_key (const struct job *job)
--- a/coordination/order.h
+++ b/coordination/order.h
@@ -13,7 +13,7 @@
 #include "state/job.h"
 
 /* The most by which a key may lie behind the job's acceptance.  */
-#define ORDER_MAX_AGEING_US (10 * G_GINT64_CONSTANT (1000000))
+#define ORDER_MAX_AGEING_US (60 * G_GINT64_CONSTANT (1000000))
 
 #define ORDER_DEFAULT "fewest-remaining"
 
--- a/coordination/serve.c
+++ b/coordination/serve.c
@@ -43,13 +43,16 @@
       list_append (&d->busy, &upstream->busy_link);
     }
   upstream->n_running++;
+  health_note_start (upstream);
   upstream->host->n_running++;
   list_append (&upstream->running, &task->upstream_link);
   shape_add (&upstream->used, &task->need);
   pool->n_running++;
   pool->running_work_us += task->estimate_us;
   quota_note_start (&pool->team->quota, now_us);
-  host_charge (upstream, task->estimate_us, team_get_pool_weight (pool->team));
+  host_note_start (upstream);
+  host_charge (upstream, task->estimate_us, team_get_pool_weight (pool->team),
+               now_us);
   d->n_running++;
 }
 
@@ -228,6 +231,33 @@
   return best;
 }
 
+/* Whether A with task X is due before B with task Y.  */
+static gboolean
+is_due_before (const struct upstream *a, const struct task *x,
+               const struct upstream *b, const struct task *y, gint64 now_us)
+{
+  gboolean a_within = host_is_within_share (a, now_us);
+  gboolean b_within = host_is_within_share (b, now_us);
+  gint64 a_us = host_get_virtual_us (a);
+  gint64 b_us = host_get_virtual_us (b);
+
+  if (a_within != b_within)
+    return a_within;
+  if (!a_within && a_us != b_us)
+    return a_us < b_us;
+  return lane_entry_precedes (x->queue_entry, y->queue_entry);
+}
+
+/* The task that UPSTREAM may start for its pool, or NULL.  */
+static struct task *
+find_offer (struct dispatcher *d, struct upstream *upstream, gint64 now_us)
+{
+  if (upstream->pool->n_queued == 0 || !pool_may_start_on (upstream, now_us)
+      || !check_quota (d, upstream->pool, now_us))
+    return NULL;
+  return find_task (upstream->pool, upstream);
+}
+
 /* The upstream of HOST, of those whose pools have tasks for it, that is due
    the next slot, and its task; or NULL.  */
 static struct upstream *
@@ -238,22 +268,21 @@
   struct list_node *node;
   struct list_node *after;
 
+  host->active_weight = 0;
   list_for_each (node, after, &host->upstreams)
     {
       struct upstream *upstream
           = list_entry (node, struct upstream, host_link);
+      struct pool *pool = upstream->pool;
       struct task *first;
 
-      if (upstream->pool == NULL || upstream->pool->n_queued == 0
-          || !pool_may_start_on (upstream, now_us))
-        continue;
-      if (best != NULL
-          && host_get_virtual_us (upstream) >= host_get_virtual_us (best))
-        continue;
-      if (!check_quota (d, upstream->pool, now_us))
+      if (pool == NULL || pool->n_queued + pool->n_running == 0)
         continue;
-      first = find_task (upstream->pool, upstream);
-      if (first == NULL)
+      host->active_weight += team_get_pool_weight (pool->team);
+      first = find_offer (d, upstream, now_us);
+      if (first == NULL
+          || (best != NULL
+              && !is_due_before (upstream, first, best, *task, now_us)))
         continue;
       best = upstream;
       *task = first;
@@ -376,10 +405,15 @@
 
 /* Gives up what UPSTREAM's last task has kept up.  */
 static void
-note_idle (struct dispatcher *d, struct upstream *upstream)
+note_idle (struct dispatcher *d, struct upstream *upstream, gint64 now_us)
 {
   list_remove (&upstream->busy_link);
-  health_note_renewed (upstream);
+  if (upstream->pool != NULL
+      && health_note_idle (upstream, &upstream->pool->health, now_us))
+    {
+      serve_note_rest (d, upstream, now_us);
+      pool_count_slots (upstream->pool);
+    }
   if (upstream->is_removed && upstream->host != NULL)
     host_detach (d->hosts, upstream);
 }
@@ -397,14 +431,14 @@
   upstream->host->n_running--;
   shape_subtract (&upstream->used, &task->need);
   host_charge (upstream, run_time_us - task->estimate_us,
-               team_get_pool_weight (pool->team));
+               team_get_pool_weight (pool->team), now_us);
   pool->n_running--;
   pool->running_work_us -= task->estimate_us;
   quota_note_end (&pool->team->quota);
   job->n_running--;
   d->n_running--;
   if (upstream->n_running == 0)
-    note_idle (d, upstream);
+    note_idle (d, upstream, now_us);
   task->upstream = NULL;
   upstream_unref (upstream);
 }
--- a/coordination/task_flow.c
+++ b/coordination/task_flow.c
@@ -130,10 +130,11 @@
   if (pool == NULL)
     return;
   former = upstream->health->state;
-  health_note_done (upstream, &pool->health,
+  health_note_done (upstream, &pool->health, task->started_us,
                     (gdouble)run_time_us / (gdouble)task->estimate_us, now_us);
   if (upstream->health->state == HEALTH_NORMAL)
-    estimate_learn (&pool->estimates, task->declared_run_time_us, run_time_us);
+    estimate_learn (&pool->estimates, task->declared_run_time_us, run_time_us,
+                    TRUE);
   if (upstream->health->state == former)
     return;
   follow_up (d, upstream, former == HEALTH_NORMAL, now_us);
@@ -168,6 +169,19 @@
   return end != ATTEMPT_ANSWER_TOO_LARGE;
 }
 
+/* A task that was stopped would have run for longer than it did.  */
+static void
+learn_from_stop (const struct task *task, gint64 now_us)
+{
+  struct pool *pool = task->upstream->pool;
+
+  if (pool == NULL || !task->is_stop_requested
+      || task->upstream->health->state != HEALTH_NORMAL)
+    return;
+  estimate_learn (&pool->estimates, task->declared_run_time_us,
+                  now_us - task->started_us, FALSE);
+}
+
 static void
 learn_from_end (struct dispatcher *d, struct task *task, enum attempt_end end,
                 enum verdict verdict, gint64 now_us)
@@ -184,6 +198,7 @@
       break;
     case VERDICT_FAILED:
     case VERDICT_UNKNOWN:
+      learn_from_stop (task, now_us);
       if (blames_upstream (task, end, now_us))
         task_flow_note_failure (d, task->upstream, now_us);
       break;
--- a/state/upstream.h
+++ b/state/upstream.h
@@ -45,6 +45,7 @@
   struct lane *lane;           /* tasks bound to it; NULL for late binding */
   guint shape_kind;            /* index in the pool's distinct shapes */
   gint64 host_virtual_us;      /* its pool's virtual time on the host */
+  gint64 host_paid_us;         /* until when its fair share covers its use */
   struct list_node host_link;  /* in host->upstreams */
   struct list_node level_link; /* in the pool's index of free upstreams */
   guint level;                 /* its place in that index */
