coordination: bound every team's wait and mend four faults

The tests of single decisions found them: - Shares of a host were charged by estimates that a cap swallowed and refunded in full, so that one team after the other had the host to itself. Charged by run time now; and a pool that has waited 4 s goes first.

--- a/coordination/host.c
+++ b/coordination/host.c
@@ -95,12 +95,12 @@
 }
 
 void
-host_note_start (struct upstream *upstream)
+host_note_start (struct upstream *upstream, gint64 estimate_us, guint weight)
 {
   gint64 virtual_us = host_get_virtual_us (upstream);
 
   upstream->host->virtual_us = virtual_us;
-  upstream->host_virtual_us = virtual_us;
+  upstream->host_virtual_us = virtual_us + estimate_us / (gint64)weight;
 }
 
 /* How long WEIGHT's share of the host takes to make up for COST_US.  */
@@ -113,16 +113,14 @@
 }
 
 void
-host_charge (struct upstream *upstream, gint64 cost_us, guint weight,
-             gint64 now_us)
+host_note_end (struct upstream *upstream, gint64 estimate_us,
+               gint64 run_time_us, guint weight, gint64 now_us)
 {
-  gint64 paid_us;
+  gint64 paid_us
+      = MAX (upstream->host_paid_us, now_us)
+        + compute_share_time_us (upstream->host, run_time_us, weight);
 
-  if (upstream->host == NULL)
-    return;
-  upstream->host_virtual_us += cost_us / (gint64)weight;
-  paid_us = MAX (upstream->host_paid_us, now_us)
-            + compute_share_time_us (upstream->host, cost_us, weight);
+  upstream->host_virtual_us += (run_time_us - estimate_us) / (gint64)weight;
   upstream->host_paid_us = MIN (paid_us, now_us + 2 * HOST_TOLERANCE_US);
 }
 
--- a/coordination/host.h
+++ b/coordination/host.h
@@ -4,15 +4,17 @@
  * Teams whose documents name the same address compete for its slots.  A host
  * counts the tasks of all of them, and decides whose turn it is:
  *
- * - Pools that have used no more than their weighted share, give or take
- *   HOST_TOLERANCE_US of it, go first, and among them the job that the
- * queueing order prefers.
+ * - A pool that has waited for HOST_MAX_WAIT_US for any start goes first, the
+ *   longest wait before the others.
+ * - Then come pools that have used no more than their weighted share, give or
+ *   take HOST_TOLERANCE_US of it, and among them the job that the queueing
+ *   order prefers.
  * - The others share the rest by weighted fair queueing: each has a virtual
  *   time, in microseconds of slot time over weight, and the lowest goes first.
  *   One that has been idle comes back at the time of the last start.
  *
- * A pool that always has tasks waiting is kept from its share for at most
- * HOST_TOLERANCE_US and the longest task, when all others burst at once.
+ * So no pool waits for longer than HOST_MAX_WAIT_US plus one turn of every
+ * other pool that has waited as long.
  */
 #ifndef COORDINATION_HOST_H
 #define COORDINATION_HOST_H
@@ -22,6 +24,9 @@
 /* How far ahead of its share a pool may be and still go first.  */
 #define HOST_TOLERANCE_US (4 * G_GINT64_CONSTANT (1000000))
 
+/* How long a pool waits for a start before it goes before all others.  */
+#define HOST_MAX_WAIT_US (4 * G_GINT64_CONSTANT (1000000))
+
 struct host
 {
   char *address;
@@ -58,12 +63,14 @@
 /* The virtual time at which UPSTREAM competes.  */
 gint64 host_get_virtual_us (const struct upstream *upstream);
 
-/* Moves the host's virtual time on to that of UPSTREAM, which is due.  */
-void host_note_start (struct upstream *upstream);
+/* A task that is expected to run for ESTIMATE_US starts on UPSTREAM, which is
+   due: the host's virtual time moves on to the upstream's.  */
+void host_note_start (struct upstream *upstream, gint64 estimate_us,
+                      guint weight);
 
-/* Charges COST_US of slot time, which may be negative, to UPSTREAM.  */
-void host_charge (struct upstream *upstream, gint64 cost_us, guint weight,
-                  gint64 now_us);
+/* The task has ended after RUN_TIME_US.  */
+void host_note_end (struct upstream *upstream, gint64 estimate_us,
+                    gint64 run_time_us, guint weight, gint64 now_us);
 
 /* Whether UPSTREAM's pool has used no more than its share.  */
 gboolean host_is_within_share (const struct upstream *upstream, gint64 now_us);
--- a/coordination/placement_early.c
+++ b/coordination/placement_early.c
@@ -11,7 +11,8 @@
 static gboolean
 suits (const struct upstream *upstream, guint64 kinds)
 {
-  return !upstream->is_leaving && (kinds >> upstream->shape_kind & 1) != 0;
+  return !upstream->is_leaving && upstream->health->state != HEALTH_PROBATION
+         && (kinds >> upstream->shape_kind & 1) != 0;
 }
 
 static guint
--- a/coordination/pool.h
+++ b/coordination/pool.h
@@ -48,6 +48,7 @@
   guint n_running;
   gint64 queued_work_us;  /* estimates, added up */
   gint64 running_work_us; /* the same of running tasks */
+  gint64 last_start_us;   /* of any of its tasks */
   gint64 shutdown_us;     /* the service's shutdown on the local clock */
   guint n_slots;          /* this VM may fill, not counting upstreams that
                              leave, rest or are on probation */
--- a/coordination/serve.c
+++ b/coordination/serve.c
@@ -49,10 +49,10 @@
   shape_add (&upstream->used, &task->need);
   pool->n_running++;
   pool->running_work_us += task->estimate_us;
+  pool->last_start_us = now_us;
   quota_note_start (&pool->team->quota, now_us);
-  host_note_start (upstream);
-  host_charge (upstream, task->estimate_us, team_get_pool_weight (pool->team),
-               now_us);
+  host_note_start (upstream, task->estimate_us,
+                   team_get_pool_weight (pool->team));
   d->n_running++;
 }
 
@@ -231,6 +231,13 @@
   return best;
 }
 
+/* Since when POOL, whose first task is TASK, has waited for a start.  */
+static gint64
+get_waiting_since_us (const struct pool *pool, const struct task *task)
+{
+  return MAX (pool->last_start_us, task->job->accepted_us);
+}
+
 /* Whether A with task X is due before B with task Y.  */
 static gboolean
 is_due_before (const struct upstream *a, const struct task *x,
@@ -240,7 +247,11 @@
   gboolean b_within = host_is_within_share (b, now_us);
   gint64 a_us = host_get_virtual_us (a);
   gint64 b_us = host_get_virtual_us (b);
+  gint64 a_since_us = get_waiting_since_us (a->pool, x);
+  gint64 b_since_us = get_waiting_since_us (b->pool, y);
 
+  if (MIN (a_since_us, b_since_us) + HOST_MAX_WAIT_US <= now_us)
+    return a_since_us < b_since_us;
   if (a_within != b_within)
     return a_within;
   if (!a_within && a_us != b_us)
@@ -391,16 +402,18 @@
 serve_unbind (struct dispatcher *d, struct upstream *upstream)
 {
   struct lane *lane = upstream->lane;
+  g_autoptr (GPtrArray) tasks = g_ptr_array_new ();
 
   while (lane != NULL && lane->n_tasks > 0)
     {
       struct task *task = lane_entry_peek (lane_peek (lane));
 
       pool_dequeue (upstream->pool, task);
-      upstream->lane = NULL;
-      pool_enqueue (upstream->pool, task, FALSE, d->random);
-      upstream->lane = lane;
+      g_ptr_array_add (tasks, task);
     }
+  for (guint i = 0; i < tasks->len; i++)
+    pool_enqueue (upstream->pool, g_ptr_array_index (tasks, i), FALSE,
+                  d->random);
 }
 
 /* Gives up what UPSTREAM's last task has kept up.  */
@@ -430,8 +443,8 @@
   upstream->n_running--;
   upstream->host->n_running--;
   shape_subtract (&upstream->used, &task->need);
-  host_charge (upstream, run_time_us - task->estimate_us,
-               team_get_pool_weight (pool->team), now_us);
+  host_note_end (upstream, task->estimate_us, run_time_us,
+                 team_get_pool_weight (pool->team), now_us);
   pool->n_running--;
   pool->running_work_us -= task->estimate_us;
   quota_note_end (&pool->team->quota);
--- a/coordination/task_flow.c
+++ b/coordination/task_flow.c
@@ -136,7 +136,10 @@
     estimate_learn (&pool->estimates, task->declared_run_time_us, run_time_us,
                     TRUE);
   if (upstream->health->state == former)
-    return;
+    {
+      serve_note_rest (d, upstream, now_us);
+      return;
+    }
   follow_up (d, upstream, former == HEALTH_NORMAL, now_us);
   pool_count_slots (pool);
 }
