--- a/t/support/decision_world.c
+++ b/t/support/decision_world.c
@@ -268,6 +268,23 @@
   g_free (w);
 }
 
+/* An upstream that may get a task is found, now or when its rest is over.  */
+static void
+check_index (struct world *w, const struct pool *pool)
+{
+  for (guint i = 0; i < pool->upstreams->len; i++)
+    {
+      const struct upstream *u = g_ptr_array_index (pool->upstreams, i);
+      gboolean is_indexed = !list_is_empty (&u->level_link);
+
+      if (u->health->rest_until_us > w->now_us)
+        world_expect (w, u->rest_iter != NULL, "an upstream rests for good");
+      else if (u->rest_iter == NULL && pool_may_start_on (u, w->now_us)
+               && list_is_empty (&u->busy_link))
+        world_expect (w, is_indexed, "an idle upstream is forgotten");
+    }
+}
+
 /* The dispatcher's counts agree with the model.  */
 void
 world_check_counts (struct world *w)
@@ -279,6 +296,8 @@
       const struct model_job *model = g_ptr_array_index (w->jobs, i);
       const struct job *job = model->job;
 
+      if (job->pool != NULL)
+        check_index (w, job->pool);
       n_active += model->n_answers == 0 ? 1 : 0;
       world_expect (w, (job->state == JOB_ACTIVE) == (model->n_answers == 0),
                     "a job's state disagrees with its answer");
