coordination: learn how much room other VMs leave on an upstream

Cause: without slot shares a VM filled every upstream to its own limit and was refused for each task that other VMs had room for; a short rest after each refusal only spaced the refusals. Now a refusal tells how many tasks there is room for, and one more is tried after four successes for each.

Shares remain the way to none.

--- a/coordination/health.c
+++ b/coordination/health.c
@@ -16,6 +16,9 @@
 #define MAX_GROWTH_DOUBLINGS 5
 #define MAX_WINDOW 1024
 
+/* Successes for each task that there is room for until one more is tried.  */
+#define ROOM_RUN 4
+
 /* Failures in a row that lead to probation.  */
 #define MAX_FAILED_RUN 3
 
@@ -51,6 +54,7 @@
   struct upstream_health *health = g_new0 (struct upstream_health, 1);
 
   health->window = UNPROVEN_WINDOW;
+  health->room = MAX_WINDOW;
   health->slowdown = 1;
   return health;
 }
@@ -63,7 +67,7 @@
   if (health->is_silent || health->rest_until_us > now_us
       || health->n_unanswered >= MAX_UNANSWERED)
     return FALSE;
-  return upstream->n_running < health->window;
+  return upstream->n_running < MIN (health->window, health->room);
 }
 
 guint
@@ -175,6 +179,16 @@
     health->n_probations--;
 }
 
+static void
+grow_room (struct upstream_health *health)
+{
+  if (health->room >= MAX_WINDOW
+      || ++health->n_room_run < ROOM_RUN * health->room)
+    return;
+  health->n_room_run = 0;
+  health->room++;
+}
+
 void
 health_note_start (struct upstream *upstream)
 {
@@ -219,6 +233,7 @@
   if (health->state == HEALTH_PROBATION)
     end_probation (upstream, pool);
   grow_window (health);
+  grow_room (health);
   note_speed (upstream, pool, ratio, now_us);
 }
 
@@ -262,6 +277,11 @@
 {
   struct upstream_health *health = upstream->health;
 
+  if (was_sent)
+    {
+      health->room = MAX (upstream->n_running, 2) - 1;
+      health->n_room_run = 0;
+    }
   if (was_sent)
     rest (health, REFUSED_REST_US, health->n_refused_run,
           REFUSED_MAX_DOUBLINGS, now_us);
--- a/coordination/health.h
+++ b/coordination/health.h
@@ -6,8 +6,10 @@
  * without a success between them.  One that fails several tasks in a
  * row, fails far more of them than its pool does, or has become far slower is
  * put on probation: it rests, then gets one task at a time.  A refusal makes
- * it rest for a moment.  At most half of a pool is on probation, so that a
- * fault which all upstreams share takes none of them away.
+ * it rest for a moment, and is taken for the number of tasks that it has room
+ * for beside those of other VMs, to be tried again after some successes.  At
+ * most half of a pool is on probation, so that a fault which all upstreams
+ * share takes none of them away.
  */
 #ifndef COORDINATION_HEALTH_H
 #define COORDINATION_HEALTH_H
@@ -24,6 +26,8 @@
 {
   enum health_state state;
   guint window;        /* tasks at once, beside the share */
+  guint room;          /* tasks at once that it has not refused lately */
+  guint n_room_run;    /* successes since the room has changed */
   guint n_failed_run;  /* failures since the last success */
   guint n_refused_run; /* refusals since the last success */
   guint n_probations;  /* since it was last fully back */
