coordination: stop a leftover task when its lease ends

A task that was about to end when its job was cancelled gets no stop message. When it did not end, nothing ever asked for its end, and its slot stayed taken. Renewals no longer extend the lease of a job that was answered, and the lapse stops what is left.

--- a/coordination/dispatcher.c
+++ b/coordination/dispatcher.c
@@ -238,7 +238,7 @@
     {
       struct task *task = list_entry (node, struct task, upstream_link);
 
-      if (!task->is_lease_refused)
+      if (task->job->state == JOB_ACTIVE && !task->is_lease_refused)
         task->lease_deadline_us = MAX (task->lease_deadline_us, deadline_us);
     }
 }
--- a/coordination/leases.c
+++ b/coordination/leases.c
@@ -19,6 +19,16 @@
   d->driver->ops->renew_leases (d->driver, upstream);
 }
 
+/* Has a task stopped that nobody waits for and that was to end by itself.  */
+static void
+stop_leftover (struct dispatcher *d, struct task *task)
+{
+  if (task->is_stop_requested)
+    return;
+  task->is_stop_requested = TRUE;
+  d->driver->ops->stop_task (d->driver, task);
+}
+
 /* Fails the job of TASK when its lease has lapsed.  Returns whether it
    has.  */
 static gboolean
@@ -27,8 +37,13 @@
   struct attempt_verdict verdict = outcome_judge (ATTEMPT_LEASE_LAPSED);
   struct job *job = task->job;
 
-  if (task->lease_deadline_us > now_us || job->state != JOB_ACTIVE)
+  if (task->lease_deadline_us > now_us)
     return FALSE;
+  if (job->state != JOB_ACTIVE)
+    {
+      stop_leftover (d, task);
+      return FALSE;
+    }
   job_flow_fail (d, job, task_flow_make_error (task, &verdict), now_us);
   return TRUE;
 }
--- a/t/t2060-cancel.c
+++ b/t/t2060-cancel.c
@@ -65,6 +65,11 @@
   bed_pass (bed, 90 * USEC_PER_MSEC);
   dispatcher_cancel (bed->dispatcher, job, bed->now_us);
   g_assert_cmpuint (bed->stopped->len, ==, 0);
+  /* It did not end: it is stopped with its lease.  */
+  dispatcher_lease_renewed (bed->dispatcher, bed_find_upstream (bed, "u0"),
+                            DEADLINE_NEVER);
+  bed_pass (bed, BED_LEASE_MS * USEC_PER_MSEC + USEC_PER_SEC);
+  g_assert_cmpuint (bed->stopped->len, ==, 1);
   bed_free (bed);
 }
 
