state: remember used job ids for longer than their answers

An answer is kept for two minutes and a ticket lives for ten: a submission that was repeated under its ticket after the answer had been dropped started its tasks a second time. One bit an id is now kept for an hour after the next block of ids came into use, 0.5 KB for 4096 ids; older ids count as used. Such a repetition is refused as expired.

Also: the memory left for a team no longer wraps around when answers have filled the job table.

--- a/coordination/admission.c
+++ b/coordination/admission.c
@@ -31,6 +31,13 @@
                  "this VM is leaving; send the job to another one");
       return FALSE;
     }
+  if (job_table_has_used (d->jobs, job->id))
+    {
+      error_set (error, ERROR_EXPIRED,
+                 "a job of this id was accepted before and its answer is no "
+                 "longer kept; check its effects, then draw a new id");
+      return FALSE;
+    }
   if (pool == NULL || pool->service == NULL)
     {
       error_set (error, ERROR_NOT_FOUND,
@@ -51,7 +58,8 @@
 check_queue (struct dispatcher *d, struct pool *pool, struct job *job,
              gint64 now_us, GError **error)
 {
-  gsize free_bytes = d->jobs->max_bytes - d->jobs->bytes;
+  gsize free_bytes
+      = d->jobs->max_bytes - MIN (d->jobs->bytes, d->jobs->max_bytes);
   const char *full = NULL;
 
   if (pool->n_queued + job->n_tasks > pool->service->max_queued_tasks)
--- a/coordination/dispatcher.c
+++ b/coordination/dispatcher.c
@@ -194,7 +194,7 @@
   job->pool = pool;
   job->accepted_us = now_us;
   job->sequence = d->next_sequence++;
-  job_table_add (d->jobs, job);
+  job_table_add (d->jobs, job, now_us);
   pool->team->bytes += job->bytes;
   job_flow_watch_deadline (d, job);
   d->n_active++;
--- a/state/job_table.h
+++ b/state/job_table.h
@@ -8,10 +8,12 @@
 #define STATE_JOB_TABLE_H
 
 #include "state/job.h"
+#include "state/used_ids.h"
 
 struct job_table
 {
   GHashTable *jobs;          /* id -> struct job, referenced */
+  struct used_ids *used;     /* ids of all jobs that were ever added */
   struct list_node finished; /* struct job by table_link, oldest first */
   gsize bytes;
   gsize max_bytes;
@@ -23,8 +25,11 @@
 /* Whether a job of that many bytes may come in.  */
 gboolean job_table_has_room (const struct job_table *table, gsize bytes);
 
+/* Whether a job of that id was added before, or may have been.  */
+gboolean job_table_has_used (const struct job_table *table, const char *id);
+
 /* Takes a reference to JOB and accounts for its bytes.  */
-void job_table_add (struct job_table *table, struct job *job);
+void job_table_add (struct job_table *table, struct job *job, gint64 now_us);
 
 /* The job of that id, or NULL.  Not referenced for the caller.  */
 struct job *job_table_find (struct job_table *table, const char *id);
