--- a/Makefile
+++ b/Makefile
@@ -67,6 +67,15 @@
 # rpcgen's output does not compile cleanly under the project's warnings.
 $(BUILD)/protocol/peer_xdr.o: WARNINGS = -w
 
+# The output is committed, so that a build needs no rpcgen.
+generate:
+	rm -f protocol/peer_xdr.[ch]
+	rpcgen -h protocol/peer.x | sed 's/_PEER_H_RPCGEN/PEER_XDR_H/' \
+	  >protocol/peer_xdr.h
+	rpcgen -c protocol/peer.x \
+	  | sed 's|^#include ".*peer.h"|#include "protocol/peer_xdr.h"|' \
+	  >protocol/peer_xdr.c
+
 check: all $(TESTS)
 	t/run $(BUILD) $(sort $(TESTS))
 
@@ -96,6 +105,6 @@
 clean:
 	rm -rf build build-sanitize
 
-.PHONY: all check sanitize format format-check lint layers-check clean
+.PHONY: all generate check sanitize format format-check lint layers-check clean
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
