coordination: decide who is alive, free of I/O

Heartbeats every 500 ms within a zone, three chosen links to other zones. Silence is probed by datagram, then checked over a fresh connection and through another peer, before a peer stops to count.

--- a/coordination/membership.h
+++ b/coordination/membership.h
@@ -1,49 +1,60 @@
 /*
  * Which entry VMs are there: free of I/O.
  *
- * Sources are the platform's list of VMs, which lags, seeds, and heartbeats.
- * A VM exchanges heartbeats with every entry VM of its availability zone and
- * with a few of other zones that rendezvous hashing names, so that the cost
- * does not grow with the number of zones.
+ * Sources are the platform's list of VMs, which lags, and heartbeats.  A VM
+ * exchanges heartbeats with every entry VM of its availability zone and with a
+ * few of other zones that rendezvous hashing names, so that the cost does not
+ * grow with the number of zones.
  *
- * Silence makes a peer suspect; it is then probed by datagrams, called over a
- * fresh connection, and called by another peer.  Only when no path has
- * answered does its state change.  A peer whose machine refuses the connection
- * is dead: its process is gone.  A peer that no path reaches is silent: it may
- * be paused or cut off, and may come back with the same incarnation.
+ * A silent peer is first probed by datagrams that it answers at once; then it
+ * is suspect, and is called over a fresh connection and through another peer.
+ * Only when no path has answered does it stop to count as live.  A peer whose
+ * machine refuses the connection is dead: its process is gone.  A peer that no
+ * path reaches is silent: it may be paused or cut off, and may come back with
+ * the same incarnation.  A heartbeat of a newer incarnation replaces the old
+ * one at once.
  *
- * The owner passes in datagrams, outcomes of calls and the time, and performs
+ * The owner passes in datagrams, outcomes of checks and the time, and performs
  * the actions of the vtable.  Times are readings of clock_now_us ().
  */
 #ifndef COORDINATION_MEMBERSHIP_H
 #define COORDINATION_MEMBERSHIP_H
 
 #include "base/clock.h"
-#include "base/list.h"
+#include "coordination/replay_window.h"
 
 #include <glib.h>
 
-/* How often each linked peer gets a heartbeat.  */
-#define HEARTBEAT_INTERVAL_US (500 * USEC_PER_MSEC)
+/* How often peers of the own zone, and others, get a heartbeat.  */
+#define ZONE_BEAT_US (500 * USEC_PER_MSEC)
+#define REMOTE_BEAT_US (1000 * USEC_PER_MSEC)
 
 /* How often membership_advance () is to be called.  */
 #define MEMBERSHIP_TICK_US (50 * USEC_PER_MSEC)
 
-/* Silence after which a peer is suspect: two heartbeats missed, and a pause of
-   200 ms.  */
-#define SUSPECT_AFTER_US (1200 * USEC_PER_MSEC)
+/* The silence, beyond one interval, after which a peer is probed, and after
+   which it is suspect.  */
+#define PROBE_AFTER_US (600 * USEC_PER_MSEC)
+#define SUSPECT_AFTER_US (800 * USEC_PER_MSEC)
 
-/* How often a suspect is probed by datagram.  */
+/* How often a silent peer is probed before it is given up.  */
 #define PROBE_INTERVAL_US (100 * USEC_PER_MSEC)
 
-/* How long one call to a suspect, direct or through another, may take.  */
-#define CHECK_TIMEOUT_US (300 * USEC_PER_MSEC)
+/* How long the calls to a suspect may take, direct and through another.  */
+#define DIRECT_CHECK_US (300 * USEC_PER_MSEC)
+#define INDIRECT_CHECK_US (400 * USEC_PER_MSEC)
 
-/* Peers of other zones that this VM chooses to exchange heartbeats with.  */
+/* How often a peer that is not live is tried again.  */
+#define RECHECK_US (2 * USEC_PER_SEC)
+
+/* Peers of other zones that a VM chooses to exchange heartbeats with.  */
 #define REMOTE_LINKS 3
 
-/* How long a peer is remembered that is not listed and does not answer; longer
-   than a ticket lives.  */
+/* How long the choice of another VM for a link holds after its heartbeat.  */
+#define CHOSEN_BY_US (5 * USEC_PER_SEC)
+
+/* How long a peer is remembered that is neither listed nor live; longer than a
+   ticket lives.  */
 #define FORGET_PEER_US (15 * 60 * USEC_PER_SEC)
 
 /* The most peers that are known.  */
@@ -51,9 +62,9 @@
 
 enum peer_state
 {
-  PEER_UNHEARD, /* listed or a seed, never heard of in this incarnation */
+  PEER_UNHEARD, /* known by name; no heartbeats are exchanged yet */
   PEER_ALIVE,
-  PEER_SUSPECT, /* still counted as alive */
+  PEER_SUSPECT, /* still counts as live */
   PEER_SILENT,  /* no path reaches it: paused or cut off */
   PEER_DEAD,    /* its process is gone */
 };
@@ -62,37 +73,40 @@
 {
   char *name;
   char *availability_zone; /* empty when not known yet */
-  char *address;           /* "IP:PORT", or NULL when not known */
+  char *address;           /* "IP:PORT" */
   guint64 name_hash;
   guint64 incarnation; /* 0 before the first heartbeat */
   enum peer_state state;
-  gboolean is_leaving; /* takes no new work */
-  gboolean is_listed;  /* by the platform */
-  gboolean is_linked;  /* exchanges heartbeats with this VM */
-
-  /* For the module's own use.  */
-  guint32 sequence;        /* the highest one heard */
-  guint64 sequence_window; /* of the 64 before it, those heard */
-  gint64 heard_us;
-  gint64 beat_due_us;
-  gint64 probe_due_us;
-  gint64 check_deadline_us; /* of the step under way, or DEADLINE_NEVER */
-  gint64 recheck_us;        /* a silent or dead peer is tried again */
-  guint check_step;
-  guint check_id;
-  guint n_refused;
-  gboolean is_chosen; /* a link that this VM chose */
-  gboolean is_seen;   /* in the list being applied */
+  gboolean is_leaving; /* takes no new work: by either of the next two */
+  gboolean says_leaving;
+  gboolean is_listed_leaving;
+  gboolean is_listed; /* by the platform */
+  gboolean was_listed;
+  gboolean is_linked;    /* exchanges heartbeats with this VM */
+  void *transport_data;  /* for the driver's use */
+  gboolean is_local;     /* of the own zone */
+  gboolean is_chosen;    /* a link that this VM chose */
+  gint64 chosen_by_us;   /* the peer's choice of this VM holds until then */
+  gint64 heard_us;       /* or, before it was heard, when it became known */
+  gint64 beat_due_us;    /* the next heartbeat or probe */
+  gint64 recheck_due_us; /* when not live */
+  guint check_id;        /* tells the answers to earlier checks apart */
+  guint checks_pending;
+  guint checks_refused;
+  guint introductions; /* heartbeats that are still to introduce this VM */
+  gboolean is_in_list; /* while a list is being applied */
+  struct replay_window heard; /* sequences of this incarnation */
 };
 
 struct membership;
 struct membership_driver;
 
-/* What a heartbeat is to say besides the owner's own sections.  */
+/* What a heartbeat is to say besides the driver's own sections.  */
 struct membership_beat
 {
-  gboolean wants_answer; /* a probe: answer at once */
+  gboolean wants_answer; /* a probe, to be answered at once */
   gboolean introduces;   /* carries name, zone and address */
+  gboolean chooses;      /* this VM has chosen the link */
 };
 
 enum check_result
@@ -109,18 +123,17 @@
                      const struct membership_beat *beat);
 
   /*
-   * Finds out by a call over a fresh connection whether PEER answers, itself
+   * Finds out by a call over a fresh connection whether PEER answers: itself
    * when VIA is NULL, or by asking VIA.  Reports through
-   * membership_check_ended () with the same CHECK_ID.
+   * membership_check_ended (), later, with the same CHECK_ID.
    */
   void (*check_peer) (struct membership_driver *driver, struct peer *peer,
-                      struct peer *via, guint check_id);
+                      struct peer *via, guint check_id, gint64 deadline_us);
 
   /* The state, incarnation or leaving flag of PEER has changed.  */
-  void (*peer_changed) (struct membership_driver *driver, struct peer *peer,
-                        enum peer_state former);
+  void (*peer_changed) (struct membership_driver *driver, struct peer *peer);
 
-  /* PEER is about to be forgotten.  */
+  /* PEER is about to be freed.  */
   void (*peer_forgotten) (struct membership_driver *driver, struct peer *peer);
 };
 
@@ -134,6 +147,7 @@
 {
   const char *vm;
   const char *availability_zone;
+  guint64 incarnation;
   guint32 seed;
 };
 
@@ -146,7 +160,7 @@
   gboolean is_leaving;
 };
 
-/* A heartbeat that came in, its authenticity checked.  */
+/* A heartbeat that came in, its MAC checked.  */
 struct heard_beat
 {
   guint64 sender; /* hash of the VM's name */
@@ -154,6 +168,7 @@
   guint32 sequence;
   gboolean is_leaving;
   gboolean wants_answer;
+  gboolean chooses;
   const char *name; /* NULL when it does not introduce the sender */
   const char *availability_zone;
   const char *address;
@@ -177,16 +192,19 @@
 struct peer *membership_hear (struct membership *membership,
                               const struct heard_beat *beat, gint64 now_us);
 
-/* The kept connection to PEER broke: looks after it at once.  */
+/* The kept connection to PEER broke: PEER is suspect at once.  */
 void membership_suspect (struct membership *membership, struct peer *peer,
                          gint64 now_us);
 
-/* Ends the check CHECK_ID on the peer of that name, which answered with
+/* Ends one check with CHECK_ID on the peer of that name, which answered with
    INCARNATION when RESULT is CHECK_REACHED.  */
 void membership_check_ended (struct membership *membership, const char *name,
                              guint check_id, enum check_result result,
                              guint64 incarnation, gint64 now_us);
 
+/* Makes every linked peer get a heartbeat at the next tick.  */
+void membership_hurry (struct membership *membership);
+
 /* Passes the time; to be called every MEMBERSHIP_TICK_US.  */
 void membership_advance (struct membership *membership, gint64 now_us);
 
@@ -197,6 +215,9 @@
 /* Whether PEER counts as there: alive, or only suspect.  */
 gboolean peer_is_live (const struct peer *peer);
 
+/* The name of STATE, as in "suspect".  Static.  */
+const char *peer_state_name (enum peer_state state);
+
 /* Calls VISIT for every known peer.  */
 void membership_foreach (const struct membership *membership,
                          void (*visit) (struct peer *peer, gpointer data),
--- /dev/null
+++ b/coordination/membership_links.c
@@ -0,0 +1,51 @@
+#include "coordination/membership_links.h"
+
+#include "base/hash64.h"
+
+static gboolean
+is_candidate (const struct peer *peer)
+{
+  return !peer->is_local && peer->availability_zone[0] != '\0'
+         && peer->state != PEER_DEAD;
+}
+
+/* Inserts PEER into BEST, which is ordered by falling weight.  */
+static void
+consider (struct peer *peer, guint64 weight, struct peer *best[REMOTE_LINKS],
+          guint64 weights[REMOTE_LINKS])
+{
+  for (guint i = 0; i < REMOTE_LINKS; i++)
+    {
+      struct peer *former = best[i];
+      guint64 former_weight = weights[i];
+
+      if (former != NULL && former_weight >= weight)
+        continue;
+      best[i] = peer;
+      weights[i] = weight;
+      if (former == NULL)
+        return;
+      peer = former;
+      weight = former_weight;
+    }
+}
+
+void
+choose_links (GPtrArray *peers, guint64 own_hash)
+{
+  struct peer *best[REMOTE_LINKS] = { NULL };
+  guint64 weights[REMOTE_LINKS] = { 0 };
+
+  for (guint i = 0; i < peers->len; i++)
+    {
+      struct peer *peer = peers->pdata[i];
+
+      peer->is_chosen = FALSE;
+      if (is_candidate (peer))
+        consider (peer, hash64_pair (own_hash, peer->name_hash), best,
+                  weights);
+    }
+  for (guint i = 0; i < REMOTE_LINKS; i++)
+    if (best[i] != NULL)
+      best[i]->is_chosen = TRUE;
+}
--- a/protocol/peer_mac.h
+++ b/protocol/peer_mac.h
@@ -41,17 +41,4 @@
 gboolean peer_mac_verify (const struct peer_mac *mac, const void *data,
                           gsize length, const void *given, gsize mac_length);
 
-/*
- * Used sequence numbers of one sender: each is accepted once, and none that is
- * older than the window.
- */
-struct replay_window
-{
-  guint64 highest;
-  guint64 used[16]; /* bits, of the numbers up to HIGHEST */
-};
-
-/* Whether SEQUENCE was not used before; notes it.  */
-gboolean replay_window_accept (struct replay_window *window, guint64 sequence);
-
 #endif
