--- a/coordination/replay_window.h
+++ b/coordination/replay_window.h
@@ -10,7 +10,7 @@
 #include <glib.h>
 
 /* How far behind the highest number one may be.  */
-#define REPLAY_WINDOW_SIZE 256
+#define REPLAY_WINDOW_SIZE 4096
 #define REPLAY_WORDS (REPLAY_WINDOW_SIZE / 64)
 
 struct replay_window
--- /dev/null
+++ b/transport/beat_sections.c
@@ -0,0 +1,165 @@
+#include "transport/beat_sections.h"
+
+#include <string.h>
+
+struct notice
+{
+  gint64 until_us;
+  char *vm;
+};
+
+static void
+notice_free (gpointer data)
+{
+  struct notice *notice = data;
+
+  g_free (notice->vm);
+  g_free (notice);
+}
+
+struct beat_sections *
+beat_sections_new (const char *vm, const char *availability_zone,
+                   const char *address)
+{
+  struct beat_sections *s = g_new0 (struct beat_sections, 1);
+
+  s->introduction.name = g_strdup (vm);
+  s->introduction.availability_zone = g_strdup (availability_zone);
+  s->introduction.address = g_strdup (address);
+  s->notices = g_queue_new ();
+  return s;
+}
+
+void
+beat_sections_free (struct beat_sections *s)
+{
+  g_free (s->introduction.name);
+  g_free (s->introduction.availability_zone);
+  g_free (s->introduction.address);
+  g_queue_free_full (s->notices, notice_free);
+  g_free (s);
+}
+
+gboolean
+beat_sections_set_digest (struct beat_sections *s, guint64 versions,
+                          guint64 next_offset)
+{
+  if (s->digest_change != 0 && s->digest.versions == versions
+      && s->digest.next_offset == next_offset)
+    return FALSE;
+  s->digest.versions = versions;
+  s->digest.next_offset = next_offset;
+  s->digest_change++;
+  return TRUE;
+}
+
+gboolean
+beat_sections_set_loads (struct beat_sections *s, const heartbeat_load *loads,
+                         guint n_loads)
+{
+  gsize size = MIN (n_loads, HEARTBEAT_LOADS_MAX) * sizeof *loads;
+
+  if (s->loads_change != 0 && s->n_loads * sizeof *loads == size
+      && (size == 0 || memcmp (s->loads, loads, size) == 0))
+    return FALSE;
+  s->n_loads = MIN (n_loads, HEARTBEAT_LOADS_MAX);
+  if (size > 0)
+    memcpy (s->loads, loads, size);
+  s->loads_change++;
+  return TRUE;
+}
+
+void
+beat_sections_add_notice (struct beat_sections *s, const char *vm,
+                          gint64 now_us)
+{
+  struct notice *notice = g_new0 (struct notice, 1);
+
+  notice->vm = g_strdup (vm);
+  notice->until_us = now_us + NOTICE_US;
+  g_queue_push_tail (s->notices, notice);
+}
+
+/* Whether a section that was changed CHANGE times is due.  */
+static gboolean
+is_due (guint64 change, gboolean is_refresh, guint64 *sent_change,
+        guint *repeats)
+{
+  if (change == 0)
+    return FALSE;
+  if (*sent_change != change)
+    {
+      *sent_change = change;
+      *repeats = 0;
+    }
+  if (*repeats >= SECTION_REPEATS)
+    return is_refresh;
+  (*repeats)++;
+  return TRUE;
+}
+
+static heartbeat_section *
+add_section (heartbeat *beat, heartbeat_section_kind kind)
+{
+  heartbeat_section *section
+      = &beat->sections.sections_val[beat->sections.sections_len++];
+
+  memset (section, 0, sizeof *section);
+  section->kind = kind;
+  return section;
+}
+
+/* The oldest notices, which then go behind the others.  */
+static void
+fill_notices (struct beat_sections *s, gint64 now_us, heartbeat *beat)
+{
+  struct notice *first;
+  heartbeat_section *section;
+  guint n;
+
+  while ((first = g_queue_peek_head (s->notices)) != NULL
+         && first->until_us <= now_us)
+    notice_free (g_queue_pop_head (s->notices));
+  n = MIN (g_queue_get_length (s->notices), HEARTBEAT_LEAVING_MAX);
+  if (n == 0)
+    return;
+  section = add_section (beat, HEARTBEAT_LEAVING);
+  for (guint i = 0; i < n; i++)
+    {
+      struct notice *notice = g_queue_pop_head (s->notices);
+
+      s->names[i] = notice->vm;
+      g_queue_push_tail (s->notices, notice);
+    }
+  section->heartbeat_section_u.leaving.leaving_len = n;
+  section->heartbeat_section_u.leaving.leaving_val = s->names;
+}
+
+void
+beat_sections_fill (struct beat_sections *s, struct beat_progress *progress,
+                    gboolean introduces, gboolean with_loads, gint64 now_us,
+                    heartbeat *beat)
+{
+  gboolean is_refresh = ++progress->n_beats % SECTION_REFRESH == 0;
+
+  beat->sections.sections_val = s->sections;
+  beat->sections.sections_len = 0;
+  if (introduces || is_refresh)
+    add_section (beat, HEARTBEAT_INTRODUCTION)
+        ->heartbeat_section_u.introduction
+        = s->introduction;
+  if (is_due (s->digest_change, is_refresh, &progress->digest_change,
+              &progress->digest_repeats))
+    add_section (beat, HEARTBEAT_DIGEST)->heartbeat_section_u.digest
+        = s->digest;
+  if (with_loads
+      && is_due (s->loads_change, is_refresh, &progress->loads_change,
+                 &progress->loads_repeats))
+    {
+      heartbeat_section *section = add_section (beat, HEARTBEAT_LOADS);
+
+      section->heartbeat_section_u.loads.loads_len = s->n_loads;
+      section->heartbeat_section_u.loads.loads_val = s->loads;
+    }
+  fill_notices (s, now_us, beat);
+}
--- /dev/null
+++ b/transport/leaving_vms.c
@@ -0,0 +1,100 @@
+#include "transport/leaving_vms.h"
+
+/* How long the word of a peer holds.  */
+#define HEARD_US (60 * G_USEC_PER_SEC)
+
+/* The most VMs that are kept on the word of peers.  */
+#define MAX_HEARD 65536
+
+struct leaving_vms
+{
+  GHashTable *vms; /* name -> struct leaving_vm */
+  leaving_change *changed;
+  gpointer data;
+};
+
+struct leaving_vm
+{
+  gboolean is_listed;
+  gint64 heard_until_us;
+};
+
+struct leaving_vms *
+leaving_vms_new (leaving_change *changed, gpointer data)
+{
+  struct leaving_vms *vms = g_new0 (struct leaving_vms, 1);
+
+  vms->vms = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  vms->changed = changed;
+  vms->data = data;
+  return vms;
+}
+
+void
+leaving_vms_free (struct leaving_vms *vms)
+{
+  g_hash_table_unref (vms->vms);
+  g_free (vms);
+}
+
+static struct leaving_vm *
+ensure (struct leaving_vms *vms, const char *name)
+{
+  struct leaving_vm *vm = g_hash_table_lookup (vms->vms, name);
+
+  if (vm != NULL)
+    return vm;
+  vm = g_new0 (struct leaving_vm, 1);
+  g_hash_table_insert (vms->vms, g_strdup (name), vm);
+  vms->changed (vms->data, name, TRUE);
+  return vm;
+}
+
+void
+leaving_vms_hear (struct leaving_vms *vms, const char *vm, gint64 now_us)
+{
+  if (g_hash_table_size (vms->vms) < MAX_HEARD)
+    ensure (vms, vm)->heard_until_us = now_us + HEARD_US;
+}
+
+void
+leaving_vms_begin_list (struct leaving_vms *vms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, vms->vms);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct leaving_vm *)value)->is_listed = FALSE;
+}
+
+void
+leaving_vms_add_listed (struct leaving_vms *vms, const char *vm, gint64 now_us)
+{
+  ensure (vms, vm)->is_listed = TRUE;
+}
+
+void
+leaving_vms_end_list (struct leaving_vms *vms, gint64 now_us)
+{
+  leaving_vms_advance (vms, now_us);
+}
+
+void
+leaving_vms_advance (struct leaving_vms *vms, gint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, vms->vms);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      struct leaving_vm *vm = value;
+
+      if (vm->is_listed || vm->heard_until_us > now_us)
+        continue;
+      vms->changed (vms->data, key, FALSE);
+      g_hash_table_iter_remove (&iter);
+    }
+}
--- a/transport/peer_hub.h
+++ b/transport/peer_hub.h
@@ -13,15 +13,17 @@
 #ifndef TRANSPORT_PEER_HUB_H
 #define TRANSPORT_PEER_HUB_H
 
+#include "base/list.h"
 #include "coordination/membership.h"
 #include "protocol/peer_mac.h"
 #include "protocol/peer_xdr.h"
 #include "protocol/settings.h"
+#include "transport/peer_rpc.h"
+#include "transport/peer_service.h"
 
 #include <glib.h>
 
 struct peer_hub;
-struct peer_request;
 struct peer_listener;
 
 struct peer_listener_ops
@@ -93,41 +95,34 @@
 /* Tells the peers that this VM takes no new work.  */
 void peer_hub_set_leaving (struct peer_hub *hub);
 
-/* Replaces the keys, hexadecimal as in the settings.  */
+/* Replaces the keys, hexadecimal as in the settings.  An empty list turns
+   authentication off.  */
 void peer_hub_set_keys (struct peer_hub *hub, const GPtrArray *keys);
 
 /* The keys in force.  */
 const struct peer_mac *peer_hub_get_mac (const struct peer_hub *hub);
 
 /*
- * Serves one procedure of protocol/peer.x.  ARGUMENTS, of the type that
- * PEER.X gives, live only during the call.  The handler calls
- * peer_request_reply () or peer_request_fail () once, then or later.
+ * Makes HANDLER serve PROCEDURE, as in PEER_FORWARD.  Its ARGUMENTS, of the
+ * type that protocol/peer.x gives, live only during the call.  The handler
+ * calls peer_request_reply () or peer_request_fail () once, then or later.
  */
-typedef void peer_handler (struct peer_request *request, const void *arguments,
-                           gpointer data);
-
-/* Makes HANDLER serve PROCEDURE, as in PEER_FORWARD.  */
 void peer_hub_serve (struct peer_hub *hub, guint procedure,
                      peer_handler *handler, gpointer data);
 
-/* The name of the VM that calls; empty when it did not say.  */
-const char *peer_request_get_sender (const struct peer_request *request);
-
-/* Answers with RESULT, serialised before the function returns.  Frees
-   REQUEST.  */
-void peer_request_reply (struct peer_request *request, const void *result);
-
-/* Answers that the procedure cannot be served.  Frees REQUEST.  */
-void peer_request_fail (struct peer_request *request);
-
 /*
- * The end of a call.  RESULT, of the type that peer.x gives, lives only during
- * the call; it is NULL with ERROR set otherwise: ERROR_NOT_RUN when no byte of
- * the call was written, ERROR_UNAVAILABLE when it may have reached the peer.
+ * peer_service.h has, for handlers:
+ *
+ * peer_request_get_sender () - the name of the VM that calls;
+ * peer_request_reply () - answers with a result of the type that peer.x gives,
+ *   serialised before it returns, and frees the request;
+ * peer_request_fail () - answers that the procedure cannot be served.
+ *
+ * A peer_answer () is the end of a call.  Its RESULT, of the type that peer.x
+ * gives, lives only during the call; it is NULL with ERROR set otherwise:
+ * ERROR_NOT_RUN when no byte of the call was written, ERROR_UNAVAILABLE when
+ * it may have reached the peer.
  */
-typedef void peer_answer (const void *result, const GError *error,
-                          gpointer data);
 
 /*
  * Calls PROCEDURE on the VM of that name.  ANSWER is called once from the main
@@ -138,6 +133,9 @@
                     const void *arguments, gint64 deadline_us,
                     peer_answer *answer, gpointer data);
 
+/* Calls of peers that wait for this VM's reply.  */
+guint peer_hub_count_requests (const struct peer_hub *hub);
+
 /* Traffic so far.  Bytes of datagrams include 28 bytes a datagram for IP and
    UDP.  */
 struct peer_hub_counts
@@ -147,7 +145,7 @@
   guint64 datagrams_refused; /* junk, wrong MAC, replayed */
   guint64 bytes_sent;
   guint64 bytes_received;
-  guint64 calls_sent;
+  guint64 checks_sent; /* calls that look after a suspect */
   guint64 calls_served;
   guint64 calls_refused; /* junk, wrong MAC, replayed */
 };
--- /dev/null
+++ b/transport/peer_hub_beats.c
@@ -0,0 +1,205 @@
+#include "transport/peer_hub_private.h"
+
+#include "base/clock.h"
+#include "protocol/heartbeat.h"
+#include "state/job_id.h"
+
+/* IPv4 and UDP headers.  */
+#define DATAGRAM_OVERHEAD 28
+
+static void
+send_datagram (struct peer_hub *hub, GSocketAddress *to, heartbeat *beat)
+{
+  guint8 data[HEARTBEAT_MAX_LENGTH];
+  gsize length;
+
+  beat->sender = hub->name_hash;
+  beat->incarnation = hub->incarnation;
+  beat->sequence = ++hub->sequence;
+  beat->sent_ms = (guint32)clock_unix_ms ();
+  if (hub->is_leaving)
+    beat->header |= HEARTBEAT_LEAVING_FLAG;
+  length = heartbeat_encode (beat, hub->mac, data);
+  if (length == 0 || !peer_socket_send (hub->socket, to, data, length))
+    return;
+  hub->counts.datagrams_sent++;
+  hub->counts.bytes_sent += length + DATAGRAM_OVERHEAD;
+}
+
+void
+peer_hub_send_beat (struct membership_driver *driver, struct peer *peer,
+                    const struct membership_beat *beat)
+{
+  struct peer_hub *hub = list_entry (driver, struct peer_hub, driver);
+  struct link *link = peer_hub_link (peer);
+  heartbeat message = { 0 };
+
+  if (link->address == NULL)
+    return;
+  if (beat->wants_answer)
+    message.header |= HEARTBEAT_WANTS_ANSWER_FLAG;
+  if (beat->chooses)
+    message.header |= HEARTBEAT_CHOOSES_FLAG;
+  beat_sections_fill (hub->sections, &link->progress, beat->introduces,
+                      peer->is_local, clock_now_us (), &message);
+  send_datagram (hub, link->address, &message);
+}
+
+static void
+take_digest (struct peer_hub *hub, const struct peer *peer,
+             const heartbeat_digest *digest)
+{
+  struct list_node *node;
+  struct list_node *after;
+
+  list_for_each (node, after, &hub->listeners)
+    {
+      struct peer_listener *listener
+          = list_entry (node, struct peer_listener, link);
+
+      if (listener->ops->digest_received != NULL)
+        listener->ops->digest_received (listener, peer, digest);
+    }
+}
+
+static void
+take_loads (struct peer_hub *hub, const struct peer *peer,
+            const heartbeat_load *loads, guint n_loads)
+{
+  struct list_node *node;
+  struct list_node *after;
+
+  list_for_each (node, after, &hub->listeners)
+    {
+      struct peer_listener *listener
+          = list_entry (node, struct peer_listener, link);
+
+      if (listener->ops->loads_received != NULL)
+        listener->ops->loads_received (listener, peer, loads, n_loads);
+    }
+}
+
+static void
+take_section (struct peer_hub *hub, const struct peer *peer,
+              const heartbeat_section *section)
+{
+  switch (section->kind)
+    {
+    case HEARTBEAT_DIGEST:
+      take_digest (hub, peer, &section->heartbeat_section_u.digest);
+      break;
+    case HEARTBEAT_LOADS:
+      take_loads (hub, peer, section->heartbeat_section_u.loads.loads_val,
+                  section->heartbeat_section_u.loads.loads_len);
+      break;
+    case HEARTBEAT_LEAVING:
+      for (guint i = 0; i < section->heartbeat_section_u.leaving.leaving_len;
+           i++)
+        leaving_vms_hear (hub->leaving,
+                          section->heartbeat_section_u.leaving.leaving_val[i],
+                          clock_now_us ());
+      break;
+    case HEARTBEAT_INTRODUCTION:
+      break;
+    }
+}
+
+static void
+read_header (const heartbeat *beat, struct heard_beat *heard)
+{
+  heard->sender = beat->sender;
+  heard->incarnation = beat->incarnation;
+  heard->sequence = beat->sequence;
+  heard->is_leaving = (beat->header & HEARTBEAT_LEAVING_FLAG) != 0;
+  heard->wants_answer = (beat->header & HEARTBEAT_WANTS_ANSWER_FLAG) != 0;
+  heard->chooses = (beat->header & HEARTBEAT_CHOOSES_FLAG) != 0;
+}
+
+static gboolean
+read_introduction (const heartbeat *beat, struct heard_beat *heard)
+{
+  for (guint i = 0; i < beat->sections.sections_len; i++)
+    {
+      const heartbeat_section *section = &beat->sections.sections_val[i];
+      const heartbeat_introduction *introduction
+          = &section->heartbeat_section_u.introduction;
+      g_autoptr (GSocketAddress) address = NULL;
+
+      if (section->kind != HEARTBEAT_INTRODUCTION)
+        continue;
+      address = peer_address_parse (introduction->address);
+      if (address == NULL || !vm_name_is_valid (introduction->name))
+        return FALSE;
+      heard->name = introduction->name;
+      heard->availability_zone = introduction->availability_zone;
+      heard->address = introduction->address;
+    }
+  return TRUE;
+}
+
+static void
+on_datagram (struct peer_socket_owner *owner, const guint8 *data, gsize length)
+{
+  struct peer_hub *hub = list_entry (owner, struct peer_hub, socket_owner);
+  struct heard_beat heard = { 0 };
+  struct peer *peer = NULL;
+  heartbeat beat;
+
+  if (!heartbeat_decode (data, length, hub->mac, clock_unix_ms (), &beat))
+    {
+      hub->counts.datagrams_refused++;
+      return;
+    }
+  hub->counts.datagrams_received++;
+  hub->counts.bytes_received += length + DATAGRAM_OVERHEAD;
+  read_header (&beat, &heard);
+  if (read_introduction (&beat, &heard))
+    peer = membership_hear (hub->membership, &heard, clock_now_us ());
+  if (peer == NULL)
+    hub->counts.datagrams_refused++;
+  else
+    for (guint i = 0; i < beat.sections.sections_len; i++)
+      take_section (hub, peer, &beat.sections.sections_val[i]);
+  heartbeat_clear (&beat);
+}
+
+const struct peer_socket_owner_ops peer_hub_socket_ops = {
+  .received = on_datagram,
+};
+
+struct seed_search
+{
+  const char *address;
+  gboolean is_known;
+};
+
+static void
+match_seed (struct peer *peer, gpointer data)
+{
+  struct seed_search *search = data;
+
+  if (peer_is_live (peer) && g_strcmp0 (peer->address, search->address) == 0)
+    search->is_known = TRUE;
+}
+
+void
+peer_hub_greet_seeds (struct peer_hub *hub)
+{
+  for (guint i = 0; i < hub->settings->peer_seeds->len; i++)
+    {
+      const char *text = hub->settings->peer_seeds->pdata[i];
+      struct seed_search search = { text, FALSE };
+      g_autoptr (GSocketAddress) address = NULL;
+      struct beat_progress progress = { 0 };
+      heartbeat beat = { .header = HEARTBEAT_WANTS_ANSWER_FLAG };
+
+      membership_foreach (hub->membership, match_seed, &search);
+      if (search.is_known
+          || g_str_equal (text, hub->sections->introduction.address))
+        continue;
+      address = peer_address_parse (text);
+      beat_sections_fill (hub->sections, &progress, TRUE, FALSE,
+                          clock_now_us (), &beat);
+      send_datagram (hub, address, &beat);
+    }
+}
--- /dev/null
+++ b/transport/peer_rpc.c
@@ -0,0 +1,436 @@
+#include "transport/peer_rpc.h"
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "transport/peer_socket.h"
+#include "transport/rpc_stream.h"
+
+/* With calls waiting, silence of a connection that is checked by a PING, and
+   how long that may take; also how long connecting may take.  */
+#define SILENCE_US (2 * USEC_PER_SEC)
+#define PING_TIMEOUT_US (1 * USEC_PER_SEC)
+#define CONNECT_TIMEOUT_US (2 * USEC_PER_SEC)
+
+/* A connection without calls is closed after this.  */
+#define IDLE_US (20 * USEC_PER_SEC)
+
+struct peer_rpc
+{
+  struct rpc_stream_owner stream_owner;
+  struct peer_rpc_owner *owner;
+  char *vm;
+  char *address;
+  struct rpc_stream *stream; /* NULL when there is none */
+  gint64 connect_deadline_us;
+  gint64 used_us;
+  gint64 ping_deadline_us; /* 0 when none is awaited */
+  guint32 ping_xid;
+  guint32 next_xid;
+  GHashTable *calls;    /* xid -> struct call */
+  GSequence *deadlines; /* struct call by deadline_us */
+  GSource *timer;
+  gboolean was_refused;
+};
+
+struct call
+{
+  guint32 xid;
+  const struct rpc_procedure *procedure;
+  gint64 deadline_us;
+  gint64 sent_us;
+  guint64 place; /* in the stream's output */
+  GSequenceIter *iter;
+  GError *error; /* set when it is to end from the main loop */
+  peer_answer *answer;
+  gpointer data;
+};
+
+static void
+end_call (struct peer_rpc *rpc, struct call *call, const void *result,
+          const GError *error)
+{
+  g_hash_table_remove (rpc->calls, GUINT_TO_POINTER (call->xid));
+  g_sequence_remove (call->iter);
+  call->answer (result, error, call->data);
+  g_clear_error (&call->error);
+  g_free (call);
+}
+
+static int
+compare_deadlines (gconstpointer a, gconstpointer b, gpointer user_data)
+{
+  const struct call *x = a;
+  const struct call *y = b;
+
+  return (x->deadline_us > y->deadline_us) - (x->deadline_us < y->deadline_us);
+}
+
+static void
+set_wake (struct peer_rpc *rpc)
+{
+  GSequenceIter *first = g_sequence_get_begin_iter (rpc->deadlines);
+  gint64 when_us = DEADLINE_NEVER;
+  gint64 now_us = clock_now_us ();
+
+  if (!g_sequence_iter_is_end (first))
+    when_us = ((struct call *)g_sequence_get (first))->deadline_us;
+  if (rpc->stream != NULL && rpc->connect_deadline_us != 0)
+    when_us = MIN (when_us, rpc->connect_deadline_us);
+  else if (rpc->stream != NULL && rpc->ping_deadline_us != 0)
+    when_us = MIN (when_us, rpc->ping_deadline_us);
+  else if (rpc->stream != NULL && g_hash_table_size (rpc->calls) > 0)
+    when_us
+        = MIN (when_us, rpc_stream_get_received_us (rpc->stream) + SILENCE_US);
+  else if (rpc->stream != NULL)
+    when_us = MIN (when_us, rpc->used_us + IDLE_US);
+  if (when_us == DEADLINE_NEVER)
+    g_source_set_ready_time (rpc->timer, -1);
+  else
+    g_source_set_ready_time (rpc->timer, g_get_monotonic_time ()
+                                             + MAX (when_us - now_us, 0));
+}
+
+/* Ends CALL from the main loop, taking over ERROR.  */
+static void
+fail_call_later (struct peer_rpc *rpc, struct call *call, GError *error)
+{
+  g_clear_error (&call->error);
+  call->error = error;
+  call->deadline_us = 0;
+  g_sequence_sort_changed (call->iter, compare_deadlines, NULL);
+}
+
+static GError *
+broken_error (const struct peer_rpc *rpc, const struct call *call)
+{
+  GError *error = NULL;
+
+  if (rpc_stream_get_written (rpc->stream) <= call->place)
+    error_set (&error, ERROR_NOT_RUN,
+               "VM '%s' at %s cannot be reached; check that it runs", rpc->vm,
+               rpc->address);
+  else
+    error_set (&error, ERROR_UNAVAILABLE,
+               "the connection to VM '%s' at %s broke before its answer",
+               rpc->vm, rpc->address);
+  return error;
+}
+
+/* Closes the connection; its calls end from the main loop.  */
+static void
+give_up_stream (struct peer_rpc *rpc)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (rpc->stream == NULL)
+    return;
+  g_hash_table_iter_init (&iter, rpc->calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct call *call = value;
+
+      if (call->error == NULL)
+        fail_call_later (rpc, call, broken_error (rpc, call));
+    }
+  rpc_stream_close (rpc->stream);
+  rpc->stream = NULL;
+  rpc->ping_deadline_us = 0;
+  rpc->connect_deadline_us = 0;
+  set_wake (rpc);
+}
+
+void
+peer_rpc_reset (struct peer_rpc *rpc)
+{
+  give_up_stream (rpc);
+}
+
+static struct peer_rpc *
+rpc_of (struct rpc_stream_owner *owner)
+{
+  return (struct peer_rpc *)(void *)owner;
+}
+
+static void
+stream_opened (struct rpc_stream_owner *owner)
+{
+  struct peer_rpc *rpc = rpc_of (owner);
+
+  rpc->connect_deadline_us = 0;
+  rpc->was_refused = FALSE;
+  set_wake (rpc);
+}
+
+static void
+stream_received (struct rpc_stream_owner *owner, guint8 *data, gsize length)
+{
+  struct peer_rpc *rpc = rpc_of (owner);
+  guint32 xid = rpc_peek_xid (data, length);
+  struct call *call = g_hash_table_lookup (rpc->calls, GUINT_TO_POINTER (xid));
+  g_autoptr (GError) error = NULL;
+  const struct rpc_procedure *procedure;
+  void *result;
+
+  if (rpc->ping_deadline_us != 0 && xid == rpc->ping_xid)
+    {
+      rpc->ping_deadline_us = 0;
+      set_wake (rpc);
+    }
+  if (call == NULL || call->error != NULL)
+    return;
+  procedure = call->procedure;
+  result = rpc_parse_reply (rpc->owner->mac, data, length, procedure, &error);
+  rpc->used_us = clock_now_us ();
+  end_call (rpc, call, result, error);
+  rpc_result_free (procedure, result);
+}
+
+static void
+stream_ended (struct rpc_stream_owner *owner, gboolean was_refused)
+{
+  struct peer_rpc *rpc = rpc_of (owner);
+  gboolean was_open = rpc->connect_deadline_us == 0;
+
+  rpc->was_refused = was_refused;
+  give_up_stream (rpc);
+  if (was_open)
+    rpc->owner->ops->broke (rpc->owner, rpc);
+}
+
+static const struct rpc_stream_owner_ops stream_owner_ops = {
+  .opened = stream_opened,
+  .received = stream_received,
+  .ended = stream_ended,
+};
+
+static guint32
+take_xid (struct peer_rpc *rpc)
+{
+  do
+    rpc->next_xid++;
+  while (
+      rpc->next_xid == 0
+      || g_hash_table_contains (rpc->calls, GUINT_TO_POINTER (rpc->next_xid)));
+  return rpc->next_xid;
+}
+
+/* Asks whether the other side still answers.  */
+static void
+send_ping (struct peer_rpc *rpc)
+{
+  peer_ping_args arguments = { .suspect = (char *)"" };
+  guint32 xid = take_xid (rpc);
+  g_autoptr (GBytes) record = rpc->owner->ops->build_call (
+      rpc->owner, rpc, xid, rpc_procedure_find (PEER_PING), &arguments);
+
+  rpc->ping_xid = xid;
+  rpc->ping_deadline_us = clock_now_us () + PING_TIMEOUT_US;
+  rpc_stream_send (rpc->stream, record);
+}
+
+static void
+end_overdue (struct peer_rpc *rpc, struct call *call)
+{
+  g_autoptr (GError) error = NULL;
+  gboolean is_unwritten
+      = rpc->stream == NULL
+        || rpc_stream_get_written (rpc->stream) <= call->place;
+
+  if (call->error != NULL)
+    {
+      end_call (rpc, call, NULL, call->error);
+      return;
+    }
+  error_set (&error, is_unwritten ? ERROR_NOT_RUN : ERROR_UNAVAILABLE,
+             "VM '%s' at %s did not answer in time", rpc->vm, rpc->address);
+  if (rpc->stream != NULL && rpc->connect_deadline_us == 0
+      && rpc->ping_deadline_us == 0
+      && rpc_stream_get_received_us (rpc->stream) < call->sent_us)
+    send_ping (rpc);
+  end_call (rpc, call, NULL, error);
+}
+
+static void
+end_overdue_calls (struct peer_rpc *rpc, gint64 now_us)
+{
+  for (;;)
+    {
+      GSequenceIter *first = g_sequence_get_begin_iter (rpc->deadlines);
+      struct call *call;
+
+      if (g_sequence_iter_is_end (first))
+        return;
+      call = g_sequence_get (first);
+      if (call->deadline_us > now_us)
+        return;
+      end_overdue (rpc, call);
+    }
+}
+
+static void
+check_stream (struct peer_rpc *rpc, gint64 now_us)
+{
+  gboolean has_calls = g_hash_table_size (rpc->calls) > 0;
+
+  if (rpc->stream == NULL)
+    return;
+  if (rpc->connect_deadline_us != 0)
+    {
+      if (rpc->connect_deadline_us <= now_us)
+        give_up_stream (rpc);
+    }
+  else if (rpc->ping_deadline_us != 0)
+    {
+      if (rpc->ping_deadline_us <= now_us)
+        give_up_stream (rpc);
+    }
+  else if (has_calls)
+    {
+      if (rpc_stream_get_received_us (rpc->stream) + SILENCE_US <= now_us)
+        send_ping (rpc);
+    }
+  else if (rpc->used_us + IDLE_US <= now_us)
+    give_up_stream (rpc);
+}
+
+static gboolean
+on_timer (gpointer data)
+{
+  struct peer_rpc *rpc = data;
+  gint64 now_us = clock_now_us ();
+
+  check_stream (rpc, now_us);
+  end_overdue_calls (rpc, now_us);
+  set_wake (rpc);
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+dispatch_timer (GSource *source, GSourceFunc callback, gpointer data)
+{
+  return callback (data);
+}
+
+static GSourceFuncs timer_functions = { .dispatch = dispatch_timer };
+
+struct peer_rpc *
+peer_rpc_new (struct peer_rpc_owner *owner, const char *vm,
+              const char *address)
+{
+  struct peer_rpc *rpc = g_new0 (struct peer_rpc, 1);
+
+  rpc->stream_owner.ops = &stream_owner_ops;
+  rpc->owner = owner;
+  rpc->vm = g_strdup (vm);
+  rpc->address = g_strdup (address);
+  rpc->next_xid = g_random_int ();
+  rpc->calls = g_hash_table_new (NULL, NULL);
+  rpc->deadlines = g_sequence_new (NULL);
+  rpc->timer = g_source_new (&timer_functions, sizeof (GSource));
+  g_source_set_callback (rpc->timer, on_timer, rpc, NULL);
+  g_source_attach (rpc->timer, NULL);
+  return rpc;
+}
+
+void
+peer_rpc_free (struct peer_rpc *rpc)
+{
+  give_up_stream (rpc);
+  while (g_hash_table_size (rpc->calls) > 0)
+    end_overdue_calls (rpc, DEADLINE_NEVER);
+  g_source_destroy (rpc->timer);
+  g_source_unref (rpc->timer);
+  g_sequence_free (rpc->deadlines);
+  g_hash_table_unref (rpc->calls);
+  g_free (rpc->vm);
+  g_free (rpc->address);
+  g_free (rpc);
+}
+
+void
+peer_rpc_set_address (struct peer_rpc *rpc, const char *address)
+{
+  if (g_str_equal (rpc->address, address))
+    return;
+  g_free (rpc->address);
+  rpc->address = g_strdup (address);
+  give_up_stream (rpc);
+}
+
+const char *
+peer_rpc_get_vm (const struct peer_rpc *rpc)
+{
+  return rpc->vm;
+}
+
+gboolean
+peer_rpc_was_refused (const struct peer_rpc *rpc)
+{
+  return rpc->was_refused;
+}
+
+/* Makes sure that there is a connection, or one under way.  */
+static gboolean
+open_stream (struct peer_rpc *rpc)
+{
+  g_autoptr (GSocketAddress) address = NULL;
+
+  if (rpc->stream != NULL)
+    return TRUE;
+  address = peer_address_parse (rpc->address);
+  if (address == NULL)
+    return FALSE;
+  rpc->connect_deadline_us = clock_now_us () + CONNECT_TIMEOUT_US;
+  rpc->stream = rpc_stream_connect (address, &rpc->stream_owner);
+  return TRUE;
+}
+
+static void
+write_call (struct peer_rpc *rpc, struct call *call, GBytes *record)
+{
+  gboolean is_fresh = rpc->stream == NULL;
+  GError *error = NULL;
+
+  if (record == NULL)
+    error_set (&error, ERROR_TOO_LARGE,
+               "this is more than one call to a peer may carry; send less");
+  else if (!open_stream (rpc))
+    error_set (&error, ERROR_NOT_RUN,
+               "the address '%s' of VM '%s' is not IP:PORT; correct the "
+               "platform's list",
+               rpc->address, rpc->vm);
+  if (error != NULL)
+    {
+      fail_call_later (rpc, call, error);
+      return;
+    }
+  /* A connection must show its MAC before it may send much.  */
+  if (is_fresh && g_bytes_get_size (record) > RPC_MAX_FIRST_MESSAGE)
+    send_ping (rpc);
+  call->place = rpc_stream_send (rpc->stream, record);
+}
+
+void
+peer_rpc_call (struct peer_rpc *rpc, const struct rpc_procedure *procedure,
+               const void *arguments, gint64 deadline_us, peer_answer *answer,
+               gpointer data)
+{
+  struct call *call = g_new0 (struct call, 1);
+  g_autoptr (GBytes) record = NULL;
+
+  call->xid = take_xid (rpc);
+  call->procedure = procedure;
+  call->deadline_us = deadline_us;
+  call->sent_us = clock_now_us ();
+  call->answer = answer;
+  call->data = data;
+  rpc->used_us = call->sent_us;
+  g_hash_table_insert (rpc->calls, GUINT_TO_POINTER (call->xid), call);
+  call->iter = g_sequence_insert_sorted (rpc->deadlines, call,
+                                         compare_deadlines, NULL);
+  record = rpc->owner->ops->build_call (rpc->owner, rpc, call->xid, procedure,
+                                        arguments);
+  write_call (rpc, call, record);
+  set_wake (rpc);
+}
--- /dev/null
+++ b/transport/peer_socket.c
@@ -0,0 +1,109 @@
+#include "transport/peer_socket.h"
+
+#include "base/error.h"
+#include "protocol/heartbeat.h"
+
+/* Datagrams taken in one go, so that a flood leaves time for the rest.  */
+#define RECEIVE_BATCH 64
+
+struct peer_socket
+{
+  struct peer_socket_owner *owner;
+  GSocket *socket;
+  GSource *source;
+};
+
+static gboolean
+on_readable (GSocket *gsocket, GIOCondition condition, gpointer data)
+{
+  struct peer_socket *socket = data;
+  guint8 buffer[HEARTBEAT_MAX_LENGTH + 1];
+
+  for (guint i = 0; i < RECEIVE_BATCH; i++)
+    {
+      gssize length = g_socket_receive (gsocket, (char *)buffer, sizeof buffer,
+                                        NULL, NULL);
+
+      if (length < 0)
+        break;
+      socket->owner->ops->received (socket->owner, buffer, (gsize)length);
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+bind_socket (struct peer_socket *socket, const char *ip, guint port,
+             GError **error)
+{
+  g_autoptr (GSocketAddress) address
+      = g_inet_socket_address_new_from_string (ip, port);
+
+  socket->socket
+      = g_socket_new (g_socket_address_get_family (address),
+                      G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP, error);
+  return socket->socket != NULL
+         && g_socket_bind (socket->socket, address, FALSE, error);
+}
+
+struct peer_socket *
+peer_socket_new (const char *ip, guint port, struct peer_socket_owner *owner,
+                 GError **error)
+{
+  struct peer_socket *socket = g_new0 (struct peer_socket, 1);
+  g_autoptr (GError) reason = NULL;
+
+  socket->owner = owner;
+  if (!bind_socket (socket, ip, port, &reason))
+    {
+      error_set (error, ERROR_UNAVAILABLE,
+                 "cannot take datagrams on %s:%u: %s; free the address or "
+                 "change the settings",
+                 ip, port, reason->message);
+      peer_socket_free (socket);
+      return NULL;
+    }
+  g_socket_set_blocking (socket->socket, FALSE);
+  socket->source = g_socket_create_source (socket->socket, G_IO_IN, NULL);
+  g_source_set_callback (socket->source, G_SOURCE_FUNC (on_readable), socket,
+                         NULL);
+  g_source_attach (socket->source, NULL);
+  return socket;
+}
+
+void
+peer_socket_free (struct peer_socket *socket)
+{
+  if (socket->source != NULL)
+    {
+      g_source_destroy (socket->source);
+      g_source_unref (socket->source);
+    }
+  g_clear_object (&socket->socket);
+  g_free (socket);
+}
+
+gboolean
+peer_socket_send (struct peer_socket *socket, GSocketAddress *to,
+                  const guint8 *data, gsize length)
+{
+  return g_socket_send_to (socket->socket, to, (const char *)data, length,
+                           NULL, NULL)
+         == (gssize)length;
+}
+
+GSocketAddress *
+peer_address_parse (const char *text)
+{
+  g_autoptr (GSocketConnectable) parsed
+      = g_network_address_parse (text, 0, NULL);
+  GNetworkAddress *address;
+
+  if (parsed == NULL)
+    return NULL;
+  address = G_NETWORK_ADDRESS (parsed);
+  if (g_network_address_get_port (address) == 0)
+    return NULL;
+  return g_inet_socket_address_new_from_string (
+      g_network_address_get_hostname (address),
+      g_network_address_get_port (address));
+}
--- /dev/null
+++ b/transport/peer_socket.h
@@ -0,0 +1,42 @@
+/*
+ * The UDP socket for heartbeats.
+ */
+#ifndef TRANSPORT_PEER_SOCKET_H
+#define TRANSPORT_PEER_SOCKET_H
+
+#include "protocol/settings.h"
+
+#include <gio/gio.h>
+
+struct peer_socket;
+struct peer_socket_owner;
+
+struct peer_socket_owner_ops
+{
+  /* A datagram of LENGTH bytes came in; DATA lives only during the call.  */
+  void (*received) (struct peer_socket_owner *owner, const guint8 *data,
+                    gsize length);
+};
+
+/* Embedded in whoever owns the socket.  */
+struct peer_socket_owner
+{
+  const struct peer_socket_owner_ops *ops;
+};
+
+/* Binds IP and PORT; OWNER must outlive the socket.  Returns NULL with
+   ERROR.  */
+struct peer_socket *peer_socket_new (const char *ip, guint port,
+                                     struct peer_socket_owner *owner,
+                                     GError **error);
+void peer_socket_free (struct peer_socket *socket);
+
+/* Sends one datagram.  Returns FALSE when the kernel did not take it; that
+   counts as a loss.  */
+gboolean peer_socket_send (struct peer_socket *socket, GSocketAddress *to,
+                           const guint8 *data, gsize length);
+
+/* The address that TEXT, "IP:PORT", writes, or NULL.  The caller owns it.  */
+GSocketAddress *peer_address_parse (const char *text);
+
+#endif
--- /dev/null
+++ b/transport/vm_list.c
@@ -0,0 +1,165 @@
+#include "transport/vm_list.h"
+
+#include "base/error.h"
+#include "base/event_log.h"
+#include "protocol/json_read.h"
+
+#include <libsoup/soup.h>
+
+/* Pause between two readings: so long that they cost this many bytes a second,
+   within these bounds.  */
+#define BYTES_PER_SEC 4096
+#define MIN_PAUSE_MS 1000
+#define MAX_PAUSE_MS 30000
+#define TIMEOUT_SEC 5
+
+struct vm_list
+{
+  char *uri;
+  struct vm_list_owner *owner;
+  SoupSession *session;
+  GCancellable *cancellable;
+  guint timer;
+  gboolean is_available;
+  gboolean was_reported; /* that it is not available */
+};
+
+static void read_list (struct vm_list *list);
+
+static gboolean
+on_timer (gpointer data)
+{
+  struct vm_list *list = data;
+
+  list->timer = 0;
+  read_list (list);
+  return G_SOURCE_REMOVE;
+}
+
+static const char *
+read_text (json_t *object, const char *key)
+{
+  const char *text = json_string_value (json_object_get (object, key));
+
+  return text != NULL ? text : "";
+}
+
+static void
+parse_entry (json_t *object, struct vm_entry *entry)
+{
+  entry->name = read_text (object, "name");
+  entry->role = read_text (object, "role");
+  entry->availability_zone = read_text (object, "availability_zone");
+  entry->address = read_text (object, "address");
+  entry->is_leaving = g_str_equal (read_text (object, "status"), "leaving");
+}
+
+static gboolean
+deliver (struct vm_list *list, json_t *root)
+{
+  json_t *vms = json_object_get (root, "vms");
+  guint n = (guint)json_array_size (vms);
+  g_autofree struct vm_entry *entries = g_new0 (struct vm_entry, n + 1);
+
+  if (!json_is_array (vms))
+    return FALSE;
+  for (guint i = 0; i < n; i++)
+    parse_entry (json_array_get (vms, i), &entries[i]);
+  list->owner->ops->read (list->owner, entries, n);
+  return TRUE;
+}
+
+static void
+note_available (struct vm_list *list, gboolean is_available,
+                const char *reason)
+{
+  if (is_available && list->was_reported)
+    event_log (EVENT_VM_LIST_AVAILABLE, "%s", list->uri);
+  else if (!is_available && !list->was_reported)
+    event_log (EVENT_VM_LIST_UNAVAILABLE, "%s: %s", list->uri, reason);
+  list->was_reported = !is_available;
+}
+
+static gboolean
+handle_answer (struct vm_list *list, SoupMessage *message, GBytes *body,
+               GError **error)
+{
+  json_t *root;
+  gboolean valid;
+
+  if (soup_message_get_status (message) != SOUP_STATUS_OK)
+    {
+      error_set (error, ERROR_UNAVAILABLE, "the status is %u",
+                 soup_message_get_status (message));
+      return FALSE;
+    }
+  root = json_parse (g_bytes_get_data (body, NULL), g_bytes_get_size (body),
+                     error);
+  if (root == NULL)
+    return FALSE;
+  valid = deliver (list, root);
+  json_decref (root);
+  if (!valid)
+    error_set (error, ERROR_UNAVAILABLE, "the answer has no list 'vms'");
+  return valid;
+}
+
+static void
+on_answer (GObject *source, GAsyncResult *result, gpointer data)
+{
+  SoupSession *session = SOUP_SESSION (source);
+  SoupMessage *message
+      = soup_session_get_async_result_message (session, result);
+  g_autoptr (GError) error = NULL;
+  g_autoptr (GBytes) body
+      = soup_session_send_and_read_finish (session, result, &error);
+  struct vm_list *list = data;
+  gsize pause_ms = MIN_PAUSE_MS;
+  gboolean valid = FALSE;
+
+  if (g_error_matches (error, G_IO_ERROR, G_IO_ERROR_CANCELLED))
+    return;
+  if (body != NULL)
+    {
+      pause_ms = g_bytes_get_size (body) * 1000 / BYTES_PER_SEC;
+      valid = handle_answer (list, message, body, &error);
+    }
+  note_available (list, valid, error != NULL ? error->message : NULL);
+  pause_ms = CLAMP (pause_ms, MIN_PAUSE_MS, MAX_PAUSE_MS);
+  list->timer = g_timeout_add ((guint)pause_ms, on_timer, list);
+}
+
+static void
+read_list (struct vm_list *list)
+{
+  g_autoptr (SoupMessage) message
+      = soup_message_new (SOUP_METHOD_GET, list->uri);
+
+  soup_session_send_and_read_async (list->session, message, G_PRIORITY_DEFAULT,
+                                    list->cancellable, on_answer, list);
+}
+
+struct vm_list *
+vm_list_new (const char *url, struct vm_list_owner *owner)
+{
+  struct vm_list *list = g_new0 (struct vm_list, 1);
+
+  list->uri = g_strconcat (url, "/v1/vms", NULL);
+  list->owner = owner;
+  list->session = soup_session_new_with_options ("timeout", TIMEOUT_SEC, NULL);
+  list->cancellable = g_cancellable_new ();
+  read_list (list);
+  return list;
+}
+
+void
+vm_list_free (struct vm_list *list)
+{
+  g_cancellable_cancel (list->cancellable);
+  if (list->timer != 0)
+    g_source_remove (list->timer);
+  g_object_unref (list->cancellable);
+  g_object_unref (list->session);
+  g_free (list->uri);
+  g_free (list);
+}
