transport: answer for any ticket on any entry VM, and drain without a cut

Only the home starts a job; others pass requests on by RPC. A home whose process is gone is reported as lost, one that is out of reach as unavailable. One bit a ticket remembers its use for longer than the answer is kept, so that a late repeat never starts the job again.

--- a/commands/entry.c
+++ b/commands/entry.c
@@ -42,7 +42,7 @@
 }
 
 static int
-run_entry (const struct settings *settings)
+run_entry (const struct settings *settings, const char *path)
 {
   g_autoptr (GError) error = NULL;
   struct entry *entry = entry_new (settings, &error);
@@ -52,7 +52,9 @@
       event_log (EVENT_LISTEN_FAILED, "%s", error->message);
       return EXIT_STATUS_FAILED;
     }
-  printf ("{\"ready\":true,\"ports\":[%u]}\n", entry_get_port (entry));
+  entry_set_settings_path (entry, path);
+  printf ("{\"ready\":true,\"ports\":[%u,%u]}\n", entry_get_port (entry),
+          entry_get_peer_port (entry));
   fflush (stdout);
   entry_run (entry);
   entry_free (entry);
@@ -70,16 +72,17 @@
   if (!parse_options (&argc, &argv, &options))
     return EXIT_STATUS_USAGE;
   settings = settings_load (options.settings_path, &error);
-  g_free (options.settings_path);
   if (settings == NULL)
     {
       fprintf (stderr, "%s\n", error->message);
+      g_free (options.settings_path);
       return EXIT_STATUS_USAGE;
     }
   event_log_set_level (settings->log_level);
   event_log_set_format (settings->log_format);
   if (!options.check_settings)
-    status = run_entry (settings);
+    status = run_entry (settings, options.settings_path);
   settings_free (settings);
+  g_free (options.settings_path);
   return status;
 }
--- /dev/null
+++ b/transport/caller_forward.c
@@ -0,0 +1,86 @@
+#include "transport/caller_forward.h"
+
+/* A caller whose job has its home elsewhere.  */
+struct remote_caller
+{
+  SoupServerMessage *message;
+  gulong finished_handler;
+  struct forward_wait *wait;
+  char *id;
+};
+
+static void
+remote_caller_free (struct remote_caller *caller)
+{
+  g_signal_handler_disconnect (caller->message, caller->finished_handler);
+  g_object_unref (caller->message);
+  g_free (caller->id);
+  g_free (caller);
+}
+
+static void
+on_caller_gone (SoupServerMessage *message, gpointer data)
+{
+  struct remote_caller *caller = data;
+
+  forward_abandon (caller->wait);
+  remote_caller_free (caller);
+}
+
+static void
+set_headers (struct remote_caller *caller, guint status, guint retry_after_s)
+{
+  SoupMessageHeaders *headers
+      = soup_server_message_get_response_headers (caller->message);
+  g_autofree char *location = g_strconcat ("/v1/jobs/", caller->id, NULL);
+  char seconds[16];
+
+  soup_message_headers_set_content_type (headers, "application/json", NULL);
+  if (status == SOUP_STATUS_ACCEPTED)
+    soup_message_headers_replace (headers, "Location", location);
+  if (retry_after_s == 0)
+    return;
+  g_snprintf (seconds, sizeof seconds, "%u", retry_after_s);
+  soup_message_headers_replace (headers, "Retry-After", seconds);
+}
+
+static void
+on_answer (guint status, guint retry_after_s, GBytes *body, gpointer data)
+{
+  struct remote_caller *caller = data;
+
+  soup_server_message_set_status (caller->message, status, NULL);
+  set_headers (caller, status, retry_after_s);
+  soup_message_body_append_bytes (
+      soup_server_message_get_response_body (caller->message), body);
+  soup_server_message_unpause (caller->message);
+  remote_caller_free (caller);
+}
+
+gboolean
+caller_forward (struct forward *forward, SoupServerMessage *message,
+                peer_forward_method method, const char *id, gboolean is_async,
+                GBytes *body)
+{
+  struct remote_caller *caller;
+  g_autoptr (GBytes) copy = NULL;
+  gsize length = 0;
+  gconstpointer bytes;
+
+  if (forward == NULL || !forward_is_elsewhere (forward, id))
+    return FALSE;
+  if (body != NULL)
+    {
+      bytes = g_bytes_get_data (body, &length);
+      copy = g_bytes_new (bytes, length);
+    }
+  caller = g_new0 (struct remote_caller, 1);
+  caller->message = g_object_ref (message);
+  caller->id = g_strdup (id);
+  caller->finished_handler = g_signal_connect (
+      message, "finished", G_CALLBACK (on_caller_gone), caller);
+  soup_server_message_pause (message);
+  caller->wait
+      = forward_begin (forward, method, id, is_async, copy, on_answer, caller);
+  return TRUE;
+}
--- a/transport/caller_server.c
+++ b/transport/caller_server.c
@@ -3,8 +3,10 @@
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "protocol/json_read.h"
+#include "transport/caller_forward.h"
 #include "transport/connection_guard.h"
 #include "transport/listener.h"
+#include "transport/peer_dump.h"
 #include "transport/state_dump.h"
 
 #include <libsoup/soup.h>
@@ -22,6 +24,8 @@
   struct home *home;
   SoupServer *soup;
   struct connection_guard *guard;
+  struct forward *forward; /* NULL when there are no peers */
+  guint n_busy;            /* requests that are not answered whole */
   guint port;
 };
 
@@ -58,6 +62,10 @@
 {
   g_autoptr (GBytes) body = error_format_answer (error, NULL);
 
+  if (error_get_kind (error) == ERROR_DRAINING)
+    soup_message_headers_replace (
+        soup_server_message_get_response_headers (message), "Connection",
+        "close");
   answer_bytes (message, error_kind_http_status (error_get_kind (error)),
                 body);
 }
@@ -174,6 +182,14 @@
                        (guint)length);
 }
 
+static void
+on_finished (SoupServerMessage *message, gpointer data)
+{
+  struct caller_server *server = data;
+
+  server->n_busy--;
+}
+
 /* Runs once the headers are there: receives the body within its limit.  */
 static void
 begin_upload (SoupServer *soup, SoupServerMessage *message, const char *path,
@@ -184,6 +200,8 @@
       = soup_server_message_get_request_headers (message);
   struct upload *upload = g_new0 (struct upload, 1);
 
+  server->n_busy++;
+  g_signal_connect (message, "finished", G_CALLBACK (on_finished), server);
   upload->server = server;
   upload->body = g_byte_array_new ();
   soup_message_body_set_accumulate (
@@ -230,6 +248,13 @@
       = submission_parse (body, clock_now_us (), &error);
   struct job *job = NULL;
 
+  if (submission != NULL && submission->ticket != NULL
+      && caller_forward (server->forward, message, PEER_FORWARD_SUBMIT,
+                         submission->ticket, wants_async (message), body))
+    {
+      submission_free (submission);
+      return;
+    }
   if (submission != NULL)
     {
       job = home_submit (server->home, submission, &error);
@@ -251,8 +276,12 @@
           const char *id)
 {
   g_autoptr (GError) error = NULL;
-  struct job *job = home_find (server->home, id, &error);
+  struct job *job;
 
+  if (caller_forward (server->forward, message, PEER_FORWARD_SHOW, id, FALSE,
+                      NULL))
+    return;
+  job = home_find (server->home, id, &error);
   if (job == NULL)
     answer_error (message, error);
   else if (job->state == JOB_ACTIVE)
@@ -266,8 +295,12 @@
             const char *id)
 {
   g_autoptr (GError) error = NULL;
-  struct job *job = home_find (server->home, id, &error);
+  struct job *job;
 
+  if (caller_forward (server->forward, message, PEER_FORWARD_CANCEL, id, FALSE,
+                      NULL))
+    return;
+  job = home_find (server->home, id, &error);
   if (job == NULL)
     {
       answer_error (message, error);
@@ -330,7 +363,10 @@
       refuse_method (message, "POST");
       return;
     }
-  if (!read_count (query, &count, &error))
+  if (dispatcher_is_draining (home_get_dispatcher (server->home)))
+    error_set (&error, ERROR_DRAINING,
+               "this VM is leaving; draw tickets from another one");
+  if (error != NULL || !read_count (query, &count, &error))
     {
       answer_error (message, error);
       return;
@@ -369,8 +405,13 @@
 {
   struct caller_server *server = data;
   json_t *state = state_dump_build (server->settings, server->home);
-  char *text = json_format (state);
-  g_autoptr (GBytes) body = g_bytes_new_take (text, strlen (text));
+  g_autoptr (GBytes) body = NULL;
+  char *text;
+
+  if (server->forward != NULL)
+    peer_dump_add (forward_get_hub (server->forward), state);
+  text = json_format (state);
+  body = g_bytes_new_take (text, strlen (text));
 
   json_decref (state);
   answer_bytes (message, SOUP_STATUS_OK, body);
@@ -449,6 +490,25 @@
   g_free (server);
 }
 
+void
+caller_server_set_forward (struct caller_server *server,
+                           struct forward *forward)
+{
+  server->forward = forward;
+}
+
+guint
+caller_server_count_busy (const struct caller_server *server)
+{
+  return server->n_busy;
+}
+
+void
+caller_server_stop_accepting (struct caller_server *server)
+{
+  connection_guard_stop_accepting (server->guard);
+}
+
 guint
 caller_server_get_port (const struct caller_server *server)
 {
--- a/transport/caller_server.h
+++ b/transport/caller_server.h
@@ -5,6 +5,7 @@
 #define TRANSPORT_CALLER_SERVER_H
 
 #include "protocol/settings.h"
+#include "transport/forward.h"
 #include "transport/home.h"
 
 #include <glib.h>
@@ -19,6 +20,17 @@
 /* Closes all connections.  */
 void caller_server_free (struct caller_server *server);
 
+/* Requests on jobs of other homes go through FORWARD, which must outlive the
+   server.  */
+void caller_server_set_forward (struct caller_server *server,
+                                struct forward *forward);
+
+/* Requests that are being received or answered.  */
+guint caller_server_count_busy (const struct caller_server *server);
+
+/* Accepts no further connections; open ones go on.  */
+void caller_server_stop_accepting (struct caller_server *server);
+
 /* The port that it listens on.  */
 guint caller_server_get_port (const struct caller_server *server);
 
--- /dev/null
+++ b/transport/forward_serve.c
@@ -0,0 +1,155 @@
+#include "transport/forward_serve.h"
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "protocol/peer_xdr.h"
+#include "transport/home.h"
+
+/* A peer that waits for the end of a job.  */
+struct remote_waiter
+{
+  struct job_waiter waiter;
+  struct peer_request *request;
+};
+
+static void
+reply_bytes (struct peer_request *request, guint status, GBytes *body)
+{
+  peer_forward_result result = { .status = status };
+  gsize length;
+
+  result.body.body_val = (char *)g_bytes_get_data (body, &length);
+  result.body.body_len = (u_int)length;
+  peer_request_reply (request, &result);
+}
+
+static void
+reply_error (struct peer_request *request, const char *id, const GError *error)
+{
+  g_autoptr (GBytes) body = error_format_answer (error, id);
+
+  reply_bytes (request, error_kind_http_status (error_get_kind (error)), body);
+}
+
+static void
+reply_job (struct peer_request *request, const struct job *job)
+{
+  g_autoptr (GBytes) running = NULL;
+
+  if (job->state != JOB_ACTIVE)
+    {
+      reply_bytes (request, job->answer_status, job->answer);
+      return;
+    }
+  running = job_format_running (job);
+  reply_bytes (request, 202, running);
+}
+
+static void
+answer_remote (struct job_waiter *waiter, struct job *job)
+{
+  struct remote_waiter *remote
+      = list_entry (waiter, struct remote_waiter, waiter);
+
+  reply_job (remote->request, job);
+  g_free (remote);
+}
+
+static void
+wait_for_job (struct home *home, struct peer_request *request, struct job *job)
+{
+  struct remote_waiter *remote = g_new0 (struct remote_waiter, 1);
+
+  list_init (&remote->waiter.link);
+  remote->waiter.answer = answer_remote;
+  remote->request = request;
+  home_wait (home, job, &remote->waiter);
+}
+
+static struct submission *
+parse_body (const peer_forward_args *args, GError **error)
+{
+  g_autoptr (GBytes) body
+      = g_bytes_new_static (args->body.body_val, args->body.body_len);
+  struct submission *submission
+      = submission_parse (body, clock_now_us (), error);
+
+  if (submission == NULL || g_strcmp0 (submission->ticket, args->job_id) == 0)
+    return submission;
+  submission_free (submission);
+  error_set (error, ERROR_INVALID,
+             "the submission's ticket is not the one that it was sent under");
+  return NULL;
+}
+
+static void
+serve_submit (struct home *home, struct peer_request *request,
+              const peer_forward_args *args)
+{
+  g_autoptr (GError) error = NULL;
+  struct submission *submission = parse_body (args, &error);
+  struct job *job = NULL;
+
+  if (submission != NULL)
+    job = home_submit (home, submission, &error);
+  if (job == NULL)
+    reply_error (request, args->job_id, error);
+  else if (args->is_async)
+    reply_job (request, job);
+  else
+    wait_for_job (home, request, job);
+  if (submission != NULL)
+    submission_free (submission);
+}
+
+static void
+serve_other (struct home *home, struct peer_request *request,
+             const peer_forward_args *args)
+{
+  g_autoptr (GError) error = NULL;
+  struct job *job = home_find (home, args->job_id, &error);
+
+  if (job == NULL)
+    {
+      reply_error (request, args->job_id, error);
+      return;
+    }
+  if (args->method == PEER_FORWARD_CANCEL)
+    home_cancel (home, job);
+  reply_job (request, job);
+}
+
+void
+forward_serve (struct peer_request *request, const void *arguments,
+               gpointer data)
+{
+  const peer_forward_args *args = arguments;
+  struct home *home = data;
+  g_autoptr (GError) error = NULL;
+  struct job_id id;
+
+  if (!home_parse_id (home, args->job_id, &id, &error))
+    reply_error (request, NULL, error);
+  else if (!home_owns (home, &id))
+    {
+      error = forward_lost_error (&id);
+      reply_error (request, args->job_id, error);
+    }
+  else if (args->method == PEER_FORWARD_SUBMIT)
+    serve_submit (home, request, args);
+  else
+    serve_other (home, request, args);
+}
+
+GError *
+forward_lost_error (const struct job_id *id)
+{
+  GError *error = NULL;
+
+  error_set (&error, ERROR_UNKNOWN,
+             "the home of this job, a process on VM '%s', is gone, and the "
+             "outcome is unknown; check its effects, and send it as a new job "
+             "if it is to run again",
+             id->vm);
+  return error;
+}
--- a/transport/home.c
+++ b/transport/home.c
@@ -1,6 +1,7 @@
 #include "transport/home.h"
 
 #include "base/clock.h"
+#include "base/error.h"
 #include "base/event_log.h"
 
 #include <string.h>
@@ -9,6 +10,9 @@
    apart.  */
 #define INCARNATION_RANDOM_BITS 12
 
+/* How often old tickets are forgotten.  */
+#define TICKETS_INTERVAL_US (10 * USEC_PER_SEC)
+
 struct home
 {
   struct dispatcher_driver driver;
@@ -17,12 +21,16 @@
   struct dispatcher *dispatcher;
   struct upstream_client *client;
   guint64 incarnation;
-  guint64 next_sequence;
+  struct ticket_window *tickets;
+  gint64 tickets_due_us;      /* when old ones are to be forgotten */
+  const struct peer_mac *mac; /* NULL when ids carry none */
   guint wake_source;
   gint64 wake_us;
   void (*drained) (gpointer data);
   gpointer drained_data;
   guint drained_source;
+  guint deadline_source;
+  gboolean is_past_drain_deadline;
 };
 
 static struct home *
@@ -87,6 +95,19 @@
   upstream_client_renew (home->client, upstream, upstream->lease_ms);
 }
 
+/* A job that the drain's deadline cut off was not cancelled by its caller.  */
+static void
+set_drain_failure (struct job *job)
+{
+  if (job->failure == NULL || error_get_kind (job->failure) != ERROR_CANCELLED)
+    return;
+  g_clear_error (&job->failure);
+  error_set (&job->failure, ERROR_UNKNOWN,
+             "this VM had to stop while %u of %u tasks were started and not "
+             "done; check their effects before you send the job again",
+             job->n_started - job->n_done, job->n_tasks);
+}
+
 static void
 driver_finish_job (struct dispatcher_driver *driver, struct job *job)
 {
@@ -94,6 +115,8 @@
   struct list_node *node;
   struct list_node *after;
 
+  if (home->is_past_drain_deadline)
+    set_drain_failure (job);
   job_build_answer (job);
   event_log (EVENT_JOB_FINISHED, "job %s: status %u", job->id,
              job->answer_status);
@@ -197,7 +220,7 @@
   home->owner.ops = &owner_ops;
   home->settings = settings;
   home->incarnation = choose_incarnation ();
-  home->next_sequence = 1;
+  home->tickets = ticket_window_new ();
   home->client = upstream_client_new (&home->owner);
   home->dispatcher = dispatcher_new (&home->driver, &config);
   return home;
@@ -210,8 +233,11 @@
     g_source_remove (home->wake_source);
   if (home->drained_source != 0)
     g_source_remove (home->drained_source);
+  if (home->deadline_source != 0)
+    g_source_remove (home->deadline_source);
   upstream_client_free (home->client);
   dispatcher_free (home->dispatcher);
+  ticket_window_free (home->tickets);
   g_free (home);
 }
 
@@ -233,17 +259,121 @@
   return home->incarnation;
 }
 
-char *
-home_draw_ticket (struct home *home)
+void
+home_set_mac (struct home *home, const struct peer_mac *mac)
+{
+  home->mac = mac;
+}
+
+static gboolean
+has_keys (const struct home *home)
+{
+  return home->mac != NULL && peer_mac_is_on (home->mac);
+}
+
+static char *
+format_mac (const guint8 mac[PEER_MAC_LENGTH])
+{
+  char *text = g_malloc (2 * PEER_MAC_LENGTH + 1);
+
+  for (guint i = 0; i < PEER_MAC_LENGTH; i++)
+    g_snprintf (text + 2 * i, 3, "%02x", mac[i]);
+  return text;
+}
+
+/* Takes over TEXT and returns it with its MAC.  */
+static char *
+sign_id (const struct home *home, char *text)
+{
+  guint8 mac[PEER_MAC_LENGTH];
+  g_autofree char *unsigned_text = text;
+  g_autofree char *mac_text = NULL;
+
+  if (!has_keys (home))
+    return g_steal_pointer (&unsigned_text);
+  peer_mac_sign (home->mac, text, strlen (text), mac);
+  mac_text = format_mac (mac);
+  return g_strconcat (text, ".", mac_text, NULL);
+}
+
+static gboolean
+check_id_mac (const struct home *home, const char *text, const char *mac_text)
+{
+  guint8 mac[PEER_MAC_LENGTH];
+
+  if (!has_keys (home))
+    return TRUE;
+  if (mac_text == NULL || strlen (mac_text) != 2 * PEER_MAC_LENGTH)
+    return FALSE;
+  for (guint i = 0; i < PEER_MAC_LENGTH; i++)
+    {
+      int high = g_ascii_xdigit_value (mac_text[2 * i]);
+      int low = g_ascii_xdigit_value (mac_text[2 * i + 1]);
+
+      if (high < 0 || low < 0)
+        return FALSE;
+      mac[i] = (guint8)(high * 16 + low);
+    }
+  return peer_mac_verify (home->mac, text, (gsize)(mac_text - text) - 1, mac,
+                          sizeof mac);
+}
+
+gboolean
+home_parse_id (const struct home *home, const char *text, struct job_id *id,
+               GError **error)
+{
+  const char *mac = NULL;
+
+  if (!job_id_parse (text, id, &mac, error))
+    return FALSE;
+  if (check_id_mac (home, text, mac))
+    return TRUE;
+  error_set (error, ERROR_INVALID,
+             "this job id was not issued by this deployment; use one that "
+             "POST /v1/tickets or POST /v1/jobs answered");
+  return FALSE;
+}
+
+/* Issues the next id.  */
+static char *
+issue_id (struct home *home, guint64 *sequence)
 {
   struct job_id id = {
     .incarnation = home->incarnation,
-    .sequence = home->next_sequence++,
     .deadline_unix_ms = clock_unix_ms () + TICKET_LIFE_MS,
   };
 
+  id.sequence = ticket_window_issue (home->tickets, &id.deadline_unix_ms);
+  *sequence = id.sequence;
   g_strlcpy (id.vm, home->settings->vm, sizeof id.vm);
-  return job_id_format (&id);
+  return sign_id (home, job_id_format (&id));
+}
+
+static void
+forget_old_tickets (struct home *home)
+{
+  gint64 now_us = clock_now_us ();
+
+  if (home->tickets_due_us > now_us)
+    return;
+  home->tickets_due_us = now_us + TICKETS_INTERVAL_US;
+  ticket_window_advance (home->tickets, clock_unix_ms ());
+}
+
+char *
+home_draw_ticket (struct home *home)
+{
+  guint64 sequence;
+
+  forget_old_tickets (home);
+  return issue_id (home, &sequence);
+}
+
+gboolean
+home_is_former (const struct home *home, const struct job_id *id)
+{
+  return id->incarnation != home->incarnation
+         && g_str_equal (id->vm, home->settings->vm);
 }
 
 gboolean
@@ -253,52 +383,100 @@
          && g_str_equal (id->vm, home->settings->vm);
 }
 
+static enum ticket_state
+look_at_ticket (const struct home *home, const struct job_id *id)
+{
+  if (!home_owns (home, id))
+    return TICKET_NOT_ISSUED;
+  return ticket_window_look (home->tickets, id->sequence, id->deadline_unix_ms,
+                             clock_unix_ms ());
+}
+
+static void
+set_expired (GError **error, enum ticket_state state)
+{
+  if (state == TICKET_USED)
+    error_set (error, ERROR_EXPIRED,
+               "a job was started under this id, and its answer is no longer "
+               "kept; check its effects before you send it again");
+  else
+    error_set (error, ERROR_EXPIRED,
+               "this id is so old that its use is no longer known; check "
+               "before you send the job again");
+}
+
 /* Checks that a ticket may start a job now.  */
 static gboolean
-check_ticket (struct home *home, const char *ticket, GError **error)
+check_ticket (struct home *home, const char *ticket, struct job_id *id,
+              GError **error)
 {
-  struct job_id id;
+  enum ticket_state state;
 
-  if (!job_id_parse (ticket, &id, NULL, error))
+  if (!home_parse_id (home, ticket, id, error))
     return FALSE;
-  if (!home_owns (home, &id) || id.sequence >= home->next_sequence)
-    {
-      error_set (error, ERROR_INVALID,
-                 "this ticket was not issued here; draw one with POST "
-                 "/v1/tickets");
-      return FALSE;
-    }
-  if (id.deadline_unix_ms < clock_unix_ms ())
+  state = look_at_ticket (home, id);
+  if (state == TICKET_FRESH)
+    return TRUE;
+  if (state == TICKET_NOT_ISSUED)
+    error_set (error, ERROR_INVALID,
+               "this ticket was not issued here; draw one with POST "
+               "/v1/tickets");
+  else if (state == TICKET_LATE)
+    error_set (error, ERROR_NOT_RUN,
+               "this ticket is past its deadline and was never used; draw "
+               "another one");
+  else
+    set_expired (error, state);
+  return FALSE;
+}
+
+/* The job that was started under the submission's ticket before, or NULL.  */
+static struct job *
+find_former (struct home *home, const struct submission *submission)
+{
+  struct job_table *jobs = dispatcher_get_jobs (home->dispatcher);
+
+  return submission->ticket != NULL ? job_table_find (jobs, submission->ticket)
+                                    : NULL;
+}
+
+/* Gives JOB its id: the ticket, or a new one.  */
+static gboolean
+assign_id (struct home *home, const struct submission *submission,
+           guint64 *sequence, GError **error)
+{
+  struct job *job = submission->job;
+  struct job_id id;
+
+  g_free (job->id);
+  job->id = NULL;
+  if (submission->ticket == NULL)
     {
-      error_set (error, ERROR_EXPIRED,
-                 "this ticket is past its deadline, and whether it was used "
-                 "is no longer known; check before you send the job again");
-      return FALSE;
+      job->id = issue_id (home, sequence);
+      return TRUE;
     }
+  if (!check_ticket (home, submission->ticket, &id, error))
+    return FALSE;
+  *sequence = id.sequence;
+  job->id = g_strdup (submission->ticket);
   return TRUE;
 }
 
 struct job *
 home_submit (struct home *home, struct submission *submission, GError **error)
 {
-  struct job_table *jobs = dispatcher_get_jobs (home->dispatcher);
   struct job *job = submission->job;
-  gint64 now_us = clock_now_us ();
+  struct job *former = find_former (home, submission);
+  guint64 sequence = 0;
 
-  if (submission->ticket != NULL)
-    {
-      struct job *former = job_table_find (jobs, submission->ticket);
-
-      if (former != NULL)
-        return former;
-      if (!check_ticket (home, submission->ticket, error))
-        return NULL;
-    }
-  g_free (job->id);
-  job->id = submission->ticket != NULL ? g_strdup (submission->ticket)
-                                       : home_draw_ticket (home);
-  if (!dispatcher_submit (home->dispatcher, job, now_us, error))
+  if (former != NULL)
+    return former;
+  forget_old_tickets (home);
+  if (!assign_id (home, submission, &sequence, error))
     return NULL;
+  if (!dispatcher_submit (home->dispatcher, job, clock_now_us (), error))
+    return NULL;
+  ticket_window_use (home->tickets, sequence);
   return job;
 }
 
@@ -307,11 +485,18 @@
 {
   struct job *job
       = job_table_find (dispatcher_get_jobs (home->dispatcher), id);
-
-  if (job == NULL)
-    error_set (error, ERROR_NOT_FOUND,
-               "there is no such job here, or its answer is no longer kept");
-  return job;
+  enum ticket_state state = TICKET_NOT_ISSUED;
+  struct job_id parsed;
+
+  if (job != NULL)
+    return job;
+  if (home_parse_id (home, id, &parsed, NULL))
+    state = look_at_ticket (home, &parsed);
+  if (state == TICKET_USED || state == TICKET_FORGOTTEN)
+    set_expired (error, state);
+  else
+    error_set (error, ERROR_NOT_FOUND, "no job was started under this id");
+  return NULL;
 }
 
 void
@@ -329,11 +514,47 @@
   return dispatcher_cancel (home->dispatcher, job, clock_now_us ());
 }
 
+/* Collects the jobs first, as each answer changes the table.  */
+static void
+collect_active (gpointer key, gpointer value, gpointer data)
+{
+  struct job *job = value;
+  GPtrArray *pending = data;
+
+  if (job->state == JOB_ACTIVE)
+    g_ptr_array_add (pending, job_ref (job));
+}
+
+static gboolean
+on_drain_deadline (gpointer data)
+{
+  struct home *home = data;
+  struct job_table *jobs = dispatcher_get_jobs (home->dispatcher);
+  g_autoptr (GPtrArray) pending
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)job_unref);
+
+  home->deadline_source = 0;
+  home->is_past_drain_deadline = TRUE;
+  g_hash_table_foreach (jobs->jobs, collect_active, pending);
+  event_log (EVENT_DRAIN_DEADLINE, "%u jobs still run", pending->len);
+  for (guint i = 0; i < pending->len; i++)
+    dispatcher_cancel (home->dispatcher, pending->pdata[i], clock_now_us ());
+  if (home->drained != NULL && home->drained_source == 0)
+    home->drained_source = g_idle_add (call_drained, home);
+  return G_SOURCE_REMOVE;
+}
+
 void
-home_drain (struct home *home, void (*drained) (gpointer data), gpointer data)
+home_drain (struct home *home, gint64 deadline_us,
+            void (*drained) (gpointer data), gpointer data)
 {
+  gint64 now_us = clock_now_us ();
+  gint64 delay_ms = MAX (deadline_us - now_us, 0) / USEC_PER_MSEC;
+
   home->drained = drained;
   home->drained_data = data;
-  dispatcher_drain (home->dispatcher, clock_now_us ());
+  home->deadline_source = g_timeout_add ((guint)MIN (delay_ms, G_MAXINT),
+                                         on_drain_deadline, home);
+  dispatcher_drain (home->dispatcher, now_us);
   check_drained (home);
 }
--- a/transport/home.h
+++ b/transport/home.h
@@ -6,7 +6,9 @@
 #define TRANSPORT_HOME_H
 
 #include "coordination/dispatcher.h"
+#include "coordination/ticket_window.h"
 #include "protocol/job_json.h"
+#include "protocol/peer_mac.h"
 #include "protocol/settings.h"
 #include "state/job_id.h"
 #include "transport/upstream_client.h"
@@ -34,6 +36,19 @@
 /* A new ticket, which is a job id not yet used.  Free with g_free ().  */
 char *home_draw_ticket (struct home *home);
 
+/* From now on ids carry a MAC by MAC, which must outlive the home, and ids
+   without a valid one are refused while it has keys.  */
+void home_set_mac (struct home *home, const struct peer_mac *mac);
+
+/*
+ * Parses the id TEXT and checks its MAC.  Returns FALSE with ERROR_INVALID.
+ */
+gboolean home_parse_id (const struct home *home, const char *text,
+                        struct job_id *id, GError **error);
+
+/* Whether ID was issued by an earlier process of this VM.  */
+gboolean home_is_former (const struct home *home, const struct job_id *id);
+
 /* Whether ID was issued by this very process.  */
 gboolean home_owns (const struct home *home, const struct job_id *id);
 
@@ -45,7 +60,10 @@
 struct job *home_submit (struct home *home, struct submission *submission,
                          GError **error);
 
-/* The job of that id, or NULL with ERROR_NOT_FOUND or ERROR_EXPIRED.  */
+/*
+ * The job of that id, or NULL with an error: ERROR_NOT_FOUND for an id under
+ * which no job was started, ERROR_EXPIRED when its answer is no longer kept.
+ */
 struct job *home_find (struct home *home, const char *id, GError **error);
 
 /*
@@ -57,9 +75,12 @@
 /* Cancels JOB; FALSE when it had finished before.  */
 gboolean home_cancel (struct home *home, struct job *job);
 
-/* Refuses new jobs from now on; tells through DRAINED, once, that nothing is
-   left to do.  */
-void home_drain (struct home *home, void (*drained) (gpointer data),
-                 gpointer data);
+/*
+ * Refuses new jobs from now on; tells through DRAINED, once, that nothing is
+ * left to do.  Jobs that still run at DEADLINE_US are answered then: with an
+ * unknown outcome, or as not run when none of their tasks was started.
+ */
+void home_drain (struct home *home, gint64 deadline_us,
+                 void (*drained) (gpointer data), gpointer data);
 
 #endif
--- a/transport/leaving_vms.c
+++ b/transport/leaving_vms.c
@@ -98,3 +98,16 @@
       g_hash_table_iter_remove (&iter);
     }
 }
+
+void
+leaving_vms_foreach (struct leaving_vms *vms,
+                     void (*visit) (const char *vm, gpointer data),
+                     gpointer data)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, vms->vms);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    visit (key, data);
+}
--- a/transport/leaving_vms.h
+++ b/transport/leaving_vms.h
@@ -28,6 +28,11 @@
                              gint64 now_us);
 void leaving_vms_end_list (struct leaving_vms *vms, gint64 now_us);
 
+/* Calls VISIT for every VM that is leaving.  */
+void leaving_vms_foreach (struct leaving_vms *vms,
+                          void (*visit) (const char *vm, gpointer data),
+                          gpointer data);
+
 /* Passes the time.  */
 void leaving_vms_advance (struct leaving_vms *vms, gint64 now_us);
 
--- /dev/null
+++ b/transport/peer_dump.h
@@ -0,0 +1,15 @@
+/*
+ * What a VM sees of its peers, as JSON for operators.
+ */
+#ifndef TRANSPORT_PEER_DUMP_H
+#define TRANSPORT_PEER_DUMP_H
+
+#include "transport/peer_hub.h"
+
+#include <jansson.h>
+
+/* Adds "peers", one object each, and "peer_messages", the traffic so far, to
+   the object STATE.  */
+void peer_dump_add (const struct peer_hub *hub, json_t *state);
+
+#endif
--- a/transport/peer_hub.c
+++ b/transport/peer_hub.c
@@ -120,16 +120,12 @@
 };
 
 static void
-tell_leaving (gpointer data, const char *vm, gboolean is_leaving)
+tell_listeners_leaving (struct peer_hub *hub, const char *vm,
+                        gboolean is_leaving)
 {
-  struct peer_hub *hub = data;
   struct list_node *node;
   struct list_node *after;
 
-  event_log (EVENT_VM_LEAVING, "vm %s %s", vm,
-             is_leaving ? "is leaving" : "is back");
-  if (is_leaving)
-    beat_sections_add_notice (hub->sections, vm, clock_now_us ());
   list_for_each (node, after, &hub->listeners)
     {
       struct peer_listener *listener
@@ -140,6 +136,25 @@
     }
 }
 
+static void
+on_leaving (gpointer data, const char *vm, gboolean is_leaving)
+{
+  struct peer_hub *hub = data;
+
+  event_log (EVENT_VM_LEAVING, "vm %s %s", vm,
+             is_leaving ? "is leaving" : "is back");
+  if (is_leaving)
+    beat_sections_add_notice (hub->sections, vm, clock_now_us ());
+  tell_listeners_leaving (hub, vm, is_leaving);
+}
+
+/* What is new since, as an upstream of a new document, hears it too.  */
+static void
+repeat_leaving (const char *vm, gpointer data)
+{
+  tell_listeners_leaving (data, vm, TRUE);
+}
+
 static GBytes *
 build_call (struct peer_rpc_owner *owner, struct peer_rpc *rpc, guint32 xid,
             const struct rpc_procedure *procedure, const void *arguments)
@@ -178,7 +193,7 @@
          guint n_entries)
 {
   struct peer_hub *hub = list_entry (owner, struct peer_hub, list_owner);
-  g_autofree struct listed_vm *vms = g_new0 (struct listed_vm, n_entries + 1);
+  struct listed_vm *vms = g_new0 (struct listed_vm, n_entries + 1);
   gint64 now_us = clock_now_us ();
   guint n = 0;
 
@@ -195,6 +210,7 @@
     }
   leaving_vms_end_list (hub->leaving, now_us);
   membership_apply_list (hub->membership, vms, n, now_us);
+  g_free (vms);
 }
 
 static const struct vm_list_owner_ops list_owner_ops = {
@@ -233,6 +249,7 @@
   hub->housekeeping_us = now_us + HOUSEKEEPING_US;
   peer_hub_greet_seeds (hub);
   leaving_vms_advance (hub->leaving, now_us);
+  leaving_vms_foreach (hub->leaving, repeat_leaving, hub);
   peer_service_advance (hub->service, now_us);
   report_refused (hub, now_us);
   return G_SOURCE_CONTINUE;
@@ -276,7 +293,7 @@
       = g_strdup_printf (format, settings->peer_listen.ip, hub->port);
 
   hub->membership = membership_new (&hub->driver, &config);
-  hub->leaving = leaving_vms_new (tell_leaving, hub);
+  hub->leaving = leaving_vms_new (on_leaving, hub);
   hub->sections
       = beat_sections_new (settings->vm, settings->availability_zone, address);
   peer_service_set_handler (hub->service, PEER_PING, peer_hub_serve_ping, hub);
--- a/transport/peer_hub.h
+++ b/transport/peer_hub.h
@@ -45,7 +45,8 @@
                           guint n_loads);
 
   /* The VM of that name, of any role, is leaving or is back: from the
-     platform's list or from a peer that has read it.  May be NULL.  */
+     platform's list or from a peer that has read it.  Told again every second
+     while it is leaving.  May be NULL.  */
   void (*vm_leaving) (struct peer_listener *listener, const char *vm,
                       gboolean is_leaving);
 };
