--- a/transport/caller_server.c
+++ b/transport/caller_server.c
@@ -3,12 +3,15 @@
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "protocol/json_read.h"
+#include "transport/caller_forward.h"
 #include "transport/connection_guard.h"
 #include "transport/listener.h"
+#include "transport/peer_dump.h"
 #include "transport/state_dump.h"
 
 #include <libsoup/soup.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define JSON_TYPE "application/json"
 #define JOBS_PATH "/v1/jobs"
@@ -22,7 +25,11 @@
   struct home *home;
   SoupServer *soup;
   struct connection_guard *guard;
+  struct forward *forward; /* NULL when there are no peers */
+  guint n_busy;            /* requests that are not answered whole */
   guint port;
+  GSocket *listener;
+  gboolean has_stopped_accepting;
 };
 
 /* A request whose body is being received.  */
@@ -58,6 +65,10 @@
 {
   g_autoptr (GBytes) body = error_format_answer (error, NULL);
 
+  if (error_get_kind (error) == ERROR_DRAINING)
+    soup_message_headers_replace (
+        soup_server_message_get_response_headers (message), "Connection",
+        "close");
   answer_bytes (message, error_kind_http_status (error_get_kind (error)),
                 body);
 }
@@ -180,6 +191,14 @@
                        (guint)length);
 }
 
+static void
+on_finished (SoupServerMessage *message, gpointer data)
+{
+  struct caller_server *server = data;
+
+  server->n_busy--;
+}
+
 /* Runs once the headers are there: receives the body within its limit.  */
 static void
 begin_upload (SoupServer *soup, SoupServerMessage *message, const char *path,
@@ -190,6 +209,8 @@
       = soup_server_message_get_request_headers (message);
   struct upload *upload = g_new0 (struct upload, 1);
 
+  server->n_busy++;
+  g_signal_connect (message, "finished", G_CALLBACK (on_finished), server);
   upload->server = server;
   upload->body = g_byte_array_new ();
   soup_message_body_set_accumulate (
@@ -243,7 +264,13 @@
       return;
     }
   submission = submission_parse (body, clock_now_us (), &error);
-
+  if (submission != NULL && submission->ticket != NULL
+      && caller_forward (server->forward, message, PEER_FORWARD_SUBMIT,
+                         submission->ticket, wants_async (message), body))
+    {
+      submission_free (submission);
+      return;
+    }
   if (submission != NULL)
     {
       job = home_submit (server->home, submission, &error);
@@ -265,8 +292,12 @@
           const char *id)
 {
   g_autoptr (GError) error = NULL;
-  struct job *job = home_find (server->home, id, &error);
+  struct job *job;
 
+  if (caller_forward (server->forward, message, PEER_FORWARD_SHOW, id, FALSE,
+                      NULL))
+    return;
+  job = home_find (server->home, id, &error);
   if (job == NULL)
     answer_error (message, error);
   else if (job->state == JOB_ACTIVE)
@@ -280,8 +311,12 @@
             const char *id)
 {
   g_autoptr (GError) error = NULL;
-  struct job *job = home_find (server->home, id, &error);
+  struct job *job;
 
+  if (caller_forward (server->forward, message, PEER_FORWARD_CANCEL, id, FALSE,
+                      NULL))
+    return;
+  job = home_find (server->home, id, &error);
   if (job == NULL)
     {
       answer_error (message, error);
@@ -344,7 +379,10 @@
       refuse_method (message, "POST");
       return;
     }
-  if (!read_count (query, &count, &error))
+  if (dispatcher_is_draining (home_get_dispatcher (server->home)))
+    error_set (&error, ERROR_DRAINING,
+               "this VM is leaving; draw tickets from another one");
+  if (error != NULL || !read_count (query, &count, &error))
     {
       answer_error (message, error);
       return;
@@ -386,6 +424,8 @@
   g_autoptr (GBytes) body = NULL;
   char *text;
 
+  if (server->forward != NULL)
+    peer_dump_add (forward_get_hub (server->forward), state);
   json_object_set_new (state, "connections",
                        json_integer (connection_guard_count (server->guard)));
   text = json_format (state);
@@ -450,6 +490,7 @@
   server = g_new0 (struct caller_server, 1);
   server->settings = settings;
   server->home = home;
+  server->listener = g_object_ref (socket);
   server->port = listener_get_port (socket);
   server->soup = soup_server_new ("server-header", "radishchute", NULL);
   add_handlers (server);
@@ -471,9 +512,34 @@
   soup_server_disconnect (server->soup);
   connection_guard_free (server->guard);
   g_object_unref (server->soup);
+  g_object_unref (server->listener);
   g_free (server);
 }
 
+void
+caller_server_set_forward (struct caller_server *server,
+                           struct forward *forward)
+{
+  server->forward = forward;
+}
+
+guint
+caller_server_count_busy (const struct caller_server *server)
+{
+  return server->n_busy;
+}
+
+void
+caller_server_stop_accepting (struct caller_server *server)
+{
+  GIOCondition waiting = g_socket_condition_check (server->listener, G_IO_IN);
+
+  if (waiting != 0 || server->has_stopped_accepting)
+    return;
+  server->has_stopped_accepting = TRUE;
+  shutdown (g_socket_get_fd (server->listener), SHUT_RD);
+}
+
 guint
 caller_server_get_port (const struct caller_server *server)
 {
