--- a/transport/entry.c
+++ b/transport/entry.c
@@ -7,7 +7,9 @@
 #include "transport/drain.h"
 #include "transport/forward.h"
 #include "transport/home.h"
+#include "transport/operator_server.h"
 #include "transport/peer_hub.h"
+#include "transport/service_manager.h"
 
 #include <glib-unix.h>
 #include <signal.h>
@@ -22,6 +24,7 @@
   struct peer_hub *hub;
   struct forward *forward;
   struct caller_server *caller_server;
+  struct operator_server *operator_server;
   struct config_follower *config_follower;
   struct drain *drain; /* NULL while serving */
 };
@@ -44,10 +47,17 @@
   if (entry->drain != NULL)
     return;
   event_log (EVENT_ENTRY_DRAINING, "vm %s: no new jobs", entry->settings->vm);
+  service_manager_notify ("STOPPING=1");
   entry->drain
       = drain_new (&parts, clock_now_us () + limit_us, on_drained, entry);
 }
 
+static void
+request_drain (gpointer data)
+{
+  entry_drain (data);
+}
+
 static gboolean
 on_stop_signal (gpointer data)
 {
@@ -129,6 +139,8 @@
       entry_free (entry);
       return NULL;
     }
+  entry->operator_server = operator_server_attach (
+      entry->caller_server, settings, entry->home, request_drain, entry);
   entry->config_follower
       = config_follower_new (settings, home_get_dispatcher (entry->home));
   return entry;
@@ -153,6 +165,7 @@
   event_log (EVENT_ENTRY_STARTED, "vm %s: callers on port %u, peers on %u",
              entry->settings->vm, entry_get_port (entry),
              entry_get_peer_port (entry));
+  service_manager_notify ("READY=1");
   g_main_loop_run (entry->loop);
   event_log (EVENT_ENTRY_STOPPED, "vm %s", entry->settings->vm);
   for (guint i = 0; i < G_N_ELEMENTS (sources); i++)
@@ -165,6 +178,7 @@
   g_clear_pointer (&entry->drain, drain_free);
   g_clear_pointer (&entry->config_follower, config_follower_free);
   g_clear_pointer (&entry->caller_server, caller_server_free);
+  g_clear_pointer (&entry->operator_server, operator_server_free);
   g_clear_pointer (&entry->forward, forward_free);
   g_clear_pointer (&entry->hub, peer_hub_free);
   home_free (entry->home);
--- a/transport/home.c
+++ b/transport/home.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/event_log.h"
+#include "base/metrics.h"
 
 #include <string.h>
 
@@ -75,6 +76,7 @@
   struct service *service
       = document_find_service (document, task->job->service);
 
+  metrics_count (METRIC_TASK_STARTS);
   upstream_client_start (home->client, task, service);
 }
 
@@ -108,6 +110,18 @@
              job->n_started - job->n_done, job->n_tasks);
 }
 
+static void
+count_answer (const struct job *job)
+{
+  metrics_record (METRIC_JOB_SECONDS, clock_now_us () - job->accepted_us);
+  if (job->is_cancelled)
+    metrics_count (METRIC_JOBS_CANCELLED);
+  if (job->state == JOB_COMPLETE)
+    metrics_count (METRIC_JOBS_COMPLETE);
+  else
+    metrics_count_label (METRIC_JOBS_FAILED, error_get_kind (job->failure));
+}
+
 static void
 driver_finish_job (struct dispatcher_driver *driver, struct job *job)
 {
@@ -118,6 +132,7 @@
   if (home->is_past_drain_deadline)
     set_drain_failure (job);
   job_build_answer (job);
+  count_answer (job);
   event_log (EVENT_JOB_FINISHED, "job %s: status %u", job->id,
              job->answer_status);
   list_for_each (node, after, &job->waiters)
@@ -173,13 +188,26 @@
   return dispatcher_may_send (home->dispatcher, task, clock_now_us ());
 }
 
+static void
+count_attempt (const struct task *task, enum attempt_end end, gint64 now_us)
+{
+  if (outcome_judge (end).verdict == VERDICT_MOVE)
+    metrics_count (METRIC_TASK_MOVES);
+  else
+    metrics_record (METRIC_TASK_SECONDS, now_us - task->started_us);
+  if (end == ATTEMPT_ANSWER_NOT_RUN)
+    metrics_count (METRIC_TASK_REFUSALS);
+}
+
 static void
 owner_attempt_ended (struct upstream_client_owner *owner, struct task *task,
                      enum attempt_end end, GBytes *output)
 {
   struct home *home = home_from_owner (owner);
+  gint64 now_us = clock_now_us ();
 
-  dispatcher_report (home->dispatcher, task, end, output, clock_now_us ());
+  count_attempt (task, end, now_us);
+  dispatcher_report (home->dispatcher, task, end, output, now_us);
   check_drained (home);
 }
 
@@ -259,6 +287,27 @@
   return home->incarnation;
 }
 
+struct home_load
+home_count_load (struct home *home)
+{
+  struct job_table *jobs = dispatcher_get_jobs (home->dispatcher);
+  struct home_load load = { .job_bytes = jobs->bytes };
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, jobs->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct job *job = value;
+
+      if (job->state == JOB_ACTIVE)
+        load.n_active_jobs++;
+      load.n_queued_tasks += job->n_queued;
+      load.n_running_tasks += job->n_running;
+    }
+  return load;
+}
+
 void
 home_set_mac (struct home *home, const struct peer_mac *mac)
 {
@@ -462,22 +511,38 @@
   return TRUE;
 }
 
+/* Submits a job that no former submission under its ticket has started.  */
+static gboolean
+submit_new (struct home *home, struct submission *submission, GError **error)
+{
+  guint64 sequence = 0;
+
+  forget_old_tickets (home);
+  if (!assign_id (home, submission, &sequence, error))
+    return FALSE;
+  if (!dispatcher_submit (home->dispatcher, submission->job, clock_now_us (),
+                          error))
+    return FALSE;
+  ticket_window_use (home->tickets, sequence);
+  return TRUE;
+}
+
 struct job *
 home_submit (struct home *home, struct submission *submission, GError **error)
 {
-  struct job *job = submission->job;
   struct job *former = find_former (home, submission);
-  guint64 sequence = 0;
+  GError *refusal = NULL;
 
   if (former != NULL)
     return former;
-  forget_old_tickets (home);
-  if (!assign_id (home, submission, &sequence, error))
-    return NULL;
-  if (!dispatcher_submit (home->dispatcher, job, clock_now_us (), error))
-    return NULL;
-  ticket_window_use (home->tickets, sequence);
-  return job;
+  if (submit_new (home, submission, &refusal))
+    {
+      metrics_count (METRIC_JOBS_ACCEPTED);
+      return submission->job;
+    }
+  metrics_count_label (METRIC_JOBS_REFUSED, error_get_kind (refusal));
+  g_propagate_error (error, refusal);
+  return NULL;
 }
 
 struct job *
--- /dev/null
+++ b/transport/operator_server.h
@@ -0,0 +1,29 @@
+/*
+ * The HTTP interface for operators: metrics, state, log level, drain.
+ *
+ * Served on the callers' port.  When the settings name an operator token,
+ * each request must carry it as "Authorization: Bearer TOKEN".
+ */
+#ifndef TRANSPORT_OPERATOR_SERVER_H
+#define TRANSPORT_OPERATOR_SERVER_H
+
+#include "protocol/settings.h"
+#include "transport/caller_server.h"
+#include "transport/home.h"
+
+#include <glib.h>
+
+struct operator_server;
+
+/*
+ * Adds the operators' paths to CALLERS.  REQUEST_DRAIN is called with DATA
+ * when an operator asks for a drain.  SETTINGS and HOME must outlive the
+ * result, which must outlive CALLERS.
+ */
+struct operator_server *
+operator_server_attach (struct caller_server *callers,
+                        const struct settings *settings, struct home *home,
+                        void (*request_drain) (gpointer data), gpointer data);
+void operator_server_free (struct operator_server *server);
+
+#endif
