coordination, protocol: decide which change of the configuration is in force

The log client gives up polls that go silent, tries fresh connections, checks the shape of answers and asks again for records that it cannot read.

--- a/protocol/document_json.c
+++ b/protocol/document_json.c
@@ -229,7 +229,7 @@
       document_unref (document);
       return NULL;
     }
-  document->text = json_format (root);
+  document->text = json_format_sorted (root);
   return document;
 }
 
--- a/protocol/json_read.c
+++ b/protocol/json_read.c
@@ -274,3 +274,9 @@
 {
   return json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY);
 }
+
+char *
+json_format_sorted (const json_t *value)
+{
+  return json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY | JSON_SORT_KEYS);
+}
--- a/protocol/json_read.h
+++ b/protocol/json_read.h
@@ -78,4 +78,8 @@
 /* The compact text of VALUE.  Free with g_free ().  */
 char *json_format (const json_t *value);
 
+/* The same with members sorted by name, so that equal values have equal
+   texts.  Free with g_free ().  */
+char *json_format_sorted (const json_t *value);
+
 #endif
--- a/protocol/settings.c
+++ b/protocol/settings.c
@@ -22,6 +22,10 @@
 #define MAX_DRAIN_TIMEOUT_MS 3600000
 #define DEFAULT_DRAIN_TIMEOUT_MS 600000
 #define MIN_KEY_DIGITS 32
+#define MAX_SNAPSHOT_INTERVAL_S 86400
+#define DEFAULT_SNAPSHOT_INTERVAL_S 900
+#define MAX_SNAPSHOT_RECORDS 1000000
+#define DEFAULT_SNAPSHOT_RECORDS 2000
 
 static const char *const settings_keys[] = { "vm",
                                              "availability_zone",
@@ -42,8 +46,10 @@
 static const char *const tls_keys[] = { "certificate", "key", NULL };
 static const char *const log_keys[] = { "level", "format", NULL };
 static const char *const limit_keys[]
-    = { "body_bytes",         "state_bytes",      "connections",
-        "request_timeout_ms", "drain_timeout_ms", NULL };
+    = { "body_bytes",       "state_bytes",
+        "connections",      "request_timeout_ms",
+        "drain_timeout_ms", "snapshot_interval_s",
+        "snapshot_records", NULL };
 
 static gboolean
 parse_endpoint (const char *text, struct endpoint *endpoint)
@@ -237,6 +243,10 @@
                   &settings->request_timeout_ms);
   json_read_uint (check, "limits", limits, "drain_timeout_ms", 0,
                   MAX_DRAIN_TIMEOUT_MS, &settings->drain_timeout_ms);
+  json_read_uint (check, "limits", limits, "snapshot_interval_s", 1,
+                  MAX_SNAPSHOT_INTERVAL_S, &settings->snapshot_interval_s);
+  json_read_uint (check, "limits", limits, "snapshot_records", 1,
+                  MAX_SNAPSHOT_RECORDS, &settings->snapshot_records);
 }
 
 static void
@@ -266,6 +276,8 @@
   settings->max_connections = DEFAULT_CALLER_CONNECTIONS;
   settings->request_timeout_ms = DEFAULT_REQUEST_TIMEOUT_MS;
   settings->drain_timeout_ms = DEFAULT_DRAIN_TIMEOUT_MS;
+  settings->snapshot_interval_s = DEFAULT_SNAPSHOT_INTERVAL_S;
+  settings->snapshot_records = DEFAULT_SNAPSHOT_RECORDS;
   return settings;
 }
 
--- a/protocol/settings.h
+++ b/protocol/settings.h
@@ -34,11 +34,13 @@
   char *tls_key;               /* PEM file */
   enum log_level log_level;
   enum log_format log_format;
-  guint max_body_bytes;     /* of one request of a caller */
-  guint max_state_bytes;    /* of all jobs kept */
-  guint max_connections;    /* of callers */
-  guint request_timeout_ms; /* to receive one request whole */
-  guint drain_timeout_ms;   /* longest time that a drain waits */
+  guint max_body_bytes;      /* of one request of a caller */
+  guint max_state_bytes;     /* of all jobs kept */
+  guint max_connections;     /* of callers */
+  guint request_timeout_ms;  /* to receive one request whole */
+  guint drain_timeout_ms;    /* longest time that a drain waits */
+  guint snapshot_interval_s; /* a snapshot is due after it at the latest */
+  guint snapshot_records;    /* and after so many records */
 };
 
 /*
--- a/state/document.c
+++ b/state/document.c
@@ -56,6 +56,7 @@
     return;
   g_free (document->team);
   g_free (document->edit);
+  g_free (document->author);
   g_free (document->text);
   g_ptr_array_unref (document->services);
   g_free (document);
--- a/state/document.h
+++ b/state/document.h
@@ -48,6 +48,7 @@
   char *team;
   guint64 version;   /* log offset + 1; 0 for a document not yet published */
   char *edit;        /* id of the edit that published it */
+  char *author;      /* who published it */
   guint weight;      /* share among teams, 1 or more */
   guint quota_slots; /* over all entry VMs; 0 is no limit */
   guint quota_starts_per_second; /* over all entry VMs; 0 is no limit */
--- a/transport/config_follower.c
+++ b/transport/config_follower.c
@@ -87,8 +87,9 @@
 
   follower->reader.ops = &reader_ops;
   follower->dispatcher = dispatcher;
-  follower->client = log_client_new (
-      settings->log_url, settings->config_stream, 0, &follower->reader);
+  follower->client
+      = log_client_new (settings->log_url, settings->config_stream, 0,
+                        g_random_int (), &follower->reader);
   return follower;
 }
 
--- a/transport/log_client.c
+++ b/transport/log_client.c
@@ -1,15 +1,13 @@
 #include "transport/log_client.h"
 
-#include "base/clock.h"
 #include "base/event_log.h"
-#include "protocol/json_read.h"
+#include "protocol/log_answer.h"
+#include "transport/log_request.h"
 
-#include <libsoup/soup.h>
-
-#define LONG_POLL_MS 20000
+#define LONG_POLL_MS 5000
 #define POLL_LIMIT 200
-/* An answer is overdue this long after the long poll's own end.  */
-#define POLL_TIMEOUT_SEC 25
+/* A poll is given up this long after it was sent.  */
+#define POLL_TIMEOUT_MS 7000
 #define FIRST_RETRY_MS 100
 #define MAX_RETRY_MS 2000
 
@@ -20,10 +18,12 @@
   guint64 next;
   struct log_reader *reader;
   SoupSession *session;
-  GCancellable *cancellable;
+  struct log_request *request;
+  GRand *rand;
   guint retry_source;
   guint retry_ms;
   gboolean is_available;
+  gboolean is_behind; /* the log has fewer records than were read */
 };
 
 static void poll_log (struct log_client *client);
@@ -41,107 +41,137 @@
 static void
 retry_later (struct log_client *client, const char *reason)
 {
+  guint pause_ms = (guint)g_rand_int_range (
+      client->rand, (gint32)client->retry_ms / 2, (gint32)client->retry_ms);
+
   if (client->is_available)
     event_log (EVENT_LOG_UNAVAILABLE, "%s: %s", client->url, reason);
   client->is_available = FALSE;
-  client->retry_source = g_timeout_add (client->retry_ms, on_retry, client);
+  client->retry_source = g_timeout_add (pause_ms, on_retry, client);
   client->retry_ms = MIN (client->retry_ms * 2, MAX_RETRY_MS);
 }
 
-static void
-deliver_records (struct log_client *client, json_t *root)
+/* Delivers the records of ANSWER up to the first that is malformed.  Returns
+   FALSE when there is one.  */
+static gboolean
+deliver_records (struct log_client *client, const struct log_answer *answer)
 {
-  json_t *records = json_object_get (root, "records");
+  struct log_answer_record record;
 
-  for (size_t i = 0; i < json_array_size (records); i++)
+  for (size_t i = 0; i < json_array_size (answer->records); i++)
     {
-      json_t *record = json_array_get (records, i);
-      json_t *offset = json_object_get (record, "offset");
-      guint64 number = (guint64)json_integer_value (offset);
-
-      if (!json_is_integer (offset) || number < client->next)
+      if (!log_answer_get_record (answer, i, &record))
+        return FALSE;
+      if (record.offset < client->next)
         continue;
-      client->next = number + 1;
-      client->reader->ops->record (client->reader, number,
-                                   json_object_get (record, "data"));
+      if (record.offset > client->next)
+        client->reader->ops->gap (client->reader, record.offset);
+      client->next = record.offset + 1;
+      client->reader->ops->record (client->reader, record.offset, record.data);
+      if (client->next != record.offset + 1)
+        return TRUE;
     }
-  if (client->next
-      >= (guint64)json_integer_value (json_object_get (root, "next")))
-    client->reader->ops->caught_up (client->reader, client->next);
+  return TRUE;
 }
 
 static void
-handle_gap (struct log_client *client, json_t *root)
+check_behind (struct log_client *client, const struct log_answer *answer)
+{
+  gboolean is_behind = answer->next < client->next;
+
+  if (is_behind && !client->is_behind)
+    event_log (EVENT_LOG_BEHIND,
+               "%s: stream %s ends at offset %" G_GUINT64_FORMAT
+               ", but records up to %" G_GUINT64_FORMAT
+               " were read; the documents in force stay so; point log_url "
+               "at the log that was used before",
+               client->url, client->stream, answer->next, client->next);
+  client->is_behind = is_behind;
+}
+
+/* Returns FALSE when the answer brought nothing although it should have.  */
+static gboolean
+handle_records (struct log_client *client, const struct log_answer *answer)
 {
-  guint64 first
-      = (guint64)json_integer_value (json_object_get (root, "first"));
+  guint64 before = client->next;
 
-  client->next = MAX (client->next, first);
+  check_behind (client, answer);
+  if (!deliver_records (client, answer))
+    return FALSE;
+  if (client->next == answer->next)
+    client->reader->ops->caught_up (client->reader, client->next);
+  else if (client->next == before)
+    return FALSE;
+  return TRUE;
+}
+
+static gboolean
+handle_gap (struct log_client *client, const struct log_answer *answer)
+{
+  if (answer->first <= client->next)
+    return FALSE;
+  client->next = answer->first;
   client->reader->ops->gap (client->reader, client->next);
+  return TRUE;
 }
 
 static void
-handle_answer (struct log_client *client, guint status, json_t *root)
+mark_available (struct log_client *client)
 {
-  if (status != SOUP_STATUS_OK && status != SOUP_STATUS_GONE)
-    {
-      retry_later (client, "the log answered with an error");
-      return;
-    }
   if (!client->is_available)
     event_log (EVENT_LOG_AVAILABLE, "%s", client->url);
   client->is_available = TRUE;
   client->retry_ms = FIRST_RETRY_MS;
-  if (status == SOUP_STATUS_OK)
-    deliver_records (client, root);
-  else
-    handle_gap (client, root);
-  poll_log (client);
 }
 
 static void
-on_polled (GObject *source, GAsyncResult *result, gpointer data)
+on_polled (guint status, json_t *root, const GError *error, gpointer data)
 {
-  SoupSession *session = SOUP_SESSION (source);
-  SoupMessage *message
-      = soup_session_get_async_result_message (session, result);
-  g_autoptr (GError) error = NULL;
-  g_autoptr (GBytes) body
-      = soup_session_send_and_read_finish (session, result, &error);
   struct log_client *client = data;
-  json_t *root = NULL;
+  g_autoptr (GError) problem = NULL;
+  struct log_answer answer;
+  gboolean is_good;
 
-  if (g_error_matches (error, G_IO_ERROR, G_IO_ERROR_CANCELLED))
-    return;
-  if (body != NULL)
-    root = json_parse (g_bytes_get_data (body, NULL), g_bytes_get_size (body),
-                       &error);
+  client->request = NULL;
   if (root == NULL)
     {
       retry_later (client, error->message);
       return;
     }
-  handle_answer (client, soup_message_get_status (message), root);
-  json_decref (root);
+  if (!log_answer_read (status, root, &answer, &problem))
+    {
+      retry_later (client, problem->message);
+      return;
+    }
+  is_good = answer.records != NULL ? handle_records (client, &answer)
+                                   : handle_gap (client, &answer);
+  if (!is_good)
+    {
+      retry_later (client, "the answer lacks records that it should have");
+      return;
+    }
+  mark_available (client);
+  poll_log (client);
 }
 
 static void
 poll_log (struct log_client *client)
 {
-  g_autofree char *uri = g_strdup_printf (
-      "%s/v1/streams/%s/records?from=%" G_GUINT64_FORMAT
-      "&limit=%d&wait_ms=%d",
-      client->url, client->stream, client->next, POLL_LIMIT, LONG_POLL_MS);
-  g_autoptr (SoupMessage) message = soup_message_new (SOUP_METHOD_GET, uri);
-
-  soup_session_send_and_read_async (client->session, message,
-                                    G_PRIORITY_DEFAULT, client->cancellable,
-                                    on_polled, client);
+  /* The first answer after a pause tells whether the log is there.  */
+  guint wait_ms = client->is_available ? LONG_POLL_MS : 0;
+  g_autofree char *uri = log_request_format_read (
+      client->url, client->stream, client->next, POLL_LIMIT, wait_ms);
+
+  if (client->request != NULL || client->retry_source != 0)
+    return;
+  client->request
+      = log_request_start (client->session, SOUP_METHOD_GET, uri, NULL,
+                           POLL_TIMEOUT_MS, on_polled, client);
 }
 
 struct log_client *
 log_client_new (const char *url, const char *stream, guint64 from,
-                struct log_reader *reader)
+                guint32 seed, struct log_reader *reader)
 {
   struct log_client *client = g_new0 (struct log_client, 1);
 
@@ -150,9 +180,8 @@
   client->next = from;
   client->reader = reader;
   client->retry_ms = FIRST_RETRY_MS;
-  client->session = soup_session_new_with_options (
-      "proxy-resolver", NULL, "timeout", POLL_TIMEOUT_SEC, NULL);
-  client->cancellable = g_cancellable_new ();
+  client->session = log_request_new_session ();
+  client->rand = g_rand_new_with_seed (seed);
   poll_log (client);
   return client;
 }
@@ -160,16 +189,30 @@
 void
 log_client_free (struct log_client *client)
 {
-  g_cancellable_cancel (client->cancellable);
+  if (client->request != NULL)
+    log_request_cancel (client->request);
   if (client->retry_source != 0)
     g_source_remove (client->retry_source);
-  g_object_unref (client->cancellable);
+  g_rand_free (client->rand);
   g_object_unref (client->session);
   g_free (client->url);
   g_free (client->stream);
   g_free (client);
 }
 
+void
+log_client_seek (struct log_client *client, guint64 from)
+{
+  if (client->next == from)
+    return;
+  client->next = from;
+  if (client->request == NULL)
+    return;
+  log_request_cancel (client->request);
+  client->request = NULL;
+  poll_log (client);
+}
+
 gboolean
 log_client_is_available (const struct log_client *client)
 {
--- a/transport/log_client.h
+++ b/transport/log_client.h
@@ -1,8 +1,11 @@
 /*
  * Follows one stream of the platform's log.
  *
- * Records are read in the order of their offsets, each once, by long polls;
- * after an error the client tries again, with growing pauses.
+ * Records are read in the order of their offsets, each once, by long polls.
+ * A poll that is not answered in time is given up and tried again on a fresh
+ * connection; after an error the client pauses, a little longer each time,
+ * with jitter.  A record that cannot be read is not passed over: the client
+ * asks for it again.
  */
 #ifndef TRANSPORT_LOG_CLIENT_H
 #define TRANSPORT_LOG_CLIENT_H
@@ -32,11 +35,15 @@
 };
 
 /* Follows STREAM of the log at URL from offset FROM on.  READER must outlive
-   the client.  */
+   the client.  SEED is for the jitter of pauses.  */
 struct log_client *log_client_new (const char *url, const char *stream,
-                                   guint64 from, struct log_reader *reader);
+                                   guint64 from, guint32 seed,
+                                   struct log_reader *reader);
 void log_client_free (struct log_client *client);
 
+/* Goes on reading at offset FROM; may be called by the reader.  */
+void log_client_seek (struct log_client *client, guint64 from);
+
 /* Whether the last request was answered.  */
 gboolean log_client_is_available (const struct log_client *client);
 
