coordination: admit by what goes before a job and by what it makes late

Cause: a job's wait was estimated from the whole queue, although the order lets a short job pass most of it. At a load of 1.0 a third of the jobs was refused.

Queued work is now counted by the key of its job, and by the time at which it must have ended. A job is admitted when the work before it leaves it time, and when no accepted job becomes late by it: until every later moment the work that is due takes at most 0.7 of the slots. The order puts a job that is near its latest start before the others.

The test of a deadline behind a queue now uses a queue that does go before the job, and two more hold what has changed: a job that passes the queue is admitted, and one that would make an accepted one late is not.

--- a/coordination/admission.c
+++ b/coordination/admission.c
@@ -11,6 +11,9 @@
 /* The part of the time left beside its run that a job may wait.  */
 #define WAIT_PART 0.4
 
+/* The part of the slots that the work of jobs with deadlines may take.  */
+#define MAX_LOAD 0.7
+
 /* How far below its estimate a run may stay.  */
 #define MAX_UNDERRUN 4
 
@@ -104,15 +107,46 @@
 /*
  * Estimates are means, and the jobs that seem short enough are those that have
  * been underestimated.  So a job may wait for a part only of the time that its
- * run leaves; and while nothing waits, it is refused only when its deadline is
- * far below its estimate.
+ * run leaves.
  */
-static gboolean
-can_meet_deadline (gint64 left_us, gint64 wait_us, gint64 run_us)
+static void
+set_start_by (const struct pool *pool, struct job *job, gint64 now_us)
 {
-  if (wait_us == 0)
-    return run_us <= left_us * MAX_UNDERRUN;
-  return (gdouble)wait_us <= (gdouble)(left_us - run_us) * WAIT_PART;
+  gint64 left_us = job->deadline_us - now_us;
+  gint64 spare_us = left_us - estimate_run_us (pool, job);
+
+  job->start_by_us = DEADLINE_NEVER;
+  job->end_by_us = DEADLINE_NEVER;
+  if (job->deadline_us == DEADLINE_NEVER)
+    return;
+  job->start_by_us = now_us + (gint64)((gdouble)MAX (spare_us, 0) * WAIT_PART);
+  job->end_by_us = job->start_by_us + job->longest_estimate_us;
+}
+
+/* How long JOB waits behind the jobs that go before it.  */
+static gint64
+estimate_own_wait_us (struct pool *pool, const struct job *job, gint64 now_us)
+{
+  gint64 key_us = pool->order->compute_key (job);
+  gint64 n_slots = MAX (pool->n_slots, 1);
+
+  if (pool_estimate_wait_us (pool) == 0)
+    return 0;
+  return (backlog_sum_us (&pool->by_key, key_us, now_us)
+          + pool->running_work_us / 2)
+         / n_slots;
+}
+
+/* By how much JOB would make others late, in time; 0 for not at all.  */
+static gint64
+estimate_delay_us (struct pool *pool, const struct job *job, gint64 now_us)
+{
+  guint n_slots = MAX (pool->n_slots, 1);
+  gint64 excess_us = backlog_find_excess_us (
+      &pool->by_due, job->end_by_us, job->queued_work_us,
+      pool->running_work_us / 2, n_slots, MAX_LOAD, now_us);
+
+  return MAX (excess_us, 0) / n_slots;
 }
 
 static gboolean
@@ -120,19 +154,25 @@
                 GError **error)
 {
   gint64 left_us = job->deadline_us - now_us;
-  gint64 wait_us = pool_estimate_wait_us (pool);
   gint64 run_us = estimate_run_us (pool, job);
+  gint64 wait_us = estimate_own_wait_us (pool, job, now_us);
+  gint64 delay_us;
 
-  if (job->deadline_us == DEADLINE_NEVER
-      || can_meet_deadline (left_us, wait_us, run_us))
+  if (job->deadline_us == DEADLINE_NEVER)
+    return TRUE;
+  /* While nothing waits, only a deadline far below the estimate counts.  */
+  if (wait_us == 0 && run_us <= left_us * MAX_UNDERRUN)
+    return TRUE;
+  delay_us = estimate_delay_us (pool, job, now_us);
+  if (now_us + wait_us <= job->start_by_us && delay_us == 0)
     return TRUE;
-  advise_retry (job, wait_us, now_us);
+  advise_retry (job, MAX (wait_us, delay_us), now_us);
   error_set (error, ERROR_NOT_RUN,
              "the job is expected to wait for %" G_GINT64_FORMAT
              " ms and to run for %" G_GINT64_FORMAT
-             " ms, which its deadline does not leave; send it again later or "
-             "with a later deadline",
-             wait_us / USEC_PER_MSEC, run_us / USEC_PER_MSEC);
+             " ms, which its deadline and those of other jobs do not leave; "
+             "send it again later or with a later deadline",
+             (wait_us + delay_us) / USEC_PER_MSEC, run_us / USEC_PER_MSEC);
   return FALSE;
 }
 
@@ -165,7 +205,9 @@
       || !check_queue (d, pool, job, now_us, error)
       || !check_quota (d, pool, job, now_us, error))
     return FALSE;
+  job->accepted_us = now_us;
   set_estimates (pool, job);
+  set_start_by (pool, job, now_us);
   end_us = now_us + pool_estimate_wait_us (pool) + estimate_run_us (pool, job);
   return wind_down_admit (pool, end_us, now_us, &job->retry_at_us, error)
          && check_deadline (pool, job, now_us, error);
--- a/coordination/dispatcher.c
+++ b/coordination/dispatcher.c
@@ -192,12 +192,12 @@
     return FALSE;
   start_clock (d, now_us);
   job->pool = pool;
-  job->accepted_us = now_us;
   job->sequence = d->next_sequence++;
   job_table_add (d->jobs, job, now_us);
   pool->team->bytes += job->bytes;
   job_flow_watch_deadline (d, job);
   d->n_active++;
+  pool_count_work (pool, job, now_us);
   enqueue_tasks (d, job);
   serve_pool (d, pool, now_us);
   dispatcher_schedule (d);
--- a/coordination/job_flow.c
+++ b/coordination/job_flow.c
@@ -48,9 +48,11 @@
   watch (d, job, MAX (start_by_us, job->accepted_us + 1));
 }
 
+/* Leaves no queued work behind.  */
 static void
 drop_queued_tasks (struct job *job)
 {
+  pool_uncount_work (job->pool, job);
   for (guint i = 0; job->n_queued > 0 && i < job->n_tasks; i++)
     {
       struct task *task = &job->tasks[i];
--- a/coordination/order.c
+++ b/coordination/order.c
@@ -20,9 +20,8 @@
 {
   gint64 ageing_us = job->queued_work_us * AGEING_FACTOR;
   gint64 key = job->accepted_us + MIN (ageing_us, ORDER_MAX_AGEING_US);
-  gint64 start_by_us = job->deadline_us - job->longest_estimate_us;
 
-  return MIN (key, MAX (start_by_us, job->accepted_us));
+  return MIN (key, job->start_by_us);
 }
 
 static const struct order_ops fifo = { "fifo", compute_fifo_key };
--- a/coordination/pool.h
+++ b/coordination/pool.h
@@ -12,6 +12,7 @@
 #define COORDINATION_POOL_H
 
 #include "base/list.h"
+#include "coordination/backlog.h"
 #include "coordination/estimate.h"
 #include "coordination/health.h"
 #include "coordination/lane.h"
@@ -47,6 +48,8 @@
   guint n_queued;
   guint n_running;
   gint64 queued_work_us;  /* estimates, added up */
+  struct backlog by_key;  /* queued work by its jobs' keys */
+  struct backlog by_due;  /* by end_by_us, of jobs with a deadline */
   gint64 running_work_us; /* the same of running tasks */
   gint64 last_start_us;   /* of any of its tasks */
   gint64 shutdown_us;     /* the service's shutdown on the local clock */
@@ -76,6 +79,11 @@
                        GRand *random);
 void pool_dequeue (struct pool *pool, struct task *task);
 
+/* Counts JOB's queued work, for the first time or after it has changed; or
+   takes it out.  */
+void pool_count_work (struct pool *pool, struct job *job, gint64 now_us);
+void pool_uncount_work (struct pool *pool, struct job *job);
+
 /* Whether UPSTREAM may get a task now.  */
 gboolean pool_may_start_on (const struct upstream *upstream, gint64 now_us);
 
--- a/coordination/serve.c
+++ b/coordination/serve.c
@@ -67,7 +67,9 @@
   job->n_queued--;
   job->n_running++;
   job->n_started++;
+  pool_uncount_work (pool, job);
   job->queued_work_us -= task->estimate_us;
+  pool_count_work (pool, job, now_us);
   task->state = TASK_RUNNING;
   task->upstream = upstream_ref (upstream);
   task->token = d->next_token++;
--- a/coordination/task_flow.c
+++ b/coordination/task_flow.c
@@ -230,7 +230,9 @@
 
   task->state = TASK_QUEUED;
   job->n_queued++;
+  pool_uncount_work (job->pool, job);
   job->queued_work_us += task->estimate_us;
+  pool_count_work (job->pool, job, now_us);
   if (job->pool->service == NULL)
     job_flow_give_up (d, job, "the service was dropped", now_us);
   else if (task->n_moves >= MAX_MOVES)
--- a/state/job.h
+++ b/state/job.h
@@ -85,6 +85,10 @@
   gint64 retry_at_us;    /* when a refused job may be sent again; 0 for none */
   gint64 queued_work_us; /* estimates of its queued tasks, added up */
   gint64 longest_estimate_us; /* of its tasks */
+  gint64 start_by_us;         /* its longest task should have started */
+  gint64 end_by_us;           /* and ended */
+  gint64 key_step;            /* where its queued work is counted by key */
+  gint64 due_step;            /* and by end_by_us */
   guint64 sequence;           /* order of acceptance */
   guint n_tasks;
   guint n_queued;
--- a/t/support/decision_world.c
+++ b/t/support/decision_world.c
@@ -268,6 +268,16 @@
   g_free (w);
 }
 
+/* The backlogs hold what is queued.  */
+static void
+check_backlog (struct world *w, struct pool *pool)
+{
+  gint64 sum_us = backlog_sum_us (&pool->by_key, G_MAXINT64, w->now_us);
+
+  world_expect (w, sum_us == pool->queued_work_us, "a backlog is off");
+  world_expect (w, pool->by_due.overdue_us >= 0, "a backlog is negative");
+}
+
 /* An upstream that may get a task is found, now or when its rest is over.  */
 static void
 check_index (struct world *w, const struct pool *pool)
@@ -298,6 +308,8 @@
 
       if (job->pool != NULL)
         check_index (w, job->pool);
+      if (job->pool != NULL && i == 0)
+        check_backlog (w, job->pool);
       n_active += model->n_answers == 0 ? 1 : 0;
       world_expect (w, (job->state == JOB_ACTIVE) == (model->n_answers == 0),
                     "a job's state disagrees with its answer");
--- a/t/t2030-admission.c
+++ b/t/t2030-admission.c
@@ -116,7 +116,9 @@
   struct job *job;
 
   learn (bed, USEC_PER_SEC);
-  bed_submit (bed, 80);
+  for (guint i = 0; i < 80; i++)
+    bed_submit (bed, 1);
+  bed_pass (bed, USEC_PER_SEC);
   job = bed_make_job (bed, 1);
   job->deadline_us = bed->now_us + 5 * USEC_PER_SEC;
   bed_expect_refusal (bed, job, ERROR_NOT_RUN);
@@ -127,6 +129,56 @@
   bed_free (bed);
 }
 
+/* Only work that goes before it counts.  */
+static void
+test_deadline_before_a_queue (void)
+{
+  struct bed *bed = make_bed (1, 4);
+  struct job *job;
+
+  learn (bed, USEC_PER_SEC);
+  bed_submit (bed, 80);
+  job = bed_make_job (bed, 1);
+  job->deadline_us = bed->now_us + 5 * USEC_PER_SEC;
+  g_assert_true (dispatcher_submit (bed->dispatcher, job, bed->now_us, NULL));
+  bed_pass (bed, USEC_PER_SEC);
+  bed_end_all (bed, 1);
+  g_assert_cmpuint (job->n_running, ==, 1);
+  bed_free (bed);
+}
+
+/* A job that would make one late that was accepted is refused, although it
+   would itself be in time.  */
+static void
+test_accepted_deadlines_are_kept (void)
+{
+  struct bed *bed = make_bed (1, 4);
+  guint n_accepted = 0;
+
+  learn (bed, USEC_PER_SEC);
+  for (guint i = 0; i < 100; i++)
+    {
+      struct job *job = bed_make_job (bed, 1 + i % 20);
+
+      job->deadline_us = bed->now_us + 10 * USEC_PER_SEC;
+      if (dispatcher_submit (bed->dispatcher, job, bed->now_us, NULL))
+        n_accepted++;
+    }
+  g_assert_cmpuint (n_accepted, >, 2);
+  while (dispatcher_count_unfinished (bed->dispatcher) > 0)
+    {
+      bed_pass (bed, USEC_PER_SEC);
+      bed_end_all (bed, 4);
+    }
+  for (guint i = 0; i < bed->finished->len; i++)
+    {
+      struct job *job = g_ptr_array_index (bed->finished, i);
+
+      g_assert_cmpint (job->state, ==, JOB_COMPLETE);
+    }
+  bed_free (bed);
+}
+
 /* Declared run times that are wrong are not believed.  */
 static void
 test_declared_times_are_learned (void)
@@ -225,6 +277,9 @@
   g_test_add_func ("/admission/queue-bound", test_queue_bound);
   g_test_add_func ("/admission/memory", test_memory_is_shared);
   g_test_add_func ("/admission/deadline", test_deadline_behind_a_queue);
+  g_test_add_func ("/admission/before-a-queue", test_deadline_before_a_queue);
+  g_test_add_func ("/admission/keeps-deadlines",
+                   test_accepted_deadlines_are_kept);
   g_test_add_func ("/admission/declared", test_declared_times_are_learned);
   g_test_add_func ("/admission/given-up-early", test_given_up_early);
   g_test_add_func ("/admission/never-runs", test_never_runs);
