--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,7 @@
 BENCH_OBJS := $(BENCH_SRCS:%.c=$(BUILD)/%.o)
 
 HAND_SRCS := $(LIB_SRCS) $(BENCH_SRCS) $(COMMAND_SRCS) $(STANDIN_SRCS) $(SUPPORT_SRCS) \
-  $(TEST_SRCS) $(wildcard t/fuzz/*.c)
+  $(TEST_SRCS) $(wildcard t/fuzz/*.c bench/peers/*.c)
 HAND_HDRS := $(wildcard $(LAYERS:%=%/*.h) commands/*.h bench/*.h t/*.h t/standin/*.h \
   t/support/*.h)
 HAND_HDRS := $(filter-out protocol/peer_xdr.h,$(HAND_HDRS))
@@ -89,6 +89,16 @@
 $(BUILD)/bench-decisions: $(BENCH_OBJS) $(BUILD)/libradishchute.a
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
+$(BUILD)/bench/peers/%: $(BUILD)/bench/peers/%.o $(SUPPORT_OBJS) \
+  $(BUILD)/libradishchute.a
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
+
+bench-membership: all $(BUILD)/bench/peers/membership
+	$(BUILD)/bench/peers/membership
+
+bench-restart: all $(BUILD)/bench/peers/restart
+	RADISHCHUTE_BUILD=$(BUILD) $(BUILD)/bench/peers/restart
+
 SANITIZE_FLAGS = -fsanitize=address,undefined -fno-omit-frame-pointer \
   -fno-sanitize-recover=undefined
 sanitize:
@@ -115,7 +125,7 @@
 clean:
 	rm -rf build build-sanitize
 
-.PHONY: all bench-decisions generate check sanitize format format-check lint \
-  layers-check clean
+.PHONY: all bench-decisions bench-membership bench-restart generate check \
+  sanitize format format-check lint layers-check clean
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/coordination/membership.c
+++ b/coordination/membership.c
@@ -9,9 +9,9 @@
 /* A tick that comes later than this follows a pause of this process.  */
 #define LATE_TICK_US (3 * MEMBERSHIP_TICK_US)
 
-/* Heartbeats are sent up to a tenth of an interval early, at random, so that
-   the peers do not stay in step.  */
-#define JITTER_PARTS 10
+/* Heartbeats are sent up to a twentieth of an interval early, at random, so
+   that the peers do not stay in step.  */
+#define JITTER_PARTS 20
 
 struct membership
 {
--- a/coordination/membership.h
+++ b/coordination/membership.h
@@ -26,23 +26,23 @@
 #include <glib.h>
 
 /* How often peers of the own zone, and others, get a heartbeat.  */
-#define ZONE_BEAT_US (500 * USEC_PER_MSEC)
-#define REMOTE_BEAT_US (1000 * USEC_PER_MSEC)
+#define ZONE_BEAT_US (800 * USEC_PER_MSEC)
+#define REMOTE_BEAT_US (1500 * USEC_PER_MSEC)
 
 /* How often membership_advance () is to be called.  */
 #define MEMBERSHIP_TICK_US (50 * USEC_PER_MSEC)
 
 /* The silence, beyond one interval, after which a peer is probed, and after
    which it is suspect.  */
-#define PROBE_AFTER_US (600 * USEC_PER_MSEC)
-#define SUSPECT_AFTER_US (800 * USEC_PER_MSEC)
+#define PROBE_AFTER_US (400 * USEC_PER_MSEC)
+#define SUSPECT_AFTER_US (700 * USEC_PER_MSEC)
 
 /* How often a silent peer is probed before it is given up.  */
 #define PROBE_INTERVAL_US (100 * USEC_PER_MSEC)
 
 /* How long the calls to a suspect may take, direct and through another.  */
 #define DIRECT_CHECK_US (300 * USEC_PER_MSEC)
-#define INDIRECT_CHECK_US (400 * USEC_PER_MSEC)
+#define INDIRECT_CHECK_US (350 * USEC_PER_MSEC)
 
 /* How often a peer that is not live is tried again.  */
 #define RECHECK_US (2 * USEC_PER_SEC)
--- a/t/standin/platform.c
+++ b/t/standin/platform.c
@@ -143,10 +143,19 @@
         GHashTable *query, gpointer data)
 {
   struct platform *platform = data;
+  g_autofree char *tag
+      = g_strdup_printf ("\"%" G_GINT64_FORMAT "\"", platform->vms_version);
+  const char *known = soup_message_headers_get_one (
+      soup_server_message_get_request_headers (msg), "If-None-Match");
   json_t *body;
 
   if (apply_outage (platform, msg))
     return;
+  if (g_strcmp0 (known, tag) == 0)
+    {
+      answer_text (msg, 304, NULL);
+      return;
+    }
   body = json_object ();
   json_add_int (body, "version", platform->vms_version);
   json_object_set_new (body, "vms", json_incref (platform->vms));
--- a/t/t9102-peer-keys.c
+++ b/t/t9102-peer-keys.c
@@ -17,9 +17,6 @@
   "ffeeddccbbaa99887766554433221100ffeeddccbbaa9988776655443322"
 #define N_JUNK 20000
 
-/* The first bytes of a datagram that looks like a heartbeat.  */
-static const guint8 heartbeat_start[] = { 'R', 'C', 1, 1 };
-
 static void
 set_keys (json_t *settings, const char *first, const char *second)
 {
@@ -80,6 +77,7 @@
 static void
 send_junk_datagrams (guint16 port)
 {
+  static const guint8 head[] = { 'R', 'C', 1, 1 };
   GSocket *socket = connect_to (port, G_SOCKET_TYPE_DATAGRAM);
   GRand *random = g_rand_new_with_seed (5);
 
@@ -90,7 +88,7 @@
 
       fill (random, data, length);
       if (i % 2 == 0 && length > 4)
-        memcpy (data, heartbeat_start, sizeof heartbeat_start);
+        memcpy (data, head, sizeof head);
       g_socket_send (socket, (const char *)data, length, NULL, NULL);
     }
   g_rand_free (random);
--- a/transport/beat_sections.c
+++ b/transport/beat_sections.c
@@ -80,21 +80,35 @@
   g_queue_push_tail (s->notices, notice);
 }
 
-/* Whether a section that was changed CHANGE times is due.  */
 static gboolean
-is_due (guint64 change, gboolean is_refresh, guint64 *sent_change,
-        guint *repeats)
+is_digest_due (const struct beat_sections *s, struct beat_progress *progress,
+               gboolean is_refresh)
 {
-  if (change == 0)
+  if (s->digest_change == 0)
     return FALSE;
-  if (*sent_change != change)
+  if (progress->digest_change != s->digest_change)
     {
-      *sent_change = change;
-      *repeats = 0;
+      progress->digest_change = s->digest_change;
+      progress->digest_repeats = 0;
     }
-  if (*repeats >= SECTION_REPEATS)
+  if (progress->digest_repeats >= DIGEST_REPEATS)
     return is_refresh;
-  (*repeats)++;
+  progress->digest_repeats++;
+  return TRUE;
+}
+
+static gboolean
+are_loads_due (const struct beat_sections *s, struct beat_progress *progress,
+               gboolean is_refresh)
+{
+  if (s->loads_change == 0)
+    return FALSE;
+  if (progress->loads_change == s->loads_change
+          ? !is_refresh
+          : progress->n_beats - progress->loads_beat < LOADS_EVERY)
+    return FALSE;
+  progress->loads_change = s->loads_change;
+  progress->loads_beat = progress->n_beats;
   return TRUE;
 }
 
@@ -148,13 +162,10 @@
     add_section (beat, HEARTBEAT_INTRODUCTION)
         ->heartbeat_section_u.introduction
         = s->introduction;
-  if (is_due (s->digest_change, is_refresh, &progress->digest_change,
-              &progress->digest_repeats))
+  if (is_digest_due (s, progress, is_refresh))
     add_section (beat, HEARTBEAT_DIGEST)->heartbeat_section_u.digest
         = s->digest;
-  if (with_loads
-      && is_due (s->loads_change, is_refresh, &progress->loads_change,
-                 &progress->loads_repeats))
+  if (with_loads && are_loads_due (s, progress, is_refresh))
     {
       heartbeat_section *section = add_section (beat, HEARTBEAT_LOADS);
 
--- a/transport/beat_sections.h
+++ b/transport/beat_sections.h
@@ -2,8 +2,9 @@
  * What this VM's heartbeats carry besides their header: its introduction, the
  * digest of its documents, its load, and names of VMs that are leaving.
  *
- * A section that has changed goes to each peer with its next few heartbeats,
- * so that the loss of one does not matter, and again now and then.
+ * A digest that has changed goes to each peer with its next two heartbeats, so
+ * that the loss of one does not matter, and again now and then.  Loads change
+ * all the time, and go with every second heartbeat at most.
  */
 #ifndef TRANSPORT_BEAT_SECTIONS_H
 #define TRANSPORT_BEAT_SECTIONS_H
@@ -12,8 +13,11 @@
 
 #include <glib.h>
 
-/* How often a changed section goes to each peer.  */
-#define SECTION_REPEATS 3
+/* How often a changed digest goes to each peer.  */
+#define DIGEST_REPEATS 2
+
+/* Loads go with one heartbeat of so many.  */
+#define LOADS_EVERY 2
 
 /* Every so many heartbeats all sections go out again.  */
 #define SECTION_REFRESH 32
@@ -28,7 +32,7 @@
   guint64 digest_change; /* the change that was sent last */
   guint digest_repeats;  /* how often it was sent */
   guint64 loads_change;
-  guint loads_repeats;
+  guint loads_beat; /* the heartbeat that carried them last */
 };
 
 struct beat_sections
--- a/transport/peer_hub_beats.c
+++ b/transport/peer_hub_beats.c
@@ -167,10 +167,14 @@
   .received = on_datagram,
 };
 
+/* With live peers, seeds are greeted in one housekeeping of so many.  */
+#define SEED_ROUNDS 10
+
 struct seed_search
 {
   const char *address;
   gboolean is_known;
+  guint n_live;
 };
 
 static void
@@ -178,23 +182,30 @@
 {
   struct seed_search *search = data;
 
-  if (peer_is_live (peer) && g_strcmp0 (peer->address, search->address) == 0)
+  if (peer_is_live (peer))
+    search->n_live++;
+  /* One without a link was heard of before and is looked after by others.  */
+  if (g_strcmp0 (peer->address, search->address) == 0
+      && (peer_is_live (peer)
+          || (peer->state == PEER_UNHEARD && peer->incarnation != 0)))
     search->is_known = TRUE;
 }
 
 void
 peer_hub_greet_seeds (struct peer_hub *hub)
 {
+  gboolean is_rare = hub->n_housekeepings++ % SEED_ROUNDS == 0;
+
   for (guint i = 0; i < hub->settings->peer_seeds->len; i++)
     {
       const char *text = hub->settings->peer_seeds->pdata[i];
-      struct seed_search search = { text, FALSE };
+      struct seed_search search = { text, FALSE, 0 };
       g_autoptr (GSocketAddress) address = NULL;
       struct beat_progress progress = { 0 };
       heartbeat beat = { .header = HEARTBEAT_WANTS_ANSWER_FLAG };
 
       membership_foreach (hub->membership, match_seed, &search);
-      if (search.is_known
+      if (search.is_known || (search.n_live > 0 && !is_rare)
           || g_str_equal (text, hub->sections->introduction.address))
         continue;
       address = peer_address_parse (text);
--- a/transport/peer_hub_private.h
+++ b/transport/peer_hub_private.h
@@ -35,6 +35,7 @@
   gboolean is_closing;
   guint tick_source;
   gint64 housekeeping_us;
+  guint n_housekeepings;
   gint64 refused_report_us;
   guint64 refused_reported;
   struct peer_hub_counts counts;
--- a/transport/vm_list.c
+++ b/transport/vm_list.c
@@ -7,10 +7,10 @@
 #include <libsoup/soup.h>
 
 /* Pause between two readings: so long that they cost this many bytes a second,
-   within these bounds.  */
+   within these bounds.  A list that has not changed is cheap.  */
 #define BYTES_PER_SEC 4096
 #define MIN_PAUSE_MS 1000
-#define MAX_PAUSE_MS 30000
+#define MAX_PAUSE_MS 120000
 #define TIMEOUT_SEC 5
 
 struct vm_list
@@ -20,7 +20,7 @@
   SoupSession *session;
   GCancellable *cancellable;
   guint timer;
-  gboolean is_available;
+  char *version;         /* of the list read last, as an entity tag, or NULL */
   gboolean was_reported; /* that it is not available */
 };
 
@@ -58,6 +58,7 @@
 deliver (struct vm_list *list, json_t *root)
 {
   json_t *vms = json_object_get (root, "vms");
+  json_t *version = json_object_get (root, "version");
   guint n = (guint)json_array_size (vms);
   struct vm_entry *entries;
 
@@ -68,6 +69,10 @@
     parse_entry (json_array_get (vms, i), &entries[i]);
   list->owner->ops->read (list->owner, entries, n);
   g_free (entries);
+  g_clear_pointer (&list->version, g_free);
+  if (json_is_integer (version))
+    list->version = g_strdup_printf ("\"%" JSON_INTEGER_FORMAT "\"",
+                                     json_integer_value (version));
   return TRUE;
 }
 
@@ -89,6 +94,8 @@
   json_t *root;
   gboolean valid;
 
+  if (soup_message_get_status (message) == SOUP_STATUS_NOT_MODIFIED)
+    return TRUE;
   if (soup_message_get_status (message) != SOUP_STATUS_OK)
     {
       error_set (error, ERROR_UNAVAILABLE, "the status is %u",
@@ -128,6 +135,8 @@
     }
   note_available (list, valid, error != NULL ? error->message : NULL);
   pause_ms = CLAMP (pause_ms, MIN_PAUSE_MS, MAX_PAUSE_MS);
+  /* The VMs read at different times, and tell each other.  */
+  pause_ms -= g_random_int_range (0, (gint32)pause_ms / 4);
   list->timer = g_timeout_add ((guint)pause_ms, on_timer, list);
 }
 
@@ -137,6 +146,9 @@
   g_autoptr (SoupMessage) message
       = soup_message_new (SOUP_METHOD_GET, list->uri);
 
+  if (list->version != NULL)
+    soup_message_headers_replace (soup_message_get_request_headers (message),
+                                  "If-None-Match", list->version);
   soup_session_send_and_read_async (list->session, message, G_PRIORITY_DEFAULT,
                                     list->cancellable, on_answer, list);
 }
@@ -148,7 +160,8 @@
 
   list->uri = g_strconcat (url, "/v1/vms", NULL);
   list->owner = owner;
-  list->session = soup_session_new_with_options ("timeout", TIMEOUT_SEC, NULL);
+  list->session = soup_session_new_with_options ("proxy-resolver", NULL,
+                                                 "timeout", TIMEOUT_SEC, NULL);
   list->cancellable = g_cancellable_new ();
   read_list (list);
   return list;
@@ -162,6 +175,7 @@
     g_source_remove (list->timer);
   g_object_unref (list->cancellable);
   g_object_unref (list->session);
+  g_free (list->version);
   g_free (list->uri);
   g_free (list);
 }
