--- a/transport/upstream_client.c
+++ b/transport/upstream_client.c
@@ -142,6 +142,7 @@
       list_remove (&attempt->link);
       g_cancellable_cancel (attempt->cancellable);
     }
+  g_source_remove (client->sweep_source);
   g_cancellable_cancel (client->shutdown);
   g_object_unref (client->shutdown);
   g_object_unref (client->session);
