--- /dev/null
+++ b/commands/client.c
@@ -0,0 +1,273 @@
+#include "commands/client.h"
+
+#include "base/clock.h"
+
+#include <libsoup/soup.h>
+#include <string.h>
+
+/* An answer larger than this is cut off as an error.  */
+#define MAX_ANSWER_BYTES (256 * 1024 * 1024)
+
+struct client
+{
+  SoupSession *session;
+  char *authorization; /* NULL without a token */
+};
+
+/* One call under way.  */
+struct call
+{
+  GMainContext *context;
+  GCancellable *cancellable;
+  SoupMessage *message;
+  GBytes *body;
+  GError *error;
+  gboolean is_connected;
+  gboolean is_late;
+  gboolean is_finished;
+};
+
+struct client *
+client_new (const char *token)
+{
+  struct client *client = g_new0 (struct client, 1);
+
+  client->session
+      = soup_session_new_with_options ("user-agent", "radishchute", NULL);
+  if (token != NULL)
+    client->authorization = g_strconcat ("Bearer ", token, NULL);
+  return client;
+}
+
+void
+client_free (struct client *client)
+{
+  g_object_unref (client->session);
+  g_free (client->authorization);
+  g_free (client);
+}
+
+static char *
+build_uri (const struct client_request *request)
+{
+  if (g_str_has_prefix (request->base, "http://")
+      || g_str_has_prefix (request->base, "https://"))
+    return g_strconcat (request->base, request->path, NULL);
+  return g_strconcat ("http://", request->base, request->path, NULL);
+}
+
+static SoupMessage *
+build_message (struct client *client, const struct client_request *request,
+               GError **error)
+{
+  g_autofree char *uri = build_uri (request);
+  SoupMessage *message = soup_message_new (request->method, uri);
+  SoupMessageHeaders *headers;
+
+  if (message == NULL)
+    {
+      error_set (error, ERROR_INVALID,
+                 "'%s' is not an address; give IP:PORT, as in "
+                 "127.0.0.1:8080",
+                 request->base);
+      return NULL;
+    }
+  headers = soup_message_get_request_headers (message);
+  if (client->authorization != NULL)
+    soup_message_headers_append (headers, "Authorization",
+                                 client->authorization);
+  if (request->prefer != NULL)
+    soup_message_headers_append (headers, "Prefer", request->prefer);
+  if (request->body != NULL)
+    {
+      g_autoptr (GBytes) body
+          = g_bytes_new (request->body, strlen (request->body));
+
+      soup_message_set_request_body_from_bytes (message, "application/json",
+                                                body);
+    }
+  return message;
+}
+
+static void
+on_starting (SoupMessage *message, gpointer data)
+{
+  struct call *call = data;
+
+  call->is_connected = TRUE;
+}
+
+static void
+on_answered (GObject *source, GAsyncResult *result, gpointer data)
+{
+  struct call *call = data;
+
+  call->body = soup_session_send_and_read_finish (SOUP_SESSION (source),
+                                                  result, &call->error);
+  call->is_finished = TRUE;
+}
+
+static gboolean
+on_deadline (gpointer data)
+{
+  struct call *call = data;
+
+  call->is_late = TRUE;
+  g_cancellable_cancel (call->cancellable);
+  return G_SOURCE_REMOVE;
+}
+
+static GSource *
+arm_deadline (struct call *call, gint64 deadline_us)
+{
+  gint64 left_us = MAX (deadline_us - clock_now_us (), 0);
+  gint64 left_ms = MIN (left_us / USEC_PER_MSEC + 1, (gint64)G_MAXINT);
+  GSource *source = g_timeout_source_new ((guint)left_ms);
+
+  g_source_set_callback (source, on_deadline, call, NULL);
+  g_source_attach (source, call->context);
+  return source;
+}
+
+static void
+report_failure (const struct call *call, const struct client_request *request,
+                GError **error)
+{
+  const char *reason
+      = call->is_late ? "no answer before the deadline" : call->error->message;
+
+  if (!call->is_connected)
+    error_set (error, ERROR_NOT_RUN,
+               "%s does not take connections (%s); check the address and that "
+               "the process runs",
+               request->base, reason);
+  else
+    error_set (error, ERROR_UNAVAILABLE,
+               "%s gave no whole answer to %s %s (%s); whether it took effect "
+               "is not known",
+               request->base, request->method, request->path, reason);
+}
+
+static guint
+read_retry_after (SoupMessage *message)
+{
+  const char *text = soup_message_headers_get_one (
+      soup_message_get_response_headers (message), "Retry-After");
+  guint64 seconds = 0;
+
+  if (text == NULL
+      || !g_ascii_string_to_unsigned (text, 10, 0, G_MAXUINT / 1000, &seconds,
+                                      NULL))
+    return 0;
+  return (guint)seconds * 1000;
+}
+
+static struct client_answer *
+make_answer (SoupMessage *message, GBytes *body)
+{
+  struct client_answer *answer = g_new0 (struct client_answer, 1);
+  const char *bytes = g_bytes_get_data (body, &answer->length);
+
+  answer->status = soup_message_get_status (message);
+  answer->text = g_malloc (answer->length + 1);
+  if (answer->length > 0)
+    memcpy (answer->text, bytes, answer->length);
+  answer->text[answer->length] = '\0';
+  answer->json
+      = json_loadb (answer->text, answer->length, JSON_DECODE_ANY, NULL);
+  answer->retry_after_ms = read_retry_after (message);
+  return answer;
+}
+
+static void
+run_call (struct client *client, struct call *call, gint64 deadline_us)
+{
+  GSource *deadline = arm_deadline (call, deadline_us);
+
+  g_signal_connect (call->message, "starting", G_CALLBACK (on_starting), call);
+  soup_session_send_and_read_async (client->session, call->message,
+                                    G_PRIORITY_DEFAULT, call->cancellable,
+                                    on_answered, call);
+  while (!call->is_finished)
+    g_main_context_iteration (call->context, TRUE);
+  g_source_destroy (deadline);
+  g_source_unref (deadline);
+}
+
+struct client_answer *
+client_call (struct client *client, const struct client_request *request,
+             GError **error)
+{
+  struct call call = { .context = g_main_context_default () };
+  struct client_answer *answer = NULL;
+
+  call.message = build_message (client, request, error);
+  if (call.message == NULL)
+    return NULL;
+  call.cancellable = g_cancellable_new ();
+  run_call (client, &call, request->deadline_us);
+  if (call.body == NULL)
+    report_failure (&call, request, error);
+  else if (g_bytes_get_size (call.body) > MAX_ANSWER_BYTES)
+    error_set (error, ERROR_TOO_LARGE, "the answer is over %d bytes",
+               MAX_ANSWER_BYTES);
+  else
+    answer = make_answer (call.message, call.body);
+  g_clear_pointer (&call.body, g_bytes_unref);
+  g_clear_error (&call.error);
+  g_object_unref (call.cancellable);
+  g_object_unref (call.message);
+  return answer;
+}
+
+void
+client_answer_free (struct client_answer *answer)
+{
+  json_decref (answer->json);
+  g_free (answer->text);
+  g_free (answer);
+}
+
+gboolean
+client_answer_check (const struct client_answer *answer, GError **error)
+{
+  json_t *detail = json_object_get (answer->json, "error");
+  const char *kind_name = json_string_value (json_object_get (detail, "kind"));
+  const char *message
+      = json_string_value (json_object_get (detail, "message"));
+  int kind = error_kind_from_name (kind_name);
+
+  if (answer->status >= 200 && answer->status < 300)
+    return TRUE;
+  if (kind < 0)
+    error_set (error, ERROR_UNAVAILABLE,
+               "status %u without a known error kind; check that the address "
+               "is an entry VM's",
+               answer->status);
+  else
+    error_set (error, (enum error_kind)kind, "%s",
+               message != NULL ? message : kind_name);
+  return FALSE;
+}
+
+json_t *
+client_fetch (struct client *client, const struct client_request *request,
+              GError **error)
+{
+  struct client_answer *answer = client_call (client, request, error);
+  json_t *json = NULL;
+
+  if (answer == NULL)
+    return NULL;
+  if (client_answer_check (answer, error))
+    {
+      json = json_incref (answer->json);
+      if (json == NULL)
+        error_set (error, ERROR_UNAVAILABLE,
+                   "%s answered %s with something that is not JSON; check "
+                   "that the address is an entry VM's",
+                   request->base, request->path);
+    }
+  client_answer_free (answer);
+  return json;
+}
