transport: serve metrics, log level and drain to operators

Operators need to see what a process does and to change it while it runs. Counters, gauges and histograms are static cells, so that counting on the hot path costs an addition. The paths ask for the operators token when the settings name one; the comparison takes a time that depends on what was given only. The service manager hears when the process is ready and when it stops.

--- a/base/event_log.c
+++ b/base/event_log.c
@@ -1,5 +1,7 @@
 #include "base/event_log.h"
 
+#include "base/metrics.h"
+
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -99,6 +101,7 @@
   const struct event_info *info = find_event (event);
   va_list args;
 
+  metrics_count_label (METRIC_LOG_EVENTS, info->level);
   if (info->level > current_level)
     return;
   va_start (args, format);
--- /dev/null
+++ b/base/metrics.c
@@ -0,0 +1,174 @@
+#include "base/metrics.h"
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/event_log.h"
+
+/* Cells of one metric, over all labels.  */
+#define MAX_CELLS ((guint)ERROR_KIND_COUNT)
+
+/* Bounds of the buckets that are shown, from 1 ms, each twice the last.  */
+#define FIRST_BOUND_US USEC_PER_MSEC
+#define N_BOUNDS 17
+
+struct metric_info
+{
+  const char *name;
+  const char *help;
+  enum metric_type type;
+  enum metric_label label;
+};
+
+struct label_info
+{
+  const char *key;
+  guint n_cells;
+  const char *(*name) (guint cell);
+};
+
+static const struct metric_info metrics[METRIC_COUNT] = {
+#define METRIC(id, type, name, label, help)                                   \
+  { (name), (help), METRIC_TYPE_##type, METRIC_LABEL_##label },
+#include "base/metrics.def"
+#undef METRIC
+};
+
+static const char *const type_names[] = { "counter", "gauge", "histogram" };
+
+static const char *const message_names[UPSTREAM_MESSAGE_COUNT]
+    = { "start", "renew", "stop" };
+
+static guint64 cells[METRIC_COUNT][MAX_CELLS];
+static struct histogram histograms[METRIC_COUNT - METRIC_JOB_SECONDS];
+
+static const char *
+name_error_kind (guint cell)
+{
+  return error_kind_name ((enum error_kind)cell);
+}
+
+static const char *
+name_log_level (guint cell)
+{
+  return log_level_name ((enum log_level)cell);
+}
+
+static const char *
+name_message (guint cell)
+{
+  return message_names[cell];
+}
+
+static const struct label_info labels[] = {
+  [METRIC_LABEL_NONE] = { NULL, 1, NULL },
+  [METRIC_LABEL_ERROR_KIND] = { "kind", ERROR_KIND_COUNT, name_error_kind },
+  [METRIC_LABEL_LOG_LEVEL] = { "level", LOG_LEVEL_COUNT, name_log_level },
+  [METRIC_LABEL_MESSAGE] = { "message", UPSTREAM_MESSAGE_COUNT, name_message },
+};
+
+void
+metrics_count (enum metric metric)
+{
+  cells[metric][0]++;
+}
+
+void
+metrics_count_label (enum metric metric, guint label)
+{
+  cells[metric][label]++;
+}
+
+guint64
+metrics_get (enum metric metric, guint label)
+{
+  return cells[metric][label];
+}
+
+void
+metrics_set (enum metric metric, guint64 value)
+{
+  cells[metric][0] = value;
+}
+
+void
+metrics_record (enum metric metric, gint64 value_us)
+{
+  histogram_record (&histograms[metric - METRIC_JOB_SECONDS], value_us);
+}
+
+const struct histogram *
+metrics_get_histogram (enum metric metric)
+{
+  return &histograms[metric - METRIC_JOB_SECONDS];
+}
+
+const char *
+metrics_name (enum metric metric)
+{
+  return metrics[metric].name;
+}
+
+static void
+format_cells (GString *text, enum metric metric)
+{
+  const struct metric_info *info = &metrics[metric];
+  const struct label_info *label = &labels[info->label];
+
+  if (label->key == NULL)
+    {
+      g_string_append_printf (text, "%s %" G_GUINT64_FORMAT "\n", info->name,
+                              cells[metric][0]);
+      return;
+    }
+  for (guint i = 0; i < label->n_cells; i++)
+    g_string_append_printf (text, "%s{%s=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                            info->name, label->key, label->name (i),
+                            cells[metric][i]);
+}
+
+/* Appends a time as seconds, independent of the locale.  */
+static void
+append_seconds (GString *text, guint64 value_us)
+{
+  g_string_append_printf (text, "%" G_GUINT64_FORMAT ".%06" G_GUINT64_FORMAT,
+                          value_us / (guint64)USEC_PER_SEC,
+                          value_us % (guint64)USEC_PER_SEC);
+}
+
+static void
+format_histogram (GString *text, enum metric metric)
+{
+  const struct histogram *h = metrics_get_histogram (metric);
+  const char *name = metrics[metric].name;
+  guint64 bound_us = FIRST_BOUND_US;
+
+  for (guint i = 0; i < N_BOUNDS; i++, bound_us *= 2)
+    {
+      g_string_append_printf (text, "%s_bucket{le=\"", name);
+      append_seconds (text, bound_us);
+      g_string_append_printf (text, "\"} %" G_GUINT64_FORMAT "\n",
+                              histogram_count_up_to (h, (gint64)bound_us));
+    }
+  g_string_append_printf (
+      text, "%s_bucket{le=\"+Inf\"} %" G_GUINT64_FORMAT "\n%s_sum ", name,
+      h->count, name);
+  append_seconds (text, h->sum);
+  g_string_append_printf (text, "\n%s_count %" G_GUINT64_FORMAT "\n", name,
+                          h->count);
+}
+
+void
+metrics_format (GString *text)
+{
+  for (int i = 0; i < METRIC_COUNT; i++)
+    {
+      const struct metric_info *info = &metrics[i];
+
+      g_string_append_printf (text, "# HELP %s %s\n# TYPE %s %s\n", info->name,
+                              info->help, info->name, type_names[info->type]);
+      if (info->type == METRIC_TYPE_HISTOGRAM)
+        format_histogram (text, (enum metric)i);
+      else
+        format_cells (text, (enum metric)i);
+    }
+}
--- a/protocol/json_read.c
+++ b/protocol/json_read.c
@@ -76,7 +76,7 @@
   for (; i < length; i++)
     {
       if (is_line && text[i] == '\n')
-        return i;
+        break;
       if (is_block && i > start + 2 && text[i] == '/' && text[i - 1] == '*')
         break;
     }
--- a/transport/caller_server.c
+++ b/transport/caller_server.c
@@ -5,7 +5,6 @@
 #include "protocol/json_read.h"
 #include "transport/connection_guard.h"
 #include "transport/listener.h"
-#include "transport/state_dump.h"
 
 #include <libsoup/soup.h>
 #include <string.h>
@@ -377,23 +376,6 @@
                 body);
 }
 
-static void
-handle_state (SoupServer *soup, SoupServerMessage *message, const char *path,
-              GHashTable *query, gpointer data)
-{
-  struct caller_server *server = data;
-  json_t *state = state_dump_build (server->settings, server->home);
-  g_autoptr (GBytes) body = NULL;
-  char *text;
-
-  json_object_set_new (state, "connections",
-                       json_integer (connection_guard_count (server->guard)));
-  text = json_format (state);
-  body = g_bytes_new_take (text, strlen (text));
-  json_decref (state);
-  answer_bytes (message, SOUP_STATUS_OK, body);
-}
-
 static GTlsCertificate *
 load_certificate (const struct settings *settings, GError **error)
 {
@@ -406,24 +388,31 @@
   return certificate;
 }
 
-/* Serves PATH by HANDLER, with bodies received within their limit.  */
-static void
-add_handler (struct caller_server *server, const char *path,
-             SoupServerCallback handler)
+void
+caller_server_add_handler (struct caller_server *server, const char *path,
+                           SoupServerCallback handler, gpointer data)
 {
   soup_server_add_early_handler (server->soup, path, begin_upload, server,
                                  NULL);
-  soup_server_add_handler (server->soup, path, handler, server, NULL);
+  soup_server_add_handler (server->soup, path, handler, data, NULL);
+}
+
+GBytes *
+caller_server_get_body (SoupServerMessage *message)
+{
+  const struct upload *upload
+      = g_object_get_data (G_OBJECT (message), "upload");
+
+  return g_bytes_new (upload->body->data, upload->body->len);
 }
 
 static void
 add_handlers (struct caller_server *server)
 {
-  add_handler (server, "/", handle_unknown_path);
-  add_handler (server, JOBS_PATH, handle_jobs);
-  add_handler (server, "/v1/tickets", handle_tickets);
-  add_handler (server, "/v1/health", handle_health);
-  add_handler (server, "/v1/state", handle_state);
+  caller_server_add_handler (server, "/", handle_unknown_path, server);
+  caller_server_add_handler (server, JOBS_PATH, handle_jobs, server);
+  caller_server_add_handler (server, "/v1/tickets", handle_tickets, server);
+  caller_server_add_handler (server, "/v1/health", handle_health, server);
 }
 
 struct caller_server *
--- a/transport/caller_server.h
+++ b/transport/caller_server.h
@@ -7,7 +7,7 @@
 #include "protocol/settings.h"
 #include "transport/home.h"
 
-#include <glib.h>
+#include <libsoup/soup.h>
 
 struct caller_server;
 
@@ -22,4 +22,13 @@
 /* The port that it listens on.  */
 guint caller_server_get_port (const struct caller_server *server);
 
+/* Serves PATH too, by HANDLER with DATA, on the same port and within the same
+   limits.  */
+void caller_server_add_handler (struct caller_server *server, const char *path,
+                                SoupServerCallback handler, gpointer data);
+
+/* The body that came with MESSAGE, whose path was added by
+   caller_server_add_handler ().  The caller owns the reference.  */
+GBytes *caller_server_get_body (SoupServerMessage *message);
+
 #endif
--- a/transport/entry.c
+++ b/transport/entry.c
@@ -4,6 +4,8 @@
 #include "transport/caller_server.h"
 #include "transport/config_follower.h"
 #include "transport/home.h"
+#include "transport/operator_server.h"
+#include "transport/service_manager.h"
 
 #include <glib-unix.h>
 #include <signal.h>
@@ -14,6 +16,7 @@
   GMainLoop *loop;
   struct home *home;
   struct caller_server *caller_server;
+  struct operator_server *operator_server;
   struct config_follower *config_follower;
   gboolean is_draining;
 };
@@ -26,6 +29,20 @@
   g_main_loop_quit (entry->loop);
 }
 
+/* Begins the drain, unless it has begun.  */
+static void
+start_drain (gpointer data)
+{
+  struct entry *entry = data;
+
+  if (entry->is_draining)
+    return;
+  entry->is_draining = TRUE;
+  event_log (EVENT_ENTRY_DRAINING, "vm %s: no new jobs", entry->settings->vm);
+  service_manager_notify ("STOPPING=1");
+  home_drain (entry->home, on_drained, entry);
+}
+
 static gboolean
 on_signal (gpointer data)
 {
@@ -34,12 +51,7 @@
   if (entry->is_draining)
     g_main_loop_quit (entry->loop);
   else
-    {
-      entry->is_draining = TRUE;
-      event_log (EVENT_ENTRY_DRAINING, "vm %s: no new jobs",
-                 entry->settings->vm);
-      home_drain (entry->home, on_drained, entry);
-    }
+    start_drain (entry);
   return G_SOURCE_CONTINUE;
 }
 
@@ -57,6 +69,9 @@
       entry_free (entry);
       return NULL;
     }
+  entry->operator_server
+      = operator_server_attach (caller_server_get_soup (entry->caller_server),
+                                settings, entry->home, start_drain, entry);
   entry->config_follower
       = config_follower_new (settings, home_get_dispatcher (entry->home));
   return entry;
@@ -70,6 +85,7 @@
 
   event_log (EVENT_ENTRY_STARTED, "vm %s: callers on port %u",
              entry->settings->vm, entry_get_port (entry));
+  service_manager_notify ("READY=1");
   g_main_loop_run (entry->loop);
   event_log (EVENT_ENTRY_STOPPED, "vm %s", entry->settings->vm);
   g_source_remove (term);
@@ -83,6 +99,8 @@
     config_follower_free (entry->config_follower);
   if (entry->caller_server != NULL)
     caller_server_free (entry->caller_server);
+  if (entry->operator_server != NULL)
+    operator_server_free (entry->operator_server);
   home_free (entry->home);
   g_main_loop_unref (entry->loop);
   g_free (entry);
--- a/transport/home.c
+++ b/transport/home.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/event_log.h"
+#include "base/metrics.h"
 
 #include <string.h>
 
@@ -67,6 +68,7 @@
   struct service *service
       = document_find_service (document, task->job->service);
 
+  metrics_count (METRIC_TASK_STARTS);
   upstream_client_start (home->client, task, service);
 }
 
@@ -87,6 +89,18 @@
   upstream_client_renew (home->client, upstream, upstream->lease_ms);
 }
 
+static void
+count_answer (const struct job *job)
+{
+  metrics_record (METRIC_JOB_SECONDS, clock_now_us () - job->accepted_us);
+  if (job->is_cancelled)
+    metrics_count (METRIC_JOBS_CANCELLED);
+  if (job->state == JOB_COMPLETE)
+    metrics_count (METRIC_JOBS_COMPLETE);
+  else
+    metrics_count_label (METRIC_JOBS_FAILED, error_get_kind (job->failure));
+}
+
 static void
 driver_finish_job (struct dispatcher_driver *driver, struct job *job)
 {
@@ -95,6 +109,7 @@
   struct list_node *after;
 
   job_build_answer (job);
+  count_answer (job);
   event_log (EVENT_JOB_FINISHED, "job %s: status %u", job->id,
              job->answer_status);
   list_for_each (node, after, &job->waiters)
@@ -150,13 +165,26 @@
   return dispatcher_may_send (home->dispatcher, task, clock_now_us ());
 }
 
+static void
+count_attempt (const struct task *task, enum attempt_end end, gint64 now_us)
+{
+  if (outcome_judge (end).verdict == VERDICT_MOVE)
+    metrics_count (METRIC_TASK_MOVES);
+  else
+    metrics_record (METRIC_TASK_SECONDS, now_us - task->started_us);
+  if (end == ATTEMPT_ANSWER_NOT_RUN)
+    metrics_count (METRIC_TASK_REFUSALS);
+}
+
 static void
 owner_attempt_ended (struct upstream_client_owner *owner, struct task *task,
                      enum attempt_end end, GBytes *output)
 {
   struct home *home = home_from_owner (owner);
+  gint64 now_us = clock_now_us ();
 
-  dispatcher_report (home->dispatcher, task, end, output, clock_now_us ());
+  count_attempt (task, end, now_us);
+  dispatcher_report (home->dispatcher, task, end, output, now_us);
   check_drained (home);
 }
 
@@ -233,6 +261,27 @@
   return home->incarnation;
 }
 
+struct home_load
+home_count_load (struct home *home)
+{
+  struct job_table *jobs = dispatcher_get_jobs (home->dispatcher);
+  struct home_load load = { .job_bytes = jobs->bytes };
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, jobs->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct job *job = value;
+
+      if (job->state == JOB_ACTIVE)
+        load.n_active_jobs++;
+      load.n_queued_tasks += job->n_queued;
+      load.n_running_tasks += job->n_running;
+    }
+  return load;
+}
+
 char *
 home_draw_ticket (struct home *home)
 {
@@ -278,28 +327,40 @@
   return TRUE;
 }
 
+/* Submits a job that no former submission under its ticket has started.  */
+static gboolean
+submit_new (struct home *home, struct submission *submission, GError **error)
+{
+  struct job *job = submission->job;
+
+  if (submission->ticket != NULL
+      && !check_ticket (home, submission->ticket, error))
+    return FALSE;
+  g_free (job->id);
+  job->id = submission->ticket != NULL ? g_strdup (submission->ticket)
+                                       : home_draw_ticket (home);
+  return dispatcher_submit (home->dispatcher, job, clock_now_us (), error);
+}
+
 struct job *
 home_submit (struct home *home, struct submission *submission, GError **error)
 {
   struct job_table *jobs = dispatcher_get_jobs (home->dispatcher);
-  struct job *job = submission->job;
-  gint64 now_us = clock_now_us ();
+  struct job *former = NULL;
+  GError *refusal = NULL;
 
   if (submission->ticket != NULL)
+    former = job_table_find (jobs, submission->ticket);
+  if (former != NULL)
+    return former;
+  if (submit_new (home, submission, &refusal))
     {
-      struct job *former = job_table_find (jobs, submission->ticket);
-
-      if (former != NULL)
-        return former;
-      if (!check_ticket (home, submission->ticket, error))
-        return NULL;
+      metrics_count (METRIC_JOBS_ACCEPTED);
+      return submission->job;
     }
-  g_free (job->id);
-  job->id = submission->ticket != NULL ? g_strdup (submission->ticket)
-                                       : home_draw_ticket (home);
-  if (!dispatcher_submit (home->dispatcher, job, now_us, error))
-    return NULL;
-  return job;
+  metrics_count_label (METRIC_JOBS_REFUSED, error_get_kind (refusal));
+  g_propagate_error (error, refusal);
+  return NULL;
 }
 
 struct job *
--- a/transport/home.h
+++ b/transport/home.h
@@ -28,6 +28,18 @@
 struct dispatcher *home_get_dispatcher (struct home *home);
 struct upstream_client *home_get_upstream_client (struct home *home);
 
+/* What the home has to do at a moment.  */
+struct home_load
+{
+  guint64 n_active_jobs;
+  guint64 n_queued_tasks;
+  guint64 n_running_tasks;
+  guint64 job_bytes;
+};
+
+/* Adds up the load over all jobs, which takes time in proportion.  */
+struct home_load home_count_load (struct home *home);
+
 /* Tells this process from earlier ones of the same VM.  */
 guint64 home_get_incarnation (const struct home *home);
 
--- /dev/null
+++ b/transport/operator_server.c
@@ -0,0 +1,254 @@
+#include "transport/operator_server.h"
+
+#include "base/event_log.h"
+#include "base/metrics.h"
+#include "protocol/json_read.h"
+#include "transport/state_dump.h"
+
+#include <string.h>
+
+#define JSON_TYPE "application/json"
+#define METRICS_TYPE "text/plain; version=0.0.4; charset=utf-8"
+#define BEARER "Bearer "
+
+struct operator_server
+{
+  const struct settings *settings;
+  struct home *home;
+  void (*request_drain) (gpointer data);
+  gpointer drain_data;
+};
+
+/* One path: the only method that it takes, and what it does.  */
+struct route
+{
+  const char *path;
+  const char *method;
+  void (*handle) (struct operator_server *server, SoupServerMessage *message);
+};
+
+static void
+answer_text (SoupServerMessage *message, guint status, const char *type,
+             const char *text, gsize length)
+{
+  soup_server_message_set_status (message, status, NULL);
+  soup_message_headers_replace (
+      soup_server_message_get_response_headers (message), "Content-Type",
+      type);
+  soup_message_body_append (soup_server_message_get_response_body (message),
+                            SOUP_MEMORY_COPY, text, length);
+}
+
+static void
+answer_json (SoupServerMessage *message, guint status, json_t *value)
+{
+  g_autofree char *text = json_format (value);
+
+  json_decref (value);
+  answer_text (message, status, JSON_TYPE, text, strlen (text));
+}
+
+static void
+answer_error (SoupServerMessage *message, const GError *error)
+{
+  g_autoptr (GBytes) body = error_format_answer (error, NULL);
+  gsize length;
+  const char *text = g_bytes_get_data (body, &length);
+
+  answer_text (message, error_kind_http_status (error_get_kind (error)),
+               JSON_TYPE, text, length);
+}
+
+/* Compares in a time that depends on the length of GIVEN only.  */
+static gboolean
+tokens_match (const char *given, const char *expected)
+{
+  size_t n_given = strlen (given);
+  size_t n_expected = strlen (expected);
+  size_t difference = n_given ^ n_expected;
+
+  for (size_t i = 0; i < n_given; i++)
+    difference |= (size_t)(given[i] ^ expected[i % MAX (n_expected, 1)]);
+  return difference == 0;
+}
+
+static gboolean
+is_allowed (const struct operator_server *server, SoupServerMessage *message)
+{
+  const char *expected = server->settings->operator_token;
+  const char *given = soup_message_headers_get_one (
+      soup_server_message_get_request_headers (message), "Authorization");
+
+  if (expected == NULL)
+    return TRUE;
+  if (given == NULL || !g_str_has_prefix (given, BEARER))
+    return FALSE;
+  return tokens_match (given + strlen (BEARER), expected);
+}
+
+static void
+handle_state (struct operator_server *server, SoupServerMessage *message)
+{
+  answer_json (message, SOUP_STATUS_OK,
+               state_dump_build (server->settings, server->home));
+}
+
+static void
+set_gauges (struct operator_server *server)
+{
+  struct dispatcher *dispatcher = home_get_dispatcher (server->home);
+  struct home_load load = home_count_load (server->home);
+
+  metrics_set (METRIC_JOBS_ACTIVE, load.n_active_jobs);
+  metrics_set (METRIC_TASKS_QUEUED, load.n_queued_tasks);
+  metrics_set (METRIC_TASKS_RUNNING, load.n_running_tasks);
+  metrics_set (METRIC_JOB_BYTES, load.job_bytes);
+  metrics_set (METRIC_DRAINING, dispatcher_is_draining (dispatcher) ? 1 : 0);
+}
+
+static void
+handle_metrics (struct operator_server *server, SoupServerMessage *message)
+{
+  g_autoptr (GString) text = g_string_new (NULL);
+
+  set_gauges (server);
+  metrics_format (text);
+  answer_text (message, SOUP_STATUS_OK, METRICS_TYPE, text->str, text->len);
+}
+
+static gboolean
+parse_level (SoupServerMessage *message, enum log_level *level, GError **error)
+{
+  SoupMessageBody *body = soup_server_message_get_request_body (message);
+  g_autoptr (GBytes) bytes = soup_message_body_flatten (body);
+  gsize length;
+  const char *text = g_bytes_get_data (bytes, &length);
+  json_t *root = json_parse (text != NULL ? text : "", length, error);
+  gboolean found;
+
+  if (root == NULL)
+    return FALSE;
+  found = log_level_from_name (
+      json_string_value (json_object_get (root, "level")), level);
+  json_decref (root);
+  if (!found)
+    error_set (error, ERROR_INVALID,
+               "'level' must be one of: error, warning, info, debug");
+  return found;
+}
+
+static void
+handle_log_level (struct operator_server *server, SoupServerMessage *message)
+{
+  enum log_level former = event_log_get_level ();
+  enum log_level level = former;
+  g_autoptr (GError) error = NULL;
+
+  if (!parse_level (message, &level, &error))
+    {
+      answer_error (message, error);
+      return;
+    }
+  event_log_set_level (level);
+  event_log (EVENT_LOG_LEVEL_CHANGED, "from %s to %s", log_level_name (former),
+             log_level_name (level));
+  answer_json (message, SOUP_STATUS_OK,
+               json_pack ("{s:s, s:s}", "level", log_level_name (level),
+                          "former", log_level_name (former)));
+}
+
+static void
+handle_drain (struct operator_server *server, SoupServerMessage *message)
+{
+  struct dispatcher *dispatcher = home_get_dispatcher (server->home);
+
+  answer_json (
+      message, SOUP_STATUS_ACCEPTED,
+      json_pack ("{s:s, s:s, s:I}", "vm", server->settings->vm, "status",
+                 "draining", "unfinished",
+                 (json_int_t)dispatcher_count_unfinished (dispatcher)));
+  server->request_drain (server->drain_data);
+}
+
+static const struct route routes[] = {
+  { "/v1/metrics", "GET", handle_metrics },
+  { "/v1/state", "GET", handle_state },
+  { "/v1/log-level", "PUT", handle_log_level },
+  { "/v1/drain", "POST", handle_drain },
+};
+
+static const struct route *
+find_route (const char *path)
+{
+  for (gsize i = 0; i < G_N_ELEMENTS (routes); i++)
+    if (g_str_equal (routes[i].path, path))
+      return &routes[i];
+  return NULL;
+}
+
+static void
+refuse_method (SoupServerMessage *message, const char *allowed)
+{
+  g_autoptr (GError) error = NULL;
+
+  error_set (&error, ERROR_INVALID, "this path takes %s", allowed);
+  answer_error (message, error);
+  soup_server_message_set_status (message, SOUP_STATUS_METHOD_NOT_ALLOWED,
+                                  NULL);
+  soup_message_headers_replace (
+      soup_server_message_get_response_headers (message), "Allow", allowed);
+}
+
+static void
+refuse_token (SoupServerMessage *message)
+{
+  g_autoptr (GError) error = NULL;
+
+  error_set (&error, ERROR_DENIED,
+             "this path needs the operators' token in the header "
+             "Authorization; name it with --token-file");
+  answer_error (message, error);
+  soup_message_headers_replace (
+      soup_server_message_get_response_headers (message), "WWW-Authenticate",
+      "Bearer");
+}
+
+static void
+on_request (SoupServer *soup, SoupServerMessage *message, const char *path,
+            GHashTable *query, gpointer data)
+{
+  struct operator_server *server = data;
+  const struct route *route = find_route (path);
+
+  if (route == NULL)
+    soup_server_message_set_status (message, SOUP_STATUS_NOT_FOUND, NULL);
+  else if (!is_allowed (server, message))
+    refuse_token (message);
+  else if (!g_str_equal (soup_server_message_get_method (message),
+                         route->method))
+    refuse_method (message, route->method);
+  else
+    route->handle (server, message);
+}
+
+struct operator_server *
+operator_server_attach (SoupServer *soup, const struct settings *settings,
+                        struct home *home,
+                        void (*request_drain) (gpointer data), gpointer data)
+{
+  struct operator_server *server = g_new0 (struct operator_server, 1);
+
+  server->settings = settings;
+  server->home = home;
+  server->request_drain = request_drain;
+  server->drain_data = data;
+  for (gsize i = 0; i < G_N_ELEMENTS (routes); i++)
+    soup_server_add_handler (soup, routes[i].path, on_request, server, NULL);
+  return server;
+}
+
+void
+operator_server_free (struct operator_server *server)
+{
+  g_free (server);
+}
--- a/transport/upstream_client.c
+++ b/transport/upstream_client.c
@@ -1,6 +1,7 @@
 #include "transport/upstream_client.h"
 
 #include "base/clock.h"
+#include "base/metrics.h"
 #include "protocol/json_read.h"
 
 #include <libsoup/soup.h>
@@ -343,6 +344,7 @@
   list_append (&client->unsent, &attempt->wait_link);
   task->transport_data = attempt;
   client->counts.starts++;
+  metrics_count_label (METRIC_UPSTREAM_MESSAGES, UPSTREAM_MESSAGE_START);
   g_signal_connect (attempt->message, "starting", G_CALLBACK (on_starting),
                     attempt);
   g_signal_connect (attempt->message, "wrote-body", G_CALLBACK (on_wrote_body),
@@ -493,6 +495,7 @@
   renewal->upstream = upstream_ref (upstream);
   renewal->deadline_us = clock_now_us () + lease_ms * USEC_PER_MSEC;
   client->counts.renewals++;
+  metrics_count_label (METRIC_UPSTREAM_MESSAGES, UPSTREAM_MESSAGE_RENEW);
   g_autoptr (SoupMessage) message
       = build_control (upstream, "/v1/leases", root);
   json_decref (root);
@@ -521,6 +524,7 @@
 
   json_decref (root);
   client->counts.stops++;
+  metrics_count_label (METRIC_UPSTREAM_MESSAGES, UPSTREAM_MESSAGE_STOP);
   soup_session_send_and_read_async (client->control_session, message,
                                     G_PRIORITY_DEFAULT, client->shutdown,
                                     on_stopped, NULL);
