--- a/commands/cli.c
+++ b/commands/cli.c
@@ -14,7 +14,7 @@
   "Exit status:\n"                                                            \
   "  0 success; 1 the operation failed; 2 the command line or a file is "     \
   "wrong;\n"                                                                  \
-  "  3 the service asked does not answer\n"
+  "  3 the service asked does not answer or takes no work now\n"
 
 static void complain (const struct cli_usage *usage, const char *format, ...)
     G_GNUC_PRINTF (2, 3);
@@ -44,7 +44,7 @@
     { "token-file", 0, 0, G_OPTION_ARG_FILENAME, &options->token_file,
       "a file with the operators' token", "FILE" },
     { "timeout", 't', 0, G_OPTION_ARG_INT, &options->timeout_ms,
-      "the longest time to wait in all (default 60000)", "MS" },
+      "the longest time to wait", "MS" },
     { "json", 0, 0, G_OPTION_ARG_NONE, &options->is_json, "print JSON", NULL },
     G_OPTION_ENTRY_NULL,
   };
@@ -128,7 +128,8 @@
     g_option_context_add_main_entries (context, entries, NULL);
   if (client != NULL)
     {
-      client->timeout_ms = DEFAULT_TIMEOUT_MS;
+      if (client->timeout_ms == 0)
+        client->timeout_ms = DEFAULT_TIMEOUT_MS;
       add_client_options (context, client);
     }
   if (!g_option_context_parse (context, argc, argv, &error))
@@ -155,12 +156,41 @@
   return clock_now_us () + options->timeout_ms * USEC_PER_MSEC;
 }
 
+/* The share of the time left that the next of N_LEFT entry VMs may take.  */
+static gint64
+share_deadline (gint64 deadline_us, guint n_left)
+{
+  gint64 now_us = clock_now_us ();
+
+  return now_us + MAX (deadline_us - now_us, 0) / MAX (n_left, 1);
+}
+
+json_t *
+cli_fetch_any (struct client *client, const struct cli_client_options *options,
+               struct client_request request, GError **error)
+{
+  gint64 deadline_us = cli_deadline_us (options);
+  guint n_entries = g_strv_length (options->entries);
+  json_t *json = NULL;
+
+  for (guint i = 0; i < n_entries && json == NULL; i++)
+    {
+      g_clear_error (error);
+      request.base = options->entries[i];
+      request.deadline_us = share_deadline (deadline_us, n_entries - i);
+      json = client_fetch (client, &request, error);
+    }
+  return json;
+}
+
 static int
 status_of_kind (enum error_kind kind)
 {
   switch (kind)
     {
     case ERROR_UNAVAILABLE:
+    case ERROR_NOT_RUN:
+    case ERROR_DRAINING:
       return EXIT_STATUS_UNAVAILABLE;
     case ERROR_INVALID:
     case ERROR_TOO_LARGE:
@@ -259,6 +289,12 @@
   for (guint i = 0; i < table->rows->len; i++)
     print_row (table, g_ptr_array_index (table->rows, i), widths);
   g_free (widths);
+  cli_table_free (table);
+}
+
+void
+cli_table_free (struct cli_table *table)
+{
   g_ptr_array_unref (table->rows);
   g_free (table);
 }
--- a/commands/cli.h
+++ b/commands/cli.h
@@ -27,7 +27,7 @@
   char **entries; /* "IP:PORT" */
   char *token_file;
   char *token;
-  int timeout_ms;
+  int timeout_ms; /* 0 before cli_parse () for the common default */
   gboolean is_json;
 };
 
@@ -46,6 +46,15 @@
 /* The deadline that the option --timeout sets, counted from now.  */
 gint64 cli_deadline_us (const struct cli_client_options *options);
 
+/*
+ * Sends REQUEST, which must be idempotent, to the entry VMs of OPTIONS in turn
+ * until one answers.  Returns the JSON, which the caller owns, or NULL with
+ * ERROR of the last one asked.
+ */
+json_t *cli_fetch_any (struct client *client,
+                       const struct cli_client_options *options,
+                       struct client_request request, GError **error);
+
 /* Prints ERROR on standard error, as JSON on standard output too when
    IS_JSON, and returns the exit status that goes with its kind.  */
 int cli_fail (const char *name, const GError *error, gboolean is_json);
@@ -62,6 +71,8 @@
 /* Adds a row of as many texts.  */
 void cli_table_add (struct cli_table *table, const char *const *cells);
 
+void cli_table_free (struct cli_table *table);
+
 /* Prints the table on standard output and frees it.  */
 void cli_table_print (struct cli_table *table);
 
--- a/commands/command.h
+++ b/commands/command.h
@@ -15,7 +15,8 @@
   EXIT_STATUS_OK = 0,
   EXIT_STATUS_FAILED = 1,      /* the operation failed */
   EXIT_STATUS_USAGE = 2,       /* the command line or a file is wrong */
-  EXIT_STATUS_UNAVAILABLE = 3, /* the service asked does not answer */
+  EXIT_STATUS_UNAVAILABLE = 3, /* the service asked does not answer or
+                                  takes no work now */
 };
 
 struct command
@@ -28,8 +29,23 @@
 /* The table, ended by an entry without a name.  Static.  */
 const struct command *command_table (void);
 
+/* The command of that name, or NULL.  Static.  */
+const struct command *command_find (const char *name);
+
+/* Says that NAME is no command and which one comes nearest; returns
+   EXIT_STATUS_USAGE.  */
+int command_complain_unknown (const char *name);
+
+int command_cancel (int argc, char **argv);
+int command_drain (int argc, char **argv);
+int command_dump (int argc, char **argv);
+int command_entry (int argc, char **argv);
 int command_help (int argc, char **argv);
+int command_job (int argc, char **argv);
+int command_log_level (int argc, char **argv);
+int command_status (int argc, char **argv);
+int command_submit (int argc, char **argv);
+int command_ticket (int argc, char **argv);
 int command_version (int argc, char **argv);
-int command_entry (int argc, char **argv);
 
 #endif
--- a/commands/entry.c
+++ b/commands/entry.c
@@ -1,6 +1,6 @@
 #include "transport/entry.h"
 #include "base/event_log.h"
-#include "commands/command.h"
+#include "commands/cli.h"
 #include "protocol/settings.h"
 
 #include <stdio.h>
@@ -11,34 +11,31 @@
   gboolean check_settings;
 };
 
+static const struct cli_usage usage = {
+  .name = "entry",
+  .summary = "Runs the daemon of an entry VM until SIGTERM has drained it.",
+  .example = "  radishchute entry --settings entry.json\n"
+             "  radishchute entry --settings entry.json --check-settings\n",
+};
+
 static gboolean
 parse_options (int *argc, char ***argv, struct options *options)
 {
-  GOptionEntry entries[] = {
+  const GOptionEntry entries[] = {
     { "settings", 's', 0, G_OPTION_ARG_FILENAME, &options->settings_path,
       "the settings of this entry VM", "FILE" },
     { "check-settings", 0, 0, G_OPTION_ARG_NONE, &options->check_settings,
       "check the settings and exit", NULL },
     G_OPTION_ENTRY_NULL,
   };
-  g_autoptr (GOptionContext) context = g_option_context_new (NULL);
-  g_autoptr (GError) error = NULL;
 
-  g_option_context_set_summary (context, "Runs the daemon of an entry VM.");
-  g_option_context_set_description (
-      context, "Example:\n  radishchute entry --settings entry.json\n");
-  g_option_context_add_main_entries (context, entries, NULL);
-  if (!g_option_context_parse (context, argc, argv, &error))
-    {
-      fprintf (stderr, "radishchute entry: %s; see --help\n", error->message);
-      return FALSE;
-    }
-  if (*argc > 1 || options->settings_path == NULL)
-    {
-      fprintf (stderr, "radishchute entry: name one file with --settings\n");
-      return FALSE;
-    }
-  return TRUE;
+  if (!cli_parse (&usage, entries, NULL, argc, argv))
+    return FALSE;
+  if (options->settings_path != NULL)
+    return TRUE;
+  fprintf (stderr, "radishchute entry: name the file of settings with "
+                   "--settings FILE; see 'radishchute entry --help'\n");
+  return FALSE;
 }
 
 static int
@@ -78,7 +75,9 @@
     }
   event_log_set_level (settings->log_level);
   event_log_set_format (settings->log_format);
-  if (!options.check_settings)
+  if (options.check_settings)
+    printf ("settings are valid\n");
+  else
     status = run_entry (settings);
   settings_free (settings);
   return status;
--- a/commands/main.c
+++ b/commands/main.c
@@ -1,11 +1,23 @@
 #include "commands/command.h"
 
+#include <glib.h>
 #include <stdio.h>
 #include <string.h>
 
+/* A name is suggested when so few edits turn it into the one given.  */
+#define MAX_SUGGESTION_EDITS 3
+
 static const struct command commands[] = {
+  { "cancel", "cancel a job", command_cancel },
+  { "drain", "make entry VMs finish and exit", command_drain },
+  { "dump", "print the state of an entry VM", command_dump },
   { "entry", "run the daemon of an entry VM", command_entry },
-  { "help", "list the commands", command_help },
+  { "help", "list the commands, or explain one", command_help },
+  { "job", "show a job", command_job },
+  { "log-level", "set the log level of entry VMs", command_log_level },
+  { "status", "show a line for each entry VM", command_status },
+  { "submit", "submit a job and print its answer", command_submit },
+  { "ticket", "draw tickets for safe retries", command_ticket },
   { "version", "print the version", command_version },
   { NULL, NULL, NULL },
 };
@@ -16,21 +28,84 @@
   return commands;
 }
 
+const struct command *
+command_find (const char *name)
+{
+  for (const struct command *c = commands; c->name != NULL; c++)
+    if (strcmp (c->name, name) == 0)
+      return c;
+  return NULL;
+}
+
+/* The number of characters to insert, delete or replace to get from A to B. */
+static guint
+edit_distance (const char *a, const char *b)
+{
+  size_t n = strlen (b);
+  g_autofree guint *row = g_new (guint, n + 1);
+
+  for (size_t j = 0; j <= n; j++)
+    row[j] = (guint)j;
+  for (size_t i = 0; a[i] != '\0'; i++)
+    {
+      guint diagonal = row[0];
+
+      row[0] = (guint)i + 1;
+      for (size_t j = 0; j < n; j++)
+        {
+          guint above = row[j + 1];
+          guint replaced = diagonal + (a[i] != b[j]);
+
+          row[j + 1] = MIN (MIN (above, row[j]) + 1, replaced);
+          diagonal = above;
+        }
+    }
+  return row[n];
+}
+
+static const char *
+find_nearest (const char *name)
+{
+  guint least = MAX_SUGGESTION_EDITS + 1;
+  const char *nearest = NULL;
+
+  for (const struct command *c = commands; c->name != NULL; c++)
+    {
+      guint distance = edit_distance (name, c->name);
+
+      if (distance < least && distance < strlen (c->name))
+        {
+          least = distance;
+          nearest = c->name;
+        }
+    }
+  return nearest;
+}
+
+int
+command_complain_unknown (const char *name)
+{
+  const char *nearest = find_nearest (name);
+
+  fprintf (stderr, "radishchute: '%s' is not a command; ", name);
+  if (nearest != NULL)
+    fprintf (stderr, "did you mean '%s'? ", nearest);
+  fprintf (stderr, "'radishchute help' lists them all\n");
+  return EXIT_STATUS_USAGE;
+}
+
 int
 main (int argc, char **argv)
 {
   const char *name = argc > 1 ? argv[1] : "help";
+  const struct command *command;
 
-  if (strcmp (name, "--help") == 0)
+  if (strcmp (name, "--help") == 0 || strcmp (name, "-h") == 0)
     name = "help";
   if (strcmp (name, "--version") == 0)
     name = "version";
-  for (const struct command *c = commands; c->name != NULL; c++)
-    if (strcmp (c->name, name) == 0)
-      return c->run (MAX (argc - 1, 1), argc > 1 ? argv + 1 : argv);
-  fprintf (stderr,
-           "radishchute: '%s' is not a command; 'radishchute help' lists "
-           "them\n",
-           name);
-  return EXIT_STATUS_USAGE;
+  command = command_find (name);
+  if (command == NULL)
+    return command_complain_unknown (name);
+  return command->run (MAX (argc - 1, 1), argc > 1 ? argv + 1 : argv);
 }
--- /dev/null
+++ b/commands/submit.c
@@ -0,0 +1,157 @@
+#include "commands/submission.h"
+
+#include "protocol/json_read.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static const struct cli_usage usage = {
+  .name = "submit",
+  .arguments = "[FILE]",
+  .summary
+  = "Submits a job from FILE, or from standard input, and prints its answer.",
+  .example = "  radishchute submit --entry 127.0.0.1:8080 job.json\n"
+             "  radishchute submit --retry --entry 127.0.0.1:8080 "
+             "--entry 127.0.0.1:8081 job.json\n",
+  .max_arguments = 1,
+};
+
+struct options
+{
+  struct cli_client_options client;
+  char *ticket;
+  gboolean is_async;
+  gboolean is_waiting;
+  gboolean is_retrying;
+};
+
+static char *
+read_input (const char *path, gsize *length, GError **error)
+{
+  g_autoptr (GString) text = g_string_new (NULL);
+  char *content = NULL;
+  char buf[65536];
+  size_t n;
+
+  if (path != NULL && strcmp (path, "-") != 0)
+    {
+      if (g_file_get_contents (path, &content, length, error))
+        return content;
+      g_prefix_error (error, "the job cannot be read: ");
+      (*error)->domain = RADISHCHUTE_ERROR;
+      (*error)->code = ERROR_INVALID;
+      return NULL;
+    }
+  while ((n = fread (buf, 1, sizeof buf, stdin)) > 0)
+    g_string_append_len (text, buf, (gssize)n);
+  *length = text->len;
+  return g_strndup (text->str, text->len);
+}
+
+/* The job as an object that the caller owns.  Comments are allowed.  */
+static json_t *
+load_job (const char *path, GError **error)
+{
+  gsize length = 0;
+  g_autofree char *text = read_input (path, &length, error);
+  json_t *job;
+
+  if (text == NULL)
+    return NULL;
+  job = json_parse_with_comments (text, length, error);
+  if (job != NULL && !json_is_object (job))
+    {
+      error_set (error, ERROR_INVALID,
+                 "the job must be a JSON object; see docs/PROTOCOLS.md");
+      g_clear_pointer (&job, json_decref);
+    }
+  return job;
+}
+
+static void
+print_outputs (const json_t *answer)
+{
+  json_t *outputs = json_object_get (answer, "outputs");
+  const char *id = json_string_value (json_object_get (answer, "job"));
+  const char *status = json_string_value (json_object_get (answer, "status"));
+
+  printf ("job %s: %s", id, status);
+  if (outputs != NULL)
+    printf (", %zu outputs", json_array_size (outputs));
+  printf ("\n");
+  for (size_t i = 0; i < json_array_size (outputs); i++)
+    {
+      char *text = json_dumps (json_array_get (outputs, i),
+                               JSON_COMPACT | JSON_ENCODE_ANY);
+
+      printf ("%4zu  %s\n", i, text);
+      free (text);
+    }
+}
+
+static int
+report (const struct options *options, json_t *answer, const GError *error)
+{
+  if (answer == NULL)
+    return cli_fail (usage.name, error, options->client.is_json);
+  if (options->client.is_json)
+    cli_print_json (answer);
+  else
+    print_outputs (answer);
+  return EXIT_STATUS_OK;
+}
+
+static int
+submit (const struct options *options, const char *path)
+{
+  g_autoptr (GError) error = NULL;
+  json_t *job = load_job (path, &error);
+  struct submission_plan plan = {
+    .options = &options->client,
+    .job = job,
+    .ticket = options->ticket,
+    .is_async = options->is_async || options->is_waiting,
+    .is_retrying = options->is_retrying,
+  };
+  json_t *answer = NULL;
+  int status;
+
+  if (job == NULL)
+    return cli_fail (usage.name, error, options->client.is_json);
+  plan.client = client_new (options->client.token);
+  plan.deadline_us = cli_deadline_us (&options->client);
+  answer = submission_run (&plan, &error);
+  if (answer != NULL && options->is_waiting)
+    answer = submission_wait (&plan, answer, &error);
+  status = report (options, answer, error);
+  json_decref (answer);
+  json_decref (job);
+  g_free (plan.drawn_ticket);
+  client_free (plan.client);
+  return status;
+}
+
+int
+command_submit (int argc, char **argv)
+{
+  struct options options = { 0 };
+  const GOptionEntry entries[] = {
+    { "ticket", 0, 0, G_OPTION_ARG_STRING, &options.ticket,
+      "submit under this ticket, which makes repeating safe", "TICKET" },
+    { "async", 0, 0, G_OPTION_ARG_NONE, &options.is_async,
+      "print the job's id and do not wait for its answer", NULL },
+    { "wait", 'w', 0, G_OPTION_ARG_NONE, &options.is_waiting,
+      "submit as with --async, then ask until the answer is there", NULL },
+    { "retry", 'r', 0, G_OPTION_ARG_NONE, &options.is_retrying,
+      "draw a ticket and try the entry VMs in turn until the job is answered",
+      NULL },
+    G_OPTION_ENTRY_NULL,
+  };
+  int status = EXIT_STATUS_USAGE;
+
+  if (cli_parse (&usage, entries, &options.client, &argc, &argv))
+    status = submit (&options, argc > 1 ? argv[1] : NULL);
+  cli_client_options_clear (&options.client);
+  g_free (options.ticket);
+  return status;
+}
--- /dev/null
+++ b/commands/ticket.c
@@ -0,0 +1,54 @@
+#include "commands/cli.h"
+
+#include <stdio.h>
+
+static const struct cli_usage usage = {
+  .name = "ticket",
+  .summary = "Draws tickets, under which jobs may be submitted repeatedly.",
+  .example = "  radishchute ticket --entry 127.0.0.1:8080 --count 10\n",
+};
+
+static int
+print_tickets (const json_t *answer, gboolean is_json)
+{
+  json_t *tickets = json_object_get (answer, "tickets");
+
+  if (is_json)
+    cli_print_json (answer);
+  for (size_t i = 0; !is_json && i < json_array_size (tickets); i++)
+    printf ("%s\n", json_string_value (json_array_get (tickets, i)));
+  return EXIT_STATUS_OK;
+}
+
+static int
+draw_tickets (const struct cli_client_options *options, int count)
+{
+  g_autofree char *path = g_strdup_printf ("/v1/tickets?count=%d", count);
+  struct client_request request = { .method = "POST", .path = path };
+  struct client *client = client_new (options->token);
+  g_autoptr (GError) error = NULL;
+  json_t *answer = cli_fetch_any (client, options, request, &error);
+  int status = answer != NULL ? print_tickets (answer, options->is_json)
+                              : cli_fail (usage.name, error, options->is_json);
+
+  json_decref (answer);
+  client_free (client);
+  return status;
+}
+
+int
+command_ticket (int argc, char **argv)
+{
+  int count = 1;
+  const GOptionEntry entries[] = {
+    { "count", 'n', 0, G_OPTION_ARG_INT, &count, "how many (default 1)", "N" },
+    G_OPTION_ENTRY_NULL,
+  };
+  struct cli_client_options options = { 0 };
+  int status = EXIT_STATUS_USAGE;
+
+  if (cli_parse (&usage, entries, &options, &argc, &argv))
+    status = draw_tickets (&options, count);
+  cli_client_options_clear (&options);
+  return status;
+}
