--- a/transport/entry.c
+++ b/transport/entry.c
@@ -69,9 +69,8 @@
       entry_free (entry);
       return NULL;
     }
-  entry->operator_server
-      = operator_server_attach (caller_server_get_soup (entry->caller_server),
-                                settings, entry->home, start_drain, entry);
+  entry->operator_server = operator_server_attach (
+      entry->caller_server, settings, entry->home, start_drain, entry);
   entry->config_follower
       = config_follower_new (settings, home_get_dispatcher (entry->home));
   return entry;
--- a/transport/operator_server.c
+++ b/transport/operator_server.c
@@ -119,8 +119,7 @@
 static gboolean
 parse_level (SoupServerMessage *message, enum log_level *level, GError **error)
 {
-  SoupMessageBody *body = soup_server_message_get_request_body (message);
-  g_autoptr (GBytes) bytes = soup_message_body_flatten (body);
+  g_autoptr (GBytes) bytes = caller_server_get_body (message);
   gsize length;
   const char *text = g_bytes_get_data (bytes, &length);
   json_t *root = json_parse (text != NULL ? text : "", length, error);
@@ -232,8 +231,8 @@
 }
 
 struct operator_server *
-operator_server_attach (SoupServer *soup, const struct settings *settings,
-                        struct home *home,
+operator_server_attach (struct caller_server *callers,
+                        const struct settings *settings, struct home *home,
                         void (*request_drain) (gpointer data), gpointer data)
 {
   struct operator_server *server = g_new0 (struct operator_server, 1);
@@ -243,7 +242,7 @@
   server->request_drain = request_drain;
   server->drain_data = data;
   for (gsize i = 0; i < G_N_ELEMENTS (routes); i++)
-    soup_server_add_handler (soup, routes[i].path, on_request, server, NULL);
+    caller_server_add_handler (callers, routes[i].path, on_request, server);
   return server;
 }
 
--- a/transport/operator_server.h
+++ b/transport/operator_server.h
@@ -8,20 +8,21 @@
 #define TRANSPORT_OPERATOR_SERVER_H
 
 #include "protocol/settings.h"
+#include "transport/caller_server.h"
 #include "transport/home.h"
 
-#include <libsoup/soup.h>
+#include <glib.h>
 
 struct operator_server;
 
 /*
- * Adds the operators' paths to SOUP.  REQUEST_DRAIN is called with DATA when
- * an operator asks for a drain.  SETTINGS and HOME must outlive the result,
- * which must outlive SOUP's last request.
+ * Adds the operators' paths to CALLERS.  REQUEST_DRAIN is called with DATA
+ * when an operator asks for a drain.  SETTINGS and HOME must outlive the
+ * result, which must outlive CALLERS.
  */
 struct operator_server *
-operator_server_attach (SoupServer *soup, const struct settings *settings,
-                        struct home *home,
+operator_server_attach (struct caller_server *callers,
+                        const struct settings *settings, struct home *home,
                         void (*request_drain) (gpointer data), gpointer data);
 void operator_server_free (struct operator_server *server);
 
