commands: add bench

Open loops with Poisson and bursty arrivals and closed loops, both deployments job shapes, times from the intended arrival, time over ideal, wasted messages, memory and processor time of the entry processes; as table, JSON and plot, beside an earlier run.

--- /dev/null
+++ b/commands/bench.c
@@ -0,0 +1,380 @@
+#include "commands/bench_report.h"
+#include "commands/cli.h"
+
+#include "base/clock.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define MAX_SECONDS 600
+#define MAX_JOBS 10000000
+#define MAX_CLIENTS 20000
+#define DEFAULT_SEED 1
+
+/* The state of an entry VM is awaited no longer.  */
+#define STATE_TIMEOUT_US (5 * USEC_PER_SEC)
+
+static const struct cli_usage usage = {
+  .name = "bench",
+  .summary = "Sends load to entry VMs and measures the answers. The tasks' "
+             "input is the one\nof the stand-in for upstreams: "
+             "{\"run_ms\": N}.",
+  .example = "  radishchute bench -e 127.0.0.1:8080 --profile hjolavinir "
+             "--load 0.5 --slots 384\n"
+             "  radishchute bench -e 127.0.0.1:8080 --tasks 1 --run-ms 50 "
+             "--rate 100 --json\n"
+             "  radishchute bench -e 127.0.0.1:8080 --tasks 100 --run-ms 0 "
+             "--clients 20\n",
+};
+
+struct options
+{
+  struct cli_client_options client;
+  char *name;
+  char *profile;
+  char *tasks;
+  char *run_ms;
+  char *arrivals;
+  char **pids;
+  char *team;
+  char *service;
+  char *svg;
+  char *compare;
+  char *output;
+  gdouble rate;
+  gdouble load;
+  gdouble seconds;
+  gdouble warmup;
+  gdouble declared_factor;
+  int slots;
+  int clients;
+  int burst;
+  int max_jobs;
+  int seed;
+  gboolean is_remote_allowed;
+  gboolean is_direct;
+};
+
+static gboolean
+complain (const char *message)
+{
+  fprintf (stderr, "radishchute bench: %s; see 'radishchute bench --help'\n",
+           message);
+  return FALSE;
+}
+
+static gboolean
+read_arrivals (const char *name, enum bench_arrivals *arrivals)
+{
+  if (g_str_equal (name, "poisson"))
+    *arrivals = BENCH_POISSON;
+  else if (g_str_equal (name, "bursty"))
+    *arrivals = BENCH_BURSTY;
+  else if (g_str_equal (name, "closed"))
+    *arrivals = BENCH_CLOSED;
+  else
+    return complain ("--arrivals must be one of: poisson, bursty, closed");
+  return TRUE;
+}
+
+static gboolean
+read_profile (const struct options *options, struct bench_config *config)
+{
+  const struct bench_profile *profile;
+
+  if (options->profile == NULL)
+    return TRUE;
+  profile = bench_profile_find (options->profile);
+  if (profile == NULL)
+    return complain ("--profile must be one of: hjolavinir, valdivieso");
+  config->shape = profile->shape;
+  config->arrivals = profile->arrivals;
+  config->burst = profile->burst;
+  return TRUE;
+}
+
+static gboolean
+read_shape (const struct options *options, struct bench_config *config)
+{
+  struct bench_shape *shape = &config->shape;
+
+  if (!read_profile (options, config))
+    return FALSE;
+  if (options->tasks != NULL
+      && (!bench_parse_range (options->tasks, &shape->min_tasks,
+                              &shape->max_tasks)
+          || shape->min_tasks == 0))
+    return complain ("--tasks must be N or N-M, at least 1");
+  if (options->run_ms != NULL
+      && !bench_parse_range (options->run_ms, &shape->min_run_ms,
+                             &shape->max_run_ms))
+    return complain ("--run-ms must be N or N-M");
+  if (options->declared_factor >= 1)
+    shape->declared_factor = options->declared_factor;
+  if (options->clients > 0)
+    config->arrivals = BENCH_CLOSED;
+  return options->arrivals == NULL
+         || read_arrivals (options->arrivals, &config->arrivals);
+}
+
+/* The rate that keeps the share --load of --slots busy.  */
+static gdouble
+rate_for_load (const struct options *options, const struct bench_shape *shape)
+{
+  gdouble work_ms = MAX (bench_shape_mean_work_ms (shape), 1);
+
+  return options->load * options->slots * 1000 / work_ms;
+}
+
+static gboolean
+read_rate (const struct options *options, struct bench_config *config)
+{
+  config->burst = options->burst > 0 ? (guint)options->burst : config->burst;
+  config->n_clients = (guint)CLAMP (options->clients, 1, MAX_CLIENTS);
+  config->rate = options->rate;
+  if (options->load > 0)
+    config->rate = rate_for_load (options, &config->shape);
+  if (config->arrivals != BENCH_CLOSED && config->rate <= 0)
+    return complain ("name a --rate, a --load, or --clients");
+  if (options->load > 0 && options->slots <= 0)
+    return complain ("--load needs --slots, the slots of all upstreams");
+  return TRUE;
+}
+
+static gboolean
+read_bounds (const struct options *options, struct bench_config *config)
+{
+  config->seconds = options->seconds;
+  config->warmup_seconds = options->warmup;
+  config->max_jobs = (guint)CLAMP (options->max_jobs, 1, MAX_JOBS);
+  config->seed = (guint32)options->seed;
+  config->is_direct = options->is_direct;
+  if (config->seconds <= 0 || config->seconds > MAX_SECONDS)
+    return complain ("--seconds must be above 0 and at most 600");
+  if (config->warmup_seconds < 0 || config->warmup_seconds >= config->seconds)
+    return complain ("--warmup must be less than --seconds");
+  return TRUE;
+}
+
+static gboolean
+read_entries (const struct options *options, struct bench_config *config)
+{
+  config->entries = options->client.entries;
+  config->n_entries = g_strv_length (config->entries);
+  if (config->n_entries > BENCH_MAX_ENTRIES)
+    return complain ("there are more than 32 --entry options");
+  for (guint i = 0; i < config->n_entries && !options->is_remote_allowed; i++)
+    if (!g_str_has_prefix (config->entries[i], "127."))
+      return complain ("load goes to loopback only, unless --allow-remote");
+  for (guint i = 0; options->pids != NULL && options->pids[i] != NULL; i++)
+    if (i < config->n_entries)
+      config->pids[i] = (pid_t)g_ascii_strtoll (options->pids[i], NULL, 10);
+  return TRUE;
+}
+
+static gboolean
+read_config (const struct options *options, struct bench_config *config)
+{
+  config->team = options->team != NULL ? options->team : "hjolavinir";
+  config->service
+      = options->service != NULL ? options->service : "staerdarvisir";
+  config->shape.min_tasks = config->shape.max_tasks = 1;
+  config->shape.is_idempotent = TRUE;
+  config->burst = 1;
+  return read_entries (options, config) && read_shape (options, config)
+         && read_rate (options, config) && read_bounds (options, config);
+}
+
+static json_t *
+fetch_state (struct client *client, const char *entry, GError **error)
+{
+  struct client_request request
+      = { .method = "GET",
+          .base = entry,
+          .path = "/v1/state",
+          .deadline_us = clock_now_us () + STATE_TIMEOUT_US };
+
+  return client_fetch (client, &request, error);
+}
+
+/* Adds SIGN times what the entry VMs have sent so far; learns their pids.  */
+static gboolean
+count_messages (struct client *client, struct bench_config *config, int sign,
+                struct bench_messages *messages, GError **error)
+{
+  for (guint i = 0; i < config->n_entries && !config->is_direct; i++)
+    {
+      json_t *state = fetch_state (client, config->entries[i], error);
+      json_t *sent = json_object_get (state, "messages");
+      json_t *process = json_object_get (state, "process");
+
+      if (state == NULL)
+        return FALSE;
+      messages->starts
+          += sign * json_integer_value (json_object_get (sent, "starts"));
+      messages->renewals
+          += sign * json_integer_value (json_object_get (sent, "renewals"));
+      messages->stops
+          += sign * json_integer_value (json_object_get (sent, "stops"));
+      if (config->pids[i] == 0)
+        config->pids[i]
+            = (pid_t)json_integer_value (json_object_get (process, "pid"));
+      json_decref (state);
+    }
+  return TRUE;
+}
+
+static json_t *
+load_earlier (const char *path, GError **error)
+{
+  json_error_t problem;
+  json_t *earlier = json_load_file (path, 0, &problem);
+
+  if (earlier == NULL)
+    error_set (error, ERROR_INVALID,
+               "%s: %s; give a file that --output or --json wrote", path,
+               problem.text);
+  return earlier;
+}
+
+/* Prints and writes what was asked for.  */
+static gboolean
+publish (const struct options *options, const json_t *report,
+         const json_t *earlier, GError **error)
+{
+  if (options->client.is_json)
+    cli_print_json (report);
+  else
+    bench_report_print (report, earlier);
+  if (options->output != NULL
+      && json_dump_file (report, options->output, JSON_INDENT (1)) != 0)
+    {
+      error_set (error, ERROR_INVALID, "%s cannot be written",
+                 options->output);
+      return FALSE;
+    }
+  return options->svg == NULL
+         || bench_report_plot (report, earlier, options->svg, error);
+}
+
+static int
+run_bench (const struct options *options, struct bench_config *config)
+{
+  const char *name = options->name != NULL      ? options->name
+                     : options->profile != NULL ? options->profile
+                                                : "bench";
+  struct client *client = client_new (options->client.token);
+  struct bench_messages messages = { 0 };
+  struct bench_outcome *outcome = NULL;
+  json_t *earlier = NULL;
+  json_t *report = NULL;
+  GError *error = NULL;
+  int status = EXIT_STATUS_OK;
+
+  if (options->compare != NULL)
+    earlier = load_earlier (options->compare, &error);
+  if (error == NULL && count_messages (client, config, -1, &messages, &error))
+    outcome = bench_load_run (config);
+  if (outcome != NULL && count_messages (client, config, 1, &messages, &error))
+    {
+      report = bench_report_build (name, config, outcome, &messages);
+      publish (options, report, earlier, &error);
+    }
+  if (error != NULL)
+    status = cli_fail (usage.name, error, FALSE);
+  g_clear_error (&error);
+  g_clear_pointer (&outcome, bench_outcome_free);
+  json_decref (report);
+  json_decref (earlier);
+  client_free (client);
+  return status;
+}
+
+static gboolean
+parse_options (struct options *options, int *argc, char ***argv)
+{
+  const GOptionEntry entries[] = {
+    { "name", 0, 0, G_OPTION_ARG_STRING, &options->name,
+      "a name for the report", "NAME" },
+    { "profile", 0, 0, G_OPTION_ARG_STRING, &options->profile,
+      "a deployment's jobs: hjolavinir or valdivieso", "NAME" },
+    { "tasks", 0, 0, G_OPTION_ARG_STRING, &options->tasks, "tasks of a job",
+      "N[-M]" },
+    { "run-ms", 0, 0, G_OPTION_ARG_STRING, &options->run_ms,
+      "run time of a task", "N[-M]" },
+    { "declared-factor", 0, 0, G_OPTION_ARG_DOUBLE, &options->declared_factor,
+      "declared run times are off by up to this factor", "F" },
+    { "arrivals", 0, 0, G_OPTION_ARG_STRING, &options->arrivals,
+      "poisson, bursty or closed", "KIND" },
+    { "burst", 0, 0, G_OPTION_ARG_INT, &options->burst, "mean jobs of a burst",
+      "N" },
+    { "rate", 0, 0, G_OPTION_ARG_DOUBLE, &options->rate,
+      "jobs a second, in an open loop", "R" },
+    { "load", 0, 0, G_OPTION_ARG_DOUBLE, &options->load,
+      "the share of --slots to keep busy, instead of --rate", "SHARE" },
+    { "slots", 0, 0, G_OPTION_ARG_INT, &options->slots,
+      "slots of all upstreams", "N" },
+    { "clients", 0, 0, G_OPTION_ARG_INT, &options->clients,
+      "jobs in flight, in a closed loop", "N" },
+    { "seconds", 0, 0, G_OPTION_ARG_DOUBLE, &options->seconds,
+      "how long jobs arrive (default 10, at most 600)", "S" },
+    { "warmup", 0, 0, G_OPTION_ARG_DOUBLE, &options->warmup,
+      "of these, not measured (default 1)", "S" },
+    { "max-jobs", 0, 0, G_OPTION_ARG_INT, &options->max_jobs,
+      "send no more (default 1000000)", "N" },
+    { "seed", 0, 0, G_OPTION_ARG_INT, &options->seed,
+      "of the random generator (default 1)", "N" },
+    { "pid", 0, 0, G_OPTION_ARG_STRING_ARRAY, &options->pids,
+      "process of each --entry, when its state does not name it", "PID" },
+    { "team", 0, 0, G_OPTION_ARG_STRING, &options->team,
+      "team of the jobs (default hjolavinir)", "TEAM" },
+    { "service", 0, 0, G_OPTION_ARG_STRING, &options->service,
+      "service of the jobs (default staerdarvisir)", "SERVICE" },
+    { "output", 'o', 0, G_OPTION_ARG_FILENAME, &options->output,
+      "write the figures as JSON too", "FILE" },
+    { "svg", 0, 0, G_OPTION_ARG_FILENAME, &options->svg,
+      "plot the time over ideal", "FILE" },
+    { "compare", 0, 0, G_OPTION_ARG_FILENAME, &options->compare,
+      "show the ratios to an earlier run's JSON", "FILE" },
+    { "direct", 0, 0, G_OPTION_ARG_NONE, &options->is_direct,
+      "the addresses are upstreams: measures this tool alone", NULL },
+    { "allow-remote", 0, 0, G_OPTION_ARG_NONE, &options->is_remote_allowed,
+      "send load beyond loopback", NULL },
+    G_OPTION_ENTRY_NULL,
+  };
+
+  return cli_parse (&usage, entries, &options->client, argc, argv);
+}
+
+static void
+options_clear (struct options *options)
+{
+  cli_client_options_clear (&options->client);
+  g_free (options->name);
+  g_free (options->profile);
+  g_free (options->tasks);
+  g_free (options->run_ms);
+  g_free (options->arrivals);
+  g_strfreev (options->pids);
+  g_free (options->team);
+  g_free (options->service);
+  g_free (options->output);
+  g_free (options->svg);
+  g_free (options->compare);
+}
+
+int
+command_bench (int argc, char **argv)
+{
+  struct options options = {
+    .seconds = 10, .warmup = 1, .max_jobs = 1000000, .seed = DEFAULT_SEED
+  };
+  struct bench_config config = { 0 };
+  int status = EXIT_STATUS_USAGE;
+
+  if (parse_options (&options, &argc, &argv)
+      && read_config (&options, &config))
+    status = run_bench (&options, &config);
+  options_clear (&options);
+  return status;
+}
--- a/commands/command.h
+++ b/commands/command.h
@@ -36,6 +36,7 @@
    EXIT_STATUS_USAGE.  */
 int command_complain_unknown (const char *name);
 
+int command_bench (int argc, char **argv);
 int command_cancel (int argc, char **argv);
 int command_drain (int argc, char **argv);
 int command_dump (int argc, char **argv);
--- a/commands/main.c
+++ b/commands/main.c
@@ -8,6 +8,7 @@
 #define MAX_SUGGESTION_EDITS 3
 
 static const struct command commands[] = {
+  { "bench", "send load and measure the answers", command_bench },
   { "cancel", "cancel a job", command_cancel },
   { "drain", "make entry VMs finish and exit", command_drain },
   { "dump", "print the state of an entry VM", command_dump },
--- a/t/t6001-commands.c
+++ b/t/t6001-commands.c
@@ -61,7 +61,7 @@
 }
 
 static const char *const command_names[]
-    = { "cancel",    "drain",  "dump",   "entry",  "job",
+    = { "bench",     "cancel", "drain",  "dump",   "entry",  "job",
         "log-level", "status", "submit", "ticket", "version" };
 
 static void
