transport: give each upstream its own HTTP session

libsoup walks all messages and all connections of a session whenever one of them changes. With one session over 48 upstreams that was most of the cost of a task.

--- a/commands/bench_load.c
+++ b/commands/bench_load.c
@@ -85,7 +85,7 @@
 static void
 check_end (struct load *load)
 {
-  if (clock_now_us () >= load->end_us && load->n_in_flight == 0)
+  if (load->is_window_closed && load->n_in_flight == 0)
     g_main_loop_quit (load->loop);
 }
 
@@ -275,8 +275,7 @@
                 load->config->seconds, load->n_in_flight);
   if (now_us >= load->end_us + GRACE_US)
     g_cancellable_cancel (load->cancellable);
-  if (load->is_window_closed)
-    check_end (load);
+  check_end (load);
   return G_SOURCE_CONTINUE;
 }
 
--- a/transport/caller_server.c
+++ b/transport/caller_server.c
@@ -468,3 +468,9 @@
 {
   return server->port;
 }
+
+guint
+caller_server_count_connections (const struct caller_server *server)
+{
+  return connection_guard_count (server->guard);
+}
--- a/transport/caller_server.h
+++ b/transport/caller_server.h
@@ -22,6 +22,9 @@
 /* The port that it listens on.  */
 guint caller_server_get_port (const struct caller_server *server);
 
+/* Connections of callers that are open.  */
+guint caller_server_count_connections (const struct caller_server *server);
+
 /* Serves PATH too, by HANDLER with DATA, on the same port and within the same
    limits.  */
 void caller_server_add_handler (struct caller_server *server, const char *path,
--- a/transport/operator_server.c
+++ b/transport/operator_server.c
@@ -13,6 +13,7 @@
 
 struct operator_server
 {
+  struct caller_server *callers;
   const struct settings *settings;
   struct home *home;
   void (*request_drain) (gpointer data);
@@ -89,8 +90,11 @@
 static void
 handle_state (struct operator_server *server, SoupServerMessage *message)
 {
-  answer_json (message, SOUP_STATUS_OK,
-               state_dump_build (server->settings, server->home));
+  json_t *state = state_dump_build (server->settings, server->home);
+  guint n_connections = caller_server_count_connections (server->callers);
+
+  json_object_set_new (state, "connections", json_integer (n_connections));
+  answer_json (message, SOUP_STATUS_OK, state);
 }
 
 static void
@@ -237,6 +241,7 @@
 {
   struct operator_server *server = g_new0 (struct operator_server, 1);
 
+  server->callers = callers;
   server->settings = settings;
   server->home = home;
   server->request_drain = request_drain;
--- a/transport/upstream_client.c
+++ b/transport/upstream_client.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/metrics.h"
 #include "protocol/json_read.h"
+#include "transport/session_pool.h"
 
 #include <libsoup/soup.h>
 #include <string.h>
@@ -33,8 +34,8 @@
 struct upstream_client
 {
   struct upstream_client_owner *owner;
-  SoupSession *session;         /* for starts */
-  SoupSession *control_session; /* for renewals and stops */
+  struct session_pool *sessions; /* for starts */
+  SoupSession *control_session;  /* for renewals and stops */
   GCancellable *shutdown;
   struct list_node attempts;  /* struct attempt by link */
   struct list_node unsent;    /* struct attempt by wait_link, oldest first */
@@ -103,6 +104,7 @@
 
   give_up_overdue (&client->unsent, now_us);
   give_up_overdue (&client->abandoned, now_us);
+  session_pool_sweep (client->sessions, now_us);
   return G_SOURCE_CONTINUE;
 }
 
@@ -112,10 +114,7 @@
   struct upstream_client *client = g_new0 (struct upstream_client, 1);
 
   client->owner = owner;
-  client->session = soup_session_new_with_options (
-      "proxy-resolver", NULL, "max-conns", MAX_CONNECTIONS,
-      "max-conns-per-host", MAX_CONNECTIONS_PER_UPSTREAM, "idle-timeout",
-      IDLE_TIMEOUT_SEC, "timeout", 0, NULL);
+  client->sessions = session_pool_new ();
   client->control_session = soup_session_new_with_options (
       "proxy-resolver", NULL, "max-conns", MAX_CONNECTIONS,
       "max-conns-per-host", MAX_CONNECTIONS_PER_UPSTREAM, "idle-timeout",
@@ -144,7 +143,7 @@
     }
   g_cancellable_cancel (client->shutdown);
   g_object_unref (client->shutdown);
-  g_object_unref (client->session);
+  session_pool_free (client->sessions);
   g_object_unref (client->control_session);
   g_free (client);
 }
@@ -333,6 +332,9 @@
                        const struct service *service)
 {
   struct attempt *attempt = g_new0 (struct attempt, 1);
+  gint64 now_us = clock_now_us ();
+  SoupSession *session
+      = session_pool_get (client->sessions, task->upstream->address, now_us);
 
   attempt->client = client;
   attempt->task = task;
@@ -340,7 +342,7 @@
   attempt->cancellable = g_cancellable_new ();
   attempt->message = build_start (task, service);
   list_append (&client->attempts, &attempt->link);
-  attempt->give_up_us = clock_now_us () + SEND_TIMEOUT_US;
+  attempt->give_up_us = now_us + SEND_TIMEOUT_US;
   list_append (&client->unsent, &attempt->wait_link);
   task->transport_data = attempt;
   client->counts.starts++;
@@ -349,9 +351,8 @@
                     attempt);
   g_signal_connect (attempt->message, "wrote-body", G_CALLBACK (on_wrote_body),
                     attempt);
-  soup_session_send_async (client->session, attempt->message,
-                           G_PRIORITY_DEFAULT, attempt->cancellable,
-                           on_answer_started, attempt);
+  soup_session_send_async (session, attempt->message, G_PRIORITY_DEFAULT,
+                           attempt->cancellable, on_answer_started, attempt);
 }
 
 /* Nobody waits for ATTEMPT any more; it ends with its lease at the latest.  */
