--- a/commands/cancel.c
+++ b/commands/cancel.c
@@ -33,17 +33,19 @@
 
 /*
  * An answer that carries the job's id is the job's end, and the cancellation
- * has done what it can.
+ * has done what it can, unless the outcome is unknown.
  */
 static int
 judge_answer (const struct client_answer *answer, gboolean is_json)
 {
   g_autoptr (GError) error = NULL;
 
-  if (json_object_get (answer->json, "job") != NULL)
-    return print_end (answer, is_json);
+  gboolean is_end = json_object_get (answer->json, "job") != NULL;
+
   if (client_answer_check (answer, &error))
-    return EXIT_STATUS_OK;
+    return print_end (answer, is_json);
+  if (is_end && error_get_kind (error) != ERROR_UNKNOWN)
+    return print_end (answer, is_json);
   return cli_fail (usage.name, error, is_json);
 }
 
--- a/commands/entry.c
+++ b/commands/entry.c
@@ -39,7 +39,7 @@
 }
 
 static int
-run_entry (const struct settings *settings)
+run_entry (const struct settings *settings, const char *path)
 {
   g_autoptr (GError) error = NULL;
   struct entry *entry = entry_new (settings, &error);
@@ -49,7 +49,9 @@
       event_log (EVENT_LISTEN_FAILED, "%s", error->message);
       return EXIT_STATUS_FAILED;
     }
-  printf ("{\"ready\":true,\"ports\":[%u]}\n", entry_get_port (entry));
+  entry_set_settings_path (entry, path);
+  printf ("{\"ready\":true,\"ports\":[%u,%u]}\n", entry_get_port (entry),
+          entry_get_peer_port (entry));
   fflush (stdout);
   entry_run (entry);
   entry_free (entry);
@@ -67,10 +69,10 @@
   if (!parse_options (&argc, &argv, &options))
     return EXIT_STATUS_USAGE;
   settings = settings_load (options.settings_path, &error);
-  g_free (options.settings_path);
   if (settings == NULL)
     {
       fprintf (stderr, "%s\n", error->message);
+      g_free (options.settings_path);
       return EXIT_STATUS_USAGE;
     }
   event_log_set_level (settings->log_level);
@@ -78,7 +80,8 @@
   if (options.check_settings)
     printf ("settings are valid\n");
   else
-    status = run_entry (settings);
+    status = run_entry (settings, options.settings_path);
   settings_free (settings);
+  g_free (options.settings_path);
   return status;
 }
--- a/transport/operator_server.c
+++ b/transport/operator_server.c
@@ -91,9 +91,8 @@
 handle_state (struct operator_server *server, SoupServerMessage *message)
 {
   json_t *state = state_dump_build (server->settings, server->home);
-  guint n_connections = caller_server_count_connections (server->callers);
 
-  json_object_set_new (state, "connections", json_integer (n_connections));
+  caller_server_describe (server->callers, state);
   answer_json (message, SOUP_STATUS_OK, state);
 }
 
