--- a/Makefile
+++ b/Makefile
@@ -43,9 +43,9 @@
 BENCH_OBJS := $(BENCH_SRCS:%.c=$(BUILD)/%.o)
 
 HAND_SRCS := $(LIB_SRCS) $(BENCH_SRCS) $(COMMAND_SRCS) $(STANDIN_SRCS) $(SUPPORT_SRCS) \
-  $(TEST_SRCS) $(wildcard t/fuzz/*.c)
+  $(TEST_SRCS) $(wildcard t/fuzz/*.c t/demo/*.c t/bench/*.c)
 HAND_HDRS := $(wildcard $(LAYERS:%=%/*.h) commands/*.h bench/*.h t/*.h t/standin/*.h \
-  t/support/*.h)
+  t/support/*.h t/fuzz/*.h)
 HAND_HDRS := $(filter-out protocol/peer_xdr.h,$(HAND_HDRS))
 
 all: $(PROGRAMS)
@@ -89,6 +89,23 @@
 $(BUILD)/bench-decisions: $(BENCH_OBJS) $(BUILD)/libradishchute.a
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
+# Installs what is missing first, hence the second make.
+demo:
+	.ci/packages
+	$(MAKE) -s all $(BUILD)/demo
+	@RADISHCHUTE_BUILD=$(BUILD) $(BUILD)/demo 2>$(BUILD)/demo.log \
+	  || { cat $(BUILD)/demo.log; exit 1; }
+
+bench: all $(BUILD)/bench-standard
+	t/bench/run
+
+$(BUILD)/demo: $(BUILD)/t/demo/main.o $(SUPPORT_OBJS) $(BUILD)/libradishchute.a
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/bench-standard: $(BUILD)/t/bench/main.o $(SUPPORT_OBJS) \
+  $(BUILD)/libradishchute.a
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
+
 SANITIZE_FLAGS = -fsanitize=address,undefined -fno-omit-frame-pointer \
   -fno-sanitize-recover=undefined
 sanitize:
@@ -115,7 +132,7 @@
 clean:
 	rm -rf build build-sanitize
 
-.PHONY: all bench-decisions generate check sanitize format format-check lint \
+.PHONY: all demo bench bench-decisions generate check sanitize format format-check lint \
   layers-check clean
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
