transport: tell callers when to come back and when the service ends

Refusals carried the time of the next try on the job, but it never reached the caller, and the dispatcher was never told Unix time, so a shutdown date had no effect in the daemon. Answers now carry Retry-After and Sunset, also when the job's home is another VM, and the offset of the wall clock is told once a second. The answers of callers' and operators' paths share one module.

--- a/state/job.c
+++ b/state/job.c
@@ -80,6 +80,14 @@
     }
 }
 
+guint
+job_count_retry_after (const struct job *job, gint64 now_us)
+{
+  if (job->retry_at_us <= now_us || job->retry_at_us == DEADLINE_NEVER)
+    return 0;
+  return (guint)((job->retry_at_us - now_us - 1) / USEC_PER_SEC + 1);
+}
+
 void
 job_drop_inputs (struct job *job)
 {
--- a/state/job.h
+++ b/state/job.h
@@ -120,6 +120,10 @@
 /* Adds up the memory that JOB accounts for, in bytes.  */
 void job_update_bytes (struct job *job);
 
+/* The seconds, rounded up, until a refused job may be sent again; 0 when
+   nothing is known.  */
+guint job_count_retry_after (const struct job *job, gint64 now_us);
+
 /* Drops the inputs, which are not needed once the job has finished.  */
 void job_drop_inputs (struct job *job);
 
--- a/transport/caller_forward.c
+++ b/transport/caller_forward.c
@@ -1,5 +1,7 @@
 #include "transport/caller_forward.h"
 
+#include "transport/http_answer.h"
+
 /* A caller whose job has its home elsewhere.  */
 struct remote_caller
 {
@@ -27,32 +29,16 @@
   remote_caller_free (caller);
 }
 
-static void
-set_headers (struct remote_caller *caller, guint status, guint retry_after_s)
-{
-  SoupMessageHeaders *headers
-      = soup_server_message_get_response_headers (caller->message);
-  g_autofree char *location = g_strconcat ("/v1/jobs/", caller->id, NULL);
-  char seconds[16];
-
-  soup_message_headers_set_content_type (headers, "application/json", NULL);
-  if (status == SOUP_STATUS_ACCEPTED)
-    soup_message_headers_replace (headers, "Location", location);
-  if (retry_after_s == 0)
-    return;
-  g_snprintf (seconds, sizeof seconds, "%u", retry_after_s);
-  soup_message_headers_replace (headers, "Retry-After", seconds);
-}
-
 static void
 on_answer (guint status, guint retry_after_s, GBytes *body, gpointer data)
 {
   struct remote_caller *caller = data;
+  g_autofree char *location = g_strconcat ("/v1/jobs/", caller->id, NULL);
 
-  soup_server_message_set_status (caller->message, status, NULL);
-  set_headers (caller, status, retry_after_s);
-  soup_message_body_append_bytes (
-      soup_server_message_get_response_body (caller->message), body);
+  http_answer_bytes (caller->message, status, HTTP_JSON_TYPE, body);
+  http_answer_set_retry_after (caller->message, retry_after_s);
+  if (status == SOUP_STATUS_ACCEPTED)
+    http_answer_set_header (caller->message, "Location", location);
   soup_server_message_unpause (caller->message);
   remote_caller_free (caller);
 }
--- a/transport/caller_server.c
+++ b/transport/caller_server.c
@@ -5,6 +5,7 @@
 #include "protocol/json_read.h"
 #include "transport/caller_forward.h"
 #include "transport/connection_guard.h"
+#include "transport/http_answer.h"
 #include "transport/listener.h"
 #include "transport/peer_dump.h"
 
@@ -12,7 +13,6 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#define JSON_TYPE "application/json"
 #define JOBS_PATH "/v1/jobs"
 
 /* A connection may stay idle between two requests for this long.  */
@@ -43,57 +43,52 @@
 struct caller
 {
   struct job_waiter waiter;
+  struct caller_server *server;
   SoupServerMessage *message;
   gulong finished_handler;
 };
 
 static void
-answer_bytes (SoupServerMessage *message, guint status, GBytes *body)
+handle_unknown_path (SoupServer *soup, SoupServerMessage *message,
+                     const char *path, GHashTable *query, gpointer data)
 {
-  SoupMessageHeaders *headers
-      = soup_server_message_get_response_headers (message);
+  g_autoptr (GError) error = NULL;
 
-  soup_server_message_set_status (message, status, NULL);
-  soup_message_headers_set_content_type (headers, JSON_TYPE, NULL);
-  soup_message_body_append_bytes (
-      soup_server_message_get_response_body (message), body);
+  error_set (&error, ERROR_NOT_FOUND,
+             "there is nothing at this path; jobs go to " JOBS_PATH);
+  http_answer_error (message, error);
 }
 
-static void
-answer_error (SoupServerMessage *message, const GError *error)
+/* The service that JOB names, or NULL when it is not in force.  */
+static struct service *
+find_service (struct caller_server *server, const struct job *job)
 {
-  g_autoptr (GBytes) body = error_format_answer (error, NULL);
+  struct dispatcher *dispatcher = home_get_dispatcher (server->home);
+  struct document *document = dispatcher_find_document (dispatcher, job->team);
 
-  if (error_get_kind (error) == ERROR_DRAINING)
-    soup_message_headers_replace (
-        soup_server_message_get_response_headers (message), "Connection",
-        "close");
-  answer_bytes (message, error_kind_http_status (error_get_kind (error)),
-                body);
+  return document != NULL ? document_find_service (document, job->service)
+                          : NULL;
 }
 
+/* Tells when to come back and until when the service runs.  */
 static void
-refuse_method (SoupServerMessage *message, const char *allowed)
+set_job_headers (struct caller_server *server, SoupServerMessage *message,
+                 const struct job *job)
 {
-  g_autoptr (GError) error = NULL;
+  const struct service *service = find_service (server, job);
 
-  error_set (&error, ERROR_INVALID, "this path takes %s", allowed);
-  answer_error (message, error);
-  soup_server_message_set_status (message, SOUP_STATUS_METHOD_NOT_ALLOWED,
-                                  NULL);
-  soup_message_headers_replace (
-      soup_server_message_get_response_headers (message), "Allow", allowed);
+  http_answer_set_retry_after (message,
+                               job_count_retry_after (job, clock_now_us ()));
+  if (service != NULL)
+    http_answer_set_sunset (message, service->shutdown_unix_ms);
 }
 
 static void
-handle_unknown_path (SoupServer *soup, SoupServerMessage *message,
-                     const char *path, GHashTable *query, gpointer data)
+answer_job (struct caller_server *server, SoupServerMessage *message,
+            const struct job *job)
 {
-  g_autoptr (GError) error = NULL;
-
-  error_set (&error, ERROR_NOT_FOUND,
-             "there is nothing at this path; jobs go to " JOBS_PATH);
-  answer_error (message, error);
+  http_answer_bytes (message, job->answer_status, HTTP_JSON_TYPE, job->answer);
+  set_job_headers (server, message, job);
 }
 
 static void
@@ -110,7 +105,7 @@
 {
   struct caller *caller = list_entry (waiter, struct caller, waiter);
 
-  answer_bytes (caller->message, job->answer_status, job->answer);
+  answer_job (caller->server, caller->message, job);
   soup_server_message_unpause (caller->message);
   caller_free (caller);
 }
@@ -129,6 +124,7 @@
 
   list_init (&caller->waiter.link);
   caller->waiter.answer = caller_answer;
+  caller->server = server;
   caller->message = g_object_ref (message);
   caller->finished_handler = g_signal_connect (
       message, "finished", G_CALLBACK (on_caller_gone), caller);
@@ -161,7 +157,7 @@
 {
   g_autoptr (GBytes) body = format_too_large (upload->server);
   g_autofree char *response = g_strdup_printf (
-      "HTTP/1.1 413 Content Too Large\r\nContent-Type: " JSON_TYPE
+      "HTTP/1.1 413 Content Too Large\r\nContent-Type: " HTTP_JSON_TYPE
       "\r\nContent-Length: %" G_GSIZE_FORMAT
       "\r\nConnection: close\r\n\r\n%.*s",
       g_bytes_get_size (body), (int)g_bytes_get_size (body),
@@ -239,10 +235,8 @@
   g_autoptr (GBytes) body = job_format_running (job);
   g_autofree char *location = g_strconcat (JOBS_PATH "/", job->id, NULL);
 
-  answer_bytes (message, SOUP_STATUS_ACCEPTED, body);
-  soup_message_headers_replace (
-      soup_server_message_get_response_headers (message), "Location",
-      location);
+  http_answer_bytes (message, SOUP_STATUS_ACCEPTED, HTTP_JSON_TYPE, body);
+  http_answer_set_header (message, "Location", location);
 }
 
 static void
@@ -259,7 +253,8 @@
     {
       g_autoptr (GBytes) answer = format_too_large (server);
 
-      answer_bytes (message, error_kind_http_status (ERROR_TOO_LARGE), answer);
+      http_answer_bytes (message, error_kind_http_status (ERROR_TOO_LARGE),
+                         HTTP_JSON_TYPE, answer);
       return;
     }
   submission = submission_parse (body, clock_now_us (), &error);
@@ -277,10 +272,12 @@
         event_log (EVENT_JOB_REFUSED, "%s", error->message);
     }
   if (job == NULL)
-    answer_error (message, error);
-  else if (wants_async (message) && job->state == JOB_ACTIVE)
+    http_answer_error (message, error);
+  if (job == NULL && submission != NULL)
+    set_job_headers (server, message, submission->job);
+  if (job != NULL && wants_async (message) && job->state == JOB_ACTIVE)
     answer_accepted (message, job);
-  else
+  else if (job != NULL)
     wait_for_job (server, message, job);
   if (submission != NULL)
     submission_free (submission);
@@ -298,11 +295,11 @@
     return;
   job = home_find (server->home, id, &error);
   if (job == NULL)
-    answer_error (message, error);
+    http_answer_error (message, error);
   else if (job->state == JOB_ACTIVE)
     answer_accepted (message, job);
   else
-    answer_bytes (message, job->answer_status, job->answer);
+    answer_job (server, message, job);
 }
 
 static void
@@ -318,11 +315,11 @@
   job = home_find (server->home, id, &error);
   if (job == NULL)
     {
-      answer_error (message, error);
+      http_answer_error (message, error);
       return;
     }
   home_cancel (server->home, job);
-  answer_bytes (message, job->answer_status, job->answer);
+  answer_job (server, message, job);
 }
 
 static void
@@ -338,13 +335,13 @@
   if (*id == '\0' && g_str_equal (method, SOUP_METHOD_POST))
     submit_job (server, message);
   else if (*id == '\0')
-    refuse_method (message, "POST");
+    http_answer_refuse_method (message, "POST");
   else if (g_str_equal (method, SOUP_METHOD_GET))
     show_job (server, message, id);
   else if (g_str_equal (method, SOUP_METHOD_DELETE))
     cancel_job (server, message, id);
   else
-    refuse_method (message, "GET, DELETE");
+    http_answer_refuse_method (message, "GET, DELETE");
 }
 
 static gboolean
@@ -375,7 +372,7 @@
   if (!g_str_equal (soup_server_message_get_method (message),
                     SOUP_METHOD_POST))
     {
-      refuse_method (message, "POST");
+      http_answer_refuse_method (message, "POST");
       return;
     }
   if (dispatcher_is_draining (home_get_dispatcher (server->home)))
@@ -383,7 +380,7 @@
                "this VM is leaving; draw tickets from another one");
   if (error != NULL || !read_count (query, &count, &error))
     {
-      answer_error (message, error);
+      http_answer_error (message, error);
       return;
     }
   for (guint64 i = 0; i < count; i++)
@@ -394,7 +391,7 @@
     }
   g_string_append (text, "]}\n");
   body = g_bytes_new (text->str, text->len);
-  answer_bytes (message, SOUP_STATUS_OK, body);
+  http_answer_bytes (message, SOUP_STATUS_OK, HTTP_JSON_TYPE, body);
 }
 
 static void
@@ -409,9 +406,9 @@
                                  : "{\"status\":\"serving\"}\n";
 
   body = g_bytes_new_static (text, strlen (text));
-  answer_bytes (message,
-                is_draining ? SOUP_STATUS_SERVICE_UNAVAILABLE : SOUP_STATUS_OK,
-                body);
+  http_answer_bytes (
+      message, is_draining ? SOUP_STATUS_SERVICE_UNAVAILABLE : SOUP_STATUS_OK,
+      HTTP_JSON_TYPE, body);
 }
 
 static GTlsCertificate *
--- a/transport/forward_serve.c
+++ b/transport/forward_serve.c
@@ -13,9 +13,11 @@
 };
 
 static void
-reply_bytes (struct peer_request *request, guint status, GBytes *body)
+reply_bytes (struct peer_request *request, guint status, guint retry_after_s,
+             GBytes *body)
 {
-  peer_forward_result result = { .status = status };
+  peer_forward_result result
+      = { .status = status, .retry_after_s = retry_after_s };
   gsize length;
 
   result.body.body_val = (char *)g_bytes_get_data (body, &length);
@@ -24,11 +26,13 @@
 }
 
 static void
-reply_error (struct peer_request *request, const char *id, const GError *error)
+reply_error (struct peer_request *request, const char *id, guint retry_after_s,
+             const GError *error)
 {
   g_autoptr (GBytes) body = error_format_answer (error, id);
 
-  reply_bytes (request, error_kind_http_status (error_get_kind (error)), body);
+  reply_bytes (request, error_kind_http_status (error_get_kind (error)),
+               retry_after_s, body);
 }
 
 static void
@@ -38,11 +42,12 @@
 
   if (job->state != JOB_ACTIVE)
     {
-      reply_bytes (request, job->answer_status, job->answer);
+      reply_bytes (request, job->answer_status,
+                   job_count_retry_after (job, clock_now_us ()), job->answer);
       return;
     }
   running = job_format_running (job);
-  reply_bytes (request, 202, running);
+  reply_bytes (request, 202, 0, running);
 }
 
 static void
@@ -82,6 +87,14 @@
   return NULL;
 }
 
+static guint
+count_retry_after (const struct submission *submission)
+{
+  if (submission == NULL)
+    return 0;
+  return job_count_retry_after (submission->job, clock_now_us ());
+}
+
 static void
 serve_submit (struct home *home, struct peer_request *request,
               const peer_forward_args *args)
@@ -93,7 +106,7 @@
   if (submission != NULL)
     job = home_submit (home, submission, &error);
   if (job == NULL)
-    reply_error (request, args->job_id, error);
+    reply_error (request, args->job_id, count_retry_after (submission), error);
   else if (args->is_async)
     reply_job (request, job);
   else
@@ -111,7 +124,7 @@
 
   if (job == NULL)
     {
-      reply_error (request, args->job_id, error);
+      reply_error (request, args->job_id, 0, error);
       return;
     }
   if (args->method == PEER_FORWARD_CANCEL)
@@ -129,11 +142,11 @@
   struct job_id id;
 
   if (!home_parse_id (home, args->job_id, &id, &error))
-    reply_error (request, NULL, error);
+    reply_error (request, NULL, 0, error);
   else if (!home_owns (home, &id))
     {
       error = forward_lost_error (&id);
-      reply_error (request, args->job_id, error);
+      reply_error (request, args->job_id, 0, error);
     }
   else if (args->method == PEER_FORWARD_SUBMIT)
     serve_submit (home, request, args);
--- a/transport/home.c
+++ b/transport/home.c
@@ -14,6 +14,9 @@
 /* How often old tickets are forgotten.  */
 #define TICKETS_INTERVAL_US (10 * USEC_PER_SEC)
 
+/* How often the wall clock is compared with the monotonic one.  */
+#define OFFSET_INTERVAL_SEC 1
+
 struct home
 {
   struct dispatcher_driver driver;
@@ -26,6 +29,7 @@
   gint64 tickets_due_us;      /* when old ones are to be forgotten */
   const struct peer_mac *mac; /* NULL when ids carry none */
   guint wake_source;
+  guint offset_source;
   gint64 wake_us;
   void (*drained) (gpointer data);
   gpointer drained_data;
@@ -234,6 +238,23 @@
   return ((guint64)clock_unix_ms () << INCARNATION_RANDOM_BITS) | random;
 }
 
+/* A stepped wall clock moves the shutdown dates on the dispatcher's clock.  */
+static void
+tell_unix_offset (struct home *home)
+{
+  gint64 now_us = clock_now_us ();
+
+  dispatcher_set_unix_offset (
+      home->dispatcher, clock_unix_ms () * USEC_PER_MSEC - now_us, now_us);
+}
+
+static gboolean
+on_offset_due (gpointer data)
+{
+  tell_unix_offset (data);
+  return G_SOURCE_CONTINUE;
+}
+
 struct home *
 home_new (const struct settings *settings)
 {
@@ -251,12 +272,16 @@
   home->tickets = ticket_window_new ();
   home->client = upstream_client_new (&home->owner);
   home->dispatcher = dispatcher_new (&home->driver, &config);
+  tell_unix_offset (home);
+  home->offset_source
+      = g_timeout_add_seconds (OFFSET_INTERVAL_SEC, on_offset_due, home);
   return home;
 }
 
 void
 home_free (struct home *home)
 {
+  g_source_remove (home->offset_source);
   if (home->wake_source != 0)
     g_source_remove (home->wake_source);
   if (home->drained_source != 0)
--- a/transport/operator_server.c
+++ b/transport/operator_server.c
@@ -3,11 +3,11 @@
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "protocol/json_read.h"
+#include "transport/http_answer.h"
 #include "transport/state_dump.h"
 
 #include <string.h>
 
-#define JSON_TYPE "application/json"
 #define METRICS_TYPE "text/plain; version=0.0.4; charset=utf-8"
 #define BEARER "Bearer "
 
@@ -28,38 +28,6 @@
   void (*handle) (struct operator_server *server, SoupServerMessage *message);
 };
 
-static void
-answer_text (SoupServerMessage *message, guint status, const char *type,
-             const char *text, gsize length)
-{
-  soup_server_message_set_status (message, status, NULL);
-  soup_message_headers_replace (
-      soup_server_message_get_response_headers (message), "Content-Type",
-      type);
-  soup_message_body_append (soup_server_message_get_response_body (message),
-                            SOUP_MEMORY_COPY, text, length);
-}
-
-static void
-answer_json (SoupServerMessage *message, guint status, json_t *value)
-{
-  g_autofree char *text = json_format (value);
-
-  json_decref (value);
-  answer_text (message, status, JSON_TYPE, text, strlen (text));
-}
-
-static void
-answer_error (SoupServerMessage *message, const GError *error)
-{
-  g_autoptr (GBytes) body = error_format_answer (error, NULL);
-  gsize length;
-  const char *text = g_bytes_get_data (body, &length);
-
-  answer_text (message, error_kind_http_status (error_get_kind (error)),
-               JSON_TYPE, text, length);
-}
-
 /* Compares in a time that depends on the length of GIVEN only.  */
 static gboolean
 tokens_match (const char *given, const char *expected)
@@ -93,7 +61,7 @@
   json_t *state = state_dump_build (server->settings, server->home);
 
   caller_server_describe (server->callers, state);
-  answer_json (message, SOUP_STATUS_OK, state);
+  http_answer_json (message, SOUP_STATUS_OK, state);
 }
 
 static void
@@ -113,10 +81,12 @@
 handle_metrics (struct operator_server *server, SoupServerMessage *message)
 {
   g_autoptr (GString) text = g_string_new (NULL);
+  g_autoptr (GBytes) body = NULL;
 
   set_gauges (server);
   metrics_format (text);
-  answer_text (message, SOUP_STATUS_OK, METRICS_TYPE, text->str, text->len);
+  body = g_bytes_new (text->str, text->len);
+  http_answer_bytes (message, SOUP_STATUS_OK, METRICS_TYPE, body);
 }
 
 static gboolean
@@ -148,15 +118,15 @@
 
   if (!parse_level (message, &level, &error))
     {
-      answer_error (message, error);
+      http_answer_error (message, error);
       return;
     }
   event_log_set_level (level);
   event_log (EVENT_LOG_LEVEL_CHANGED, "from %s to %s", log_level_name (former),
              log_level_name (level));
-  answer_json (message, SOUP_STATUS_OK,
-               json_pack ("{s:s, s:s}", "level", log_level_name (level),
-                          "former", log_level_name (former)));
+  http_answer_json (message, SOUP_STATUS_OK,
+                    json_pack ("{s:s, s:s}", "level", log_level_name (level),
+                               "former", log_level_name (former)));
 }
 
 static void
@@ -164,7 +134,7 @@
 {
   struct dispatcher *dispatcher = home_get_dispatcher (server->home);
 
-  answer_json (
+  http_answer_json (
       message, SOUP_STATUS_ACCEPTED,
       json_pack ("{s:s, s:s, s:I}", "vm", server->settings->vm, "status",
                  "draining", "unfinished",
@@ -188,19 +158,6 @@
   return NULL;
 }
 
-static void
-refuse_method (SoupServerMessage *message, const char *allowed)
-{
-  g_autoptr (GError) error = NULL;
-
-  error_set (&error, ERROR_INVALID, "this path takes %s", allowed);
-  answer_error (message, error);
-  soup_server_message_set_status (message, SOUP_STATUS_METHOD_NOT_ALLOWED,
-                                  NULL);
-  soup_message_headers_replace (
-      soup_server_message_get_response_headers (message), "Allow", allowed);
-}
-
 static void
 refuse_token (SoupServerMessage *message)
 {
@@ -209,10 +166,8 @@
   error_set (&error, ERROR_DENIED,
              "this path needs the operators' token in the header "
              "Authorization; name it with --token-file");
-  answer_error (message, error);
-  soup_message_headers_replace (
-      soup_server_message_get_response_headers (message), "WWW-Authenticate",
-      "Bearer");
+  http_answer_error (message, error);
+  http_answer_set_header (message, "WWW-Authenticate", "Bearer");
 }
 
 static void
@@ -228,7 +183,7 @@
     refuse_token (message);
   else if (!g_str_equal (soup_server_message_get_method (message),
                          route->method))
-    refuse_method (message, route->method);
+    http_answer_refuse_method (message, route->method);
   else
     route->handle (server, message);
 }
