commands: add config check, diff, put, show and history

They read the log and decide its records by the same code as the entry VMs. A put whose answer is lost looks for its own edit before it appends again.

--- a/commands/command.h
+++ b/commands/command.h
@@ -38,6 +38,7 @@
 
 int command_bench (int argc, char **argv);
 int command_cancel (int argc, char **argv);
+int command_config (int argc, char **argv);
 int command_drain (int argc, char **argv);
 int command_dump (int argc, char **argv);
 int command_entry (int argc, char **argv);
--- /dev/null
+++ b/commands/config.h
@@ -0,0 +1,40 @@
+/*
+ * The subcommands of "config", and what they share.
+ */
+#ifndef COMMANDS_CONFIG_H
+#define COMMANDS_CONFIG_H
+
+#include "commands/cli.h"
+#include "commands/config_view.h"
+#include "state/document.h"
+
+int command_config_check (int argc, char **argv);
+int command_config_diff (int argc, char **argv);
+int command_config_history (int argc, char **argv);
+int command_config_put (int argc, char **argv);
+int command_config_show (int argc, char **argv);
+
+/*
+ * Parses ARGV by ENTRIES, which may be NULL, and by the options on the log.
+ * Returns FALSE after printing what is wrong.  OPTIONS are cleared by
+ * config_options_clear () in any case.
+ */
+gboolean config_options_parse (const struct cli_usage *usage,
+                               const GOptionEntry *entries,
+                               struct config_options *options, int *argc,
+                               char ***argv);
+void config_options_clear (struct config_options *options);
+
+/* The deadline that --timeout sets, counted from now.  */
+gint64 config_options_deadline_us (const struct config_options *options);
+
+/* Reads and checks the document in the file at PATH.  Returns a new reference,
+   or NULL with ERROR_INVALID.  */
+struct document *config_read_file (const char *path, GError **error);
+
+/* The document of TEAM in force, or NULL with ERROR when there is none or it
+   is not known.  Owned by VIEW.  */
+const struct document *config_find_document (const struct config_view *view,
+                                             const char *team, GError **error);
+
+#endif
--- /dev/null
+++ b/commands/config_history.c
@@ -0,0 +1,67 @@
+#include "commands/config.h"
+
+#include <stdio.h>
+
+static const struct cli_usage usage = {
+  .name = "config history",
+  .arguments = "TEAM",
+  .summary = "Lists the changes of a team that the log still keeps: who, "
+             "when, whether it took effect, and what differs.",
+  .example = "  radishchute config history hjolavinir --log "
+             "http://10.0.0.2:7000\n",
+  .min_arguments = 1,
+  .max_arguments = 1,
+};
+
+static void
+print_events (const GPtrArray *events, gboolean is_json)
+{
+  json_t *list = json_array ();
+
+  for (guint i = 0; i < events->len; i++)
+    {
+      const struct config_event *event = g_ptr_array_index (events, i);
+
+      if (is_json)
+        json_array_append_new (list, config_event_format (event));
+      else
+        config_event_print (event);
+    }
+  if (is_json)
+    cli_print_json (list);
+  else if (events->len == 0)
+    printf ("the log keeps no changes of this team\n");
+  json_decref (list);
+}
+
+static int
+show_history (const struct config_options *options, const char *team)
+{
+  struct config_view *view = config_view_new (options);
+  g_autoptr (GError) error = NULL;
+  int status = EXIT_STATUS_OK;
+
+  if (config_view_load (view, TRUE, config_options_deadline_us (options),
+                        &error))
+    {
+      g_autoptr (GPtrArray) events = config_view_list_events (view, team);
+
+      print_events (events, options->is_json);
+    }
+  else
+    status = cli_fail (usage.name, error, options->is_json);
+  config_view_free (view);
+  return status;
+}
+
+int
+command_config_history (int argc, char **argv)
+{
+  struct config_options options = { 0 };
+  int status = EXIT_STATUS_USAGE;
+
+  if (config_options_parse (&usage, NULL, &options, &argc, &argv))
+    status = show_history (&options, argv[1]);
+  config_options_clear (&options);
+  return status;
+}
--- /dev/null
+++ b/commands/config_put.c
@@ -0,0 +1,351 @@
+#include "base/clock.h"
+#include "commands/config.h"
+#include "commands/config_wait.h"
+#include "protocol/json_read.h"
+#include "protocol/log_record.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define DEFAULT_WAIT_S 30
+#define RETRY_PAUSE_US (200 * USEC_PER_MSEC)
+#define APPEND_TIMEOUT_US (5 * USEC_PER_SEC)
+
+static const struct cli_usage usage = {
+  .name = "config put",
+  .arguments = "FILE",
+  .summary
+  = "Publishes a team's document and waits until it is in force.\n\n"
+    "The change takes effect only if the version that it was based on is "
+    "still the one in force; otherwise nothing changes and the exit status "
+    "is 1.  A lost answer of the log is looked up there before anything is "
+    "said or tried again.",
+  .example = "  radishchute config put team.json --log http://10.0.0.2:7000 "
+             "--entry 10.0.1.5:8080 --entry 10.0.2.5:8080\n",
+  .min_arguments = 1,
+  .max_arguments = 1,
+};
+
+struct put
+{
+  struct config_options options;
+  gint64 base; /* -1 for the version in force */
+  int wait_s;
+  char *author;
+  gboolean is_forced;
+  struct config_view *view;
+  struct document *next;
+  char *edit;
+  json_t *record;
+};
+
+static char *
+make_edit (void)
+{
+  g_autofree char *uuid = g_uuid_string_random ();
+
+  return g_strdup_printf ("put-%" G_GINT64_FORMAT "-%s", clock_unix_ms (),
+                          uuid);
+}
+
+/* Prints the accepted changes since VERSION.  */
+static void
+print_changes_since (struct put *put, guint64 version)
+{
+  struct config_view *view = config_view_new (&put->options);
+  gint64 deadline_us = config_options_deadline_us (&put->options);
+
+  if (config_view_load (view, TRUE, deadline_us, NULL))
+    {
+      g_autoptr (GPtrArray) events
+          = config_view_list_events (view, put->next->team);
+
+      for (guint i = 0; i < events->len; i++)
+        {
+          const struct config_event *event = g_ptr_array_index (events, i);
+
+          if (event->verdict == CONFIG_ACCEPTED && event->offset >= version)
+            config_event_print (event);
+        }
+    }
+  config_view_free (view);
+}
+
+/* Says that the change lost against others.  */
+static int
+report_conflict (struct put *put, guint64 base, guint64 current)
+{
+  g_autoptr (GError) error = NULL;
+
+  error_set (&error, ERROR_CONFLICT,
+             "not published: it is based on version %" G_GUINT64_FORMAT
+             ", but version %" G_GUINT64_FORMAT
+             " is in force; see what changed, take it into your file, and put "
+             "it again",
+             base, current);
+  if (!put->options.is_json)
+    print_changes_since (put, base);
+  return cli_fail (usage.name, error, put->options.is_json);
+}
+
+static guint64
+current_version (struct put *put)
+{
+  const struct config_entry *entry
+      = config_log_find (config_view_get_log (put->view), put->next->team);
+
+  return entry != NULL ? entry->document->version : 0;
+}
+
+static void
+print_result (struct put *put, const char *outcome, guint64 version,
+              const struct config_wait_result *result)
+{
+  if (put->options.is_json)
+    {
+      json_t *root = json_pack (
+          "{s:s, s:s, s:I, s:s?, s:I, s:I, s:I, s:O}", "team", put->next->team,
+          "outcome", outcome, "version", (json_int_t)version, "edit",
+          put->edit, "entries_asked", (json_int_t)result->n_asked,
+          "entries_in_force", (json_int_t)result->n_in_force, "waited_ms",
+          (json_int_t)(result->waited_us / USEC_PER_MSEC), "entries",
+          result->entries);
+
+      cli_print_json (root);
+      json_decref (root);
+      return;
+    }
+  printf ("team %s: %s, version %" G_GUINT64_FORMAT ", in force on %u of %u "
+          "entry VMs after %.2f s\n",
+          put->next->team, outcome, version, result->n_in_force,
+          result->n_asked, (double)result->waited_us / USEC_PER_SEC);
+}
+
+static void
+print_missing (const struct config_wait_result *result)
+{
+  for (size_t i = 0; i < json_array_size (result->entries); i++)
+    {
+      json_t *entry = json_array_get (result->entries, i);
+      const char *problem
+          = json_string_value (json_object_get (entry, "error"));
+
+      if (!json_is_true (json_object_get (entry, "in_force")))
+        fprintf (stderr, "radishchute %s: not in force on %s: %s\n",
+                 usage.name,
+                 json_string_value (json_object_get (entry, "entry")),
+                 problem != NULL ? problem : "it still has an older version");
+    }
+}
+
+static int
+wait_in_force (struct put *put, const char *outcome, guint64 version)
+{
+  struct config_wait_result result;
+  gint64 deadline_us = clock_now_us () + put->wait_s * USEC_PER_SEC;
+  int status = EXIT_STATUS_OK;
+
+  config_wait (&put->options, put->next->team, version, deadline_us, &result);
+  print_result (put, outcome, version, &result);
+  if (put->wait_s > 0 && result.n_in_force < result.n_asked)
+    {
+      print_missing (&result);
+      status = EXIT_STATUS_FAILED;
+    }
+  config_wait_result_clear (&result);
+  return status;
+}
+
+/* Looks for the own edit in the log.  Returns NULL with ERROR when the log
+   does not answer, and without when the edit is not there.  */
+static const struct config_event *
+look_up (struct put *put, gint64 deadline_us, GError **error)
+{
+  if (!config_view_update (put->view, deadline_us, error))
+    return NULL;
+  return config_view_find_edit (put->view, put->edit);
+}
+
+static gint64
+step_deadline (gint64 deadline_us)
+{
+  return MIN (deadline_us, clock_now_us () + APPEND_TIMEOUT_US);
+}
+
+/*
+ * Appends the record, and looks for it in the log until it is known what came
+ * of it.  It is appended again only when the log has been read to its end
+ * without finding it, and then under the same edit: if the first one arrives
+ * late, the second has an old base and is void.  A forced change, which has no
+ * base, is appended once.
+ */
+static const struct config_event *
+publish (struct put *put, gint64 deadline_us)
+{
+  const struct config_event *event = NULL;
+  gboolean must_append = TRUE;
+
+  while (event == NULL && clock_now_us () < deadline_us)
+    {
+      g_autoptr (GError) append_error = NULL;
+      g_autoptr (GError) read_error = NULL;
+
+      if (must_append)
+        config_view_append (put->view, put->record,
+                            step_deadline (deadline_us), &append_error);
+      event = look_up (put, step_deadline (deadline_us), &read_error);
+      if (event != NULL)
+        break;
+      cli_progress ("looking for the change in the log");
+      must_append = read_error == NULL && !put->is_forced;
+      if (append_error != NULL
+          && error_get_kind (append_error) == ERROR_NOT_RUN)
+        must_append = TRUE;
+      g_usleep ((gulong)RETRY_PAUSE_US);
+    }
+  cli_progress (NULL);
+  return event;
+}
+
+static int
+report_unknown (struct put *put)
+{
+  g_autoptr (GError) error = NULL;
+
+  error_set (&error, ERROR_UNAVAILABLE,
+             "the log did not say whether the change is published; once it "
+             "answers, look for edit '%s' with 'config history %s'",
+             put->edit, put->next->team);
+  return cli_fail (usage.name, error, put->options.is_json);
+}
+
+static int
+publish_and_wait (struct put *put, guint64 base)
+{
+  gint64 deadline_us = config_options_deadline_us (&put->options);
+  const struct config_event *event = publish (put, deadline_us);
+  g_autoptr (GError) error = NULL;
+
+  if (event == NULL)
+    return report_unknown (put);
+  if (event->verdict == CONFIG_ACCEPTED)
+    return wait_in_force (put, "published", event->offset + 1);
+  if (event->verdict == CONFIG_VOID)
+    return report_conflict (put, base, event->current);
+  error_set (&error, ERROR_CONFLICT, "the log holds the change as %s: %s",
+             config_verdict_name (event->verdict), event->detail);
+  return cli_fail (usage.name, error, put->options.is_json);
+}
+
+/* Builds the record against CURRENT, which may be NULL.  */
+static gboolean
+build_record (struct put *put, const struct document *current, GError **error)
+{
+  json_t *root = log_record_parse_text (put->next);
+  g_autofree char *text = NULL;
+
+  put->edit = make_edit ();
+  put->record = log_record_format_change (root, current, put->edit,
+                                          put->author, put->is_forced);
+  json_decref (root);
+  text = json_format (put->record);
+  if (strlen (text) <= MAX_RECORD_BYTES)
+    return TRUE;
+  error_set (error, ERROR_TOO_LARGE,
+             "the change has %u bytes, but the log takes %d; make it in "
+             "several steps",
+             (guint)strlen (text), MAX_RECORD_BYTES);
+  return FALSE;
+}
+
+/* The document that the change is against.  Returns FALSE with ERROR when it
+   is not known; *CURRENT is NULL for a new team.  */
+static gboolean
+find_base (struct put *put, const struct document **current, GError **error)
+{
+  g_autoptr (GError) reason = NULL;
+
+  *current = config_find_document (put->view, put->next->team, &reason);
+  if (*current != NULL || put->is_forced
+      || error_get_kind (reason) == ERROR_NOT_FOUND)
+    return TRUE;
+  g_propagate_error (error, g_steal_pointer (&reason));
+  return FALSE;
+}
+
+static int
+put_document (struct put *put)
+{
+  const struct document *current = NULL;
+  g_autoptr (GError) error = NULL;
+  guint64 version;
+
+  if (!config_view_load (put->view, FALSE,
+                         config_options_deadline_us (&put->options), &error)
+      || !find_base (put, &current, &error))
+    return cli_fail (usage.name, error, put->options.is_json);
+  version = current_version (put);
+  if (put->base >= 0 && (guint64)put->base != version)
+    return report_conflict (put, (guint64)put->base, version);
+  if (current != NULL && !put->is_forced
+      && g_str_equal (current->text, put->next->text))
+    return wait_in_force (put, "already in force", version);
+  if (!build_record (put, current, &error))
+    return cli_fail (usage.name, error, put->options.is_json);
+  return publish_and_wait (put, version);
+}
+
+static int
+put_file (struct put *put, const char *path)
+{
+  g_autoptr (GError) error = NULL;
+  int status;
+
+  put->next = config_read_file (path, &error);
+  if (put->next == NULL)
+    return cli_fail (usage.name, error, put->options.is_json);
+  if (put->author == NULL)
+    put->author = g_strdup (g_get_user_name ());
+  put->view = config_view_new (&put->options);
+  status = put_document (put);
+  config_view_free (put->view);
+  document_unref (put->next);
+  json_decref (put->record);
+  g_free (put->edit);
+  return status;
+}
+
+int
+command_config_put (int argc, char **argv)
+{
+  struct put put = { .base = -1, .wait_s = DEFAULT_WAIT_S };
+  const GOptionEntry entries[] = {
+    { "base", 0, 0, G_OPTION_ARG_INT64, &put.base,
+      "the version that the file was made from (default: the one in force)",
+      "VERSION" },
+    { "wait", 0, 0, G_OPTION_ARG_INT, &put.wait_s,
+      "how long to wait until it is in force everywhere; 0 asks once "
+      "(default: 30)",
+      "SECONDS" },
+    { "author", 0, 0, G_OPTION_ARG_STRING, &put.author,
+      "who publishes (default: the user's name)", "NAME" },
+    { "force", 0, 0, G_OPTION_ARG_NONE, &put.is_forced,
+      "publish the whole document whatever is in force", NULL },
+    { "entry", 'e', 0, G_OPTION_ARG_STRING_ARRAY, &put.options.entries,
+      "an entry VM to ask; may be given several times (default: the "
+      "environment variable RADISHCHUTE_ENTRY, then the platform's list)",
+      "IP:PORT" },
+    { "token-file", 0, 0, G_OPTION_ARG_FILENAME, &put.options.token_file,
+      "a file with the operators' token", "FILE" },
+    { "token", 0, 0, G_OPTION_ARG_STRING, &put.options.token,
+      "the operators' token; others on this machine may see it", "TOKEN" },
+    G_OPTION_ENTRY_NULL,
+  };
+  int status = EXIT_STATUS_USAGE;
+
+  if (config_options_parse (&usage, entries, &put.options, &argc, &argv))
+    status = put_file (&put, argv[1]);
+  config_options_clear (&put.options);
+  g_free (put.author);
+  return status;
+}
--- /dev/null
+++ b/commands/config_wait.c
@@ -0,0 +1,155 @@
+#include "commands/config_wait.h"
+
+#include "base/clock.h"
+#include "commands/cli.h"
+
+#define ASK_TIMEOUT_US (2 * USEC_PER_SEC)
+#define PAUSE_US (50 * USEC_PER_MSEC)
+
+/* One entry VM that is asked.  */
+struct target
+{
+  char *address;
+  guint64 version;
+  gboolean is_in_force;
+  char *error; /* why the last question had no answer, or NULL */
+};
+
+static void
+target_free (gpointer data)
+{
+  struct target *target = data;
+
+  g_free (target->address);
+  g_free (target->error);
+  g_free (target);
+}
+
+static void
+add_target (GPtrArray *targets, const char *address)
+{
+  struct target *target = g_new0 (struct target, 1);
+
+  target->address = g_strdup (address);
+  g_ptr_array_add (targets, target);
+}
+
+/* Adds the entry VMs of the platform's list.  */
+static void
+add_listed_targets (struct client *client,
+                    const struct config_options *options, GPtrArray *targets)
+{
+  struct client_request request = {
+    .method = "GET",
+    .base = options->log_url,
+    .path = "/v1/vms",
+    .deadline_us = clock_now_us () + ASK_TIMEOUT_US,
+  };
+  json_t *root = client_fetch (client, &request, NULL);
+  json_t *vms = json_object_get (root, "vms");
+
+  for (size_t i = 0; i < json_array_size (vms); i++)
+    {
+      json_t *vm = json_array_get (vms, i);
+      const char *role = json_string_value (json_object_get (vm, "role"));
+      const char *address
+          = json_string_value (json_object_get (vm, "address"));
+
+      if (g_strcmp0 (role, "entry") == 0 && address != NULL)
+        add_target (targets, address);
+    }
+  json_decref (root);
+}
+
+static void
+ask_target (struct client *client, struct target *target, const char *team,
+            guint64 version, gint64 deadline_us)
+{
+  struct client_request request = {
+    .method = "GET",
+    .base = target->address,
+    .path = "/v1/state",
+    .deadline_us = MIN (deadline_us, clock_now_us () + ASK_TIMEOUT_US),
+  };
+  g_autoptr (GError) error = NULL;
+  json_t *state = client_fetch (client, &request, &error);
+  json_t *document
+      = json_object_get (json_object_get (state, "documents"), team);
+
+  g_clear_pointer (&target->error, g_free);
+  if (state == NULL)
+    target->error = g_strdup (error->message);
+  target->version
+      = (guint64)json_integer_value (json_object_get (document, "version"));
+  target->is_in_force = target->version >= version;
+  json_decref (state);
+}
+
+static void
+summarize (const GPtrArray *targets, struct config_wait_result *result)
+{
+  result->n_asked = targets->len;
+  result->entries = json_array ();
+  for (guint i = 0; i < targets->len; i++)
+    {
+      const struct target *target = g_ptr_array_index (targets, i);
+
+      if (target->is_in_force)
+        result->n_in_force++;
+      json_array_append_new (
+          result->entries,
+          json_pack ("{s:s, s:I, s:b, s:s?}", "entry", target->address,
+                     "version", (json_int_t)target->version, "in_force",
+                     target->is_in_force, "error", target->error));
+    }
+}
+
+/* Asks those that did not have it yet; returns how many still do not.  */
+static guint
+ask_round (struct client *client, const GPtrArray *targets, const char *team,
+           guint64 version, gint64 deadline_us)
+{
+  guint n_left = 0;
+
+  for (guint i = 0; i < targets->len; i++)
+    {
+      struct target *target = g_ptr_array_index (targets, i);
+
+      if (!target->is_in_force)
+        ask_target (client, target, team, version, deadline_us);
+      if (!target->is_in_force)
+        n_left++;
+    }
+  cli_progress ("in force on %u of %u entry VMs", targets->len - n_left,
+                targets->len);
+  return n_left;
+}
+
+void
+config_wait (const struct config_options *options, const char *team,
+             guint64 version, gint64 deadline_us,
+             struct config_wait_result *result)
+{
+  struct client *client = client_new (options->token);
+  g_autoptr (GPtrArray) targets = g_ptr_array_new_with_free_func (target_free);
+  gint64 start_us = clock_now_us ();
+
+  *result = (struct config_wait_result){ 0 };
+  for (char **e = options->entries; e != NULL && *e != NULL; e++)
+    add_target (targets, *e);
+  if (targets->len == 0)
+    add_listed_targets (client, options, targets);
+  while (ask_round (client, targets, team, version, deadline_us) > 0
+         && clock_now_us () < deadline_us)
+    g_usleep ((gulong)PAUSE_US);
+  cli_progress (NULL);
+  result->waited_us = clock_now_us () - start_us;
+  summarize (targets, result);
+  client_free (client);
+}
+
+void
+config_wait_result_clear (struct config_wait_result *result)
+{
+  json_decref (result->entries);
+}
--- a/commands/main.c
+++ b/commands/main.c
@@ -10,6 +10,7 @@
 static const struct command commands[] = {
   { "bench", "send load and measure the answers", command_bench },
   { "cancel", "cancel a job", command_cancel },
+  { "config", "check, publish and show documents", command_config },
   { "drain", "make entry VMs finish and exit", command_drain },
   { "dump", "print the state of an entry VM", command_dump },
   { "entry", "run the daemon of an entry VM", command_entry },
