--- a/commands/config_put.c
+++ b/commands/config_put.c
@@ -115,6 +115,13 @@
       json_decref (root);
       return;
     }
+  if (result->n_asked == 0)
+    {
+      printf ("team %s: %s, version %" G_GUINT64_FORMAT
+              "; name entry VMs with --entry to see it in force\n",
+              put->next->team, outcome, version);
+      return;
+    }
   printf ("team %s: %s, version %" G_GUINT64_FORMAT ", in force on %u of %u "
           "entry VMs after %.2f s\n",
           put->next->team, outcome, version, result->n_in_force,
@@ -333,7 +340,7 @@
       "publish the whole document whatever is in force", NULL },
     { "entry", 'e', 0, G_OPTION_ARG_STRING_ARRAY, &put.options.entries,
       "an entry VM to ask; may be given several times (default: the "
-      "environment variable RADISHCHUTE_ENTRY, then the platform's list)",
+      "environment variable RADISHCHUTE_ENTRY)",
       "IP:PORT" },
     { "token-file", 0, 0, G_OPTION_ARG_FILENAME, &put.options.token_file,
       "a file with the operators' token", "FILE" },
--- a/commands/config_wait.c
+++ b/commands/config_wait.c
@@ -34,33 +34,6 @@
   g_ptr_array_add (targets, target);
 }
 
-/* Adds the entry VMs of the platform's list.  */
-static void
-add_listed_targets (struct client *client,
-                    const struct config_options *options, GPtrArray *targets)
-{
-  struct client_request request = {
-    .method = "GET",
-    .base = options->log_url,
-    .path = "/v1/vms",
-    .deadline_us = clock_now_us () + ASK_TIMEOUT_US,
-  };
-  json_t *root = client_fetch (client, &request, NULL);
-  json_t *vms = json_object_get (root, "vms");
-
-  for (size_t i = 0; i < json_array_size (vms); i++)
-    {
-      json_t *vm = json_array_get (vms, i);
-      const char *role = json_string_value (json_object_get (vm, "role"));
-      const char *address
-          = json_string_value (json_object_get (vm, "address"));
-
-      if (g_strcmp0 (role, "entry") == 0 && address != NULL)
-        add_target (targets, address);
-    }
-  json_decref (root);
-}
-
 static void
 ask_target (struct client *client, struct target *target, const char *team,
             guint64 version, gint64 deadline_us)
@@ -137,8 +110,6 @@
   *result = (struct config_wait_result){ 0 };
   for (char **e = options->entries; e != NULL && *e != NULL; e++)
     add_target (targets, *e);
-  if (targets->len == 0)
-    add_listed_targets (client, options, targets);
   while (ask_round (client, targets, team, version, deadline_us) > 0
          && clock_now_us () < deadline_us)
     g_usleep ((gulong)PAUSE_US);
--- a/commands/config_wait.h
+++ b/commands/config_wait.h
@@ -19,9 +19,9 @@
 };
 
 /*
- * Asks the entry VMs of OPTIONS, or without any those of the platform's list
- * of VMs, until VERSION of TEAM or a newer one is in force on all, or until
- * DEADLINE_US.  Clear RESULT by config_wait_result_clear ().
+ * Asks the entry VMs of OPTIONS until VERSION of TEAM or a newer one is in
+ * force on all, or until DEADLINE_US.  Clear RESULT by
+ * config_wait_result_clear ().
  */
 void config_wait (const struct config_options *options, const char *team,
                   guint64 version, gint64 deadline_us,
--- a/transport/caller_server.c
+++ b/transport/caller_server.c
@@ -13,6 +13,8 @@
 #include <sys/socket.h>
 
 #define JSON_TYPE "application/json"
+/* When a caller whose job was not run may send it again.  */
+#define RETRY_AFTER_S "1"
 #define JOBS_PATH "/v1/jobs"
 
 /* A connection may stay idle between two requests for this long.  */
@@ -70,6 +72,10 @@
         "close");
   answer_bytes (message, error_kind_http_status (error_get_kind (error)),
                 body);
+  if (error_get_kind (error) == ERROR_NOT_RUN)
+    soup_message_headers_replace (
+        soup_server_message_get_response_headers (message), "Retry-After",
+        RETRY_AFTER_S);
 }
 
 static void
--- a/transport/entry.c
+++ b/transport/entry.c
@@ -142,7 +142,8 @@
   entry->operator_server = operator_server_attach (
       entry->caller_server, settings, entry->home, request_drain, entry);
   entry->config_follower
-      = config_follower_new (settings, home_get_dispatcher (entry->home));
+      = config_follower_new (settings, entry->home, entry->hub);
+  operator_server_set_config (entry->operator_server, entry->config_follower);
   return entry;
 }
 
@@ -176,9 +177,9 @@
 entry_free (struct entry *entry)
 {
   g_clear_pointer (&entry->drain, drain_free);
-  g_clear_pointer (&entry->config_follower, config_follower_free);
   g_clear_pointer (&entry->caller_server, caller_server_free);
   g_clear_pointer (&entry->operator_server, operator_server_free);
+  g_clear_pointer (&entry->config_follower, config_follower_free);
   g_clear_pointer (&entry->forward, forward_free);
   g_clear_pointer (&entry->hub, peer_hub_free);
   home_free (entry->home);
--- a/transport/entry.h
+++ b/transport/entry.h
@@ -34,4 +34,7 @@
 
 struct peer_hub *entry_get_hub (const struct entry *entry);
 
+/* The port on which peers are served.  */
+guint entry_get_peer_port (const struct entry *entry);
+
 #endif
--- a/transport/home.c
+++ b/transport/home.c
@@ -25,6 +25,7 @@
   struct ticket_window *tickets;
   gint64 tickets_due_us;      /* when old ones are to be forgotten */
   const struct peer_mac *mac; /* NULL when ids carry none */
+  gboolean is_configured;
   guint wake_source;
   gint64 wake_us;
   void (*drained) (gpointer data);
@@ -269,6 +270,12 @@
   g_free (home);
 }
 
+void
+home_set_configured (struct home *home)
+{
+  home->is_configured = TRUE;
+}
+
 struct dispatcher *
 home_get_dispatcher (struct home *home)
 {
@@ -520,6 +527,13 @@
   forget_old_tickets (home);
   if (!assign_id (home, submission, &sequence, error))
     return FALSE;
+  if (!home->is_configured)
+    {
+      error_set (error, ERROR_NOT_RUN,
+                 "this VM does not know the configuration yet; send the job "
+                 "again");
+      return FALSE;
+    }
   if (!dispatcher_submit (home->dispatcher, submission->job, clock_now_us (),
                           error))
     return FALSE;
--- a/transport/home.h
+++ b/transport/home.h
@@ -27,6 +27,10 @@
 struct home *home_new (const struct settings *settings);
 void home_free (struct home *home);
 
+/* Tells that the configuration is known.  Before, every job is refused with
+   ERROR_NOT_RUN.  */
+void home_set_configured (struct home *home);
+
 struct dispatcher *home_get_dispatcher (struct home *home);
 struct upstream_client *home_get_upstream_client (struct home *home);
 
--- a/transport/operator_server.c
+++ b/transport/operator_server.c
@@ -16,6 +16,7 @@
   const struct settings *settings;
   struct home *home;
   struct caller_server *callers;
+  const struct config_follower *config;
   void (*request_drain) (gpointer data);
   gpointer drain_data;
 };
@@ -90,7 +91,8 @@
 static void
 handle_state (struct operator_server *server, SoupServerMessage *message)
 {
-  json_t *state = state_dump_build (server->settings, server->home);
+  json_t *state
+      = state_dump_build (server->settings, server->home, server->config);
 
   caller_server_describe (server->callers, state);
   answer_json (message, SOUP_STATUS_OK, state);
@@ -250,6 +252,13 @@
   return server;
 }
 
+void
+operator_server_set_config (struct operator_server *server,
+                            const struct config_follower *config)
+{
+  server->config = config;
+}
+
 void
 operator_server_free (struct operator_server *server)
 {
--- a/transport/operator_server.h
+++ b/transport/operator_server.h
@@ -9,6 +9,7 @@
 
 #include "protocol/settings.h"
 #include "transport/caller_server.h"
+#include "transport/config_follower.h"
 #include "transport/home.h"
 
 #include <glib.h>
@@ -24,6 +25,12 @@
 operator_server_attach (struct caller_server *callers,
                         const struct settings *settings, struct home *home,
                         void (*request_drain) (gpointer data), gpointer data);
+
+/* Lets the state dump show CONFIG, which must outlive the callers' server.  To
+   be called before the main loop runs.  */
+void operator_server_set_config (struct operator_server *server,
+                                 const struct config_follower *config);
+
 void operator_server_free (struct operator_server *server);
 
 #endif
--- a/transport/state_dump.c
+++ b/transport/state_dump.c
@@ -8,18 +8,6 @@
 
 #define BYTES_PER_KB 1024
 
-static void
-add_document (gpointer key, gpointer value, gpointer data)
-{
-  struct document *document = value;
-  json_t *documents = data;
-
-  json_object_set_new (documents, document->team,
-                       json_pack ("{s:I, s:s?}", "version",
-                                  (json_int_t)document->version, "edit",
-                                  document->edit));
-}
-
 static json_t *
 describe_messages (struct home *home)
 {
@@ -76,22 +64,21 @@
 }
 
 json_t *
-state_dump_build (const struct settings *settings, struct home *home)
+state_dump_build (const struct settings *settings, struct home *home,
+                  const struct config_follower *config)
 {
   struct dispatcher *dispatcher = home_get_dispatcher (home);
   struct job_table *jobs = dispatcher_get_jobs (dispatcher);
-  json_t *documents = json_object ();
 
-  g_hash_table_foreach (dispatcher_get_documents (dispatcher), add_document,
-                        documents);
-  return json_pack ("{s:s, s:s, s:I, s:b, s:I, s:I, s:I, s:o, s:o, s:o, s:o}",
-                    "vm", settings->vm, "availability_zone",
-                    settings->availability_zone, "incarnation",
-                    (json_int_t)home_get_incarnation (home), "draining",
-                    dispatcher_is_draining (dispatcher), "unfinished",
-                    (json_int_t)dispatcher_count_unfinished (dispatcher),
-                    "jobs", (json_int_t)g_hash_table_size (jobs->jobs),
-                    "job_bytes", (json_int_t)jobs->bytes, "documents",
-                    documents, "messages", describe_messages (home), "process",
-                    describe_process (), "load", describe_load (home));
+  return json_pack (
+      "{s:s, s:s, s:I, s:b, s:I, s:I, s:I, s:o, s:o, s:o, s:o, s:o}", "vm",
+      settings->vm, "availability_zone", settings->availability_zone,
+      "incarnation", (json_int_t)home_get_incarnation (home), "draining",
+      dispatcher_is_draining (dispatcher), "unfinished",
+      (json_int_t)dispatcher_count_unfinished (dispatcher), "jobs",
+      (json_int_t)g_hash_table_size (jobs->jobs), "job_bytes",
+      (json_int_t)jobs->bytes, "documents",
+      config_follower_dump_documents (config), "log",
+      config_follower_dump_log (config), "messages", describe_messages (home),
+      "process", describe_process (), "load", describe_load (home));
 }
--- a/transport/state_dump.h
+++ b/transport/state_dump.h
@@ -5,11 +5,13 @@
 #define TRANSPORT_STATE_DUMP_H
 
 #include "protocol/settings.h"
+#include "transport/config_follower.h"
 #include "transport/home.h"
 
 #include <jansson.h>
 
-/* The state of HOME as a new JSON object, owned by the caller.  */
-json_t *state_dump_build (const struct settings *settings, struct home *home);
+/* The state of HOME and CONFIG as a new JSON object, owned by the caller.  */
+json_t *state_dump_build (const struct settings *settings, struct home *home,
+                          const struct config_follower *config);
 
 #endif
