--- a/transport/snapshot_store.c
+++ b/transport/snapshot_store.c
@@ -3,6 +3,7 @@
 #include "protocol/log_answer.h"
 #include "transport/log_request.h"
 
+#define BOUNDS_TIMEOUT_MS 2000
 #define REQUEST_TIMEOUT_MS 10000
 /* Records that are read at once; each may have a mebibyte.  */
 #define PAGE_RECORDS 4
@@ -180,7 +181,7 @@
   store->load_data = data;
   store->read_request
       = log_request_start (store->session, SOUP_METHOD_GET, uri, NULL,
-                           REQUEST_TIMEOUT_MS, on_bounds, store);
+                           BOUNDS_TIMEOUT_MS, on_bounds, store);
 }
 
 gboolean
