--- a/Makefile
+++ b/Makefile
@@ -41,11 +41,13 @@
 
 BENCH_SRCS := $(wildcard bench/*.c)
 BENCH_OBJS := $(BENCH_SRCS:%.c=$(BUILD)/%.o)
+BENCH_CONFIG_SRCS := $(wildcard bench/config/*.c)
 
-HAND_SRCS := $(LIB_SRCS) $(BENCH_SRCS) $(COMMAND_SRCS) $(STANDIN_SRCS) $(SUPPORT_SRCS) \
+HAND_SRCS := $(LIB_SRCS) $(BENCH_SRCS) $(BENCH_CONFIG_SRCS) \
+  $(COMMAND_SRCS) $(STANDIN_SRCS) $(SUPPORT_SRCS) \
   $(TEST_SRCS) $(wildcard t/fuzz/*.c t/demo/*.c t/bench/*.c bench/peers/*.c)
-HAND_HDRS := $(wildcard $(LAYERS:%=%/*.h) commands/*.h bench/*.h t/*.h t/standin/*.h \
-  t/support/*.h t/fuzz/*.h)
+HAND_HDRS := $(wildcard $(LAYERS:%=%/*.h) commands/*.h bench/*.h \
+  bench/config/*.h t/*.h t/standin/*.h t/support/*.h t/fuzz/*.h)
 HAND_HDRS := $(filter-out protocol/peer_xdr.h,$(HAND_HDRS))
 
 all: $(PROGRAMS)
@@ -116,6 +118,14 @@
   $(BUILD)/libradishchute.a
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
+# What a change of the configuration costs and how long it takes.
+bench-config: all $(BUILD)/bench-config
+	RADISHCHUTE_BUILD=$(BUILD) $(BUILD)/bench-config
+
+$(BUILD)/bench-config: $(BENCH_CONFIG_SRCS:%.c=$(BUILD)/%.o) $(SUPPORT_OBJS) \
+  $(BUILD)/libradishchute.a
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
+
 SANITIZE_FLAGS = -fsanitize=address,undefined -fno-omit-frame-pointer \
   -fno-sanitize-recover=undefined
 sanitize:
@@ -142,7 +152,8 @@
 clean:
 	rm -rf build build-sanitize
 
-.PHONY: all demo bench bench-decisions bench-membership bench-restart generate \
+.PHONY: all demo bench bench-config bench-decisions \
+  bench-membership bench-restart generate \
   check sanitize format format-check lint layers-check clean
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/protocol/document_json.c
+++ b/protocol/document_json.c
@@ -5,6 +5,7 @@
 #include "state/job_id.h"
 
 #include <gio/gio.h>
+#include <string.h>
 
 #define MAX_WEIGHT 1000
 #define MAX_SLOTS 4096
@@ -204,6 +205,19 @@
       read_service (check, key, value, document);
 }
 
+/* Sets the canonical text of DOCUMENT, unless it is too long.  */
+static void
+set_text (struct json_check *check, json_t *root, struct document *document)
+{
+  document->text = json_format_sorted (root);
+  if (strlen (document->text) > MAX_DOCUMENT_BYTES)
+    json_check_fail (
+        check, "document",
+        "is %u bytes long without spaces, the limit is %d; spread "
+        "the services over several teams",
+        (guint)strlen (document->text), MAX_DOCUMENT_BYTES);
+}
+
 struct document *
 document_from_json (json_t *root, const char *source, GError **error)
 {
@@ -224,12 +238,12 @@
                      "'team' must have 1 to 63 of a-z, 0-9 and '-'");
   document = document_new (team);
   read_document (&check, root, document);
+  set_text (&check, root, document);
   if (!json_check_end (&check, error))
     {
       document_unref (document);
       return NULL;
     }
-  document->text = json_format_sorted (root);
   return document;
 }
 
--- a/protocol/document_json.h
+++ b/protocol/document_json.h
@@ -9,6 +9,10 @@
 #include <glib.h>
 #include <jansson.h>
 
+/* The longest canonical text of a document, in bytes.  One record of the log
+   holds it whole, as does one answer of a peer.  */
+#define MAX_DOCUMENT_BYTES (896 * 1024)
+
 /*
  * Checks ROOT and builds the document, naming it SOURCE in messages.  Returns
  * a new reference, or NULL with ERROR_INVALID that lists every problem.
--- a/t/support/cut_link.c
+++ b/t/support/cut_link.c
@@ -2,24 +2,101 @@
 
 #include <gio/gio.h>
 
+#define PUMP_BYTES (64 * 1024)
+
 struct cut_link
 {
   GSocketService *service;
   GCancellable *cancellable; /* of the connections that carry data */
   GPtrArray *streams;        /* open ends */
+  guint64 n_bytes;
   guint16 port;
   guint16 target;
   gboolean is_silent;
 };
 
+/* One direction of a connection.  */
+struct pump
+{
+  struct cut_link *link;
+  GIOStream *from;
+  GIOStream *to;
+  GCancellable *cancellable;
+  char bytes[PUMP_BYTES];
+};
+
+static void read_some (struct pump *pump);
+
+static void
+pump_free (struct pump *pump)
+{
+  g_object_unref (pump->from);
+  g_object_unref (pump->to);
+  g_object_unref (pump->cancellable);
+  g_free (pump);
+}
+
+/* Ends the pump; a link that was silenced leaves both ends open.  */
+static void
+end_pump (struct pump *pump)
+{
+  if (!g_cancellable_is_cancelled (pump->cancellable))
+    {
+      g_io_stream_close (pump->from, NULL, NULL);
+      g_io_stream_close (pump->to, NULL, NULL);
+    }
+  pump_free (pump);
+}
+
+static void
+on_written (GObject *source, GAsyncResult *result, gpointer data)
+{
+  struct pump *pump = data;
+
+  if (g_output_stream_write_all_finish (G_OUTPUT_STREAM (source), result, NULL,
+                                        NULL))
+    read_some (pump);
+  else
+    end_pump (pump);
+}
+
+static void
+on_read (GObject *source, GAsyncResult *result, gpointer data)
+{
+  struct pump *pump = data;
+  gssize n
+      = g_input_stream_read_finish (G_INPUT_STREAM (source), result, NULL);
+
+  if (n <= 0)
+    {
+      end_pump (pump);
+      return;
+    }
+  pump->link->n_bytes += (guint64)n;
+  g_output_stream_write_all_async (g_io_stream_get_output_stream (pump->to),
+                                   pump->bytes, (gsize)n, G_PRIORITY_DEFAULT,
+                                   pump->cancellable, on_written, pump);
+}
+
 static void
-forward (struct cut_link *link, GIOStream *from, GIOStream *to)
+read_some (struct pump *pump)
 {
-  g_output_stream_splice_async (
-      g_io_stream_get_output_stream (to), g_io_stream_get_input_stream (from),
-      G_OUTPUT_STREAM_SPLICE_CLOSE_SOURCE
-          | G_OUTPUT_STREAM_SPLICE_CLOSE_TARGET,
-      G_PRIORITY_DEFAULT, link->cancellable, NULL, NULL);
+  g_input_stream_read_async (g_io_stream_get_input_stream (pump->from),
+                             pump->bytes, PUMP_BYTES, G_PRIORITY_DEFAULT,
+                             pump->cancellable, on_read, pump);
+}
+
+static void
+start_pump (struct cut_link *link, GSocketConnection *from,
+            GSocketConnection *to)
+{
+  struct pump *pump = g_new0 (struct pump, 1);
+
+  pump->link = link;
+  pump->from = g_object_ref (G_IO_STREAM (from));
+  pump->to = g_object_ref (G_IO_STREAM (to));
+  pump->cancellable = g_object_ref (link->cancellable);
+  read_some (pump);
 }
 
 static gboolean
@@ -41,8 +118,8 @@
       return TRUE;
     }
   g_ptr_array_add (link->streams, other);
-  forward (link, G_IO_STREAM (connection), G_IO_STREAM (other));
-  forward (link, G_IO_STREAM (other), G_IO_STREAM (connection));
+  start_pump (link, connection, other);
+  start_pump (link, other, connection);
   return TRUE;
 }
 
@@ -72,9 +149,11 @@
 void
 cut_link_free (struct cut_link *link)
 {
-  g_cancellable_cancel (link->cancellable);
+  cut_link_silence (link);
   g_socket_service_stop (link->service);
   g_socket_listener_close (G_SOCKET_LISTENER (link->service));
+  while (g_main_context_iteration (NULL, FALSE))
+    ;
   g_object_unref (link->service);
   g_object_unref (link->cancellable);
   g_ptr_array_unref (link->streams);
@@ -87,6 +166,12 @@
   return link->port;
 }
 
+guint64
+cut_link_get_bytes (const struct cut_link *link)
+{
+  return link->n_bytes;
+}
+
 void
 cut_link_silence (struct cut_link *link)
 {
--- a/t/support/cut_link.h
+++ b/t/support/cut_link.h
@@ -19,6 +19,9 @@
 /* The port that stands for the target.  */
 guint16 cut_link_get_port (const struct cut_link *link);
 
+/* Bytes carried so far, both ways.  */
+guint64 cut_link_get_bytes (const struct cut_link *link);
+
 /* Makes all connections silent, new ones too.  */
 void cut_link_silence (struct cut_link *link);
 
--- a/t/t4002-log-record.c
+++ b/t/t4002-log-record.c
@@ -165,6 +165,26 @@
   document_unref (base);
 }
 
+/* A document that no record could hold is not valid.  */
+static void
+test_too_long (void)
+{
+  json_t *services = json_object ();
+  json_t *root = json_pack ("{s:s, s:O}", "team", "a", "services", services);
+  g_autoptr (GError) error = NULL;
+
+  for (guint i = 0; i < 40000; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("service-%u", i);
+
+      json_object_set_new (services, name, json_pack ("{s:{}}", "upstreams"));
+    }
+  g_assert_null (document_from_json (root, "long", &error));
+  g_assert_nonnull (strstr (error->message, "the limit is 917504"));
+  json_decref (services);
+  json_decref (root);
+}
+
 static struct document *
 no_build (struct config_log_driver *driver, const struct config_change *change,
           const struct document *base, GError **error)
@@ -291,6 +311,7 @@
   g_test_add_func ("/log-record/malformed-changes", test_malformed_changes);
   g_test_add_func ("/log-record/other-records", test_other_records);
   g_test_add_func ("/log-record/patch-is-chosen", test_patch_is_chosen);
+  g_test_add_func ("/log-record/too-long", test_too_long);
   g_test_add_func ("/log-record/snapshot-parts", test_snapshot_parts);
   g_test_add_func ("/log-record/broken-snapshots", test_broken_snapshots);
   g_test_add_func ("/log-record/odd-answers", test_odd_answers);
