--- a/Makefile
+++ b/Makefile
@@ -42,12 +42,13 @@
 BENCH_SRCS := $(wildcard bench/*.c)
 BENCH_OBJS := $(BENCH_SRCS:%.c=$(BUILD)/%.o)
 BENCH_CONFIG_SRCS := $(wildcard bench/config/*.c)
+BENCH_SHARE_SRCS := $(wildcard bench/share/*.c)
 
 HAND_SRCS := $(LIB_SRCS) $(BENCH_SRCS) $(BENCH_CONFIG_SRCS) \
-  $(COMMAND_SRCS) $(STANDIN_SRCS) $(SUPPORT_SRCS) \
+  $(BENCH_SHARE_SRCS) $(COMMAND_SRCS) $(STANDIN_SRCS) $(SUPPORT_SRCS) \
   $(TEST_SRCS) $(wildcard t/fuzz/*.c t/demo/*.c t/bench/*.c bench/peers/*.c)
 HAND_HDRS := $(wildcard $(LAYERS:%=%/*.h) commands/*.h bench/*.h \
-  bench/config/*.h t/*.h t/standin/*.h t/support/*.h t/fuzz/*.h)
+  bench/config/*.h bench/share/*.h t/*.h t/standin/*.h t/support/*.h t/fuzz/*.h)
 HAND_HDRS := $(filter-out protocol/peer_xdr.h,$(HAND_HDRS))
 
 all: $(PROGRAMS)
@@ -126,6 +127,14 @@
   $(BUILD)/libradishchute.a
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
+# How entry VMs share the upstreams of their zone.
+bench-share: $(BUILD)/bench-share
+	$<
+
+$(BUILD)/bench-share: $(BENCH_SHARE_SRCS:%.c=$(BUILD)/%.o) \
+  $(BUILD)/bench/workload.o $(BUILD)/libradishchute.a
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
+
 SANITIZE_FLAGS = -fsanitize=address,undefined -fno-omit-frame-pointer \
   -fno-sanitize-recover=undefined
 sanitize:
@@ -152,7 +161,7 @@
 clean:
 	rm -rf build build-sanitize
 
-.PHONY: all demo bench bench-config bench-decisions \
+.PHONY: all demo bench bench-config bench-share bench-decisions \
   bench-membership bench-restart generate \
   check sanitize format format-check lint layers-check clean
 .SECONDARY:
