--- a/t/t9104-half-open.c
+++ b/t/t9104-half-open.c
@@ -97,6 +97,7 @@
                              clock_now_us ());
   document_unref (document);
   json_decref (json);
+  home_set_configured (f->home.home);
   do
     {
       g_main_context_iteration (NULL, TRUE);
@@ -134,10 +135,14 @@
 }
 
 static void
-wait_for_start (struct fixture *f)
+wait_for_start (struct fixture *f, const struct outcome *outcome)
 {
   while (deployment_assert_starts (f->d) == 0)
-    g_main_context_iteration (NULL, FALSE);
+    {
+      if (outcome->status != 0)
+        g_error ("answered before any start: %s", outcome->body);
+      g_main_context_iteration (NULL, FALSE);
+    }
 }
 
 static void
@@ -153,7 +158,7 @@
   g_assert_true (forward_is_elsewhere (f->caller.forward, ticket));
   forward_begin (f->caller.forward, PEER_FORWARD_SUBMIT, ticket, FALSE, body,
                  on_answer, &outcome);
-  wait_for_start (f);
+  wait_for_start (f, &outcome);
   http_post (url, fault);
   while (outcome.status == 0)
     g_main_context_iteration (NULL, TRUE);
