t: let the proxy close its port

A connection that is accepted and then reset leaves the outcome unknown; one that is refused does not. Tests of dead processes need the second kind.

--- a/t/standin/proxy.c
+++ b/t/standin/proxy.c
@@ -24,6 +24,8 @@
     route->ops->silence (route);
   if (json_int_member (change, "reset_existing", 0) != 0)
     route->ops->reset (route);
+  route->ops->set_listening (route,
+                             json_int_member (change, "closed", 0) == 0);
 }
 
 /* Applies CHANGE to the route that it names, or to all; FALSE for none.  */
--- a/t/standin/proxy_route.h
+++ b/t/standin/proxy_route.h
@@ -19,13 +19,17 @@
 
   /* Resets every open connection.  */
   void (*reset) (struct route *route);
+
+  /* Closes the port, so that connections are refused, or opens it again.  */
+  void (*set_listening) (struct route *route, gboolean is_listening);
 };
 
 struct route
 {
   const struct route_ops *ops;
   GSocketAddress *target;
-  GSocket *socket;
+  GSocket *socket; /* NULL while the port is closed */
+  GSource *accept_source;
   guint16 port;
   struct proxy_faults faults;
   GRand *random;
--- a/t/standin/proxy_tcp.c
+++ b/t/standin/proxy_tcp.c
@@ -451,29 +451,53 @@
     }
 }
 
-static const struct route_ops tcp_ops
-    = { .silence = silence_connections, .reset = reset_connections };
+static gboolean
+open_port (struct route *route, guint16 port, GError **error)
+{
+  route->socket = listen_on_loopback (port, &route->port, error);
+  if (route->socket == NULL)
+    return FALSE;
+  route->accept_source = g_socket_create_source (route->socket, G_IO_IN, NULL);
+  g_source_set_callback (route->accept_source, G_SOURCE_FUNC (on_acceptable),
+                         route, NULL);
+  g_source_attach (route->accept_source, NULL);
+  return TRUE;
+}
+
+static void
+close_port (struct route *route)
+{
+  clear_source (&route->accept_source);
+  g_socket_close (route->socket, NULL);
+  g_clear_object (&route->socket);
+}
+
+static void
+set_listening (struct route *route, gboolean is_listening)
+{
+  if (is_listening && route->socket == NULL)
+    open_port (route, route->port, NULL);
+  else if (!is_listening && route->socket != NULL)
+    close_port (route);
+}
+
+static const struct route_ops tcp_ops = { .silence = silence_connections,
+                                          .reset = reset_connections,
+                                          .set_listening = set_listening };
 
 struct route *
 proxy_tcp_new (guint16 port, GSocketAddress *target, GRand *random,
                GError **error)
 {
   struct route *route = g_new0 (struct route, 1);
-  g_autoptr (GSource) source = NULL;
 
   route->ops = &tcp_ops;
   route->target = target;
   route->random = random;
   proxy_faults_init (&route->faults);
   list_init (&route->connections);
-  route->socket = listen_on_loopback (port, &route->port, error);
-  if (route->socket == NULL)
-    {
-      g_free (route);
-      return NULL;
-    }
-  source = g_socket_create_source (route->socket, G_IO_IN, NULL);
-  g_source_set_callback (source, G_SOURCE_FUNC (on_acceptable), route, NULL);
-  g_source_attach (source, NULL);
-  return route;
+  if (open_port (route, port, error))
+    return route;
+  g_free (route);
+  return NULL;
 }
--- a/t/standin/proxy_udp.c
+++ b/t/standin/proxy_udp.c
@@ -172,8 +172,14 @@
 {
 }
 
-static const struct route_ops udp_ops
-    = { .silence = silence_flows, .reset = reset_flows };
+static void
+set_listening (struct route *route, gboolean is_listening)
+{
+}
+
+static const struct route_ops udp_ops = { .silence = silence_flows,
+                                          .reset = reset_flows,
+                                          .set_listening = set_listening };
 
 struct route *
 proxy_udp_new (guint16 port, GSocketAddress *target, GRand *random,
