t: let the checker tell lost knowledge from a changed answer

An entry VM that does not reach a job's home answers 'unavailable' until it does, and 'unknown' once the home is lost; neither contradicts a complete answer that came before. A job that failed and is complete later does.

--- a/t/support/checker.c
+++ b/t/support/checker.c
@@ -8,8 +8,8 @@
   guint n_tasks;
   guint first_value;
   guint n_starts;
-  char *final_body; /* of the first answer that is not a refusal */
-  gboolean refused; /* whether an answer said that it did not run */
+  char *final_answer; /* the body when complete, or the kind of error */
+  gboolean complete;  /* whether that is an answer that is complete */
 };
 
 struct answer
@@ -42,13 +42,17 @@
     = { "invalid",   "not-run",    "over-quota", "draining",
         "too-large", "never-runs", "denied",     NULL };
 
+/* The kinds that do not tell how the job ended: the same request later may
+   be answered in another way.  */
+static const char *const passing_kinds[] = { "unavailable", NULL };
+
 static void
 free_job (gpointer data)
 {
   struct checked_job *job = data;
 
   g_free (job->id);
-  g_free (job->final_body);
+  g_free (job->final_answer);
   g_free (job);
 }
 
@@ -272,6 +276,26 @@
     check_output (checker, job, i, json_array_get (outputs, i));
 }
 
+/*
+ * A job that ran has one final answer, however often it is asked for; only
+ * knowledge of it may be lost.
+ */
+static void
+check_final (struct checker *checker, struct checked_job *job,
+             gboolean complete, const char *answer)
+{
+  gboolean is_lost
+      = job->complete && !complete && g_strcmp0 (answer, "unknown") == 0;
+
+  if (job->final_answer == NULL)
+    {
+      job->final_answer = g_strdup (answer);
+      job->complete = complete;
+    }
+  else if (!is_lost && g_strcmp0 (job->final_answer, answer) != 0)
+    add_violation (checker, "job %s: two different answers", job->id);
+}
+
 static void
 check_failed (struct checker *checker, struct checked_job *job,
               const json_t *body)
@@ -279,28 +303,18 @@
   const json_t *error = json_object_get (body, "error");
   const char *kind = json_string_value (json_object_get (error, "kind"));
 
+  if (json_object_get (body, "outputs") != NULL)
+    add_violation (checker, "job %s: failed, but with outputs", job->id);
   if (kind == NULL)
     add_violation (checker, "job %s: failed without a kind of error", job->id);
-  else if (g_strv_contains (not_run_kinds, kind))
+  else if (!g_strv_contains (not_run_kinds, kind))
     {
-      job->refused = TRUE;
-      if (job->n_starts > 0)
-        add_violation (checker, "job %s: %s, but %u tasks were started",
-                       job->id, kind, job->n_starts);
+      if (!g_strv_contains (passing_kinds, kind))
+        check_final (checker, job, FALSE, kind);
     }
-  if (json_object_get (body, "outputs") != NULL)
-    add_violation (checker, "job %s: failed, but with outputs", job->id);
-}
-
-/* A job that ran has one final answer, however often it is asked for.  */
-static void
-check_repeated (struct checker *checker, struct checked_job *job,
-                const char *body)
-{
-  if (job->final_body == NULL)
-    job->final_body = g_strdup (body);
-  else if (g_strcmp0 (job->final_body, body) != 0)
-    add_violation (checker, "job %s: two different answers", job->id);
+  else if (job->n_starts > 0)
+    add_violation (checker, "job %s: %s, but %u tasks were started", job->id,
+                   kind, job->n_starts);
 }
 
 static void
@@ -308,18 +322,16 @@
             const char *text, const json_t *body)
 {
   const char *id = json_string_value (json_object_get (body, "job"));
-  gboolean refused_before = job->refused;
 
   if (id != NULL && strcmp (id, job->id) != 0)
     add_violation (checker, "job %s: got the answer of job %s", job->id, id);
-  job->refused = FALSE;
   if (status == 200)
-    check_complete (checker, job, body);
+    {
+      check_complete (checker, job, body);
+      check_final (checker, job, TRUE, text);
+    }
   else
     check_failed (checker, job, body);
-  if (!job->refused)
-    check_repeated (checker, job, text);
-  job->refused = job->refused || refused_before;
 }
 
 static void
--- a/t/t8003-checker.c
+++ b/t/t8003-checker.c
@@ -68,8 +68,16 @@
     WHOLE, 0, NULL, "j/1: has an output but no start" },
   { "false-not-run", "{\"starts\":[{\"task\":\"j/0\",\"count\":1}]}", NULL,
     503, NOT_RUN, 0, NULL, "not-run, but 1 tasks were started" },
-  { "two-answers", BOTH_STARTED, NULL, 200, WHOLE, 502, FAILED,
+  { "knowledge-lost", BOTH_STARTED, NULL, 200, WHOLE, 502, FAILED, NULL },
+  { "later-complete", BOTH_STARTED, NULL, 502, FAILED, 200, WHOLE,
     "two different answers" },
+  { "other-failure", BOTH_STARTED, NULL, 502, FAILED, 502,
+    "{\"job\":\"j\",\"error\":{\"kind\":\"failed\"}}",
+    "two different answers" },
+  { "other-text", BOTH_STARTED, NULL, 200, WHOLE, 200, WHOLE " ",
+    "two different answers" },
+  { "answered-later", BOTH_STARTED, NULL, 503,
+    "{\"job\":\"j\",\"error\":{\"kind\":\"unavailable\"}}", 200, WHOLE, NULL },
 };
 
 static void
