--- a/t/support/http.c
+++ b/t/support/http.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #define POLL_INTERVAL_MS 5
-#define MAX_POLLS 12000
+#define MAX_POLLS 4000
 
 struct http_call
 {
@@ -268,6 +268,8 @@
 json_t *
 http_poll_until (const char *url, http_predicate *predicate, gpointer data)
 {
+  char *last = NULL;
+
   for (int i = 0; i < MAX_POLLS; i++)
     {
       struct http_answer *answer = http_request ("GET", url, NULL, NULL);
@@ -275,11 +277,16 @@
 
       http_answer_free (answer);
       if (body != NULL && predicate (body, data))
-        return body;
+        {
+          free (last);
+          return body;
+        }
+      g_clear_pointer (&last, free);
+      last = body == NULL ? NULL : json_dumps (body, JSON_COMPACT);
       json_decref (body);
       run_main_loop_for (POLL_INTERVAL_MS);
     }
-  g_error ("%s never showed what the test waits for", url);
+  g_error ("%s never showed what the test waits for: %s", url, last);
 }
 
 json_t *
