--- a/t/t9504-platform-faults.c
+++ b/t/t9504-platform-faults.c
@@ -131,6 +131,34 @@
   fault_bed_stop (bed);
 }
 
+/*
+ * The connection on which an entry VM follows the log goes silent for good
+ * while new ones work; later changes come into force all the same.
+ */
+static void
+test_connection_silent (void)
+{
+  struct deployment *d = deployment_start (1, 1);
+  g_autofree char *to
+      = g_strdup_printf ("127.0.0.1:%u", d->platform->ports[0]);
+  struct process *proxy = process_start_standin ("proxy", "--to", to, NULL);
+  g_autofree char *log_url = http_url (proxy->ports[0], "%s", "");
+  g_autofree char *faults = http_url (proxy->ports[1], "/test/faults");
+  json_t *settings = deployment_settings (d, 0);
+  json_t *document = deployment_document (d);
+
+  json_object_set_new (settings, "log_url", json_string (log_url));
+  deployment_start_entry (d, 0, settings);
+  deployment_wait_in_force (d);
+  http_post (faults, "{\"silence_existing\":true}");
+  json_object_set_new (document, "weight", json_integer (2));
+  deployment_publish (d, document);
+  json_decref (document);
+  json_decref (settings);
+  process_free (proxy);
+  deployment_stop (d);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -140,5 +168,7 @@
   g_test_add_func ("/platform-faults/refusing", test_refusing);
   g_test_add_func ("/platform-faults/lost-answer", test_lost_answer);
   g_test_add_func ("/platform-faults/race", test_race);
+  g_test_add_func ("/platform-faults/connection-silent",
+                   test_connection_silent);
   return g_test_run ();
 }
