coordination: look again soon after the connections of a peer were cut

Cause: a process that is killed cuts its connections before its listening socket is gone, so the first check was not refused and the next one came 2 s later.

--- a/coordination/membership.c
+++ b/coordination/membership.c
@@ -393,7 +393,8 @@
       = peer->checks_refused > 0 || (peer->was_listed && !peer->is_listed);
 
   drop_checks (peer);
-  peer->recheck_due_us = now_us + RECHECK_US;
+  peer->recheck_due_us
+      = now_us + (peer->state == PEER_SUSPECT ? FIRST_RECHECK_US : RECHECK_US);
   if (is_gone)
     set_state (m, peer, PEER_DEAD);
   else if (peer->state == PEER_SUSPECT)
--- a/coordination/membership.h
+++ b/coordination/membership.h
@@ -44,8 +44,10 @@
 #define DIRECT_CHECK_US (300 * USEC_PER_MSEC)
 #define INDIRECT_CHECK_US (350 * USEC_PER_MSEC)
 
-/* How often a peer that is not live is tried again.  */
+/* How often a peer that is not live is tried again, and how soon at first: a
+   process that is ending cuts its connections before it stops listening.  */
 #define RECHECK_US (2 * USEC_PER_SEC)
+#define FIRST_RECHECK_US (150 * USEC_PER_MSEC)
 
 /* Peers of other zones that a VM chooses to exchange heartbeats with.  */
 #define REMOTE_LINKS 3
