--- a/t/t3003-peer-rpc.c
+++ b/t/t3003-peer-rpc.c
@@ -238,7 +238,7 @@
 
 /* A connection that goes silent is given up, and a fresh one used.  */
 static void
-test_half_open (struct fixture *f, gconstpointer data)
+test_half_open (struct fixture *f, gconstpointer fault)
 {
   struct outcome outcome;
 
@@ -246,7 +246,7 @@
   f->holds = TRUE;
   begin (f, &outcome, 201, 10, FAR_US);
   wait_for_held (f, 1);
-  set_faults (f, "{\"silence_existing\":true}");
+  set_faults (f, fault);
   wait_for (&outcome);
   g_assert_cmpint (outcome.kind, ==, ERROR_UNAVAILABLE);
   f->holds = FALSE;
@@ -344,13 +344,23 @@
   g_test_add (path, struct fixture, NULL, set_up, test, tear_down);
 }
 
+static void
+add_half_open (const char *name, const char *fault)
+{
+  g_autofree char *path = g_strconcat ("/peer-rpc/half-open/", name, NULL);
+
+  g_test_add (path, struct fixture, fault, set_up, test_half_open, tear_down);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   add ("/peer-rpc/many-calls", test_many_calls);
   add ("/peer-rpc/large-call", test_large_call);
-  add ("/peer-rpc/half-open", test_half_open);
+  add_half_open ("both-ways", "{\"silence_existing\":true}");
+  add_half_open ("calls", "{\"up\":{\"silent\":true}}");
+  add_half_open ("replies", "{\"down\":{\"silent\":true}}");
   add ("/peer-rpc/reset", test_reset);
   add ("/peer-rpc/long-call", test_long_call);
   add ("/peer-rpc/nobody-listens", test_nobody_listens);
--- /dev/null
+++ b/t/t3004-peer-codec.c
@@ -0,0 +1,178 @@
+/*
+ * What peers send, bent at random: it is refused or read, and never more.
+ * Without keys, so that the codecs see all of it.
+ */
+#include "protocol/heartbeat.h"
+#include "protocol/rpc_message.h"
+
+#include <string.h>
+
+#define N_ROUNDS 50000
+#define NOW_MS G_GINT64_CONSTANT (1700000000000)
+
+static struct peer_mac *
+no_keys (void)
+{
+  g_autoptr (GPtrArray) keys = g_ptr_array_new ();
+
+  return peer_mac_new (keys);
+}
+
+static gsize
+build_heartbeat (const struct peer_mac *mac, guint8 *data)
+{
+  char *names[] = { (char *)"minion-1", (char *)"minion-2" };
+  heartbeat_load loads[] = { { 1, 2, 3 }, { 4, 5, 6 } };
+  heartbeat_section sections[4] = { 0 };
+  heartbeat beat = { .header = HEARTBEAT_CHOOSES_FLAG, .sender = 1 };
+
+  sections[0].kind = HEARTBEAT_INTRODUCTION;
+  sections[0].heartbeat_section_u.introduction
+      = (heartbeat_introduction){ (char *)"entry-1", (char *)"reykjavik-a",
+                                  (char *)"127.0.0.1:9000" };
+  sections[1].kind = HEARTBEAT_DIGEST;
+  sections[2].kind = HEARTBEAT_LOADS;
+  sections[2].heartbeat_section_u.loads.loads_len = 2;
+  sections[2].heartbeat_section_u.loads.loads_val = loads;
+  sections[3].kind = HEARTBEAT_LEAVING;
+  sections[3].heartbeat_section_u.leaving.leaving_len = 2;
+  sections[3].heartbeat_section_u.leaving.leaving_val = names;
+  beat.sections.sections_len = 4;
+  beat.sections.sections_val = sections;
+  beat.sent_ms = (guint32)NOW_MS;
+  return heartbeat_encode (&beat, mac, data);
+}
+
+/* Changes some bytes and, now and then, the length.  */
+static gsize
+bend (GRand *random, guint8 *data, gsize length)
+{
+  gint32 n = g_rand_int_range (random, 1, 5);
+
+  for (gint32 i = 0; i < n; i++)
+    data[g_rand_int_range (random, 4, (gint32)length)]
+        = (guint8)g_rand_int (random);
+  if (g_rand_int_range (random, 0, 4) == 0)
+    length = (gsize)g_rand_int_range (random, 1, (gint32)length);
+  return length;
+}
+
+/* The copy ends where the data does, so that the sanitizer sees a read behind
+   it.  */
+static void
+test_heartbeats (void)
+{
+  struct peer_mac *mac = no_keys ();
+  GRand *random = g_rand_new_with_seed (11);
+  guint8 good[HEARTBEAT_MAX_LENGTH];
+  gsize length = build_heartbeat (mac, good);
+  guint n_read = 0;
+
+  g_assert_cmpuint (length, >, 0);
+  for (guint i = 0; i < N_ROUNDS; i++)
+    {
+      guint8 bent[HEARTBEAT_MAX_LENGTH];
+      g_autofree guint8 *copy = NULL;
+      heartbeat beat;
+      gsize n;
+
+      memcpy (bent, good, length);
+      n = bend (random, bent, length);
+      copy = g_memdup2 (bent, n);
+      if (!heartbeat_decode (copy, n, mac, NOW_MS, &beat))
+        continue;
+      n_read++;
+      g_assert_cmpuint (beat.sections.sections_len, <=,
+                        HEARTBEAT_SECTIONS_MAX);
+      heartbeat_clear (&beat);
+    }
+  g_assert_cmpuint (n_read, >, 0);
+  g_assert_cmpuint (n_read, <, N_ROUNDS);
+  g_rand_free (random);
+  peer_mac_free (mac);
+}
+
+static GBytes *
+build_call (const struct peer_mac *mac)
+{
+  peer_document_version known[]
+      = { { (char *)"hjolavinir", 7 }, { (char *)"garpar", 9 } };
+  peer_fetch_args arguments = { { 2, known } };
+  peer_credential credential
+      = { (char *)"entry-1", (char *)"entry-2", 1, 2, (guint64)NOW_MS };
+
+  return rpc_build_call (mac, 5, rpc_procedure_find (PEER_FETCH_DOCUMENTS),
+                         &credential, &arguments);
+}
+
+static void
+test_calls (void)
+{
+  struct peer_mac *mac = no_keys ();
+  GRand *random = g_rand_new_with_seed (12);
+  g_autoptr (GBytes) record = build_call (mac);
+  gsize length = g_bytes_get_size (record) - RPC_MARK_LENGTH;
+  const guint8 *good
+      = (const guint8 *)g_bytes_get_data (record, NULL) + RPC_MARK_LENGTH;
+  guint ends[3] = { 0 };
+
+  for (guint i = 0; i < N_ROUNDS; i++)
+    {
+      g_autofree guint8 *bent = g_memdup2 (good, length);
+      gsize n = bend (random, bent, length);
+      g_autofree guint8 *copy = g_memdup2 (bent, n);
+      struct rpc_call call;
+      enum rpc_call_end end = rpc_parse_call (mac, copy, n, &call);
+
+      ends[end]++;
+      if (end == RPC_CALL_VALID)
+        rpc_call_clear (&call);
+    }
+  for (guint i = 0; i < G_N_ELEMENTS (ends); i++)
+    g_assert_cmpuint (ends[i], >, 0);
+  g_rand_free (random);
+  peer_mac_free (mac);
+}
+
+static void
+test_replies (void)
+{
+  struct peer_mac *mac = no_keys ();
+  GRand *random = g_rand_new_with_seed (13);
+  const struct rpc_procedure *procedure
+      = rpc_procedure_find (PEER_LEASE_SLOTS);
+  peer_slot_lease lease = { (char *)"minion-1", 2, 5000, 7 };
+  peer_lease_result result = { { 1, &lease } };
+  g_autoptr (GBytes) record = rpc_build_reply (mac, 5, procedure, &result);
+  gsize length = g_bytes_get_size (record) - RPC_MARK_LENGTH;
+  const guint8 *good
+      = (const guint8 *)g_bytes_get_data (record, NULL) + RPC_MARK_LENGTH;
+  guint n_read = 0;
+
+  for (guint i = 0; i < N_ROUNDS; i++)
+    {
+      g_autofree guint8 *bent = g_memdup2 (good, length);
+      gsize n = bend (random, bent, length);
+      g_autofree guint8 *copy = g_memdup2 (bent, n);
+      g_autoptr (GError) error = NULL;
+      void *read = rpc_parse_reply (mac, copy, n, procedure, &error);
+
+      g_assert_true ((read != NULL) == (error == NULL));
+      n_read += read != NULL ? 1 : 0;
+      rpc_result_free (procedure, read);
+    }
+  g_assert_cmpuint (n_read, >, 0);
+  g_assert_cmpuint (n_read, <, N_ROUNDS);
+  g_rand_free (random);
+  peer_mac_free (mac);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/peer-codec/heartbeats", test_heartbeats);
+  g_test_add_func ("/peer-codec/calls", test_calls);
+  g_test_add_func ("/peer-codec/replies", test_replies);
+  return g_test_run ();
+}
--- a/transport/peer_hub_beats.c
+++ b/transport/peer_hub_beats.c
@@ -79,6 +79,13 @@
     }
 }
 
+static void
+take_leaving (struct peer_hub *hub, const char *vm)
+{
+  if (vm_name_is_valid (vm))
+    leaving_vms_hear (hub->leaving, vm, clock_now_us ());
+}
+
 static void
 take_section (struct peer_hub *hub, const struct peer *peer,
               const heartbeat_section *section)
@@ -95,9 +102,8 @@
     case HEARTBEAT_LEAVING:
       for (guint i = 0; i < section->heartbeat_section_u.leaving.leaving_len;
            i++)
-        leaving_vms_hear (hub->leaving,
-                          section->heartbeat_section_u.leaving.leaving_val[i],
-                          clock_now_us ());
+        take_leaving (hub,
+                      section->heartbeat_section_u.leaving.leaving_val[i]);
       break;
     case HEARTBEAT_INTRODUCTION:
       break;
@@ -128,7 +134,8 @@
       if (section->kind != HEARTBEAT_INTRODUCTION)
         continue;
       address = peer_address_parse (introduction->address);
-      if (address == NULL || !vm_name_is_valid (introduction->name))
+      if (address == NULL || !vm_name_is_valid (introduction->name)
+          || !g_utf8_validate (introduction->availability_zone, -1, NULL))
         return FALSE;
       heard->name = introduction->name;
       heard->availability_zone = introduction->availability_zone;
