--- a/transport/drain.c
+++ b/transport/drain.c
@@ -17,7 +17,9 @@
 {
   struct drain_parts parts;
   gint64 linger_until_us;
+  gint64 deadline_us;
   gint64 give_up_us;
+  gboolean is_past_deadline;
   gboolean are_jobs_done;
   guint quiet_polls;
   guint source;
@@ -41,6 +43,12 @@
   struct drain *drain = data;
   gint64 now_us = clock_now_us ();
 
+  if (now_us >= drain->deadline_us && !drain->are_jobs_done
+      && !drain->is_past_deadline)
+    {
+      drain->is_past_deadline = TRUE;
+      home_end_jobs (drain->parts.home);
+    }
   if (now_us < drain->give_up_us)
     {
       if (now_us < drain->linger_until_us || !is_quiet (drain))
@@ -73,12 +81,13 @@
 
   drain->parts = *parts;
   drain->linger_until_us = clock_now_us () + LINGER_US;
+  drain->deadline_us = deadline_us;
   drain->give_up_us
       = MAX (deadline_us, drain->linger_until_us) + WRITE_TIMEOUT_US;
   drain->finished = finished;
   drain->data = data;
   peer_hub_set_leaving (parts->hub);
-  home_drain (parts->home, deadline_us, on_jobs_done, drain);
+  home_drain (parts->home, on_jobs_done, drain);
   drain->source = g_timeout_add (POLL_MS, on_poll, drain);
   return drain;
 }
--- a/transport/home.c
+++ b/transport/home.c
@@ -34,7 +34,6 @@
   void (*drained) (gpointer data);
   gpointer drained_data;
   guint drained_source;
-  guint deadline_source;
   gboolean is_past_drain_deadline;
 };
 
@@ -286,8 +285,6 @@
     g_source_remove (home->wake_source);
   if (home->drained_source != 0)
     g_source_remove (home->drained_source);
-  if (home->deadline_source != 0)
-    g_source_remove (home->deadline_source);
   upstream_client_free (home->client);
   dispatcher_free (home->dispatcher);
   ticket_window_free (home->tickets);
@@ -615,15 +612,13 @@
     g_ptr_array_add (pending, job_ref (job));
 }
 
-static gboolean
-on_drain_deadline (gpointer data)
+void
+home_end_jobs (struct home *home)
 {
-  struct home *home = data;
   struct job_table *jobs = dispatcher_get_jobs (home->dispatcher);
   g_autoptr (GPtrArray) pending
       = g_ptr_array_new_with_free_func ((GDestroyNotify)job_unref);
 
-  home->deadline_source = 0;
   home->is_past_drain_deadline = TRUE;
   g_hash_table_foreach (jobs->jobs, collect_active, pending);
   event_log (EVENT_DRAIN_DEADLINE, "%u jobs still run", pending->len);
@@ -631,20 +626,13 @@
     dispatcher_cancel (home->dispatcher, pending->pdata[i], clock_now_us ());
   if (home->drained != NULL && home->drained_source == 0)
     home->drained_source = g_idle_add (call_drained, home);
-  return G_SOURCE_REMOVE;
 }
 
 void
-home_drain (struct home *home, gint64 deadline_us,
-            void (*drained) (gpointer data), gpointer data)
+home_drain (struct home *home, void (*drained) (gpointer data), gpointer data)
 {
-  gint64 now_us = clock_now_us ();
-  gint64 delay_ms = MAX (deadline_us - now_us, 0) / USEC_PER_MSEC;
-
   home->drained = drained;
   home->drained_data = data;
-  home->deadline_source = g_timeout_add ((guint)MIN (delay_ms, G_MAXINT),
-                                         on_drain_deadline, home);
-  dispatcher_drain (home->dispatcher, now_us);
+  dispatcher_drain (home->dispatcher, clock_now_us ());
   check_drained (home);
 }
--- a/transport/home.h
+++ b/transport/home.h
@@ -87,12 +87,16 @@
 /* Cancels JOB; FALSE when it had finished before.  */
 gboolean home_cancel (struct home *home, struct job *job);
 
+/* Refuses new jobs from now on; tells through DRAINED, once, that nothing is
+   left to do.  */
+void home_drain (struct home *home, void (*drained) (gpointer data),
+                 gpointer data);
+
 /*
- * Refuses new jobs from now on; tells through DRAINED, once, that nothing is
- * left to do.  Jobs that still run at DEADLINE_US are answered then: with an
- * unknown outcome, or as not run when none of their tasks was started.
+ * Answers every job that still runs, at the end of the longest time for a
+ * drain: with an unknown outcome, or as not run when none of its tasks was
+ * started.
  */
-void home_drain (struct home *home, gint64 deadline_us,
-                 void (*drained) (gpointer data), gpointer data);
+void home_end_jobs (struct home *home);
 
 #endif
