transport: say whether a request reached a home that is gone

During a rolling replacement, a caller whose ticket belongs to the VM that has ended got 'unknown' even when nothing was ever sent there.

--- a/t/t9103-drain.c
+++ b/t/t9103-drain.c
@@ -16,8 +16,9 @@
 struct load
 {
   struct deployment *d;
+  gboolean uses_tickets; /* of one VM, submitted at another */
   struct http_call *calls[N_CLIENTS];
-  guint targets[N_CLIENTS];
+  char *tickets[N_CLIENTS]; /* to be submitted next */
   guint next_target;
   guint n_whole;
   guint n_refused;
@@ -25,13 +26,18 @@
 };
 
 static void
-send_job (struct load *load, guint client)
+send_request (struct load *load, guint client)
 {
   guint target = load->next_target++ % load->d->n_entries;
-  g_autofree char *url = deployment_url (load->d, target, "/v1/jobs");
-  g_autofree char *job = deployment_job (N_TASKS, RUN_MS, client);
+  gboolean draws = load->uses_tickets && load->tickets[client] == NULL;
+  g_autofree char *url
+      = deployment_url (load->d, target, draws ? "/v1/tickets" : "/v1/jobs");
+  g_autofree char *job = NULL;
 
-  load->targets[client] = target;
+  if (load->tickets[client] != NULL)
+    job = peers_job (load->tickets[client], N_TASKS, RUN_MS, client);
+  else if (!draws)
+    job = deployment_job (N_TASKS, RUN_MS, client);
   load->calls[client] = http_begin ("POST", url, job, NULL);
 }
 
@@ -47,6 +53,34 @@
   return answer->status == 503 && result;
 }
 
+/* Whether the home of a ticket is gone and has not seen the request.  */
+static gboolean
+is_not_passed_on (const struct http_answer *answer)
+{
+  json_t *body = http_answer_json (answer);
+  json_t *error = json_object_get (body, "error");
+  gboolean result = json_is_false (json_object_get (error, "passed_on"));
+
+  json_decref (body);
+  return result;
+}
+
+static void
+take_whole (struct load *load, guint client, json_t *body)
+{
+  json_t *tickets = json_object_get (body, "tickets");
+
+  g_clear_pointer (&load->tickets[client], g_free);
+  if (tickets != NULL)
+    {
+      load->tickets[client]
+          = g_strdup (json_string_value (json_array_get (tickets, 0)));
+      return;
+    }
+  deployment_assert_whole (body, N_TASKS, client);
+  load->n_whole++;
+}
+
 static void
 take_answer (struct load *load, guint client, struct http_answer *answer)
 {
@@ -59,11 +93,13 @@
       load->n_refused++;
       return;
     }
-  if (is_draining (answer))
+  if (is_draining (answer) || is_not_passed_on (answer))
     {
-      g_assert_cmpstr (
-          soup_message_headers_get_one (answer->headers, "Connection"), ==,
-          "close");
+      if (load->tickets[client] == NULL)
+        g_assert_cmpstr (
+            soup_message_headers_get_one (answer->headers, "Connection"), ==,
+            "close");
+      g_clear_pointer (&load->tickets[client], g_free);
       load->n_refused++;
       return;
     }
@@ -71,9 +107,8 @@
     g_test_message ("%s", answer->body);
   g_assert_cmpuint (answer->status, ==, 200);
   body = http_answer_json (answer);
-  deployment_assert_whole (body, N_TASKS, client);
+  take_whole (load, client, body);
   json_decref (body);
-  load->n_whole++;
 }
 
 /* Lets the callers go on.  Returns FALSE when none waits any more.  */
@@ -87,8 +122,9 @@
     {
       struct http_answer *answer;
 
-      if (load->calls[i] == NULL && !load->is_ending)
-        send_job (load, i);
+      if (load->calls[i] == NULL
+          && (!load->is_ending || load->tickets[i] != NULL))
+        send_request (load, i);
       is_waiting |= load->calls[i] != NULL;
       if (load->calls[i] == NULL || !http_call_is_finished (load->calls[i]))
         continue;
@@ -136,10 +172,10 @@
 }
 
 static void
-test_rolling_replacement (void)
+test_rolling_replacement (gconstpointer uses_tickets)
 {
   struct deployment *d = deployment_start (3, 4);
-  struct load load = { .d = d };
+  struct load load = { .d = d, .uses_tickets = uses_tickets != NULL };
 
   peers_connect (d);
   run_jobs (&load, 30);
@@ -316,7 +352,10 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
-  g_test_add_func ("/drain/rolling-replacement", test_rolling_replacement);
+  g_test_add_data_func ("/drain/rolling-replacement", NULL,
+                        test_rolling_replacement);
+  g_test_add_data_func ("/drain/rolling-replacement-tickets", "tickets",
+                        test_rolling_replacement);
   g_test_add_func ("/drain/forwarded-wait-ends", test_forwarded_wait_ends);
   g_test_add_func ("/drain/deadline", test_drain_deadline);
   g_test_add_func ("/drain/upstream-leaves", test_upstream_leaves);
--- a/transport/forward.c
+++ b/transport/forward.c
@@ -3,8 +3,11 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/event_log.h"
+#include "protocol/json_read.h"
 #include "transport/forward_serve.h"
 
+#include <string.h>
+
 /* How long a request may take in all: as long as a job, or a short time for
    one that needs no job to end.  */
 #define SUBMIT_TIMEOUT_US ((JOB_MAX_DEADLINE_MS + 30000) * USEC_PER_MSEC)
@@ -48,7 +51,8 @@
   GBytes *body;
   gint64 deadline_us;
   guint n_tries;
-  guint source; /* the next try */
+  gboolean was_passed_on; /* it may have reached the home */
+  guint source;           /* the next try */
   struct attempt *attempt;
   forward_answer *answer;
   gpointer data;
@@ -129,12 +133,29 @@
           body);
 }
 
+/* Adds to the answer in BODY whether the request may have reached the home. */
+static GBytes *
+add_passed_on (GBytes *body, gboolean was_passed_on)
+{
+  json_t *root = json_parse (g_bytes_get_data (body, NULL),
+                             g_bytes_get_size (body), NULL);
+  char *text;
+
+  json_object_set_new (json_object_get (root, "error"), "passed_on",
+                       json_boolean (was_passed_on));
+  text = json_format (root);
+  json_decref (root);
+  return g_bytes_new_take (text, strlen (text));
+}
+
 static void
 finish_lost (struct forward_wait *wait)
 {
   g_autoptr (GError) error = forward_lost_error (&wait->id);
+  g_autoptr (GBytes) plain = error_format_answer (error, wait->id_text);
+  g_autoptr (GBytes) body = add_passed_on (plain, wait->was_passed_on);
 
-  finish_with_error (wait, 0, error);
+  finish (wait, error_kind_http_status (ERROR_UNKNOWN), 0, body);
 }
 
 static void
@@ -191,6 +212,7 @@
   wait->attempt = NULL;
   if (reply == NULL)
     {
+      wait->was_passed_on |= error_get_kind (error) == ERROR_UNAVAILABLE;
       handle_broken_call (wait, error);
       return;
     }
@@ -255,6 +277,7 @@
         continue;
       wait->source
           = g_idle_add_full (G_PRIORITY_DEFAULT, on_retry, wait, NULL);
+      wait->was_passed_on |= wait->attempt != NULL;
       if (wait->attempt != NULL)
         wait->attempt->wait = NULL;
       wait->attempt = NULL;
