coordination: reserve room for tasks that small ones crowd out

A task that asked for much of an upstream never found enough free while small tasks kept coming. What tasks ask for is counted by host now, over all teams. Without it the new test's task waits without end (20 s and more); with it, it starts.

--- a/coordination/dispatcher.c
+++ b/coordination/dispatcher.c
@@ -6,6 +6,7 @@
 #include "coordination/host.h"
 #include "coordination/job_flow.h"
 #include "coordination/leases.h"
+#include "coordination/reservation.h"
 #include "coordination/rollout.h"
 #include "coordination/serve.h"
 #include "coordination/shares.h"
@@ -338,6 +339,7 @@
   gboolean is_late = now_us > d->tick_due_us + LATE_TICKS * d->tick_us;
 
   shares_expire (d, now_us);
+  reservations_expire (d, now_us);
   leases_tend (d, is_late, now_us);
   job_table_expire (d->jobs, now_us);
   d->tick_due_us = now_us + d->tick_us;
--- a/coordination/host.c
+++ b/coordination/host.c
@@ -5,6 +5,8 @@
 {
   struct host *host = data;
 
+  if (host->reserved_job != NULL)
+    job_unref (host->reserved_job);
   g_free (host->address);
   g_free (host);
 }
--- a/coordination/host.h
+++ b/coordination/host.h
@@ -19,6 +19,7 @@
 #ifndef COORDINATION_HOST_H
 #define COORDINATION_HOST_H
 
+#include "state/job.h"
 #include "state/upstream.h"
 
 /* How far ahead of its share a pool may be and still go first.  */
@@ -30,8 +31,11 @@
 struct host
 {
   char *address;
-  guint slots;     /* the largest that an upstream names */
-  guint n_running; /* tasks of this VM, of all teams */
+  guint slots;              /* the largest that an upstream names */
+  guint n_running;          /* tasks of this VM, of all teams */
+  struct shape used;        /* what those tasks asked for, summed */
+  struct job *reserved_job; /* the only one that starts here; referenced */
+  gint64 reserved_until_us;
   gint64 virtual_us;
   guint active_weight; /* of the pools that had tasks when a slot was offered
                           last; 0 before */
--- a/coordination/placement_late.c
+++ b/coordination/placement_late.c
@@ -8,6 +8,7 @@
  */
 #include "coordination/placement.h"
 
+#include "coordination/host.h"
 #include "coordination/shape_check.h"
 
 /* Levels of one speed class.  */
@@ -39,7 +40,7 @@
       struct upstream *upstream
           = list_entry (node, struct upstream, level_link);
 
-      if (shape_fits_beside (need, &upstream->used, &upstream->shape))
+      if (shape_fits_beside (need, &upstream->host->used, &upstream->shape))
         return upstream;
       if (++n == LOOKAHEAD)
         break;
--- a/coordination/pool.c
+++ b/coordination/pool.c
@@ -228,6 +228,13 @@
 
 gboolean
 pool_may_start_on (const struct upstream *upstream, gint64 now_us)
+{
+  return pool_has_room_on (upstream, now_us)
+         && upstream->host->reserved_job == NULL;
+}
+
+gboolean
+pool_has_room_on (const struct upstream *upstream, gint64 now_us)
 {
   return upstream->pool != NULL && upstream_count_free_slots (upstream) > 0
          && !host_is_full (upstream->host)
--- a/coordination/pool.h
+++ b/coordination/pool.h
@@ -47,14 +47,15 @@
   GPtrArray *lanes;     /* struct lane, owned */
   guint n_queued;
   guint n_running;
-  gint64 queued_work_us;  /* estimates, added up */
-  struct backlog by_key;  /* queued work by its jobs' keys */
-  struct backlog by_due;  /* by end_by_us, of jobs with a deadline */
-  gint64 running_work_us; /* the same of running tasks */
-  gint64 last_start_us;   /* of any of its tasks */
-  gint64 shutdown_us;     /* the service's shutdown on the local clock */
-  guint n_slots;          /* this VM may fill, not counting upstreams that
-                             leave, rest or are on probation */
+  gint64 queued_work_us;      /* estimates, added up */
+  struct backlog by_key;      /* queued work by its jobs' keys */
+  struct backlog by_due;      /* by end_by_us, of jobs with a deadline */
+  gint64 running_work_us;     /* the same of running tasks */
+  gint64 last_start_us;       /* of any of its tasks */
+  gint64 shutdown_us;         /* the service's shutdown on the local clock */
+  guint n_slots;              /* this VM may fill, not counting upstreams that
+                                 leave, rest or are on probation */
+  struct host *reserved_host; /* for one of its jobs; NULL for none */
   struct pool_health health;
   struct estimate_table estimates;
 };
@@ -84,8 +85,10 @@
 void pool_count_work (struct pool *pool, struct job *job, gint64 now_us);
 void pool_uncount_work (struct pool *pool, struct job *job);
 
-/* Whether UPSTREAM may get a task now.  */
+/* Whether UPSTREAM may get a task now; and whether it might but for the
+   reservation of its host.  */
 gboolean pool_may_start_on (const struct upstream *upstream, gint64 now_us);
+gboolean pool_has_room_on (const struct upstream *upstream, gint64 now_us);
 
 /* Puts UPSTREAM where it belongs in its pool's index after any change.  */
 void pool_update_index (struct upstream *upstream, gint64 now_us);
--- /dev/null
+++ b/coordination/reservation.c
@@ -0,0 +1,129 @@
+#include "coordination/reservation.h"
+
+#include "coordination/host.h"
+#include "coordination/serve.h"
+#include "coordination/shape_check.h"
+
+/* Jobs of one lane that are looked at.  */
+#define LOOKAHEAD 8
+
+static void
+update_indexes (struct host *host, gint64 now_us)
+{
+  struct list_node *node;
+  struct list_node *after;
+
+  list_for_each (node, after, &host->upstreams)
+    pool_update_index (list_entry (node, struct upstream, host_link), now_us);
+}
+
+/* Whether TASK has waited long and lacks nothing but room on UPSTREAM.  */
+static gboolean
+is_crowded_out (const struct task *task, const struct upstream *upstream,
+                gint64 now_us)
+{
+  if (task->job->accepted_us + RESERVATION_WAIT_US > now_us)
+    return FALSE;
+  return !shape_fits_beside (&task->need, &upstream->host->used,
+                             &upstream->shape);
+}
+
+static struct job *
+find_crowded_out (const struct upstream *upstream, gint64 now_us)
+{
+  const GPtrArray *lanes = upstream->pool->lanes;
+
+  for (guint i = 0; i < lanes->len; i++)
+    {
+      const struct lane *lane = g_ptr_array_index (lanes, i);
+
+      if ((lane->kinds >> upstream->shape_kind & 1) == 0)
+        continue;
+      for (guint j = 0; j < MIN (lane->heap->len, LOOKAHEAD); j++)
+        {
+          struct lane_entry *entry = g_ptr_array_index (lane->heap, j);
+
+          if (is_crowded_out (lane_entry_peek (entry), upstream, now_us))
+            return entry->job;
+        }
+    }
+  return NULL;
+}
+
+void
+reservation_consider (struct upstream *upstream, gint64 now_us)
+{
+  struct pool *pool = upstream->pool;
+  struct host *host = upstream->host;
+  struct job *job;
+
+  if (pool == NULL || pool->n_queued == 0 || pool->reserved_host != NULL
+      || host->reserved_job != NULL || upstream->is_leaving)
+    return;
+  job = find_crowded_out (upstream, now_us);
+  if (job == NULL)
+    return;
+  pool->reserved_host = host;
+  host->reserved_job = job_ref (job);
+  host->reserved_until_us = now_us + RESERVATION_MAX_US;
+  update_indexes (host, now_us);
+}
+
+struct task *
+reservation_find_task (const struct upstream *upstream)
+{
+  const struct job *job = upstream->host->reserved_job;
+  const struct list_node *node;
+
+  if (job->pool != upstream->pool)
+    return NULL;
+  for (node = job->order_link.next; node != &job->order_link;
+       node = node->next)
+    {
+      struct lane_entry *entry
+          = list_entry (node, struct lane_entry, job_link);
+      struct task *task = lane_entry_peek (entry);
+
+      if ((entry->lane->kinds >> upstream->shape_kind & 1) != 0
+          && shape_fits_beside (&task->need, &upstream->host->used,
+                                &upstream->shape))
+        return task;
+    }
+  return NULL;
+}
+
+void
+reservation_end (struct host *host, gint64 now_us)
+{
+  struct job *job = host->reserved_job;
+
+  if (job == NULL)
+    return;
+  host->reserved_job = NULL;
+  job->pool->reserved_host = NULL;
+  job_unref (job);
+  update_indexes (host, now_us);
+}
+
+void
+reservations_expire (struct dispatcher *d, gint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, d->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct host *host = ((struct pool *)value)->reserved_host;
+      struct upstream *upstream;
+
+      if (host == NULL
+          || (host->reserved_until_us > now_us
+              && host->reserved_job->n_queued > 0))
+        continue;
+      reservation_end (host, now_us);
+      upstream = host_find_active (host);
+      if (upstream != NULL)
+        serve_upstream (d, upstream, now_us);
+    }
+}
--- a/coordination/rollout.c
+++ b/coordination/rollout.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "coordination/job_flow.h"
+#include "coordination/reservation.h"
 #include "coordination/serve.h"
 #include "coordination/wind_down.h"
 
@@ -147,6 +148,8 @@
 {
   g_autoptr (GPtrArray) tasks = take_queue (pool);
 
+  if (pool->reserved_host != NULL)
+    reservation_end (pool->reserved_host, now_us);
   forget_rests (pool);
   pool_apply_document (pool, d->hosts);
   note_leaving (d, pool);
--- a/coordination/serve.c
+++ b/coordination/serve.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "coordination/host.h"
 #include "coordination/placement.h"
+#include "coordination/reservation.h"
 #include "coordination/shape_check.h"
 
 /* Jobs of one lane that are looked at when the first ones do not fit.  */
@@ -46,7 +47,7 @@
   health_note_start (upstream);
   upstream->host->n_running++;
   list_append (&upstream->running, &task->upstream_link);
-  shape_add (&upstream->used, &task->need);
+  shape_add (&upstream->host->used, &task->need);
   pool->n_running++;
   pool->running_work_us += task->estimate_us;
   pool->last_start_us = now_us;
@@ -104,7 +105,8 @@
     return placement_late_binding.choose (pool, lane->kinds, &task->need,
                                           d->random);
   if (!pool_may_start_on (upstream, now_us)
-      || !shape_fits_beside (&task->need, &upstream->used, &upstream->shape))
+      || !shape_fits_beside (&task->need, &upstream->host->used,
+                             &upstream->shape))
     return NULL;
   return upstream;
 }
@@ -202,8 +204,8 @@
     {
       const struct lane_entry *entry = g_ptr_array_index (lane->heap, i);
 
-      if (!shape_fits_beside (&lane_entry_peek (entry)->need, &upstream->used,
-                              &upstream->shape))
+      if (!shape_fits_beside (&lane_entry_peek (entry)->need,
+                              &upstream->host->used, &upstream->shape))
         continue;
       if (best == NULL || lane_entry_precedes (entry, best))
         best = entry;
@@ -265,9 +267,11 @@
 static struct task *
 find_offer (struct dispatcher *d, struct upstream *upstream, gint64 now_us)
 {
-  if (upstream->pool->n_queued == 0 || !pool_may_start_on (upstream, now_us)
+  if (upstream->pool->n_queued == 0 || !pool_has_room_on (upstream, now_us)
       || !check_quota (d, upstream->pool, now_us))
     return NULL;
+  if (upstream->host->reserved_job != NULL)
+    return reservation_find_task (upstream);
   return find_task (upstream->pool, upstream);
 }
 
@@ -310,6 +314,7 @@
 
   if (host == NULL)
     return;
+  reservation_consider (upstream, now_us);
   while (!host_is_full (host))
     {
       struct task *task = NULL;
@@ -317,6 +322,8 @@
 
       if (due == NULL)
         break;
+      if (host->reserved_job == task->job)
+        reservation_end (host, now_us);
       start_task (d, task, due, now_us);
       pool_update_index (due, now_us);
     }
@@ -444,7 +451,7 @@
   list_remove (&task->upstream_link);
   upstream->n_running--;
   upstream->host->n_running--;
-  shape_subtract (&upstream->used, &task->need);
+  shape_subtract (&upstream->host->used, &task->need);
   host_note_end (upstream, task->estimate_us, run_time_us,
                  team_get_pool_weight (pool->team), now_us);
   pool->n_running--;
--- a/state/upstream.h
+++ b/state/upstream.h
@@ -38,7 +38,6 @@
   void *transport_data;           /* owned by the transport layer */
 
   /* For the coordination layer's use.  */
-  struct shape used;           /* what its running tasks asked for, summed */
   gint64 share_deadline_us;    /* when the share lapses */
   struct pool *pool;           /* NULL once removed; not owned */
   struct host *host;           /* NULL once removed; not owned */
--- a/t/support/decision_bed.c
+++ b/t/support/decision_bed.c
@@ -193,6 +193,16 @@
   return NULL;
 }
 
+void
+bed_answer_renewals (struct bed *bed)
+{
+  for (guint i = 0; i < bed->renewed->len; i++)
+    dispatcher_lease_renewed (bed->dispatcher,
+                              g_ptr_array_index (bed->renewed, i),
+                              bed->now_us + BED_LEASE_MS * USEC_PER_MSEC);
+  g_ptr_array_set_size (bed->renewed, 0);
+}
+
 void
 bed_pass (struct bed *bed, gint64 us)
 {
--- a/t/support/decision_bed.h
+++ b/t/support/decision_bed.h
@@ -66,6 +66,9 @@
 /* The oldest running task on the upstream of that name, or NULL.  */
 struct task *bed_find_running (struct bed *bed, const char *upstream);
 
+/* Answers the renewals that were asked for.  */
+void bed_answer_renewals (struct bed *bed);
+
 /* Moves the clock on in steps, and calls the dispatcher when it asked to.  */
 void bed_pass (struct bed *bed, gint64 us);
 
--- a/t/support/decision_world.c
+++ b/t/support/decision_world.c
@@ -71,6 +71,8 @@
                 "a lease starts lapsed");
   world_expect (w, shape_fits (&task->need, &upstream->shape),
                 "it does not fit");
+  world_expect (w, shape_fits (&upstream->host->used, &upstream->shape),
+                "an upstream gets more than it has");
   w->last_token = task->token;
   model->attempt = ATTEMPT_WAITING;
   model->model->n_in_flight++;
--- a/t/support/decision_world_private.h
+++ b/t/support/decision_world_private.h
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "coordination/dispatcher.h"
+#include "coordination/host.h"
 #include "coordination/pool.h"
 #include "t/support/decision_world.h"
 
--- a/t/t2010-placement.c
+++ b/t/t2010-placement.c
@@ -110,6 +110,40 @@
   bed_free (bed);
 }
 
+/* Small tasks that come all the time do not keep a large one out.  */
+static void
+test_large_task_gets_room (void)
+{
+  struct bed *bed = bed_new ();
+  struct document *document = bed_make_document ("t", 1, 2, 8);
+  gint64 began_us = bed->now_us;
+  struct job *large;
+
+  bed_upstream_spec (document, 0)->shape.cpus = 16;
+  bed_upstream_spec (document, 1)->shape.cpus = 16;
+  bed_apply (bed, document);
+  large = bed_make_job (bed, 1);
+  large->tasks[0].need.cpus = 16;
+  for (guint i = 0; large->n_running == 0; i++)
+    {
+      struct job *small = bed_make_job (bed, 1);
+
+      small->tasks[0].need.cpus = 2;
+      g_assert_true (
+          dispatcher_submit (bed->dispatcher, small, bed->now_us, NULL));
+      if (i == 40)
+        g_assert_true (
+            dispatcher_submit (bed->dispatcher, large, bed->now_us, NULL));
+      bed_pass (bed, 10 * USEC_PER_MSEC);
+      bed_answer_renewals (bed);
+      if (bed->started->len > 4)
+        bed_end_all (bed, 1);
+      g_assert_cmpint (bed->now_us - began_us, <=, 20 * USEC_PER_SEC);
+    }
+  g_assert_cmpint (bed->now_us - began_us, >=, USEC_PER_SEC);
+  bed_free (bed);
+}
+
 /* Upstreams with accelerators are kept for tasks that need them.  */
 static void
 test_accelerators_are_spared (void)
@@ -205,6 +239,7 @@
     }
   g_test_add_func ("/placement/spreads", test_spreads_over_upstreams);
   g_test_add_func ("/placement/misfit", test_misfit_does_not_block);
+  g_test_add_func ("/placement/large-task", test_large_task_gets_room);
   g_test_add_func ("/placement/accelerators", test_accelerators_are_spared);
   g_test_add_func ("/placement/shared-host", test_shared_host);
   g_test_add_func ("/placement/dropped-upstream", test_dropped_upstream);
