--- a/commands/cancel.c
+++ b/commands/cancel.c
@@ -1,3 +1,4 @@
+#include "base/error.h"
 #include "commands/cli.h"
 
 #include <stdio.h>
@@ -31,20 +32,22 @@
   return EXIT_STATUS_OK;
 }
 
-/*
- * An answer that carries the job's id is the job's end, and the cancellation
- * has done what it can, unless the outcome is unknown.
- */
+/* Whether the job has certainly ended, so that nothing is left to cancel.  */
+static gboolean
+is_end (enum error_kind kind)
+{
+  return kind == ERROR_CANCELLED || kind == ERROR_NOT_RUN
+         || kind == ERROR_FAILED;
+}
+
 static int
 judge_answer (const struct client_answer *answer, gboolean is_json)
 {
   g_autoptr (GError) error = NULL;
+  gboolean has_job = json_object_get (answer->json, "job") != NULL;
 
-  gboolean is_end = json_object_get (answer->json, "job") != NULL;
-
-  if (client_answer_check (answer, &error))
-    return print_end (answer, is_json);
-  if (is_end && error_get_kind (error) != ERROR_UNKNOWN)
+  if (client_answer_check (answer, &error)
+      || (has_job && is_end (error_get_kind (error))))
     return print_end (answer, is_json);
   return cli_fail (usage.name, error, is_json);
 }
--- a/transport/caller_server.c
+++ b/transport/caller_server.c
@@ -510,6 +510,15 @@
   server->forward = forward;
 }
 
+void
+caller_server_describe (struct caller_server *server, json_t *state)
+{
+  if (server->forward != NULL)
+    peer_dump_add (forward_get_hub (server->forward), state);
+  json_object_set_new (state, "connections",
+                       json_integer (connection_guard_count (server->guard)));
+}
+
 guint
 caller_server_count_busy (const struct caller_server *server)
 {
@@ -532,13 +541,3 @@
 {
   return server->port;
 }
-
-void
-caller_server_describe (const struct caller_server *server, json_t *state)
-{
-  guint n_connections = connection_guard_count (server->guard);
-
-  if (server->forward != NULL)
-    peer_dump_add (forward_get_hub (server->forward), state);
-  json_object_set_new (state, "connections", json_integer (n_connections));
-}
--- a/transport/entry.c
+++ b/transport/entry.c
@@ -53,7 +53,7 @@
 }
 
 static void
-on_drain_request (gpointer data)
+request_drain (gpointer data)
 {
   entry_drain (data);
 }
@@ -140,7 +140,7 @@
       return NULL;
     }
   entry->operator_server = operator_server_attach (
-      entry->caller_server, settings, entry->home, on_drain_request, entry);
+      entry->caller_server, settings, entry->home, request_drain, entry);
   entry->config_follower
       = config_follower_new (settings, home_get_dispatcher (entry->home));
   return entry;
--- a/transport/home.c
+++ b/transport/home.c
@@ -515,12 +515,13 @@
 static gboolean
 submit_new (struct home *home, struct submission *submission, GError **error)
 {
-  gint64 now_us = clock_now_us ();
   guint64 sequence = 0;
 
+  forget_old_tickets (home);
   if (!assign_id (home, submission, &sequence, error))
     return FALSE;
-  if (!dispatcher_submit (home->dispatcher, submission->job, now_us, error))
+  if (!dispatcher_submit (home->dispatcher, submission->job, clock_now_us (),
+                          error))
     return FALSE;
   ticket_window_use (home->tickets, sequence);
   return TRUE;
@@ -534,7 +535,6 @@
 
   if (former != NULL)
     return former;
-  forget_old_tickets (home);
   if (submit_new (home, submission, &refusal))
     {
       metrics_count (METRIC_JOBS_ACCEPTED);
--- a/transport/operator_server.c
+++ b/transport/operator_server.c
@@ -13,9 +13,9 @@
 
 struct operator_server
 {
-  struct caller_server *callers;
   const struct settings *settings;
   struct home *home;
+  struct caller_server *callers;
   void (*request_drain) (gpointer data);
   gpointer drain_data;
 };
@@ -240,9 +240,9 @@
 {
   struct operator_server *server = g_new0 (struct operator_server, 1);
 
-  server->callers = callers;
   server->settings = settings;
   server->home = home;
+  server->callers = callers;
   server->request_drain = request_drain;
   server->drain_data = data;
   for (gsize i = 0; i < G_N_ELEMENTS (routes); i++)
