t: fuzz every decoder

The targets run in make check over the committed corpus and 2000 seeded mutations of each seed, and under libFuzzer by make fuzz. The first run found that a URL without a host, as in "http:p", crashed the reading of settings; it is refused now, and is a seed.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 GENERATED_SRCS := $(wildcard protocol/peer_xdr.c)
 COMMAND_SRCS := $(wildcard commands/*.c)
 STANDIN_SRCS := $(wildcard t/standin/*.c)
-SUPPORT_SRCS := $(wildcard t/support/*.c)
+SUPPORT_SRCS := $(wildcard t/support/*.c) t/fuzz/targets.c
 TEST_SRCS := $(wildcard t/t[0-9]*.c)
 
 LIB_OBJS := $(LIB_SRCS:%.c=$(BUILD)/%.o) $(GENERATED_SRCS:%.c=$(BUILD)/%.o)
@@ -43,7 +43,7 @@
 BENCH_OBJS := $(BENCH_SRCS:%.c=$(BUILD)/%.o)
 
 HAND_SRCS := $(LIB_SRCS) $(BENCH_SRCS) $(COMMAND_SRCS) $(STANDIN_SRCS) $(SUPPORT_SRCS) \
-  $(TEST_SRCS) $(wildcard t/fuzz/*.c t/demo/*.c t/bench/*.c bench/peers/*.c)
+  $(TEST_SRCS) $(wildcard t/fuzz/libfuzzer.c t/demo/*.c t/bench/*.c bench/peers/*.c)
 HAND_HDRS := $(wildcard $(LAYERS:%=%/*.h) commands/*.h bench/*.h t/*.h t/standin/*.h \
   t/support/*.h t/fuzz/*.h)
 HAND_HDRS := $(filter-out protocol/peer_xdr.h,$(HAND_HDRS))
@@ -116,6 +116,25 @@
 bench-restart: all $(BUILD)/bench/peers/restart
 	RADISHCHUTE_BUILD=$(BUILD) $(BUILD)/bench/peers/restart
 
+# Searches for new inputs by libFuzzer, FUZZ_SECONDS for each target.  Needs
+# clang with its fuzzer runtime.
+FUZZ_SECONDS ?= 60
+FUZZ_TARGETS := $(notdir $(wildcard t/fuzz/corpus/*))
+fuzz: build-fuzz/fuzz
+	for target in $(FUZZ_TARGETS); do \
+	  mkdir -p build-fuzz/found/$$target; \
+	  FUZZ_TARGET=$$target $< -max_total_time=$(FUZZ_SECONDS) \
+	    -timeout=10 -rss_limit_mb=1024 -print_final_stats=1 \
+	    -artifact_prefix=build-fuzz/$$target- \
+	    build-fuzz/found/$$target t/fuzz/corpus/$$target || exit 1; \
+	done
+
+build-fuzz/fuzz: $(LIB_SRCS) $(GENERATED_SRCS) t/fuzz/targets.c \
+  t/fuzz/libfuzzer.c
+	@mkdir -p $(@D)
+	clang -std=gnu11 -O1 -g -w -I. $(PKG_CFLAGS) \
+	  -fsanitize=fuzzer,address,undefined -o $@ $^ $(LIBS)
+
 SANITIZE_FLAGS = -fsanitize=address,undefined -fno-omit-frame-pointer \
   -fno-sanitize-recover=undefined
 sanitize:
@@ -142,7 +161,7 @@
 clean:
 	rm -rf build build-sanitize
 
-.PHONY: all demo bench bench-decisions bench-membership bench-restart generate \
+.PHONY: all demo bench fuzz bench-decisions bench-membership bench-restart generate \
   check sanitize format format-check lint layers-check clean
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/protocol/settings.c
+++ b/protocol/settings.c
@@ -99,18 +99,27 @@
   *value = g_strdup (text);
 }
 
+static gboolean
+is_url (const char *text)
+{
+  g_autoptr (GUri) uri = g_uri_parse (text, G_URI_FLAGS_NONE, NULL);
+
+  if (uri == NULL || g_uri_get_host (uri) == NULL)
+    return FALSE;
+  if (!g_str_equal (g_uri_get_scheme (uri), "http")
+      && !g_str_equal (g_uri_get_scheme (uri), "https"))
+    return FALSE;
+  return g_hostname_is_ip_address (g_uri_get_host (uri));
+}
+
 static void
 read_url (struct json_check *check, json_t *root, const char *key,
           char **value)
 {
-  g_autoptr (GUri) uri = NULL;
-
   read_text (check, "settings", root, key, TRUE, value);
   if (*value == NULL)
     return;
-  uri = g_uri_parse (*value, G_URI_FLAGS_NONE, NULL);
-  if (uri == NULL || !g_str_has_prefix (*value, "http")
-      || !g_hostname_is_ip_address (g_uri_get_host (uri)))
+  if (!is_url (*value))
     json_check_fail (check, key,
                      "must be a URL with an IP number, as in "
                      "http://10.0.0.2:7000");
