--- a/Makefile
+++ b/Makefile
@@ -135,6 +135,16 @@
 	clang -std=gnu11 -O1 -g -w -I. $(PKG_CFLAGS) \
 	  -fsanitize=fuzzer,address,undefined -o $@ $^ $(LIBS)
 
+DESTDIR ?=
+UNIT_DIR ?= $(PREFIX)/lib/systemd/system
+install: $(BUILD)/radishchute
+	install -D -m 755 $< $(DESTDIR)$(PREFIX)/bin/radishchute
+	install -D -m 644 radishchute.1 \
+	  $(DESTDIR)$(PREFIX)/share/man/man1/radishchute.1
+	install -d $(DESTDIR)$(UNIT_DIR)
+	sed 's|/usr/local/bin|$(PREFIX)/bin|' contrib/radishchute.service \
+	  >$(DESTDIR)$(UNIT_DIR)/radishchute.service
+
 SANITIZE_FLAGS = -fsanitize=address,undefined -fno-omit-frame-pointer \
   -fno-sanitize-recover=undefined
 sanitize:
@@ -161,7 +171,7 @@
 clean:
 	rm -rf build build-sanitize
 
-.PHONY: all demo bench fuzz bench-decisions bench-membership bench-restart generate \
+.PHONY: all install demo bench fuzz bench-decisions bench-membership bench-restart generate \
   check sanitize format format-check lint layers-check clean
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
