--- a/Makefile
+++ b/Makefile
@@ -135,6 +135,13 @@
 	clang -std=gnu11 -O1 -g -w -I. $(PKG_CFLAGS) \
 	  -fsanitize=fuzzer,address,undefined -o $@ $^ $(LIBS)
 
+# Writes the sessions of t/golden anew; look at the difference before the
+# commit.
+golden-update: all $(BUILD)/t/t9300-golden
+	RADISHCHUTE_BUILD=$(BUILD) GOLDEN_UPDATE=1 $(BUILD)/t/t9300-golden \
+	  >/dev/null
+	git --no-pager diff --stat -- t/golden
+
 DESTDIR ?=
 UNIT_DIR ?= $(PREFIX)/lib/systemd/system
 install: $(BUILD)/radishchute
@@ -171,7 +178,7 @@
 clean:
 	rm -rf build build-sanitize
 
-.PHONY: all install demo bench fuzz bench-decisions bench-membership bench-restart generate \
+.PHONY: all install golden-update demo bench fuzz bench-decisions bench-membership bench-restart generate \
   check sanitize format format-check lint layers-check clean
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
