--- a/Makefile
+++ b/Makefile
@@ -176,9 +176,10 @@
 	t/check-layers
 
 clean:
-	rm -rf build build-sanitize
+	rm -rf build build-sanitize build-fuzz
 
-.PHONY: all install golden-update demo bench fuzz bench-decisions bench-membership bench-restart generate \
+.PHONY: all install golden-update demo bench fuzz bench-decisions \
+  bench-membership bench-restart generate \
   check sanitize format format-check lint layers-check clean
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
