--- a/commands/bench.c
+++ b/commands/bench.c
@@ -131,13 +131,13 @@
 {
   config->burst = options->burst > 0 ? (guint)options->burst : config->burst;
   config->n_clients = (guint)CLAMP (options->clients, 1, MAX_CLIENTS);
+  if (options->load > 0 && options->slots <= 0)
+    return complain ("--load needs --slots, the slots of all upstreams");
   config->rate = options->rate;
   if (options->load > 0)
     config->rate = rate_for_load (options, &config->shape);
   if (config->arrivals != BENCH_CLOSED && config->rate <= 0)
     return complain ("name a --rate, a --load, or --clients");
-  if (options->load > 0 && options->slots <= 0)
-    return complain ("--load needs --slots, the slots of all upstreams");
   return TRUE;
 }
 
