--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 GENERATED_SRCS := $(wildcard protocol/peer_xdr.c)
 COMMAND_SRCS := $(wildcard commands/*.c)
 STANDIN_SRCS := $(wildcard t/standin/*.c)
-SUPPORT_SRCS := $(wildcard t/support/*.c)
+SUPPORT_SRCS := $(wildcard t/support/*.c) t/fuzz/targets.c
 TEST_SRCS := $(wildcard t/t[0-9]*.c)
 
 LIB_OBJS := $(LIB_SRCS:%.c=$(BUILD)/%.o) $(GENERATED_SRCS:%.c=$(BUILD)/%.o)
@@ -46,9 +46,11 @@
 
 HAND_SRCS := $(LIB_SRCS) $(BENCH_SRCS) $(BENCH_CONFIG_SRCS) \
   $(BENCH_SHARE_SRCS) $(COMMAND_SRCS) $(STANDIN_SRCS) $(SUPPORT_SRCS) \
-  $(TEST_SRCS) $(wildcard t/fuzz/*.c t/demo/*.c t/bench/*.c bench/peers/*.c)
+  $(TEST_SRCS) $(wildcard t/fuzz/libfuzzer.c t/demo/*.c t/bench/*.c) \
+  $(wildcard bench/peers/*.c)
 HAND_HDRS := $(wildcard $(LAYERS:%=%/*.h) commands/*.h bench/*.h \
-  bench/config/*.h bench/share/*.h t/*.h t/standin/*.h t/support/*.h t/fuzz/*.h)
+  bench/config/*.h bench/share/*.h t/*.h t/standin/*.h t/support/*.h \
+  t/fuzz/*.h)
 HAND_HDRS := $(filter-out protocol/peer_xdr.h,$(HAND_HDRS))
 
 all: $(PROGRAMS)
@@ -92,16 +94,6 @@
 $(BUILD)/bench-decisions: $(BENCH_OBJS) $(BUILD)/libradishchute.a
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
-$(BUILD)/bench/peers/%: $(BUILD)/bench/peers/%.o $(SUPPORT_OBJS) \
-  $(BUILD)/libradishchute.a
-	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
-
-bench-membership: all $(BUILD)/bench/peers/membership
-	$(BUILD)/bench/peers/membership
-
-bench-restart: all $(BUILD)/bench/peers/restart
-	RADISHCHUTE_BUILD=$(BUILD) $(BUILD)/bench/peers/restart
-
 # Installs what is missing first, hence the second make.
 demo:
 	.ci/packages
@@ -135,6 +127,52 @@
   $(BUILD)/bench/workload.o $(BUILD)/libradishchute.a
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
+$(BUILD)/bench/peers/%: $(BUILD)/bench/peers/%.o $(SUPPORT_OBJS) \
+  $(BUILD)/libradishchute.a
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
+
+bench-membership: all $(BUILD)/bench/peers/membership
+	$(BUILD)/bench/peers/membership
+
+bench-restart: all $(BUILD)/bench/peers/restart
+	RADISHCHUTE_BUILD=$(BUILD) $(BUILD)/bench/peers/restart
+
+# Searches for new inputs by libFuzzer, FUZZ_SECONDS for each target.  Needs
+# clang with its fuzzer runtime.
+FUZZ_SECONDS ?= 60
+FUZZ_TARGETS := $(notdir $(wildcard t/fuzz/corpus/*))
+fuzz: build-fuzz/fuzz
+	for target in $(FUZZ_TARGETS); do \
+	  mkdir -p build-fuzz/found/$$target; \
+	  FUZZ_TARGET=$$target $< -max_total_time=$(FUZZ_SECONDS) \
+	    -timeout=10 -rss_limit_mb=1024 -print_final_stats=1 \
+	    -artifact_prefix=build-fuzz/$$target- \
+	    build-fuzz/found/$$target t/fuzz/corpus/$$target || exit 1; \
+	done
+
+build-fuzz/fuzz: $(LIB_SRCS) $(GENERATED_SRCS) t/fuzz/targets.c \
+  t/fuzz/libfuzzer.c
+	@mkdir -p $(@D)
+	clang -std=gnu11 -O1 -g -w -I. $(PKG_CFLAGS) \
+	  -fsanitize=fuzzer,address,undefined -o $@ $^ $(LIBS)
+
+# Writes the sessions of t/golden anew; look at the difference before the
+# commit.
+golden-update: all $(BUILD)/t/t9300-golden
+	RADISHCHUTE_BUILD=$(BUILD) GOLDEN_UPDATE=1 $(BUILD)/t/t9300-golden \
+	  >/dev/null
+	git --no-pager diff --stat -- t/golden
+
+DESTDIR ?=
+UNIT_DIR ?= $(PREFIX)/lib/systemd/system
+install: $(BUILD)/radishchute
+	install -D -m 755 $< $(DESTDIR)$(PREFIX)/bin/radishchute
+	install -D -m 644 radishchute.1 \
+	  $(DESTDIR)$(PREFIX)/share/man/man1/radishchute.1
+	install -d $(DESTDIR)$(UNIT_DIR)
+	sed 's|/usr/local/bin|$(PREFIX)/bin|' contrib/radishchute.service \
+	  >$(DESTDIR)$(UNIT_DIR)/radishchute.service
+
 SANITIZE_FLAGS = -fsanitize=address,undefined -fno-omit-frame-pointer \
   -fno-sanitize-recover=undefined
 sanitize:
@@ -159,10 +197,10 @@
 	t/check-layers
 
 clean:
-	rm -rf build build-sanitize
+	rm -rf build build-sanitize build-fuzz
 
-.PHONY: all demo bench bench-config bench-share bench-decisions \
-  bench-membership bench-restart generate \
-  check sanitize format format-check lint layers-check clean
+.PHONY: all install golden-update demo bench fuzz bench-config bench-share \
+  bench-decisions bench-membership bench-restart generate check sanitize \
+  format format-check lint layers-check clean
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
