coordination, transport: give each entry VM its part of every quota

Without it every VM took itself for the only one, so that N VMs together used N times the quota. With limits.entry_vms and limits.entry_number the parts add up to the quota whatever a VM can see; without them the platform's list decides.

--- a/protocol/settings.c
+++ b/protocol/settings.c
@@ -26,6 +26,7 @@
 #define DEFAULT_SNAPSHOT_INTERVAL_S 900
 #define MAX_SNAPSHOT_RECORDS 1000000
 #define DEFAULT_SNAPSHOT_RECORDS 2000
+#define MAX_ENTRY_VMS 8192
 
 static const char *const settings_keys[] = { "vm",
                                              "availability_zone",
@@ -49,7 +50,8 @@
     = { "body_bytes",       "state_bytes",
         "connections",      "request_timeout_ms",
         "drain_timeout_ms", "snapshot_interval_s",
-        "snapshot_records", NULL };
+        "snapshot_records", "entry_vms",
+        "entry_number",     NULL };
 
 static gboolean
 parse_endpoint (const char *text, struct endpoint *endpoint)
@@ -247,6 +249,14 @@
                   MAX_SNAPSHOT_INTERVAL_S, &settings->snapshot_interval_s);
   json_read_uint (check, "limits", limits, "snapshot_records", 1,
                   MAX_SNAPSHOT_RECORDS, &settings->snapshot_records);
+  json_read_uint (check, "limits", limits, "entry_vms", 1, MAX_ENTRY_VMS,
+                  &settings->entry_vms);
+  json_read_uint (check, "limits", limits, "entry_number", 0,
+                  MAX_ENTRY_VMS - 1, &settings->entry_number);
+  if (settings->entry_number != G_MAXUINT
+      && settings->entry_number >= settings->entry_vms)
+    json_check_fail (check, "limits",
+                     "'entry_number' must be below 'entry_vms'");
 }
 
 static void
@@ -278,6 +288,7 @@
   settings->drain_timeout_ms = DEFAULT_DRAIN_TIMEOUT_MS;
   settings->snapshot_interval_s = DEFAULT_SNAPSHOT_INTERVAL_S;
   settings->snapshot_records = DEFAULT_SNAPSHOT_RECORDS;
+  settings->entry_number = G_MAXUINT;
   return settings;
 }
 
--- a/protocol/settings.h
+++ b/protocol/settings.h
@@ -41,6 +41,9 @@
   guint drain_timeout_ms;    /* longest time that a drain waits */
   guint snapshot_interval_s; /* a snapshot is due after it at the latest */
   guint snapshot_records;    /* and after so many records */
+  guint entry_vms;           /* the most there are at once; 0 when not said */
+  guint entry_number; /* which of them this is, from 0; G_MAXUINT when not
+                         said */
 };
 
 /*
--- a/transport/entry.c
+++ b/transport/entry.c
@@ -9,6 +9,7 @@
 #include "transport/home.h"
 #include "transport/operator_server.h"
 #include "transport/peer_hub.h"
+#include "transport/quota_follower.h"
 #include "transport/service_manager.h"
 
 #include <glib-unix.h>
@@ -26,6 +27,7 @@
   struct caller_server *caller_server;
   struct operator_server *operator_server;
   struct config_follower *config_follower;
+  struct quota_follower *quota_follower;
   struct drain *drain; /* NULL while serving */
 };
 
@@ -144,6 +146,8 @@
   entry->config_follower
       = config_follower_new (settings, entry->home, entry->hub);
   operator_server_set_config (entry->operator_server, entry->config_follower);
+  entry->quota_follower = quota_follower_new (
+      settings, home_get_dispatcher (entry->home), entry->hub);
   return entry;
 }
 
@@ -177,6 +181,7 @@
 entry_free (struct entry *entry)
 {
   g_clear_pointer (&entry->drain, drain_free);
+  g_clear_pointer (&entry->quota_follower, quota_follower_free);
   g_clear_pointer (&entry->caller_server, caller_server_free);
   g_clear_pointer (&entry->operator_server, operator_server_free);
   g_clear_pointer (&entry->config_follower, config_follower_free);
