t: wait until the entry VMs know each other

The tests of links that are cut relied on the list of VMs having been read by then; under load it was not, and a VM never learned of its peer.

--- a/t/t9201-config.c
+++ b/t/t9201-config.c
@@ -53,7 +53,25 @@
   control (d, "/test/expire", body);
 }
 
-/* Puts the entry VMs on the platform's list, by which they find each other. */
+/* Whether a VM knows as many live peers as DATA says.  */
+static gboolean
+has_live_peers (json_t *state, gpointer data)
+{
+  const guint *n_wanted = data;
+  json_t *peers = json_get (state, "peers");
+  guint n = 0;
+
+  for (size_t i = 0; i < json_array_size (peers); i++)
+    if (g_strcmp0 (
+            json_string_value (json_get (json_array_get (peers, i), "state")),
+            "alive")
+        == 0)
+      n++;
+  return n >= *n_wanted;
+}
+
+/* Puts the entry VMs on the platform's list, by which they find each other,
+   and waits until they have.  */
 static void
 list_entries (struct deployment *d)
 {
@@ -74,6 +92,13 @@
   text = json_dumps (vms, JSON_COMPACT);
   control (d, "/test/vms", text);
   json_decref (vms);
+  for (guint i = 0; i < d->n_entries; i++)
+    {
+      g_autofree char *url = deployment_url (d, i, "/v1/state");
+      guint n_wanted = d->n_entries - 1;
+
+      json_decref (http_poll_until (url, has_live_peers, &n_wanted));
+    }
 }
 
 /* Writes the deployment's document with WEIGHT to a file.  */
