transport: end a drain without resetting a connection

Cause: between the look for waiting connections and the shutdown of the listening socket one could come in, and it was reset: seen once by /drain/rolling-replacement on a busy machine. Now the kernel ignores new attempts first, and what it has taken is accepted and answered.

--- a/transport/caller_server.c
+++ b/transport/caller_server.c
@@ -11,7 +11,6 @@
 
 #include <libsoup/soup.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #define JOBS_PATH "/v1/jobs"
 
@@ -525,12 +524,9 @@
 void
 caller_server_stop_accepting (struct caller_server *server)
 {
-  GIOCondition waiting = g_socket_condition_check (server->listener, G_IO_IN);
-
-  if (waiting != 0 || server->has_stopped_accepting)
+  if (server->has_stopped_accepting)
     return;
-  server->has_stopped_accepting = TRUE;
-  shutdown (g_socket_get_fd (server->listener), SHUT_RD);
+  server->has_stopped_accepting = listener_ignore_new (server->listener);
 }
 
 guint
--- a/transport/caller_server.h
+++ b/transport/caller_server.h
@@ -32,7 +32,8 @@
 /* Requests that are being received or answered.  */
 guint caller_server_count_busy (const struct caller_server *server);
 
-/* Accepts no further connections; open ones go on.  */
+/* Begins no further connections; those that are there go on, also the ones
+   that wait to be accepted.  */
 void caller_server_stop_accepting (struct caller_server *server);
 
 /* The port that it listens on.  */
--- a/transport/listener.c
+++ b/transport/listener.c
@@ -2,8 +2,20 @@
 
 #include "base/error.h"
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
 #define LISTEN_BACKLOG 4096
 
+/* Where the flags are in a TCP header, and the one of an attempt to
+   connect.  */
+#define TCP_FLAGS_OFFSET 13
+#define TCP_SYN 0x02
+
+/* A filter's verdict on a segment.  */
+#define DROP_SEGMENT 0
+#define TAKE_SEGMENT 0xffffffff
+
 static gboolean
 bind_and_listen (GSocket *socket, const struct endpoint *endpoint,
                  GError **error)
@@ -36,6 +48,22 @@
   return NULL;
 }
 
+gboolean
+listener_ignore_new (GSocket *socket)
+{
+  struct sock_filter code[] = {
+    BPF_STMT (BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
+    BPF_JUMP (BPF_JMP | BPF_JSET | BPF_K, TCP_SYN, 0, 1),
+    BPF_STMT (BPF_RET | BPF_K, DROP_SEGMENT),
+    BPF_STMT (BPF_RET | BPF_K, TAKE_SEGMENT),
+  };
+  struct sock_fprog filter = { G_N_ELEMENTS (code), code };
+
+  return setsockopt (g_socket_get_fd (socket), SOL_SOCKET, SO_ATTACH_FILTER,
+                     &filter, sizeof filter)
+         == 0;
+}
+
 guint
 listener_get_port (GSocket *socket)
 {
