t: measure the hop alone and note the machine load in the standard set

A figure beside those of jobs of one task tells what the stand-in and one hop cost without an entry VM, and each row tells how busy the machine was.

--- a/t/bench/main.c
+++ b/t/bench/main.c
@@ -12,6 +12,7 @@
 #include <math.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 
 #define N_STANDINS 2
 #define UPSTREAMS_PER_STANDIN "24"
@@ -22,6 +23,7 @@
 {
   const char *name;
   const char *arguments;
+  gboolean is_direct; /* to the upstreams, without an entry VM */
 };
 
 /* 384 slots; one entry VM out of eight has 48 of them to itself.  */
@@ -31,6 +33,10 @@
     "--tasks 130 --run-ms 50 --clients 80 --seconds 8 --warmup 2" },
   { "one-task",
     "--tasks 1 --run-ms 50 --load 0.5 --slots 48 --seconds 8 --warmup 2" },
+  { "one-task-direct",
+    "--tasks 1 --run-ms 50 --load 0.5 --slots 48 --seconds 6 --warmup 2 "
+    "--direct",
+    TRUE },
   { "hjolavinir-0.5",
     "--profile hjolavinir --load 0.5 --slots 384 --seconds 10 --warmup 2" },
   { "hjolavinir-0.8",
@@ -149,6 +155,27 @@
   process_free (setup->platform);
 }
 
+/* Adds the addresses that the load of BENCH_CASE goes to.  */
+static void
+add_addresses (GStrvBuilder *builder, const struct setup *setup,
+               const struct bench_case *bench_case)
+{
+  const struct process *target
+      = bench_case->is_direct ? setup->upstreams[0] : setup->entry;
+  guint n_addresses = bench_case->is_direct ? target->n_ports : 1;
+  g_autofree char *pid = g_strdup_printf ("%d", (int)setup->entry->pid);
+
+  for (guint i = 0; i < n_addresses; i++)
+    {
+      g_autofree char *address
+          = g_strdup_printf ("127.0.0.1:%u", target->ports[i]);
+
+      g_strv_builder_add_many (builder, "-e", address, NULL);
+    }
+  if (!bench_case->is_direct)
+    g_strv_builder_add_many (builder, "--pid", pid, NULL);
+}
+
 /* Runs one case; its figures go to PATH and beside those of EARLIER.  */
 static void
 run_load (const struct setup *setup, const struct bench_case *bench_case,
@@ -156,16 +183,13 @@
 {
   g_autoptr (GStrvBuilder) builder = g_strv_builder_new ();
   g_auto (GStrv) load = g_strsplit (bench_case->arguments, " ", -1);
-  g_autofree char *address
-      = g_strdup_printf ("127.0.0.1:%u", setup->entry->ports[0]);
-  g_autofree char *pid = g_strdup_printf ("%d", (int)setup->entry->pid);
   g_auto (GStrv) arguments = NULL;
   g_autoptr (GSubprocess) child = NULL;
   g_autoptr (GError) error = NULL;
 
   g_strv_builder_add_many (builder, "build/radishchute", "bench", "--name",
-                           bench_case->name, "-e", address, "--pid", pid,
-                           "--output", path, NULL);
+                           bench_case->name, "--output", path, NULL);
+  add_addresses (builder, setup, bench_case);
   g_strv_builder_addv (builder, (const char **)load);
   if (earlier != NULL)
     g_strv_builder_add_many (builder, "--compare", earlier, NULL);
@@ -222,7 +246,8 @@
 }
 
 static void
-append_row (json_t *const *reports, json_t *const *earlier)
+append_row (json_t *const *reports, json_t *const *earlier,
+            gdouble load_average)
 {
   g_autoptr (GString) row = g_string_new ("| ");
   g_autoptr (GDateTime) now = g_date_time_new_now_utc ();
@@ -230,8 +255,8 @@
   FILE *page = fopen (append_path, "a");
 
   g_assert_nonnull (page);
-  g_string_append_printf (row, "%s | %s |", date,
-                          commit != NULL ? commit : "-");
+  g_string_append_printf (row, "%s | %s | %.1f |", date,
+                          commit != NULL ? commit : "-", load_average);
   add_cell (row, get_figure (reports[0], "speed", "tasks_per_second"),
             get_figure (earlier[0], "speed", "tasks_per_second"));
   add_cell (row, get_figure (reports[0], "speed", "tasks_per_cpu_second"),
@@ -244,8 +269,8 @@
       add_cell (row, get_figure (reports[i], "over_ideal_ms", "p99"),
                 get_figure (earlier[i], "over_ideal_ms", "p99"));
     }
-  add_cell (row, get_figure (reports[4], "messages", "wasted_per_task"),
-            get_figure (earlier[4], "messages", "wasted_per_task"));
+  add_cell (row, get_figure (reports[5], "messages", "wasted_per_task"),
+            get_figure (earlier[5], "messages", "wasted_per_task"));
   fprintf (page, "%s\n", row->str);
   fclose (page);
 }
@@ -256,12 +281,14 @@
   g_autoptr (GOptionContext) context = g_option_context_new (NULL);
   g_autoptr (GError) error = NULL;
   json_t *reports[N_CASES];
+  gdouble load_average = 0;
   json_t *earlier[N_CASES];
 
   g_option_context_add_main_entries (context, entries, NULL);
   if (!g_option_context_parse (context, &argc, &argv, &error))
     g_error ("%s", error->message);
   g_mkdir_with_parents (RESULTS, 0755);
+  getloadavg (&load_average, 1);
   for (gsize i = 0; i < N_CASES; i++)
     {
       g_autofree char *path
@@ -276,7 +303,7 @@
       fflush (stdout);
     }
   if (append_path != NULL && baseline != NULL)
-    append_row (reports, earlier);
+    append_row (reports, earlier, load_average);
   for (gsize i = 0; i < N_CASES; i++)
     {
       json_decref (reports[i]);
