--- a/transport/http_answer.c
+++ b/transport/http_answer.c
@@ -9,6 +9,10 @@
 
 #define MSEC_PER_SEC 1000
 
+/* When a request that was not run may be sent again, if nothing better is
+   known.  */
+#define RETRY_AFTER_SEC 1
+
 void
 http_answer_bytes (SoupServerMessage *message, guint status, const char *type,
                    GBytes *body)
@@ -35,6 +39,8 @@
   enum error_kind kind = error_get_kind (error);
   g_autoptr (GBytes) body = error_format_answer (error, NULL);
 
+  if (kind == ERROR_NOT_RUN)
+    http_answer_set_retry_after (message, RETRY_AFTER_SEC);
   if (kind == ERROR_DRAINING)
     http_answer_set_header (message, "Connection", "close");
   http_answer_bytes (message, error_kind_http_status (kind), HTTP_JSON_TYPE,
