coordination: take short tasks' jitter for no slowness

Cause: speed was compared as run time over estimate, so for tasks of about a millisecond a few milliseconds of scheduling made an upstream 'far slower than the others'; in the integration tests both of two healthy upstreams were on probation. 25 ms are now added to both sides of the ratio. A new test offers tasks of 1 ms of which one upstream's take 50 ms: it fails without the change. An upstream that is ten times slower at 100 ms is still found (t2050).

--- a/coordination/task_flow.c
+++ b/coordination/task_flow.c
@@ -13,6 +13,10 @@
 /* A silent attempt is the upstream's fault after this many estimates.  */
 #define SILENCE_FACTOR 4
 
+/* Added to run times before they are compared: what machines and the network
+   add to a short task says nothing about its upstream.  */
+#define SPEED_NOISE_US (25 * USEC_PER_MSEC)
+
 /* Upstreams of one rack that fail before all of it is suspected.  */
 #define MIN_RACK_FAILURES 2
 
@@ -119,6 +123,14 @@
     }
 }
 
+/* How many times slower than expected a task ran.  */
+static gdouble
+compute_slowness (gint64 run_time_us, gint64 estimate_us)
+{
+  return (gdouble)(run_time_us + SPEED_NOISE_US)
+         / (gdouble)(estimate_us + SPEED_NOISE_US);
+}
+
 static void
 note_success (struct dispatcher *d, struct task *task, gint64 now_us)
 {
@@ -131,7 +143,7 @@
     return;
   former = upstream->health->state;
   health_note_done (upstream, &pool->health, task->started_us,
-                    (gdouble)run_time_us / (gdouble)task->estimate_us, now_us);
+                    compute_slowness (run_time_us, task->estimate_us), now_us);
   if (upstream->health->state == HEALTH_NORMAL)
     estimate_learn (&pool->estimates, task->declared_run_time_us, run_time_us,
                     TRUE);
--- a/t/t2050-health.c
+++ b/t/t2050-health.c
@@ -16,6 +16,7 @@
   enum attempt_end end;
   gint64 run_us;
   guint n_bad;
+  gint64 good_run_us; /* of the others; 0 for RUN_US */
 };
 
 struct counts
@@ -65,7 +66,10 @@
       task->lease_deadline_us = DEADLINE_NEVER;
       dispatcher_lease_renewed (bed->dispatcher, task->upstream,
                                 DEADLINE_NEVER);
-      if (bed->now_us - task->started_us >= (is_faulty ? bad->run_us : RUN_US))
+      if (bed->now_us - task->started_us >= (is_faulty ? bad->run_us
+                                             : bad->good_run_us != 0
+                                                 ? bad->good_run_us
+                                                 : RUN_US))
         bed_end (bed, task, is_faulty ? bad->end : ATTEMPT_ANSWER_DONE);
     }
 }
@@ -238,6 +242,23 @@
   bed_free (bed);
 }
 
+/* A few milliseconds more say nothing about an upstream of short tasks.  */
+static void
+test_short_tasks (void)
+{
+  struct behaviour even = { ATTEMPT_ANSWER_DONE, 0, 0, USEC_PER_MSEC };
+  struct behaviour jitter
+      = { ATTEMPT_ANSWER_DONE, 50 * USEC_PER_MSEC, 1, USEC_PER_MSEC };
+  struct bed *bed = make_bed ();
+  struct counts counts;
+
+  offer (bed, &even, 600);
+  counts = offer (bed, &jitter, 6000);
+  g_assert_cmpuint (counts.n_before, >, 0);
+  g_assert_cmpuint (counts.n_after, ==, 0);
+  bed_free (bed);
+}
+
 /* Tasks that could not be sent are moved, and the way is tried less and less
    often until it works again.  */
 static void
@@ -339,6 +360,7 @@
   g_test_add_func ("/health/hangs", test_hangs);
   g_test_add_func ("/health/silent", test_silent);
   g_test_add_func ("/health/slows-down", test_slows_down);
+  g_test_add_func ("/health/short-tasks", test_short_tasks);
   g_test_add_func ("/health/dies", test_dies_and_comes_back);
   g_test_add_func ("/health/rack", test_rack_is_suspected);
   g_test_add_func ("/health/all-fail", test_all_fail);
