--- a/coordination/task_flow.c
+++ b/coordination/task_flow.c
@@ -8,7 +8,7 @@
 #include "coordination/serve.h"
 
 /* Definite refusals of one task before its job is given up.  */
-#define MAX_MOVES 64
+#define MAX_MOVES 1024
 
 /* A silent attempt is the upstream's fault after this many estimates.  */
 #define SILENCE_FACTOR 4
