--- a/Makefile
+++ b/Makefile
@@ -46,9 +46,11 @@
 
 HAND_SRCS := $(LIB_SRCS) $(BENCH_SRCS) $(BENCH_CONFIG_SRCS) \
   $(BENCH_SHARE_SRCS) $(COMMAND_SRCS) $(STANDIN_SRCS) $(SUPPORT_SRCS) \
-  $(TEST_SRCS) $(wildcard t/fuzz/libfuzzer.c t/demo/*.c t/bench/*.c bench/peers/*.c)
+  $(TEST_SRCS) $(wildcard t/fuzz/libfuzzer.c t/demo/*.c t/bench/*.c) \
+  $(wildcard bench/peers/*.c)
 HAND_HDRS := $(wildcard $(LAYERS:%=%/*.h) commands/*.h bench/*.h \
-  bench/config/*.h bench/share/*.h t/*.h t/standin/*.h t/support/*.h t/fuzz/*.h)
+  bench/config/*.h bench/share/*.h t/*.h t/standin/*.h t/support/*.h \
+  t/fuzz/*.h)
 HAND_HDRS := $(filter-out protocol/peer_xdr.h,$(HAND_HDRS))
 
 all: $(PROGRAMS)
@@ -92,16 +94,6 @@
 $(BUILD)/bench-decisions: $(BENCH_OBJS) $(BUILD)/libradishchute.a
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
-$(BUILD)/bench/peers/%: $(BUILD)/bench/peers/%.o $(SUPPORT_OBJS) \
-  $(BUILD)/libradishchute.a
-	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
-
-bench-membership: all $(BUILD)/bench/peers/membership
-	$(BUILD)/bench/peers/membership
-
-bench-restart: all $(BUILD)/bench/peers/restart
-	RADISHCHUTE_BUILD=$(BUILD) $(BUILD)/bench/peers/restart
-
 # Installs what is missing first, hence the second make.
 demo:
 	.ci/packages
@@ -135,6 +127,16 @@
   $(BUILD)/bench/workload.o $(BUILD)/libradishchute.a
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
+$(BUILD)/bench/peers/%: $(BUILD)/bench/peers/%.o $(SUPPORT_OBJS) \
+  $(BUILD)/libradishchute.a
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
+
+bench-membership: all $(BUILD)/bench/peers/membership
+	$(BUILD)/bench/peers/membership
+
+bench-restart: all $(BUILD)/bench/peers/restart
+	RADISHCHUTE_BUILD=$(BUILD) $(BUILD)/bench/peers/restart
+
 # Searches for new inputs by libFuzzer, FUZZ_SECONDS for each target.  Needs
 # clang with its fuzzer runtime.
 FUZZ_SECONDS ?= 60
@@ -197,8 +199,8 @@
 clean:
 	rm -rf build build-sanitize build-fuzz
 
-.PHONY: all install golden-update fuzz demo bench bench-config bench-share bench-decisions \
-  bench-membership bench-restart generate \
-  check sanitize format format-check lint layers-check clean
+.PHONY: all install golden-update demo bench fuzz bench-config bench-share \
+  bench-decisions bench-membership bench-restart generate check sanitize \
+  format format-check lint layers-check clean
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
