--- a/protocol/job_json.c
+++ b/protocol/job_json.c
@@ -200,6 +200,15 @@
   return take_string (text);
 }
 
+/* The status of an answer that reports an error of KIND.  */
+static const char *
+status_of_error (enum error_kind kind)
+{
+  if (error_kind_is_not_run (kind) || kind == ERROR_NOT_FOUND)
+    return "refused";
+  return "failed";
+}
+
 GBytes *
 error_format_answer (const GError *error, const char *job_id)
 {
@@ -210,9 +219,7 @@
 
   if (job_id != NULL)
     json_object_set_new (root, "job", json_string (job_id));
-  json_object_set_new (
-      root, "status",
-      json_string (error_kind_is_not_run (kind) ? "refused" : "failed"));
+  json_object_set_new (root, "status", json_string (status_of_error (kind)));
   json_object_set_new (detail, "kind", json_string (error_kind_name (kind)));
   json_object_set_new (detail, "message", json_string (error->message));
   json_object_set_new (root, "error", detail);
