coordination: prefer the upstreams of the own availability zone

Cause: an upstream's availability zone was read from the document and never looked at, so two of three tasks went to another zone, 0.5 to 1 ms away, and a zone that was cut off kept trying the others. Late binding now ranks fast upstreams of the own zone before fast ones of others, before slow ones. The levels of one class went from 16 to 8 running tasks, which changes nothing for upstreams of 8 slots. New test: the own zone fills first, the rest spills.

--- a/coordination/dispatcher.c
+++ b/coordination/dispatcher.c
@@ -33,6 +33,8 @@
 
   d->driver = driver;
   d->random = g_rand_new_with_seed (config->seed);
+  d->availability_zone = g_strdup (
+      config->availability_zone != NULL ? config->availability_zone : "");
   d->documents = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                         (GDestroyNotify)document_unref);
   d->teams = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
@@ -77,6 +79,7 @@
   g_hash_table_unref (d->hosts);
   g_hash_table_unref (d->leaving);
   g_rand_free (d->random);
+  g_free (d->availability_zone);
   g_free (d);
 }
 
--- a/coordination/dispatcher_private.h
+++ b/coordination/dispatcher_private.h
@@ -20,11 +20,12 @@
 {
   struct dispatcher_driver *driver;
   GRand *random;
-  GHashTable *documents; /* team -> struct document, in force */
-  GHashTable *teams;     /* name -> struct team */
-  GHashTable *pools;     /* "team/service" -> struct pool */
-  GHashTable *hosts;     /* address -> struct host */
-  GHashTable *leaving;   /* names of upstreams that leave, a set */
+  char *availability_zone; /* own, empty when unknown */
+  GHashTable *documents;   /* team -> struct document, in force */
+  GHashTable *teams;       /* name -> struct team */
+  GHashTable *pools;       /* "team/service" -> struct pool */
+  GHashTable *hosts;       /* address -> struct host */
+  GHashTable *leaving;     /* names of upstreams that leave, a set */
   struct job_table *jobs;
   GSequence *deadlines;  /* struct job by due_us */
   GSequence *resting;    /* struct upstream by health->rest_until_us */
--- a/coordination/placement_late.c
+++ b/coordination/placement_late.c
@@ -2,7 +2,9 @@
  * Late binding: a task is given an upstream when a slot is free.
  *
  * Of the upstreams with free slots, the fastest class goes first, then the
- * fewest running tasks, which spreads a job over machines and racks.
+ * fewest running tasks, which spreads a job over machines and racks.  Those of
+ * other availability zones come behind those of the own zone, but before the
+ * own ones that are slow.
  * Upstreams with accelerators are left to tasks that need them as long as
  * others are free.
  */
@@ -11,8 +13,11 @@
 #include "coordination/host.h"
 #include "coordination/shape_check.h"
 
-/* Levels of one speed class.  */
-#define LEVELS_PER_SPEED (POOL_N_LEVELS / HEALTH_N_SPEEDS)
+/* Levels of one speed class in one place, own zone or others.  */
+#define LEVELS_PER_CLASS (POOL_N_LEVELS / HEALTH_N_SPEEDS / 2)
+
+/* Speed classes that are not slow.  */
+#define N_FAST_SPEEDS 2
 
 /* Upstreams of one level that are tried, when resources are short.  */
 #define LOOKAHEAD 8
@@ -20,12 +25,23 @@
 /* Added to the level of a kind that has more than the task needs.  */
 #define SCARCE_PENALTY POOL_N_LEVELS
 
+/* The place of UPSTREAM's class: own fast ones, others' fast ones, own slow
+   ones, others' slow ones.  */
+static guint
+rank_class (const struct upstream *upstream)
+{
+  guint speed = health_get_speed_class (upstream);
+  guint base = speed < N_FAST_SPEEDS ? 0 : N_FAST_SPEEDS;
+
+  return speed + base + (upstream->is_remote ? N_FAST_SPEEDS : 0);
+}
+
 guint
 placement_compute_level (const struct upstream *upstream)
 {
-  guint base = health_get_speed_class (upstream) * LEVELS_PER_SPEED;
+  guint base = rank_class (upstream) * LEVELS_PER_CLASS;
 
-  return base + MIN (upstream->n_running, LEVELS_PER_SPEED - 1);
+  return base + MIN (upstream->n_running, LEVELS_PER_CLASS - 1);
 }
 
 static struct upstream *
--- a/coordination/rollout.c
+++ b/coordination/rollout.c
@@ -123,8 +123,18 @@
     serve_forget_rest (g_ptr_array_index (pool->upstreams, i));
 }
 
+static gboolean
+is_elsewhere (const struct dispatcher *d, const struct upstream *upstream)
+{
+  const char *zone = upstream->availability_zone;
+
+  return *d->availability_zone != '\0' && *zone != '\0'
+         && !g_str_equal (zone, d->availability_zone);
+}
+
+/* Notes which upstreams leave, and which are in other availability zones.  */
 static void
-note_leaving (struct dispatcher *d, struct pool *pool)
+note_places (struct dispatcher *d, struct pool *pool)
 {
   for (guint i = 0; i < pool->upstreams->len; i++)
     {
@@ -132,6 +142,7 @@
 
       upstream->is_leaving
           = g_hash_table_contains (d->leaving, upstream->name);
+      upstream->is_remote = is_elsewhere (d, upstream);
     }
   pool_count_slots (pool);
 }
@@ -152,7 +163,7 @@
     reservation_end (pool->reserved_host, now_us);
   forget_rests (pool);
   pool_apply_document (pool, d->hosts);
-  note_leaving (d, pool);
+  note_places (d, pool);
   note_rests (d, pool, now_us);
   update_shutdown (d, pool);
   put_queue_back (d, pool, tasks, now_us);
--- a/state/upstream.h
+++ b/state/upstream.h
@@ -28,12 +28,13 @@
   guint slots; /* tasks it runs at once */
   guint share; /* of its slots, those that this VM may fill */
   guint max_connections;
-  guint lease_ms;                 /* of its service */
-  guint n_running;                /* tasks of this VM that occupy a slot */
-  gboolean is_leaving;            /* gets no new task */
-  gboolean is_removed;            /* no longer in the document */
-  gint64 renew_due_us;            /* when its leases are to be renewed */
-  struct list_node running;       /* struct task by upstream_link */
+  guint lease_ms;           /* of its service */
+  guint n_running;          /* tasks of this VM that occupy a slot */
+  gboolean is_remote;       /* in another availability zone than this VM */
+  gboolean is_leaving;      /* gets no new task */
+  gboolean is_removed;      /* no longer in the document */
+  gint64 renew_due_us;      /* when its leases are to be renewed */
+  struct list_node running; /* struct task by upstream_link */
   struct upstream_health *health; /* owned by the coordination layer */
   void *transport_data;           /* owned by the transport layer */
 
--- a/t/t2010-placement.c
+++ b/t/t2010-placement.c
@@ -69,6 +69,29 @@
   bed_free (bed);
 }
 
+/* The own zone first; others when it is full.  The bed is in zone "a".  */
+static void
+test_own_zone_first (void)
+{
+  struct bed *bed = bed_new ();
+  struct document *document = bed_make_document ("t", 1, 2, 2);
+
+  for (guint i = 0; i < 2; i++)
+    {
+      struct upstream_spec *spec = bed_upstream_spec (document, i);
+
+      g_free (spec->availability_zone);
+      spec->availability_zone = g_strdup (i == 0 ? "b" : "a");
+    }
+  bed_apply (bed, document);
+  bed_submit (bed, 2);
+  g_assert_null (bed_find_running (bed, "u0"));
+  bed_submit (bed, 2);
+  g_assert_nonnull (bed_find_running (bed, "u0"));
+  g_assert_cmpuint (bed->n_starts, ==, 4);
+  bed_free (bed);
+}
+
 static void
 test_spreads_over_upstreams (void)
 {
@@ -237,6 +260,7 @@
       g_test_add_data_func (all, placement, test_all_run);
       g_test_add_data_func (leaving, placement, test_leaving_unbinds);
     }
+  g_test_add_func ("/placement/own-zone-first", test_own_zone_first);
   g_test_add_func ("/placement/spreads", test_spreads_over_upstreams);
   g_test_add_func ("/placement/misfit", test_misfit_does_not_block);
   g_test_add_func ("/placement/large-task", test_large_task_gets_room);
