--- a/transport/home.c
+++ b/transport/home.c
@@ -4,6 +4,7 @@
 #include "base/error.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
+#include "protocol/job_id_mac.h"
 
 #include <string.h>
 
@@ -343,59 +344,6 @@
   home->mac = mac;
 }
 
-static gboolean
-has_keys (const struct home *home)
-{
-  return home->mac != NULL && peer_mac_is_on (home->mac);
-}
-
-static char *
-format_mac (const guint8 mac[PEER_MAC_LENGTH])
-{
-  char *text = g_malloc (2 * PEER_MAC_LENGTH + 1);
-
-  for (guint i = 0; i < PEER_MAC_LENGTH; i++)
-    g_snprintf (text + 2 * i, 3, "%02x", mac[i]);
-  return text;
-}
-
-/* Takes over TEXT and returns it with its MAC.  */
-static char *
-sign_id (const struct home *home, char *text)
-{
-  guint8 mac[PEER_MAC_LENGTH];
-  g_autofree char *unsigned_text = text;
-  g_autofree char *mac_text = NULL;
-
-  if (!has_keys (home))
-    return g_steal_pointer (&unsigned_text);
-  peer_mac_sign (home->mac, text, strlen (text), mac);
-  mac_text = format_mac (mac);
-  return g_strconcat (text, ".", mac_text, NULL);
-}
-
-static gboolean
-check_id_mac (const struct home *home, const char *text, const char *mac_text)
-{
-  guint8 mac[PEER_MAC_LENGTH];
-
-  if (!has_keys (home))
-    return TRUE;
-  if (mac_text == NULL || strlen (mac_text) != 2 * PEER_MAC_LENGTH)
-    return FALSE;
-  for (guint i = 0; i < PEER_MAC_LENGTH; i++)
-    {
-      int high = g_ascii_xdigit_value (mac_text[2 * i]);
-      int low = g_ascii_xdigit_value (mac_text[2 * i + 1]);
-
-      if (high < 0 || low < 0)
-        return FALSE;
-      mac[i] = (guint8)(high * 16 + low);
-    }
-  return peer_mac_verify (home->mac, text, (gsize)(mac_text - text) - 1, mac,
-                          sizeof mac);
-}
-
 gboolean
 home_parse_id (const struct home *home, const char *text, struct job_id *id,
                GError **error)
@@ -404,7 +352,7 @@
 
   if (!job_id_parse (text, id, &mac, error))
     return FALSE;
-  if (check_id_mac (home, text, mac))
+  if (job_id_check_mac (home->mac, text, mac))
     return TRUE;
   error_set (error, ERROR_INVALID,
              "this job id was not issued by this deployment; use one that "
@@ -424,7 +372,7 @@
   id.sequence = ticket_window_issue (home->tickets, &id.deadline_unix_ms);
   *sequence = id.sequence;
   g_strlcpy (id.vm, home->settings->vm, sizeof id.vm);
-  return sign_id (home, job_id_format (&id));
+  return job_id_sign (home->mac, job_id_format (&id));
 }
 
 static void
