coordination: give a task up by refusals and time, not by count alone

The bound of 64 refusals had been raised to 1,024 to keep jobs from being given up; that was wrong, since a job that every upstream refuses then costs 1,024 messages before its caller is told (t2000 caught it, and stays as it was). Cause of the losses: 64 refusals are met in a tenth of a second, before slots that other VMs hold become free.

--- a/coordination/task_flow.c
+++ b/coordination/task_flow.c
@@ -7,8 +7,10 @@
 #include "coordination/placement.h"
 #include "coordination/serve.h"
 
-/* Definite refusals of one task before its job is given up.  */
-#define MAX_MOVES 1024
+/* Definite refusals of one task before its job is given up, unless they came
+   within a time in which slots that others hold become free.  */
+#define MAX_MOVES 64
+#define MIN_MOVING_US (5 * USEC_PER_SEC)
 
 /* A silent attempt is the upstream's fault after this many estimates.  */
 #define SILENCE_FACTOR 4
@@ -235,6 +237,13 @@
     job_flow_complete (d, job, now_us);
 }
 
+static gboolean
+is_refused_for_good (const struct task *task, gint64 now_us)
+{
+  return task->n_moves >= MAX_MOVES
+         && now_us - task->first_refused_us >= MIN_MOVING_US;
+}
+
 static void
 requeue (struct dispatcher *d, struct task *task, gint64 now_us)
 {
@@ -247,7 +256,7 @@
   pool_count_work (job->pool, job, now_us);
   if (job->pool->service == NULL)
     job_flow_give_up (d, job, "the service was dropped", now_us);
-  else if (task->n_moves >= MAX_MOVES)
+  else if (is_refused_for_good (task, now_us))
     job_flow_give_up (d, job, "every upstream that was tried refused", now_us);
   else if (!pool_enqueue (job->pool, task, TRUE, d->random))
     job_flow_give_up (d, job, "no upstream of that shape is left", now_us);
@@ -261,6 +270,8 @@
   struct job *job = task->job;
 
   job->n_started--;
+  if (task->n_moves == 0)
+    task->first_refused_us = now_us;
   task->n_moves++;
   if (job->state == JOB_ACTIVE)
     requeue (d, task, now_us);
--- a/state/job.h
+++ b/state/job.h
@@ -39,6 +39,7 @@
   enum task_state state;
   guint index;
   guint n_moves; /* definite refusals so far */
+  gint64 first_refused_us;
   gboolean is_idempotent;
   gboolean is_stop_requested;
   gboolean is_lease_refused; /* the upstream does not renew its lease */
--- a/t/t9430-tls.c
+++ b/t/t9430-tls.c
@@ -49,6 +49,7 @@
                     G_CALLBACK (is_test_certificate), NULL);
   body = soup_session_send_and_read (session, message, NULL, &error);
   g_assert_no_error (error);
+  g_assert_nonnull (body);
   g_assert_cmpuint (soup_message_get_status (message), ==, 200);
   deployment_stop (d);
 }
