--- a/Makefile
+++ b/Makefile
@@ -97,7 +97,7 @@
 # Installs what is missing first, hence the second make.
 demo:
 	.ci/packages
-	$(MAKE) -s all $(BUILD)/demo
+	$(MAKE) -s -j$$(nproc) all $(BUILD)/demo
 	@RADISHCHUTE_BUILD=$(BUILD) $(BUILD)/demo 2>$(BUILD)/demo.log \
 	  || { cat $(BUILD)/demo.log; exit 1; }
 
