--- a/transport/session_pool.c
+++ b/transport/session_pool.c
@@ -56,6 +56,9 @@
       "proxy-resolver", NULL, "max-conns", MAX_CONNECTIONS_PER_UPSTREAM,
       "max-conns-per-host", MAX_CONNECTIONS_PER_UPSTREAM, "idle-timeout",
       IDLE_TIMEOUT_SEC, "timeout", 0, NULL);
+  /* Answers are short: compressed ones would cost more than they save.  */
+  soup_session_remove_feature_by_type (pooled->session,
+                                       SOUP_TYPE_CONTENT_DECODER);
   g_hash_table_insert (pool->sessions, g_strdup (address), pooled);
   return pooled;
 }
