t: wait until the proxy has swallowed the request

The test lifted the fault when its own main loop had nothing left to do, which under load was before the request's bytes had reached the proxy: 1 of 64 runs, 8 at a time, saw 2 requests instead of 1.

--- a/t/t8002-proxy.c
+++ b/t/t8002-proxy.c
@@ -129,15 +129,24 @@
   http_abandon (call);
 }
 
+static gboolean
+has_swallowed (json_t *body, gpointer data)
+{
+  json_t *route = json_array_get (json_get (body, "routes"), 0);
+
+  return json_get_int (route, "bytes_up") > 20;
+}
+
 static void
 test_silence_after_bytes (struct fixture *f, gconstpointer data)
 {
+  g_autofree char *routes
+      = http_url (f->proxy->ports[f->proxy->n_ports - 1], "/test/routes");
   struct http_call *call;
 
   set_faults (f->proxy, "{\"up\":{\"silent_after_bytes\":20}}");
   call = http_begin ("GET", f->url, NULL, NULL);
-  while (g_main_context_iteration (NULL, FALSE))
-    ;
+  json_decref (http_poll_until (routes, has_swallowed, NULL));
   set_faults (f->proxy, "{}");
   g_assert_cmpuint (request_status (f), ==, 200);
   g_assert_cmpint (count_requests (f), ==, 1);
