coordination: refuse an input over the service's limit

limits.input_bytes was read from the document and checked, and nothing looked at it. The test bed's services take inputs as long as its memory, since the test of shared memory uses large ones.

--- a/coordination/admission.c
+++ b/coordination/admission.c
@@ -57,6 +57,26 @@
   return TRUE;
 }
 
+static gboolean
+check_inputs (const struct pool *pool, const struct job *job, GError **error)
+{
+  guint limit = pool->service->max_input_bytes;
+
+  for (guint i = 0; i < job->n_tasks; i++)
+    {
+      GBytes *input = job->tasks[i].input;
+
+      if (input == NULL || g_bytes_get_size (input) <= limit)
+        continue;
+      error_set (error, ERROR_TOO_LARGE,
+                 "the input of task %u has %" G_GSIZE_FORMAT
+                 " bytes; the service takes %u at most",
+                 i, g_bytes_get_size (input), limit);
+      return FALSE;
+    }
+  return TRUE;
+}
+
 static gboolean
 check_queue (struct dispatcher *d, struct pool *pool, struct job *job,
              gint64 now_us, GError **error)
@@ -201,6 +221,7 @@
 
   job->retry_at_us = 0;
   if (!check_place (d, pool, job, now_us, error)
+      || !check_inputs (pool, job, error)
       || !shape_check_job (pool->kinds, job, error)
       || !check_queue (d, pool, job, now_us, error)
       || !check_quota (d, pool, job, now_us, error))
--- a/t/support/decision_bed.c
+++ b/t/support/decision_bed.c
@@ -102,6 +102,7 @@
   document->version = version;
   service->slots_per_upstream = slots;
   service->lease_ms = BED_LEASE_MS;
+  service->max_input_bytes = BED_MAX_BYTES;
   for (guint i = 0; i < n_upstreams; i++)
     {
       g_autofree char *name = g_strdup_printf ("u%u", i);
--- a/t/t2030-admission.c
+++ b/t/t2030-admission.c
@@ -222,6 +222,24 @@
   bed_free (bed);
 }
 
+/* An input may be as long as the service's limit, and no longer.  */
+static void
+test_input_limit (void)
+{
+  struct bed *bed = bed_new ();
+  struct document *document = bed_make_document ("t", 1, 1, 1);
+  struct job *fits = bed_make_job (bed, 2);
+  struct job *over = bed_make_job (bed, 2);
+
+  document_find_service (document, "s")->max_input_bytes = 4;
+  bed_apply (bed, document);
+  fits->tasks[1].input = g_bytes_new_static ("1234", 4);
+  over->tasks[1].input = g_bytes_new_static ("12345", 5);
+  bed_expect_refusal (bed, over, ERROR_TOO_LARGE);
+  g_assert_true (dispatcher_submit (bed->dispatcher, fits, bed->now_us, NULL));
+  bed_free (bed);
+}
+
 /* The nearest shape is named.  */
 static void
 test_never_runs (void)
@@ -282,6 +300,7 @@
                    test_accepted_deadlines_are_kept);
   g_test_add_func ("/admission/declared", test_declared_times_are_learned);
   g_test_add_func ("/admission/given-up-early", test_given_up_early);
+  g_test_add_func ("/admission/input-limit", test_input_limit);
   g_test_add_func ("/admission/never-runs", test_never_runs);
   g_test_add_func ("/admission/shape-goes-away", test_shape_goes_away);
   return g_test_run ();
