t: let the golden session of a cancel wait for its stop

Under the sanitizers one run ended before the stop message had reached the upstream, and the session lacked it. The test now waits until it has come.

--- a/t/t9300-golden.c
+++ b/t/t9300-golden.c
@@ -25,6 +25,7 @@
   char *settings_path;
   struct process *entry;
   guint n_starts;
+  guint n_stops;
 };
 
 /* How the upstream answers a task, by the input's member "play".  */
@@ -137,7 +138,10 @@
 on_stop (SoupServer *server, SoupServerMessage *message, const char *path,
          GHashTable *query, gpointer data)
 {
-  answer (data, "upstream", message, 200, "{\"applied\":[]}");
+  struct session *session = data;
+
+  session->n_stops++;
+  answer (session, "upstream", message, 200, "{\"applied\":[]}");
 }
 
 static char *
@@ -387,6 +391,8 @@
   while (session->n_starts == 0)
     g_main_context_iteration (NULL, TRUE);
   note (session, "DELETE", path, NULL, NULL, NULL);
+  while (session->n_stops == 0)
+    g_main_context_iteration (NULL, TRUE);
   note (session, "GET", path, NULL, NULL, NULL);
   session_end (session, "job-cancelled");
 }
