transport: name the limits of upstream sessions once

The connections and the idle time of a session to an upstream stood in the session pool and in the client; both take them from the pool's header now. entry_get_hub () had no caller, and entry.h declared a function twice.

--- a/transport/entry.c
+++ b/transport/entry.c
@@ -204,9 +204,3 @@
 {
   return peer_hub_get_port (entry->hub);
 }
-
-struct peer_hub *
-entry_get_hub (const struct entry *entry)
-{
-  return entry->hub;
-}
--- a/transport/entry.h
+++ b/transport/entry.h
@@ -28,11 +28,8 @@
 
 void entry_free (struct entry *entry);
 
-/* The port on which callers are served, and that of the peers.  */
+/* The port on which callers are served.  */
 guint entry_get_port (const struct entry *entry);
-guint entry_get_peer_port (const struct entry *entry);
-
-struct peer_hub *entry_get_hub (const struct entry *entry);
 
 /* The port on which peers are served.  */
 guint entry_get_peer_port (const struct entry *entry);
--- a/transport/session_pool.c
+++ b/transport/session_pool.c
@@ -2,11 +2,6 @@
 
 #include "base/clock.h"
 
-#define MAX_CONNECTIONS_PER_UPSTREAM 64
-
-/* Idle connections are closed before the upstream closes them.  */
-#define IDLE_TIMEOUT_SEC 30
-
 /* A session that was not asked for is dropped after this time.  */
 #define UNUSED_TIMEOUT_US (120 * USEC_PER_SEC)
 
@@ -53,9 +48,9 @@
   struct pooled_session *pooled = g_new0 (struct pooled_session, 1);
 
   pooled->session = soup_session_new_with_options (
-      "proxy-resolver", NULL, "max-conns", MAX_CONNECTIONS_PER_UPSTREAM,
-      "max-conns-per-host", MAX_CONNECTIONS_PER_UPSTREAM, "idle-timeout",
-      IDLE_TIMEOUT_SEC, "timeout", 0, NULL);
+      "proxy-resolver", NULL, "max-conns", SESSION_MAX_CONNECTIONS,
+      "max-conns-per-host", SESSION_MAX_CONNECTIONS, "idle-timeout",
+      SESSION_IDLE_TIMEOUT_SEC, "timeout", 0, NULL);
   /* Answers are short: compressed ones would cost more than they save.  */
   soup_session_remove_feature_by_type (pooled->session,
                                        SOUP_TYPE_CONTENT_DECODER);
--- a/transport/session_pool.h
+++ b/transport/session_pool.h
@@ -11,6 +11,12 @@
 #include <glib.h>
 #include <libsoup/soup.h>
 
+/* Connections to one upstream, of one session.  */
+#define SESSION_MAX_CONNECTIONS 64
+
+/* Idle connections are closed before the upstream closes them, in seconds.  */
+#define SESSION_IDLE_TIMEOUT_SEC 30
+
 struct session_pool;
 
 struct session_pool *session_pool_new (void);
--- a/transport/upstream_client.c
+++ b/transport/upstream_client.c
@@ -8,12 +8,8 @@
 #include <libsoup/soup.h>
 #include <string.h>
 
-/* Connections over all upstreams.  */
+/* Connections over all upstreams, of the session for renewals and stops.  */
 #define MAX_CONNECTIONS 65536
-#define MAX_CONNECTIONS_PER_UPSTREAM 64
-
-/* Idle connections are closed before the upstream closes them.  */
-#define IDLE_TIMEOUT_SEC 30
 
 /* A request that is not on its way by then is taken back.  */
 #define SEND_TIMEOUT_US USEC_PER_SEC
@@ -117,8 +113,8 @@
   client->sessions = session_pool_new ();
   client->control_session = soup_session_new_with_options (
       "proxy-resolver", NULL, "max-conns", MAX_CONNECTIONS,
-      "max-conns-per-host", MAX_CONNECTIONS_PER_UPSTREAM, "idle-timeout",
-      IDLE_TIMEOUT_SEC, "timeout", CONTROL_TIMEOUT_SEC, NULL);
+      "max-conns-per-host", SESSION_MAX_CONNECTIONS, "idle-timeout",
+      SESSION_IDLE_TIMEOUT_SEC, "timeout", CONTROL_TIMEOUT_SEC, NULL);
   client->shutdown = g_cancellable_new ();
   list_init (&client->attempts);
   list_init (&client->unsent);
