--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
   $(PKG_CFLAGS) -MMD -MP $(CFLAGS)
 LIBS = $(PKG_LIBS) -lm
 
-LAYERS = base state coordination protocol transport
+LAYERS = base state coordination protocol transport platform
 LIB_SRCS := $(filter-out protocol/peer_xdr.c,$(wildcard $(LAYERS:%=%/*.c)))
 GENERATED_SRCS := $(wildcard protocol/peer_xdr.c)
 COMMAND_SRCS := $(wildcard commands/*.c)
