--- /dev/null
+++ b/coordination/owned.c
@@ -0,0 +1,246 @@
+#include "coordination/owner_private.h"
+
+#include <math.h>
+#include <string.h>
+
+/* How much one run counts for the slowness and the failures of an upstream. */
+#define SLOWNESS_WEIGHT 0.15
+#define FAILURE_WEIGHT 0.2
+
+/* The smoothed share of failures from which an upstream rests.  */
+#define REST_SHARE 0.3
+
+/* The first rest, doubled up to the longest one.  */
+#define FIRST_REST_US (1 * USEC_PER_SEC)
+#define LONGEST_REST_US (8 * USEC_PER_SEC)
+
+/* Runs on trial that must end well before an upstream is trusted again.  */
+#define SLOWNESS_MAX 20.0
+
+/* Processors are added up in thousandths; smaller differences are rounding. */
+#define CPU_EPSILON 0.0005
+
+/* Added to times that are computed from another machine's clock.  */
+#define CLOCK_MARGIN_US (30 * USEC_PER_MSEC)
+
+#define PPM 1000000
+
+struct owned *
+owned_new (const struct owned_spec *spec, guint64 token)
+{
+  struct owned *upstream = g_new0 (struct owned, 1);
+
+  upstream->ref_count = 1;
+  upstream->id = g_strdup (spec->id);
+  upstream->token = token;
+  upstream->slowness = 1.0;
+  upstream->labels = g_ptr_array_new_with_free_func (g_free);
+  list_init (&upstream->runs);
+  owned_update (upstream, spec);
+  return upstream;
+}
+
+static void
+replace_string (char **place, const char *value)
+{
+  if (g_strcmp0 (*place, value) == 0)
+    return;
+  g_free (*place);
+  *place = g_strdup (value != NULL ? value : "");
+}
+
+void
+owned_update (struct owned *upstream, const struct owned_spec *spec)
+{
+  replace_string (&upstream->address, spec->address);
+  replace_string (&upstream->service, spec->service);
+  replace_string (&upstream->availability_zone, spec->availability_zone);
+  replace_string (&upstream->rack, spec->rack);
+  g_ptr_array_set_size (upstream->labels, 0);
+  for (guint i = 0; spec->labels != NULL && spec->labels[i] != NULL; i++)
+    g_ptr_array_add (upstream->labels, g_strdup (spec->labels[i]));
+  upstream->shape = spec->shape;
+  upstream->is_leaving = spec->is_leaving;
+}
+
+struct owned *
+owned_ref (struct owned *upstream)
+{
+  upstream->ref_count++;
+  return upstream;
+}
+
+void
+owned_unref (struct owned *upstream)
+{
+  if (--upstream->ref_count > 0)
+    return;
+  g_free (upstream->id);
+  g_free (upstream->address);
+  g_free (upstream->service);
+  g_free (upstream->availability_zone);
+  g_free (upstream->rack);
+  g_ptr_array_unref (upstream->labels);
+  g_free (upstream);
+}
+
+gint64
+owned_guess_clock_ms (const struct owned *upstream, gint64 now_us)
+{
+  return upstream->clock_ms
+         + (now_us - upstream->clock_read_us) / USEC_PER_MSEC;
+}
+
+gint64
+owned_latest_us (const struct owner *owner, const struct owned *upstream,
+                 gint64 until_ms, gint64 now_us)
+{
+  gint64 ahead_us = (until_ms - upstream->clock_ms) * USEC_PER_MSEC;
+
+  if (upstream->clock_read_us == 0)
+    return now_us + owner->limits.max_lease_ms * 2 * USEC_PER_MSEC;
+  ahead_us += ahead_us * owner->limits.clock_drift_ppm / PPM;
+  return upstream->clock_read_us + ahead_us + CLOCK_MARGIN_US;
+}
+
+void
+owned_read_clock (struct owned *upstream, gint64 clock_ms, gint64 now_us)
+{
+  if (clock_ms == 0)
+    return;
+  upstream->clock_ms = clock_ms;
+  upstream->clock_read_us = now_us;
+}
+
+void
+owned_note_answer (struct owned *upstream)
+{
+  upstream->silent_since_us = 0;
+  upstream->n_silent = 0;
+}
+
+gboolean
+owned_is_usable (const struct owned *upstream, gint64 now_us)
+{
+  if (upstream->state != OWNED_HELD || upstream->is_leaving
+      || upstream->is_removed || upstream->is_releasing)
+    return FALSE;
+  return upstream->n_foreign == 0 && upstream->rest_until_us <= now_us;
+}
+
+gboolean
+owned_takes (const struct owned *upstream, const struct shape *need,
+             gint64 now_us)
+{
+  const struct shape *used = &upstream->used;
+  const struct shape *shape = &upstream->shape;
+
+  if (!owned_is_usable (upstream, now_us))
+    return FALSE;
+  if (upstream->is_on_trial && !list_is_empty (&upstream->runs))
+    return FALSE;
+  return used->cpus + need->cpus <= shape->cpus + CPU_EPSILON
+         && used->memory_mb + need->memory_mb <= shape->memory_mb
+         && used->accelerators + need->accelerators <= shape->accelerators;
+}
+
+static void
+trust_again (struct owned *upstream)
+{
+  upstream->is_on_trial = FALSE;
+  upstream->n_rests = 0;
+  upstream->failure_share = 0;
+}
+
+void
+owned_note_done (struct owned *upstream, gdouble slowness)
+{
+  gdouble bounded = CLAMP (slowness, 1 / SLOWNESS_MAX, SLOWNESS_MAX);
+
+  upstream->slowness += SLOWNESS_WEIGHT * (bounded - upstream->slowness);
+  upstream->failure_share *= 1 - FAILURE_WEIGHT;
+  if (upstream->is_on_trial)
+    trust_again (upstream);
+}
+
+void
+owned_rest (struct owned *upstream, gint64 now_us)
+{
+  gint64 rest_us
+      = MIN (FIRST_REST_US << MIN (upstream->n_rests, 4u), LONGEST_REST_US);
+
+  if (upstream->rest_until_us > now_us)
+    return;
+  upstream->n_rests++;
+  upstream->is_on_trial = TRUE;
+  upstream->rest_until_us = now_us + rest_us;
+}
+
+void
+owned_note_failure (struct owned *upstream, gint64 now_us)
+{
+  upstream->failure_share += FAILURE_WEIGHT * (1 - upstream->failure_share);
+  if (upstream->failure_share > REST_SHARE || upstream->is_on_trial)
+    owned_rest (upstream, now_us);
+}
+
+struct run *
+owned_find_run (const struct owned *upstream, const char *name, guint number)
+{
+  const struct list_node *node;
+
+  for (node = upstream->runs.next; node != &upstream->runs; node = node->next)
+    {
+      struct run *run = list_entry (node, struct run, link);
+
+      if (run->number == number && g_str_equal (run->name, name))
+        return run;
+    }
+  return NULL;
+}
+
+/* Adds up what the runs need, so that no rounding is kept.  */
+static void
+count_used (struct owned *upstream)
+{
+  const struct list_node *node;
+
+  memset (&upstream->used, 0, sizeof upstream->used);
+  upstream->n_foreign = 0;
+  for (node = upstream->runs.next; node != &upstream->runs; node = node->next)
+    {
+      const struct run *run = list_entry (node, struct run, link);
+
+      upstream->used.cpus += run->need.cpus;
+      upstream->used.memory_mb += run->need.memory_mb;
+      upstream->used.accelerators += run->need.accelerators;
+      upstream->n_foreign += run->is_foreign ? 1 : 0;
+    }
+}
+
+struct run *
+run_new (struct owned *upstream, struct batch_task *task, const char *name,
+         guint number)
+{
+  struct run *run = g_new0 (struct run, 1);
+
+  run->upstream = upstream;
+  run->task = task;
+  run->name = g_strdup (name);
+  run->number = number;
+  run->is_foreign = task == NULL;
+  if (task != NULL)
+    run->need = task->batch->need;
+  list_append (&upstream->runs, &run->link);
+  count_used (upstream);
+  return run;
+}
+
+void
+run_free (struct run *run)
+{
+  list_remove (&run->link);
+  count_used (run->upstream);
+  g_free (run->name);
+  g_free (run);
+}
--- /dev/null
+++ b/coordination/owner.c
@@ -0,0 +1,283 @@
+#include "coordination/owner_private.h"
+
+/* How long an answer to an ask may wait for an end.  */
+#define ASK_WAIT_MS 250
+
+/* A last ask, which only tells what was seen, waits this long for company.  */
+#define LAST_ASK_US (25 * USEC_PER_MSEC)
+
+/* How often runs are looked after.  */
+#define WATCH_INTERVAL_US (20 * USEC_PER_MSEC)
+#define IDLE_INTERVAL_US (200 * USEC_PER_MSEC)
+
+/* Of a task before any was seen.  */
+#define FIRST_USUAL_CPUS 4.0
+
+struct owner *
+owner_new (struct owner_driver *driver, const struct owner_limits *limits)
+{
+  struct owner *owner = g_new0 (struct owner, 1);
+
+  owner->driver = driver;
+  owner->limits = *limits;
+  owner->usual_cpus = FIRST_USUAL_CPUS;
+  owner->upstreams = g_hash_table_new (g_str_hash, g_str_equal);
+  list_init (&owner->queue);
+  list_init (&owner->batches);
+  return owner;
+}
+
+static void
+free_batches (struct list_node *batches)
+{
+  while (!list_is_empty (batches))
+    batch_free (list_entry (batches->next, struct batch, link));
+}
+
+void
+owner_free (struct owner *owner)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, owner->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct owned *upstream = value;
+
+      while (!list_is_empty (&upstream->runs))
+        run_free (list_entry (upstream->runs.next, struct run, link));
+      upstream->is_removed = TRUE;
+      owned_unref (upstream);
+    }
+  free_batches (&owner->queue);
+  free_batches (&owner->batches);
+  g_hash_table_unref (owner->upstreams);
+  g_free (owner);
+}
+
+struct owned *
+owner_find (struct owner *owner, const char *id)
+{
+  return g_hash_table_lookup (owner->upstreams, id);
+}
+
+struct owned *
+owner_take (struct owner *owner, const struct owned_spec *spec, guint64 token,
+            gint64 now_us)
+{
+  struct owned *upstream = owner_find (owner, spec->id);
+
+  if (upstream == NULL)
+    {
+      upstream = owned_new (spec, token);
+      upstream->ask_due_us = now_us;
+      g_hash_table_insert (owner->upstreams, upstream->id, upstream);
+    }
+  else
+    owned_update (upstream, spec);
+  if (token > upstream->token)
+    {
+      upstream->token = token;
+      upstream->ask_due_us = now_us;
+    }
+  upstream->is_releasing = FALSE;
+  if (spec->born_ms != 0 && upstream->born_ms != 0
+      && spec->born_ms > upstream->born_ms)
+    {
+      owner_lose_runs (owner, upstream, now_us);
+      upstream->born_ms = spec->born_ms;
+      upstream->last_seen = 0;
+      upstream->acknowledged = 0;
+      upstream->clock_read_us = 0;
+      upstream->leased_until_ms = 0;
+      upstream->state = OWNED_TAKING;
+      upstream->ask_due_us = now_us;
+    }
+  owner_serve (owner, now_us);
+  owner_advance (owner, now_us);
+  return owner_find (owner, spec->id);
+}
+
+void
+owner_release (struct owner *owner, const char *id, gint64 now_us)
+{
+  struct owned *upstream = owner_find (owner, id);
+
+  if (upstream == NULL)
+    return;
+  upstream->is_releasing = TRUE;
+  owner_check_released (owner, upstream);
+}
+
+void
+owner_remove (struct owner *owner, const char *id, gint64 now_us)
+{
+  struct owned *upstream = owner_find (owner, id);
+
+  if (upstream == NULL)
+    return;
+  upstream->is_removed = TRUE;
+  g_hash_table_steal (owner->upstreams, id);
+  owner_lose_runs (owner, upstream, now_us);
+  owner->driver->ops->lost (owner->driver, upstream, FALSE);
+  owned_unref (upstream);
+  owner_serve (owner, now_us);
+}
+
+void
+owner_foreach (struct owner *owner,
+               void (*visit) (struct owned *upstream, gpointer data),
+               gpointer data)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, owner->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    visit (value, data);
+}
+
+static void
+add_queued (const struct list_node *batches, const char *service,
+            struct owner_room *room)
+{
+  const struct list_node *node;
+
+  for (node = batches->next; node != batches; node = node->next)
+    {
+      const struct batch *batch = list_entry (node, struct batch, link);
+
+      if (service != NULL && !g_str_equal (batch->service, service))
+        continue;
+      room->n_queued += batch->n_queued;
+      room->n_running += batch->n_active;
+      room->queued_us += batch->n_queued * batch->estimate_us;
+    }
+}
+
+void
+owner_get_room (struct owner *owner, const char *service,
+                struct owner_room *room, gint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  *room = (struct owner_room){ 0 };
+  g_hash_table_iter_init (&iter, owner->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct owned *upstream = value;
+      gdouble free_cpus = upstream->shape.cpus - upstream->used.cpus;
+
+      if (!owned_is_usable (upstream, now_us) || upstream->is_on_trial
+          || (service != NULL && !g_str_equal (upstream->service, service)))
+        continue;
+      room->n_upstreams++;
+      room->free_cpus += free_cpus;
+      room->total_cpus += upstream->shape.cpus;
+      room->free_slots += (guint)(MAX (free_cpus, 0) / owner->usual_cpus);
+      room->n_slots += (guint)(upstream->shape.cpus / owner->usual_cpus);
+    }
+  add_queued (&owner->queue, service, room);
+  add_queued (&owner->batches, service, room);
+}
+
+/* Asks UPSTREAM when that is due.  */
+static void
+ask_if_due (struct owner *owner, struct owned *upstream, gint64 now_us)
+{
+  gboolean has_runs = !list_is_empty (&upstream->runs);
+  gint64 until_ms = 0;
+  guint wait_ms = 0;
+
+  if (upstream->is_asking || upstream->ask_due_us > now_us)
+    return;
+  if (!has_runs && upstream->state == OWNED_HELD
+      && upstream->last_seen > upstream->acknowledged
+      && upstream->last_end_us + LAST_ASK_US > now_us)
+    {
+      upstream->ask_due_us = upstream->last_end_us + LAST_ASK_US;
+      return;
+    }
+  if (has_runs && upstream->clock_read_us != 0
+      && upstream->n_silent < OWNED_MAX_SILENT)
+    until_ms
+        = owned_guess_clock_ms (upstream, now_us) + owner->limits.lease_ms;
+  if (has_runs && upstream->state == OWNED_HELD && upstream->n_foreign == 0)
+    wait_ms = ASK_WAIT_MS;
+  upstream->leased_until_ms = MAX (upstream->leased_until_ms, until_ms);
+  upstream->is_asking = TRUE;
+  upstream->asked_us = now_us;
+  upstream->ask_due_us = DEADLINE_NEVER;
+  upstream->n_asks++;
+  upstream->told_seen = upstream->last_seen;
+  owner->driver->ops->ask (owner->driver, upstream, until_ms, wait_ms);
+}
+
+static GPtrArray *
+list_upstreams (struct owner *owner)
+{
+  GPtrArray *upstreams
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)owned_unref);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, owner->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_ptr_array_add (upstreams, owned_ref (value));
+  return upstreams;
+}
+
+static void
+watch (struct owner *owner, gint64 now_us)
+{
+  g_autoptr (GPtrArray) upstreams = list_upstreams (owner);
+
+  for (guint i = 0; i < upstreams->len; i++)
+    {
+      struct owned *upstream = g_ptr_array_index (upstreams, i);
+
+      if (!upstream->is_removed)
+        owner_watch_runs (owner, upstream, now_us);
+      if (!upstream->is_removed)
+        owner_check_released (owner, upstream);
+    }
+  owner_expire_batches (owner, now_us);
+  owner_serve (owner, now_us);
+}
+
+static gboolean
+is_busy (const struct owner *owner)
+{
+  return !list_is_empty (&owner->queue) || !list_is_empty (&owner->batches);
+}
+
+void
+owner_advance (struct owner *owner, gint64 now_us)
+{
+  gint64 wake_us
+      = now_us + (is_busy (owner) ? WATCH_INTERVAL_US : IDLE_INTERVAL_US);
+  GHashTableIter iter;
+  gpointer value;
+
+  if (now_us - owner->watched_us >= WATCH_INTERVAL_US)
+    {
+      owner->watched_us = now_us;
+      watch (owner, now_us);
+    }
+  g_hash_table_iter_init (&iter, owner->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct owned *upstream = value;
+
+      ask_if_due (owner, upstream, now_us);
+      wake_us = MIN (wake_us, MAX (upstream->ask_due_us, now_us + 1));
+    }
+  wake_us = MIN (wake_us, owner->watched_us + WATCH_INTERVAL_US
+                              + (is_busy (owner) ? 0 : IDLE_INTERVAL_US));
+  if (wake_us == owner->wake_us)
+    return;
+  owner->wake_us = wake_us;
+  owner->driver->ops->wake_at (owner->driver, wake_us);
+}
--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -18,6 +18,7 @@
 #ifndef COORDINATION_OWNER_H
 #define COORDINATION_OWNER_H
 
+#include "base/clock.h"
 #include "base/list.h"
 #include "state/document.h"
 
@@ -38,6 +39,11 @@
   RUN_LOST,    /* the upstream has lost it; told by the owner, never listed */
 };
 
+/* Asks in a row without an answer from which an upstream is shunned and its
+   leases are no longer prolonged, and how often it is asked from then on.  */
+#define OWNED_MAX_SILENT 2
+#define OWNED_SILENT_INTERVAL_US (150 * USEC_PER_MSEC)
+
 /* What is known of one run.  */
 enum run_state
 {
@@ -64,9 +70,11 @@
   guint percent;      /* of its work, as last seen */
   gint64 moved_us;    /* when percent last changed */
   gboolean is_stop_acknowledged;
-  gboolean is_started_silently; /* its start got no answer */
-  guint64 unseen_after;         /* a list asked for after this number of asks
-                                   tells whether the run is there */
+  gboolean is_foreign;  /* found there; nobody here has started it */
+  gboolean is_judged;   /* its slowness has been counted */
+  guint64 unseen_after; /* a list asked for after this number of asks tells
+                           whether the run is there */
+  guint64 seen_in;      /* number of the last answer that listed it */
 };
 
 enum owned_state
@@ -84,7 +92,6 @@
   char *service;
   char *availability_zone;
   char *rack;
-  char *kind;
   GPtrArray *labels; /* strings */
   struct shape shape;
   struct shape used; /* by all runs that may be there */
@@ -97,17 +104,22 @@
   guint ref_count;
   struct list_node runs;  /* struct run by link */
   guint n_foreign;        /* runs listed that nobody here has started */
-  guint64 n_asks;         /* holds sent so far */
-  guint64 n_answered;     /* number of the hold that was answered last */
+  guint64 n_asks;         /* asks sent so far */
+  guint64 n_answered;     /* number of the ask that was answered last */
   guint64 last_seen;      /* number of the last end that was taken note of */
-  guint64 acknowledged;   /* the last one that a hold has told */
-  gboolean is_asking;     /* a hold is on its way */
+  guint64 told_seen;      /* the same, as the latest ask has told it */
+  guint64 acknowledged;   /* the last one that an answered ask has told */
+  gint64 last_end_us;     /* when an end was last taken note of */
+  gint64 asked_us;        /* when the latest ask was sent */
+  gboolean is_asking;     /* an ask is on its way */
   gint64 ask_due_us;      /* when to ask next */
   gint64 clock_ms;        /* its clock, as last read */
   gint64 clock_read_us;   /* own clock at that time; 0 for never */
   gint64 silent_since_us; /* 0 while it answers */
+  guint n_silent;         /* asks in a row without an answer */
+  gint64 leased_until_ms; /* the latest lease that any order has named */
   gdouble slowness;       /* run times over those expected; 1 at first */
-  guint n_failed_run;     /* failures since the last success */
+  gdouble failure_share;  /* of its latest runs, smoothed */
   gint64 rest_until_us;   /* gets no runs before */
   guint n_rests;
   gboolean is_on_trial; /* gets one run at a time */
@@ -131,7 +143,8 @@
   struct run *run; /* the current one */
   guint n_runs;
   guint n_failed;
-  char *failed_on; /* the upstream where it failed last; NULL for none */
+  guint n_restarts; /* because of slow or hanging upstreams */
+  char *failed_on;  /* the upstream where it failed last; NULL for none */
 };
 
 enum batch_end
@@ -163,6 +176,8 @@
   gint64 start_by_us; /* to meet the objective */
   gint64 end_by_us;   /* of no use afterwards; DEADLINE_NEVER for none */
   gint64 queued_us;
+  gint64 first_started_us; /* 0 before */
+  gboolean is_late;        /* start_by_us has passed while it was queued */
   guint n_tasks;
   guint n_queued;
   guint n_active; /* may be running */
@@ -192,6 +207,10 @@
   void (*ask) (struct owner_driver *driver, struct owned *upstream,
                gint64 until_ms, guint wait_ms);
 
+  /* RUN has ended, or was never begun.  May be NULL.  */
+  void (*run_ended) (struct owner_driver *driver, const struct run *run,
+                     enum run_end end);
+
   /* BATCH has ended; frees it with batch_free ().  */
   void (*finish_batch) (struct owner_driver *driver, struct batch *batch);
 
@@ -251,6 +270,9 @@
 
 struct owned *owner_find (struct owner *owner, const char *id);
 
+struct owned *owned_ref (struct owned *upstream);
+void owned_unref (struct owned *upstream);
+
 /* A new batch with N_TASKS queued tasks, whose indexes the caller fills in. */
 struct batch *batch_new (const char *job, const char *home, guint n_tasks);
 void batch_free (struct batch *batch);
@@ -328,6 +350,7 @@
   gdouble free_cpus;  /* of those */
   gdouble total_cpus; /* of those */
   guint free_slots;   /* tasks of usual size that would start at once */
+  guint n_slots;      /* tasks of usual size that fit at all */
   guint n_queued;     /* tasks */
   guint n_running;    /* tasks */
   gint64 queued_us;   /* run time of the queued tasks, added up */
--- /dev/null
+++ b/coordination/owner_batches.c
@@ -0,0 +1,372 @@
+#include "coordination/owner_private.h"
+
+#include <string.h>
+
+/* Batches that are passed over in one go because they do not fit.  */
+#define MAX_PASSED_OVER 12
+
+/* A run on an upstream this much slower than another costs as much as
+   waiting; faster ones are preferred in steps of this size.  */
+#define SLOWNESS_STEP 0.15
+
+/* How much one batch counts for the usual need of a task.  */
+#define USUAL_WEIGHT 0.05
+
+struct batch *
+batch_new (const char *job, const char *home, guint n_tasks)
+{
+  struct batch *batch = g_new0 (struct batch, 1);
+
+  list_init (&batch->link);
+  batch->job = g_strdup (job);
+  batch->home = g_strdup (home);
+  batch->first_run = 1;
+  batch->attempts = 1;
+  batch->far_factor = 1;
+  batch->end_by_us = DEADLINE_NEVER;
+  batch->n_tasks = n_tasks;
+  batch->n_queued = n_tasks;
+  batch->tasks = g_new0 (struct batch_task, n_tasks);
+  for (guint i = 0; i < n_tasks; i++)
+    batch->tasks[i].batch = batch;
+  return batch;
+}
+
+void
+batch_free (struct batch *batch)
+{
+  list_remove (&batch->link);
+  for (guint i = 0; i < batch->n_tasks; i++)
+    g_free (batch->tasks[i].failed_on);
+  g_free (batch->tasks);
+  g_free (batch->job);
+  g_free (batch->home);
+  g_free (batch->service);
+  g_free (batch->spec);
+  g_free (batch->affinity);
+  g_free (batch->required_label);
+  g_free (batch);
+}
+
+/* Whether A goes before B.  */
+static gboolean
+goes_before (const struct batch *a, const struct batch *b)
+{
+  if (a->is_late != b->is_late)
+    return b->is_late;
+  return a->start_by_us < b->start_by_us;
+}
+
+static void
+insert_queued (struct owner *owner, struct batch *batch)
+{
+  struct list_node *node = owner->queue.prev;
+
+  while (node != &owner->queue
+         && goes_before (batch, list_entry (node, struct batch, link)))
+    node = node->prev;
+  list_insert_after (node, &batch->link);
+}
+
+void
+owner_place_batch (struct owner *owner, struct batch *batch)
+{
+  list_remove (&batch->link);
+  if (batch->n_queued > 0)
+    insert_queued (owner, batch);
+  else
+    list_append (&owner->batches, &batch->link);
+}
+
+gboolean
+owner_check_batch (struct owner *owner, struct batch *batch)
+{
+  if (batch->n_active > 0)
+    return FALSE;
+  if (!batch->is_ending && batch->n_done < batch->n_tasks)
+    return FALSE;
+  if (!batch->is_ending)
+    batch->end = BATCH_DONE;
+  list_remove (&batch->link);
+  owner->driver->ops->finish_batch (owner->driver, batch);
+  return TRUE;
+}
+
+void
+owner_end_batch (struct owner *owner, struct batch *batch, enum batch_end end,
+                 const char *reason, gint64 now_us)
+{
+  if (batch->is_ending)
+    return;
+  batch->is_ending = TRUE;
+  batch->end = end;
+  batch->reason = reason;
+  for (guint i = 0; i < batch->n_tasks; i++)
+    {
+      struct batch_task *task = &batch->tasks[i];
+
+      if (task->state == BATCH_TASK_QUEUED)
+        task->state = BATCH_TASK_DROPPED;
+      if (task->run != NULL)
+        owner_stop_run (owner, task->run, now_us);
+    }
+  batch->n_queued = 0;
+  owner_place_batch (owner, batch);
+}
+
+void
+owner_submit (struct owner *owner, struct batch *batch, gint64 now_us)
+{
+  gdouble more = batch->need.cpus - owner->usual_cpus;
+
+  owner->usual_cpus += USUAL_WEIGHT * more;
+  batch->queued_us = now_us;
+  owner_place_batch (owner, batch);
+  owner_serve (owner, now_us);
+  owner_advance (owner, now_us);
+}
+
+void
+owner_stop_batch (struct owner *owner, struct batch *batch, const char *reason,
+                  gint64 now_us)
+{
+  enum batch_end end = batch->n_started == 0 ? BATCH_NO_ROOM : BATCH_STOPPED;
+
+  owner_end_batch (owner, batch, end, reason, now_us);
+  owner_check_batch (owner, batch);
+}
+
+static void
+stop_home_in (struct owner *owner, struct list_node *batches, const char *home,
+              gint64 now_us)
+{
+  g_autoptr (GPtrArray) found = g_ptr_array_new ();
+  struct list_node *node;
+  struct list_node *after;
+
+  list_for_each (node, after, batches)
+    {
+      struct batch *batch = list_entry (node, struct batch, link);
+
+      if (g_str_equal (batch->home, home))
+        g_ptr_array_add (found, batch);
+    }
+  for (guint i = 0; i < found->len; i++)
+    owner_stop_batch (owner, g_ptr_array_index (found, i), "its home is gone",
+                      now_us);
+}
+
+void
+owner_stop_home (struct owner *owner, const char *home, gint64 now_us)
+{
+  stop_home_in (owner, &owner->queue, home, now_us);
+  stop_home_in (owner, &owner->batches, home, now_us);
+}
+
+static gboolean
+has_label (const struct owned *upstream, const char *label)
+{
+  if (label == NULL || label[0] == '\0')
+    return TRUE;
+  for (guint i = 0; i < upstream->labels->len; i++)
+    if (g_str_equal (g_ptr_array_index (upstream->labels, i), label))
+      return TRUE;
+  return FALSE;
+}
+
+static guint
+count_runs_of (const struct owned *upstream, const struct batch *batch)
+{
+  const struct list_node *node;
+  guint n = 0;
+
+  for (node = upstream->runs.next; node != &upstream->runs; node = node->next)
+    {
+      const struct run *run = list_entry (node, struct run, link);
+
+      n += run->task != NULL && run->task->batch == batch ? 1 : 0;
+    }
+  return n;
+}
+
+static gboolean
+may_run_on (const struct batch_task *task, const struct owned *upstream,
+            gint64 now_us)
+{
+  const struct batch *batch = task->batch;
+
+  if (!g_str_equal (upstream->service, batch->service)
+      || !owned_takes (upstream, &batch->need, now_us)
+      || !has_label (upstream, batch->required_label))
+    return FALSE;
+  return batch->per_upstream == 0
+         || count_runs_of (upstream, batch) < batch->per_upstream;
+}
+
+static gboolean
+is_far (const struct batch *batch, const struct owned *upstream)
+{
+  return batch->affinity != NULL && batch->affinity[0] != '\0'
+         && g_strcmp0 (batch->affinity, upstream->rack) != 0;
+}
+
+/* How little UPSTREAM suits TASK: expected slowness in steps first, then the
+   room that would be left.  */
+static gdouble
+compute_cost (const struct batch_task *task, const struct owned *upstream)
+{
+  const struct batch *batch = task->batch;
+  gdouble slowness = upstream->slowness;
+  gdouble left = upstream->shape.cpus - upstream->used.cpus - batch->need.cpus;
+  gdouble cost;
+
+  if (is_far (batch, upstream))
+    slowness *= batch->far_factor;
+  cost = (gdouble)(gint64)(slowness / SLOWNESS_STEP) * 1000 + left;
+  if (g_strcmp0 (task->failed_on, upstream->id) == 0)
+    cost += 1000000;
+  if (upstream->is_on_trial)
+    cost += 100000;
+  return cost;
+}
+
+static struct owned *
+find_upstream (struct owner *owner, const struct batch_task *task,
+               gint64 now_us)
+{
+  struct owned *best = NULL;
+  gdouble best_cost = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, owner->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct owned *upstream = value;
+      gdouble cost;
+
+      if (!may_run_on (task, upstream, now_us))
+        continue;
+      cost = compute_cost (task, upstream);
+      if (best != NULL && cost >= best_cost)
+        continue;
+      best = upstream;
+      best_cost = cost;
+    }
+  return best;
+}
+
+static void
+start_task (struct owner *owner, struct batch_task *task,
+            struct owned *upstream, gint64 now_us)
+{
+  struct batch *batch = task->batch;
+  gdouble slowness = upstream->slowness;
+  gint64 until_ms
+      = owned_guess_clock_ms (upstream, now_us) + owner->limits.lease_ms;
+  g_autofree char *name
+      = g_strdup_printf ("%s.0.%u.%u", batch->job, batch->step, task->index);
+  struct run *run;
+
+  run = run_new (upstream, task, name, batch->first_run + task->n_runs);
+  task->n_runs++;
+  task->state = BATCH_TASK_RUNNING;
+  task->run = run;
+  batch->n_queued--;
+  batch->n_active++;
+  batch->n_started++;
+  if (batch->first_started_us == 0)
+    batch->first_started_us = now_us;
+  if (is_far (batch, upstream))
+    slowness *= batch->far_factor;
+  run->state = RUN_STARTING;
+  run->started_us = now_us;
+  run->moved_us = now_us;
+  run->expected_us = (gint64)((gdouble)batch->estimate_us * slowness);
+  run->void_us = owned_latest_us (owner, upstream, until_ms, now_us);
+  upstream->leased_until_ms = MAX (upstream->leased_until_ms, until_ms);
+  upstream->ask_due_us = MIN (upstream->ask_due_us, now_us);
+  owner->driver->ops->start_run (owner->driver, run, until_ms);
+}
+
+/* Starts tasks of BATCH as long as they fit.  */
+static void
+serve_batch (struct owner *owner, struct batch *batch, gint64 now_us)
+{
+  for (guint i = 0; batch->n_queued > 0 && i < batch->n_tasks; i++)
+    {
+      struct batch_task *task = &batch->tasks[i];
+      struct owned *upstream;
+
+      if (task->state != BATCH_TASK_QUEUED)
+        continue;
+      upstream = find_upstream (owner, task, now_us);
+      if (upstream == NULL)
+        return;
+      start_task (owner, task, upstream, now_us);
+    }
+}
+
+void
+owner_serve (struct owner *owner, gint64 now_us)
+{
+  struct list_node *node;
+  struct list_node *after;
+  guint n_passed_over = 0;
+
+  list_for_each (node, after, &owner->queue)
+    {
+      struct batch *batch = list_entry (node, struct batch, link);
+
+      serve_batch (owner, batch, now_us);
+      if (batch->n_queued == 0)
+        owner_place_batch (owner, batch);
+      else if (++n_passed_over >= MAX_PASSED_OVER)
+        break;
+    }
+}
+
+/* Those that miss their objective make room for the others.  */
+static void
+demote_late (struct owner *owner, gint64 now_us)
+{
+  g_autoptr (GPtrArray) late = g_ptr_array_new ();
+  struct list_node *node;
+  struct list_node *after;
+
+  list_for_each (node, after, &owner->queue)
+    {
+      struct batch *batch = list_entry (node, struct batch, link);
+
+      if (batch->is_late || batch->start_by_us > now_us)
+        break;
+      g_ptr_array_add (late, batch);
+    }
+  for (guint i = 0; i < late->len; i++)
+    {
+      struct batch *batch = g_ptr_array_index (late, i);
+
+      batch->is_late = TRUE;
+      owner_place_batch (owner, batch);
+    }
+}
+
+void
+owner_expire_batches (struct owner *owner, gint64 now_us)
+{
+  g_autoptr (GPtrArray) expired = g_ptr_array_new ();
+  struct list_node *node;
+  struct list_node *after;
+
+  demote_late (owner, now_us);
+  list_for_each (node, after, &owner->queue)
+    {
+      struct batch *batch = list_entry (node, struct batch, link);
+
+      if (batch->end_by_us <= now_us)
+        g_ptr_array_add (expired, batch);
+    }
+  for (guint i = 0; i < expired->len; i++)
+    owner_stop_batch (owner, g_ptr_array_index (expired, i),
+                      "no room before its deadline", now_us);
+}
