--- /dev/null
+++ b/coordination/spread.h
@@ -0,0 +1,32 @@
+/*
+ * How a home spreads the tasks of a job over the owners of upstreams: free of
+ * I/O.
+ *
+ * Tasks go where they start at once: first to upstreams of this VM, then to
+ * owners of its availability zone, then to others.  What finds no free slot is
+ * queued where the expected wait is the shortest, for queues are drained in
+ * the order of objectives.
+ */
+#ifndef COORDINATION_SPREAD_H
+#define COORDINATION_SPREAD_H
+
+#include "coordination/vm_directory.h"
+
+/* An owner that may take tasks.  */
+struct spread_owner
+{
+  const char *name;
+  gboolean is_self;
+  gboolean is_local; /* of the own zone */
+  struct vm_room room;
+  guint n_given; /* filled in: tasks that it gets */
+};
+
+/*
+ * Gives N_TASKS of RUN_MS each to OWNERS.  Returns the longest expected wait,
+ * in milliseconds, or -1 when no owner has any slot.
+ */
+gint64 spread_tasks (struct spread_owner *owners, guint n_owners,
+                     guint n_tasks, guint run_ms);
+
+#endif
--- /dev/null
+++ b/coordination/vm_directory.c
@@ -0,0 +1,193 @@
+#include "coordination/vm_directory.h"
+
+struct vm_directory
+{
+  struct vm_directory_owner *owner;
+  char *own_name;
+  GPtrArray *vms; /* struct vm */
+  GHashTable *by_name;
+};
+
+static void
+vm_free (gpointer data)
+{
+  struct vm *vm = data;
+
+  g_free (vm->name);
+  g_free (vm->ip);
+  g_free (vm->availability_zone);
+  g_free (vm);
+}
+
+struct vm_directory *
+vm_directory_new (struct vm_directory_owner *owner, const char *own_name)
+{
+  struct vm_directory *directory = g_new0 (struct vm_directory, 1);
+
+  directory->owner = owner;
+  directory->own_name = g_strdup (own_name);
+  directory->vms = g_ptr_array_new_with_free_func (vm_free);
+  directory->by_name = g_hash_table_new (g_str_hash, g_str_equal);
+  return directory;
+}
+
+void
+vm_directory_free (struct vm_directory *directory)
+{
+  g_hash_table_unref (directory->by_name);
+  g_ptr_array_unref (directory->vms);
+  g_free (directory->own_name);
+  g_free (directory);
+}
+
+static struct vm *
+find (const struct vm_directory *directory, const char *name)
+{
+  return g_hash_table_lookup (directory->by_name, name);
+}
+
+const struct vm *
+vm_directory_find (const struct vm_directory *directory, const char *name)
+{
+  return find (directory, name);
+}
+
+const GPtrArray *
+vm_directory_list (const struct vm_directory *directory)
+{
+  return directory->vms;
+}
+
+/* A VM may come back at another address.  */
+static void
+set_address (struct vm *vm, const char *ip, const char *availability_zone)
+{
+  if (g_strcmp0 (vm->ip, ip) != 0)
+    {
+      g_free (vm->ip);
+      vm->ip = g_strdup (ip);
+    }
+  if (g_strcmp0 (vm->availability_zone, availability_zone) != 0)
+    {
+      g_free (vm->availability_zone);
+      vm->availability_zone = g_strdup (availability_zone);
+    }
+}
+
+gboolean
+vm_directory_introduce (struct vm_directory *directory, const char *name,
+                        const char *ip, const char *availability_zone,
+                        gint64 now_us)
+{
+  struct vm *vm = find (directory, name);
+
+  if (g_str_equal (name, directory->own_name)
+      || directory->vms->len >= VM_DIRECTORY_MAX)
+    return FALSE;
+  if (vm != NULL)
+    {
+      /* What the VM says of itself goes before what others say.  */
+      if (!vm->is_live)
+        set_address (vm, ip, availability_zone);
+      return FALSE;
+    }
+  vm = g_new0 (struct vm, 1);
+  vm->name = g_strdup (name);
+  vm->heard_us = now_us;
+  set_address (vm, ip, availability_zone);
+  g_ptr_array_add (directory->vms, vm);
+  g_hash_table_insert (directory->by_name, vm->name, vm);
+  return TRUE;
+}
+
+static void
+lose (struct vm_directory *directory, struct vm *vm)
+{
+  guint64 incarnation = vm->incarnation;
+
+  vm->is_live = FALSE;
+  vm->held = 0;
+  vm->n_rooms = 0;
+  directory->owner->ops->vm_lost (directory->owner, vm, incarnation);
+}
+
+/* Whether NEWS are older than what is known.  */
+static gboolean
+is_old (const struct vm *vm, const struct vm_news *news)
+{
+  if (news->incarnation != vm->incarnation)
+    return news->incarnation < vm->incarnation;
+  return (gint32)(news->sequence - vm->sequence) <= 0;
+}
+
+const struct vm *
+vm_directory_hear (struct vm_directory *directory, const struct vm_news *news,
+                   gint64 now_us)
+{
+  gboolean was_live;
+  struct vm *vm;
+
+  vm_directory_introduce (directory, news->name, news->ip,
+                          news->availability_zone, now_us);
+  vm = find (directory, news->name);
+  if (vm == NULL || is_old (vm, news))
+    return NULL;
+  if (vm->is_live && vm->incarnation != news->incarnation)
+    lose (directory, vm);
+  was_live = vm->is_live;
+  set_address (vm, news->ip, news->availability_zone);
+  vm->incarnation = news->incarnation;
+  vm->sequence = news->sequence;
+  vm->is_live = TRUE;
+  vm->is_leaving = news->is_leaving;
+  vm->heard_us = now_us;
+  vm->held = news->held;
+  vm->routes_version = news->routes_version;
+  vm->n_rooms = MIN (news->n_rooms, VM_ROOMS_MAX);
+  for (guint i = 0; i < vm->n_rooms; i++)
+    vm->rooms[i] = news->rooms[i];
+  if (!was_live)
+    directory->owner->ops->vm_found (directory->owner, vm);
+  return vm;
+}
+
+void
+vm_directory_take_room (struct vm_directory *directory, const char *name,
+                        guint64 service, guint n_tasks, guint run_ms)
+{
+  struct vm *vm = find (directory, name);
+
+  for (guint i = 0; vm != NULL && i < vm->n_rooms; i++)
+    {
+      struct vm_room *room = &vm->rooms[i];
+      guint n_now = MIN (n_tasks, room->free_slots);
+
+      if (room->service != service)
+        continue;
+      room->free_slots -= n_now;
+      room->n_queued += n_tasks - n_now;
+      room->queued_ms += (n_tasks - n_now) * run_ms;
+    }
+}
+
+static gboolean
+is_forgotten (const struct vm *vm, gint64 now_us)
+{
+  return !vm->is_live && now_us - vm->heard_us > VM_FORGET_AFTER_US;
+}
+
+void
+vm_directory_advance (struct vm_directory *directory, gint64 now_us)
+{
+  for (guint i = directory->vms->len; i > 0; i--)
+    {
+      struct vm *vm = g_ptr_array_index (directory->vms, i - 1);
+
+      if (vm->is_live && now_us - vm->heard_us > VM_LOST_AFTER_US)
+        lose (directory, vm);
+      if (!is_forgotten (vm, now_us))
+        continue;
+      g_hash_table_remove (directory->by_name, vm->name);
+      g_ptr_array_remove_index_fast (directory->vms, i - 1);
+    }
+}
--- a/protocol/peer.x
+++ b/protocol/peer.x
@@ -15,6 +15,10 @@
 const HEARTBEAT_LOADS_MAX = 32;
 const HEARTBEAT_LEAVING_MAX = 8;
 const HEARTBEAT_SECTIONS_MAX = 4;
+const PEER_SPEC_MAX = 65536;
+const PEER_TASKS_MAX = 130;
+const BEACON_ROOMS_MAX = 8;
+const BEACON_VMS_MAX = 4;
 
 /* PING: "are you there", or "can you reach that suspect". */
 struct peer_ping_args {
@@ -77,6 +81,90 @@
   peer_document documents<PEER_DOCUMENTS_MAX>;
 };
 
+/* RUN_BATCH: tasks of one job, handed to an owner of upstreams.  Times are
+   microseconds from when the call was sent.  The reply is the batch's end. */
+struct peer_batch_args {
+  string job<PEER_JOB_ID_MAX>;
+  unsigned int number; /* tells the batches of one job apart */
+  string service<PEER_SERVICE_MAX>;
+  string spec<PEER_SPEC_MAX>;
+  string affinity<PEER_NAME_MAX>;
+  string required_label<PEER_NAME_MAX>;
+  unsigned int step;
+  unsigned int milli_cpus;
+  unsigned int memory_mb;
+  unsigned int accelerators;
+  hyper estimate_us;
+  unsigned int far_permille;
+  unsigned int per_upstream;
+  unsigned int priority;
+  unsigned int attempts;
+  hyper start_in_us;
+  hyper end_in_us;
+  unsigned int indexes<PEER_TASKS_MAX>;
+};
+
+struct peer_batch_result {
+  unsigned int end; /* enum batch_end */
+  string reason<PEER_SERVICE_MAX>;
+};
+
+/* STOP_BATCH: the home no longer wants it. */
+struct peer_stop_args {
+  string job<PEER_JOB_ID_MAX>;
+  unsigned int number;
+};
+
+struct peer_stop_result {
+  bool is_known;
+};
+
+/* YIELD: the platform has assigned a shard to the caller. */
+struct peer_yield_args {
+  unsigned int shard;
+  unsigned int n_held; /* by the caller */
+};
+
+struct peer_yield_result {
+  bool is_heard;
+};
+
+/* FETCH_ROUTES: the desired state, when newer than VERSION. */
+struct peer_routes_args {
+  unsigned hyper known_version;
+};
+
+struct peer_routes_result {
+  opaque text<PEER_DOCUMENT_MAX>; /* empty when there is nothing newer */
+};
+
+/* What a VM tells all others many times a second. */
+struct beacon_room {
+  unsigned hyper service; /* hash of its name */
+  unsigned int n_slots;
+  unsigned int free_slots;
+  unsigned int n_queued;
+  unsigned int queued_ms; /* run time of the queued tasks */
+};
+
+struct beacon_vm {
+  string name<PEER_NAME_MAX>;
+  string ip<PEER_ADDRESS_MAX>;
+  string availability_zone<PEER_NAME_MAX>;
+};
+
+struct beacon {
+  unsigned int magic;
+  beacon_vm sender;
+  unsigned hyper incarnation;
+  unsigned int sequence;
+  bool is_leaving;
+  unsigned hyper held; /* shards of its zone, as bits */
+  unsigned hyper routes_version;
+  beacon_room rooms<BEACON_ROOMS_MAX>;
+  beacon_vm known<BEACON_VMS_MAX>; /* some of those that it knows */
+};
+
 /* The credential of every call. */
 struct peer_credential {
   string sender<PEER_NAME_MAX>;
@@ -138,5 +226,9 @@
     peer_ping_result PEER_PING (peer_ping_args) = 1;
     peer_forward_result PEER_FORWARD (peer_forward_args) = 2;
     peer_fetch_result PEER_FETCH_DOCUMENTS (peer_fetch_args) = 3;
+    peer_batch_result PEER_RUN_BATCH (peer_batch_args) = 4;
+    peer_stop_result PEER_STOP_BATCH (peer_stop_args) = 5;
+    peer_yield_result PEER_YIELD (peer_yield_args) = 6;
+    peer_routes_result PEER_FETCH_ROUTES (peer_routes_args) = 7;
   } = 1;
 } = 0x20526368;
--- a/protocol/peer_xdr.c
+++ b/protocol/peer_xdr.c
@@ -135,6 +135,347 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_batch_args (XDR *xdrs, peer_batch_args *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->job, PEER_JOB_ID_MAX))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->number))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->service, PEER_SERVICE_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->spec, PEER_SPEC_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->affinity, PEER_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->required_label, PEER_NAME_MAX))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->milli_cpus))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->memory_mb))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->accelerators))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->step);
+		IXDR_PUT_U_LONG(buf, objp->milli_cpus);
+		IXDR_PUT_U_LONG(buf, objp->memory_mb);
+		IXDR_PUT_U_LONG(buf, objp->accelerators);
+		}
+		 if (!xdr_quad_t (xdrs, &objp->estimate_us))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->far_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->per_upstream))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->attempts))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->far_permille);
+		IXDR_PUT_U_LONG(buf, objp->per_upstream);
+		IXDR_PUT_U_LONG(buf, objp->priority);
+		IXDR_PUT_U_LONG(buf, objp->attempts);
+		}
+		 if (!xdr_quad_t (xdrs, &objp->start_in_us))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->end_in_us))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->indexes.indexes_val, (u_int *) &objp->indexes.indexes_len, PEER_TASKS_MAX,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->job, PEER_JOB_ID_MAX))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->number))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->service, PEER_SERVICE_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->spec, PEER_SPEC_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->affinity, PEER_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->required_label, PEER_NAME_MAX))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->milli_cpus))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->memory_mb))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->accelerators))
+				 return FALSE;
+
+		} else {
+		objp->step = IXDR_GET_U_LONG(buf);
+		objp->milli_cpus = IXDR_GET_U_LONG(buf);
+		objp->memory_mb = IXDR_GET_U_LONG(buf);
+		objp->accelerators = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_quad_t (xdrs, &objp->estimate_us))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->far_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->per_upstream))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->attempts))
+				 return FALSE;
+
+		} else {
+		objp->far_permille = IXDR_GET_U_LONG(buf);
+		objp->per_upstream = IXDR_GET_U_LONG(buf);
+		objp->priority = IXDR_GET_U_LONG(buf);
+		objp->attempts = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_quad_t (xdrs, &objp->start_in_us))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->end_in_us))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->indexes.indexes_val, (u_int *) &objp->indexes.indexes_len, PEER_TASKS_MAX,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_string (xdrs, &objp->job, PEER_JOB_ID_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->service, PEER_SERVICE_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->spec, PEER_SPEC_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->affinity, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->required_label, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->milli_cpus))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->memory_mb))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->accelerators))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->estimate_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->far_permille))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->per_upstream))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempts))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->start_in_us))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->end_in_us))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->indexes.indexes_val, (u_int *) &objp->indexes.indexes_len, PEER_TASKS_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_batch_result (XDR *xdrs, peer_batch_result *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->end))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->reason, PEER_SERVICE_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_stop_args (XDR *xdrs, peer_stop_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->job, PEER_JOB_ID_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->number))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_stop_result (XDR *xdrs, peer_stop_result *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->is_known))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_yield_args (XDR *xdrs, peer_yield_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->shard))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->n_held))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_yield_result (XDR *xdrs, peer_yield_result *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->is_heard))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_routes_args (XDR *xdrs, peer_routes_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->known_version))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_routes_result (XDR *xdrs, peer_routes_result *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, PEER_DOCUMENT_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_beacon_room (XDR *xdrs, beacon_room *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->service))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->n_slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->free_slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->n_queued))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->queued_ms))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->n_slots);
+			IXDR_PUT_U_LONG(buf, objp->free_slots);
+			IXDR_PUT_U_LONG(buf, objp->n_queued);
+			IXDR_PUT_U_LONG(buf, objp->queued_ms);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->service))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->n_slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->free_slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->n_queued))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->queued_ms))
+				 return FALSE;
+		} else {
+			objp->n_slots = IXDR_GET_U_LONG(buf);
+			objp->free_slots = IXDR_GET_U_LONG(buf);
+			objp->n_queued = IXDR_GET_U_LONG(buf);
+			objp->queued_ms = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->n_slots))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->free_slots))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->n_queued))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->queued_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_beacon_vm (XDR *xdrs, beacon_vm *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->ip, PEER_ADDRESS_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->availability_zone, PEER_NAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_beacon (XDR *xdrs, beacon *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->magic))
+		 return FALSE;
+	 if (!xdr_beacon_vm (xdrs, &objp->sender))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_leaving))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->held))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->routes_version))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rooms.rooms_val, (u_int *) &objp->rooms.rooms_len, BEACON_ROOMS_MAX,
+		sizeof (beacon_room), (xdrproc_t) xdr_beacon_room))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->known.known_val, (u_int *) &objp->known.known_len, BEACON_VMS_MAX,
+		sizeof (beacon_vm), (xdrproc_t) xdr_beacon_vm))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_credential (XDR *xdrs, peer_credential *objp)
 {
--- a/protocol/peer_xdr.h
+++ b/protocol/peer_xdr.h
@@ -25,6 +25,10 @@
 #define HEARTBEAT_LOADS_MAX 32
 #define HEARTBEAT_LEAVING_MAX 8
 #define HEARTBEAT_SECTIONS_MAX 4
+#define PEER_SPEC_MAX 65536
+#define PEER_TASKS_MAX 130
+#define BEACON_ROOMS_MAX 8
+#define BEACON_VMS_MAX 4
 
 struct peer_ping_args {
 	char *suspect;
@@ -109,6 +113,107 @@
 };
 typedef struct peer_fetch_result peer_fetch_result;
 
+struct peer_batch_args {
+	char *job;
+	u_int number;
+	char *service;
+	char *spec;
+	char *affinity;
+	char *required_label;
+	u_int step;
+	u_int milli_cpus;
+	u_int memory_mb;
+	u_int accelerators;
+	quad_t estimate_us;
+	u_int far_permille;
+	u_int per_upstream;
+	u_int priority;
+	u_int attempts;
+	quad_t start_in_us;
+	quad_t end_in_us;
+	struct {
+		u_int indexes_len;
+		u_int *indexes_val;
+	} indexes;
+};
+typedef struct peer_batch_args peer_batch_args;
+
+struct peer_batch_result {
+	u_int end;
+	char *reason;
+};
+typedef struct peer_batch_result peer_batch_result;
+
+struct peer_stop_args {
+	char *job;
+	u_int number;
+};
+typedef struct peer_stop_args peer_stop_args;
+
+struct peer_stop_result {
+	bool_t is_known;
+};
+typedef struct peer_stop_result peer_stop_result;
+
+struct peer_yield_args {
+	u_int shard;
+	u_int n_held;
+};
+typedef struct peer_yield_args peer_yield_args;
+
+struct peer_yield_result {
+	bool_t is_heard;
+};
+typedef struct peer_yield_result peer_yield_result;
+
+struct peer_routes_args {
+	u_quad_t known_version;
+};
+typedef struct peer_routes_args peer_routes_args;
+
+struct peer_routes_result {
+	struct {
+		u_int text_len;
+		char *text_val;
+	} text;
+};
+typedef struct peer_routes_result peer_routes_result;
+
+struct beacon_room {
+	u_quad_t service;
+	u_int n_slots;
+	u_int free_slots;
+	u_int n_queued;
+	u_int queued_ms;
+};
+typedef struct beacon_room beacon_room;
+
+struct beacon_vm {
+	char *name;
+	char *ip;
+	char *availability_zone;
+};
+typedef struct beacon_vm beacon_vm;
+
+struct beacon {
+	u_int magic;
+	beacon_vm sender;
+	u_quad_t incarnation;
+	u_int sequence;
+	bool_t is_leaving;
+	u_quad_t held;
+	u_quad_t routes_version;
+	struct {
+		u_int rooms_len;
+		beacon_room *rooms_val;
+	} rooms;
+	struct {
+		u_int known_len;
+		beacon_vm *known_val;
+	} known;
+};
+typedef struct beacon beacon;
+
 struct peer_credential {
 	char *sender;
 	char *receiver;
@@ -191,6 +296,18 @@
 #define PEER_FETCH_DOCUMENTS 3
 extern  peer_fetch_result * peer_fetch_documents_1(peer_fetch_args *, CLIENT *);
 extern  peer_fetch_result * peer_fetch_documents_1_svc(peer_fetch_args *, struct svc_req *);
+#define PEER_RUN_BATCH 4
+extern  peer_batch_result * peer_run_batch_1(peer_batch_args *, CLIENT *);
+extern  peer_batch_result * peer_run_batch_1_svc(peer_batch_args *, struct svc_req *);
+#define PEER_STOP_BATCH 5
+extern  peer_stop_result * peer_stop_batch_1(peer_stop_args *, CLIENT *);
+extern  peer_stop_result * peer_stop_batch_1_svc(peer_stop_args *, struct svc_req *);
+#define PEER_YIELD 6
+extern  peer_yield_result * peer_yield_1(peer_yield_args *, CLIENT *);
+extern  peer_yield_result * peer_yield_1_svc(peer_yield_args *, struct svc_req *);
+#define PEER_FETCH_ROUTES 7
+extern  peer_routes_result * peer_fetch_routes_1(peer_routes_args *, CLIENT *);
+extern  peer_routes_result * peer_fetch_routes_1_svc(peer_routes_args *, struct svc_req *);
 extern int radishchute_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -203,6 +320,18 @@
 #define PEER_FETCH_DOCUMENTS 3
 extern  peer_fetch_result * peer_fetch_documents_1();
 extern  peer_fetch_result * peer_fetch_documents_1_svc();
+#define PEER_RUN_BATCH 4
+extern  peer_batch_result * peer_run_batch_1();
+extern  peer_batch_result * peer_run_batch_1_svc();
+#define PEER_STOP_BATCH 5
+extern  peer_stop_result * peer_stop_batch_1();
+extern  peer_stop_result * peer_stop_batch_1_svc();
+#define PEER_YIELD 6
+extern  peer_yield_result * peer_yield_1();
+extern  peer_yield_result * peer_yield_1_svc();
+#define PEER_FETCH_ROUTES 7
+extern  peer_routes_result * peer_fetch_routes_1();
+extern  peer_routes_result * peer_fetch_routes_1_svc();
 extern int radishchute_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -219,6 +348,17 @@
 extern  bool_t xdr_peer_fetch_args (XDR *, peer_fetch_args*);
 extern  bool_t xdr_peer_document (XDR *, peer_document*);
 extern  bool_t xdr_peer_fetch_result (XDR *, peer_fetch_result*);
+extern  bool_t xdr_peer_batch_args (XDR *, peer_batch_args*);
+extern  bool_t xdr_peer_batch_result (XDR *, peer_batch_result*);
+extern  bool_t xdr_peer_stop_args (XDR *, peer_stop_args*);
+extern  bool_t xdr_peer_stop_result (XDR *, peer_stop_result*);
+extern  bool_t xdr_peer_yield_args (XDR *, peer_yield_args*);
+extern  bool_t xdr_peer_yield_result (XDR *, peer_yield_result*);
+extern  bool_t xdr_peer_routes_args (XDR *, peer_routes_args*);
+extern  bool_t xdr_peer_routes_result (XDR *, peer_routes_result*);
+extern  bool_t xdr_beacon_room (XDR *, beacon_room*);
+extern  bool_t xdr_beacon_vm (XDR *, beacon_vm*);
+extern  bool_t xdr_beacon (XDR *, beacon*);
 extern  bool_t xdr_peer_credential (XDR *, peer_credential*);
 extern  bool_t xdr_heartbeat_section_kind (XDR *, heartbeat_section_kind*);
 extern  bool_t xdr_heartbeat_introduction (XDR *, heartbeat_introduction*);
@@ -239,6 +379,17 @@
 extern bool_t xdr_peer_fetch_args ();
 extern bool_t xdr_peer_document ();
 extern bool_t xdr_peer_fetch_result ();
+extern bool_t xdr_peer_batch_args ();
+extern bool_t xdr_peer_batch_result ();
+extern bool_t xdr_peer_stop_args ();
+extern bool_t xdr_peer_stop_result ();
+extern bool_t xdr_peer_yield_args ();
+extern bool_t xdr_peer_yield_result ();
+extern bool_t xdr_peer_routes_args ();
+extern bool_t xdr_peer_routes_result ();
+extern bool_t xdr_beacon_room ();
+extern bool_t xdr_beacon_vm ();
+extern bool_t xdr_beacon ();
 extern bool_t xdr_peer_credential ();
 extern bool_t xdr_heartbeat_section_kind ();
 extern bool_t xdr_heartbeat_introduction ();
--- a/protocol/rpc_message.c
+++ b/protocol/rpc_message.c
@@ -25,6 +25,10 @@
   PROCEDURE (PEER_PING, ping),
   PROCEDURE (PEER_FORWARD, forward),
   PROCEDURE (PEER_FETCH_DOCUMENTS, fetch),
+  PROCEDURE (PEER_RUN_BATCH, batch),
+  PROCEDURE (PEER_STOP_BATCH, stop),
+  PROCEDURE (PEER_YIELD, yield),
+  PROCEDURE (PEER_FETCH_ROUTES, routes),
 };
 
 const struct rpc_procedure *
--- a/transport/peer_hub.c
+++ b/transport/peer_hub.c
@@ -217,6 +217,13 @@
   .read = on_list,
 };
 
+void
+peer_hub_apply_vms (struct peer_hub *hub, const struct listed_vm *vms,
+                    guint n_vms)
+{
+  membership_apply_list (hub->membership, vms, n_vms, clock_now_us ());
+}
+
 static guint64
 count_refused (const struct peer_hub *hub)
 {
@@ -297,7 +304,8 @@
   hub->sections
       = beat_sections_new (settings->vm, settings->availability_zone, address);
   peer_service_set_handler (hub->service, PEER_PING, peer_hub_serve_ping, hub);
-  hub->vm_list = vm_list_new (settings->vm_list_url, &hub->list_owner);
+  if (settings->vm_list_url != NULL)
+    hub->vm_list = vm_list_new (settings->vm_list_url, &hub->list_owner);
   hub->tick_source
       = g_timeout_add (MEMBERSHIP_TICK_US / USEC_PER_MSEC, on_tick, hub);
 }
@@ -338,7 +346,7 @@
   while (!list_is_empty (&hub->listeners))
     list_remove (hub->listeners.next);
   g_source_remove (hub->tick_source);
-  vm_list_free (hub->vm_list);
+  g_clear_pointer (&hub->vm_list, vm_list_free);
   /* Ends the calls, those of checks through other peers included.  */
   membership_free (hub->membership);
   peer_hub_free_checks (hub);
--- a/transport/peer_hub.h
+++ b/transport/peer_hub.h
@@ -77,6 +77,11 @@
 void peer_hub_remove_listener (struct peer_hub *hub,
                                struct peer_listener *listener);
 
+/* Replaces the list of entry VMs, for settings that name no list of the
+   platform's.  */
+void peer_hub_apply_vms (struct peer_hub *hub, const struct listed_vm *vms,
+                         guint n_vms);
+
 /* Who is there: membership_find (), membership_foreach ().  */
 const struct membership *peer_hub_get_membership (const struct peer_hub *hub);
 
