base: write events with typed fields to a bounded output

On-call had lines on standard error whose text nobody could join. An event now carries typed fields, and the output of the fleet holds a bounded buffer that never blocks and drops debug lines first, failures last. The standalone daemon writes as before.

--- a/base/event_log.h
+++ b/base/event_log.h
@@ -1,8 +1,21 @@
 /*
- * The logger: numbered events on standard error, as text or JSON lines.
+ * The logger: numbered events as text or JSON lines.
  *
  * Each event has a number, a level and a name that never change; operators
  * find the explanation in docs/EVENTS.md.
+ *
+ * Lines go to standard error at once, or after event_log_set_output () to a
+ * bounded output that never blocks (base/log_output.h), one JSON object a
+ * line:
+ *
+ *   {"time_us":1764806400000000,"boot_us":73000000,"vm":"vm-a",
+ *    "level":"info","event":3101,"name":"job-accepted","job":"j1","tasks":2}
+ *
+ * time_us counts from the Unix epoch, boot_us is clock_now_us ().  An event
+ * carries typed fields, or a message as the member "message":
+ *
+ *   event_log_fields (EVENT_JOB_ACCEPTED, FIELD_TEXT ("job", job->id),
+ *                     FIELD_INT ("tasks", job->n_tasks));
  */
 #ifndef BASE_EVENT_LOG_H
 #define BASE_EVENT_LOG_H
@@ -53,6 +66,58 @@
 /* Finds the level of that name.  Returns FALSE when there is none.  */
 gboolean log_level_from_name (const char *name, enum log_level *level);
 
+enum event_field_type
+{
+  EVENT_FIELD_TEXT,
+  EVENT_FIELD_INT,
+  EVENT_FIELD_REAL,
+  EVENT_FIELD_BOOL,
+};
+
+/* A field of an event, made by FIELD_TEXT () and its like.  */
+struct event_field
+{
+  const char *key; /* written as it is; NULL ends a list of fields */
+  enum event_field_type type;
+  const char *text; /* may be NULL */
+  gint64 number;    /* also of EVENT_FIELD_BOOL */
+  gdouble real;
+};
+
+#define FIELD_TEXT(name, value)                                               \
+  ((struct event_field){                                                      \
+      .key = (name), .type = EVENT_FIELD_TEXT, .text = (value) })
+#define FIELD_INT(name, value)                                                \
+  ((struct event_field){                                                      \
+      .key = (name), .type = EVENT_FIELD_INT, .number = (gint64)(value) })
+#define FIELD_REAL(name, value)                                               \
+  ((struct event_field){                                                      \
+      .key = (name), .type = EVENT_FIELD_REAL, .real = (value) })
+#define FIELD_BOOL(name, value)                                               \
+  ((struct event_field){                                                      \
+      .key = (name), .type = EVENT_FIELD_BOOL, .number = !!(value) })
+
+/* Writes one event with fields, unless its level is filtered out.  */
+#define event_log_fields(event, ...)                                          \
+  event_log_write ((event),                                                   \
+                   (const struct event_field[]){ __VA_ARGS__, { NULL } })
+
+/* The same with an array, ended by a field without a key.  */
+void event_log_write (enum event event, const struct event_field *fields);
+
+/*
+ * From now on writes JSON lines of the VM of that name to FD, which must stay
+ * open; with -1, to standard error as at first.  What still waits for the
+ * former descriptor is lost.  The main loop does the writing; a normal exit
+ * writes what the descriptor still takes.  The process ignores SIGPIPE from
+ * then on.
+ */
+void event_log_set_output (int fd, const char *vm);
+
+/* Writes what the descriptor takes now.  Returns whether nothing waits any
+   longer.  */
+gboolean event_log_flush (void);
+
 /* Writes one event with a message, unless its level is filtered out.  */
 void event_log (enum event event, const char *format, ...)
     G_GNUC_PRINTF (2, 3);
