--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -159,6 +159,7 @@
 struct batch
 {
   struct list_node link; /* in the owner's queue, or its other batches */
+  guint number;          /* tells the batches of one job apart */
   char *job;             /* id; names of tasks are "JOB.0.STEP.INDEX" */
   char *home;            /* name of the VM that answers the job's caller */
   char *service;
@@ -182,8 +183,9 @@
   guint n_queued;
   guint n_active; /* may be running */
   guint n_done;
-  guint n_started;    /* runs ever ordered that were not refused */
-  gboolean is_ending; /* the end is decided; waits for runs to stop */
+  guint n_started;      /* runs ever ordered that were not refused */
+  gboolean is_ending;   /* the end is decided; waits for runs to stop */
+  gboolean is_finished; /* its end has been told */
   enum batch_end end;
   const char *reason; /* static; why it did not end as done */
   struct batch_task *tasks;
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -81,13 +81,14 @@
 gboolean
 owner_check_batch (struct owner *owner, struct batch *batch)
 {
-  if (batch->n_active > 0)
+  if (batch->is_finished || batch->n_active > 0)
     return FALSE;
   if (!batch->is_ending && batch->n_done < batch->n_tasks)
     return FALSE;
   if (!batch->is_ending)
     batch->end = BATCH_DONE;
   list_remove (&batch->link);
+  batch->is_finished = TRUE;
   owner->driver->ops->finish_batch (owner->driver, batch);
   return TRUE;
 }
--- /dev/null
+++ b/protocol/fleet_settings.c
@@ -0,0 +1,228 @@
+#include "protocol/fleet_settings.h"
+
+#include "base/error.h"
+#include "protocol/json_read.h"
+
+#include <string.h>
+
+#define MAX_PORT 65535
+#define MAX_SHARDS 64
+#define MAX_MS 600000
+#define MAX_CONNECTIONS 1000000
+
+#define DEFAULT_SHARDS 16
+#define DEFAULT_TTL_MS 1000
+#define DEFAULT_LEASE_MS 900
+#define DEFAULT_MAX_LEASE_MS 1000
+#define DEFAULT_STOP_MS 50
+#define DEFAULT_RESEND_MS 1300
+#define DEFAULT_GRACE_MS 6000
+#define DEFAULT_CONNECTIONS 3000
+
+static const char *const keys[] = { "vm",        "availability_zone",
+                                    "ip",        "availability_zones",
+                                    "callers",   "readiness",
+                                    "peers",     "beacon_port",
+                                    "metrics",   "store",
+                                    "shards",    "member_ttl_ms",
+                                    "lease_ms",  "max_lease_ms",
+                                    "stop_ms",   "resend_ms",
+                                    "grace_ms",  "max_connections",
+                                    "cpu_share", "log_level",
+                                    NULL };
+
+static gboolean
+parse_endpoint (const char *text, struct endpoint *endpoint)
+{
+  const char *colon = strrchr (text, ':');
+  guint64 port;
+
+  if (colon == NULL || colon == text
+      || !g_ascii_string_to_unsigned (colon + 1, 10, 0, MAX_PORT, &port, NULL))
+    return FALSE;
+  endpoint->ip = g_strndup (text, (gsize)(colon - text));
+  endpoint->port = (guint)port;
+  return TRUE;
+}
+
+static void
+read_endpoint (struct json_check *check, json_t *root, const char *key,
+               gboolean is_required, struct endpoint *endpoint)
+{
+  const char *text = NULL;
+
+  if (!json_read_string (check, key, root, key, is_required, &text)
+      || (text[0] == '\0' && !is_required))
+    return;
+  if (!parse_endpoint (text, endpoint))
+    json_check_fail (check, key, "write it as IP:PORT");
+}
+
+static void
+read_text (struct json_check *check, json_t *root, const char *key,
+           char **value)
+{
+  const char *text = NULL;
+
+  if (!json_read_string (check, key, root, key, TRUE, &text))
+    return;
+  if (text[0] == '\0')
+    json_check_fail (check, key, "must not be empty");
+  g_free (*value);
+  *value = g_strdup (text);
+}
+
+static void
+read_zones (struct json_check *check, json_t *root,
+            struct fleet_settings *settings)
+{
+  json_t *zones = NULL;
+  json_t *zone;
+  gsize i;
+
+  if (json_read_array (check, "availability_zones", root, "availability_zones",
+                       TRUE, &zones))
+    json_array_foreach (zones, i, zone)
+    {
+      if (json_is_string (zone))
+        g_ptr_array_add (settings->availability_zones,
+                         g_strdup (json_string_value (zone)));
+      else
+        json_check_fail (check, "availability_zones", "must hold names only");
+    }
+  g_ptr_array_add (settings->availability_zones, NULL);
+}
+
+static void
+read_level (struct json_check *check, json_t *root,
+            struct fleet_settings *settings)
+{
+  const char *text = NULL;
+
+  if (json_read_string (check, "log_level", root, "log_level", FALSE, &text)
+      && !log_level_from_name (text, &settings->log_level))
+    json_check_fail (check, "log_level",
+                     "must be one of: error, warning, info, debug");
+}
+
+/* Reads a whole number, which may be written as a fraction.  */
+static void
+read_uint (struct json_check *check, json_t *root, const char *key, guint min,
+           guint max, guint *value)
+{
+  gdouble number;
+
+  if (json_read_number (check, "", root, key, min, max, &number))
+    *value = (guint)number;
+}
+
+static void
+read_numbers (struct json_check *check, json_t *root, struct fleet_settings *s)
+{
+  gdouble grace_s;
+
+  read_uint (check, root, "beacon_port", 1, MAX_PORT, &s->beacon_port);
+  read_uint (check, root, "shards", 1, MAX_SHARDS, &s->n_shards);
+  read_uint (check, root, "member_ttl_ms", 100, MAX_MS, &s->member_ttl_ms);
+  read_uint (check, root, "lease_ms", 1, MAX_MS, &s->lease_ms);
+  read_uint (check, root, "max_lease_ms", 1, MAX_MS, &s->max_lease_ms);
+  read_uint (check, root, "stop_ms", 0, MAX_MS, &s->stop_ms);
+  read_uint (check, root, "resend_ms", 1, MAX_MS, &s->resend_ms);
+  read_uint (check, root, "max_connections", 1, MAX_CONNECTIONS,
+             &s->max_connections);
+  json_read_number (check, "", root, "cpu_share", 0.001, 1024, &s->cpu_share);
+  if (json_read_number (check, "", root, "grace_s", 0.001, MAX_MS / 1000.0,
+                        &grace_s))
+    s->grace_ms = (guint)(grace_s * 1000);
+}
+
+static struct fleet_settings *
+settings_new (void)
+{
+  struct fleet_settings *settings = g_new0 (struct fleet_settings, 1);
+
+  settings->availability_zones = g_ptr_array_new_with_free_func (g_free);
+  settings->n_shards = DEFAULT_SHARDS;
+  settings->member_ttl_ms = DEFAULT_TTL_MS;
+  settings->lease_ms = DEFAULT_LEASE_MS;
+  settings->max_lease_ms = DEFAULT_MAX_LEASE_MS;
+  settings->stop_ms = DEFAULT_STOP_MS;
+  settings->resend_ms = DEFAULT_RESEND_MS;
+  settings->grace_ms = DEFAULT_GRACE_MS;
+  settings->max_connections = DEFAULT_CONNECTIONS;
+  settings->cpu_share = 1;
+  settings->log_level = LOG_LEVEL_INFO;
+  return settings;
+}
+
+static void
+read_root (struct json_check *check, json_t *root,
+           struct fleet_settings *settings)
+{
+  json_check_keys (check, "", root, keys);
+  read_text (check, root, "vm", &settings->vm);
+  read_text (check, root, "availability_zone", &settings->availability_zone);
+  read_text (check, root, "ip", &settings->ip);
+  read_text (check, root, "store", &settings->store);
+  read_endpoint (check, root, "callers", TRUE, &settings->callers);
+  read_endpoint (check, root, "readiness", TRUE, &settings->readiness);
+  read_endpoint (check, root, "peers", TRUE, &settings->peers);
+  read_endpoint (check, root, "metrics", FALSE, &settings->metrics);
+  read_zones (check, root, settings);
+  read_numbers (check, root, settings);
+  read_level (check, root, settings);
+  if (settings->lease_ms > settings->max_lease_ms)
+    json_check_fail (check, "lease_ms", "must not be over max_lease_ms");
+}
+
+struct fleet_settings *
+fleet_settings_parse (const char *text, gsize length, const char *source,
+                      GError **error)
+{
+  json_t *root = json_parse_with_comments (text, length, error);
+  struct fleet_settings *settings;
+  struct json_check check;
+
+  if (root == NULL)
+    {
+      g_prefix_error (error, "%s: ", source);
+      return NULL;
+    }
+  settings = settings_new ();
+  json_check_init (&check, source);
+  read_root (&check, root, settings);
+  json_decref (root);
+  if (json_check_end (&check, error))
+    return settings;
+  fleet_settings_free (settings);
+  return NULL;
+}
+
+struct fleet_settings *
+fleet_settings_load (const char *path, GError **error)
+{
+  g_autofree char *text = NULL;
+  g_autoptr (GError) cause = NULL;
+  gsize length;
+
+  if (g_file_get_contents (path, &text, &length, &cause))
+    return fleet_settings_parse (text, length, path, error);
+  error_set (error, ERROR_INVALID, "cannot read the settings: %s",
+             cause->message);
+  return NULL;
+}
+
+void
+fleet_settings_free (struct fleet_settings *settings)
+{
+  g_free (settings->vm);
+  g_free (settings->availability_zone);
+  g_free (settings->ip);
+  g_free (settings->callers.ip);
+  g_free (settings->readiness.ip);
+  g_free (settings->peers.ip);
+  g_free (settings->metrics.ip);
+  g_free (settings->store);
+  g_ptr_array_unref (settings->availability_zones);
+  g_free (settings);
+}
--- a/protocol/peer.x
+++ b/protocol/peer.x
@@ -84,6 +84,7 @@
 /* RUN_BATCH: tasks of one job, handed to an owner of upstreams.  Times are
    microseconds from when the call was sent.  The reply is the batch's end. */
 struct peer_batch_args {
+  unsigned hyper incarnation; /* of the home */
   string job<PEER_JOB_ID_MAX>;
   unsigned int number; /* tells the batches of one job apart */
   string service<PEER_SERVICE_MAX>;
@@ -111,6 +112,7 @@
 
 /* STOP_BATCH: the home no longer wants it. */
 struct peer_stop_args {
+  unsigned hyper incarnation; /* of the home */
   string job<PEER_JOB_ID_MAX>;
   unsigned int number;
 };
--- a/protocol/peer_xdr.c
+++ b/protocol/peer_xdr.c
@@ -142,6 +142,8 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->job, PEER_JOB_ID_MAX))
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->number))
@@ -199,6 +201,8 @@
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->job, PEER_JOB_ID_MAX))
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->number))
@@ -257,6 +261,8 @@
 	 return TRUE;
 	}
 
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->job, PEER_JOB_ID_MAX))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->number))
@@ -314,6 +320,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->job, PEER_JOB_ID_MAX))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->number))
--- a/protocol/peer_xdr.h
+++ b/protocol/peer_xdr.h
@@ -114,6 +114,7 @@
 typedef struct peer_fetch_result peer_fetch_result;
 
 struct peer_batch_args {
+	u_quad_t incarnation;
 	char *job;
 	u_int number;
 	char *service;
@@ -145,6 +146,7 @@
 typedef struct peer_batch_result peer_batch_result;
 
 struct peer_stop_args {
+	u_quad_t incarnation;
 	char *job;
 	u_int number;
 };
--- /dev/null
+++ b/transport/fleet_home.c
@@ -0,0 +1,644 @@
+#include "transport/fleet_home.h"
+
+#include "base/error.h"
+#include "base/event_log.h"
+#include "base/hash64.h"
+#include "base/metrics.h"
+#include "coordination/spread.h"
+
+#include <string.h>
+
+/* A job that misses its objective is still worth something up to this many
+   times the objective.  */
+#define LATE_FACTOR 3
+
+/* Estimates are rough: a wait is called hopeless only beyond this factor.  */
+#define HOPELESS_FACTOR 2
+
+/* How often the tasks of a job are spread anew after an owner had no room.  */
+#define MAX_SPREADS 6
+
+/* A call that runs a batch waits this much longer than the batch may take. */
+#define CALL_MARGIN_US (5 * USEC_PER_SEC)
+#define STOP_TIMEOUT_US (1 * USEC_PER_SEC)
+
+/* Shortest and longest times after which a refused caller comes back.  */
+#define MIN_RETRY_MS 200
+#define MAX_RETRY_MS 5000
+
+#define MILLI 1000
+
+struct fleet_home
+{
+  char *vm;
+  char *name; /* VM and incarnation */
+  char *availability_zone;
+  guint64 incarnation;
+  struct vm_directory *directory;
+  struct peer_hub *hub;
+  struct fleet_owner *owner;
+  GHashTable *jobs; /* id -> struct fleet_job that is not answered */
+};
+
+/* Tasks of a job that one owner runs.  */
+struct part
+{
+  struct batch_sink sink;
+  struct list_node link; /* in job->parts */
+  struct fleet_job *job; /* referenced */
+  guint number;
+  char *owner; /* name of the VM; NULL for this one */
+  guint64 incarnation;
+  gboolean is_open;    /* its end is awaited */
+  struct batch *batch; /* of this VM; NULL otherwise */
+  guint n_tasks;
+  guint indexes[PEER_TASKS_MAX];
+};
+
+struct fleet_job
+{
+  guint ref_count;
+  struct fleet_home *home;
+  struct fleet_submission *submission;
+  struct fleet_waiter *waiter; /* NULL once answered or abandoned */
+  struct list_node parts;      /* struct part by link, those that are open */
+  gint64 accepted_us;
+  gint64 start_by_us;
+  gint64 end_by_us;
+  guint n_parts; /* ever made */
+  guint n_spreads;
+  guint n_done;         /* tasks */
+  gboolean is_ended;    /* answered or abandoned */
+  gboolean has_started; /* a task may have been started */
+};
+
+void
+fleet_submission_free (struct fleet_submission *submission)
+{
+  g_free (submission->job);
+  g_free (submission->spec);
+  g_free (submission->service);
+  g_free (submission->affinity);
+  g_free (submission->required_label);
+  g_free (submission);
+}
+
+struct fleet_home *
+fleet_home_new (const char *vm, guint64 incarnation,
+                const char *availability_zone, struct vm_directory *directory,
+                struct peer_hub *hub, struct fleet_owner *owner)
+{
+  struct fleet_home *home = g_new0 (struct fleet_home, 1);
+
+  home->vm = g_strdup (vm);
+  home->name = fleet_format_home (vm, incarnation);
+  home->availability_zone = g_strdup (availability_zone);
+  home->incarnation = incarnation;
+  home->directory = directory;
+  home->hub = hub;
+  home->owner = owner;
+  home->jobs = g_hash_table_new (g_str_hash, g_str_equal);
+  return home;
+}
+
+void
+fleet_home_free (struct fleet_home *home)
+{
+  g_hash_table_unref (home->jobs);
+  g_free (home->vm);
+  g_free (home->name);
+  g_free (home->availability_zone);
+  g_free (home);
+}
+
+guint
+fleet_home_count_jobs (const struct fleet_home *home)
+{
+  return g_hash_table_size (home->jobs);
+}
+
+static struct fleet_job *
+job_ref (struct fleet_job *job)
+{
+  job->ref_count++;
+  return job;
+}
+
+static void
+job_unref (struct fleet_job *job)
+{
+  if (--job->ref_count > 0)
+    return;
+  fleet_submission_free (job->submission);
+  g_free (job);
+}
+
+static void
+part_free (struct part *part)
+{
+  list_remove (&part->link);
+  job_unref (part->job);
+  g_free (part->owner);
+  g_free (part);
+}
+
+static void
+on_stop_answered (const void *result, const GError *error, gpointer data)
+{
+}
+
+/* Tells the owner that PART is no longer wanted.  Its end still comes, unless
+   it is of this VM and ends at once.  */
+static void
+stop_part (struct part *part)
+{
+  struct fleet_home *home = part->job->home;
+  peer_stop_args args = { .incarnation = home->incarnation,
+                          .job = part->job->submission->job,
+                          .number = part->number };
+
+  if (part->owner != NULL)
+    peer_hub_call (home->hub, part->owner, PEER_STOP_BATCH, &args,
+                   clock_now_us () + STOP_TIMEOUT_US, on_stop_answered, NULL);
+  else if (part->batch != NULL)
+    owner_stop_batch (fleet_owner_get (home->owner), part->batch,
+                      "its caller no longer waits", clock_now_us ());
+}
+
+static void
+stop_parts (struct fleet_job *job)
+{
+  g_autoptr (GPtrArray) parts = g_ptr_array_new ();
+  struct list_node *node;
+  struct list_node *after;
+
+  list_for_each (node, after, &job->parts)
+    g_ptr_array_add (parts, list_entry (node, struct part, link));
+  for (guint i = 0; i < parts->len; i++)
+    {
+      struct part *part = g_ptr_array_index (parts, i);
+
+      list_remove (&part->link);
+      stop_part (part);
+    }
+}
+
+/* Takes JOB off the table and stops what is left of it.  */
+static void
+end_job (struct fleet_job *job)
+{
+  struct fleet_home *home = job->home;
+
+  job->is_ended = TRUE;
+  if (g_hash_table_lookup (home->jobs, job->submission->job) == job)
+    g_hash_table_remove (home->jobs, job->submission->job);
+  stop_parts (job);
+  job_unref (job);
+}
+
+static void
+log_answer (const struct fleet_job *job, const struct fleet_answer *answer)
+{
+  static const char *const outcomes[]
+      = { "done", "failed", "not-run", "unknown" };
+  gint64 took_us = clock_now_us () - job->accepted_us;
+
+  metrics_record (METRIC_JOB_SECONDS, took_us);
+  if (answer->outcome == FLEET_DONE)
+    metrics_count (METRIC_JOBS_COMPLETE);
+  event_log_fields (
+      answer->outcome == FLEET_DONE ? EVENT_JOB_ANSWERED
+                                    : EVENT_JOB_TURNED_AWAY,
+      FIELD_TEXT ("job", job->submission->job),
+      FIELD_TEXT ("outcome", outcomes[answer->outcome]),
+      FIELD_TEXT ("reason", answer->reason), FIELD_INT ("took_us", took_us),
+      FIELD_INT ("objective_us", job->submission->objective_us),
+      FIELD_INT ("tasks", job->submission->n_tasks),
+      FIELD_INT ("done", job->n_done), FIELD_INT ("batches", job->n_parts),
+      FIELD_INT ("retry_after_ms", answer->retry_after_ms));
+}
+
+static void
+answer_job (struct fleet_job *job, enum fleet_outcome outcome,
+            const char *reason, gint64 retry_after_ms)
+{
+  struct fleet_answer answer = { .outcome = outcome, .reason = reason };
+  struct fleet_waiter *waiter = job->waiter;
+
+  if (job->is_ended)
+    return;
+  if (outcome == FLEET_NOT_RUN)
+    answer.retry_after_ms
+        = (guint)CLAMP (retry_after_ms, MIN_RETRY_MS, MAX_RETRY_MS);
+  log_answer (job, &answer);
+  job->waiter = NULL;
+  end_job (job);
+  waiter->answer (waiter, &answer);
+}
+
+static void spread_job (struct fleet_job *job, const guint *indexes,
+                        guint n_tasks);
+
+/* Nothing of PART was started.  */
+static void
+handle_no_room (struct part *part)
+{
+  struct fleet_job *job = part->job;
+
+  if (job->n_spreads < MAX_SPREADS && clock_now_us () < job->end_by_us)
+    spread_job (job, part->indexes, part->n_tasks);
+  else if (job->has_started)
+    answer_job (job, FLEET_UNKNOWN, "no room for the rest of its tasks", 0);
+  else
+    answer_job (job, FLEET_NOT_RUN, "no room in time", MIN_RETRY_MS);
+}
+
+/* PART has ended; REASON is static.  */
+static void
+handle_part_end (struct part *part, enum batch_end end, const char *reason)
+{
+  struct fleet_job *job = part->job;
+
+  part->is_open = FALSE;
+  list_remove (&part->link);
+  if (job->is_ended)
+    return;
+  switch (end)
+    {
+    case BATCH_DONE:
+      job->has_started = TRUE;
+      job->n_done += part->n_tasks;
+      if (job->n_done == job->submission->n_tasks)
+        answer_job (job, FLEET_DONE, "done", 0);
+      break;
+    case BATCH_FAILED:
+      job->has_started = TRUE;
+      answer_job (job, FLEET_FAILED, "a task used up its attempts", 0);
+      break;
+    case BATCH_NO_ROOM:
+      handle_no_room (part);
+      break;
+    case BATCH_STOPPED:
+      job->has_started = TRUE;
+      answer_job (job, FLEET_UNKNOWN, reason, 0);
+      break;
+    }
+}
+
+static void
+on_local_ended (struct batch_sink *sink, const struct batch *batch)
+{
+  struct part *part = list_entry (sink, struct part, sink);
+
+  part->batch = NULL;
+  if (part->is_open)
+    handle_part_end (part, batch->end,
+                     batch->reason != NULL ? batch->reason : "");
+  part_free (part);
+}
+
+static void
+on_remote_ended (const void *result, const GError *error, gpointer data)
+{
+  const peer_batch_result *reply = result;
+  struct part *part = data;
+
+  if (part->is_open && reply != NULL)
+    handle_part_end (part, (enum batch_end)MIN (reply->end, BATCH_STOPPED),
+                     "its owner has stopped it");
+  else if (part->is_open && error_get_kind (error) == ERROR_NOT_RUN)
+    handle_part_end (part, BATCH_NO_ROOM, NULL);
+  else if (part->is_open)
+    {
+      /* The owner may be there and its connection not: it is told to stop. */
+      stop_part (part);
+      handle_part_end (part, BATCH_STOPPED,
+                       "the connection to its owner broke");
+    }
+  part_free (part);
+}
+
+static struct batch *
+build_batch (const struct part *part)
+{
+  const struct fleet_job *job = part->job;
+  const struct fleet_submission *s = job->submission;
+  struct batch *batch = batch_new (s->job, job->home->name, part->n_tasks);
+
+  for (guint i = 0; i < part->n_tasks; i++)
+    batch->tasks[i].index = part->indexes[i];
+  batch->number = part->number;
+  batch->service = g_strdup (s->service);
+  batch->spec = g_strdup (s->spec);
+  batch->affinity = g_strdup (s->affinity);
+  batch->required_label = g_strdup (s->required_label);
+  batch->need = s->need;
+  batch->estimate_us = s->estimate_us;
+  batch->per_upstream = s->per_upstream;
+  batch->priority = s->priority;
+  batch->attempts = s->attempts;
+  batch->start_by_us = job->start_by_us;
+  batch->end_by_us = job->end_by_us;
+  return batch;
+}
+
+static void
+send_remote (struct part *part)
+{
+  struct fleet_job *job = part->job;
+  const struct fleet_submission *s = job->submission;
+  gint64 now_us = clock_now_us ();
+  peer_batch_args args = {
+    .incarnation = job->home->incarnation,
+    .job = s->job,
+    .number = part->number,
+    .service = s->service,
+    .spec = s->spec,
+    .affinity = s->affinity != NULL ? s->affinity : (char *)"",
+    .required_label
+    = s->required_label != NULL ? s->required_label : (char *)"",
+    .milli_cpus = (u_int)(s->need.cpus * MILLI + 0.5),
+    .memory_mb = s->need.memory_mb,
+    .accelerators = s->need.accelerators,
+    .estimate_us = s->estimate_us,
+    .far_permille = MILLI,
+    .per_upstream = s->per_upstream,
+    .priority = s->priority,
+    .attempts = s->attempts,
+    .start_in_us = job->start_by_us - now_us,
+    .end_in_us = job->end_by_us - now_us,
+    .indexes = { part->n_tasks, part->indexes },
+  };
+
+  peer_hub_call (job->home->hub, part->owner, PEER_RUN_BATCH, &args,
+                 job->end_by_us + s->estimate_us * LATE_FACTOR
+                     + CALL_MARGIN_US,
+                 on_remote_ended, part);
+}
+
+/* Hands N_TASKS of JOB, from INDEXES, to OWNER.  */
+static void
+send_part (struct fleet_job *job, const struct spread_owner *owner,
+           const guint *indexes)
+{
+  struct part *part = g_new0 (struct part, 1);
+  const struct vm *vm = vm_directory_find (job->home->directory, owner->name);
+
+  list_init (&part->link);
+  part->sink.ended = on_local_ended;
+  part->job = job_ref (job);
+  part->number = job->n_parts++;
+  part->owner = owner->is_self ? NULL : g_strdup (owner->name);
+  part->incarnation = vm != NULL ? vm->incarnation : 0;
+  part->is_open = TRUE;
+  part->n_tasks = owner->n_given;
+  memcpy (part->indexes, indexes, owner->n_given * sizeof *indexes);
+  list_append (&job->parts, &part->link);
+  event_log_fields (
+      EVENT_BATCH_SENT, FIELD_TEXT ("job", job->submission->job),
+      FIELD_INT ("batch", part->number), FIELD_TEXT ("owner", owner->name),
+      FIELD_INT ("tasks", part->n_tasks),
+      FIELD_INT ("free_slots", owner->room.free_slots),
+      FIELD_INT ("queued", owner->room.n_queued),
+      FIELD_INT ("age_us", vm != NULL ? clock_now_us () - vm->heard_us : 0));
+  if (part->owner != NULL)
+    {
+      send_remote (part);
+      return;
+    }
+  part->batch = build_batch (part);
+  fleet_owner_run (job->home->owner, part->batch, &part->sink);
+}
+
+static void
+add_self (struct fleet_home *home, const char *service, GArray *owners)
+{
+  struct spread_owner owner
+      = { .name = home->vm, .is_self = TRUE, .is_local = TRUE };
+  struct owner_room room;
+
+  owner_get_room (fleet_owner_get (home->owner), service, &room,
+                  clock_now_us ());
+  owner.room.n_slots = room.n_slots;
+  owner.room.free_slots = room.free_slots;
+  owner.room.n_queued = room.n_queued;
+  owner.room.queued_ms = (guint)(room.queued_us / USEC_PER_MSEC);
+  if (owner.room.n_slots > 0)
+    g_array_append_val (owners, owner);
+}
+
+/* The owners that have room for SERVICE at all.  */
+static GArray *
+list_owners (struct fleet_home *home, const char *service)
+{
+  GArray *owners = g_array_new (FALSE, FALSE, sizeof (struct spread_owner));
+  const GPtrArray *vms = vm_directory_list (home->directory);
+  guint64 hash = hash64_string (service);
+
+  add_self (home, service, owners);
+  for (guint i = 0; i < vms->len; i++)
+    {
+      const struct vm *vm = g_ptr_array_index (vms, i);
+
+      for (guint k = 0; vm->is_live && !vm->is_leaving && k < vm->n_rooms; k++)
+        {
+          struct spread_owner owner = { .name = vm->name };
+
+          if (vm->rooms[k].service != hash || vm->rooms[k].n_slots == 0)
+            continue;
+          owner.is_local
+              = g_str_equal (vm->availability_zone, home->availability_zone);
+          owner.room = vm->rooms[k];
+          g_array_append_val (owners, owner);
+        }
+    }
+  return owners;
+}
+
+gboolean
+fleet_home_has_room (struct fleet_home *home, const char *service)
+{
+  g_autoptr (GArray) owners = list_owners (home, service);
+
+  return owners->len > 0;
+}
+
+static void
+send_parts (struct fleet_job *job, const GArray *owners, const guint *indexes)
+{
+  const struct fleet_submission *s = job->submission;
+  guint64 hash = hash64_string (s->service);
+  guint run_ms = (guint)(s->estimate_us / USEC_PER_MSEC);
+  guint offset = 0;
+
+  for (guint i = 0; i < owners->len && !job->is_ended; i++)
+    {
+      const struct spread_owner *owner
+          = &g_array_index (owners, struct spread_owner, i);
+
+      if (owner->n_given == 0)
+        continue;
+      if (!owner->is_self)
+        vm_directory_take_room (job->home->directory, owner->name, hash,
+                                owner->n_given, run_ms);
+      send_part (job, owner, indexes + offset);
+      offset += owner->n_given;
+    }
+}
+
+/* Refuses JOB, or the rest of it, when there is nothing to run it on.  */
+static void
+refuse_job (struct fleet_job *job, const char *reason, gint64 wait_ms)
+{
+  metrics_count_label (METRIC_JOBS_REFUSED, ERROR_NOT_RUN);
+  if (job->has_started || !list_is_empty (&job->parts))
+    answer_job (job, FLEET_UNKNOWN, reason, 0);
+  else
+    answer_job (job, FLEET_NOT_RUN, reason, wait_ms);
+}
+
+static void
+spread_job (struct fleet_job *job, const guint *indexes, guint n_tasks)
+{
+  const struct fleet_submission *s = job->submission;
+  g_autoptr (GArray) owners = list_owners (job->home, s->service);
+  gint64 left_ms = (job->end_by_us - clock_now_us ()) / USEC_PER_MSEC;
+  gint64 wait_ms;
+
+  job_ref (job);
+  job->n_spreads++;
+  wait_ms
+      = spread_tasks ((struct spread_owner *)(void *)owners->data, owners->len,
+                      n_tasks, (guint)(s->estimate_us / USEC_PER_MSEC));
+  if (wait_ms < 0)
+    refuse_job (job, "no upstream is owned by a live VM", MIN_RETRY_MS);
+  else if (wait_ms > left_ms * HOPELESS_FACTOR)
+    refuse_job (job, "the queues are longer than its time", wait_ms);
+  else
+    send_parts (job, owners, indexes);
+  job_unref (job);
+}
+
+static void
+set_times (struct fleet_job *job)
+{
+  const struct fleet_submission *s = job->submission;
+  gint64 now_us = job->accepted_us;
+
+  job->start_by_us = now_us + s->objective_us - s->estimate_us;
+  job->end_by_us = now_us + s->objective_us * LATE_FACTOR - s->estimate_us;
+  if (s->caller_timeout_us > 0)
+    job->end_by_us = MIN (job->end_by_us,
+                          now_us + s->caller_timeout_us - s->estimate_us / 2);
+}
+
+/* A caller that has lost its answer sends the job again: what runs of it is
+   stopped first.  */
+static void
+replace_former (struct fleet_home *home, const char *id)
+{
+  struct fleet_job *former = g_hash_table_lookup (home->jobs, id);
+
+  if (former != NULL)
+    answer_job (former, FLEET_UNKNOWN, "the job was sent again", 0);
+}
+
+struct fleet_job *
+fleet_home_submit (struct fleet_home *home,
+                   struct fleet_submission *submission,
+                   struct fleet_waiter *waiter)
+{
+  struct fleet_job *job = g_new0 (struct fleet_job, 1);
+  guint indexes[PEER_TASKS_MAX];
+  gboolean is_ended;
+
+  replace_former (home, submission->job);
+  job->ref_count = 2;
+  job->home = home;
+  job->submission = submission;
+  job->waiter = waiter;
+  list_init (&job->parts);
+  job->accepted_us = clock_now_us ();
+  set_times (job);
+  g_hash_table_insert (home->jobs, submission->job, job);
+  metrics_count (METRIC_JOBS_ACCEPTED);
+  event_log_fields (EVENT_JOB_ACCEPTED, FIELD_TEXT ("job", submission->job),
+                    FIELD_TEXT ("service", submission->service),
+                    FIELD_INT ("tasks", submission->n_tasks),
+                    FIELD_INT ("estimate_us", submission->estimate_us),
+                    FIELD_INT ("objective_us", submission->objective_us),
+                    FIELD_INT ("timeout_us", submission->caller_timeout_us));
+  for (guint i = 0; i < submission->n_tasks; i++)
+    indexes[i] = i;
+  spread_job (job, indexes, submission->n_tasks);
+  is_ended = job->is_ended;
+  job_unref (job);
+  return is_ended ? NULL : job;
+}
+
+void
+fleet_home_abandon (struct fleet_home *home, struct fleet_job *job)
+{
+  if (job->is_ended)
+    return;
+  event_log_fields (EVENT_CALLER_GONE,
+                    FIELD_TEXT ("job", job->submission->job),
+                    FIELD_INT ("done", job->n_done),
+                    FIELD_INT ("took_us", clock_now_us () - job->accepted_us));
+  job->waiter = NULL;
+  end_job (job);
+}
+
+static GPtrArray *
+list_jobs (struct fleet_home *home)
+{
+  GPtrArray *jobs = g_ptr_array_new_with_free_func ((GDestroyNotify)job_unref);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, home->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_ptr_array_add (jobs, job_ref (value));
+  return jobs;
+}
+
+static gboolean
+has_part_at (const struct fleet_job *job, const char *vm, guint64 incarnation)
+{
+  struct list_node *node;
+  struct list_node *after;
+
+  list_for_each (node, after, &job->parts)
+    {
+      const struct part *part = list_entry (node, struct part, link);
+
+      if (g_strcmp0 (part->owner, vm) == 0 && part->incarnation <= incarnation)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+void
+fleet_home_lose_vm (struct fleet_home *home, const char *vm,
+                    guint64 incarnation)
+{
+  g_autoptr (GPtrArray) jobs = list_jobs (home);
+
+  for (guint i = 0; i < jobs->len; i++)
+    {
+      struct fleet_job *job = g_ptr_array_index (jobs, i);
+
+      if (!job->is_ended && has_part_at (job, vm, incarnation))
+        answer_job (job, FLEET_UNKNOWN, "the owner of its upstreams is lost",
+                    0);
+    }
+}
+
+void
+fleet_home_end_jobs (struct fleet_home *home, const char *reason)
+{
+  g_autoptr (GPtrArray) jobs = list_jobs (home);
+
+  for (guint i = 0; i < jobs->len; i++)
+    answer_job (g_ptr_array_index (jobs, i), FLEET_UNKNOWN, reason, 0);
+}
--- /dev/null
+++ b/transport/fleet_owner.c
@@ -0,0 +1,444 @@
+#include "transport/fleet_owner.h"
+
+#include "base/event_log.h"
+#include "base/metrics.h"
+
+#include <string.h>
+
+#define PERMILLE 1000.0
+
+struct fleet_owner
+{
+  struct owner_driver driver;
+  struct owner *owner;
+  struct fleet_platform *platform;
+  const struct vm_directory *directory;
+  struct fleet_owner_listener *listener;
+  GHashTable *remote; /* "HOME/JOB/NUMBER" -> struct remote_batch */
+  GSource *timer;
+  GSource *teller; /* tells what has ended, outside of the owner's calls */
+  GQueue ended;    /* struct batch */
+  GQueue lost;     /* struct lost_upstream */
+  guint n_batches;
+};
+
+/* An upstream that is no longer owned, not yet told.  */
+struct lost_upstream
+{
+  char *id;
+  gboolean is_fenced;
+};
+
+/* A batch that a peer has handed in.  */
+struct remote_batch
+{
+  struct batch_sink sink;
+  struct fleet_owner *owner;
+  struct peer_request *request;
+  struct batch *batch;
+  char *key;
+};
+
+static struct fleet_owner *
+from_driver (struct owner_driver *driver)
+{
+  return list_entry (driver, struct fleet_owner, driver);
+}
+
+static const char *
+name_run_end (enum run_end end)
+{
+  static const char *const names[]
+      = { "done", "failed", "stopped", "lapsed", "lost" };
+
+  return names[end];
+}
+
+static const char *
+name_batch_end (enum batch_end end)
+{
+  static const char *const names[]
+      = { "done", "failed", "no-room", "stopped" };
+
+  return names[end];
+}
+
+static void
+driver_start_run (struct owner_driver *driver, struct run *run,
+                  gint64 until_ms)
+{
+  struct fleet_owner *owner = from_driver (driver);
+
+  metrics_count (METRIC_TASK_STARTS);
+  event_log_fields (
+      EVENT_RUN_STARTED, FIELD_TEXT ("job", run->task->batch->job),
+      FIELD_INT ("task", run->task->index), FIELD_INT ("run", run->number),
+      FIELD_TEXT ("upstream", run->upstream->id),
+      FIELD_INT ("token", run->upstream->token),
+      FIELD_INT ("expected_us", run->expected_us));
+  owner->platform->ops->start_run (owner->platform, owner->owner, run,
+                                   until_ms);
+}
+
+static void
+driver_stop_run (struct owner_driver *driver, struct run *run)
+{
+  struct fleet_owner *owner = from_driver (driver);
+
+  event_log_fields (EVENT_RUN_STOPPED, FIELD_TEXT ("task", run->name),
+                    FIELD_INT ("run", run->number),
+                    FIELD_TEXT ("upstream", run->upstream->id),
+                    FIELD_INT ("percent", run->percent),
+                    FIELD_BOOL ("is_foreign", run->is_foreign));
+  owner->platform->ops->stop_run (owner->platform, owner->owner, run);
+}
+
+static void
+driver_ask (struct owner_driver *driver, struct owned *upstream,
+            gint64 until_ms, guint wait_ms)
+{
+  struct fleet_owner *owner = from_driver (driver);
+
+  owner->platform->ops->ask (owner->platform, owner->owner, upstream, until_ms,
+                             wait_ms);
+}
+
+static void
+driver_run_ended (struct owner_driver *driver, const struct run *run,
+                  enum run_end end)
+{
+  gint64 took_us = clock_now_us () - run->started_us;
+
+  if (run->task == NULL)
+    return;
+  metrics_record (METRIC_TASK_SECONDS, took_us);
+  event_log_fields (
+      end == RUN_DONE ? EVENT_RUN_ENDED : EVENT_TASK_RETRIED,
+      FIELD_TEXT ("job", run->task->batch->job),
+      FIELD_INT ("task", run->task->index), FIELD_INT ("run", run->number),
+      FIELD_TEXT ("upstream", run->upstream->id),
+      FIELD_TEXT ("end", name_run_end (end)), FIELD_INT ("took_us", took_us),
+      FIELD_INT ("state", run->state));
+}
+
+static void
+log_batch_end (const struct batch *batch)
+{
+  gint64 waited_us = batch->first_started_us - batch->queued_us;
+
+  event_log_fields (
+      EVENT_BATCH_ENDED, FIELD_TEXT ("job", batch->job),
+      FIELD_INT ("batch", batch->number), FIELD_TEXT ("home", batch->home),
+      FIELD_INT ("tasks", batch->n_tasks), FIELD_INT ("done", batch->n_done),
+      FIELD_TEXT ("end", name_batch_end (batch->end)),
+      FIELD_TEXT ("reason", batch->reason),
+      FIELD_INT ("waited_us", batch->first_started_us != 0 ? waited_us : -1));
+}
+
+static void
+driver_finish_batch (struct owner_driver *driver, struct batch *batch)
+{
+  struct fleet_owner *owner = from_driver (driver);
+
+  log_batch_end (batch);
+  g_queue_push_tail (&owner->ended, batch);
+  g_source_set_ready_time (owner->teller, 0);
+}
+
+static void
+driver_lost (struct owner_driver *driver, struct owned *upstream,
+             gboolean is_fenced)
+{
+  struct fleet_owner *owner = from_driver (driver);
+  struct lost_upstream *lost = g_new0 (struct lost_upstream, 1);
+
+  event_log_fields (is_fenced ? EVENT_UPSTREAM_FENCED
+                              : EVENT_UPSTREAM_RELEASED,
+                    FIELD_TEXT ("upstream", upstream->id),
+                    FIELD_INT ("token", upstream->token),
+                    FIELD_INT ("state", upstream->state));
+  owner->platform->ops->forget (owner->platform, upstream);
+  lost->id = g_strdup (upstream->id);
+  lost->is_fenced = is_fenced;
+  g_queue_push_tail (&owner->lost, lost);
+  g_source_set_ready_time (owner->teller, 0);
+}
+
+static void
+tell_ended (struct fleet_owner *owner)
+{
+  struct batch *batch;
+
+  while ((batch = g_queue_pop_head (&owner->ended)) != NULL)
+    {
+      struct batch_sink *sink = batch->user_data;
+
+      owner->n_batches--;
+      sink->ended (sink, batch);
+      batch_free (batch);
+    }
+}
+
+static void
+tell_lost (struct fleet_owner *owner)
+{
+  struct lost_upstream *lost;
+
+  while ((lost = g_queue_pop_head (&owner->lost)) != NULL)
+    {
+      owner->listener->ops->upstream_lost (owner->listener, lost->id,
+                                           lost->is_fenced);
+      g_free (lost->id);
+      g_free (lost);
+    }
+}
+
+static gboolean
+on_tell (gpointer data)
+{
+  struct fleet_owner *owner = data;
+
+  g_source_set_ready_time (owner->teller, -1);
+  tell_ended (owner);
+  tell_lost (owner);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+driver_wake_at (struct owner_driver *driver, gint64 when_us)
+{
+  struct fleet_owner *owner = from_driver (driver);
+  gint64 delay_us = MAX (when_us - clock_now_us (), 0);
+
+  g_source_set_ready_time (owner->timer, g_get_monotonic_time () + delay_us);
+}
+
+static const struct owner_driver_ops driver_ops = {
+  .start_run = driver_start_run,
+  .stop_run = driver_stop_run,
+  .ask = driver_ask,
+  .run_ended = driver_run_ended,
+  .finish_batch = driver_finish_batch,
+  .lost = driver_lost,
+  .wake_at = driver_wake_at,
+};
+
+static gboolean
+on_timer (gpointer data)
+{
+  struct fleet_owner *owner = data;
+
+  g_source_set_ready_time (owner->timer, -1);
+  owner_advance (owner->owner, clock_now_us ());
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+dispatch_timer (GSource *source, GSourceFunc callback, gpointer data)
+{
+  return callback (data);
+}
+
+static GSourceFuncs timer_funcs = { .dispatch = dispatch_timer };
+
+static GSource *
+add_source (GSourceFunc callback, gpointer data)
+{
+  GSource *source = g_source_new (&timer_funcs, sizeof (GSource));
+
+  g_source_set_callback (source, callback, data, NULL);
+  g_source_attach (source, NULL);
+  return source;
+}
+
+struct fleet_owner *
+fleet_owner_new (const struct owner_limits *limits,
+                 struct fleet_platform *platform,
+                 const struct vm_directory *directory,
+                 struct fleet_owner_listener *listener)
+{
+  struct fleet_owner *owner = g_new0 (struct fleet_owner, 1);
+
+  owner->driver.ops = &driver_ops;
+  owner->platform = platform;
+  owner->directory = directory;
+  owner->listener = listener;
+  owner->remote = g_hash_table_new (g_str_hash, g_str_equal);
+  owner->timer = add_source (on_timer, owner);
+  owner->teller = add_source (on_tell, owner);
+  g_queue_init (&owner->ended);
+  g_queue_init (&owner->lost);
+  owner->owner = owner_new (&owner->driver, limits);
+  owner_advance (owner->owner, clock_now_us ());
+  return owner;
+}
+
+void
+fleet_owner_free (struct fleet_owner *owner)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_source_destroy (owner->timer);
+  g_source_unref (owner->timer);
+  g_source_destroy (owner->teller);
+  g_source_unref (owner->teller);
+  g_queue_clear_full (&owner->ended, (GDestroyNotify)batch_free);
+  owner_free (owner->owner);
+  g_hash_table_iter_init (&iter, owner->remote);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct remote_batch *remote = value;
+
+      g_free (remote->key);
+      g_free (remote);
+    }
+  g_hash_table_unref (owner->remote);
+  g_free (owner);
+}
+
+struct owner *
+fleet_owner_get (struct fleet_owner *owner)
+{
+  return owner->owner;
+}
+
+char *
+fleet_format_home (const char *vm, guint64 incarnation)
+{
+  return g_strdup_printf ("%s#%" G_GUINT64_FORMAT, vm, incarnation);
+}
+
+guint
+fleet_owner_count_batches (const struct fleet_owner *owner)
+{
+  return owner->n_batches;
+}
+
+void
+fleet_owner_run (struct fleet_owner *owner, struct batch *batch,
+                 struct batch_sink *sink)
+{
+  batch->user_data = sink;
+  owner->n_batches++;
+  event_log_fields (EVENT_BATCH_TAKEN, FIELD_TEXT ("job", batch->job),
+                    FIELD_INT ("batch", batch->number),
+                    FIELD_TEXT ("home", batch->home),
+                    FIELD_INT ("tasks", batch->n_tasks));
+  owner_submit (owner->owner, batch, clock_now_us ());
+}
+
+static char *
+format_key (const char *home, const char *job, guint number)
+{
+  return g_strdup_printf ("%s/%s/%u", home, job, number);
+}
+
+static void
+reply_end (struct peer_request *request, enum batch_end end,
+           const char *reason)
+{
+  peer_batch_result result
+      = { .end = end, .reason = (char *)(reason != NULL ? reason : "") };
+
+  peer_request_reply (request, &result);
+}
+
+static void
+on_remote_ended (struct batch_sink *sink, const struct batch *batch)
+{
+  struct remote_batch *remote = list_entry (sink, struct remote_batch, sink);
+
+  g_hash_table_remove (remote->owner->remote, remote->key);
+  reply_end (remote->request, batch->end, batch->reason);
+  g_free (remote->key);
+  g_free (remote);
+}
+
+static struct batch *
+build_batch (const peer_batch_args *args, const char *home)
+{
+  struct batch *batch = batch_new (args->job, home, args->indexes.indexes_len);
+  gint64 now_us = clock_now_us ();
+
+  for (guint i = 0; i < batch->n_tasks; i++)
+    batch->tasks[i].index = args->indexes.indexes_val[i];
+  batch->number = args->number;
+  batch->service = g_strdup (args->service);
+  batch->spec = g_strdup (args->spec);
+  batch->affinity = g_strdup (args->affinity);
+  batch->required_label = g_strdup (args->required_label);
+  batch->step = args->step;
+  batch->need.cpus = args->milli_cpus / PERMILLE;
+  batch->need.memory_mb = args->memory_mb;
+  batch->need.accelerators = args->accelerators;
+  batch->estimate_us = args->estimate_us;
+  batch->far_factor = MAX (args->far_permille / PERMILLE, 1.0);
+  batch->per_upstream = args->per_upstream;
+  batch->priority = args->priority;
+  batch->attempts = MAX (args->attempts, 1u);
+  batch->start_by_us = now_us + args->start_in_us;
+  batch->end_by_us = now_us + args->end_in_us;
+  return batch;
+}
+
+/* A batch is taken only from a home whose death would be noticed.  */
+static gboolean
+is_watched (const struct fleet_owner *owner, const char *vm,
+            guint64 incarnation)
+{
+  const struct vm *home = vm_directory_find (owner->directory, vm);
+
+  return home != NULL && home->is_live && home->incarnation == incarnation;
+}
+
+static void
+on_run_batch (struct peer_request *request, const void *arguments,
+              gpointer data)
+{
+  struct fleet_owner *owner = data;
+  const peer_batch_args *args = arguments;
+  const char *vm = peer_request_get_sender (request);
+  g_autofree char *home = fleet_format_home (vm, args->incarnation);
+  struct remote_batch *remote;
+
+  if (!is_watched (owner, vm, args->incarnation)
+      || args->indexes.indexes_len == 0)
+    {
+      reply_end (request, BATCH_NO_ROOM, "its home is not heard here");
+      return;
+    }
+  remote = g_new0 (struct remote_batch, 1);
+  remote->sink.ended = on_remote_ended;
+  remote->owner = owner;
+  remote->request = request;
+  remote->key = format_key (home, args->job, args->number);
+  remote->batch = build_batch (args, home);
+  g_hash_table_replace (owner->remote, remote->key, remote);
+  fleet_owner_run (owner, remote->batch, &remote->sink);
+}
+
+static void
+on_stop_batch (struct peer_request *request, const void *arguments,
+               gpointer data)
+{
+  struct fleet_owner *owner = data;
+  const peer_stop_args *args = arguments;
+  g_autofree char *home = fleet_format_home (peer_request_get_sender (request),
+                                             args->incarnation);
+  g_autofree char *key = format_key (home, args->job, args->number);
+  struct remote_batch *remote = g_hash_table_lookup (owner->remote, key);
+  peer_stop_result result = { .is_known = remote != NULL };
+
+  if (remote != NULL)
+    owner_stop_batch (owner->owner, remote->batch, "its home has stopped it",
+                      clock_now_us ());
+  peer_request_reply (request, &result);
+}
+
+void
+fleet_owner_serve (struct fleet_owner *owner, struct peer_hub *hub)
+{
+  peer_hub_serve (hub, PEER_RUN_BATCH, on_run_batch, owner);
+  peer_hub_serve (hub, PEER_STOP_BATCH, on_stop_batch, owner);
+}
