--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -251,6 +251,10 @@
 
 struct owned *owner_find (struct owner *owner, const char *id);
 
+/* Keeps an upstream from being freed while an order to it is in flight.  */
+struct owned *owned_ref (struct owned *owned);
+void owned_unref (struct owned *owned);
+
 /* A new batch with N_TASKS queued tasks, whose indexes the caller fills in. */
 struct batch *batch_new (const char *job, const char *home, guint n_tasks);
 void batch_free (struct batch *batch);
