--- /dev/null
+++ b/commands/fleet.c
@@ -0,0 +1,109 @@
+#include "transport/fleet.h"
+#include "base/event_log.h"
+#include "commands/cli.h"
+#include "platform/callers.h"
+#include "platform/platform.h"
+
+#include <stdio.h>
+#include <unistd.h>
+
+struct options
+{
+  char *settings_path;
+  gboolean check_settings;
+};
+
+static const struct cli_usage usage = {
+  .name = "fleet",
+  .summary
+  = "Runs the daemon of an entry VM that owns upstreams under leases.",
+  .example = "  radishchute fleet --settings fleet.json\n"
+             "  radishchute fleet --settings fleet.json --check-settings\n",
+};
+
+static gboolean
+parse_options (int *argc, char ***argv, struct options *options)
+{
+  const GOptionEntry entries[] = {
+    { "settings", 's', 0, G_OPTION_ARG_FILENAME, &options->settings_path,
+      "the settings of this entry VM", "FILE" },
+    { "check-settings", 0, 0, G_OPTION_ARG_NONE, &options->check_settings,
+      "check the settings and exit", NULL },
+    G_OPTION_ENTRY_NULL,
+  };
+
+  if (!cli_parse (&usage, entries, NULL, argc, argv))
+    return FALSE;
+  if (options->settings_path != NULL)
+    return TRUE;
+  fprintf (stderr, "radishchute fleet: name the file of settings with "
+                   "--settings FILE; see 'radishchute fleet --help'\n");
+  return FALSE;
+}
+
+static struct fleet_platform *
+open_platform (const struct fleet_settings *settings)
+{
+  g_autofree char *member = g_strdup_printf (
+      "%s@%s@%s", settings->vm, settings->ip, settings->availability_zone);
+  struct platform_config config = {
+    .store = settings->store,
+    .vm = settings->vm,
+    .member = member,
+    .availability_zone = settings->availability_zone,
+    .zones = (const char *const *)settings->availability_zones->pdata,
+    .n_shards = settings->n_shards,
+    .member_ttl_ms = settings->member_ttl_ms,
+    .lease_ms = settings->lease_ms,
+  };
+
+  return platform_new (&config);
+}
+
+static int
+run_fleet (const struct fleet_settings *settings)
+{
+  struct fleet_platform *platform = open_platform (settings);
+  g_autoptr (GError) error = NULL;
+  struct fleet *fleet = fleet_new (settings, platform, &error);
+  struct callers *callers = NULL;
+
+  if (fleet != NULL)
+    callers = callers_new (settings, fleet, &error);
+  if (callers != NULL)
+    fleet_run (fleet);
+  else
+    event_log (EVENT_LISTEN_FAILED, "%s", error->message);
+  g_clear_pointer (&callers, callers_free);
+  g_clear_pointer (&fleet, fleet_free);
+  platform->ops->free (platform);
+  return error == NULL ? EXIT_STATUS_OK : EXIT_STATUS_FAILED;
+}
+
+int
+command_fleet (int argc, char **argv)
+{
+  struct options options = { NULL, FALSE };
+  g_autoptr (GError) error = NULL;
+  struct fleet_settings *settings;
+  int status = EXIT_STATUS_OK;
+
+  if (!parse_options (&argc, &argv, &options))
+    return EXIT_STATUS_USAGE;
+  settings = fleet_settings_load (options.settings_path, &error);
+  g_free (options.settings_path);
+  if (settings == NULL)
+    {
+      fprintf (stderr, "%s\n", error->message);
+      return EXIT_STATUS_USAGE;
+    }
+  event_log_set_level (settings->log_level);
+  event_log_set_output (STDOUT_FILENO, settings->vm);
+  if (options.check_settings)
+    printf ("settings are valid\n");
+  else
+    status = run_fleet (settings);
+  event_log_flush ();
+  fleet_settings_free (settings);
+  return status;
+}
--- a/protocol/fleet_settings.c
+++ b/protocol/fleet_settings.c
@@ -27,7 +27,7 @@
                                     "shards",    "member_ttl_ms",
                                     "lease_ms",  "max_lease_ms",
                                     "stop_ms",   "resend_ms",
-                                    "grace_ms",  "max_connections",
+                                    "grace_s",  "max_connections",
                                     "cpu_share", "log_level",
                                     NULL };
 
--- /dev/null
+++ b/transport/fleet.c
@@ -0,0 +1,567 @@
+#include "transport/fleet.h"
+
+#include "base/event_log.h"
+#include "base/hash64.h"
+#include "transport/fleet_beacon.h"
+#include "transport/fleet_shards.h"
+
+#include <glib-unix.h>
+#include <signal.h>
+#include <string.h>
+
+#define TICK_MS 50
+
+/* During a drain jobs on connections that are open are taken for this part of
+   the grace, and all jobs are answered before the last part.  */
+#define TAKE_PART 0.3
+#define ANSWER_PART 0.9
+
+/* The platform and the balancer are given this long to notice a drain.  */
+#define MIN_DRAIN_US (1500 * USEC_PER_MSEC)
+
+#define ROUTES_TIMEOUT_US (1 * USEC_PER_SEC)
+
+/* By which an upstream's clock may be slow.  */
+#define CLOCK_DRIFT_PPM 20500
+
+/* A process that has not come round for this long says so.  */
+#define PAUSE_US (400 * USEC_PER_MSEC)
+
+#define INCARNATION_RANDOM_BITS 12
+#define MEMBER_SEPARATOR "@"
+
+struct fleet
+{
+  struct fleet_events events;
+  struct fleet_owner_listener owner_listener;
+  struct vm_directory_owner directory_owner;
+  struct fleet_beacon_owner beacon_owner;
+  const struct fleet_settings *settings;
+  struct fleet_platform *platform;
+  struct settings hub_settings;
+  guint64 incarnation;
+  GMainLoop *loop;
+  struct peer_hub *hub;
+  struct vm_directory *directory;
+  struct fleet_owner *owner;
+  struct fleet_home *home;
+  struct fleet_shards *shards;
+  struct fleet_beacon *beacon;
+  struct route_table *routes; /* NULL before any are known */
+  GBytes *routes_text;
+  gboolean is_fetching_routes;
+  gboolean is_store_reached;
+  gboolean is_draining;
+  gint64 drain_began_us;
+  gint64 drain_deadline_us; /* when all jobs are answered */
+  gint64 take_until_us;     /* when jobs are no longer taken */
+  gint64 ticked_us;
+  guint tick_source;
+};
+
+struct fleet_home *
+fleet_get_home (struct fleet *fleet)
+{
+  return fleet->home;
+}
+
+const struct route_table *
+fleet_get_routes (const struct fleet *fleet)
+{
+  return fleet->routes;
+}
+
+/* The services of the routes in force, each once.  */
+static GPtrArray *
+list_services (const struct fleet *fleet)
+{
+  GPtrArray *services = g_ptr_array_new ();
+  guint n_routes = fleet->routes != NULL ? fleet->routes->routes->len : 0;
+
+  for (guint i = 0; i < n_routes; i++)
+    {
+      const struct route *route = g_ptr_array_index (fleet->routes->routes, i);
+
+      if (!g_ptr_array_find_with_equal_func (services, route->service,
+                                             g_str_equal, NULL))
+        g_ptr_array_add (services, route->service);
+    }
+  return services;
+}
+
+gboolean
+fleet_is_ready (struct fleet *fleet)
+{
+  g_autoptr (GPtrArray) services = list_services (fleet);
+
+  if (fleet->is_draining)
+    return FALSE;
+  for (guint i = 0; i < services->len; i++)
+    if (fleet_home_has_room (fleet->home, g_ptr_array_index (services, i)))
+      return TRUE;
+  return FALSE;
+}
+
+gboolean
+fleet_takes_jobs (const struct fleet *fleet)
+{
+  return !fleet->is_draining || clock_now_us () < fleet->take_until_us;
+}
+
+/* Tells the hub of all VMs that are known.  */
+static void
+apply_vms (struct fleet *fleet)
+{
+  const GPtrArray *vms = vm_directory_list (fleet->directory);
+  g_autofree struct listed_vm *listed
+      = g_new0 (struct listed_vm, vms->len + 1);
+  g_autoptr (GPtrArray) addresses = g_ptr_array_new_with_free_func (g_free);
+
+  for (guint i = 0; i < vms->len; i++)
+    {
+      const struct vm *vm = g_ptr_array_index (vms, i);
+      char *address
+          = g_strdup_printf ("%s:%u", vm->ip, fleet->settings->peers.port);
+
+      g_ptr_array_add (addresses, address);
+      listed[i] = (struct listed_vm){ vm->name, vm->availability_zone, address,
+                                      vm->is_leaving };
+    }
+  peer_hub_apply_vms (fleet->hub, listed, vms->len);
+}
+
+static void
+on_vm_found (struct vm_directory_owner *owner, const struct vm *vm)
+{
+  struct fleet *fleet = list_entry (owner, struct fleet, directory_owner);
+
+  event_log_fields (EVENT_VM_BACK, FIELD_TEXT ("peer", vm->name),
+                    FIELD_INT ("incarnation", vm->incarnation));
+  apply_vms (fleet);
+}
+
+static void
+on_vm_lost (struct vm_directory_owner *owner, const struct vm *vm,
+            guint64 incarnation)
+{
+  struct fleet *fleet = list_entry (owner, struct fleet, directory_owner);
+  g_autofree char *home = fleet_format_home (vm->name, incarnation);
+  gint64 now_us = clock_now_us ();
+
+  event_log_fields (EVENT_VM_LOST, FIELD_TEXT ("peer", vm->name),
+                    FIELD_INT ("incarnation", incarnation),
+                    FIELD_INT ("silent_us", now_us - vm->heard_us));
+  owner_stop_home (fleet_owner_get (fleet->owner), home, now_us);
+  fleet_home_lose_vm (fleet->home, vm->name, incarnation);
+}
+
+static const struct vm_directory_owner_ops directory_ops = {
+  .vm_found = on_vm_found,
+  .vm_lost = on_vm_lost,
+};
+
+static void
+on_fill (struct fleet_beacon_owner *owner, struct vm_news *news,
+         struct vm_room *rooms)
+{
+  struct fleet *fleet = list_entry (owner, struct fleet, beacon_owner);
+  g_autoptr (GPtrArray) services = list_services (fleet);
+
+  news->is_leaving = fleet->is_draining;
+  news->held = fleet_shards_get_held (fleet->shards);
+  news->routes_version = fleet->routes != NULL ? fleet->routes->version : 0;
+  for (guint i = 0; i < services->len && news->n_rooms < VM_ROOMS_MAX; i++)
+    {
+      const char *service = g_ptr_array_index (services, i);
+      struct vm_room *to = &rooms[news->n_rooms];
+      struct owner_room room;
+
+      owner_get_room (fleet_owner_get (fleet->owner), service, &room,
+                      clock_now_us ());
+      if (room.n_slots == 0)
+        continue;
+      to->service = hash64_string (service);
+      to->n_slots = room.n_slots;
+      to->free_slots = room.free_slots;
+      to->n_queued = room.n_queued;
+      to->queued_ms = (guint)(room.queued_us / USEC_PER_MSEC);
+      news->n_rooms++;
+    }
+}
+
+static void
+on_routes_fetched (const void *result, const GError *error, gpointer data)
+{
+  const peer_routes_result *reply = result;
+  struct fleet *fleet = data;
+  g_autoptr (GBytes) text = NULL;
+
+  fleet->is_fetching_routes = FALSE;
+  if (reply == NULL || reply->text.text_len == 0)
+    return;
+  text = g_bytes_new (reply->text.text_val, reply->text.text_len);
+  fleet->platform->ops->offer_routes (fleet->platform, text);
+}
+
+/* A peer that knows newer routes is asked for them: the platform may be out of
+   reach from here.  */
+static void
+fetch_routes (struct fleet *fleet, const struct vm *vm)
+{
+  peer_routes_args args = {
+    .known_version = fleet->routes != NULL ? fleet->routes->version : 0,
+  };
+
+  if (fleet->is_fetching_routes || vm->routes_version <= args.known_version)
+    return;
+  fleet->is_fetching_routes = TRUE;
+  peer_hub_call (fleet->hub, vm->name, PEER_FETCH_ROUTES, &args,
+                 clock_now_us () + ROUTES_TIMEOUT_US, on_routes_fetched,
+                 fleet);
+}
+
+static void
+on_fetch_routes (struct peer_request *request, const void *arguments,
+                 gpointer data)
+{
+  struct fleet *fleet = data;
+  const peer_routes_args *args = arguments;
+  peer_routes_result result = { { 0, NULL } };
+  gsize length = 0;
+
+  if (fleet->routes != NULL && fleet->routes->version > args->known_version)
+    result.text.text_val
+        = (char *)g_bytes_get_data (fleet->routes_text, &length);
+  result.text.text_len = (u_int)length;
+  peer_request_reply (request, &result);
+}
+
+static void
+on_heard (struct fleet_beacon_owner *owner, const struct vm *vm)
+{
+  struct fleet *fleet = list_entry (owner, struct fleet, beacon_owner);
+
+  fleet_shards_hear (fleet->shards, vm);
+  fetch_routes (fleet, vm);
+}
+
+static const struct fleet_beacon_owner_ops beacon_ops = {
+  .fill = on_fill,
+  .heard = on_heard,
+};
+
+static struct fleet *
+from_events (struct fleet_events *events)
+{
+  return list_entry (events, struct fleet, events);
+}
+
+static void
+on_routes_changed (struct fleet_events *events, struct route_table *table,
+                   GBytes *text)
+{
+  struct fleet *fleet = from_events (events);
+
+  event_log_fields (EVENT_ROUTES_IN_FORCE,
+                    FIELD_INT ("version", table->version),
+                    FIELD_INT ("routes", table->routes->len));
+  route_table_ref (table);
+  if (fleet->routes != NULL)
+    route_table_unref (fleet->routes);
+  fleet->routes = table;
+  g_bytes_ref (text);
+  g_clear_pointer (&fleet->routes_text, g_bytes_unref);
+  fleet->routes_text = text;
+}
+
+static void
+on_upstream_changed (struct fleet_events *events,
+                     const struct owned_spec *spec)
+{
+  fleet_shards_change_upstream (from_events (events)->shards, spec);
+}
+
+static void
+on_upstream_gone (struct fleet_events *events, const char *id)
+{
+  fleet_shards_drop_upstream (from_events (events)->shards, id);
+}
+
+static void
+on_shards_assigned (struct fleet_events *events, guint64 generation,
+                    const guint *shards, guint n_shards)
+{
+  fleet_shards_assign (from_events (events)->shards, generation, shards,
+                       n_shards);
+}
+
+static void
+on_members_listed (struct fleet_events *events, const char *const *members,
+                   guint n_members)
+{
+  struct fleet *fleet = from_events (events);
+  gboolean has_new = FALSE;
+
+  for (guint i = 0; i < n_members; i++)
+    {
+      g_auto (GStrv) parts = g_strsplit (members[i], MEMBER_SEPARATOR, 3);
+
+      if (g_strv_length (parts) == 3)
+        has_new |= vm_directory_introduce (
+            fleet->directory, parts[0], parts[1], parts[2], clock_now_us ());
+    }
+  if (has_new)
+    apply_vms (fleet);
+}
+
+static void
+on_store_reached (struct fleet_events *events, gboolean is_reached)
+{
+  struct fleet *fleet = from_events (events);
+
+  fleet->is_store_reached = is_reached;
+  event_log_fields (is_reached ? EVENT_STORE_REACHED : EVENT_STORE_LOST,
+                    FIELD_TEXT ("store", fleet->settings->store));
+}
+
+static const struct fleet_events_ops events_ops = {
+  .routes_changed = on_routes_changed,
+  .upstream_changed = on_upstream_changed,
+  .upstream_gone = on_upstream_gone,
+  .shards_assigned = on_shards_assigned,
+  .members_listed = on_members_listed,
+  .store_reached = on_store_reached,
+};
+
+static void
+on_upstream_lost (struct fleet_owner_listener *listener, const char *id,
+                  gboolean is_fenced)
+{
+  struct fleet *fleet = list_entry (listener, struct fleet, owner_listener);
+
+  fleet_shards_lose_upstream (fleet->shards, id, is_fenced);
+}
+
+static const struct fleet_owner_listener_ops listener_ops = {
+  .upstream_lost = on_upstream_lost,
+};
+
+static gboolean
+is_drained (struct fleet *fleet, gint64 now_us)
+{
+  if (now_us >= fleet->drain_deadline_us)
+    return TRUE;
+  return now_us - fleet->drain_began_us >= MIN_DRAIN_US
+         && now_us >= fleet->take_until_us
+         && fleet_home_count_jobs (fleet->home) == 0
+         && fleet_owner_count_batches (fleet->owner) == 0
+         && fleet_shards_get_held (fleet->shards) == 0;
+}
+
+static gboolean
+quit (gpointer data)
+{
+  struct fleet *fleet = data;
+
+  g_main_loop_quit (fleet->loop);
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+on_tick (gpointer data)
+{
+  struct fleet *fleet = data;
+  gint64 now_us = clock_now_us ();
+
+  if (now_us - fleet->ticked_us > PAUSE_US)
+    event_log_fields (EVENT_FLEET_PAUSED,
+                      FIELD_INT ("late_us", now_us - fleet->ticked_us));
+  fleet->ticked_us = now_us;
+  fleet_shards_advance (fleet->shards);
+  if (!fleet->is_draining || !is_drained (fleet, now_us))
+    return G_SOURCE_CONTINUE;
+  fleet_home_end_jobs (fleet->home, "this VM had to stop");
+  fleet->tick_source = 0;
+  /* The last answers are written first.  */
+  g_timeout_add (TICK_MS, quit, fleet);
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+on_stop_signal (gpointer data)
+{
+  struct fleet *fleet = data;
+  gint64 grace_us = fleet->settings->grace_ms * USEC_PER_MSEC;
+  gint64 now_us = clock_now_us ();
+
+  if (fleet->is_draining)
+    return G_SOURCE_CONTINUE;
+  event_log_fields (EVENT_FLEET_DRAINING,
+                    FIELD_INT ("jobs", fleet_home_count_jobs (fleet->home)));
+  fleet->is_draining = TRUE;
+  fleet->drain_began_us = now_us;
+  fleet->take_until_us = now_us + (gint64)((gdouble)grace_us * TAKE_PART);
+  fleet->drain_deadline_us
+      = now_us + (gint64)((gdouble)grace_us * ANSWER_PART);
+  fleet->platform->ops->leave (fleet->platform);
+  fleet_shards_leave (fleet->shards);
+  peer_hub_set_leaving (fleet->hub);
+  fleet_beacon_send (fleet->beacon);
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_reload_signal (gpointer data)
+{
+  event_log_fields (EVENT_FLEET_RELOADED,
+                    FIELD_TEXT ("changed", "nothing: settings hold for the "
+                                           "life of the process"));
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+set_hub_settings (struct fleet *fleet)
+{
+  struct settings *s = &fleet->hub_settings;
+
+  s->vm = fleet->settings->vm;
+  s->availability_zone = fleet->settings->availability_zone;
+  s->peer_listen = fleet->settings->peers;
+  s->peer_seeds = g_ptr_array_new ();
+  s->keys = g_ptr_array_new ();
+}
+
+static void
+add_parts (struct fleet *fleet)
+{
+  const struct fleet_settings *settings = fleet->settings;
+  struct owner_limits limits = {
+    .lease_ms = settings->lease_ms,
+    .max_lease_ms = settings->max_lease_ms,
+    .clock_drift_ppm = CLOCK_DRIFT_PPM,
+    .stop_ms = settings->stop_ms,
+  };
+
+  fleet->shards
+      = fleet_shards_new (settings->vm, settings->availability_zone,
+                          settings->n_shards, fleet->hub, fleet->directory);
+  fleet->owner = fleet_owner_new (&limits, fleet->platform, fleet->directory,
+                                  &fleet->owner_listener);
+  fleet_shards_set_owner (fleet->shards, fleet->owner);
+  fleet_owner_serve (fleet->owner, fleet->hub);
+  fleet->home = fleet_home_new (settings->vm, fleet->incarnation,
+                                settings->availability_zone, fleet->directory,
+                                fleet->hub, fleet->owner);
+  peer_hub_serve (fleet->hub, PEER_FETCH_ROUTES, on_fetch_routes, fleet);
+}
+
+static guint64
+choose_incarnation (void)
+{
+  guint64 random = g_random_int () & ((1u << INCARNATION_RANDOM_BITS) - 1);
+
+  return ((guint64)clock_unix_ms () << INCARNATION_RANDOM_BITS) | random;
+}
+
+struct fleet *
+fleet_new (const struct fleet_settings *settings,
+           struct fleet_platform *platform, GError **error)
+{
+  struct fleet *fleet = g_new0 (struct fleet, 1);
+
+  fleet->events.ops = &events_ops;
+  fleet->owner_listener.ops = &listener_ops;
+  fleet->directory_owner.ops = &directory_ops;
+  fleet->beacon_owner.ops = &beacon_ops;
+  fleet->settings = settings;
+  fleet->platform = platform;
+  fleet->incarnation = choose_incarnation ();
+  fleet->loop = g_main_loop_new (NULL, FALSE);
+  fleet->directory = vm_directory_new (&fleet->directory_owner, settings->vm);
+  set_hub_settings (fleet);
+  fleet->hub = peer_hub_new (&fleet->hub_settings, fleet->incarnation, error);
+  if (fleet->hub != NULL)
+    add_parts (fleet);
+  if (fleet->hub != NULL)
+    fleet->beacon
+        = fleet_beacon_new (settings, fleet->incarnation, fleet->directory,
+                            &fleet->beacon_owner, error);
+  if (fleet->beacon != NULL)
+    return fleet;
+  fleet_free (fleet);
+  return NULL;
+}
+
+void
+fleet_free (struct fleet *fleet)
+{
+  if (fleet->tick_source != 0)
+    g_source_remove (fleet->tick_source);
+  g_clear_pointer (&fleet->beacon, fleet_beacon_free);
+  g_clear_pointer (&fleet->hub, peer_hub_free);
+  g_clear_pointer (&fleet->home, fleet_home_free);
+  g_clear_pointer (&fleet->owner, fleet_owner_free);
+  g_clear_pointer (&fleet->shards, fleet_shards_free);
+  vm_directory_free (fleet->directory);
+  g_clear_pointer (&fleet->routes, route_table_unref);
+  g_clear_pointer (&fleet->routes_text, g_bytes_unref);
+  g_ptr_array_unref (fleet->hub_settings.peer_seeds);
+  g_ptr_array_unref (fleet->hub_settings.keys);
+  g_main_loop_unref (fleet->loop);
+  g_free (fleet);
+}
+
+void
+fleet_run (struct fleet *fleet)
+{
+  guint sources[] = {
+    g_unix_signal_add (SIGTERM, on_stop_signal, fleet),
+    g_unix_signal_add (SIGINT, on_stop_signal, fleet),
+    g_unix_signal_add (SIGHUP, on_reload_signal, fleet),
+  };
+
+  event_log_fields (
+      EVENT_FLEET_STARTED, FIELD_INT ("incarnation", fleet->incarnation),
+      FIELD_TEXT ("availability_zone", fleet->settings->availability_zone));
+  fleet->ticked_us = clock_now_us ();
+  fleet->tick_source = g_timeout_add (TICK_MS, on_tick, fleet);
+  fleet->platform->ops->follow (fleet->platform, &fleet->events);
+  g_main_loop_run (fleet->loop);
+  event_log_fields (EVENT_FLEET_STOPPED,
+                    FIELD_INT ("jobs", fleet_home_count_jobs (fleet->home)));
+  for (guint i = 0; i < G_N_ELEMENTS (sources); i++)
+    g_source_remove (sources[i]);
+}
+
+static json_t *
+describe_vm (const struct vm *vm, gint64 now_us)
+{
+  return json_pack ("{s:s, s:s, s:b, s:b, s:I, s:I}", "name", vm->name, "zone",
+                    vm->availability_zone, "is_live", vm->is_live,
+                    "is_leaving", vm->is_leaving, "heard_us_ago",
+                    (json_int_t)(now_us - vm->heard_us), "held",
+                    (json_int_t)vm->held);
+}
+
+json_t *
+fleet_describe (struct fleet *fleet)
+{
+  const GPtrArray *vms = vm_directory_list (fleet->directory);
+  gint64 now_us = clock_now_us ();
+  json_t *peers = json_array ();
+  struct owner_room room;
+
+  for (guint i = 0; i < vms->len; i++)
+    json_array_append_new (peers,
+                           describe_vm (g_ptr_array_index (vms, i), now_us));
+  owner_get_room (fleet_owner_get (fleet->owner), NULL, &room, now_us);
+  return json_pack (
+      "{s:s, s:b, s:b, s:I, s:I, s:i, s:i, s:i, s:i, s:i, s:o}", "vm",
+      fleet->settings->vm, "is_draining", fleet->is_draining,
+      "is_store_reached", fleet->is_store_reached, "routes_version",
+      (json_int_t)(fleet->routes != NULL ? fleet->routes->version : 0), "held",
+      (json_int_t)fleet_shards_get_held (fleet->shards), "jobs",
+      (int)fleet_home_count_jobs (fleet->home), "upstreams",
+      (int)room.n_upstreams, "free_slots", (int)room.free_slots, "queued",
+      (int)room.n_queued, "running", (int)room.n_running, "peers", peers);
+}
--- /dev/null
+++ b/transport/fleet_beacon.c
@@ -0,0 +1,225 @@
+#include "transport/fleet_beacon.h"
+
+#include "base/list.h"
+#include "protocol/beacon.h"
+#include "transport/peer_socket.h"
+
+/* The interval between beacons grows with the number of VMs, so that what a VM
+   sends and reads a second stays bounded.  */
+#define INTERVAL_PER_VM_MS 5
+#define MIN_INTERVAL_MS 40
+#define MAX_INTERVAL_MS 150
+
+/* Beacons after which one tells of other VMs.  */
+#define GOSSIP_EVERY 8
+
+struct fleet_beacon
+{
+  struct peer_socket_owner socket_owner;
+  struct peer_socket *socket;
+  const struct fleet_settings *settings;
+  struct vm_directory *directory;
+  struct fleet_beacon_owner *owner;
+  guint64 incarnation;
+  guint32 sequence;
+  guint next_gossip; /* index in the directory */
+  guint timer;
+  GHashTable *addresses; /* ip -> GSocketAddress */
+};
+
+static void
+to_room (const struct beacon_room *from, struct vm_room *to)
+{
+  to->service = from->service;
+  to->n_slots = from->n_slots;
+  to->free_slots = from->free_slots;
+  to->n_queued = from->n_queued;
+  to->queued_ms = from->queued_ms;
+}
+
+static void
+from_room (const struct vm_room *from, struct beacon_room *to)
+{
+  to->service = from->service;
+  to->n_slots = from->n_slots;
+  to->free_slots = from->free_slots;
+  to->n_queued = from->n_queued;
+  to->queued_ms = from->queued_ms;
+}
+
+static void
+hear (struct fleet_beacon *b, const struct beacon *message)
+{
+  struct vm_room rooms[VM_ROOMS_MAX];
+  struct vm_news news = {
+    .name = message->sender.name,
+    .ip = message->sender.ip,
+    .availability_zone = message->sender.availability_zone,
+    .incarnation = message->incarnation,
+    .sequence = message->sequence,
+    .is_leaving = message->is_leaving,
+    .held = message->held,
+    .routes_version = message->routes_version,
+    .rooms = rooms,
+    .n_rooms = MIN (message->rooms.rooms_len, VM_ROOMS_MAX),
+  };
+  gint64 now_us = clock_now_us ();
+  const struct vm *vm;
+
+  for (guint i = 0; i < news.n_rooms; i++)
+    to_room (&message->rooms.rooms_val[i], &rooms[i]);
+  for (guint i = 0; i < message->known.known_len; i++)
+    {
+      const struct beacon_vm *known = &message->known.known_val[i];
+
+      if (known->name[0] != '\0')
+        vm_directory_introduce (b->directory, known->name, known->ip,
+                                known->availability_zone, now_us);
+    }
+  vm = vm_directory_hear (b->directory, &news, now_us);
+  if (vm != NULL)
+    b->owner->ops->heard (b->owner, vm);
+}
+
+static void
+on_received (struct peer_socket_owner *owner, const guint8 *data, gsize length)
+{
+  struct fleet_beacon *b
+      = list_entry (owner, struct fleet_beacon, socket_owner);
+  struct beacon message;
+
+  if (!beacon_decode (data, length, &message))
+    return;
+  hear (b, &message);
+  beacon_clear (&message);
+}
+
+static const struct peer_socket_owner_ops socket_ops = {
+  .received = on_received,
+};
+
+static GSocketAddress *
+get_address (struct fleet_beacon *b, const char *ip)
+{
+  GSocketAddress *address = g_hash_table_lookup (b->addresses, ip);
+  g_autofree char *text = NULL;
+
+  if (address != NULL)
+    return address;
+  text = g_strdup_printf ("%s:%u", ip, b->settings->beacon_port);
+  address = peer_address_parse (text);
+  if (address != NULL)
+    g_hash_table_insert (b->addresses, g_strdup (ip), address);
+  return address;
+}
+
+/* Names some VMs, in turn, so that all come to know all.  */
+static guint
+fill_gossip (struct fleet_beacon *b, struct beacon_vm *known)
+{
+  const GPtrArray *vms = vm_directory_list (b->directory);
+  guint n = MIN (vms->len, BEACON_VMS_MAX);
+
+  if (b->sequence % GOSSIP_EVERY != 0)
+    return 0;
+  for (guint i = 0; i < n; i++)
+    {
+      const struct vm *vm
+          = g_ptr_array_index (vms, b->next_gossip++ % vms->len);
+
+      known[i] = (struct beacon_vm){ vm->name, vm->ip, vm->availability_zone };
+    }
+  return n;
+}
+
+static gsize
+build (struct fleet_beacon *b, guint8 data[BEACON_MAX_LENGTH])
+{
+  struct vm_room rooms[VM_ROOMS_MAX];
+  struct beacon_room sent[VM_ROOMS_MAX];
+  struct beacon_vm known[BEACON_VMS_MAX];
+  struct vm_news news = { .rooms = rooms };
+  struct beacon message = {
+    .sender
+    = { b->settings->vm, b->settings->ip, b->settings->availability_zone },
+    .incarnation = b->incarnation,
+    .sequence = ++b->sequence,
+  };
+
+  b->owner->ops->fill (b->owner, &news, rooms);
+  message.is_leaving = news.is_leaving;
+  message.held = news.held;
+  message.routes_version = news.routes_version;
+  for (guint i = 0; i < news.n_rooms; i++)
+    from_room (&rooms[i], &sent[i]);
+  message.rooms.rooms_len = news.n_rooms;
+  message.rooms.rooms_val = sent;
+  message.known.known_len = fill_gossip (b, known);
+  message.known.known_val = known;
+  return beacon_encode (&message, data);
+}
+
+void
+fleet_beacon_send (struct fleet_beacon *b)
+{
+  const GPtrArray *vms = vm_directory_list (b->directory);
+  guint8 data[BEACON_MAX_LENGTH];
+  gsize length = build (b, data);
+
+  for (guint i = 0; length > 0 && i < vms->len; i++)
+    {
+      const struct vm *vm = g_ptr_array_index (vms, i);
+      GSocketAddress *address = get_address (b, vm->ip);
+
+      if (address != NULL)
+        peer_socket_send (b->socket, address, data, length);
+    }
+}
+
+static gboolean
+on_timer (gpointer data)
+{
+  struct fleet_beacon *b = data;
+  guint n_vms = vm_directory_list (b->directory)->len;
+
+  vm_directory_advance (b->directory, clock_now_us ());
+  fleet_beacon_send (b);
+  b->timer = g_timeout_add (
+      CLAMP (n_vms * INTERVAL_PER_VM_MS, MIN_INTERVAL_MS, MAX_INTERVAL_MS),
+      on_timer, b);
+  return G_SOURCE_REMOVE;
+}
+
+struct fleet_beacon *
+fleet_beacon_new (const struct fleet_settings *settings, guint64 incarnation,
+                  struct vm_directory *directory,
+                  struct fleet_beacon_owner *owner, GError **error)
+{
+  struct fleet_beacon *b = g_new0 (struct fleet_beacon, 1);
+
+  b->socket_owner.ops = &socket_ops;
+  b->settings = settings;
+  b->incarnation = incarnation;
+  b->directory = directory;
+  b->owner = owner;
+  b->socket = peer_socket_new (settings->ip, settings->beacon_port,
+                               &b->socket_owner, error);
+  if (b->socket == NULL)
+    {
+      g_free (b);
+      return NULL;
+    }
+  b->addresses = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                        g_object_unref);
+  b->timer = g_timeout_add (MIN_INTERVAL_MS, on_timer, b);
+  return b;
+}
+
+void
+fleet_beacon_free (struct fleet_beacon *b)
+{
+  g_source_remove (b->timer);
+  peer_socket_free (b->socket);
+  g_hash_table_unref (b->addresses);
+  g_free (b);
+}
--- /dev/null
+++ b/transport/fleet_shards.c
@@ -0,0 +1,349 @@
+#include "transport/fleet_shards.h"
+
+#include "base/event_log.h"
+#include "base/hash64.h"
+
+/* How long a request to yield may take.  */
+#define YIELD_TIMEOUT_US (300 * USEC_PER_MSEC)
+
+/* How often an upstream that refuses a token which nobody else can hold is
+   tried again with a higher one.  */
+#define MAX_RAISES 20
+
+struct fleet_shards
+{
+  struct ownership_driver driver;
+  struct ownership *ownership;
+  struct peer_hub *hub;
+  const struct vm_directory *directory;
+  struct fleet_owner *owner;
+  char *availability_zone;
+  guint n_shards;
+  GHashTable *upstreams; /* id -> struct known */
+};
+
+/* An upstream as the platform lists it.  */
+struct known
+{
+  struct owned_spec spec; /* with strings of its own */
+  guint shard;
+  guint64 token; /* with which it was taken last */
+  guint n_raises;
+};
+
+static void
+known_free (gpointer data)
+{
+  struct known *known = data;
+
+  g_free ((char *)known->spec.id);
+  g_free ((char *)known->spec.address);
+  g_free ((char *)known->spec.service);
+  g_free ((char *)known->spec.availability_zone);
+  g_free ((char *)known->spec.rack);
+  g_strfreev ((char **)known->spec.labels);
+  g_free (known);
+}
+
+static struct known *
+known_new (const struct owned_spec *spec, guint n_shards)
+{
+  struct known *known = g_new0 (struct known, 1);
+
+  known->spec = *spec;
+  known->spec.id = g_strdup (spec->id);
+  known->spec.address = g_strdup (spec->address);
+  known->spec.service = g_strdup (spec->service);
+  known->spec.availability_zone = g_strdup (spec->availability_zone);
+  known->spec.rack = g_strdup (spec->rack);
+  known->spec.labels = (const char *const *)g_strdupv ((char **)spec->labels);
+  known->shard = (guint)(hash64_string (spec->id) % n_shards);
+  return known;
+}
+
+static void
+take_upstream (struct fleet_shards *shards, struct known *known, guint64 token)
+{
+  if (known->token != token)
+    event_log_fields (
+        EVENT_UPSTREAM_TAKEN, FIELD_TEXT ("upstream", known->spec.id),
+        FIELD_INT ("shard", known->shard), FIELD_INT ("token", token));
+  known->token = token;
+  owner_take (fleet_owner_get (shards->owner), &known->spec, token,
+              clock_now_us ());
+}
+
+static struct fleet_shards *
+from_driver (struct ownership_driver *driver)
+{
+  return list_entry (driver, struct fleet_shards, driver);
+}
+
+static void
+driver_take (struct ownership_driver *driver, guint shard, guint64 token)
+{
+  struct fleet_shards *shards = from_driver (driver);
+  GHashTableIter iter;
+  gpointer value;
+
+  event_log_fields (EVENT_SHARD_TAKEN, FIELD_INT ("shard", shard),
+                    FIELD_INT ("token", token));
+  g_hash_table_iter_init (&iter, shards->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct known *known = value;
+
+      known->n_raises = 0;
+      if (known->shard == shard)
+        take_upstream (shards, known, token);
+    }
+}
+
+static void
+driver_release (struct ownership_driver *driver, guint shard)
+{
+  struct fleet_shards *shards = from_driver (driver);
+  GHashTableIter iter;
+  gpointer value;
+
+  event_log_fields (EVENT_SHARD_RELEASED, FIELD_INT ("shard", shard));
+  g_hash_table_iter_init (&iter, shards->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct known *known = value;
+
+      if (known->shard == shard)
+        owner_release (fleet_owner_get (shards->owner), known->spec.id,
+                       clock_now_us ());
+    }
+}
+
+static void
+on_yield_answered (const void *result, const GError *error, gpointer data)
+{
+}
+
+static void
+driver_ask_to_yield (struct ownership_driver *driver, const char *peer,
+                     guint shard)
+{
+  struct fleet_shards *shards = from_driver (driver);
+  guint64 held = ownership_get_held (shards->ownership);
+  peer_yield_args args
+      = { .shard = shard, .n_held = (u_int)__builtin_popcountll (held) };
+
+  peer_hub_call (shards->hub, peer, PEER_YIELD, &args,
+                 clock_now_us () + YIELD_TIMEOUT_US, on_yield_answered, NULL);
+}
+
+static const struct ownership_driver_ops driver_ops = {
+  .take = driver_take,
+  .release = driver_release,
+  .ask_to_yield = driver_ask_to_yield,
+};
+
+static void
+on_yield (struct peer_request *request, const void *arguments, gpointer data)
+{
+  struct fleet_shards *shards = data;
+  const peer_yield_args *args = arguments;
+  const char *peer = peer_request_get_sender (request);
+  peer_yield_result result = { .is_heard = TRUE };
+
+  if (args->shard < shards->n_shards)
+    {
+      event_log_fields (EVENT_SHARD_YIELDED, FIELD_INT ("shard", args->shard),
+                        FIELD_TEXT ("to", peer),
+                        FIELD_INT ("n_held", args->n_held));
+      ownership_asked (shards->ownership, peer, args->shard, args->n_held,
+                       clock_now_us ());
+    }
+  peer_request_reply (request, &result);
+}
+
+struct fleet_shards *
+fleet_shards_new (const char *vm, const char *availability_zone,
+                  guint n_shards, struct peer_hub *hub,
+                  const struct vm_directory *directory)
+{
+  struct fleet_shards *shards = g_new0 (struct fleet_shards, 1);
+
+  shards->driver.ops = &driver_ops;
+  shards->ownership = ownership_new (&shards->driver, vm);
+  shards->hub = hub;
+  shards->directory = directory;
+  shards->availability_zone = g_strdup (availability_zone);
+  shards->n_shards = MIN (n_shards, OWNERSHIP_MAX_SHARDS);
+  shards->upstreams
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, known_free);
+  peer_hub_serve (hub, PEER_YIELD, on_yield, shards);
+  return shards;
+}
+
+void
+fleet_shards_free (struct fleet_shards *shards)
+{
+  ownership_free (shards->ownership);
+  g_hash_table_unref (shards->upstreams);
+  g_free (shards->availability_zone);
+  g_free (shards);
+}
+
+void
+fleet_shards_set_owner (struct fleet_shards *shards, struct fleet_owner *owner)
+{
+  shards->owner = owner;
+}
+
+void
+fleet_shards_change_upstream (struct fleet_shards *shards,
+                              const struct owned_spec *spec)
+{
+  struct known *former;
+  struct known *known;
+  guint64 token;
+
+  if (!g_str_equal (spec->availability_zone, shards->availability_zone))
+    return;
+  known = known_new (spec, shards->n_shards);
+  former = g_hash_table_lookup (shards->upstreams, spec->id);
+  known->token = former != NULL ? former->token : 0;
+  g_hash_table_replace (shards->upstreams, (char *)known->spec.id, known);
+  token = ownership_get_token (shards->ownership, known->shard);
+  if (token != 0)
+    take_upstream (shards, known, MAX (token, known->token));
+}
+
+void
+fleet_shards_drop_upstream (struct fleet_shards *shards, const char *id)
+{
+  if (!g_hash_table_remove (shards->upstreams, id))
+    return;
+  event_log_fields (EVENT_UPSTREAM_GONE, FIELD_TEXT ("upstream", id));
+  /* It may still run what it has: it is left to end, or to lapse.  */
+  owner_release (fleet_owner_get (shards->owner), id, clock_now_us ());
+}
+
+void
+fleet_shards_assign (struct fleet_shards *shards, guint64 generation,
+                     const guint *assigned, guint n_assigned)
+{
+  ownership_assign (shards->ownership, generation, assigned, n_assigned,
+                    clock_now_us ());
+}
+
+/* Whether an upstream of SHARD is still owned.  */
+static gboolean
+has_owned (struct fleet_shards *shards, guint shard)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, shards->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct known *known = value;
+
+      if (known->shard == shard
+          && owner_find (fleet_owner_get (shards->owner), known->spec.id)
+                 != NULL)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Tells of the shards that are being released whether anything is left.  */
+static void
+check_released (struct fleet_shards *shards)
+{
+  guint64 held = ownership_get_held (shards->ownership);
+
+  for (guint shard = 0; shard < shards->n_shards; shard++)
+    if ((held >> shard & 1) != 0
+        && ownership_get_token (shards->ownership, shard) == 0
+        && !has_owned (shards, shard))
+      ownership_released (shards->ownership, shard, clock_now_us ());
+}
+
+/* Whether a live VM says that it holds SHARD.  */
+static gboolean
+is_held_elsewhere (const struct fleet_shards *shards, guint shard)
+{
+  const GPtrArray *vms = vm_directory_list (shards->directory);
+
+  for (guint i = 0; i < vms->len; i++)
+    {
+      const struct vm *vm = g_ptr_array_index (vms, i);
+
+      if (vm->is_live && (vm->held >> shard & 1) != 0
+          && g_str_equal (vm->availability_zone, shards->availability_zone))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+handle_fenced (struct fleet_shards *shards, struct known *known)
+{
+  guint64 token = ownership_get_token (shards->ownership, known->shard);
+
+  if (token == 0)
+    return;
+  if (known->n_raises++ < MAX_RAISES
+      && !is_held_elsewhere (shards, known->shard))
+    {
+      token = ownership_raise (shards->ownership, known->shard,
+                               MAX (token, known->token));
+      take_upstream (shards, known, token);
+      return;
+    }
+  event_log_fields (EVENT_SHARD_FENCED, FIELD_INT ("shard", known->shard),
+                    FIELD_TEXT ("upstream", known->spec.id),
+                    FIELD_INT ("token", known->token));
+  ownership_fenced (shards->ownership, known->shard, clock_now_us ());
+}
+
+void
+fleet_shards_lose_upstream (struct fleet_shards *shards, const char *id,
+                            gboolean is_fenced)
+{
+  struct known *known = g_hash_table_lookup (shards->upstreams, id);
+
+  if (known != NULL && is_fenced)
+    handle_fenced (shards, known);
+  check_released (shards);
+}
+
+void
+fleet_shards_hear (struct fleet_shards *shards, const struct vm *vm)
+{
+  if (g_str_equal (vm->availability_zone, shards->availability_zone))
+    ownership_hear (shards->ownership, vm->name, vm->held, vm->is_leaving,
+                    clock_now_us ());
+}
+
+void
+fleet_shards_leave (struct fleet_shards *shards)
+{
+  ownership_leave (shards->ownership, clock_now_us ());
+  check_released (shards);
+}
+
+guint64
+fleet_shards_get_held (const struct fleet_shards *shards)
+{
+  return ownership_get_held (shards->ownership);
+}
+
+guint
+fleet_shards_count_upstreams (const struct fleet_shards *shards)
+{
+  return g_hash_table_size (shards->upstreams);
+}
+
+void
+fleet_shards_advance (struct fleet_shards *shards)
+{
+  ownership_advance (shards->ownership, clock_now_us ());
+  check_released (shards);
+}
