--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -132,7 +132,8 @@
   BATCH_TASK_RUNNING,
   BATCH_TASK_DONE,
   BATCH_TASK_FAILED,
-  BATCH_TASK_DROPPED, /* nobody wants it any more; may still be stopping */
+  BATCH_TASK_RETURNED, /* given back to the home, not started */
+  BATCH_TASK_DROPPED,  /* nobody wants it any more; may still be stopping */
 };
 
 struct batch_task
@@ -149,7 +150,7 @@
 
 enum batch_end
 {
-  BATCH_DONE,
+  BATCH_DONE,    /* all tasks that were not returned */
   BATCH_FAILED,  /* a task used up its attempts */
   BATCH_NO_ROOM, /* nothing of it was ever started */
   BATCH_STOPPED, /* stopped after something was started; it no longer runs */
@@ -183,6 +184,7 @@
   guint n_queued;
   guint n_active; /* may be running */
   guint n_done;
+  guint n_returned;
   guint n_started;      /* runs ever ordered that were not refused */
   gboolean is_ending;   /* the end is decided; waits for runs to stop */
   gboolean is_finished; /* its end has been told */
@@ -213,6 +215,11 @@
   void (*run_ended) (struct owner_driver *driver, const struct run *run,
                      enum run_end end);
 
+  /* Gives the N_TASKS tasks of BATCH with those INDEXES, none of which runs,
+     back to its home.  */
+  void (*return_tasks) (struct owner_driver *driver, struct batch *batch,
+                        const guint *indexes, guint n_tasks);
+
   /* BATCH has ended; frees it with batch_free ().  */
   void (*finish_batch) (struct owner_driver *driver, struct batch *batch);
 
@@ -287,6 +294,14 @@
 void owner_stop_batch (struct owner *owner, struct batch *batch,
                        const char *reason, gint64 now_us);
 
+/* The batch that is served next, or NULL when nothing is queued.  */
+const struct batch *owner_get_first_queued (const struct owner *owner);
+
+/* Gives up to N_TASKS queued tasks for SERVICE back to their homes, the most
+   urgent first, as there is room for them elsewhere.  */
+void owner_return_queued (struct owner *owner, const char *service,
+                          guint n_tasks, gint64 now_us);
+
 /* The batches of HOME are no longer wanted: it is gone or cut off.  */
 void owner_stop_home (struct owner *owner, const char *home, gint64 now_us);
 
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -83,7 +83,7 @@
 {
   if (batch->is_finished || batch->n_active > 0)
     return FALSE;
-  if (!batch->is_ending && batch->n_done < batch->n_tasks)
+  if (!batch->is_ending && batch->n_done + batch->n_returned < batch->n_tasks)
     return FALSE;
   if (!batch->is_ending)
     batch->end = BATCH_DONE;
@@ -137,6 +137,57 @@
   owner_check_batch (owner, batch);
 }
 
+/* Gives up to N_TASKS queued tasks of BATCH back.  Returns their number.  */
+static guint
+return_tasks (struct owner *owner, struct batch *batch, guint n_tasks)
+{
+  g_autofree guint *indexes = g_new (guint, batch->n_tasks);
+  guint n = 0;
+
+  for (guint i = 0; i < batch->n_tasks && n < n_tasks; i++)
+    {
+      struct batch_task *task = &batch->tasks[i];
+
+      if (task->state != BATCH_TASK_QUEUED)
+        continue;
+      task->state = BATCH_TASK_RETURNED;
+      indexes[n++] = task->index;
+    }
+  batch->n_queued -= n;
+  batch->n_returned += n;
+  owner->driver->ops->return_tasks (owner->driver, batch, indexes, n);
+  if (!owner_check_batch (owner, batch))
+    owner_place_batch (owner, batch);
+  return n;
+}
+
+const struct batch *
+owner_get_first_queued (const struct owner *owner)
+{
+  if (list_is_empty (&owner->queue))
+    return NULL;
+  return list_entry (owner->queue.next, struct batch, link);
+}
+
+void
+owner_return_queued (struct owner *owner, const char *service, guint n_tasks,
+                     gint64 now_us)
+{
+  g_autoptr (GPtrArray) found = g_ptr_array_new ();
+  struct list_node *node;
+  struct list_node *after;
+
+  list_for_each (node, after, &owner->queue)
+    {
+      struct batch *batch = list_entry (node, struct batch, link);
+
+      if (g_str_equal (batch->service, service))
+        g_ptr_array_add (found, batch);
+    }
+  for (guint i = 0; i < found->len && n_tasks > 0; i++)
+    n_tasks -= return_tasks (owner, g_ptr_array_index (found, i), n_tasks);
+}
+
 static void
 stop_home_in (struct owner *owner, struct list_node *batches, const char *home,
               gint64 now_us)
--- a/protocol/peer.x
+++ b/protocol/peer.x
@@ -107,7 +107,21 @@
 
 struct peer_batch_result {
   unsigned int end; /* enum batch_end */
+  bool has_started; /* a task of it may have been started */
   string reason<PEER_SERVICE_MAX>;
+  unsigned int returned<PEER_TASKS_MAX>; /* all tasks ever given back */
+};
+
+/* RETURN_TASKS: an owner gives tasks, none of which runs, back to the home. */
+struct peer_return_args {
+  unsigned hyper incarnation; /* of the home */
+  string job<PEER_JOB_ID_MAX>;
+  unsigned int number;
+  unsigned int indexes<PEER_TASKS_MAX>;
+};
+
+struct peer_return_result {
+  bool is_known;
 };
 
 /* STOP_BATCH: the home no longer wants it. */
@@ -232,5 +246,6 @@
     peer_stop_result PEER_STOP_BATCH (peer_stop_args) = 5;
     peer_yield_result PEER_YIELD (peer_yield_args) = 6;
     peer_routes_result PEER_FETCH_ROUTES (peer_routes_args) = 7;
+    peer_return_result PEER_RETURN_TASKS (peer_return_args) = 8;
   } = 1;
 } = 0x20526368;
--- a/protocol/peer_xdr.c
+++ b/protocol/peer_xdr.c
@@ -310,8 +310,40 @@
 
 	 if (!xdr_u_int (xdrs, &objp->end))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->has_started))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->reason, PEER_SERVICE_MAX))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->returned.returned_val, (u_int *) &objp->returned.returned_len, PEER_TASKS_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_return_args (XDR *xdrs, peer_return_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->job, PEER_JOB_ID_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->indexes.indexes_val, (u_int *) &objp->indexes.indexes_len, PEER_TASKS_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_return_result (XDR *xdrs, peer_return_result *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->is_known))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/protocol/peer_xdr.h
+++ b/protocol/peer_xdr.h
@@ -141,10 +141,31 @@
 
 struct peer_batch_result {
 	u_int end;
+	bool_t has_started;
 	char *reason;
+	struct {
+		u_int returned_len;
+		u_int *returned_val;
+	} returned;
 };
 typedef struct peer_batch_result peer_batch_result;
 
+struct peer_return_args {
+	u_quad_t incarnation;
+	char *job;
+	u_int number;
+	struct {
+		u_int indexes_len;
+		u_int *indexes_val;
+	} indexes;
+};
+typedef struct peer_return_args peer_return_args;
+
+struct peer_return_result {
+	bool_t is_known;
+};
+typedef struct peer_return_result peer_return_result;
+
 struct peer_stop_args {
 	u_quad_t incarnation;
 	char *job;
@@ -310,6 +331,9 @@
 #define PEER_FETCH_ROUTES 7
 extern  peer_routes_result * peer_fetch_routes_1(peer_routes_args *, CLIENT *);
 extern  peer_routes_result * peer_fetch_routes_1_svc(peer_routes_args *, struct svc_req *);
+#define PEER_RETURN_TASKS 8
+extern  peer_return_result * peer_return_tasks_1(peer_return_args *, CLIENT *);
+extern  peer_return_result * peer_return_tasks_1_svc(peer_return_args *, struct svc_req *);
 extern int radishchute_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -334,6 +358,9 @@
 #define PEER_FETCH_ROUTES 7
 extern  peer_routes_result * peer_fetch_routes_1();
 extern  peer_routes_result * peer_fetch_routes_1_svc();
+#define PEER_RETURN_TASKS 8
+extern  peer_return_result * peer_return_tasks_1();
+extern  peer_return_result * peer_return_tasks_1_svc();
 extern int radishchute_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -352,6 +379,8 @@
 extern  bool_t xdr_peer_fetch_result (XDR *, peer_fetch_result*);
 extern  bool_t xdr_peer_batch_args (XDR *, peer_batch_args*);
 extern  bool_t xdr_peer_batch_result (XDR *, peer_batch_result*);
+extern  bool_t xdr_peer_return_args (XDR *, peer_return_args*);
+extern  bool_t xdr_peer_return_result (XDR *, peer_return_result*);
 extern  bool_t xdr_peer_stop_args (XDR *, peer_stop_args*);
 extern  bool_t xdr_peer_stop_result (XDR *, peer_stop_result*);
 extern  bool_t xdr_peer_yield_args (XDR *, peer_yield_args*);
@@ -383,6 +412,8 @@
 extern bool_t xdr_peer_fetch_result ();
 extern bool_t xdr_peer_batch_args ();
 extern bool_t xdr_peer_batch_result ();
+extern bool_t xdr_peer_return_args ();
+extern bool_t xdr_peer_return_result ();
 extern bool_t xdr_peer_stop_args ();
 extern bool_t xdr_peer_stop_result ();
 extern bool_t xdr_peer_yield_args ();
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -15,8 +15,8 @@
 /* Estimates are rough: a wait is called hopeless only beyond this factor.  */
 #define HOPELESS_FACTOR 2
 
-/* How often the tasks of a job are spread anew after an owner had no room.  */
-#define MAX_SPREADS 6
+/* How often tasks of a job are spread anew after an owner gave them back.  */
+#define MAX_SPREADS 24
 
 /* A call that runs a batch waits this much longer than the batch may take. */
 #define CALL_MARGIN_US (5 * USEC_PER_SEC)
@@ -83,6 +83,9 @@
   g_free (submission);
 }
 
+static void on_return_tasks (struct peer_request *request,
+                             const void *arguments, gpointer data);
+
 struct fleet_home *
 fleet_home_new (const char *vm, guint64 incarnation,
                 const char *availability_zone, struct vm_directory *directory,
@@ -98,6 +101,7 @@
   home->hub = hub;
   home->owner = owner;
   home->jobs = g_hash_table_new (g_str_hash, g_str_equal);
+  peer_hub_serve (hub, PEER_RETURN_TASKS, on_return_tasks, home);
   return home;
 }
 
@@ -239,14 +243,32 @@
 static void spread_job (struct fleet_job *job, const guint *indexes,
                         guint n_tasks);
 
-/* Nothing of PART was started.  */
-static void
-handle_no_room (struct part *part)
+/* Takes the tasks with those INDEXES out of PART; fills OUT with those that
+   were in it.  Returns their number.  */
+static guint
+take_out (struct part *part, const guint *indexes, guint n_indexes, guint *out)
 {
-  struct fleet_job *job = part->job;
+  guint n_out = 0;
 
+  for (guint i = 0; i < n_indexes; i++)
+    for (guint k = 0; k < part->n_tasks; k++)
+      if (part->indexes[k] == indexes[i])
+        {
+          part->indexes[k] = part->indexes[--part->n_tasks];
+          out[n_out++] = indexes[i];
+          break;
+        }
+  return n_out;
+}
+
+/* An owner gives N_TASKS of JOB back, none of which runs.  */
+static void
+place_anew (struct fleet_job *job, const guint *indexes, guint n_tasks)
+{
+  if (n_tasks == 0 || job->is_ended)
+    return;
   if (job->n_spreads < MAX_SPREADS && clock_now_us () < job->end_by_us)
-    spread_job (job, part->indexes, part->n_tasks);
+    spread_job (job, indexes, n_tasks);
   else if (job->has_started)
     answer_job (job, FLEET_UNKNOWN, "no room for the rest of its tasks", 0);
   else
@@ -266,7 +288,6 @@
   switch (end)
     {
     case BATCH_DONE:
-      job->has_started = TRUE;
       job->n_done += part->n_tasks;
       if (job->n_done == job->submission->n_tasks)
         answer_job (job, FLEET_DONE, "done", 0);
@@ -276,7 +297,7 @@
       answer_job (job, FLEET_FAILED, "a task used up its attempts", 0);
       break;
     case BATCH_NO_ROOM:
-      handle_no_room (part);
+      place_anew (job, part->indexes, part->n_tasks);
       break;
     case BATCH_STOPPED:
       job->has_started = TRUE;
@@ -285,12 +306,33 @@
     }
 }
 
+static void
+handle_returned (struct part *part, const guint *indexes, guint n_indexes)
+{
+  guint out[PEER_TASKS_MAX];
+  guint n_out;
+
+  if (!part->is_open)
+    return;
+  n_out = take_out (part, indexes, MIN (n_indexes, PEER_TASKS_MAX), out);
+  place_anew (part->job, out, n_out);
+}
+
+static void
+on_local_returned (struct batch_sink *sink, const struct batch *batch,
+                   const guint *indexes, guint n_tasks)
+{
+  handle_returned (list_entry (sink, struct part, sink), indexes, n_tasks);
+}
+
 static void
 on_local_ended (struct batch_sink *sink, const struct batch *batch)
 {
   struct part *part = list_entry (sink, struct part, sink);
 
   part->batch = NULL;
+  if (batch->n_started > 0)
+    part->job->has_started = TRUE;
   if (part->is_open)
     handle_part_end (part, batch->end,
                      batch->reason != NULL ? batch->reason : "");
@@ -303,6 +345,11 @@
   const peer_batch_result *reply = result;
   struct part *part = data;
 
+  if (reply != NULL && reply->has_started)
+    part->job->has_started = TRUE;
+  if (part->is_open && reply != NULL)
+    handle_returned (part, reply->returned.returned_val,
+                     reply->returned.returned_len);
   if (part->is_open && reply != NULL)
     handle_part_end (part, (enum batch_end)MIN (reply->end, BATCH_STOPPED),
                      "its owner has stopped it");
@@ -385,6 +432,7 @@
   const struct vm *vm = vm_directory_find (job->home->directory, owner->name);
 
   list_init (&part->link);
+  part->sink.returned = on_local_returned;
   part->sink.ended = on_local_ended;
   part->job = job_ref (job);
   part->number = job->n_parts++;
@@ -642,3 +690,38 @@
   for (guint i = 0; i < jobs->len; i++)
     answer_job (g_ptr_array_index (jobs, i), FLEET_UNKNOWN, reason, 0);
 }
+
+static struct part *
+find_part (const struct fleet_job *job, guint number)
+{
+  struct list_node *node;
+  struct list_node *after;
+
+  list_for_each (node, after, &job->parts)
+    {
+      struct part *part = list_entry (node, struct part, link);
+
+      if (part->number == number)
+        return part;
+    }
+  return NULL;
+}
+
+static void
+on_return_tasks (struct peer_request *request, const void *arguments,
+                 gpointer data)
+{
+  struct fleet_home *home = data;
+  const peer_return_args *args = arguments;
+  struct fleet_job *job = g_hash_table_lookup (home->jobs, args->job);
+  struct part *part = NULL;
+  peer_return_result result;
+
+  if (job != NULL && args->incarnation == home->incarnation)
+    part = find_part (job, args->number);
+  result.is_known = part != NULL;
+  if (part != NULL)
+    handle_returned (part, args->indexes.indexes_val,
+                     args->indexes.indexes_len);
+  peer_request_reply (request, &result);
+}
--- a/transport/fleet_owner.c
+++ b/transport/fleet_owner.c
@@ -1,27 +1,44 @@
 #include "transport/fleet_owner.h"
 
 #include "base/event_log.h"
+#include "base/hash64.h"
 #include "base/metrics.h"
 
 #include <string.h>
 
 #define PERMILLE 1000.0
 
+#define RETURN_TIMEOUT_US (1 * USEC_PER_SEC)
+
+/* Queued tasks go back to their homes, to be placed elsewhere, when they have
+   waited for so long.  */
+#define RETURN_AFTER_US (10 * USEC_PER_MSEC)
+
 struct fleet_owner
 {
   struct owner_driver driver;
   struct owner *owner;
   struct fleet_platform *platform;
   const struct vm_directory *directory;
+  struct peer_hub *hub;
   struct fleet_owner_listener *listener;
   GHashTable *remote; /* "HOME/JOB/NUMBER" -> struct remote_batch */
   GSource *timer;
   GSource *teller; /* tells what has ended, outside of the owner's calls */
+  GQueue returned; /* struct returned_tasks */
   GQueue ended;    /* struct batch */
   GQueue lost;     /* struct lost_upstream */
   guint n_batches;
 };
 
+/* Tasks that are given back, not yet told.  */
+struct returned_tasks
+{
+  struct batch *batch;
+  guint n_tasks;
+  guint indexes[];
+};
+
 /* An upstream that is no longer owned, not yet told.  */
 struct lost_upstream
 {
@@ -37,8 +54,18 @@
   struct peer_request *request;
   struct batch *batch;
   char *key;
+  char *vm; /* the home */
+  guint64 incarnation;
 };
 
+static void
+remote_free (struct remote_batch *remote)
+{
+  g_free (remote->key);
+  g_free (remote->vm);
+  g_free (remote);
+}
+
 static struct fleet_owner *
 from_driver (struct owner_driver *driver)
 {
@@ -135,6 +162,26 @@
       FIELD_INT ("waited_us", batch->first_started_us != 0 ? waited_us : -1));
 }
 
+static void
+driver_return_tasks (struct owner_driver *driver, struct batch *batch,
+                     const guint *indexes, guint n_tasks)
+{
+  struct fleet_owner *owner = from_driver (driver);
+  struct returned_tasks *returned
+      = g_malloc (sizeof *returned + n_tasks * sizeof *indexes);
+
+  event_log_fields (
+      EVENT_TASKS_RETURNED, FIELD_TEXT ("job", batch->job),
+      FIELD_INT ("batch", batch->number), FIELD_TEXT ("home", batch->home),
+      FIELD_INT ("tasks", n_tasks),
+      FIELD_INT ("waited_us", clock_now_us () - batch->queued_us));
+  returned->batch = batch;
+  returned->n_tasks = n_tasks;
+  memcpy (returned->indexes, indexes, n_tasks * sizeof *indexes);
+  g_queue_push_tail (&owner->returned, returned);
+  g_source_set_ready_time (owner->teller, 0);
+}
+
 static void
 driver_finish_batch (struct owner_driver *driver, struct batch *batch)
 {
@@ -164,6 +211,21 @@
   g_source_set_ready_time (owner->teller, 0);
 }
 
+static void
+tell_returned (struct fleet_owner *owner)
+{
+  struct returned_tasks *returned;
+
+  while ((returned = g_queue_pop_head (&owner->returned)) != NULL)
+    {
+      struct batch_sink *sink = returned->batch->user_data;
+
+      sink->returned (sink, returned->batch, returned->indexes,
+                      returned->n_tasks);
+      g_free (returned);
+    }
+}
+
 static void
 tell_ended (struct fleet_owner *owner)
 {
@@ -199,6 +261,7 @@
   struct fleet_owner *owner = data;
 
   g_source_set_ready_time (owner->teller, -1);
+  tell_returned (owner);
   tell_ended (owner);
   tell_lost (owner);
   return G_SOURCE_CONTINUE;
@@ -218,18 +281,70 @@
   .stop_run = driver_stop_run,
   .ask = driver_ask,
   .run_ended = driver_run_ended,
+  .return_tasks = driver_return_tasks,
   .finish_batch = driver_finish_batch,
   .lost = driver_lost,
   .wake_at = driver_wake_at,
 };
 
+/* Free slots for SERVICE on upstreams of other VMs.  */
+static guint
+count_free_elsewhere (const struct fleet_owner *owner, guint64 service)
+{
+  const GPtrArray *vms = vm_directory_list (owner->directory);
+  guint n = 0;
+
+  for (guint i = 0; i < vms->len; i++)
+    {
+      const struct vm *vm = g_ptr_array_index (vms, i);
+
+      for (guint k = 0; vm->is_live && !vm->is_leaving && k < vm->n_rooms; k++)
+        if (vm->rooms[k].service == service
+            && vm->rooms[k].free_slots > vm->rooms[k].n_queued)
+          n += vm->rooms[k].free_slots - vm->rooms[k].n_queued;
+    }
+  return n;
+}
+
+/* Gives queued tasks back when others have room for them, or when nothing
+   here will take them.  */
+static void
+return_queued (struct fleet_owner *owner, const char *service, gint64 now_us)
+{
+  struct owner_room room;
+  guint n_free;
+
+  owner_get_room (owner->owner, service, &room, now_us);
+  if (room.n_queued == 0)
+    return;
+  n_free = count_free_elsewhere (owner, hash64_string (service));
+  if (room.n_slots == 0)
+    owner_return_queued (owner->owner, service, G_MAXUINT, now_us);
+  else if (n_free > 0)
+    owner_return_queued (owner->owner, service, (n_free + 1) / 2, now_us);
+}
+
+static void
+rebalance (struct fleet_owner *owner, gint64 now_us)
+{
+  const struct batch *first = owner_get_first_queued (owner->owner);
+  g_autofree char *service = NULL;
+
+  if (first == NULL || now_us - first->queued_us < RETURN_AFTER_US)
+    return;
+  service = g_strdup (first->service);
+  return_queued (owner, service, now_us);
+}
+
 static gboolean
 on_timer (gpointer data)
 {
   struct fleet_owner *owner = data;
+  gint64 now_us = clock_now_us ();
 
   g_source_set_ready_time (owner->timer, -1);
-  owner_advance (owner->owner, clock_now_us ());
+  owner_advance (owner->owner, now_us);
+  rebalance (owner, now_us);
   return G_SOURCE_CONTINUE;
 }
 
@@ -266,6 +381,7 @@
   owner->remote = g_hash_table_new (g_str_hash, g_str_equal);
   owner->timer = add_source (on_timer, owner);
   owner->teller = add_source (on_tell, owner);
+  g_queue_init (&owner->returned);
   g_queue_init (&owner->ended);
   g_queue_init (&owner->lost);
   owner->owner = owner_new (&owner->driver, limits);
@@ -283,16 +399,12 @@
   g_source_unref (owner->timer);
   g_source_destroy (owner->teller);
   g_source_unref (owner->teller);
+  g_queue_clear_full (&owner->returned, g_free);
   g_queue_clear_full (&owner->ended, (GDestroyNotify)batch_free);
   owner_free (owner->owner);
   g_hash_table_iter_init (&iter, owner->remote);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct remote_batch *remote = value;
-
-      g_free (remote->key);
-      g_free (remote);
-    }
+    remote_free (value);
   g_hash_table_unref (owner->remote);
   g_free (owner);
 }
@@ -335,11 +447,10 @@
 }
 
 static void
-reply_end (struct peer_request *request, enum batch_end end,
-           const char *reason)
+refuse_batch (struct peer_request *request, const char *reason)
 {
   peer_batch_result result
-      = { .end = end, .reason = (char *)(reason != NULL ? reason : "") };
+      = { .end = BATCH_NO_ROOM, .reason = (char *)reason };
 
   peer_request_reply (request, &result);
 }
@@ -348,11 +459,44 @@
 on_remote_ended (struct batch_sink *sink, const struct batch *batch)
 {
   struct remote_batch *remote = list_entry (sink, struct remote_batch, sink);
+  guint indexes[PEER_TASKS_MAX];
+  peer_batch_result result = {
+    .end = batch->end,
+    .has_started = batch->n_started > 0,
+    .reason = (char *)(batch->reason != NULL ? batch->reason : ""),
+    .returned = { 0, indexes },
+  };
 
-  g_hash_table_remove (remote->owner->remote, remote->key);
-  reply_end (remote->request, batch->end, batch->reason);
-  g_free (remote->key);
-  g_free (remote);
+  for (guint i = 0; i < batch->n_tasks; i++)
+    if (batch->tasks[i].state == BATCH_TASK_RETURNED)
+      indexes[result.returned.returned_len++] = batch->tasks[i].index;
+  if (g_hash_table_lookup (remote->owner->remote, remote->key) == remote)
+    g_hash_table_remove (remote->owner->remote, remote->key);
+  peer_request_reply (remote->request, &result);
+  remote_free (remote);
+}
+
+static void
+on_return_answered (const void *result, const GError *error, gpointer data)
+{
+}
+
+/* The reply names them again, in case that this call gets lost.  */
+static void
+on_remote_returned (struct batch_sink *sink, const struct batch *batch,
+                    const guint *indexes, guint n_tasks)
+{
+  struct remote_batch *remote = list_entry (sink, struct remote_batch, sink);
+  peer_return_args args = {
+    .incarnation = remote->incarnation,
+    .job = batch->job,
+    .number = batch->number,
+    .indexes = { n_tasks, (guint *)indexes },
+  };
+
+  peer_hub_call (remote->owner->hub, remote->vm, PEER_RETURN_TASKS, &args,
+                 clock_now_us () + RETURN_TIMEOUT_US, on_return_answered,
+                 NULL);
 }
 
 static struct batch *
@@ -405,11 +549,14 @@
   if (!is_watched (owner, vm, args->incarnation)
       || args->indexes.indexes_len == 0)
     {
-      reply_end (request, BATCH_NO_ROOM, "its home is not heard here");
+      refuse_batch (request, "its home is not heard here");
       return;
     }
   remote = g_new0 (struct remote_batch, 1);
+  remote->sink.returned = on_remote_returned;
   remote->sink.ended = on_remote_ended;
+  remote->vm = g_strdup (vm);
+  remote->incarnation = args->incarnation;
   remote->owner = owner;
   remote->request = request;
   remote->key = format_key (home, args->job, args->number);
@@ -439,6 +586,7 @@
 void
 fleet_owner_serve (struct fleet_owner *owner, struct peer_hub *hub)
 {
+  owner->hub = hub;
   peer_hub_serve (hub, PEER_RUN_BATCH, on_run_batch, owner);
   peer_hub_serve (hub, PEER_STOP_BATCH, on_stop_batch, owner);
 }
--- a/transport/fleet_owner.h
+++ b/transport/fleet_owner.h
@@ -28,10 +28,14 @@
   const struct fleet_owner_listener_ops *ops;
 };
 
-/* Whoever has handed in a batch; ended () is called once, and the batch is
-   freed after it.  */
+/* Whoever has handed in a batch; ended () is called once, from the main loop,
+   and the batch is freed after it.  */
 struct batch_sink
 {
+  /* Tasks are given back, and are not of the batch any longer.  Told before
+     the end.  */
+  void (*returned) (struct batch_sink *sink, const struct batch *batch,
+                    const guint *indexes, guint n_tasks);
   void (*ended) (struct batch_sink *sink, const struct batch *batch);
 };
 
