transport: say not run only when no part of the job was started

Cause: with two parts of a job at two owners, the one that found no room had the job answered as not run while the other part ran. Ruled out: a start without an answer, as the run was confirmed. Now the other parts are stopped first and the answer waits for what they say.

--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -67,9 +67,12 @@
   gint64 end_by_us;
   guint n_parts; /* ever made */
   guint n_spreads;
-  guint n_done;         /* tasks */
-  gboolean is_ended;    /* answered or abandoned */
-  gboolean has_started; /* a task may have been started */
+  guint n_done;               /* tasks */
+  gboolean is_ended;          /* answered or abandoned */
+  const char *give_up_reason; /* static; set once it is given up, and answered
+                                 when all that runs has stopped */
+  gint64 retry_after_ms;      /* of that answer, if nothing was started */
+  gboolean has_started;       /* a task may have been started */
 };
 
 void
@@ -261,18 +264,44 @@
   return n_out;
 }
 
+/* Answers a job that was given up, once it is known whether anything of it was
+   started.  */
+static void
+check_given_up (struct fleet_job *job)
+{
+  if (job->give_up_reason == NULL || !list_is_empty (&job->parts))
+    return;
+  answer_job (job, job->has_started ? FLEET_UNKNOWN : FLEET_NOT_RUN,
+              job->give_up_reason, job->retry_after_ms);
+}
+
+/* Stops what there is of JOB; the answer follows as soon as all of it has
+   stopped.  */
+static void
+give_up_job (struct fleet_job *job, const char *reason, gint64 retry_after_ms)
+{
+  struct list_node *node;
+  struct list_node *after;
+
+  if (job->is_ended || job->give_up_reason != NULL)
+    return;
+  job->give_up_reason = reason;
+  job->retry_after_ms = retry_after_ms;
+  list_for_each (node, after, &job->parts)
+    stop_part (list_entry (node, struct part, link));
+  check_given_up (job);
+}
+
 /* An owner gives N_TASKS of JOB back, none of which runs.  */
 static void
 place_anew (struct fleet_job *job, const guint *indexes, guint n_tasks)
 {
-  if (n_tasks == 0 || job->is_ended)
+  if (n_tasks == 0 || job->is_ended || job->give_up_reason != NULL)
     return;
   if (job->n_spreads < MAX_SPREADS && clock_now_us () < job->end_by_us)
     spread_job (job, indexes, n_tasks);
-  else if (job->has_started)
-    answer_job (job, FLEET_UNKNOWN, "no room for the rest of its tasks", 0);
   else
-    answer_job (job, FLEET_NOT_RUN, "no room in time", MIN_RETRY_MS);
+    give_up_job (job, "no room in time", MIN_RETRY_MS);
 }
 
 /* PART has ended; REASON is static.  */
@@ -285,6 +314,12 @@
   list_remove (&part->link);
   if (job->is_ended)
     return;
+  if (job->give_up_reason != NULL)
+    {
+      job->has_started |= end == BATCH_STOPPED || end == BATCH_FAILED;
+      check_given_up (job);
+      return;
+    }
   switch (end)
     {
     case BATCH_DONE:
@@ -539,10 +574,7 @@
 refuse_job (struct fleet_job *job, const char *reason, gint64 wait_ms)
 {
   metrics_count_label (METRIC_JOBS_REFUSED, ERROR_NOT_RUN);
-  if (job->has_started || !list_is_empty (&job->parts))
-    answer_job (job, FLEET_UNKNOWN, reason, 0);
-  else
-    answer_job (job, FLEET_NOT_RUN, reason, wait_ms);
+  give_up_job (job, reason, wait_ms);
 }
 
 static void
