--- a/coordination/ownership.h
+++ b/coordination/ownership.h
@@ -6,15 +6,22 @@
  * holds it and is well, so that a platform which deals everything anew moves
  * no work.  A VM that is assigned a shard which a live peer holds asks the
  * peer to yield it; the peer does so when it is leaving, or holds at least two
- * more shards than the one that asks.  Without the platform, what is held
- * stays held.
+ * more shards than the one that asks.  It is not asked when, by what was last
+ * heard of it, it would not.  Without the platform, what is held stays held.
+ *
+ * A VM that has just begun listens for a moment before it takes anything, and
+ * one that was paused gives its peers a moment to be heard again.  A shard
+ * that was yielded or fenced is taken again only when it was free for a while.
  *
  * Two VMs may for a while believe that they hold a shard.  That is harmless:
  * upstreams obey only the highest token, and the VM that learns of it gives
- * the shard up.
+ * the shard up.  Where no upstream tells, a VM that hears a peer hold the
+ * shard too gives it up when it is not assigned to it.
  *
  * Tokens: the platform's generation in the high bits, then a count of raises,
- * then bits of the VM's name, so that no two VMs ever use the same one.
+ * then 20 bits of a hash of the VM's name, so that no two VMs ever use the
+ * same one: those whose bits agree are not assigned a shard by one generation.
+ * Generations are below 2^35; tokens are below 2^63.
  */
 #ifndef COORDINATION_OWNERSHIP_H
 #define COORDINATION_OWNERSHIP_H
@@ -53,7 +60,9 @@
   const struct ownership_driver_ops *ops;
 };
 
-/* DRIVER must outlive the ownership.  VM is this VM's name.  */
+/* DRIVER must outlive the ownership.  VM is this VM's name, which should tell
+   its lives apart: under an old name, a process that starts anew would use the
+   tokens of its former life.  */
 struct ownership *ownership_new (struct ownership_driver *driver,
                                  const char *vm);
 void ownership_free (struct ownership *ownership);
@@ -80,9 +89,11 @@
 void ownership_fenced (struct ownership *ownership, guint shard,
                        gint64 now_us);
 
-/* A token of this VM that is higher than TOKEN, for a shard whose upstream
-   has refused TOKEN although nobody else holds the shard.  */
-guint64 ownership_raise (struct ownership *ownership, guint64 token);
+/* A token of this VM that is higher than TOKEN, for an upstream of SHARD that
+   has refused TOKEN although nobody else holds the shard.  Tokens of later
+   takes of SHARD are higher still.  */
+guint64 ownership_raise (struct ownership *ownership, guint shard,
+                         guint64 token);
 
 /* This VM is leaving: every shard is released.  */
 void ownership_leave (struct ownership *ownership, gint64 now_us);
--- /dev/null
+++ b/t/t2100-ownership.c
@@ -0,0 +1,984 @@
+/*
+ * Who owns which shards: single decisions, and many VMs that share one
+ * assignment while VMs die, freeze, are cut off, come back and leave.
+ */
+#include "coordination/ownership.h"
+
+#include "base/clock.h"
+
+#include <stdlib.h>
+
+#define N_VMS 7
+#define N_SHARDS 24
+#define TICK_US (10 * USEC_PER_MSEC)
+#define BEAT_US (50 * USEC_PER_MSEC)
+#define POLL_US (400 * USEC_PER_MSEC)
+#define TTL_US (3 * USEC_PER_SEC)
+#define MAX_DELAY_US (30 * USEC_PER_MSEC)
+#define CALM_US (15 * USEC_PER_SEC)
+#define N_SEEDS 60
+#define N_TICKS 6000
+
+struct zone;
+
+/* What a VM has heard of a life of another one.  */
+struct heard
+{
+  guint64 held;
+  gint64 when_us;
+};
+
+struct vm
+{
+  struct ownership_driver driver;
+  struct ownership *ownership;
+  struct zone *zone;
+  char name[32];
+  guint number;
+  guint n_lives;
+  gboolean is_up;
+  gboolean is_leaving;
+  gint64 frozen_until_us;
+  gint64 cut_until_us;   /* from its peers */
+  gint64 apart_until_us; /* from the platform */
+  gint64 woken_us;
+  gint64 beat_due_us;
+  gint64 advance_due_us;
+  gint64 poll_due_us;
+  gint64 joined_us; /* when the platform last saw it; 0 for never */
+  guint64 assigned; /* as it was told */
+  guint64 generation;
+  guint64 releasing;
+  guint64 may_release; /* shards that it may give up in this call */
+  guint64 tokens[N_SHARDS];
+  gint64 asked_us[N_SHARDS];
+  gint64 released_due_us[N_SHARDS];
+  struct heard heard[N_VMS][2]; /* by the parity of the life */
+};
+
+enum message_kind
+{
+  MESSAGE_BEAT,
+  MESSAGE_ASK,
+};
+
+struct message
+{
+  enum message_kind kind;
+  guint from;
+  guint to;
+  guint life;
+  char name[32];
+  gint64 due_us;
+  guint64 held;
+  guint shard;
+  gboolean is_leaving;
+};
+
+struct zone
+{
+  struct vm vms[N_VMS];
+  GRand *random;
+  GArray *messages;
+  GHashTable *users; /* token -> name of the VM that used it */
+  gint64 now_us;
+  guint64 generation;
+  guint owners[N_SHARDS]; /* by the platform; N_VMS for nobody */
+  guint64 listed;         /* VMs that the platform has dealt to */
+  guint64 seen[N_SHARDS]; /* the highest token that upstreams obey */
+  guint64 taken[N_SHARDS];
+  guint64 taken_generation[N_SHARDS];
+  guint n_asks;
+  guint n_takes;
+};
+
+static guint64
+bit (guint n)
+{
+  return G_GUINT64_CONSTANT (1) << n;
+}
+
+static guint
+count_bits (guint64 bits)
+{
+  guint n = 0;
+
+  for (; bits != 0; bits &= bits - 1)
+    n++;
+  return n;
+}
+
+static gboolean
+draw (struct zone *z, guint n)
+{
+  return g_rand_int_range (z->random, 0, (gint32)n) == 0;
+}
+
+static gint64
+draw_us (struct zone *z, gint64 max_us)
+{
+  return g_rand_int_range (z->random, 0, (gint32)max_us);
+}
+
+static gboolean
+is_awake (const struct vm *vm)
+{
+  return vm->is_up && vm->zone->now_us >= vm->frozen_until_us;
+}
+
+/* Whether VM, just woken, may still count on what it heard before.  */
+static gboolean
+is_just_woken (const struct vm *vm)
+{
+  return vm->woken_us != 0
+         && vm->woken_us + OWNERSHIP_PEER_TIMEOUT_US > vm->zone->now_us;
+}
+
+/* The VM that VM hears holding SHARD, or NULL.  */
+static const struct vm *
+find_heard_holder (const struct vm *vm, guint shard)
+{
+  struct zone *z = vm->zone;
+
+  for (guint i = 0; i < 2 * N_VMS; i++)
+    {
+      const struct heard *heard = &vm->heard[i / 2][i % 2];
+
+      if (i / 2 != vm->number && (heard->held & bit (shard)) != 0
+          && heard->when_us + OWNERSHIP_PEER_TIMEOUT_US > z->now_us)
+        return &z->vms[i / 2];
+    }
+  return NULL;
+}
+
+static void
+note_token (struct vm *vm, guint shard, guint64 token)
+{
+  const char *user = g_hash_table_lookup (vm->zone->users, &token);
+
+  if (user != NULL && !g_str_equal (user, vm->name))
+    g_error ("%s uses token %" G_GINT64_MODIFIER "x of %s", vm->name, token,
+             user);
+  if (user == NULL)
+    g_hash_table_insert (vm->zone->users, g_memdup2 (&token, sizeof token),
+                         g_strdup (vm->name));
+  vm->tokens[shard] = token;
+}
+
+static void
+zone_take (struct ownership_driver *driver, guint shard, guint64 token)
+{
+  struct vm *vm = (struct vm *)driver;
+  struct zone *z = vm->zone;
+
+  g_assert_true (is_awake (vm));
+  g_assert_false (vm->is_leaving);
+  g_assert_cmpuint (vm->assigned & bit (shard), !=, 0);
+  g_assert_null (find_heard_holder (vm, shard));
+  if (vm->generation > z->taken_generation[shard])
+    g_assert_cmpuint (token, >, z->taken[shard]);
+  if (vm->tokens[shard] != 0)
+    g_assert_cmpuint (token, >, vm->tokens[shard]);
+  if (vm->generation >= z->taken_generation[shard])
+    {
+      z->taken[shard] = token;
+      z->taken_generation[shard] = vm->generation;
+    }
+  note_token (vm, shard, token);
+  z->n_takes++;
+}
+
+static void
+zone_release (struct ownership_driver *driver, guint shard)
+{
+  struct vm *vm = (struct vm *)driver;
+
+  g_assert_cmpuint (vm->releasing & bit (shard), ==, 0);
+  if ((vm->may_release & bit (shard)) == 0)
+    {
+      g_assert_cmpuint (vm->assigned & bit (shard), ==, 0);
+      if (!is_just_woken (vm))
+        g_assert_nonnull (find_heard_holder (vm, shard));
+    }
+  vm->releasing |= bit (shard);
+  vm->released_due_us[shard]
+      = vm->zone->now_us + draw_us (vm->zone, 300 * USEC_PER_MSEC);
+}
+
+static void
+zone_ask (struct ownership_driver *driver, const char *peer, guint shard)
+{
+  struct vm *vm = (struct vm *)driver;
+  struct zone *z = vm->zone;
+  struct message message = { MESSAGE_ASK, vm->number };
+
+  g_assert_true (is_awake (vm));
+  g_assert_cmpuint (vm->assigned & bit (shard), !=, 0);
+  if (!is_just_woken (vm))
+    g_assert_nonnull (find_heard_holder (vm, shard));
+  if (vm->asked_us[shard] != 0)
+    g_assert_cmpint (z->now_us - vm->asked_us[shard], >=,
+                     OWNERSHIP_ASK_INTERVAL_US);
+  vm->asked_us[shard] = z->now_us;
+  z->n_asks++;
+  for (guint i = 0; i < N_VMS; i++)
+    if (g_str_equal (z->vms[i].name, peer))
+      {
+        message.to = i;
+        message.shard = shard;
+        message.held = ownership_get_held (vm->ownership);
+        message.due_us = z->now_us + draw_us (z, MAX_DELAY_US);
+        g_strlcpy (message.name, vm->name, sizeof message.name);
+        g_array_append_val (z->messages, message);
+      }
+}
+
+static const struct ownership_driver_ops zone_ops
+    = { zone_take, zone_release, zone_ask };
+
+/* Lets VM begin a new life, which peers hear under a new name.  */
+static void
+begin_life (struct vm *vm)
+{
+  struct zone *z = vm->zone;
+  guint number = vm->number;
+  guint n_lives = vm->n_lives + 1;
+
+  *vm = (struct vm){ .zone = z, .number = number, .n_lives = n_lives };
+  g_snprintf (vm->name, sizeof vm->name, "vm-%u-%u", number, n_lives);
+  vm->driver.ops = &zone_ops;
+  vm->ownership = ownership_new (&vm->driver, vm->name);
+  vm->is_up = TRUE;
+  vm->beat_due_us = z->now_us + draw_us (z, BEAT_US);
+  vm->poll_due_us = z->now_us + draw_us (z, POLL_US);
+}
+
+/* Ends a life; its messages that are on the way still arrive.  */
+static void
+end_life (struct vm *vm)
+{
+  vm->is_up = FALSE;
+  g_clear_pointer (&vm->ownership, ownership_free);
+}
+
+static struct zone *
+zone_new (guint32 seed)
+{
+  struct zone *z = g_new0 (struct zone, 1);
+
+  z->random = g_rand_new_with_seed (seed);
+  z->messages = g_array_new (FALSE, FALSE, sizeof (struct message));
+  z->users
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  z->now_us = 1000 * USEC_PER_SEC;
+  z->generation = 1;
+  for (guint i = 0; i < N_SHARDS; i++)
+    z->owners[i] = N_VMS;
+  for (guint i = 0; i < N_VMS; i++)
+    {
+      z->vms[i].zone = z;
+      z->vms[i].number = i;
+      begin_life (&z->vms[i]);
+    }
+  return z;
+}
+
+static void
+zone_free (struct zone *z)
+{
+  for (guint i = 0; i < N_VMS; i++)
+    if (z->vms[i].is_up)
+      ownership_free (z->vms[i].ownership);
+  g_hash_table_unref (z->users);
+  g_array_unref (z->messages);
+  g_rand_free (z->random);
+  g_free (z);
+}
+
+/* Deals the shards evenly to the VMs that the platform knows, by chance.  */
+static void
+deal (struct zone *z)
+{
+  guint members[N_VMS];
+  guint n = 0;
+  guint first;
+
+  for (guint i = 0; i < N_VMS; i++)
+    if ((z->listed & bit (i)) != 0)
+      members[n++] = i;
+  z->generation++;
+  first = n > 0 ? g_rand_int (z->random) % n : 0;
+  for (guint i = 0; i < N_SHARDS; i++)
+    z->owners[i] = n > 0 ? members[(first + i) % n] : N_VMS;
+  for (guint i = N_SHARDS - 1; i > 0; i--)
+    {
+      guint other = g_rand_int (z->random) % (i + 1);
+      guint owner = z->owners[i];
+
+      z->owners[i] = z->owners[other];
+      z->owners[other] = owner;
+    }
+}
+
+/* The platform forgets who has not joined for long.  */
+static void
+expire_members (struct zone *z)
+{
+  guint64 listed = z->listed;
+
+  for (guint i = 0; i < N_VMS; i++)
+    {
+      const struct vm *vm = &z->vms[i];
+
+      if (vm->joined_us == 0 || vm->joined_us + TTL_US < z->now_us)
+        listed &= ~bit (i);
+    }
+  if (listed == z->listed)
+    return;
+  z->listed = listed;
+  deal (z);
+}
+
+static void
+poll_platform (struct vm *vm)
+{
+  struct zone *z = vm->zone;
+  guint shards[N_SHARDS];
+  guint n = 0;
+
+  vm->poll_due_us = z->now_us + POLL_US;
+  if (z->now_us < vm->apart_until_us || vm->is_leaving)
+    return;
+  vm->joined_us = z->now_us;
+  if ((z->listed & bit (vm->number)) == 0)
+    {
+      z->listed |= bit (vm->number);
+      deal (z);
+    }
+  vm->assigned = 0;
+  for (guint i = 0; i < N_SHARDS; i++)
+    if (z->owners[i] == vm->number)
+      {
+        vm->assigned |= bit (i);
+        shards[n++] = i;
+      }
+  vm->generation = z->generation;
+  ownership_assign (vm->ownership, z->generation, shards, n, z->now_us);
+}
+
+static void
+send_beats (struct vm *vm)
+{
+  struct zone *z = vm->zone;
+  struct message message = { MESSAGE_BEAT, vm->number };
+
+  vm->beat_due_us = z->now_us + BEAT_US;
+  message.held = ownership_get_held (vm->ownership);
+  message.is_leaving = vm->is_leaving;
+  message.life = vm->n_lives % 2;
+  g_strlcpy (message.name, vm->name, sizeof message.name);
+  for (message.to = 0; message.to < N_VMS; message.to++)
+    {
+      message.due_us = z->now_us + draw_us (z, MAX_DELAY_US);
+      if (message.to != vm->number)
+        g_array_append_val (z->messages, message);
+    }
+}
+
+static void
+deliver (struct zone *z, const struct message *message)
+{
+  struct vm *to = &z->vms[message->to];
+  const struct vm *from = &z->vms[message->from];
+  guint n_held = count_bits (message->held);
+
+  if (!to->is_up || z->now_us < to->cut_until_us
+      || z->now_us < from->cut_until_us)
+    return;
+  if (message->kind == MESSAGE_BEAT)
+    {
+      to->heard[message->from][message->life]
+          = (struct heard){ message->held, z->now_us };
+      ownership_hear (to->ownership, message->name, message->held,
+                      message->is_leaving, z->now_us);
+      return;
+    }
+  if (count_bits (ownership_get_held (to->ownership) & ~to->releasing)
+      >= n_held + 2)
+    to->may_release = bit (message->shard);
+  ownership_asked (to->ownership, message->name, message->shard, n_held,
+                   z->now_us);
+  to->may_release = 0;
+}
+
+/* Delivers what is due, in any order; a frozen VM gets it later.  */
+static void
+deliver_due (struct zone *z)
+{
+  for (guint i = 0; i < z->messages->len;)
+    {
+      struct message message = g_array_index (z->messages, struct message, i);
+
+      if (message.due_us > z->now_us
+          || (z->vms[message.to].is_up && !is_awake (&z->vms[message.to])))
+        {
+          i++;
+          continue;
+        }
+      g_array_remove_index_fast (z->messages, i);
+      deliver (z, &message);
+    }
+}
+
+/* Whether a VM other than VM holds SHARD, dead or alive ones that an upstream
+   still obeys included.  */
+static gboolean
+is_held_elsewhere (const struct vm *vm, guint shard)
+{
+  const struct zone *z = vm->zone;
+
+  for (guint i = 0; i < N_VMS; i++)
+    if (i != vm->number && z->vms[i].is_up
+        && (ownership_get_held (z->vms[i].ownership) & bit (shard)) != 0)
+      return TRUE;
+  return FALSE;
+}
+
+/* What an upstream of SHARD answers to an order of VM.  */
+static void
+order (struct vm *vm, guint shard)
+{
+  struct zone *z = vm->zone;
+
+  if (vm->tokens[shard] >= z->seen[shard])
+    {
+      z->seen[shard] = vm->tokens[shard];
+      return;
+    }
+  if (is_held_elsewhere (vm, shard))
+    {
+      vm->may_release = bit (shard);
+      ownership_fenced (vm->ownership, shard, z->now_us);
+      vm->may_release = 0;
+      return;
+    }
+  while (vm->tokens[shard] < z->seen[shard])
+    {
+      guint64 raised
+          = ownership_raise (vm->ownership, shard, vm->tokens[shard]);
+
+      g_assert_cmpuint (raised, >, vm->tokens[shard]);
+      note_token (vm, shard, raised);
+    }
+  z->seen[shard] = vm->tokens[shard];
+}
+
+static void
+run_shards (struct vm *vm)
+{
+  struct zone *z = vm->zone;
+
+  for (guint i = 0; i < N_SHARDS; i++)
+    {
+      if ((vm->releasing & bit (i)) != 0
+          && vm->released_due_us[i] <= z->now_us)
+        {
+          vm->releasing &= ~bit (i);
+          ownership_released (vm->ownership, i, z->now_us);
+        }
+      if (ownership_get_token (vm->ownership, i) != 0 && draw (z, 10))
+        order (vm, i);
+    }
+}
+
+static void
+run_vm (struct vm *vm)
+{
+  struct zone *z = vm->zone;
+
+  if (vm->poll_due_us <= z->now_us)
+    poll_platform (vm);
+  if (vm->advance_due_us <= z->now_us)
+    {
+      vm->advance_due_us = z->now_us + draw_us (z, 200 * USEC_PER_MSEC);
+      ownership_advance (vm->ownership, z->now_us);
+    }
+  run_shards (vm);
+  if (vm->beat_due_us <= z->now_us)
+    send_beats (vm);
+  if (vm->is_leaving && ownership_get_held (vm->ownership) == 0)
+    end_life (vm);
+}
+
+static void
+tick (struct zone *z)
+{
+  z->now_us += TICK_US;
+  expire_members (z);
+  deliver_due (z);
+  for (guint i = 0; i < N_VMS; i++)
+    if (is_awake (&z->vms[i]))
+      run_vm (&z->vms[i]);
+}
+
+static void
+begin_leaving (struct vm *vm)
+{
+  struct zone *z = vm->zone;
+
+  vm->is_leaving = TRUE;
+  vm->may_release = G_MAXUINT64;
+  ownership_leave (vm->ownership, z->now_us);
+  vm->may_release = 0;
+  if (z->now_us < vm->apart_until_us || (z->listed & bit (vm->number)) == 0)
+    return;
+  z->listed &= ~bit (vm->number);
+  deal (z);
+}
+
+/* One fault, now and then.  */
+static void
+disturb (struct zone *z)
+{
+  struct vm *vm = &z->vms[g_rand_int (z->random) % N_VMS];
+  gint64 until_us = z->now_us + draw_us (z, 4 * USEC_PER_SEC);
+
+  if (!vm->is_up)
+    {
+      begin_life (vm);
+      return;
+    }
+  switch (g_rand_int (z->random) % 7)
+    {
+    case 0:
+      end_life (vm);
+      break;
+    case 1:
+      vm->frozen_until_us = until_us;
+      vm->woken_us = until_us;
+      break;
+    case 2:
+      vm->cut_until_us = until_us;
+      break;
+    case 3:
+      vm->apart_until_us = until_us;
+      break;
+    case 4:
+      if (is_awake (vm) && !vm->is_leaving)
+        begin_leaving (vm);
+      break;
+    default:
+      deal (z);
+    }
+}
+
+/* Ends all faults.  */
+static void
+calm (struct zone *z)
+{
+  for (guint i = 0; i < N_VMS; i++)
+    {
+      struct vm *vm = &z->vms[i];
+
+      if (!is_awake (vm))
+        vm->woken_us = z->now_us;
+      vm->frozen_until_us = MIN (vm->frozen_until_us, z->now_us);
+      vm->cut_until_us = 0;
+      vm->apart_until_us = 0;
+    }
+  for (gint64 end_us = z->now_us + CALM_US; z->now_us < end_us;)
+    tick (z);
+}
+
+static guint
+find_holder (struct zone *z, guint shard)
+{
+  guint holder = N_VMS;
+
+  for (guint i = 0; i < N_VMS; i++)
+    {
+      if (!z->vms[i].is_up
+          || (ownership_get_held (z->vms[i].ownership) & bit (shard)) == 0)
+        continue;
+      if (holder != N_VMS)
+        g_error ("%s and %s hold shard %u", z->vms[holder].name,
+                 z->vms[i].name, shard);
+      holder = i;
+    }
+  return holder;
+}
+
+/* Each shard has one holder, which need not yield it.  */
+static void
+check_calm (struct zone *z)
+{
+  guint n_asks = z->n_asks;
+
+  for (guint i = 0; i < N_SHARDS; i++)
+    {
+      guint holder = find_holder (z, i);
+      guint owner = z->owners[i];
+
+      if (owner == N_VMS)
+        continue;
+      if (holder == N_VMS)
+        g_error ("nobody holds shard %u of %s", i, z->vms[owner].name);
+      if (holder != owner)
+        g_assert_cmpuint (
+            count_bits (ownership_get_held (z->vms[holder].ownership)), <,
+            count_bits (ownership_get_held (z->vms[owner].ownership)) + 2);
+    }
+  for (guint i = 0; i < 100; i++)
+    tick (z);
+  g_assert_cmpuint (z->n_asks, ==, n_asks);
+}
+
+static void
+run_seed (guint32 seed)
+{
+  struct zone *z = zone_new (seed);
+
+  for (guint i = 0; i < N_TICKS; i++)
+    {
+      if (draw (z, 100))
+        disturb (z);
+      tick (z);
+      if (i % 2000 == 1999)
+        {
+          calm (z);
+          check_calm (z);
+        }
+    }
+  g_assert_cmpuint (z->n_takes, >, N_SHARDS);
+  zone_free (z);
+}
+
+static void
+test_random (void)
+{
+  const char *only = g_getenv ("OWNERSHIP_SEED");
+  const char *more = g_getenv ("OWNERSHIP_SEEDS");
+  guint32 n_seeds = more != NULL ? (guint32)atoi (more) : N_SEEDS;
+
+  if (only != NULL)
+    {
+      run_seed ((guint32)atoi (only));
+      return;
+    }
+  for (guint32 seed = 1; seed <= n_seeds; seed++)
+    {
+      /* The last line names the seed that fails.  */
+      g_test_message ("seed %u", seed);
+      run_seed (seed);
+    }
+}
+
+/* One VM alone with a record of what it does.  */
+struct bed
+{
+  struct ownership_driver driver;
+  struct ownership *ownership;
+  gint64 now_us;
+  GString *log;
+};
+
+static void
+bed_take (struct ownership_driver *driver, guint shard, guint64 token)
+{
+  struct bed *bed = (struct bed *)driver;
+
+  g_assert_cmpuint (token, ==, ownership_get_token (bed->ownership, shard));
+  g_string_append_printf (bed->log, "take %u;", shard);
+}
+
+static void
+bed_release (struct ownership_driver *driver, guint shard)
+{
+  struct bed *bed = (struct bed *)driver;
+
+  g_string_append_printf (bed->log, "release %u;", shard);
+}
+
+static void
+bed_ask (struct ownership_driver *driver, const char *peer, guint shard)
+{
+  struct bed *bed = (struct bed *)driver;
+
+  g_string_append_printf (bed->log, "ask %s %u;", peer, shard);
+}
+
+static const struct ownership_driver_ops bed_ops
+    = { bed_take, bed_release, bed_ask };
+
+static void
+bed_assign (struct bed *bed, guint64 generation, guint64 shards)
+{
+  guint numbers[OWNERSHIP_MAX_SHARDS];
+  guint n = 0;
+
+  for (guint i = 0; i < OWNERSHIP_MAX_SHARDS; i++)
+    if ((shards & bit (i)) != 0)
+      numbers[n++] = i;
+  ownership_assign (bed->ownership, generation, numbers, n, bed->now_us);
+}
+
+static void
+bed_hear (struct bed *bed, const char *peer, guint64 held)
+{
+  ownership_hear (bed->ownership, peer, held, FALSE, bed->now_us);
+}
+
+static void
+bed_pass (struct bed *bed, guint ms)
+{
+  for (guint i = 0; i < ms; i += 50)
+    {
+      bed->now_us += 50 * USEC_PER_MSEC;
+      ownership_advance (bed->ownership, bed->now_us);
+    }
+}
+
+/* Asserts what was done since the last call.  */
+static void
+bed_expect (struct bed *bed, const char *log)
+{
+  g_assert_cmpstr (bed->log->str, ==, log);
+  g_string_truncate (bed->log, 0);
+}
+
+/* A VM that has listened, and holds SHARDS by generation 5.  */
+static struct bed *
+bed_new (guint64 shards)
+{
+  struct bed *bed = g_new0 (struct bed, 1);
+
+  bed->driver.ops = &bed_ops;
+  bed->ownership = ownership_new (&bed->driver, "b");
+  bed->log = g_string_new (NULL);
+  bed->now_us = USEC_PER_SEC;
+  bed_assign (bed, 5, shards);
+  bed_expect (bed, "");
+  bed_pass (bed, 500);
+  g_assert_cmpuint (ownership_get_held (bed->ownership), ==, shards);
+  g_string_truncate (bed->log, 0);
+  return bed;
+}
+
+static void
+bed_free (struct bed *bed)
+{
+  ownership_free (bed->ownership);
+  g_string_free (bed->log, TRUE);
+  g_free (bed);
+}
+
+/* What nobody holds is taken at once, what a peer holds when that is gone. */
+static void
+test_take (void)
+{
+  struct bed *bed = bed_new (0);
+
+  bed_hear (bed, "a", bit (1));
+  bed_assign (bed, 6, bit (0) | bit (1));
+  bed_expect (bed, "take 0;");
+  bed_pass (bed, 500);
+  bed_expect (bed, "");
+  bed_pass (bed, 100);
+  bed_expect (bed, "take 1;");
+  bed_free (bed);
+}
+
+/* A new assignment takes nothing away.  */
+static void
+test_keeps (void)
+{
+  struct bed *bed = bed_new (bit (0) | bit (1));
+
+  bed_assign (bed, 6, 0);
+  bed_pass (bed, 2000);
+  bed_hear (bed, "a", bit (2));
+  bed_pass (bed, 2000);
+  bed_expect (bed, "");
+  bed_free (bed);
+}
+
+/* An older generation is ignored.  */
+static void
+test_older (void)
+{
+  struct bed *bed = bed_new (0);
+
+  bed_assign (bed, 4, bit (0));
+  bed_pass (bed, 500);
+  bed_expect (bed, "");
+  bed_free (bed);
+}
+
+/* It asks for what it would be given, as often as the interval says.  */
+static void
+test_asks (void)
+{
+  struct bed *bed = bed_new (bit (0));
+
+  bed_hear (bed, "a", bit (1) | bit (2));
+  bed_assign (bed, 6, bit (1) | bit (2));
+  bed_expect (bed, "");
+  bed_hear (bed, "a", bit (1) | bit (2) | bit (3));
+  bed_expect (bed, "ask a 1;");
+  bed_pass (bed, 150);
+  bed_expect (bed, "");
+  bed_pass (bed, 50);
+  bed_expect (bed, "ask a 1;");
+  bed_hear (bed, "a", bit (2) | bit (3));
+  bed_expect (bed, "take 1;");
+  bed_pass (bed, 500);
+  bed_expect (bed, "");
+  bed_free (bed);
+}
+
+/* It yields to who holds two less, and takes the shard again only when it has
+   been free for a while.  */
+static void
+test_yields (void)
+{
+  struct bed *bed = bed_new (bit (0) | bit (1) | bit (2));
+
+  ownership_asked (bed->ownership, "a", 0, 2, bed->now_us);
+  ownership_asked (bed->ownership, "a", 4, 0, bed->now_us);
+  bed_expect (bed, "");
+  ownership_asked (bed->ownership, "a", 0, 1, bed->now_us);
+  bed_expect (bed, "release 0;");
+  ownership_asked (bed->ownership, "a", 1, 1, bed->now_us);
+  bed_expect (bed, "");
+  g_assert_cmpuint (ownership_get_held (bed->ownership), ==, 7);
+  g_assert_cmpuint (ownership_get_token (bed->ownership, 0), ==, 0);
+  ownership_released (bed->ownership, 0, bed->now_us);
+  g_assert_cmpuint (ownership_get_held (bed->ownership), ==, 6);
+  bed_pass (bed, 500);
+  bed_expect (bed, "");
+  bed_pass (bed, 1000);
+  bed_expect (bed, "take 0;");
+  bed_free (bed);
+}
+
+/* A fenced shard is given up; the next token for it is higher.  */
+static void
+test_fenced (void)
+{
+  struct bed *bed = bed_new (bit (0));
+  guint64 token = ownership_get_token (bed->ownership, 0);
+
+  ownership_fenced (bed->ownership, 0, bed->now_us);
+  ownership_fenced (bed->ownership, 0, bed->now_us);
+  bed_expect (bed, "release 0;");
+  ownership_released (bed->ownership, 0, bed->now_us);
+  bed_pass (bed, 500);
+  bed_expect (bed, "");
+  bed_pass (bed, 1000);
+  bed_expect (bed, "take 0;");
+  g_assert_cmpuint (ownership_get_token (bed->ownership, 0), >, token);
+  bed_free (bed);
+}
+
+/* Where nobody is fenced, the one that the shard is not assigned to gives it
+   up; of two, the one whose name is greater.  */
+static void
+test_shared (void)
+{
+  struct bed *bed = bed_new (bit (0));
+
+  for (guint i = 0; i < 20; i++)
+    {
+      bed_hear (bed, "a", bit (0));
+      bed_pass (bed, 50);
+    }
+  bed_expect (bed, "");
+  bed_assign (bed, 6, 0);
+  bed_hear (bed, "a", bit (0));
+  bed_pass (bed, 50);
+  bed_expect (bed, "release 0;");
+  bed_free (bed);
+}
+
+/* A VM that was paused does not take its silent peers for gone.  */
+static void
+test_pause (void)
+{
+  struct bed *bed = bed_new (0);
+
+  bed_hear (bed, "a", bit (1));
+  bed_assign (bed, 6, bit (1));
+  bed->now_us += 5 * USEC_PER_SEC;
+  ownership_advance (bed->ownership, bed->now_us);
+  bed_expect (bed, "");
+  bed_hear (bed, "a", bit (1));
+  bed_pass (bed, 500);
+  bed_expect (bed, "");
+  bed->now_us += 5 * USEC_PER_SEC;
+  ownership_advance (bed->ownership, bed->now_us);
+  bed_pass (bed, 500);
+  bed_expect (bed, "take 1;");
+  bed_free (bed);
+}
+
+static void
+test_leave (void)
+{
+  struct bed *bed = bed_new (bit (0) | bit (5));
+
+  ownership_leave (bed->ownership, bed->now_us);
+  bed_expect (bed, "release 0;release 5;");
+  ownership_released (bed->ownership, 0, bed->now_us);
+  ownership_released (bed->ownership, 5, bed->now_us);
+  bed_assign (bed, 6, bit (0) | bit (1));
+  bed_pass (bed, 2000);
+  bed_expect (bed, "");
+  bed_free (bed);
+}
+
+/* Generation goes before raises, and raises before names.  */
+static void
+test_tokens (void)
+{
+  struct ownership_driver driver = { &bed_ops };
+  struct ownership *a = ownership_new (&driver, "vm-a");
+  struct bed *bed = bed_new (bit (0));
+  guint64 token = ownership_get_token (bed->ownership, 0);
+  guint64 raised = token;
+
+  g_assert_cmpuint (ownership_raise (a, 0, token), >, token);
+  g_assert_cmpuint (ownership_raise (a, 0, token), !=,
+                    ownership_raise (bed->ownership, 0, token));
+  for (guint i = 0; i < 200; i++)
+    {
+      guint64 next = ownership_raise (bed->ownership, 0, raised);
+
+      g_assert_cmpuint (next, >, raised);
+      raised = next;
+    }
+  bed_assign (bed, 6, bit (0) | bit (1));
+  g_assert_cmpuint (ownership_get_token (bed->ownership, 1), >, raised);
+  g_assert_cmpuint (ownership_get_token (bed->ownership, 0), ==, token);
+  bed_assign (bed, G_MAXUINT64, bit (2));
+  g_assert_cmpuint (ownership_get_token (bed->ownership, 2), <=, G_MAXINT64);
+  ownership_free (a);
+  bed_free (bed);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/ownership/take", test_take);
+  g_test_add_func ("/ownership/keeps", test_keeps);
+  g_test_add_func ("/ownership/older", test_older);
+  g_test_add_func ("/ownership/asks", test_asks);
+  g_test_add_func ("/ownership/yields", test_yields);
+  g_test_add_func ("/ownership/fenced", test_fenced);
+  g_test_add_func ("/ownership/shared", test_shared);
+  g_test_add_func ("/ownership/pause", test_pause);
+  g_test_add_func ("/ownership/leave", test_leave);
+  g_test_add_func ("/ownership/tokens", test_tokens);
+  g_test_add_func ("/ownership/random", test_random);
+  return g_test_run ();
+}
