--- a/base/log_output.c
+++ b/base/log_output.c
@@ -19,7 +19,7 @@
 
 const struct log_output_limits log_output_default_limits = {
   .bytes = 256 * 1024,
-  .per_second = { 5000, 20000, 20000 },
+  .per_second = { 2000, 10000, 10000 },
 };
 
 struct log_output
