--- a/base/event_log.c
+++ b/base/event_log.c
@@ -236,6 +236,8 @@
   const guint64 *full = dropped->full;
   const guint64 *rate = dropped->rate;
 
+  for (guint i = 0; i < LOG_CLASS_COUNT; i++)
+    metrics_add (METRIC_LOG_LINES_DROPPED, i, full[i] + rate[i]);
   event_log_fields (
       EVENT_LOG_LINES_DROPPED,
       FIELD_INT (class_names[LOG_CLASS_DEBUG],
--- a/base/metrics.c
+++ b/base/metrics.c
@@ -3,9 +3,12 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/event_log.h"
+#include "base/log_output.h"
+
+#define N_STORE_CELLS ((guint)STORE_CALL_COUNT * STORE_OUTCOME_COUNT)
 
 /* Cells of one metric, over all labels.  */
-#define MAX_CELLS ((guint)ERROR_KIND_COUNT)
+#define MAX_CELLS MAX ((guint)ERROR_KIND_COUNT, N_STORE_CELLS)
 
 /* Bounds of the buckets that are shown, from 1 ms, each twice the last.  */
 #define FIRST_BOUND_US USEC_PER_MSEC
@@ -23,7 +26,11 @@
 {
   const char *key;
   guint n_cells;
-  const char *(*name) (guint cell);
+  const char *(*name) (guint cell); /* NULL for one with NAMES */
+  const char *const *names;
+  const char *second_key; /* of labels within each of the first; NULL */
+  const char *const *second_names;
+  guint n_second;
 };
 
 static const struct metric_info metrics[METRIC_COUNT] = {
@@ -38,6 +45,21 @@
 static const char *const message_names[UPSTREAM_MESSAGE_COUNT]
     = { "start", "renew", "stop" };
 
+static const char *const class_names[LOG_CLASS_COUNT]
+    = { "debug", "info", "failure" };
+
+static const char *const outcome_names[JOB_OUTCOME_COUNT]
+    = { "done", "failed", "turned-away", "too-late", "lost", "caller-gone" };
+
+static const char *const order_names[UPSTREAM_ORDER_COUNT]
+    = { "start", "stop", "ask" };
+
+static const char *const store_call_names[STORE_CALL_COUNT]
+    = { "read", "newest", "join", "members", "leave" };
+
+static const char *const store_outcome_names[STORE_OUTCOME_COUNT]
+    = { "done", "refused", "silent" };
+
 static guint64 cells[METRIC_COUNT][MAX_CELLS];
 static struct histogram histograms[METRIC_COUNT - METRIC_JOB_SECONDS];
 
@@ -53,17 +75,22 @@
   return log_level_name ((enum log_level)cell);
 }
 
-static const char *
-name_message (guint cell)
-{
-  return message_names[cell];
-}
-
 static const struct label_info labels[] = {
-  [METRIC_LABEL_NONE] = { NULL, 1, NULL },
+  [METRIC_LABEL_NONE] = { NULL, 1 },
   [METRIC_LABEL_ERROR_KIND] = { "kind", ERROR_KIND_COUNT, name_error_kind },
   [METRIC_LABEL_LOG_LEVEL] = { "level", LOG_LEVEL_COUNT, name_log_level },
-  [METRIC_LABEL_MESSAGE] = { "message", UPSTREAM_MESSAGE_COUNT, name_message },
+  [METRIC_LABEL_MESSAGE]
+  = { "message", UPSTREAM_MESSAGE_COUNT, .names = message_names },
+  [METRIC_LABEL_LOG_CLASS]
+  = { "class", LOG_CLASS_COUNT, .names = class_names },
+  [METRIC_LABEL_OUTCOME]
+  = { "outcome", JOB_OUTCOME_COUNT, .names = outcome_names },
+  [METRIC_LABEL_ORDER]
+  = { "order", UPSTREAM_ORDER_COUNT, .names = order_names },
+  [METRIC_LABEL_STORE_CALL]
+  = { "call", N_STORE_CELLS, .names = store_call_names,
+      .second_key = "outcome", .second_names = store_outcome_names,
+      .n_second = STORE_OUTCOME_COUNT },
 };
 
 void
@@ -78,6 +105,19 @@
   cells[metric][label]++;
 }
 
+void
+metrics_add (enum metric metric, guint label, guint64 n)
+{
+  cells[metric][label] += n;
+}
+
+void
+metrics_count_store_call (enum store_call call, enum store_outcome outcome)
+{
+  metrics_count_label (METRIC_STORE_CALLS,
+                       (guint)call * STORE_OUTCOME_COUNT + outcome);
+}
+
 guint64
 metrics_get (enum metric metric, guint label)
 {
@@ -108,6 +148,20 @@
   return metrics[metric].name;
 }
 
+/* Appends the labels of CELL, as in 'kind="unknown"'.  */
+static void
+append_labels (GString *text, const struct label_info *label, guint cell)
+{
+  guint first = label->n_second > 0 ? cell / label->n_second : cell;
+
+  g_string_append_printf (text, "%s=\"%s\"", label->key,
+                          label->names != NULL ? label->names[first]
+                                               : label->name (first));
+  if (label->n_second > 0)
+    g_string_append_printf (text, ",%s=\"%s\"", label->second_key,
+                            label->second_names[cell % label->n_second]);
+}
+
 static void
 format_cells (GString *text, enum metric metric)
 {
@@ -121,9 +175,12 @@
       return;
     }
   for (guint i = 0; i < label->n_cells; i++)
-    g_string_append_printf (text, "%s{%s=\"%s\"} %" G_GUINT64_FORMAT "\n",
-                            info->name, label->key, label->name (i),
-                            cells[metric][i]);
+    {
+      g_string_append_printf (text, "%s{", info->name);
+      append_labels (text, label, i);
+      g_string_append_printf (text, "} %" G_GUINT64_FORMAT "\n",
+                              cells[metric][i]);
+    }
 }
 
 /* Appends a time as seconds, independent of the locale.  */
--- a/base/metrics.h
+++ b/base/metrics.h
@@ -34,6 +34,10 @@
   METRIC_LABEL_ERROR_KIND, /* enum error_kind */
   METRIC_LABEL_LOG_LEVEL,  /* enum log_level */
   METRIC_LABEL_MESSAGE,    /* enum upstream_message */
+  METRIC_LABEL_LOG_CLASS,  /* enum log_class */
+  METRIC_LABEL_OUTCOME,    /* enum job_outcome */
+  METRIC_LABEL_ORDER,      /* enum upstream_order */
+  METRIC_LABEL_STORE_CALL, /* enum store_call and enum store_outcome */
 };
 
 /* The requests that an upstream gets.  */
@@ -45,12 +49,59 @@
   UPSTREAM_MESSAGE_COUNT
 };
 
+/* How a job of the fleet ended.  */
+enum job_outcome
+{
+  JOB_OUTCOME_DONE,
+  JOB_OUTCOME_FAILED,      /* a task used up its attempts */
+  JOB_OUTCOME_TURNED_AWAY, /* nothing of it ran */
+  JOB_OUTCOME_TOO_LATE,    /* its longest time was over */
+  JOB_OUTCOME_LOST,        /* with an owner; its tasks may have run */
+  JOB_OUTCOME_CALLER_GONE,
+  JOB_OUTCOME_COUNT
+};
+
+/* What an owner orders an upstream to do.  */
+enum upstream_order
+{
+  UPSTREAM_ORDER_START,
+  UPSTREAM_ORDER_STOP,
+  UPSTREAM_ORDER_ASK, /* tell what runs, and prolong its leases */
+  UPSTREAM_ORDER_COUNT
+};
+
+/* What the platform's store is asked for.  */
+enum store_call
+{
+  STORE_CALL_READ,    /* records from a point on */
+  STORE_CALL_NEWEST,  /* where the records end */
+  STORE_CALL_JOIN,    /* to get or keep shards */
+  STORE_CALL_MEMBERS, /* who has joined */
+  STORE_CALL_LEAVE,
+  STORE_CALL_COUNT
+};
+
+enum store_outcome
+{
+  STORE_OUTCOME_DONE,
+  STORE_OUTCOME_REFUSED, /* answered with an error */
+  STORE_OUTCOME_SILENT,  /* no answer */
+  STORE_OUTCOME_COUNT
+};
+
 /* Adds one to a counter without labels.  */
 void metrics_count (enum metric metric);
 
 /* Adds one to the cell of a counter that LABEL names.  */
 void metrics_count_label (enum metric metric, guint label);
 
+/* Adds N to the cell of a counter; LABEL is 0 for one without labels.  */
+void metrics_add (enum metric metric, guint label, guint64 n);
+
+/* Counts a call of the store in METRIC_STORE_CALLS.  */
+void metrics_count_store_call (enum store_call call,
+                               enum store_outcome outcome);
+
 /* The cell of a counter or gauge; LABEL is 0 for one without labels.  */
 guint64 metrics_get (enum metric metric, guint label);
 
--- a/t/t0003-metrics.c
+++ b/t/t0003-metrics.c
@@ -2,6 +2,7 @@
 #include "base/error.h"
 #include "base/event_log.h"
 #include "base/histogram.h"
+#include "base/log_output.h"
 #include "base/metrics.h"
 
 #include <string.h>
@@ -58,7 +59,24 @@
   metrics_set (METRIC_JOBS_ACTIVE, 7);
   metrics_record (METRIC_JOB_SECONDS, 1500);
   metrics_record (METRIC_JOB_SECONDS, 2500000);
+  metrics_add (METRIC_LOG_LINES_DROPPED, LOG_CLASS_FAILURE, 3);
+  metrics_count_label (METRIC_FLEET_JOBS, JOB_OUTCOME_TURNED_AWAY);
+  metrics_count_label (METRIC_UPSTREAM_ORDERS, UPSTREAM_ORDER_ASK);
+  metrics_count_store_call (STORE_CALL_JOIN, STORE_OUTCOME_SILENT);
+  metrics_count_store_call (STORE_CALL_LEAVE, STORE_OUTCOME_SILENT);
   metrics_format (text);
+  assert_line (text->str,
+               "radishchute_log_lines_dropped_total{class=\"failure\"} 3");
+  assert_line (text->str,
+               "radishchute_fleet_jobs_total{outcome=\"turned-away\"} 1");
+  assert_line (text->str,
+               "radishchute_upstream_orders_total{order=\"ask\"} 1");
+  assert_line (text->str, "radishchute_store_calls_total{call=\"join\","
+                          "outcome=\"silent\"} 1");
+  assert_line (text->str, "radishchute_store_calls_total{call=\"leave\","
+                          "outcome=\"silent\"} 1");
+  assert_line (text->str, "radishchute_store_calls_total{call=\"read\","
+                          "outcome=\"done\"} 0");
   assert_line (text->str, "# TYPE radishchute_jobs_accepted_total counter");
   assert_line (text->str, "radishchute_jobs_accepted_total 1");
   assert_line (text->str,
