coordination: start nothing on an upstream whose life is in doubt

A life that began anew under the same name may have another shape. An idle upstream is asked once a second, so that a crash is noticed; after an order without an answer nothing is started before an ask was answered, and a life whose shape is not listed yet gets no runs.

--- a/coordination/owned.c
+++ b/coordination/owned.c
@@ -60,6 +60,7 @@
   for (guint i = 0; spec->labels != NULL && spec->labels[i] != NULL; i++)
     g_ptr_array_add (upstream->labels, g_strdup (spec->labels[i]));
   upstream->shape = spec->shape;
+  upstream->listed_born_ms = spec->born_ms;
   upstream->is_leaving = spec->is_leaving;
 }
 
@@ -119,13 +120,23 @@
   upstream->n_silent = 0;
 }
 
+/* A new life may have another shape, which is not known before it is listed.
+ */
+static gboolean
+is_shape_known (const struct owned *upstream)
+{
+  return upstream->listed_born_ms == 0 || upstream->born_ms == 0
+         || upstream->listed_born_ms == upstream->born_ms;
+}
+
 gboolean
 owned_is_usable (const struct owned *upstream, gint64 now_us)
 {
   if (upstream->state != OWNED_HELD || upstream->is_leaving
       || upstream->is_removed || upstream->is_releasing)
     return FALSE;
-  return upstream->n_foreign == 0 && upstream->rest_until_us <= now_us;
+  return is_shape_known (upstream) && upstream->n_foreign == 0
+         && upstream->rest_until_us <= now_us;
 }
 
 gboolean
--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -94,8 +94,9 @@
   char *rack;
   GPtrArray *labels; /* strings */
   struct shape shape;
-  struct shape used; /* by all runs that may be there */
-  gint64 born_ms;    /* tells its lives apart; 0 when not known */
+  struct shape used;     /* by all runs that may be there */
+  gint64 born_ms;        /* tells its lives apart; 0 when not known */
+  gint64 listed_born_ms; /* of the life whose shape is known; 0 for unknown */
   guint64 token;
   enum owned_state state;
   gboolean is_leaving;
--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -1,5 +1,9 @@
 #include "coordination/owner_private.h"
 
+/* An upstream where nothing runs is asked this often, so that a crash is
+   noticed before the next life is taken for this one.  */
+#define IDLE_ASK_US (1 * USEC_PER_SEC)
+
 /* A stop without an answer is sent again after this.  */
 #define STOP_INTERVAL_US (150 * USEC_PER_MSEC)
 
@@ -195,11 +199,22 @@
   owner_lose_runs (owner, upstream, now_us);
 }
 
+/* Nothing more is started there before it has told that it lives, and which of
+   its lives it is.  */
+static void
+doubt_upstream (struct owned *upstream, gint64 now_us)
+{
+  if (upstream->state == OWNED_HELD)
+    upstream->state = OWNED_TAKING;
+  upstream->ask_due_us = MIN (upstream->ask_due_us, now_us);
+}
+
 /* The order for RUN got no answer: it may be carried out later.  */
 static void
 open_run (struct owner *owner, struct run *run, gint64 now_us)
 {
   owned_rest (run->upstream, now_us);
+  doubt_upstream (run->upstream, now_us);
   if (run->state != RUN_STARTING)
     return;
   run->state = RUN_OPEN;
@@ -227,6 +242,7 @@
     case ORDER_UNHEALTHY:
     case ORDER_NOT_SENT:
       owned_rest (run->upstream, now_us);
+      doubt_upstream (run->upstream, now_us);
       undo_start (owner, run, 0, now_us);
       break;
     default:
@@ -393,6 +409,8 @@
   if (!list_is_empty (&upstream->runs)
       || upstream->last_seen > upstream->acknowledged)
     upstream->ask_due_us = now_us;
+  else
+    upstream->ask_due_us = now_us + IDLE_ASK_US;
 }
 
 static void
@@ -400,12 +418,11 @@
 {
   if (upstream->silent_since_us == 0)
     upstream->silent_since_us = now_us;
-  upstream->ask_due_us = now_us;
+  doubt_upstream (upstream, now_us);
   if (++upstream->n_silent < OWNED_MAX_SILENT)
     return;
   upstream->ask_due_us = now_us + OWNED_SILENT_INTERVAL_US;
-  if (upstream->state == OWNED_HELD)
-    upstream->state = OWNED_SHUNNED;
+  upstream->state = OWNED_SHUNNED;
   owned_rest (upstream, now_us);
 }
 
--- a/coordination/vm_directory.c
+++ b/coordination/vm_directory.c
@@ -111,10 +111,13 @@
   directory->owner->ops->vm_lost (directory->owner, vm, incarnation);
 }
 
-/* Whether NEWS are older than what is known.  */
+/* Whether NEWS are older than what is known.  A VM whose clock was set back
+   may come back with a lower incarnation.  */
 static gboolean
 is_old (const struct vm *vm, const struct vm_news *news)
 {
+  if (!vm->is_live && news->incarnation != vm->incarnation)
+    return FALSE;
   if (news->incarnation != vm->incarnation)
     return news->incarnation < vm->incarnation;
   return (gint32)(news->sequence - vm->sequence) <= 0;
