--- a/transport/fleet.c
+++ b/transport/fleet.c
@@ -2,8 +2,11 @@
 
 #include "base/event_log.h"
 #include "base/hash64.h"
+#include "base/metrics.h"
 #include "transport/fleet_beacon.h"
 #include "transport/fleet_shards.h"
+#include "transport/loop_delay.h"
+#include "transport/metrics_server.h"
 
 #include <glib-unix.h>
 #include <signal.h>
@@ -36,6 +39,9 @@
   struct fleet_owner_listener owner_listener;
   struct vm_directory_owner directory_owner;
   struct fleet_beacon_owner beacon_owner;
+  struct metrics_source metrics_source;
+  struct metrics_server *metrics_server; /* NULL for none */
+  struct loop_delay *loop_delay;
   const struct fleet_settings *settings;
   struct fleet_platform *platform;
   struct settings hub_settings;
@@ -346,6 +352,58 @@
   .upstream_lost = on_upstream_lost,
 };
 
+static void
+count_upstream (struct owned *upstream, gpointer data)
+{
+  guint *counts = data;
+
+  counts[0]++;
+  counts[1] += upstream->rest_until_us > clock_now_us () ? 1 : 0;
+  counts[2] += upstream->state == OWNED_SHUNNED ? 1 : 0;
+}
+
+static void
+refresh_gauges (struct metrics_source *source)
+{
+  struct fleet *fleet = list_entry (source, struct fleet, metrics_source);
+  const GPtrArray *vms = vm_directory_list (fleet->directory);
+  guint counts[3] = { 0 };
+  struct owner_room room;
+  guint n_lost = 0;
+
+  for (guint i = 0; i < vms->len; i++)
+    n_lost += ((struct vm *)g_ptr_array_index (vms, i))->is_live ? 0 : 1;
+  owner_foreach (fleet_owner_get (fleet->owner), count_upstream, counts);
+  owner_get_room (fleet_owner_get (fleet->owner), NULL, &room,
+                  clock_now_us ());
+  metrics_set (METRIC_ROOMS_OWNED, room.n_slots);
+  metrics_set (METRIC_UPSTREAMS_OWNED, counts[0]);
+  metrics_set (METRIC_UPSTREAMS_RESTING, counts[1]);
+  metrics_set (METRIC_UPSTREAMS_MUTE, counts[2]);
+  metrics_set (
+      METRIC_SHARDS_OWNED,
+      (guint)__builtin_popcountll (fleet_shards_get_held (fleet->shards)));
+  metrics_set (METRIC_VMS_LOST, n_lost);
+  metrics_set (METRIC_STORE_REACHED, fleet->is_store_reached ? 1 : 0);
+  metrics_set (METRIC_ROUTES_VERSION,
+               fleet->routes != NULL ? fleet->routes->version : 0);
+  metrics_set (METRIC_JOBS_ACTIVE, fleet_home_count_jobs (fleet->home));
+  metrics_set (METRIC_TASKS_QUEUED, room.n_queued);
+  metrics_set (METRIC_TASKS_RUNNING, room.n_running);
+  metrics_set (METRIC_DRAINING, fleet->is_draining ? 1 : 0);
+}
+
+static json_t *
+dump_state (struct metrics_source *source)
+{
+  return fleet_describe (list_entry (source, struct fleet, metrics_source));
+}
+
+static const struct metrics_source_ops metrics_source_ops = {
+  .refresh = refresh_gauges,
+  .dump = dump_state,
+};
+
 static gboolean
 is_drained (struct fleet *fleet, gint64 now_us)
 {
@@ -463,6 +521,20 @@
   return ((guint64)clock_unix_ms () << INCARNATION_RANDOM_BITS) | random;
 }
 
+static gboolean
+open_metrics (struct fleet *fleet, GError **error)
+{
+  const struct endpoint *endpoint = &fleet->settings->metrics;
+
+  fleet->loop_delay = loop_delay_new ();
+  if (endpoint->port == 0)
+    return TRUE;
+  fleet->metrics_source.ops = &metrics_source_ops;
+  fleet->metrics_server
+      = metrics_server_new (endpoint, &fleet->metrics_source, error);
+  return fleet->metrics_server != NULL;
+}
+
 struct fleet *
 fleet_new (const struct fleet_settings *settings,
            struct fleet_platform *platform, GError **error)
@@ -486,7 +558,7 @@
     fleet->beacon
         = fleet_beacon_new (settings, fleet->incarnation, fleet->directory,
                             &fleet->beacon_owner, error);
-  if (fleet->beacon != NULL)
+  if (fleet->beacon != NULL && open_metrics (fleet, error))
     return fleet;
   fleet_free (fleet);
   return NULL;
@@ -497,6 +569,8 @@
 {
   if (fleet->tick_source != 0)
     g_source_remove (fleet->tick_source);
+  g_clear_pointer (&fleet->metrics_server, metrics_server_free);
+  g_clear_pointer (&fleet->loop_delay, loop_delay_free);
   g_clear_pointer (&fleet->beacon, fleet_beacon_free);
   g_clear_pointer (&fleet->hub, peer_hub_free);
   g_clear_pointer (&fleet->home, fleet_home_free);
