--- /dev/null
+++ b/commands/explain_cause.c
@@ -0,0 +1,483 @@
+#include "commands/explain_cause.h"
+
+#include "base/clock.h"
+
+#include <string.h>
+
+/* Says by WHY whether the rule applies: it does when WHY is not empty.  */
+typedef void rule_check (const struct story *story, GString *why);
+
+struct rule
+{
+  const char *name;
+  const char *title;
+  const char *remedy;
+  rule_check *check;
+};
+
+static const struct story_event *
+get_event (const struct story *story, guint i)
+{
+  return g_ptr_array_index (story->events, i);
+}
+
+static gboolean
+has_text (const struct story_event *event, const char *key, const char *value)
+{
+  return g_strcmp0 (story_event_text (event, key), value) == 0;
+}
+
+/* Whether the caller got an answer, or needs none.  */
+static const struct story_event *
+find_end (const struct story *story)
+{
+  static const enum event ends[] = { EVENT_JOB_ANSWERED, EVENT_JOB_TURNED_AWAY,
+                                     EVENT_JOB_GIVEN_UP, EVENT_CALLER_GONE };
+  const struct story_event *end = NULL;
+
+  for (gsize i = 0; i < G_N_ELEMENTS (ends) && end == NULL; i++)
+    end = story_find (story, ends[i]);
+  return end;
+}
+
+static gboolean
+is_done (const struct story *story)
+{
+  const struct story_event *answer = story_find (story, EVENT_JOB_ANSWERED);
+
+  return answer != NULL && story_is_success (answer);
+}
+
+/* What ended the process of VM after AT_US, as its log or others' tell.  */
+static const char *
+find_process_end (const struct story *story, const char *vm, gint64 at_us)
+{
+  for (guint i = 0; i < story->events->len; i++)
+    {
+      const struct story_event *event = get_event (story, i);
+
+      if (event->at_us < at_us)
+        continue;
+      if (event->number == EVENT_VM_LOST && has_text (event, "peer", vm))
+        return "is no longer heard";
+      if (g_strcmp0 (event->vm, vm) != 0)
+        continue;
+      if (event->number == EVENT_FLEET_STOPPED)
+        return "was stopped";
+      if (event->number == EVENT_FLEET_STARTED)
+        return "started anew without having stopped: it crashed or was killed";
+    }
+  return NULL;
+}
+
+/* The time of the last line that VM logged of the job.  */
+static gint64
+find_last_time (const struct story *story, const char *vm)
+{
+  gint64 at_us = G_MININT64;
+
+  for (guint i = 0; i < story->events->len; i++)
+    {
+      const struct story_event *event = get_event (story, i);
+
+      if (event->is_own && g_strcmp0 (event->vm, vm) == 0)
+        at_us = event->at_us;
+    }
+  return at_us;
+}
+
+static void
+check_done (const struct story *story, GString *why)
+{
+  const struct story_event *answer = story_find (story, EVENT_JOB_ANSWERED);
+
+  if (!is_done (story))
+    return;
+  g_string_append (why, "the caller got its answer");
+  if (story_event_int (answer, "ms", -1) >= 0)
+    g_string_append_printf (why, " after %" G_GINT64_FORMAT " ms",
+                            story_event_int (answer, "ms", 0));
+}
+
+static void
+check_no_route (const struct story *story, GString *why)
+{
+  const struct story_event *away = story_find (story, EVENT_JOB_TURNED_AWAY);
+
+  if (away == NULL || !has_text (away, "reason", "route"))
+    return;
+  g_string_append_printf (why, "%s knew no route for the request", away->vm);
+  for (guint i = 0; i < story->events->len; i++)
+    {
+      const struct story_event *event = get_event (story, i);
+
+      if (event->number == EVENT_ROUTES_IN_FORCE
+          || event->number == EVENT_ROUTES_REFUSED)
+        g_string_append_printf (
+            why, "; version %" G_GINT64_FORMAT " of the desired state was %s",
+            story_event_int (event, "version", 0),
+            event->number == EVENT_ROUTES_REFUSED ? "refused" : "in force");
+    }
+}
+
+static void
+check_turned_away (const struct story *story, GString *why)
+{
+  static const char *const except[] = { "reason", "status", NULL };
+  const struct story_event *away = story_find (story, EVENT_JOB_TURNED_AWAY);
+  g_autoptr (GString) figures = g_string_new (NULL);
+  const char *reason;
+
+  if (away == NULL || has_text (away, "reason", "route"))
+    return;
+  reason = story_event_text (away, "reason");
+  story_event_describe (away, except, figures);
+  g_string_append_printf (why, "%s refused the job before anything ran: %s",
+                          away->vm, reason != NULL ? reason : "no reason");
+  if (figures->len > 0)
+    g_string_append_printf (why, " (%s)", figures->str);
+}
+
+static void
+check_home_lost (const struct story *story, GString *why)
+{
+  const char *end;
+
+  if (story->home == NULL || find_end (story) != NULL)
+    return;
+  end = find_process_end (story, story->home,
+                          find_last_time (story, story->home));
+  if (end != NULL)
+    g_string_append_printf (why, "its home %s %s before it answered",
+                            story->home, end);
+}
+
+/* Whether a line tells that the batch of SENT has come or ended.  */
+static gboolean
+has_batch_event (const struct story *story, const struct story_event *sent,
+                 enum event number)
+{
+  for (guint i = 0; i < story->events->len; i++)
+    if (get_event (story, i)->is_own && get_event (story, i)->number == number
+        && story_is_same_batch (sent, get_event (story, i)))
+      return TRUE;
+  return FALSE;
+}
+
+/* Calls VISIT with each batch sent whose end is not known.  */
+static void
+visit_open_batches (const struct story *story, GString *why,
+                    void (*visit) (const struct story *story,
+                                   const struct story_event *sent,
+                                   const char *owner, GString *why))
+{
+  for (guint i = 0; i < story->events->len; i++)
+    {
+      const struct story_event *sent = get_event (story, i);
+      const char *owner = story_event_text (sent, "owner");
+
+      if (sent->number == EVENT_BATCH_SENT && owner != NULL
+          && !has_batch_event (story, sent, EVENT_BATCH_ENDED))
+        visit (story, sent, owner, why);
+    }
+}
+
+static void
+explain_owner_lost (const struct story *story, const struct story_event *sent,
+                    const char *owner, GString *why)
+{
+  const char *end = find_process_end (story, owner, sent->at_us);
+
+  if (end != NULL)
+    g_string_append_printf (why, "%s%s, to which tasks were sent, %s",
+                            why->len > 0 ? "; " : "", owner, end);
+}
+
+static void
+check_owner_lost (const struct story *story, GString *why)
+{
+  visit_open_batches (story, why, explain_owner_lost);
+}
+
+static void
+explain_owner_silent (const struct story *story,
+                      const struct story_event *sent, const char *owner,
+                      GString *why)
+{
+  if (!has_batch_event (story, sent, EVENT_BATCH_TAKEN)
+      && find_process_end (story, owner, sent->at_us) == NULL)
+    g_string_append_printf (
+        why, "%stasks were sent to %s, which has no line of them",
+        why->len > 0 ? "; " : "", owner);
+}
+
+static void
+check_owner_silent (const struct story *story, GString *why)
+{
+  visit_open_batches (story, why, explain_owner_silent);
+}
+
+/* Whether EVENT tells that an upstream did not answer or was too slow.  */
+static gboolean
+is_hanging (const struct story_event *event)
+{
+  static const char *const reasons[]
+      = { "lapsed", "lost", "silent", "slow", "mute", "unanswered", NULL };
+  const char *reason = story_event_text (event, "reason");
+  const char *end = story_event_text (event, "end");
+
+  if (event->number == EVENT_RUN_UNANSWERED
+      || event->number == EVENT_UPSTREAM_MUTE)
+    return TRUE;
+  if (event->number == EVENT_TASK_RETRIED
+      || event->number == EVENT_UPSTREAM_RESTING)
+    return reason != NULL && g_strv_contains (reasons, reason);
+  return event->number == EVENT_RUN_ENDED && end != NULL
+         && g_strv_contains (reasons, end);
+}
+
+static gboolean
+is_failure (const struct story_event *event)
+{
+  if (event->number == EVENT_RUN_ENDED)
+    return has_text (event, "end", "failed");
+  if (event->number == EVENT_TASK_RETRIED)
+    return !is_hanging (event);
+  return event->number == EVENT_BATCH_ENDED
+         && has_text (event, "end", "failed");
+}
+
+/* A run that is told of by two lines counts once: the key of what a line is
+   about.  */
+static char *
+format_run (const struct story_event *event)
+{
+  const char *task = story_event_text (event, "task");
+
+  return g_strdup_printf ("%s/%" G_GINT64_FORMAT "/%" G_GINT64_FORMAT "/%s",
+                          task != NULL ? task : "",
+                          story_event_int (event, "task", -1),
+                          story_event_int (event, "run", -1),
+                          story_event_text (event, "upstream"));
+}
+
+/* Appends how many runs on which upstreams the lines chosen by IS_CHOSEN tell
+   of, as "u7 (2), u9 (1)".  */
+static void
+append_upstreams (const struct story *story, GString *text,
+                  gboolean (*is_chosen) (const struct story_event *event))
+{
+  g_autoptr (GHashTable) runs
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_autoptr (GHashTable) counts = g_hash_table_new (g_str_hash, g_str_equal);
+  g_autoptr (GPtrArray) names = g_ptr_array_new ();
+
+  for (guint i = 0; i < story->events->len; i++)
+    {
+      const struct story_event *event = get_event (story, i);
+      const char *upstream = story_event_text (event, "upstream");
+      gpointer count;
+
+      if (upstream == NULL || !is_chosen (event))
+        continue;
+      if (!g_hash_table_lookup_extended (counts, upstream, NULL, &count))
+        {
+          count = NULL;
+          g_ptr_array_add (names, (gpointer)upstream);
+        }
+      if (event->is_own && g_hash_table_add (runs, format_run (event)))
+        count = GUINT_TO_POINTER (GPOINTER_TO_UINT (count) + 1);
+      g_hash_table_insert (counts, (gpointer)upstream, count);
+    }
+  for (guint i = 0; i < names->len; i++)
+    g_string_append_printf (
+        text, "%s%s (%u)", i > 0 ? ", " : "", (const char *)names->pdata[i],
+        GPOINTER_TO_UINT (g_hash_table_lookup (counts, names->pdata[i])));
+}
+
+static void
+check_hanging (const struct story *story, GString *why)
+{
+  g_autoptr (GString) upstreams = g_string_new (NULL);
+
+  append_upstreams (story, upstreams, is_hanging);
+  if (upstreams->len > 0)
+    g_string_append_printf (
+        why, "no answer or far too slow, runs of this job in brackets: %s",
+        upstreams->str);
+}
+
+static void
+check_failed (const struct story *story, GString *why)
+{
+  g_autoptr (GString) upstreams = g_string_new (NULL);
+
+  append_upstreams (story, upstreams, is_failure);
+  if (upstreams->len > 0)
+    g_string_append_printf (why, "runs that failed, by upstream: %s",
+                            upstreams->str);
+  for (guint i = 0; i < story->events->len; i++)
+    if (is_failure (get_event (story, i))
+        && get_event (story, i)->number == EVENT_BATCH_ENDED)
+      g_string_append_printf (why, "%sthe batch on %s used up its attempts",
+                              why->len > 0 ? "; " : "",
+                              get_event (story, i)->vm);
+}
+
+static void
+check_paused (const struct story *story, GString *why)
+{
+  for (guint i = 0; i < story->events->len; i++)
+    if (get_event (story, i)->number == EVENT_LOOP_LATE)
+      g_string_append_printf (
+          why, "%s%s stood still for %" G_GINT64_FORMAT " ms",
+          why->len > 0 ? "; " : "", get_event (story, i)->vm,
+          story_event_int (get_event (story, i), "ms", 0));
+}
+
+static void
+check_upstream_gone (const struct story *story, GString *why)
+{
+  for (guint i = 0; i < story->events->len; i++)
+    {
+      const struct story_event *event = get_event (story, i);
+
+      if (event->number == EVENT_UPSTREAM_GONE
+          || event->number == EVENT_UPSTREAM_FENCED)
+        g_string_append_printf (why, "%s%s %s", why->len > 0 ? "; " : "",
+                                story_event_text (event, "upstream"),
+                                event->number == EVENT_UPSTREAM_GONE
+                                    ? "was removed"
+                                    : "went over to another owner");
+    }
+}
+
+static void
+check_caller_gone (const struct story *story, GString *why)
+{
+  const struct story_event *gone = story_find (story, EVENT_CALLER_GONE);
+
+  if (gone == NULL)
+    return;
+  g_string_append (why, "the caller closed its connection");
+  if (story_event_int (gone, "ms", -1) >= 0)
+    g_string_append_printf (why, " after %" G_GINT64_FORMAT " ms",
+                            story_event_int (gone, "ms", 0));
+}
+
+static void
+check_given_up (const struct story *story, GString *why)
+{
+  const struct story_event *up = story_find (story, EVENT_JOB_GIVEN_UP);
+  const char *reason = up != NULL ? story_event_text (up, "reason") : NULL;
+
+  if (up != NULL)
+    g_string_append_printf (why, "%s gave the job up: %s", up->vm,
+                            reason != NULL ? reason : "no reason");
+}
+
+static void
+check_dropped (const struct story *story, GString *why)
+{
+  for (guint i = 0; i < story->events->len; i++)
+    if (get_event (story, i)->number == EVENT_LOG_LINES_DROPPED)
+      {
+        g_string_append_printf (why, "%s dropped log lines around that time",
+                                get_event (story, i)->vm);
+        return;
+      }
+}
+
+static void
+check_unknown (const struct story *story, GString *why)
+{
+  const struct story_event *last = story_find_last (story);
+
+  if (last == NULL)
+    g_string_append (why, "no line names the job");
+  else
+    g_string_append_printf (why,
+                            "the last line is '%s' on %s, and none tells why",
+                            last->name, last->vm);
+}
+
+/* The likeliest first.  The last one always applies.  */
+static const struct rule rules[] = {
+  { "done", "nothing: the job was answered whole", "", check_done },
+  { "no-route", "the desired state has no route for it",
+    "correct or publish the routes", check_no_route },
+  { "turned-away", "turned away for lack of room",
+    "compare the figures with the upstreams that rest or are mute, then add "
+    "upstreams or lower the load",
+    check_turned_away },
+  { "home-lost", "lost with its home",
+    "look at that VM; the caller may ask "
+    "again",
+    check_home_lost },
+  { "owner-lost", "lost with the owner of the upstreams", "look at that VM",
+    check_owner_lost },
+  { "hanging-upstream", "an upstream hangs or is slow", "look at the upstream",
+    check_hanging },
+  { "failed-upstream", "its tasks failed",
+    "look at the upstream; if several "
+    "failed, at the job's input",
+    check_failed },
+  { "upstream-gone", "an upstream went away",
+    "harmless unless it repeats; look at who removes upstreams",
+    check_upstream_gone },
+  { "paused", "a VM stood still", "look at the VM's processor and memory",
+    check_paused },
+  { "owner-silent", "the owner never saw the tasks",
+    "look at the network between the VMs, and give its logs too",
+    check_owner_silent },
+  { "caller-gone", "the caller went away", "look at the caller's timeout",
+    check_caller_gone },
+  { "given-up", "given up", "the reason says what was used up",
+    check_given_up },
+  { "log-gap", "log lines are missing",
+    "speed the reader of the logs up, or lower the level", check_dropped },
+  { "unknown", "not known from these logs",
+    "give the logs of all VMs that the lines name, from 10 minutes after it "
+    "too",
+    check_unknown },
+};
+
+static void
+free_cause (gpointer data)
+{
+  struct explain_cause *cause = data;
+
+  g_free (cause->why);
+  g_free (cause);
+}
+
+static void
+try_rule (const struct story *story, const struct rule *rule,
+          GPtrArray *causes)
+{
+  g_autoptr (GString) why = g_string_new (NULL);
+  struct explain_cause *cause;
+
+  rule->check (story, why);
+  if (why->len == 0)
+    return;
+  cause = g_new0 (struct explain_cause, 1);
+  cause->name = rule->name;
+  cause->title = rule->title;
+  cause->remedy = rule->remedy;
+  cause->why = g_strdup (why->str);
+  g_ptr_array_add (causes, cause);
+}
+
+GPtrArray *
+explain_cause_find (const struct story *story)
+{
+  GPtrArray *causes = g_ptr_array_new_with_free_func (free_cause);
+  gsize n_rules = G_N_ELEMENTS (rules);
+
+  for (gsize i = 0; i + 1 < n_rules; i++)
+    try_rule (story, &rules[i], causes);
+  if (causes->len == 0)
+    try_rule (story, &rules[n_rules - 1], causes);
+  return causes;
+}
--- a/commands/main.c
+++ b/commands/main.c
@@ -14,6 +14,7 @@
   { "drain", "make entry VMs finish and exit", command_drain },
   { "dump", "print the state of an entry VM", command_dump },
   { "entry", "run the daemon of an entry VM", command_entry },
+  { "explain", "tell what happened to a job, from logs", command_explain },
   { "help", "list the commands, or explain one", command_help },
   { "job", "show a job", command_job },
   { "log-level", "set the log level of entry VMs", command_log_level },
