--- a/commands/explain_cause.c
+++ b/commands/explain_cause.c
@@ -207,7 +207,8 @@
   if (!has_batch_event (story, sent, EVENT_BATCH_TAKEN)
       && find_process_end (story, owner, sent->at_us) == NULL)
     g_string_append_printf (
-        why, "%stasks were sent to %s, which has no line of them",
+        why,
+        "%stasks were sent to %s, which has no line of them in these logs",
         why->len > 0 ? "; " : "", owner);
 }
 
@@ -428,7 +429,8 @@
   { "paused", "a VM stood still", "look at the VM's processor and memory",
     check_paused },
   { "owner-silent", "the owner never saw the tasks",
-    "look at the network between the VMs, and give its logs too",
+    "give the owner's log if it is missing; else look at the network between "
+    "the VMs",
     check_owner_silent },
   { "caller-gone", "the caller went away", "look at the caller's timeout",
     check_caller_gone },
