--- a/commands/main.c
+++ b/commands/main.c
@@ -16,6 +16,7 @@
   { "entry", "run the daemon of an entry VM", command_entry },
   { "fleet", "run the daemon of an entry VM that owns upstreams",
     command_fleet },
+  { "explain", "tell what happened to a job, from logs", command_explain },
   { "help", "list the commands, or explain one", command_help },
   { "job", "show a job", command_job },
   { "log-level", "set the log level of entry VMs", command_log_level },
