--- a/transport/fleet_owner.c
+++ b/transport/fleet_owner.c
@@ -2,6 +2,7 @@
 
 #include "base/event_log.h"
 #include "base/hash64.h"
+#include "base/loop_timer.h"
 #include "base/metrics.h"
 
 #include <string.h>
@@ -23,8 +24,9 @@
   struct peer_hub *hub;
   struct fleet_owner_listener *listener;
   GHashTable *remote; /* "HOME/JOB/NUMBER" -> struct remote_batch */
-  GSource *timer;
-  GSource *teller; /* tells what has ended, outside of the owner's calls */
+  struct loop_timer *timer;
+  struct loop_timer
+      *teller;     /* tells what has ended, outside of the owner's calls */
   GQueue returned; /* struct returned_tasks */
   GQueue ended;    /* struct batch */
   GQueue lost;     /* struct lost_upstream */
@@ -179,7 +181,7 @@
   returned->n_tasks = n_tasks;
   memcpy (returned->indexes, indexes, n_tasks * sizeof *indexes);
   g_queue_push_tail (&owner->returned, returned);
-  g_source_set_ready_time (owner->teller, 0);
+  loop_timer_set (owner->teller, 0);
 }
 
 static void
@@ -189,7 +191,7 @@
 
   log_batch_end (batch);
   g_queue_push_tail (&owner->ended, batch);
-  g_source_set_ready_time (owner->teller, 0);
+  loop_timer_set (owner->teller, 0);
 }
 
 static void
@@ -208,7 +210,7 @@
   lost->id = g_strdup (upstream->id);
   lost->is_fenced = is_fenced;
   g_queue_push_tail (&owner->lost, lost);
-  g_source_set_ready_time (owner->teller, 0);
+  loop_timer_set (owner->teller, 0);
 }
 
 static void
@@ -255,25 +257,22 @@
     }
 }
 
-static gboolean
+static void
 on_tell (gpointer data)
 {
   struct fleet_owner *owner = data;
 
-  g_source_set_ready_time (owner->teller, -1);
   tell_returned (owner);
   tell_ended (owner);
   tell_lost (owner);
-  return G_SOURCE_CONTINUE;
 }
 
 static void
 driver_wake_at (struct owner_driver *driver, gint64 when_us)
 {
   struct fleet_owner *owner = from_driver (driver);
-  gint64 delay_us = MAX (when_us - clock_now_us (), 0);
 
-  g_source_set_ready_time (owner->timer, g_get_monotonic_time () + delay_us);
+  loop_timer_set (owner->timer, when_us);
 }
 
 static const struct owner_driver_ops driver_ops = {
@@ -336,34 +335,14 @@
   return_queued (owner, service, now_us);
 }
 
-static gboolean
+static void
 on_timer (gpointer data)
 {
   struct fleet_owner *owner = data;
   gint64 now_us = clock_now_us ();
 
-  g_source_set_ready_time (owner->timer, -1);
   owner_advance (owner->owner, now_us);
   rebalance (owner, now_us);
-  return G_SOURCE_CONTINUE;
-}
-
-static gboolean
-dispatch_timer (GSource *source, GSourceFunc callback, gpointer data)
-{
-  return callback (data);
-}
-
-static GSourceFuncs timer_funcs = { .dispatch = dispatch_timer };
-
-static GSource *
-add_source (GSourceFunc callback, gpointer data)
-{
-  GSource *source = g_source_new (&timer_funcs, sizeof (GSource));
-
-  g_source_set_callback (source, callback, data, NULL);
-  g_source_attach (source, NULL);
-  return source;
 }
 
 struct fleet_owner *
@@ -379,8 +358,8 @@
   owner->directory = directory;
   owner->listener = listener;
   owner->remote = g_hash_table_new (g_str_hash, g_str_equal);
-  owner->timer = add_source (on_timer, owner);
-  owner->teller = add_source (on_tell, owner);
+  owner->timer = loop_timer_new (on_timer, owner);
+  owner->teller = loop_timer_new (on_tell, owner);
   g_queue_init (&owner->returned);
   g_queue_init (&owner->ended);
   g_queue_init (&owner->lost);
@@ -395,10 +374,8 @@
   GHashTableIter iter;
   gpointer value;
 
-  g_source_destroy (owner->timer);
-  g_source_unref (owner->timer);
-  g_source_destroy (owner->teller);
-  g_source_unref (owner->teller);
+  loop_timer_free (owner->timer);
+  loop_timer_free (owner->teller);
   g_queue_clear_full (&owner->returned, g_free);
   g_queue_clear_full (&owner->ended, (GDestroyNotify)batch_free);
   owner_free (owner->owner);
--- a/transport/peer_rpc.c
+++ b/transport/peer_rpc.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/loop_timer.h"
 #include "transport/peer_socket.h"
 #include "transport/rpc_stream.h"
 
@@ -28,7 +29,7 @@
   guint32 next_xid;
   GHashTable *calls;    /* xid -> struct call */
   GSequence *deadlines; /* struct call by deadline_us */
-  GSource *timer;
+  struct loop_timer *timer;
   gboolean was_refused;
 };
 
@@ -70,7 +71,6 @@
 {
   GSequenceIter *first = g_sequence_get_begin_iter (rpc->deadlines);
   gint64 when_us = DEADLINE_NEVER;
-  gint64 now_us = clock_now_us ();
 
   if (!g_sequence_iter_is_end (first))
     when_us = ((struct call *)g_sequence_get (first))->deadline_us;
@@ -83,11 +83,7 @@
         = MIN (when_us, rpc_stream_get_received_us (rpc->stream) + SILENCE_US);
   else if (rpc->stream != NULL)
     when_us = MIN (when_us, rpc->used_us + IDLE_US);
-  if (when_us == DEADLINE_NEVER)
-    g_source_set_ready_time (rpc->timer, -1);
-  else
-    g_source_set_ready_time (rpc->timer, g_get_monotonic_time ()
-                                             + MAX (when_us - now_us, 0));
+  loop_timer_set (rpc->timer, when_us);
 }
 
 /* Ends CALL from the main loop, taking over ERROR.  */
@@ -294,7 +290,7 @@
     give_up_stream (rpc);
 }
 
-static gboolean
+static void
 on_timer (gpointer data)
 {
   struct peer_rpc *rpc = data;
@@ -303,17 +299,8 @@
   check_stream (rpc, now_us);
   end_overdue_calls (rpc, now_us);
   set_wake (rpc);
-  return G_SOURCE_CONTINUE;
 }
 
-static gboolean
-dispatch_timer (GSource *source, GSourceFunc callback, gpointer data)
-{
-  return callback (data);
-}
-
-static GSourceFuncs timer_functions = { .dispatch = dispatch_timer };
-
 struct peer_rpc *
 peer_rpc_new (struct peer_rpc_owner *owner, const char *vm,
               const char *address)
@@ -327,9 +314,7 @@
   rpc->next_xid = g_random_int ();
   rpc->calls = g_hash_table_new (NULL, NULL);
   rpc->deadlines = g_sequence_new (NULL);
-  rpc->timer = g_source_new (&timer_functions, sizeof (GSource));
-  g_source_set_callback (rpc->timer, on_timer, rpc, NULL);
-  g_source_attach (rpc->timer, NULL);
+  rpc->timer = loop_timer_new (on_timer, rpc);
   return rpc;
 }
 
@@ -339,8 +324,7 @@
   give_up_stream (rpc);
   while (g_hash_table_size (rpc->calls) > 0)
     end_overdue_calls (rpc, DEADLINE_NEVER);
-  g_source_destroy (rpc->timer);
-  g_source_unref (rpc->timer);
+  loop_timer_free (rpc->timer);
   g_sequence_free (rpc->deadlines);
   g_hash_table_unref (rpc->calls);
   g_free (rpc->vm);
