--- /dev/null
+++ b/t/t5014-follower.c
@@ -0,0 +1,359 @@
+/*
+ * What is followed in the operators' store: the desired state never goes back,
+ * upstreams are told when they change, and one whose entry disappears while
+ * the store is in trouble is not given up at once.
+ */
+#include "platform/follower.h"
+
+#include "base/clock.h"
+#include "t/support/fake_store.h"
+
+#include <string.h>
+
+struct bed
+{
+  struct fleet_events events;
+  struct fake_store *store;
+  struct store_client *client;
+  struct follower *follower;
+  GString *told; /* words with a space before each */
+};
+
+static void
+on_routes_changed (struct fleet_events *events, struct route_table *table,
+                   GBytes *text)
+{
+  struct bed *bed = (struct bed *)(void *)events;
+
+  g_assert_cmpuint (g_bytes_get_size (text), >, 0);
+  g_string_append_printf (bed->told, " v%" G_GUINT64_FORMAT, table->version);
+}
+
+static void
+on_upstream_changed (struct fleet_events *events,
+                     const struct owned_spec *spec)
+{
+  struct bed *bed = (struct bed *)(void *)events;
+
+  g_string_append_printf (bed->told, " +%s%s", spec->id,
+                          spec->is_leaving ? "~" : "");
+}
+
+static void
+on_upstream_gone (struct fleet_events *events, const char *id)
+{
+  struct bed *bed = (struct bed *)(void *)events;
+
+  g_string_append_printf (bed->told, " -%s", id);
+}
+
+static const struct fleet_events_ops ops = {
+  .routes_changed = on_routes_changed,
+  .upstream_changed = on_upstream_changed,
+  .upstream_gone = on_upstream_gone,
+};
+
+static void
+put_state (struct bed *bed, guint version, const char *service)
+{
+  g_autofree char *text = g_strdup_printf (
+      "{'version':%u,'routes':[{'host':'h','prefix':'/','service':'%s'}]}",
+      version, service);
+
+  fake_store_put (bed->store, "keyed.op", "config", text);
+}
+
+static void
+put_upstream (struct bed *bed, const char *id, const char *service,
+              const char *state, guint seq)
+{
+  g_autofree char *text = g_strdup_printf (
+      "{'service':'%s','addr':'10.0.0.9:80','zone':'z','version':'v1',"
+      "'slots':8,'state':'%s','warmupLeftMs':0,'capacity':{'cpu':16000,"
+      "'memMb':1,'gpu':0},'labels':['a','r1-3'],'seq':%u}",
+      service, state, seq);
+
+  fake_store_put (bed->store, "keyed.servers", id, text);
+}
+
+static void
+drop_upstream (struct bed *bed, const char *id)
+{
+  fake_store_put (bed->store, "keyed.servers", id, NULL);
+}
+
+static struct bed *
+open_bed (void)
+{
+  struct bed *bed = g_new0 (struct bed, 1);
+
+  bed->events.ops = &ops;
+  bed->store = fake_store_new ();
+  bed->told = g_string_new (NULL);
+  return bed;
+}
+
+static void
+follow (struct bed *bed)
+{
+  bed->client = store_client_new (fake_store_address (bed->store));
+  bed->follower = follower_new (bed->client, &bed->events);
+}
+
+static void
+close_bed (struct bed *bed)
+{
+  store_client_free (bed->client);
+  follower_free (bed->follower);
+  while (g_main_context_iteration (NULL, FALSE))
+    ;
+  fake_store_free (bed->store);
+  g_string_free (bed->told, TRUE);
+  g_free (bed);
+}
+
+/* Waits until just these words were told since the last time.  */
+static void
+expect (struct bed *bed, const char *words)
+{
+  while (bed->told->len < strlen (words))
+    g_main_context_iteration (NULL, TRUE);
+  g_assert_cmpstr (bed->told->str, ==, words);
+  g_string_truncate (bed->told, 0);
+}
+
+/* Waits until CALL has come N more times.  */
+static void
+wait_calls (struct bed *bed, const char *call, guint n)
+{
+  guint end = fake_store_count (bed->store, call) + n;
+
+  while (fake_store_count (bed->store, call) < end)
+    g_main_context_iteration (NULL, TRUE);
+}
+
+static void
+pass (guint ms)
+{
+  gint64 end_us = clock_now_us () + ms * USEC_PER_MSEC;
+
+  while (clock_now_us () < end_us)
+    {
+      while (g_main_context_iteration (NULL, FALSE))
+        ;
+      g_usleep (1000);
+    }
+}
+
+static void
+test_late_desired_state (void)
+{
+  struct bed *bed = open_bed ();
+
+  put_upstream (bed, "i-1", "s", "ready", 1);
+  follow (bed);
+  wait_calls (bed, "log-newest", 3);
+  g_assert_cmpstr (bed->told->str, ==, "");
+  put_state (bed, 3, "s");
+  expect (bed, " v3 +i-1");
+  close_bed (bed);
+}
+
+static void
+test_versions (void)
+{
+  struct bed *bed = open_bed ();
+
+  put_state (bed, 3, "s");
+  follow (bed);
+  expect (bed, " v3");
+  put_state (bed, 7, "s");
+  expect (bed, " v7");
+  put_state (bed, 5, "s");
+  put_state (bed, 7, "t");
+  fake_store_put (bed->store, "keyed.op", "config", "{'version':8");
+  fake_store_put (bed->store, "keyed.op", "config", "{'version':'9'}");
+  fake_store_put (bed->store, "keyed.op", "other", "{'version':10}");
+  fake_store_put (bed->store, "keyed.op", "config", NULL);
+  put_state (bed, 11, "s");
+  expect (bed, " v11");
+  close_bed (bed);
+}
+
+/* The store forgets its history, then brings back an older state.  */
+static void
+test_forgotten_history (void)
+{
+  struct bed *bed = open_bed ();
+
+  put_state (bed, 3, "s");
+  follow (bed);
+  expect (bed, " v3");
+  fake_store_set_fault (bed->store, 503);
+  wait_calls (bed, "log-read", 2);
+  put_state (bed, 4, "s");
+  put_state (bed, 6, "s");
+  fake_store_forget (bed->store, "keyed.op");
+  fake_store_set_fault (bed->store, 0);
+  expect (bed, " v6");
+  put_state (bed, 8, "s");
+  expect (bed, " v8");
+  close_bed (bed);
+}
+
+static void
+test_offers_of_peers (void)
+{
+  static const char newer[]
+      = "{\"version\":5,\"routes\":[{\"host\":\"h\",\"prefix\":\"/\","
+        "\"service\":\"t\"}]}";
+  static const char older[] = "{\"version\":4}";
+  static const char wrong[] = "{\"version\":9,\"routes\":1}";
+  g_autoptr (GBytes) a = g_bytes_new_static (newer, strlen (newer));
+  g_autoptr (GBytes) b = g_bytes_new_static (older, strlen (older));
+  g_autoptr (GBytes) c = g_bytes_new_static (wrong, strlen (wrong));
+  struct bed *bed = open_bed ();
+
+  put_state (bed, 3, "s");
+  put_upstream (bed, "i-1", "t", "ready", 1);
+  follow (bed);
+  expect (bed, " v3");
+  wait_calls (bed, "log-read", 2);
+  follower_offer_routes (bed->follower, c);
+  follower_offer_routes (bed->follower, a);
+  follower_offer_routes (bed->follower, a);
+  follower_offer_routes (bed->follower, b);
+  g_assert_cmpstr (bed->told->str, ==, "");
+  expect (bed, " v5 +i-1");
+  pass (50);
+  expect (bed, "");
+  close_bed (bed);
+}
+
+/* Heartbeats are not told, and neither are entries of others.  */
+static void
+test_upstreams (void)
+{
+  struct bed *bed = open_bed ();
+
+  put_state (bed, 3, "s");
+  put_upstream (bed, "i-1", "s", "ready", 1);
+  put_upstream (bed, "i-2", "other", "ready", 1);
+  follow (bed);
+  expect (bed, " v3 +i-1");
+  put_upstream (bed, "i-1", "s", "ready", 2);
+  put_upstream (bed, "i-3", "s", "lost", 1);
+  fake_store_put_bytes (bed->store, "keyed.servers", "i-4", "\xff{\0", 3);
+  fake_store_put (bed->store, "keyed.servers", "i-1", "{'service':'s'}");
+  put_upstream (bed, "i-1", "s", "draining", 3);
+  expect (bed, " +i-1~");
+  put_upstream (bed, "i-5", "s", "ready", 1);
+  expect (bed, " +i-5");
+  drop_upstream (bed, "i-3");
+  drop_upstream (bed, "i-1");
+  expect (bed, " -i-1");
+  put_upstream (bed, "i-1", "s", "ready", 4);
+  expect (bed, " +i-1");
+  close_bed (bed);
+}
+
+static void
+test_pages (void)
+{
+  struct bed *bed = open_bed ();
+
+  for (char id[] = "i&=0"; id[3] < '7'; id[3]++)
+    put_upstream (bed, id, "s", "ready", 1);
+  put_state (bed, 3, "s");
+  fake_store_set_page (bed->store, 2);
+  follow (bed);
+  while (bed->told->len < strlen (" v3") + 7 * strlen (" +i&=0"))
+    g_main_context_iteration (NULL, TRUE);
+  g_assert_nonnull (strstr (bed->told->str, " +i&=0"));
+  g_assert_nonnull (strstr (bed->told->str, " +i&=6"));
+  close_bed (bed);
+}
+
+/* An entry that ran out during an outage and comes back was never gone.  */
+static void
+test_entry_that_comes_back (void)
+{
+  struct bed *bed = open_bed ();
+
+  put_state (bed, 3, "s");
+  put_upstream (bed, "i-1", "s", "ready", 1);
+  put_upstream (bed, "i-2", "s", "ready", 1);
+  follow (bed);
+  pass (100);
+  g_string_truncate (bed->told, 0);
+  fake_store_set_fault (bed->store, 503);
+  wait_calls (bed, "log-read", 3);
+  drop_upstream (bed, "i-1");
+  drop_upstream (bed, "i-2");
+  fake_store_set_fault (bed->store, 0);
+  wait_calls (bed, "log-read", 3);
+  pass (500);
+  put_upstream (bed, "i-1", "s", "ready", 2);
+  expect (bed, " -i-2");
+  pass (600);
+  expect (bed, "");
+  close_bed (bed);
+}
+
+/* What the newest records no longer name is gone, but not at once.  */
+static void
+test_entry_that_was_forgotten (void)
+{
+  struct bed *bed = open_bed ();
+  gint64 begin_us;
+
+  put_state (bed, 3, "s");
+  put_upstream (bed, "i-1", "s", "ready", 1);
+  put_upstream (bed, "i-2", "s", "ready", 1);
+  follow (bed);
+  pass (100);
+  g_string_truncate (bed->told, 0);
+  fake_store_set_fault (bed->store, FAKE_STORE_SILENT);
+  wait_calls (bed, "log-read", 1);
+  drop_upstream (bed, "i-1");
+  fake_store_forget (bed->store, "keyed.servers");
+  begin_us = clock_now_us ();
+  fake_store_set_fault (bed->store, 0);
+  expect (bed, " -i-1");
+  g_assert_cmpint (clock_now_us () - begin_us, >=, 2500 * USEC_PER_MSEC);
+  close_bed (bed);
+}
+
+/* Calls are priced: a quiet store is read no more often than needed.  */
+static void
+test_calls_when_quiet (void)
+{
+  struct bed *bed = open_bed ();
+  guint n;
+
+  put_state (bed, 3, "s");
+  put_upstream (bed, "i-1", "s", "ready", 1);
+  follow (bed);
+  expect (bed, " v3 +i-1");
+  n = fake_store_count (bed->store, "log-read");
+  pass (2400);
+  g_assert_cmpuint (fake_store_count (bed->store, "log-read") - n, <=, 9);
+  g_assert_cmpuint (fake_store_count (bed->store, "log-newest"), <=, 4);
+  close_bed (bed);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/follower/late-desired-state", test_late_desired_state);
+  g_test_add_func ("/follower/versions", test_versions);
+  g_test_add_func ("/follower/forgotten-history", test_forgotten_history);
+  g_test_add_func ("/follower/offers", test_offers_of_peers);
+  g_test_add_func ("/follower/upstreams", test_upstreams);
+  g_test_add_func ("/follower/pages", test_pages);
+  g_test_add_func ("/follower/comes-back", test_entry_that_comes_back);
+  g_test_add_func ("/follower/forgotten", test_entry_that_was_forgotten);
+  g_test_add_func ("/follower/calls-when-quiet", test_calls_when_quiet);
+  return g_test_run ();
+}
