platform: ask a store that failed without waiting first

A read that waits, sent while the store was silent, held up the change that came 0.1 s after its return until the deadline: in force 1.94 s after its acknowledgement, of the 2 s that are allowed.

--- a/t/t5014-follower.c
+++ b/t/t5014-follower.c
@@ -201,6 +201,43 @@
   close_bed (bed);
 }
 
+/* Waits for the next read of the desired state, and returns its query.  */
+static const char *
+wait_operator_read (struct bed *bed)
+{
+  const char *query;
+
+  do
+    {
+      wait_calls (bed, "log-read", 1);
+      query = fake_store_last (bed->store, "log-read");
+    }
+  while (strstr (query, "keyed.op") == NULL);
+  return query;
+}
+
+/* A store that is back is not asked to wait first: the change that came during
+   the outage, or just after it, would lie there until the deadline.  */
+static void
+test_reads_after_trouble (void)
+{
+  struct bed *bed = open_bed ();
+
+  put_state (bed, 3, "s");
+  follow (bed);
+  expect (bed, " v3");
+  g_assert_nonnull (strstr (wait_operator_read (bed), "waitMs="));
+  fake_store_set_fault (bed->store, 503);
+  wait_operator_read (bed);
+  g_assert_null (strstr (wait_operator_read (bed), "waitMs="));
+  g_assert_null (strstr (wait_operator_read (bed), "waitMs="));
+  put_state (bed, 4, "s");
+  fake_store_set_fault (bed->store, 0);
+  expect (bed, " v4");
+  g_assert_nonnull (strstr (wait_operator_read (bed), "waitMs="));
+  close_bed (bed);
+}
+
 static void
 test_offers_of_peers (void)
 {
@@ -349,6 +386,7 @@
   g_test_add_func ("/follower/late-desired-state", test_late_desired_state);
   g_test_add_func ("/follower/versions", test_versions);
   g_test_add_func ("/follower/forgotten-history", test_forgotten_history);
+  g_test_add_func ("/follower/after-trouble", test_reads_after_trouble);
   g_test_add_func ("/follower/offers", test_offers_of_peers);
   g_test_add_func ("/follower/upstreams", test_upstreams);
   g_test_add_func ("/follower/pages", test_pages);
