--- a/t/standin/listener.c
+++ b/t/standin/listener.c
@@ -122,8 +122,8 @@
 {
   const json_t *member = json_object_get (object, name);
 
-  if (json_is_true (member))
-    return 1;
+  if (json_is_boolean (member))
+    return json_is_true (member);
   return json_is_number (member) ? (gint64)json_number_value (member)
                                  : fallback;
 }
