--- a/t/standin/main.c
+++ b/t/standin/main.c
@@ -13,6 +13,7 @@
   { "platform", standin_platform },
   { "upstream", standin_upstream },
   { "proxy", standin_proxy },
+  { "store", standin_store },
 };
 
 int
@@ -22,6 +23,7 @@
        i++)
     if (strcmp (subcommands[i].name, argv[1]) == 0)
       return subcommands[i].run (argc - 1, argv + 1);
-  fprintf (stderr, "usage: standin platform|upstream|proxy [OPTION...]\n");
+  fprintf (stderr,
+           "usage: standin platform|upstream|proxy|store [OPTION...]\n");
   return 2;
 }
