--- a/t/standin/main.c
+++ b/t/standin/main.c
@@ -10,10 +10,9 @@
 };
 
 static const struct subcommand subcommands[] = {
-  { "platform", standin_platform },
-  { "upstream", standin_upstream },
-  { "proxy", standin_proxy },
-  { "store", standin_store },
+  { "platform", standin_platform }, { "upstream", standin_upstream },
+  { "proxy", standin_proxy },       { "store", standin_store },
+  { "worker", standin_worker },
 };
 
 int
@@ -23,7 +22,8 @@
        i++)
     if (strcmp (subcommands[i].name, argv[1]) == 0)
       return subcommands[i].run (argc - 1, argv + 1);
-  fprintf (stderr,
-           "usage: standin platform|upstream|proxy|store [OPTION...]\n");
+  fprintf (
+      stderr,
+      "usage: standin platform|upstream|proxy|store|worker [OPTION...]\n");
   return 2;
 }
--- a/t/standin/standin.h
+++ b/t/standin/standin.h
@@ -11,5 +11,6 @@
 int standin_upstream (int argc, char **argv);
 int standin_proxy (int argc, char **argv);
 int standin_store (int argc, char **argv);
+int standin_worker (int argc, char **argv);
 
 #endif
