t: free a call of the store stand-in after its handler

A delayed call that was refused for its part was freed and then read on. Found by random calls under ASan; t8004 /store/delayed does the same.

--- a/t/standin/store.h
+++ b/t/standin/store.h
@@ -65,9 +65,12 @@
   store_handler *handle;
   GHashTable *query; /* may be NULL */
   GBytes *body;
+  gboolean is_change;
   gboolean is_mute;    /* gets no answer */
-  gboolean is_entered; /* within the server's callback */
-  gboolean is_answered;
+  gboolean is_handled; /* a handler is at it; freed only after that */
+  gboolean is_paused;  /* its message */
+  gboolean is_ended;
+  gboolean has_answer;
   guint timer;
   struct topic_part *part; /* of a read that waits */
   guint64 from;
--- a/t/standin/store_call.c
+++ b/t/standin/store_call.c
@@ -30,22 +30,27 @@
   g_free (call);
 }
 
-/* The answer has been decided.  */
+/* Sends what was decided, or nothing, and frees CALL.  */
 static void
-end_call (struct store_call *call, gboolean has_answer)
+finish_call (struct store_call *call)
 {
-  call->is_answered = TRUE;
-  if (call->is_entered)
-    {
-      if (!has_answer && call->msg != NULL)
-        answer_by_silence (call->msg);
-      return;
-    }
-  if (has_answer && call->msg != NULL)
+  if (call->msg != NULL && call->has_answer && call->is_paused)
     soup_server_message_unpause (call->msg);
+  else if (call->msg != NULL && !call->has_answer && !call->is_paused)
+    answer_by_silence (call->msg);
   free_call (call);
 }
 
+/* The answer has been decided.  A handler may still use CALL after it.  */
+static void
+end_call (struct store_call *call, gboolean has_answer)
+{
+  call->is_ended = TRUE;
+  call->has_answer = has_answer;
+  if (!call->is_handled)
+    finish_call (call);
+}
+
 void
 store_call_answer_json (struct store_call *call, guint status, json_t *body)
 {
@@ -183,14 +188,30 @@
     forget_message (call);
 }
 
+/* Calls HANDLE for CALL, which may be freed by it.  */
+static void
+handle_call (struct store_call *call, store_handler *handle)
+{
+  call->is_handled = TRUE;
+  if (!apply_mode (call))
+    handle (call);
+  call->is_handled = FALSE;
+  if (call->is_ended)
+    finish_call (call);
+  else if (call->msg != NULL && !call->is_paused)
+    {
+      soup_server_message_pause (call->msg);
+      call->is_paused = TRUE;
+    }
+}
+
 static gboolean
 on_delayed (gpointer data)
 {
   struct store_call *call = data;
 
   call->timer = 0;
-  if (!apply_mode (call))
-    call->handle (call);
+  handle_call (call, call->handle);
   return G_SOURCE_REMOVE;
 }
 
@@ -241,23 +262,25 @@
   call->finished_handler
       = g_signal_connect (msg, "finished", G_CALLBACK (on_finished), call);
   call->handle = route->handle;
+  call->is_change = route->is_change;
   call->query = query == NULL ? NULL : g_hash_table_ref (query);
   call->body
       = soup_message_body_flatten (soup_server_message_get_request_body (msg));
-  call->is_entered = TRUE;
   return call;
 }
 
+/* Carries CALL out now, or later where a fault asks for it.  */
 static void
-begin_call (struct store_call *call, gboolean is_change)
+begin_call (struct store_call *call)
 {
   const struct store_door *door = call->door;
-  guint wait_ms
-      = is_change ? MAX (door->delay_ms, door->late_ms) : door->delay_ms;
+  guint wait_ms = door->delay_ms;
 
-  if (apply_mode (call))
-    return;
-  call->is_mute = is_change && (door->loses_answers || door->late_ms > 0);
+  if (call->is_change)
+    {
+      wait_ms = MAX (wait_ms, door->late_ms);
+      call->is_mute = door->loses_answers || door->late_ms > 0;
+    }
   if (wait_ms > 0)
     call->timer = g_timeout_add (wait_ms, on_delayed, call);
   else
@@ -271,7 +294,6 @@
   struct store_door *door = data;
   const struct store_route *route = find_route (store_log_routes, msg, path);
   json_t *counts = door->store->counts;
-  struct store_call *call;
 
   if (route == NULL)
     route = find_route (store_member_routes, msg, path);
@@ -282,13 +304,7 @@
     }
   json_add_int (counts, route->name,
                 json_int_member (counts, route->name, 0) + 1);
-  call = make_call (door, msg, query, route);
-  begin_call (call, route->is_change);
-  call->is_entered = FALSE;
-  if (call->is_answered)
-    free_call (call);
-  else if (call->msg != NULL)
-    soup_server_message_pause (call->msg);
+  handle_call (make_call (door, msg, query, route), begin_call);
 }
 
 void
--- a/t/t8004-platform-standin.c
+++ b/t/t8004-platform-standin.c
@@ -278,6 +278,26 @@
   process_free (store);
 }
 
+static void
+test_delayed (void)
+{
+  struct process *store = process_start_standin ("store", NULL);
+  guint16 port = store->ports[0];
+
+  set_faults (port, "{\"delay_ms\":1}");
+  assert_append (port, "topic=w&part=99", "\0\0\0\1a", 5, 400,
+                 "{\"reason\":\"part\"}");
+  append_a (port, "topic=w&part=0", "{\"offset\":0,\"end\":1}");
+  assert_bytes (get (port, CALL "log-read?topic=w&part=0&from=1&waitMs=1"),
+                "\0\0\0\0\0\0\0\1\0\0\0\0\0\0\0\0", 16);
+  g_assert_cmpuint (
+      post_status (port, CALL "log-trim?topic=w&part=0&before=1", ""), ==,
+      200);
+  assert_json (get (port, CALL "log-read?topic=w&part=0&from=0"), 410,
+               "{\"first\":1}");
+  process_free (store);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -287,5 +307,6 @@
   g_test_add_func ("/store/keyed", test_keyed);
   g_test_add_func ("/store/forgets", test_forgets);
   g_test_add_func ("/store/doors", test_doors);
+  g_test_add_func ("/store/delayed", test_delayed);
   return g_test_run ();
 }
