coordination: follow known VMs in a full directory, and let no queue wrap

A full directory passed over what is said of VMs that it knows, so that the address of one that is silent stayed old.

--- a/coordination/vm_directory.c
+++ b/coordination/vm_directory.c
@@ -81,8 +81,7 @@
 {
   struct vm *vm = find (directory, name);
 
-  if (g_str_equal (name, directory->own_name)
-      || directory->vms->len >= VM_DIRECTORY_MAX)
+  if (g_str_equal (name, directory->own_name))
     return FALSE;
   if (vm != NULL)
     {
@@ -91,6 +90,8 @@
         set_address (vm, ip, availability_zone);
       return FALSE;
     }
+  if (directory->vms->len >= VM_DIRECTORY_MAX)
+    return FALSE;
   vm = g_new0 (struct vm, 1);
   vm->name = g_strdup (name);
   vm->heard_us = now_us;
@@ -151,6 +152,16 @@
   return vm;
 }
 
+/* Queues N_TASKS more; the time stays at its greatest, as it must not wrap. */
+static void
+add_queued (struct vm_room *room, guint n_tasks, guint run_ms)
+{
+  guint64 queued_ms = room->queued_ms + (guint64)n_tasks * run_ms;
+
+  room->n_queued += n_tasks;
+  room->queued_ms = (guint)MIN (queued_ms, G_MAXUINT);
+}
+
 void
 vm_directory_take_room (struct vm_directory *directory, const char *name,
                         guint64 service, guint n_tasks, guint run_ms)
@@ -165,8 +176,7 @@
       if (room->service != service)
         continue;
       room->free_slots -= n_now;
-      room->n_queued += n_tasks - n_now;
-      room->queued_ms += (n_tasks - n_now) * run_ms;
+      add_queued (room, n_tasks - n_now, run_ms);
     }
 }
 
