--- /dev/null
+++ b/t/t2130-spread.c
@@ -0,0 +1,141 @@
+/* How a home spreads tasks over owners.  */
+#include "coordination/spread.h"
+
+/* Owners in the order of the list, for short tests.  */
+enum
+{
+  FAR,
+  NEAR,
+  SELF,
+  N_OWNERS
+};
+
+static void
+fill (struct spread_owner owners[N_OWNERS], guint n_slots, guint free_slots)
+{
+  for (guint i = 0; i < N_OWNERS; i++)
+    owners[i] = (struct spread_owner){
+      .name = "entry",
+      .is_self = i == SELF,
+      .is_local = i != FAR,
+      .room = { .n_slots = n_slots, .free_slots = free_slots },
+      .n_given = 99, /* of an earlier use */
+    };
+}
+
+static void
+assert_given (const struct spread_owner owners[N_OWNERS], guint self,
+              guint near, guint far)
+{
+  g_assert_cmpuint (owners[SELF].n_given, ==, self);
+  g_assert_cmpuint (owners[NEAR].n_given, ==, near);
+  g_assert_cmpuint (owners[FAR].n_given, ==, far);
+}
+
+static void
+test_nearest_first (void)
+{
+  struct spread_owner owners[N_OWNERS];
+
+  fill (owners, 4, 4);
+  g_assert_cmpint (spread_tasks (owners, N_OWNERS, 3, 100), ==, 0);
+  assert_given (owners, 3, 0, 0);
+  owners[SELF].room.free_slots = 0;
+  g_assert_cmpint (spread_tasks (owners, N_OWNERS, 3, 100), ==, 0);
+  assert_given (owners, 0, 3, 0);
+  /* Slots for which tasks wait already are not free.  */
+  owners[NEAR].room.n_queued = 4;
+  g_assert_cmpint (spread_tasks (owners, N_OWNERS, 3, 100), ==, 0);
+  assert_given (owners, 0, 0, 3);
+}
+
+static void
+test_split (void)
+{
+  struct spread_owner owners[N_OWNERS];
+
+  fill (owners, 4, 4);
+  g_assert_cmpint (spread_tasks (owners, N_OWNERS, 10, 100), ==, 0);
+  assert_given (owners, 4, 4, 2);
+}
+
+/* Of equally near owners the emptiest gets the tasks.  */
+static void
+test_emptiest (void)
+{
+  struct spread_owner owners[N_OWNERS];
+
+  fill (owners, 9, 2);
+  owners[SELF].is_self = FALSE;
+  owners[SELF].room.free_slots = 5;
+  g_assert_cmpint (spread_tasks (owners, N_OWNERS, 4, 100), ==, 0);
+  assert_given (owners, 4, 0, 0);
+}
+
+static void
+test_shortest_queue (void)
+{
+  struct spread_owner owners[N_OWNERS];
+
+  fill (owners, 2, 0);
+  owners[SELF].room.queued_ms = 1000;
+  owners[NEAR].room.queued_ms = 600;
+  owners[FAR].room.queued_ms = 200;
+  g_assert_cmpint (spread_tasks (owners, N_OWNERS, 1, 100), ==, 150);
+  assert_given (owners, 0, 0, 1);
+  /* 5 tasks at FAR make its wait longer than that at NEAR, which is nearer
+     when they are equal.  */
+  g_assert_cmpint (spread_tasks (owners, N_OWNERS, 5, 100), ==, 350);
+  assert_given (owners, 0, 1, 4);
+}
+
+/* More slots drain the same queue faster.  */
+static void
+test_wider_queue (void)
+{
+  struct spread_owner owners[N_OWNERS];
+
+  fill (owners, 2, 0);
+  for (guint i = 0; i < N_OWNERS; i++)
+    owners[i].room.queued_ms = 1000;
+  owners[FAR].room.n_slots = 20;
+  g_assert_cmpint (spread_tasks (owners, N_OWNERS, 1, 100), ==, 55);
+  assert_given (owners, 0, 0, 1);
+}
+
+/* What is left over when all slots are taken is queued.  */
+static void
+test_free_then_queued (void)
+{
+  struct spread_owner owners[N_OWNERS];
+
+  fill (owners, 4, 4);
+  g_assert_cmpint (spread_tasks (owners, N_OWNERS, 15, 100), ==, 125);
+  assert_given (owners, 5, 5, 5);
+}
+
+static void
+test_none (void)
+{
+  struct spread_owner owners[N_OWNERS];
+
+  fill (owners, 0, 0);
+  g_assert_cmpint (spread_tasks (owners, N_OWNERS, 1, 100), ==, -1);
+  assert_given (owners, 0, 0, 0);
+  g_assert_cmpint (spread_tasks (NULL, 0, 1, 100), ==, -1);
+  g_assert_cmpint (spread_tasks (owners, N_OWNERS, 0, 100), ==, 0);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/spread/nearest-first", test_nearest_first);
+  g_test_add_func ("/spread/split", test_split);
+  g_test_add_func ("/spread/emptiest", test_emptiest);
+  g_test_add_func ("/spread/shortest-queue", test_shortest_queue);
+  g_test_add_func ("/spread/wider-queue", test_wider_queue);
+  g_test_add_func ("/spread/free-then-queued", test_free_then_queued);
+  g_test_add_func ("/spread/none", test_none);
+  return g_test_run ();
+}
