--- a/protocol/fleet_settings.c
+++ b/protocol/fleet_settings.c
@@ -13,6 +13,7 @@
 #define DEFAULT_SHARDS 16
 #define DEFAULT_TTL_MS 1000
 #define DEFAULT_LEASE_MS 900
+#define DEFAULT_LEASE_PART 0.9 /* of max_lease_ms, if that is less */
 #define DEFAULT_MAX_LEASE_MS 1000
 #define DEFAULT_STOP_MS 50
 #define DEFAULT_RESEND_MS 1300
@@ -27,7 +28,7 @@
                                     "shards",    "member_ttl_ms",
                                     "lease_ms",  "max_lease_ms",
                                     "stop_ms",   "resend_ms",
-                                    "grace_s",  "max_connections",
+                                    "grace_s",   "max_connections",
                                     "cpu_share", "log_level",
                                     NULL };
 
@@ -116,16 +117,30 @@
     *value = (guint)number;
 }
 
+/* What is left out follows from what is given.  */
+static void
+read_leases (struct json_check *check, json_t *root, struct fleet_settings *s)
+{
+  gdouble part_ms;
+
+  read_uint (check, root, "max_lease_ms", 1, MAX_MS, &s->max_lease_ms);
+  part_ms = MAX (s->max_lease_ms * DEFAULT_LEASE_PART, 1);
+  s->lease_ms = (guint)MIN (DEFAULT_LEASE_MS, part_ms);
+  read_uint (check, root, "lease_ms", 1, MAX_MS, &s->lease_ms);
+  if (s->lease_ms > s->max_lease_ms)
+    json_check_fail (check, "lease_ms", "must not be over max_lease_ms");
+}
+
 static void
 read_numbers (struct json_check *check, json_t *root, struct fleet_settings *s)
 {
   gdouble grace_s;
 
+  if (json_object_get (root, "beacon_port") == NULL)
+    json_check_fail (check, "", "'beacon_port' is missing; add it");
   read_uint (check, root, "beacon_port", 1, MAX_PORT, &s->beacon_port);
   read_uint (check, root, "shards", 1, MAX_SHARDS, &s->n_shards);
   read_uint (check, root, "member_ttl_ms", 100, MAX_MS, &s->member_ttl_ms);
-  read_uint (check, root, "lease_ms", 1, MAX_MS, &s->lease_ms);
-  read_uint (check, root, "max_lease_ms", 1, MAX_MS, &s->max_lease_ms);
   read_uint (check, root, "stop_ms", 0, MAX_MS, &s->stop_ms);
   read_uint (check, root, "resend_ms", 1, MAX_MS, &s->resend_ms);
   read_uint (check, root, "max_connections", 1, MAX_CONNECTIONS,
@@ -144,7 +159,6 @@
   settings->availability_zones = g_ptr_array_new_with_free_func (g_free);
   settings->n_shards = DEFAULT_SHARDS;
   settings->member_ttl_ms = DEFAULT_TTL_MS;
-  settings->lease_ms = DEFAULT_LEASE_MS;
   settings->max_lease_ms = DEFAULT_MAX_LEASE_MS;
   settings->stop_ms = DEFAULT_STOP_MS;
   settings->resend_ms = DEFAULT_RESEND_MS;
@@ -170,9 +184,8 @@
   read_endpoint (check, root, "metrics", FALSE, &settings->metrics);
   read_zones (check, root, settings);
   read_numbers (check, root, settings);
+  read_leases (check, root, settings);
   read_level (check, root, settings);
-  if (settings->lease_ms > settings->max_lease_ms)
-    json_check_fail (check, "lease_ms", "must not be over max_lease_ms");
 }
 
 struct fleet_settings *
