--- a/protocol/fleet_settings.c
+++ b/protocol/fleet_settings.c
@@ -2,9 +2,13 @@
 
 #include "base/error.h"
 #include "protocol/json_read.h"
+#include "protocol/peer_xdr.h"
 
 #include <string.h>
 
+/* Stands between the parts of a VM's name in the platform's group.  */
+#define MEMBER_SEPARATOR '@'
+
 #define MAX_PORT 65535
 #define MAX_SHARDS 64
 #define MAX_MS 600000
@@ -73,6 +77,18 @@
   *value = g_strdup (text);
 }
 
+/* Reads a text that beacons and the platform's group tell.  */
+static void
+read_name (struct json_check *check, json_t *root, const char *key,
+           char **value)
+{
+  read_text (check, root, key, value);
+  if (*value != NULL && strlen (*value) > PEER_NAME_MAX)
+    json_check_fail (check, key, "must have at most %d bytes", PEER_NAME_MAX);
+  if (*value != NULL && strchr (*value, MEMBER_SEPARATOR) != NULL)
+    json_check_fail (check, key, "must not hold a '%c'", MEMBER_SEPARATOR);
+}
+
 static void
 read_zones (struct json_check *check, json_t *root,
             struct fleet_settings *settings)
@@ -174,9 +190,9 @@
            struct fleet_settings *settings)
 {
   json_check_keys (check, "", root, keys);
-  read_text (check, root, "vm", &settings->vm);
-  read_text (check, root, "availability_zone", &settings->availability_zone);
-  read_text (check, root, "ip", &settings->ip);
+  read_name (check, root, "vm", &settings->vm);
+  read_name (check, root, "availability_zone", &settings->availability_zone);
+  read_name (check, root, "ip", &settings->ip);
   read_text (check, root, "store", &settings->store);
   read_endpoint (check, root, "callers", TRUE, &settings->callers);
   read_endpoint (check, root, "readiness", TRUE, &settings->readiness);
