--- a/t/t1020-fleet-settings.c
+++ b/t/t1020-fleet-settings.c
@@ -88,7 +88,6 @@
   assert_endpoint (&s->callers, "10.1.0.13", 8161);
   assert_endpoint (&s->readiness, "10.1.0.13", 8167);
   assert_endpoint (&s->peers, "10.1.0.13", 7720);
-  assert_endpoint (&s->metrics, NULL, 0);
   g_assert_cmpuint (s->beacon_port, ==, 7735);
   g_assert_cmpuint (s->n_shards, ==, 16);
   g_assert_cmpuint (s->max_lease_ms, ==, 1000);
@@ -121,6 +120,13 @@
   g_assert_cmpuint (s->max_lease_ms, ==, 1000);
   g_assert_cmpuint (s->max_connections, ==, 3000);
   g_assert_cmpfloat (s->cpu_share, ==, 1);
+  assert_endpoint (&s->metrics, NULL, 0);
+  fleet_settings_free (s);
+  s = parse ("{" REQUIRED ",\"metrics\":\"\"}");
+  assert_endpoint (&s->metrics, NULL, 0);
+  fleet_settings_free (s);
+  s = parse ("{" REQUIRED ",\"metrics\":\"10.1.0.13:9464\"}");
+  assert_endpoint (&s->metrics, "10.1.0.13", 9464);
   fleet_settings_free (s);
 }
 
@@ -192,6 +198,7 @@
                   "unknown member 'vmm'; remove it");
   assert_problem ("{\"vm\":7}", "'vm' must be a string");
   assert_problem ("{\"vm\":\"\"}", "must not be empty");
+  assert_problem ("{\"vm\":\"entry@1\"}", "must not hold a '@'");
   assert_problem ("{\"availability_zones\":\"a\"}", "must be an array");
   assert_problem ("{\"availability_zones\":[1]}", "must hold names only");
   assert_problem ("{\"callers\":\"10.1.0.13\"}", "write it as IP:PORT");
@@ -208,6 +215,24 @@
                   "must not be over max_lease_ms");
 }
 
+/* A name must fit into a beacon.  */
+static void
+test_long_names (void)
+{
+  static const char *const keys[] = { "vm", "availability_zone", "ip" };
+  g_autofree char *name = g_strnfill (64, 'n');
+
+  for (gsize i = 0; i < G_N_ELEMENTS (keys); i++)
+    {
+      g_autofree char *text
+          = g_strdup_printf ("{\"%s\":\"%s\"}", keys[i], name);
+      g_autofree char *problem
+          = g_strdup_printf ("%s: must have at most 63 bytes", keys[i]);
+
+      assert_problem (text, problem);
+    }
+}
+
 /* All problems are told in one go, a line each.  */
 static void
 test_several_problems (void)
@@ -243,6 +268,7 @@
   g_test_add_func ("/fleet-settings/short-leases", test_short_leases);
   g_test_add_func ("/fleet-settings/missing", test_missing);
   g_test_add_func ("/fleet-settings/each-problem", test_each_problem);
+  g_test_add_func ("/fleet-settings/long-names", test_long_names);
   g_test_add_func ("/fleet-settings/several-problems", test_several_problems);
   g_test_add_func ("/fleet-settings/no-file", test_no_file);
   return g_test_run ();
