transport: tell other VMs only of VMs that live

A VM that had gone was forgotten after 30 s, and then learnt of again from the next VM that had not forgotten it yet, and so on for ever: with each VM that is replaced the directories, the beacons sent to nobody and the time between beacons grew. t3011 shows that a silent VM was told of.

--- a/transport/fleet_beacon.c
+++ b/transport/fleet_beacon.c
@@ -113,21 +113,24 @@
   return address;
 }
 
-/* Names some VMs, in turn, so that all come to know all.  */
+/* Names some live VMs, in turn, so that all come to know all.  One that is
+   silent is not named: VMs would remind each other of it for ever.  */
 static guint
 fill_gossip (struct fleet_beacon *b, struct beacon_vm *known)
 {
   const GPtrArray *vms = vm_directory_list (b->directory);
-  guint n = MIN (vms->len, BEACON_VMS_MAX);
+  guint n = 0;
 
   if (b->sequence % GOSSIP_EVERY != 0)
     return 0;
-  for (guint i = 0; i < n; i++)
+  for (guint i = 0; i < vms->len && n < BEACON_VMS_MAX; i++)
     {
       const struct vm *vm
           = g_ptr_array_index (vms, b->next_gossip++ % vms->len);
 
-      known[i] = (struct beacon_vm){ vm->name, vm->ip, vm->availability_zone };
+      if (vm->is_live)
+        known[n++]
+            = (struct beacon_vm){ vm->name, vm->ip, vm->availability_zone };
     }
   return n;
 }
