--- /dev/null
+++ b/t/t3011-fleet-beacon.c
@@ -0,0 +1,228 @@
+/* Beacons on the loopback: what a VM sends and what it learns from others.  */
+#include "protocol/beacon.h"
+#include "transport/fleet_beacon.h"
+
+#include <gio/gio.h>
+
+#define OWN_IP "127.0.0.1"
+#define PEER_IP "127.0.0.2"
+#define INCARNATION 77
+#define MAX_TRIES 20
+
+/* More beacons than it takes until one tells of other VMs.  */
+#define N_BEACONS 20
+
+struct bed
+{
+  struct vm_directory_owner directory_owner;
+  struct fleet_beacon_owner beacon_owner;
+  struct fleet_settings settings;
+  struct vm_directory *directory;
+  struct fleet_beacon *beacon;
+  GSocket *peer;
+  guint n_heard;
+};
+
+static void
+on_found (struct vm_directory_owner *owner, const struct vm *vm)
+{
+}
+
+static void
+on_lost (struct vm_directory_owner *owner, const struct vm *vm,
+         guint64 incarnation)
+{
+}
+
+static const struct vm_directory_owner_ops directory_ops = {
+  .vm_found = on_found,
+  .vm_lost = on_lost,
+};
+
+static void
+on_fill (struct fleet_beacon_owner *owner, struct vm_news *news,
+         struct vm_room *rooms)
+{
+  rooms[0] = (struct vm_room){ 1, 8, 5, 3, 900 };
+  news->n_rooms = 1;
+  news->held = 6;
+  news->routes_version = 41;
+}
+
+static void
+on_heard (struct fleet_beacon_owner *owner, const struct vm *vm)
+{
+  struct bed *bed
+      = (struct bed *)((char *)owner - offsetof (struct bed, beacon_owner));
+
+  g_assert_cmpstr (vm->name, ==, "peer");
+  bed->n_heard++;
+}
+
+static const struct fleet_beacon_owner_ops beacon_ops = {
+  .fill = on_fill,
+  .heard = on_heard,
+};
+
+/* The peer's socket; its port is that of all beacons.  */
+static GSocket *
+open_peer (guint *port)
+{
+  GSocket *socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM,
+                                  G_SOCKET_PROTOCOL_UDP, NULL);
+  g_autoptr (GSocketAddress) any
+      = g_inet_socket_address_new_from_string (PEER_IP, 0);
+  g_autoptr (GSocketAddress) bound = NULL;
+
+  g_assert_true (g_socket_bind (socket, any, FALSE, NULL));
+  bound = g_socket_get_local_address (socket, NULL);
+  *port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (bound));
+  return socket;
+}
+
+static struct bed *
+bed_new (void)
+{
+  struct bed *bed = g_new0 (struct bed, 1);
+
+  bed->directory_owner.ops = &directory_ops;
+  bed->beacon_owner.ops = &beacon_ops;
+  bed->directory = vm_directory_new (&bed->directory_owner, "own");
+  bed->settings.vm = (char *)"own";
+  bed->settings.ip = (char *)OWN_IP;
+  bed->settings.availability_zone = (char *)"a";
+  /* The port may be taken at the other address.  */
+  for (guint i = 0; i < MAX_TRIES && bed->beacon == NULL; i++)
+    {
+      g_clear_object (&bed->peer);
+      bed->peer = open_peer (&bed->settings.beacon_port);
+      bed->beacon
+          = fleet_beacon_new (&bed->settings, INCARNATION, bed->directory,
+                              &bed->beacon_owner, NULL);
+    }
+  g_assert_nonnull (bed->beacon);
+  g_socket_set_blocking (bed->peer, FALSE);
+  vm_directory_introduce (bed->directory, "peer", PEER_IP, "b",
+                          clock_now_us ());
+  return bed;
+}
+
+static void
+bed_free (struct bed *bed)
+{
+  fleet_beacon_free (bed->beacon);
+  vm_directory_free (bed->directory);
+  g_object_unref (bed->peer);
+  g_free (bed);
+}
+
+/* The next beacon that the peer gets.  */
+static void
+receive (struct bed *bed, struct beacon *message)
+{
+  char data[BEACON_MAX_LENGTH];
+  gssize length;
+
+  while ((length = g_socket_receive (bed->peer, data, sizeof data, NULL, NULL))
+         < 0)
+    g_main_context_iteration (NULL, TRUE);
+  g_assert_true (beacon_decode ((const guint8 *)data, (gsize)length, message));
+}
+
+/* Sends a beacon of VM NAME, at IP, from the peer's socket.  */
+static void
+send_beacon (struct bed *bed, const char *name, const char *ip)
+{
+  struct beacon message
+      = { .sender = { (char *)name, (char *)ip, (char *)"b" },
+          .incarnation = 5,
+          .sequence = 1 };
+  g_autoptr (GSocketAddress) own = g_inet_socket_address_new_from_string (
+      OWN_IP, bed->settings.beacon_port);
+  guint8 data[BEACON_MAX_LENGTH];
+  gsize length = beacon_encode (&message, data);
+
+  g_assert_cmpint (g_socket_send_to (bed->peer, own, (const char *)data,
+                                     length, NULL, NULL),
+                   ==, (gssize)length);
+}
+
+static void
+test_sent (void)
+{
+  struct bed *bed = bed_new ();
+  struct beacon message;
+
+  receive (bed, &message);
+  g_assert_cmpstr (message.sender.name, ==, "own");
+  g_assert_cmpstr (message.sender.ip, ==, OWN_IP);
+  g_assert_cmpuint (message.incarnation, ==, INCARNATION);
+  g_assert_cmpuint (message.held, ==, 6);
+  g_assert_cmpuint (message.routes_version, ==, 41);
+  g_assert_cmpuint (message.rooms.rooms_len, ==, 1);
+  g_assert_cmpuint (message.rooms.rooms_val[0].queued_ms, ==, 900);
+  beacon_clear (&message);
+  bed_free (bed);
+}
+
+static void
+test_heard (void)
+{
+  struct bed *bed = bed_new ();
+
+  send_beacon (bed, "peer", PEER_IP);
+  while (bed->n_heard == 0)
+    g_main_context_iteration (NULL, TRUE);
+  g_assert_true (vm_directory_find (bed->directory, "peer")->is_live);
+  bed_free (bed);
+}
+
+/* Collects the names that are told in some beacons.  */
+static void
+collect_told (struct bed *bed, GHashTable *told)
+{
+  for (guint i = 0; i < N_BEACONS; i++)
+    {
+      struct beacon message;
+
+      receive (bed, &message);
+      for (guint k = 0; k < message.known.known_len; k++)
+        g_hash_table_add (told, g_strdup (message.known.known_val[k].name));
+      beacon_clear (&message);
+    }
+}
+
+/* VMs that live are told of.  One that is silent is not, or VMs would remind
+   each other of it for ever.  */
+static void
+test_told_of (void)
+{
+  g_autoptr (GHashTable) told
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  struct vm_news live = { .name = "live",
+                          .ip = "127.0.0.3",
+                          .availability_zone = "b",
+                          .incarnation = 1,
+                          .sequence = 1 };
+  struct bed *bed = bed_new ();
+
+  /* Heard a little later than now, so that a slow machine does not lose it. */
+  vm_directory_hear (bed->directory, &live,
+                     clock_now_us () + 60 * USEC_PER_SEC);
+  vm_directory_introduce (bed->directory, "silent", "127.0.0.4", "b",
+                          clock_now_us ());
+  collect_told (bed, told);
+  g_assert_true (g_hash_table_contains (told, "live"));
+  g_assert_false (g_hash_table_contains (told, "silent"));
+  bed_free (bed);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/fleet-beacon/sent", test_sent);
+  g_test_add_func ("/fleet-beacon/heard", test_heard);
+  g_test_add_func ("/fleet-beacon/told-of", test_told_of);
+  return g_test_run ();
+}
