--- a/t/t6001-commands.c
+++ b/t/t6001-commands.c
@@ -61,7 +61,7 @@
 }
 
 static const char *const command_names[]
-    = { "bench", "cancel",    "drain",  "dump",   "entry",  "explain",
+    = { "bench", "cancel",    "drain",  "dump",   "entry",  "explain", "fleet",
         "job",   "log-level", "status", "submit", "ticket", "version" };
 
 static void
