--- a/coordination/owned.c
+++ b/coordination/owned.c
@@ -218,6 +218,7 @@
 
   memset (&upstream->used, 0, sizeof upstream->used);
   upstream->n_foreign = 0;
+  upstream->n_runs = 0;
   for (node = upstream->runs.next; node != &upstream->runs; node = node->next)
     {
       const struct run *run = list_entry (node, struct run, link);
@@ -226,6 +227,7 @@
       upstream->used.memory_mb += run->need.memory_mb;
       upstream->used.accelerators += run->need.accelerators;
       upstream->n_foreign += run->is_foreign ? 1 : 0;
+      upstream->n_runs++;
     }
 }
 
--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -70,11 +70,12 @@
   guint percent;      /* of its work, as last seen */
   gint64 moved_us;    /* when percent last changed */
   gboolean is_stop_acknowledged;
-  gboolean is_foreign;  /* found there; nobody here has started it */
-  gboolean is_judged;   /* its slowness has been counted */
-  guint64 unseen_after; /* a list asked for after this number of asks tells
-                           whether the run is there */
-  guint64 seen_in;      /* number of the last answer that listed it */
+  gboolean is_confirmed; /* the upstream has said that it runs */
+  gboolean is_foreign;   /* found there; nobody here has started it */
+  gboolean is_judged;    /* its slowness has been counted */
+  guint64 unseen_after;  /* a list asked for after this number of asks tells
+                            whether the run is there */
+  guint64 seen_in;       /* number of the last answer that listed it */
 };
 
 enum owned_state
@@ -104,6 +105,7 @@
   gboolean is_releasing; /* given up once nothing runs there */
   guint ref_count;
   struct list_node runs;  /* struct run by link */
+  guint n_runs;           /* in runs */
   guint n_foreign;        /* runs listed that nobody here has started */
   guint64 n_asks;         /* asks sent so far */
   guint64 n_answered;     /* number of the ask that was answered last */
@@ -195,6 +197,17 @@
   void *user_data; /* for the driver's use */
 };
 
+/* Why an upstream is trusted less, or again.  */
+enum owner_doubt
+{
+  DOUBT_FAILED, /* it fails what it runs: it rests */
+  DOUBT_SLOW,   /* tasks stand still there or crawl: it rests */
+  DOUBT_SILENT, /* an order got no answer */
+  DOUBT_MUTE,   /* it answers nothing: its leases are let lapse */
+  DOUBT_OVER,   /* it answers again */
+  DOUBT_REBORN, /* it has started anew */
+};
+
 struct owner_driver_ops
 {
   /* Sends the order to start RUN with the lease UNTIL_MS.  */
@@ -212,6 +225,10 @@
   void (*ask) (struct owner_driver *driver, struct owned *upstream,
                gint64 until_ms, guint wait_ms);
 
+  /* What is thought of UPSTREAM has changed.  May be NULL.  */
+  void (*doubted) (struct owner_driver *driver, const struct owned *upstream,
+                   enum owner_doubt doubt);
+
   /* RUN has ended, or was never begun.  May be NULL.  */
   void (*run_ended) (struct owner_driver *driver, const struct run *run,
                      enum run_end end);
--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -25,6 +25,14 @@
    earlier life of the job may have used them.  */
 #define NUMBERS_LEFT_OUT 7
 
+static void
+tell_doubt (struct owner *owner, const struct owned *upstream,
+            enum owner_doubt doubt)
+{
+  if (owner->driver->ops->doubted != NULL)
+    owner->driver->ops->doubted (owner->driver, upstream, doubt);
+}
+
 void
 owner_stop_run (struct owner *owner, struct run *run, gint64 now_us)
 {
@@ -89,8 +97,10 @@
 }
 
 static void
-learn (const struct run *run, enum run_end end, gint64 now_us)
+learn (struct owner *owner, const struct run *run, enum run_end end,
+       gint64 now_us)
 {
+  gboolean was_resting = run->upstream->rest_until_us > now_us;
   gint64 took_us = now_us - run->started_us + SPEED_NOISE_US;
   gint64 expected_us;
 
@@ -101,6 +111,8 @@
     owned_note_done (run->upstream, (gdouble)took_us / (gdouble)expected_us);
   else if (end == RUN_FAILED)
     owned_note_failure (run->upstream, now_us);
+  if (!was_resting && run->upstream->rest_until_us > now_us)
+    tell_doubt (owner, run->upstream, DOUBT_FAILED);
 }
 
 void
@@ -110,7 +122,7 @@
   struct batch_task *task = run->task;
   struct owned *upstream = run->upstream;
 
-  learn (run, end, now_us);
+  learn (owner, run, end, now_us);
   if (owner->driver->ops->run_ended != NULL)
     owner->driver->ops->run_ended (owner->driver, run, end);
   run_free (run);
@@ -196,6 +208,7 @@
   upstream->leased_until_ms = 0;
   upstream->state = OWNED_TAKING;
   upstream->ask_due_us = now_us;
+  tell_doubt (owner, upstream, DOUBT_REBORN);
   owner_lose_runs (owner, upstream, now_us);
 }
 
@@ -215,6 +228,7 @@
 {
   owned_rest (run->upstream, now_us);
   doubt_upstream (run->upstream, now_us);
+  tell_doubt (owner, run->upstream, DOUBT_SILENT);
   if (run->state != RUN_STARTING)
     return;
   run->state = RUN_OPEN;
@@ -230,6 +244,7 @@
     case ORDER_OBEYED:
       if (run->state == RUN_STARTING)
         run->state = RUN_RUNNING;
+      run->is_confirmed = TRUE;
       run->unseen_after = run->upstream->n_asks;
       run->moved_us = now_us;
       break;
@@ -346,6 +361,7 @@
         }
       if (run->state == RUN_STARTING)
         run->state = RUN_RUNNING;
+      run->is_confirmed = TRUE;
       run->seen_in = upstream->n_answered;
       note_progress (run, listed->percent, now_us);
     }
@@ -402,6 +418,8 @@
   if (upstream->born_ms == 0)
     upstream->born_ms = report->born_ms;
   owned_read_clock (upstream, report->clock_ms, now_us);
+  if (upstream->state == OWNED_SHUNNED)
+    tell_doubt (owner, upstream, DOUBT_OVER);
   upstream->state = OWNED_HELD;
   take_ends (owner, upstream, report, now_us);
   take_running (owner, upstream, report, now_us);
@@ -422,6 +440,8 @@
   if (++upstream->n_silent < OWNED_MAX_SILENT)
     return;
   upstream->ask_due_us = now_us + OWNED_SILENT_INTERVAL_US;
+  if (upstream->state != OWNED_SHUNNED)
+    tell_doubt (owner, upstream, DOUBT_MUTE);
   upstream->state = OWNED_SHUNNED;
   owned_rest (upstream, now_us);
 }
@@ -515,6 +535,7 @@
   task->n_restarts++;
   owned_note_failure (run->upstream, now_us);
   owned_rest (run->upstream, now_us);
+  tell_doubt (owner, run->upstream, DOUBT_SLOW);
   owner_stop_run (owner, run, now_us);
 }
 
--- a/state/route.c
+++ b/state/route.c
@@ -53,15 +53,17 @@
   return g_ascii_strdown (host, colon != NULL ? colon - host : -1);
 }
 
-static int
-compare_prefixes (gconstpointer a, gconstpointer b)
+/* Inserts ROUTE behind those with a prefix that is as long.  */
+static void
+insert_by_length (GPtrArray *routes, struct route *route)
 {
-  const struct route *x = *(const struct route *const *)a;
-  const struct route *y = *(const struct route *const *)b;
-  gsize n_x = strlen (x->prefix);
-  gsize n_y = strlen (y->prefix);
+  gsize length = strlen (route->prefix);
+  guint i = routes->len;
 
-  return (n_x < n_y) - (n_x > n_y);
+  while (i > 0
+         && strlen (((struct route *)routes->pdata[i - 1])->prefix) < length)
+    i--;
+  g_ptr_array_insert (routes, (gint)i, route);
 }
 
 struct route *
@@ -84,8 +86,7 @@
       same_host = g_ptr_array_new ();
       g_hash_table_insert (table->hosts, g_strdup (route->host), same_host);
     }
-  g_ptr_array_add (same_host, route);
-  g_ptr_array_sort (same_host, compare_prefixes);
+  insert_by_length (same_host, route);
   return route;
 }
 
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -203,26 +203,42 @@
   job_unref (job);
 }
 
+/* The HTTP status that tells a caller of an outcome, and what is counted.  */
+static const struct
+{
+  const char *name;
+  guint status;
+  enum job_outcome counted;
+} outcomes[] = {
+  { "done", 200, JOB_OUTCOME_DONE },
+  { "failed", 200, JOB_OUTCOME_FAILED },
+  { "not-run", 503, JOB_OUTCOME_TURNED_AWAY },
+  { "unknown", 502, JOB_OUTCOME_LOST },
+};
+
 static void
 log_answer (const struct fleet_job *job, const struct fleet_answer *answer)
 {
-  static const char *const outcomes[]
-      = { "done", "failed", "not-run", "unknown" };
   gint64 took_us = clock_now_us () - job->accepted_us;
-
-  metrics_record (METRIC_JOB_SECONDS, took_us);
-  if (answer->outcome == FLEET_DONE)
-    metrics_count (METRIC_JOBS_COMPLETE);
-  event_log_fields (
-      answer->outcome == FLEET_DONE ? EVENT_JOB_ANSWERED
-                                    : EVENT_JOB_TURNED_AWAY,
-      FIELD_TEXT ("job", job->submission->job),
-      FIELD_TEXT ("outcome", outcomes[answer->outcome]),
-      FIELD_TEXT ("reason", answer->reason), FIELD_INT ("took_us", took_us),
-      FIELD_INT ("objective_us", job->submission->objective_us),
-      FIELD_INT ("tasks", job->submission->n_tasks),
-      FIELD_INT ("done", job->n_done), FIELD_INT ("batches", job->n_parts),
-      FIELD_INT ("retry_after_ms", answer->retry_after_ms));
+  enum event event = EVENT_JOB_ANSWERED;
+
+  if (answer->outcome == FLEET_NOT_RUN)
+    event = EVENT_JOB_TURNED_AWAY;
+  else if (answer->outcome != FLEET_DONE)
+    event = EVENT_JOB_GIVEN_UP;
+  metrics_record (METRIC_ANSWER_SECONDS, took_us);
+  metrics_count_label (METRIC_FLEET_JOBS, outcomes[answer->outcome].counted);
+  event_log_fields (event, FIELD_TEXT ("job", job->submission->job),
+                    FIELD_TEXT ("outcome", outcomes[answer->outcome].name),
+                    FIELD_INT ("status", outcomes[answer->outcome].status),
+                    FIELD_TEXT ("reason", answer->reason),
+                    FIELD_INT ("ms", took_us / USEC_PER_MSEC),
+                    FIELD_INT ("objective_ms",
+                               job->submission->objective_us / USEC_PER_MSEC),
+                    FIELD_INT ("tasks", job->submission->n_tasks),
+                    FIELD_INT ("done", job->n_done),
+                    FIELD_INT ("batches", job->n_parts),
+                    FIELD_INT ("retry_after_ms", answer->retry_after_ms));
 }
 
 static void
@@ -573,7 +589,6 @@
 static void
 refuse_job (struct fleet_job *job, const char *reason, gint64 wait_ms)
 {
-  metrics_count_label (METRIC_JOBS_REFUSED, ERROR_NOT_RUN);
   give_up_job (job, reason, wait_ms);
 }
 
@@ -641,7 +656,6 @@
   job->accepted_us = clock_now_us ();
   set_times (job);
   g_hash_table_insert (home->jobs, submission->job, job);
-  metrics_count (METRIC_JOBS_ACCEPTED);
   event_log_fields (EVENT_JOB_ACCEPTED, FIELD_TEXT ("job", submission->job),
                     FIELD_TEXT ("service", submission->service),
                     FIELD_INT ("tasks", submission->n_tasks),
@@ -661,10 +675,11 @@
 {
   if (job->is_ended)
     return;
-  event_log_fields (EVENT_CALLER_GONE,
-                    FIELD_TEXT ("job", job->submission->job),
-                    FIELD_INT ("done", job->n_done),
-                    FIELD_INT ("took_us", clock_now_us () - job->accepted_us));
+  event_log_fields (
+      EVENT_CALLER_GONE, FIELD_TEXT ("job", job->submission->job),
+      FIELD_INT ("done", job->n_done),
+      FIELD_INT ("ms", (clock_now_us () - job->accepted_us) / USEC_PER_MSEC));
+  metrics_count_label (METRIC_FLEET_JOBS, JOB_OUTCOME_CALLER_GONE);
   job->waiter = NULL;
   end_job (job);
 }
--- a/transport/fleet_owner.c
+++ b/transport/fleet_owner.c
@@ -98,7 +98,7 @@
 {
   struct fleet_owner *owner = from_driver (driver);
 
-  metrics_count (METRIC_TASK_STARTS);
+  metrics_count_label (METRIC_UPSTREAM_ORDERS, UPSTREAM_ORDER_START);
   event_log_fields (
       EVENT_RUN_STARTED, FIELD_TEXT ("job", run->task->batch->job),
       FIELD_INT ("task", run->task->index), FIELD_INT ("run", run->number),
@@ -114,6 +114,7 @@
 {
   struct fleet_owner *owner = from_driver (driver);
 
+  metrics_count_label (METRIC_UPSTREAM_ORDERS, UPSTREAM_ORDER_STOP);
   event_log_fields (EVENT_RUN_STOPPED, FIELD_TEXT ("task", run->name),
                     FIELD_INT ("run", run->number),
                     FIELD_TEXT ("upstream", run->upstream->id),
@@ -128,26 +129,71 @@
 {
   struct fleet_owner *owner = from_driver (driver);
 
+  metrics_count_label (METRIC_UPSTREAM_ORDERS, UPSTREAM_ORDER_ASK);
   owner->platform->ops->ask (owner->platform, owner->owner, upstream, until_ms,
                              wait_ms);
 }
 
+/* Why a run that did not end well ended.  */
+static const char *
+name_reason (const struct run *run, enum run_end end)
+{
+  if (end == RUN_STOPPED && run->void_us != 0 && !run->is_confirmed)
+    return "unanswered";
+  if (end == RUN_STOPPED)
+    return run->percent == 0 ? "silent" : "slow";
+  return name_run_end (end);
+}
+
 static void
 driver_run_ended (struct owner_driver *driver, const struct run *run,
                   enum run_end end)
 {
   gint64 took_us = clock_now_us () - run->started_us;
+  gboolean is_retried;
 
   if (run->task == NULL)
     return;
+  is_retried = end != RUN_DONE && !run->task->batch->is_ending;
   metrics_record (METRIC_TASK_SECONDS, took_us);
+  if (is_retried)
+    metrics_count (METRIC_TASKS_RETRIED);
   event_log_fields (
-      end == RUN_DONE ? EVENT_RUN_ENDED : EVENT_TASK_RETRIED,
+      is_retried ? EVENT_TASK_RETRIED : EVENT_RUN_ENDED,
       FIELD_TEXT ("job", run->task->batch->job),
       FIELD_INT ("task", run->task->index), FIELD_INT ("run", run->number),
       FIELD_TEXT ("upstream", run->upstream->id),
-      FIELD_TEXT ("end", name_run_end (end)), FIELD_INT ("took_us", took_us),
-      FIELD_INT ("state", run->state));
+      FIELD_TEXT ("end", name_run_end (end)),
+      FIELD_TEXT ("reason", name_reason (run, end)),
+      FIELD_INT ("ms", took_us / USEC_PER_MSEC),
+      FIELD_INT ("expected_ms", run->expected_us / USEC_PER_MSEC),
+      FIELD_INT ("percent", run->percent),
+      FIELD_REAL ("slowness", run->upstream->slowness));
+}
+
+static void
+driver_doubted (struct owner_driver *driver, const struct owned *upstream,
+                enum owner_doubt doubt)
+{
+  static const struct
+  {
+    enum event event;
+    const char *reason;
+  } doubts[] = {
+    { EVENT_UPSTREAM_RESTING, "failed" }, { EVENT_UPSTREAM_RESTING, "slow" },
+    { EVENT_RUN_UNANSWERED, "silent" },   { EVENT_UPSTREAM_MUTE, "mute" },
+    { EVENT_UPSTREAM_BACK, "answered" },  { EVENT_UPSTREAM_BACK, "reborn" },
+  };
+
+  event_log_fields (
+      doubts[doubt].event, FIELD_TEXT ("upstream", upstream->id),
+      FIELD_TEXT ("reason", doubts[doubt].reason),
+      FIELD_INT ("token", upstream->token),
+      FIELD_REAL ("failure_share", upstream->failure_share),
+      FIELD_REAL ("slowness", upstream->slowness),
+      FIELD_INT ("rest_ms", MAX (upstream->rest_until_us - clock_now_us (), 0)
+                                / USEC_PER_MSEC),
+      FIELD_INT ("runs", upstream->n_runs));
 }
 
 static void
@@ -155,6 +201,8 @@
 {
   gint64 waited_us = batch->first_started_us - batch->queued_us;
 
+  if (batch->first_started_us != 0)
+    metrics_record (METRIC_QUEUE_SECONDS, waited_us);
   event_log_fields (
       EVENT_BATCH_ENDED, FIELD_TEXT ("job", batch->job),
       FIELD_INT ("batch", batch->number), FIELD_TEXT ("home", batch->home),
@@ -201,6 +249,8 @@
   struct fleet_owner *owner = from_driver (driver);
   struct lost_upstream *lost = g_new0 (struct lost_upstream, 1);
 
+  if (is_fenced)
+    metrics_count (METRIC_FENCED);
   event_log_fields (is_fenced ? EVENT_UPSTREAM_FENCED
                               : EVENT_UPSTREAM_RELEASED,
                     FIELD_TEXT ("upstream", upstream->id),
@@ -280,6 +330,7 @@
   .stop_run = driver_stop_run,
   .ask = driver_ask,
   .run_ended = driver_run_ended,
+  .doubted = driver_doubted,
   .return_tasks = driver_return_tasks,
   .finish_batch = driver_finish_batch,
   .lost = driver_lost,
--- a/transport/fleet_shards.c
+++ b/transport/fleet_shards.c
@@ -2,6 +2,7 @@
 
 #include "base/event_log.h"
 #include "base/hash64.h"
+#include "base/metrics.h"
 
 /* How long a request to yield may take.  */
 #define YIELD_TIMEOUT_US (300 * USEC_PER_MSEC)
@@ -86,6 +87,7 @@
   GHashTableIter iter;
   gpointer value;
 
+  metrics_count (METRIC_TAKEOVERS);
   event_log_fields (EVENT_SHARD_TAKEN, FIELD_INT ("shard", shard),
                     FIELD_INT ("token", token));
   g_hash_table_iter_init (&iter, shards->upstreams);
