--- a/t/standin/worker.h
+++ b/t/standin/worker.h
@@ -81,6 +81,9 @@
   gint64 born_ms;
   guint64 seq;
   guint beat_timer;
+  gboolean is_beating;  /* the store is being told; one call at a time */
+  gboolean is_beat_due; /* one more is to follow it */
+  gboolean is_unregistering;
   guint leave_timer;
   gint64 drain_ms;
   gint64 leave_us; /* when it leaves; 0 while that is not known */
--- a/t/standin/worker_beat.c
+++ b/t/standin/worker_beat.c
@@ -62,6 +62,21 @@
                                     NULL, on_sent, data);
 }
 
+/* Sends what has become due while a heartbeat was on its way.  */
+static void
+send_due (struct worker *worker)
+{
+  gboolean is_up
+      = worker->state == WORKER_READY || worker->state == WORKER_DRAINING;
+  gboolean is_due = worker->is_beat_due;
+
+  worker->is_beat_due = FALSE;
+  if (worker->is_unregistering)
+    worker_unregister (worker);
+  else if (is_due && is_up)
+    worker_beat (worker);
+}
+
 static void
 on_beat_sent (GObject *session, GAsyncResult *result, gpointer data)
 {
@@ -76,6 +91,8 @@
       && beat->worker->born_ms == beat->born_ms
       && beat->worker->state == WORKER_DRAINING)
     worker_begin_leaving (beat->worker);
+  beat->worker->is_beating = FALSE;
+  send_due (beat->worker);
   g_free (beat);
 }
 
@@ -98,6 +115,15 @@
 
   if (fleet->store_port == 0)
     return;
+  g_clear_handle_id (&worker->beat_timer, g_source_remove);
+  worker->beat_timer
+      = g_timeout_add ((guint)fleet->heartbeat_ms, on_beat, worker);
+  if (worker->is_beating)
+    {
+      worker->is_beat_due = TRUE;
+      return;
+    }
+  worker->is_beating = TRUE;
   beat = g_new (struct beat, 1);
   beat->worker = worker;
   beat->born_ms = worker->born_ms;
@@ -106,21 +132,25 @@
   send_entry (worker, json_dumps (entry, JSON_COMPACT),
               fleet->heartbeat_ms * BEATS_TO_EXPIRY, on_beat_sent, beat);
   json_decref (entry);
-  g_clear_handle_id (&worker->beat_timer, g_source_remove);
-  worker->beat_timer
-      = g_timeout_add ((guint)fleet->heartbeat_ms, on_beat, worker);
 }
 
 static void
 on_unregistered (GObject *session, GAsyncResult *result, gpointer data)
 {
+  struct worker *worker = data;
   g_autoptr (GBytes) bytes = soup_session_send_and_read_finish (
       SOUP_SESSION (session), result, NULL);
+
+  worker->is_beating = FALSE;
+  send_due (worker);
 }
 
 void
 worker_unregister (struct worker *worker)
 {
-  if (worker->fleet->store_port != 0)
-    send_entry (worker, g_strdup (""), 0, on_unregistered, NULL);
+  worker->is_unregistering = worker->is_beating;
+  if (worker->fleet->store_port == 0 || worker->is_beating)
+    return;
+  worker->is_beating = TRUE;
+  send_entry (worker, g_strdup (""), 0, on_unregistered, worker);
 }
--- a/t/standin/worker_control.c
+++ b/t/standin/worker_control.c
@@ -102,6 +102,7 @@
       g_free (worker->id);
       worker->id = g_strdup (id);
     }
+  worker->is_unregistering = FALSE;
   worker_boot (worker);
   worker_beat (worker);
 }
--- a/t/t8007-worker-lives.c
+++ b/t/t8007-worker-lives.c
@@ -164,6 +164,8 @@
   http_answer_free (answer);
   control (&bed, "drain", "{\"worker\":1,\"drain_ms\":1}");
   wait_entry (&bed, "w-1", NULL);
+  control (&bed, "rebirth", "{\"worker\":1}");
+  json_decref (wait_entry (&bed, "w-1", "ready"));
   free_bed (&bed);
 }
 
