--- a/t/t5016-platform.c
+++ b/t/t5016-platform.c
@@ -28,16 +28,16 @@
 static enum order_end last_end;
 
 struct owned *
-owned_ref (struct owned *owned)
+owned_ref (struct owned *upstream)
 {
-  owned->ref_count++;
-  return owned;
+  upstream->ref_count++;
+  return upstream;
 }
 
 void
-owned_unref (struct owned *owned)
+owned_unref (struct owned *upstream)
 {
-  owned->ref_count--;
+  upstream->ref_count--;
 }
 
 void
--- a/transport/fleet.c
+++ b/transport/fleet.c
@@ -119,21 +119,25 @@
 apply_vms (struct fleet *fleet)
 {
   const GPtrArray *vms = vm_directory_list (fleet->directory);
-  g_autofree struct listed_vm *listed
-      = g_new0 (struct listed_vm, vms->len + 1);
+  g_autoptr (GArray) listed
+      = g_array_sized_new (FALSE, FALSE, sizeof (struct listed_vm), vms->len);
   g_autoptr (GPtrArray) addresses = g_ptr_array_new_with_free_func (g_free);
 
   for (guint i = 0; i < vms->len; i++)
     {
       const struct vm *vm = g_ptr_array_index (vms, i);
-      char *address
-          = g_strdup_printf ("%s:%u", vm->ip, fleet->settings->peers.port);
-
-      g_ptr_array_add (addresses, address);
-      listed[i] = (struct listed_vm){ vm->name, vm->availability_zone, address,
-                                      vm->is_leaving };
+      struct listed_vm entry
+          = { .name = vm->name,
+              .availability_zone = vm->availability_zone,
+              .address
+              = g_strdup_printf ("%s:%u", vm->ip, fleet->settings->peers.port),
+              .is_leaving = vm->is_leaving };
+
+      g_ptr_array_add (addresses, (char *)entry.address);
+      g_array_append_val (listed, entry);
     }
-  peer_hub_apply_vms (fleet->hub, listed, vms->len);
+  peer_hub_apply_vms (
+      fleet->hub, (const struct listed_vm *)(void *)listed->data, listed->len);
 }
 
 static void
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -5,6 +5,7 @@
 #include "base/hash64.h"
 #include "base/metrics.h"
 #include "coordination/spread.h"
+#include "transport/fleet_job.h"
 
 #include <string.h>
 
@@ -40,52 +41,6 @@
   GHashTable *jobs; /* id -> struct fleet_job that is not answered */
 };
 
-/* Tasks of a job that one owner runs.  */
-struct part
-{
-  struct batch_sink sink;
-  struct list_node link; /* in job->parts */
-  struct fleet_job *job; /* referenced */
-  guint number;
-  char *owner; /* name of the VM; NULL for this one */
-  guint64 incarnation;
-  gboolean is_open;    /* its end is awaited */
-  struct batch *batch; /* of this VM; NULL otherwise */
-  guint n_tasks;
-  guint indexes[PEER_TASKS_MAX];
-};
-
-struct fleet_job
-{
-  guint ref_count;
-  struct fleet_home *home;
-  struct fleet_submission *submission;
-  struct fleet_waiter *waiter; /* NULL once answered or abandoned */
-  struct list_node parts;      /* struct part by link, those that are open */
-  gint64 accepted_us;
-  gint64 start_by_us;
-  gint64 end_by_us;
-  guint n_parts; /* ever made */
-  guint n_spreads;
-  guint n_done;               /* tasks */
-  gboolean is_ended;          /* answered or abandoned */
-  const char *give_up_reason; /* static; set once it is given up, and answered
-                                 when all that runs has stopped */
-  gint64 retry_after_ms;      /* of that answer, if nothing was started */
-  gboolean has_started;       /* a task may have been started */
-};
-
-void
-fleet_submission_free (struct fleet_submission *submission)
-{
-  g_free (submission->job);
-  g_free (submission->spec);
-  g_free (submission->service);
-  g_free (submission->affinity);
-  g_free (submission->required_label);
-  g_free (submission);
-}
-
 static void on_return_tasks (struct peer_request *request,
                              const void *arguments, gpointer data);
 
@@ -124,31 +79,6 @@
   return g_hash_table_size (home->jobs);
 }
 
-static struct fleet_job *
-job_ref (struct fleet_job *job)
-{
-  job->ref_count++;
-  return job;
-}
-
-static void
-job_unref (struct fleet_job *job)
-{
-  if (--job->ref_count > 0)
-    return;
-  fleet_submission_free (job->submission);
-  g_free (job);
-}
-
-static void
-part_free (struct part *part)
-{
-  list_remove (&part->link);
-  job_unref (part->job);
-  g_free (part->owner);
-  g_free (part);
-}
-
 static void
 on_stop_answered (const void *result, const GError *error, gpointer data)
 {
@@ -157,7 +87,7 @@
 /* Tells the owner that PART is no longer wanted.  Its end still comes, unless
    it is of this VM and ends at once.  */
 static void
-stop_part (struct part *part)
+stop_part (struct fleet_part *part)
 {
   struct fleet_home *home = part->job->home;
   peer_stop_args args = { .incarnation = home->incarnation,
@@ -180,10 +110,10 @@
   struct list_node *after;
 
   list_for_each (node, after, &job->parts)
-    g_ptr_array_add (parts, list_entry (node, struct part, link));
+    g_ptr_array_add (parts, list_entry (node, struct fleet_part, link));
   for (guint i = 0; i < parts->len; i++)
     {
-      struct part *part = g_ptr_array_index (parts, i);
+      struct fleet_part *part = g_ptr_array_index (parts, i);
 
       list_remove (&part->link);
       stop_part (part);
@@ -200,7 +130,7 @@
   if (g_hash_table_lookup (home->jobs, job->submission->job) == job)
     g_hash_table_remove (home->jobs, job->submission->job);
   stop_parts (job);
-  job_unref (job);
+  fleet_job_unref (job);
 }
 
 /* The HTTP status that tells a caller of an outcome, and what is counted.  */
@@ -262,24 +192,6 @@
 static void spread_job (struct fleet_job *job, const guint *indexes,
                         guint n_tasks);
 
-/* Takes the tasks with those INDEXES out of PART; fills OUT with those that
-   were in it.  Returns their number.  */
-static guint
-take_out (struct part *part, const guint *indexes, guint n_indexes, guint *out)
-{
-  guint n_out = 0;
-
-  for (guint i = 0; i < n_indexes; i++)
-    for (guint k = 0; k < part->n_tasks; k++)
-      if (part->indexes[k] == indexes[i])
-        {
-          part->indexes[k] = part->indexes[--part->n_tasks];
-          out[n_out++] = indexes[i];
-          break;
-        }
-  return n_out;
-}
-
 /* Answers a job that was given up, once it is known whether anything of it was
    started.  */
 static void
@@ -304,7 +216,7 @@
   job->give_up_reason = reason;
   job->retry_after_ms = retry_after_ms;
   list_for_each (node, after, &job->parts)
-    stop_part (list_entry (node, struct part, link));
+    stop_part (list_entry (node, struct fleet_part, link));
   check_given_up (job);
 }
 
@@ -322,7 +234,8 @@
 
 /* PART has ended; REASON is static.  */
 static void
-handle_part_end (struct part *part, enum batch_end end, const char *reason)
+handle_part_end (struct fleet_part *part, enum batch_end end,
+                 const char *reason)
 {
   struct fleet_job *job = part->job;
 
@@ -358,14 +271,16 @@
 }
 
 static void
-handle_returned (struct part *part, const guint *indexes, guint n_indexes)
+handle_returned (struct fleet_part *part, const guint *indexes,
+                 guint n_indexes)
 {
   guint out[PEER_TASKS_MAX];
   guint n_out;
 
   if (!part->is_open)
     return;
-  n_out = take_out (part, indexes, MIN (n_indexes, PEER_TASKS_MAX), out);
+  n_out = fleet_part_take_out (part, indexes, MIN (n_indexes, PEER_TASKS_MAX),
+                               out);
   place_anew (part->job, out, n_out);
 }
 
@@ -373,13 +288,14 @@
 on_local_returned (struct batch_sink *sink, const struct batch *batch,
                    const guint *indexes, guint n_tasks)
 {
-  handle_returned (list_entry (sink, struct part, sink), indexes, n_tasks);
+  handle_returned (list_entry (sink, struct fleet_part, sink), indexes,
+                   n_tasks);
 }
 
 static void
 on_local_ended (struct batch_sink *sink, const struct batch *batch)
 {
-  struct part *part = list_entry (sink, struct part, sink);
+  struct fleet_part *part = list_entry (sink, struct fleet_part, sink);
 
   part->batch = NULL;
   if (batch->n_started > 0)
@@ -387,14 +303,14 @@
   if (part->is_open)
     handle_part_end (part, batch->end,
                      batch->reason != NULL ? batch->reason : "");
-  part_free (part);
+  fleet_part_free (part);
 }
 
 static void
 on_remote_ended (const void *result, const GError *error, gpointer data)
 {
   const peer_batch_result *reply = result;
-  struct part *part = data;
+  struct fleet_part *part = data;
 
   if (reply != NULL && reply->has_started)
     part->job->has_started = TRUE;
@@ -413,11 +329,11 @@
       handle_part_end (part, BATCH_STOPPED,
                        "the connection to its owner broke");
     }
-  part_free (part);
+  fleet_part_free (part);
 }
 
 static struct batch *
-build_batch (const struct part *part)
+build_batch (const struct fleet_part *part)
 {
   const struct fleet_job *job = part->job;
   const struct fleet_submission *s = job->submission;
@@ -441,7 +357,7 @@
 }
 
 static void
-send_remote (struct part *part)
+send_remote (struct fleet_part *part)
 {
   struct fleet_job *job = part->job;
   const struct fleet_submission *s = job->submission;
@@ -479,13 +395,13 @@
 send_part (struct fleet_job *job, const struct spread_owner *owner,
            const guint *indexes)
 {
-  struct part *part = g_new0 (struct part, 1);
+  struct fleet_part *part = g_new0 (struct fleet_part, 1);
   const struct vm *vm = vm_directory_find (job->home->directory, owner->name);
 
   list_init (&part->link);
   part->sink.returned = on_local_returned;
   part->sink.ended = on_local_ended;
-  part->job = job_ref (job);
+  part->job = fleet_job_ref (job);
   part->number = job->n_parts++;
   part->owner = owner->is_self ? NULL : g_strdup (owner->name);
   part->incarnation = vm != NULL ? vm->incarnation : 0;
@@ -600,7 +516,7 @@
   gint64 left_ms = (job->end_by_us - clock_now_us ()) / USEC_PER_MSEC;
   gint64 wait_ms;
 
-  job_ref (job);
+  fleet_job_ref (job);
   job->n_spreads++;
   wait_ms
       = spread_tasks ((struct spread_owner *)(void *)owners->data, owners->len,
@@ -611,7 +527,7 @@
     refuse_job (job, "the queues are longer than its time", wait_ms);
   else
     send_parts (job, owners, indexes);
-  job_unref (job);
+  fleet_job_unref (job);
 }
 
 static void
@@ -666,7 +582,7 @@
     indexes[i] = i;
   spread_job (job, indexes, submission->n_tasks);
   is_ended = job->is_ended;
-  job_unref (job);
+  fleet_job_unref (job);
   return is_ended ? NULL : job;
 }
 
@@ -687,13 +603,14 @@
 static GPtrArray *
 list_jobs (struct fleet_home *home)
 {
-  GPtrArray *jobs = g_ptr_array_new_with_free_func ((GDestroyNotify)job_unref);
+  GPtrArray *jobs
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)fleet_job_unref);
   GHashTableIter iter;
   gpointer value;
 
   g_hash_table_iter_init (&iter, home->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    g_ptr_array_add (jobs, job_ref (value));
+    g_ptr_array_add (jobs, fleet_job_ref (value));
   return jobs;
 }
 
@@ -705,7 +622,8 @@
 
   list_for_each (node, after, &job->parts)
     {
-      const struct part *part = list_entry (node, struct part, link);
+      const struct fleet_part *part
+          = list_entry (node, struct fleet_part, link);
 
       if (g_strcmp0 (part->owner, vm) == 0 && part->incarnation <= incarnation)
         return TRUE;
@@ -738,22 +656,6 @@
     answer_job (g_ptr_array_index (jobs, i), FLEET_UNKNOWN, reason, 0);
 }
 
-static struct part *
-find_part (const struct fleet_job *job, guint number)
-{
-  struct list_node *node;
-  struct list_node *after;
-
-  list_for_each (node, after, &job->parts)
-    {
-      struct part *part = list_entry (node, struct part, link);
-
-      if (part->number == number)
-        return part;
-    }
-  return NULL;
-}
-
 static void
 on_return_tasks (struct peer_request *request, const void *arguments,
                  gpointer data)
@@ -761,11 +663,11 @@
   struct fleet_home *home = data;
   const peer_return_args *args = arguments;
   struct fleet_job *job = g_hash_table_lookup (home->jobs, args->job);
-  struct part *part = NULL;
+  struct fleet_part *part = NULL;
   peer_return_result result;
 
   if (job != NULL && args->incarnation == home->incarnation)
-    part = find_part (job, args->number);
+    part = fleet_job_find_part (job, args->number);
   result.is_known = part != NULL;
   if (part != NULL)
     handle_returned (part, args->indexes.indexes_val,
--- /dev/null
+++ b/transport/fleet_job.c
@@ -0,0 +1,70 @@
+#include "transport/fleet_job.h"
+
+void
+fleet_submission_free (struct fleet_submission *submission)
+{
+  g_free (submission->job);
+  g_free (submission->spec);
+  g_free (submission->service);
+  g_free (submission->affinity);
+  g_free (submission->required_label);
+  g_free (submission);
+}
+
+struct fleet_job *
+fleet_job_ref (struct fleet_job *job)
+{
+  job->ref_count++;
+  return job;
+}
+
+void
+fleet_job_unref (struct fleet_job *job)
+{
+  if (--job->ref_count > 0)
+    return;
+  fleet_submission_free (job->submission);
+  g_free (job);
+}
+
+void
+fleet_part_free (struct fleet_part *part)
+{
+  list_remove (&part->link);
+  fleet_job_unref (part->job);
+  g_free (part->owner);
+  g_free (part);
+}
+
+guint
+fleet_part_take_out (struct fleet_part *part, const guint *indexes,
+                     guint n_indexes, guint *out)
+{
+  guint n_out = 0;
+
+  for (guint i = 0; i < n_indexes; i++)
+    for (guint k = 0; k < part->n_tasks; k++)
+      if (part->indexes[k] == indexes[i])
+        {
+          part->indexes[k] = part->indexes[--part->n_tasks];
+          out[n_out++] = indexes[i];
+          break;
+        }
+  return n_out;
+}
+
+struct fleet_part *
+fleet_job_find_part (const struct fleet_job *job, guint number)
+{
+  struct list_node *node;
+  struct list_node *after;
+
+  list_for_each (node, after, &job->parts)
+    {
+      struct fleet_part *part = list_entry (node, struct fleet_part, link);
+
+      if (part->number == number)
+        return part;
+    }
+  return NULL;
+}
