--- a/coordination/owner.c
+++ b/coordination/owner.c
@@ -1,7 +1,7 @@
 #include "coordination/owner_private.h"
 
 /* How long an answer to an ask may wait for an end.  */
-#define ASK_WAIT_MS 250
+#define ASK_WAIT_MS 350
 
 /* A last ask, which only tells what was seen, waits this long for company.  */
 #define LAST_ASK_US (25 * USEC_PER_MSEC)
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -9,6 +9,10 @@
    waiting; faster ones are preferred in steps of this size.  */
 #define SLOWNESS_STEP 0.15
 
+/* A start is followed by an ask after this time, for which others may have
+   begun to run there.  */
+#define FIRST_ASK_US (10 * USEC_PER_MSEC)
+
 /* How much one batch counts for the usual need of a task.  */
 #define USUAL_WEIGHT 0.05
 
@@ -337,7 +341,7 @@
   run->expected_us = (gint64)((gdouble)batch->estimate_us * slowness);
   run->void_us = owned_latest_us (owner, upstream, until_ms, now_us);
   upstream->leased_until_ms = MAX (upstream->leased_until_ms, until_ms);
-  upstream->ask_due_us = MIN (upstream->ask_due_us, now_us);
+  upstream->ask_due_us = MIN (upstream->ask_due_us, now_us + FIRST_ASK_US);
   owner->driver->ops->start_run (owner->driver, run, until_ms);
 }
 
--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -1,5 +1,10 @@
 #include "coordination/owner_private.h"
 
+/* Tasks of one job that began together end soon after each other: an answer
+   with ends is followed by the next ask after this time, which takes them
+   together.  */
+#define COMPANY_US (8 * USEC_PER_MSEC)
+
 /* An upstream where nothing runs is asked this often, so that a crash is
    noticed before the next life is taken for this one.  */
 #define IDLE_ASK_US (1 * USEC_PER_SEC)
@@ -424,8 +429,9 @@
   take_ends (owner, upstream, report, now_us);
   take_running (owner, upstream, report, now_us);
   drop_absent (owner, upstream, now_us);
-  if (!list_is_empty (&upstream->runs)
-      || upstream->last_seen > upstream->acknowledged)
+  if (!list_is_empty (&upstream->runs))
+    upstream->ask_due_us = now_us + (report->n_ended > 0 ? COMPANY_US : 0);
+  else if (upstream->last_seen > upstream->acknowledged)
     upstream->ask_due_us = now_us;
   else
     upstream->ask_due_us = now_us + IDLE_ASK_US;
--- a/transport/fleet_beacon.c
+++ b/transport/fleet_beacon.c
@@ -7,7 +7,7 @@
 /* The interval between beacons grows with the number of VMs, so that what a VM
    sends and reads a second stays bounded.  */
 #define INTERVAL_PER_VM_MS 5
-#define MIN_INTERVAL_MS 40
+#define MIN_INTERVAL_MS 50
 #define MAX_INTERVAL_MS 150
 
 /* Beacons after which one tells of other VMs.  */
