coordination: a new token puts an upstream in doubt

An upstream that was taken again with a higher token while it was still known from before counted as held, and got runs although another owner had had it in between and its runs were still there. It is asked first now, with the new token; an ask that was on its way before proves nothing.

--- a/coordination/owned.c
+++ b/coordination/owned.c
@@ -120,6 +120,22 @@
   upstream->n_silent = 0;
 }
 
+void
+owned_doubt (struct owned *upstream, gint64 now_us)
+{
+  if (upstream->state == OWNED_HELD)
+    upstream->state = OWNED_TAKING;
+  upstream->doubted_ask = upstream->n_asks;
+  upstream->ask_due_us = MIN (upstream->ask_due_us, now_us);
+}
+
+gboolean
+owned_is_doubted (const struct owned *upstream)
+{
+  return upstream->doubted_ask != 0
+         && upstream->n_answered <= upstream->doubted_ask;
+}
+
 /* A new life may have another shape, which is not known before it is listed.
  */
 static gboolean
--- a/coordination/owner.c
+++ b/coordination/owner.c
@@ -79,7 +79,8 @@
   if (token > upstream->token)
     {
       upstream->token = token;
-      upstream->ask_due_us = now_us;
+      /* Somebody else may have owned it in between.  */
+      owned_doubt (upstream, now_us);
     }
   upstream->is_releasing = FALSE;
   if (spec->born_ms != 0 && upstream->born_ms != 0
@@ -200,7 +201,7 @@
       upstream->ask_due_us = upstream->last_end_us + LAST_ASK_US;
       return;
     }
-  if (has_runs && upstream->clock_read_us != 0
+  if (has_runs && upstream->clock_read_us != 0 && !owned_is_doubted (upstream)
       && upstream->n_silent < OWNED_MAX_SILENT)
     until_ms
         = owned_guess_clock_ms (upstream, now_us) + owner->limits.lease_ms;
--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -115,6 +115,7 @@
   gint64 last_end_us;     /* when an end was last taken note of */
   gint64 asked_us;        /* when the latest ask was sent */
   gboolean is_asking;     /* an ask is on its way */
+  guint64 doubted_ask;    /* number of the last ask that proves nothing */
   gint64 ask_due_us;      /* when to ask next */
   gint64 clock_ms;        /* its clock, as last read */
   gint64 clock_read_us;   /* own clock at that time; 0 for never */
--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -51,6 +51,13 @@
 /* Learns from a failure, or a lack of answers; it may get a rest.  */
 void owned_note_failure (struct owned *upstream, gint64 now_us);
 
+/* Nothing is started there, nor prolonged, before an ask that is sent from now
+   on was answered.  */
+void owned_doubt (struct owned *upstream, gint64 now_us);
+
+/* Whether that answer is outstanding.  */
+gboolean owned_is_doubted (const struct owned *upstream);
+
 /* Lets it rest at once.  */
 void owned_rest (struct owned *upstream, gint64 now_us);
 
--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -420,12 +420,13 @@
   owned_read_clock (upstream, report->clock_ms, now_us);
   if (upstream->state == OWNED_SHUNNED)
     tell_doubt (owner, upstream, DOUBT_OVER);
-  upstream->state = OWNED_HELD;
+  upstream->state = owned_is_doubted (upstream) ? OWNED_TAKING : OWNED_HELD;
   take_ends (owner, upstream, report, now_us);
   take_running (owner, upstream, report, now_us);
   drop_absent (owner, upstream, now_us);
   if (!list_is_empty (&upstream->runs)
-      || upstream->last_seen > upstream->acknowledged)
+      || upstream->last_seen > upstream->acknowledged
+      || owned_is_doubted (upstream))
     upstream->ask_due_us = now_us;
   else
     upstream->ask_due_us = now_us + IDLE_ASK_US;
