coordination: ask first after a pause of the process

An owner that was paused started queued tasks and prolonged leases in its first call after it woke, by what it knew before. An upstream that had begun anew meanwhile carried the starts out; the list then told of the new life, the owner took the runs for lost with the old one, and began them elsewhere while they ran. A call that comes 500 ms after the one before now puts all upstreams in doubt until an ask that was sent afterwards is answered.

--- a/coordination/owner.c
+++ b/coordination/owner.c
@@ -13,6 +13,10 @@
 /* Of a task before any was seen.  */
 #define FIRST_USUAL_CPUS 4.0
 
+/* Calls that are farther apart mean that the process was paused: leases may
+   have lapsed, and upstreams may have begun anew or obey somebody else.  */
+#define PAUSE_US (500 * USEC_PER_MSEC)
+
 struct owner *
 owner_new (struct owner_driver *driver, const struct owner_limits *limits)
 {
@@ -216,6 +220,23 @@
   owner->driver->ops->ask (owner->driver, upstream, until_ms, wait_ms);
 }
 
+void
+owner_note_call (struct owner *owner, gint64 now_us)
+{
+  gint64 since_us = now_us - owner->reached_us;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (owner->reached_us == 0)
+    since_us = 0;
+  owner->reached_us = now_us;
+  if (since_us <= PAUSE_US)
+    return;
+  g_hash_table_iter_init (&iter, owner->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    owned_doubt (value, now_us);
+}
+
 static GPtrArray *
 list_upstreams (struct owner *owner)
 {
@@ -262,6 +283,7 @@
   GHashTableIter iter;
   gpointer value;
 
+  owner_note_call (owner, now_us);
   if (now_us - owner->watched_us >= WATCH_INTERVAL_US)
     {
       owner->watched_us = now_us;
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -366,6 +366,7 @@
   struct list_node *after;
   guint n_passed_over = 0;
 
+  owner_note_call (owner, now_us);
   list_for_each (node, after, &owner->queue)
     {
       struct batch *batch = list_entry (node, struct batch, link);
--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -17,8 +17,14 @@
   gdouble usual_cpus;       /* of one task, smoothed */
   gint64 wake_us;
   gint64 watched_us; /* when runs were last looked after */
+  gint64 reached_us; /* when the owner was last called; 0 for never */
 };
 
+/* owner.c */
+
+/* Notes the time of a call; a late one puts all upstreams in doubt.  */
+void owner_note_call (struct owner *owner, gint64 now_us);
+
 /* owned.c: what is known of one upstream.  */
 
 struct owned *owned_new (const struct owned_spec *spec, guint64 token);
