coordination: accept an end that is told after the run was given up

A run whose upstream was silent for longer than its lease is given up and its task queued again. When the upstream answered after all and listed the run as done, the task was run again all the same.

--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -215,6 +215,50 @@
   stop_home_in (owner, &owner->batches, home, now_us);
 }
 
+/* The queued task of BATCH whose run NUMBER was called NAME, or NULL.  */
+static struct batch_task *
+find_queued (struct batch *batch, const char *name, guint number)
+{
+  if (!g_str_has_prefix (name, batch->job))
+    return NULL;
+  for (guint i = 0; i < batch->n_tasks; i++)
+    {
+      struct batch_task *task = &batch->tasks[i];
+      g_autofree char *own = NULL;
+
+      if (task->state != BATCH_TASK_QUEUED || number < batch->first_run
+          || number >= batch->first_run + task->n_runs)
+        continue;
+      own = g_strdup_printf ("%s.0.%u.%u", batch->job, batch->step,
+                             task->index);
+      if (g_str_equal (own, name))
+        return task;
+    }
+  return NULL;
+}
+
+void
+owner_accept_done (struct owner *owner, const char *name, guint number)
+{
+  struct list_node *node;
+  struct list_node *after;
+
+  list_for_each (node, after, &owner->queue)
+    {
+      struct batch *batch = list_entry (node, struct batch, link);
+      struct batch_task *task = find_queued (batch, name, number);
+
+      if (task == NULL)
+        continue;
+      task->state = BATCH_TASK_DONE;
+      batch->n_queued--;
+      batch->n_done++;
+      if (!owner_check_batch (owner, batch))
+        owner_place_batch (owner, batch);
+      return;
+    }
+}
+
 static gboolean
 has_label (const struct owned *upstream, const char *label)
 {
--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -112,6 +112,10 @@
    told; BATCH is gone then.  */
 gboolean owner_check_batch (struct owner *owner, struct batch *batch);
 
+/* The run NUMBER of the task NAME, which was given up, has ended well: the
+   task need not run again, unless that has begun.  */
+void owner_accept_done (struct owner *owner, const char *name, guint number);
+
 /* Starts what fits, best first.  */
 void owner_serve (struct owner *owner, gint64 now_us);
 
--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -329,6 +329,8 @@
       run = owned_find_run (upstream, end->name, end->run);
       if (run != NULL)
         owner_end_run (owner, run, end->end, now_us);
+      else if (end->end == RUN_DONE)
+        owner_accept_done (owner, end->name, end->run);
     }
 }
 
