--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -17,8 +17,14 @@
   gdouble usual_cpus;       /* of one task, smoothed */
   gint64 wake_us;
   gint64 watched_us; /* when runs were last looked after */
+  gint64 reached_us; /* when the owner was last called; 0 for never */
 };
 
+/* owner.c */
+
+/* Notes the time of a call; a late one puts all upstreams in doubt.  */
+void owner_note_call (struct owner *owner, gint64 now_us);
+
 /* owned.c: what is known of one upstream.  */
 
 struct owned *owned_new (const struct owned_spec *spec, guint64 token);
@@ -51,6 +57,13 @@
 /* Learns from a failure, or a lack of answers; it may get a rest.  */
 void owned_note_failure (struct owned *upstream, gint64 now_us);
 
+/* Nothing is started there, nor prolonged, before an ask that is sent from now
+   on was answered.  */
+void owned_doubt (struct owned *upstream, gint64 now_us);
+
+/* Whether that answer is outstanding.  */
+gboolean owned_is_doubted (const struct owned *upstream);
+
 /* Lets it rest at once.  */
 void owned_rest (struct owned *upstream, gint64 now_us);
 
@@ -99,6 +112,10 @@
    told; BATCH is gone then.  */
 gboolean owner_check_batch (struct owner *owner, struct batch *batch);
 
+/* The run NUMBER of the task NAME, which was given up, has ended well: the
+   task need not run again, unless that has begun.  */
+void owner_accept_done (struct owner *owner, const char *name, guint number);
+
 /* Starts what fits, best first.  */
 void owner_serve (struct owner *owner, gint64 now_us);
 
