--- a/Makefile
+++ b/Makefile
@@ -65,7 +65,14 @@
 $(BUILD)/standin: $(STANDIN_OBJS) $(BUILD)/libradishchute.a
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
-$(BUILD)/t/t%: $(BUILD)/t/t%.o $(SUPPORT_OBJS) $(BUILD)/libradishchute.a
+# An archive, so that a test which stands in for a module itself does not get
+# the helpers that need the real one.
+$(BUILD)/libsupport.a: $(SUPPORT_OBJS)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/t/t%: $(BUILD)/t/t%.o $(BUILD)/libsupport.a \
+  $(BUILD)/libradishchute.a
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
 $(BUILD)/%.o: %.c
