--- a/t/support/fleet_orders.c
+++ b/t/support/fleet_orders.c
@@ -48,7 +48,7 @@
           struct sim_order *order)
 {
   guint chance = world->is_calm ? G_MAXUINT : fleet_draw (world, 100);
-  guint n_bad = upstream->net == NET_LOSSY ? 24 : 3;
+  guint n_bad = upstream->net == NET_LOSSY ? 40 : 8;
 
   order->carry_us = world->now_us + fleet_draw_us (world, 4 * USEC_PER_MSEC);
   if (upstream->net == NET_CUT)
--- a/t/support/fleet_world.c
+++ b/t/support/fleet_world.c
@@ -493,7 +493,9 @@
   batch->first_run = 1 + fleet_draw (w, 3);
   batch->far_factor = 1.5;
   batch->need = (struct shape){ 0.5 + fleet_draw (w, 8) * 0.5, 100, 0 };
-  batch->estimate_us = (5 + fleet_draw (w, 300)) * USEC_PER_MSEC;
+  batch->estimate_us
+      = (5 + fleet_draw (w, fleet_draw (w, 5) == 0 ? 3000 : 300))
+        * USEC_PER_MSEC;
   batch->per_upstream = fleet_draw (w, 3) == 0 ? 2 : 0;
   batch->attempts = model->attempts;
   batch->start_by_us = w->now_us + fleet_draw_us (w, 500 * USEC_PER_MSEC);
@@ -725,16 +727,21 @@
   return world->broken;
 }
 
-/* Every owner gets upstreams again, so that all its batches can end.  */
+/* Every owner gets upstreams again, so that all its batches can end.  One of
+   the upstreams stays cut off.  */
 static void
 end_faults (struct fleet_world *w)
 {
+  guint left = fleet_draw (w, FLEET_UPSTREAMS);
+
   w->is_calm = TRUE;
   for (guint i = 0; i < FLEET_UPSTREAMS; i++)
     {
       struct sim_upstream *u = &w->upstreams[i];
 
       cure (w, u);
+      if (i == left)
+        u->net = NET_CUT;
       if (u->owner == i % FLEET_OWNERS)
         continue;
       u->owner = i % FLEET_OWNERS;
@@ -747,7 +754,6 @@
 const char *
 fleet_world_settle (struct fleet_world *world)
 {
-  g_rand_set_seed (world->details, 1);
   end_faults (world);
   for (guint i = 0; i < SETTLE_MS && world->n_live > 0; i++)
     pass (world, 1);
