--- a/t/support/fleet_world.c
+++ b/t/support/fleet_world.c
@@ -595,6 +595,7 @@
     return;
   fleet_tell (w, "owner %u is to release %s", o->slot, u->id);
   u->owner = (u->owner + 1) % FLEET_OWNERS;
+  u->next_token++;
   owner_release (o->owner, u->id, w->now_us);
   handle_lost (w);
 }
