coordination, base: keep the loop from turning while an ask waits

Cause: a start made the next ask due while one was waiting at the upstream, and the owner asked to be called again at once, over and over, until that ask was answered. Besides, each event on a socket woke the loop twice, as the library takes a source's descriptors off the loop during its callback. Ruled out: the HTTP library (117 us an ask), logging (1 us a line).

--- a/base/loop_timer.c
+++ b/base/loop_timer.c
@@ -75,3 +75,10 @@
 {
   timer->when_us = when_us;
 }
+
+void
+loop_source_attach (GSource *source)
+{
+  g_source_set_can_recurse (source, TRUE);
+  g_source_attach (source, NULL);
+}
--- a/base/loop_timer.h
+++ b/base/loop_timer.h
@@ -25,4 +25,12 @@
    be called from the loop's own thread.  */
 void loop_timer_set (struct loop_timer *timer, gint64 when_us);
 
+/*
+ * Attaches SOURCE, which watches descriptors, to the default main loop.  Its
+ * callback must not run the loop.  The library takes the descriptors of other
+ * sources off the loop while their callbacks run, and wakes the loop twice for
+ * it.
+ */
+void loop_source_attach (GSource *source);
+
 #endif
--- a/coordination/owner.c
+++ b/coordination/owner.c
@@ -295,7 +295,9 @@
       struct owned *upstream = value;
 
       ask_if_due (owner, upstream, now_us);
-      wake_us = MIN (wake_us, MAX (upstream->ask_due_us, now_us + 1));
+      /* One that is being asked is asked again after its answer.  */
+      if (!upstream->is_asking)
+        wake_us = MIN (wake_us, MAX (upstream->ask_due_us, now_us + 1));
     }
   wake_us = MIN (wake_us, owner->watched_us + WATCH_INTERVAL_US
                               + (is_busy (owner) ? 0 : IDLE_INTERVAL_US));
--- /dev/null
+++ b/t/t2111-owner-wake.c
@@ -0,0 +1,117 @@
+/* When the owner wants to be called again.  */
+#include "coordination/owner.h"
+
+#define START_US (1000 * USEC_PER_SEC)
+#define LEASE_MS 900
+
+struct wake_bed
+{
+  struct owner_driver driver;
+  gint64 wake_us;
+  guint n_asks;
+};
+
+static void
+on_start (struct owner_driver *driver, struct run *run, gint64 until_ms)
+{
+}
+
+static void
+on_stop (struct owner_driver *driver, struct run *run)
+{
+}
+
+static void
+on_ask (struct owner_driver *driver, struct owned *upstream, gint64 until_ms,
+        guint wait_ms)
+{
+  ((struct wake_bed *)driver)->n_asks++;
+}
+
+static void
+on_return (struct owner_driver *driver, struct batch *batch,
+           const guint *indexes, guint n_tasks)
+{
+}
+
+static void
+on_finish (struct owner_driver *driver, struct batch *batch)
+{
+  batch_free (batch);
+}
+
+static void
+on_lost (struct owner_driver *driver, struct owned *upstream,
+         gboolean is_fenced)
+{
+}
+
+static void
+on_wake_at (struct owner_driver *driver, gint64 when_us)
+{
+  ((struct wake_bed *)driver)->wake_us = when_us;
+}
+
+static const struct owner_driver_ops ops = {
+  .start_run = on_start,
+  .stop_run = on_stop,
+  .ask = on_ask,
+  .return_tasks = on_return,
+  .finish_batch = on_finish,
+  .lost = on_lost,
+  .wake_at = on_wake_at,
+};
+
+static struct batch *
+make_batch (void)
+{
+  struct batch *batch = batch_new ("0123456789abcdef", "home", 1);
+
+  batch->service = g_strdup ("s");
+  batch->spec = g_strdup ("");
+  batch->need.cpus = 1;
+  batch->estimate_us = USEC_PER_SEC;
+  batch->start_by_us = START_US + USEC_PER_SEC;
+  return batch;
+}
+
+/* An ask that waits at the upstream must not keep the loop turning.  */
+static void
+test_asking (void)
+{
+  struct wake_bed bed = { .driver.ops = &ops };
+  const struct owner_limits limits
+      = { .lease_ms = LEASE_MS, .max_lease_ms = 1000, .stop_ms = 50 };
+  const struct owned_spec spec = { .id = "u",
+                                   .address = "127.0.0.1:1",
+                                   .service = "s",
+                                   .rack = "",
+                                   .availability_zone = "z",
+                                   .shape = { .cpus = 2 },
+                                   .born_ms = 1 };
+  const struct upstream_report report = { .clock_ms = 5000, .born_ms = 1 };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned *upstream = owner_take (owner, &spec, 1, START_US);
+  gint64 now_us = START_US;
+
+  owner_ask_ended (owner, upstream, ORDER_OBEYED, &report, now_us);
+  owner_submit (owner, make_batch (), now_us);
+  owner_advance (owner, now_us += 30 * USEC_PER_MSEC);
+  g_assert_cmpuint (bed.n_asks, ==, 2);
+  owner_submit (owner, make_batch (), now_us);
+  for (guint i = 0; i < 10; i++)
+    {
+      owner_advance (owner, now_us += 15 * USEC_PER_MSEC);
+      g_assert_cmpint (bed.wake_us, >=, now_us + USEC_PER_MSEC);
+    }
+  g_assert_cmpuint (bed.n_asks, ==, 2);
+  owner_free (owner);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/owner/wake/asking", test_asking);
+  return g_test_run ();
+}
--- a/transport/connection_guard.c
+++ b/transport/connection_guard.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/list.h"
+#include "base/loop_timer.h"
 
 #include <errno.h>
 #include <netinet/in.h>
@@ -217,7 +218,7 @@
   g_source_set_priority (connection->idle_source, G_PRIORITY_HIGH);
   g_source_set_callback (connection->idle_source,
                          G_SOURCE_FUNC (on_idle_event), connection, NULL);
-  g_source_attach (connection->idle_source, NULL);
+  loop_source_attach (connection->idle_source);
 }
 
 static gboolean
--- a/transport/http_body.c
+++ b/transport/http_body.c
@@ -1,5 +1,7 @@
 #include "transport/http_body.h"
 
+#include "base/loop_timer.h"
+
 #include <gio/gio.h>
 
 #define CHUNK_BYTES 4096
@@ -75,7 +77,7 @@
       G_POLLABLE_INPUT_STREAM (body->stream), body->cancellable);
 
   g_source_set_callback (source, G_SOURCE_FUNC (on_readable), body, NULL);
-  g_source_attach (source, NULL);
+  loop_source_attach (source);
   g_source_unref (source);
 }
 
--- a/transport/peer_service.c
+++ b/transport/peer_service.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/list.h"
+#include "base/loop_timer.h"
 #include "coordination/membership.h"
 #include "transport/rpc_stream.h"
 
@@ -279,7 +280,7 @@
   service->source = g_socket_create_source (socket, G_IO_IN, NULL);
   g_source_set_callback (service->source, G_SOURCE_FUNC (on_connection),
                          service, NULL);
-  g_source_attach (service->source, NULL);
+  loop_source_attach (service->source);
   return service;
 }
 
--- a/transport/peer_socket.c
+++ b/transport/peer_socket.c
@@ -1,6 +1,7 @@
 #include "transport/peer_socket.h"
 
 #include "base/error.h"
+#include "base/loop_timer.h"
 #include "protocol/heartbeat.h"
 
 /* Datagrams taken in one go, so that a flood leaves time for the rest.  */
@@ -66,7 +67,7 @@
   socket->source = g_socket_create_source (socket->socket, G_IO_IN, NULL);
   g_source_set_callback (socket->source, G_SOURCE_FUNC (on_readable), socket,
                          NULL);
-  g_source_attach (socket->source, NULL);
+  loop_source_attach (socket->source);
   return socket;
 }
 
--- a/transport/rpc_stream.c
+++ b/transport/rpc_stream.c
@@ -1,6 +1,7 @@
 #include "transport/rpc_stream.h"
 
 #include "base/clock.h"
+#include "base/loop_timer.h"
 #include "protocol/rpc_message.h"
 
 #include <netinet/in.h>
@@ -163,7 +164,7 @@
   GSource *source = g_socket_create_source (stream->socket, condition, NULL);
 
   g_source_set_callback (source, G_SOURCE_FUNC (function), stream, NULL);
-  g_source_attach (source, NULL);
+  loop_source_attach (source);
   return source;
 }
 
