t: a fleet of real processes on the stand-ins of the platform

A store, six workers and two or three VMs on 127.0.0.1 to 127.0.0.3. Each test ends with a look at the workers' record: no task ran twice at once, no worker ran over its capacity.

--- /dev/null
+++ b/t/support/fleet_bed.h
@@ -0,0 +1,130 @@
+/*
+ * Entry VMs of a fleet on the operators' platform, as real processes: the
+ * store, the workers and `radishchute fleet` on 127.0.0.1, 127.0.0.2...
+ *
+ * Functions that cannot do their work abort the test.  What must hold of every
+ * record of the workers is judged by fleet_bed_stop ().
+ */
+#ifndef T_SUPPORT_FLEET_BED_H
+#define T_SUPPORT_FLEET_BED_H
+
+#include "t/support/http.h"
+#include "t/support/process.h"
+
+#define FLEET_BED_MAX_VMS 3
+#define FLEET_BED_WORKERS 6
+
+/* Tasks of one core that a worker has room for.  */
+#define FLEET_BED_SLOTS 4
+
+/* After this a caller without an answer may send its job again.  */
+#define FLEET_BED_RESEND_MS 1300
+
+/* From a stop signal to the end of a VM.  */
+#define FLEET_BED_GRACE_S 10
+
+/* Routes: jobs that must start at once, and jobs that may wait for long.  */
+#define FLEET_BED_HASTY "/hasty/"
+#define FLEET_BED_PATIENT "/patient/"
+
+struct fleet_bed
+{
+  char *directory;  /* settings files */
+  guint16 ports[5]; /* the same on all VMs */
+  struct process *store;
+  struct process *workers; /* the last port is that of the controls */
+  guint n_vms;
+  struct process *vms[FLEET_BED_MAX_VMS]; /* NULL when ended */
+  guint n_jobs;
+};
+
+/* Starts everything and waits until it serves.  */
+struct fleet_bed *fleet_bed_start (guint n_vms);
+
+/* The same without a desired state, and without waiting for it.  */
+struct fleet_bed *fleet_bed_start_bare (guint n_vms);
+
+/* Puts the desired state.  */
+void fleet_bed_put_state (struct fleet_bed *bed);
+
+/* Waits until the VMs that run know each other and the desired state, and own
+   all workers among them.  */
+void fleet_bed_wait_settled (struct fleet_bed *bed);
+
+/*
+ * Judges the workers' record: nothing ran twice at once, nothing over a
+ * worker's capacity.  Ends everything.
+ */
+void fleet_bed_stop (struct fleet_bed *bed);
+
+/* The URL of PATH on VM INDEX.  The caller owns it.  */
+char *fleet_bed_url (struct fleet_bed *bed, guint vm, const char *path);
+
+/* What VM says of itself.  The caller owns it.  */
+json_t *fleet_bed_dump (struct fleet_bed *bed, guint vm);
+
+/* The running VM that owns the most workers.  */
+guint fleet_bed_find_owner (struct fleet_bed *bed);
+
+/* Kills VM by SIGKILL.  */
+void fleet_bed_kill_vm (struct fleet_bed *bed, guint vm);
+
+/* Sets the faults of the workers, of the store.  */
+void fleet_bed_set_worker_faults (struct fleet_bed *bed, const char *faults);
+void fleet_bed_set_store_faults (struct fleet_bed *bed, const char *faults);
+
+/* The workers' record, which the caller owns.  */
+json_t *fleet_bed_get_record (struct fleet_bed *bed);
+
+/* Waits until the member NAME of the record is at least N.  */
+void fleet_bed_wait_count (struct fleet_bed *bed, const char *name, gint64 n);
+
+/* Waits until no worker runs anything.  */
+void fleet_bed_wait_idle (struct fleet_bed *bed);
+
+/* Runs that were started of the job ID; of its task INDEX.  */
+guint fleet_bed_count_starts (struct fleet_bed *bed, const char *id);
+guint fleet_bed_count_task (struct fleet_bed *bed, const char *id,
+                            guint index);
+
+/* Lets time pass in the main loop.  */
+void fleet_bed_pass (guint ms);
+
+/* A job on its way.  */
+struct fleet_call
+{
+  char *id;
+  const char *route;
+  guint n_tasks;
+  guint run_ms;
+  struct http_call *call; /* NULL when answered */
+  guint status;           /* of the last answer, 0 for none */
+  char *body;
+};
+
+/* Sends a new job of N_TASKS, which run RUN_MS each, to VM.  */
+struct fleet_call *fleet_bed_begin (struct fleet_bed *bed, guint vm,
+                                    const char *route, guint n_tasks,
+                                    guint run_ms);
+
+/* Sends the job of CALL, which has ended, to VM again.  */
+void fleet_call_repeat (struct fleet_bed *bed, struct fleet_call *call,
+                        guint vm);
+
+/* Waits for the answer; returns its status, 0 for none.  */
+guint fleet_call_wait (struct fleet_call *call);
+
+/* Whether the last answer says that the job was done.  */
+gboolean fleet_call_is_done (const struct fleet_call *call);
+
+/* The last answer must be whole: as a caller is to understand it.  */
+void fleet_call_assert_whole (const struct fleet_call *call);
+
+/* Frees CALL, leaving it if it still waits.  */
+void fleet_call_free (struct fleet_call *call);
+
+/* Sends a job, waits, and returns whether it was done.  */
+gboolean fleet_bed_run (struct fleet_bed *bed, guint vm, guint n_tasks,
+                        guint run_ms);
+
+#endif
