--- a/commands/explain.c
+++ b/commands/explain.c
@@ -74,28 +74,58 @@
     case EVENT_BATCH_TAKEN:
     case EVENT_STORE_REACHED:
     case EVENT_ROUTES_IN_FORCE:
+    case EVENT_VM_BACK:
+    case EVENT_UPSTREAM_BACK:
+    case EVENT_UPSTREAM_RELEASED:
       return TRUE;
     default:
       return FALSE;
     }
 }
 
+/* Whether EVENT may be left out when a story is still too long.  */
+static gboolean
+is_minor (const struct story_event *event)
+{
+  return event->number == EVENT_TASKS_RETURNED
+         || event->number == EVENT_FLEET_DRAINING
+         || event->number == EVENT_UPSTREAM_GONE;
+}
+
+/* Takes the events that IS_LESS picks out of CHOSEN, if it is too long.  */
+static void
+shorten (GPtrArray *chosen,
+         gboolean (*is_less) (const struct story_event *event))
+{
+  if (chosen->len <= MAX_SHOWN)
+    return;
+  for (guint i = chosen->len; i > 0; i--)
+    if (is_less (g_ptr_array_index (chosen, i - 1)))
+      g_ptr_array_remove_index (chosen, i - 1);
+}
+
+static gboolean
+is_of_others (const struct story_event *event)
+{
+  return !event->is_own;
+}
+
 /* The events to show: all of them if they fit, else without the routine ones,
-   else the first and the last.  */
+   the minor ones, and those that don't name the job, until they fit, else the
+   first and the last.  */
 static GPtrArray *
 choose_events (const struct story *story, gboolean is_all)
 {
   GPtrArray *chosen = g_ptr_array_new ();
-  gboolean is_short = is_all || story->events->len <= MAX_SHOWN;
 
   for (guint i = 0; i < story->events->len; i++)
-    {
-      struct story_event *event = g_ptr_array_index (story->events, i);
-
-      if (is_short || !is_routine (event))
-        g_ptr_array_add (chosen, event);
-    }
-  if (!is_all && chosen->len > MAX_SHOWN)
+    g_ptr_array_add (chosen, g_ptr_array_index (story->events, i));
+  if (is_all)
+    return chosen;
+  shorten (chosen, is_routine);
+  shorten (chosen, is_minor);
+  shorten (chosen, is_of_others);
+  if (chosen->len > MAX_SHOWN)
     g_ptr_array_remove_range (chosen, MAX_SHOWN / 2, chosen->len - MAX_SHOWN);
   return chosen;
 }
--- a/commands/explain_cause.c
+++ b/commands/explain_cause.c
@@ -48,10 +48,32 @@
   return answer != NULL && story_is_success (answer);
 }
 
-/* What ended the process of VM after AT_US, as its log or others' tell.  */
+static const char *
+get_given_up_reason (const struct story *story)
+{
+  const struct story_event *up = story_find (story, EVENT_JOB_GIVEN_UP);
+
+  return up != NULL ? story_event_text (up, "reason") : NULL;
+}
+
+/* Whether the answer came later than the job's objective.  */
+static gboolean
+is_late (const struct story *story)
+{
+  const struct story_event *answer = story_find (story, EVENT_JOB_ANSWERED);
+
+  return is_done (story) && story_event_int (answer, "objective_ms", 0) > 0
+         && story_event_int (answer, "ms", 0)
+                > story_event_int (answer, "objective_ms", 0);
+}
+
+/* What ended the process of VM after AT_US, as its log or others' tell.  A
+   process that still logs when the job is over was not the cause.  */
 static const char *
 find_process_end (const struct story *story, const char *vm, gint64 at_us)
 {
+  const struct story_event *over = find_end (story);
+
   for (guint i = 0; i < story->events->len; i++)
     {
       const struct story_event *event = get_event (story, i);
@@ -66,6 +88,8 @@
         return "was stopped";
       if (event->number == EVENT_FLEET_STARTED)
         return "started anew without having stopped: it crashed or was killed";
+      if (over != NULL && !event->is_own && event->at_us > over->at_us)
+        return NULL;
     }
   return NULL;
 }
@@ -91,7 +115,7 @@
 {
   const struct story_event *answer = story_find (story, EVENT_JOB_ANSWERED);
 
-  if (!is_done (story))
+  if (!is_done (story) || is_late (story))
     return;
   g_string_append (why, "the caller got its answer");
   if (story_event_int (answer, "ms", -1) >= 0)
@@ -120,6 +144,92 @@
     }
 }
 
+/* What the home of a job without upstreams had just gone through.  */
+static void
+append_recent (const struct story *story, const struct story_event *away,
+               GString *why)
+{
+  for (guint i = 0; i < story->events->len; i++)
+    {
+      const struct story_event *event = get_event (story, i);
+      gint64 ago_ms = (away->at_us - event->at_us) / USEC_PER_MSEC;
+
+      if (g_strcmp0 (event->vm, away->vm) != 0 || event->at_us > away->at_us)
+        continue;
+      if (event->number == EVENT_FLEET_STARTED)
+        g_string_append_printf (
+            why, "; it had started %" G_GINT64_FORMAT " ms before", ago_ms);
+      else if (event->number == EVENT_STORE_LOST)
+        g_string_append_printf (why,
+                                "; it had lost the platform's store "
+                                "%" G_GINT64_FORMAT " ms before",
+                                ago_ms);
+    }
+}
+
+static gboolean
+is_without_owner (const struct story_event *away)
+{
+  return has_text (away, "reason", "no upstream is owned by a live VM");
+}
+
+static void
+check_no_owner (const struct story *story, GString *why)
+{
+  const struct story_event *away = story_find (story, EVENT_JOB_TURNED_AWAY);
+
+  if (away == NULL || !is_without_owner (away))
+    return;
+  g_string_append_printf (
+      why, "%s knew of no live VM that owns upstreams of the service",
+      away->vm);
+  append_recent (story, away, why);
+}
+
+/* Whether the owner of the batch that RETURNED names had told of room for all
+   of it.  */
+static gboolean
+had_promise (const struct story *story, const struct story_event *returned)
+{
+  for (guint i = 0; i < story->events->len; i++)
+    {
+      const struct story_event *sent = get_event (story, i);
+
+      if (sent->number == EVENT_BATCH_SENT
+          && story_is_same_batch (sent, returned))
+        return story_event_int (sent, "free_slots", 0)
+               >= story_event_int (sent, "tasks", 1);
+    }
+  return FALSE;
+}
+
+/* How often the job was handed to owners, what they gave back unstarted, and
+   how often they had told of room for it.  */
+static void
+append_search (const struct story *story, GString *why)
+{
+  guint n_sent = 0;
+  guint n_returned = 0;
+  guint n_promised = 0;
+
+  for (guint i = 0; i < story->events->len; i++)
+    {
+      const struct story_event *event = get_event (story, i);
+
+      n_sent += event->number == EVENT_BATCH_SENT;
+      if (event->number != EVENT_TASKS_RETURNED)
+        continue;
+      n_returned++;
+      n_promised += had_promise (story, event);
+    }
+  if (n_sent > 0)
+    g_string_append_printf (why,
+                            "; batches handed to owners: %u, times that tasks "
+                            "came back unstarted: %u, of these from owners "
+                            "that had told of room for all: %u",
+                            n_sent, n_returned, n_promised);
+}
+
 static void
 check_turned_away (const struct story *story, GString *why)
 {
@@ -128,7 +238,8 @@
   g_autoptr (GString) figures = g_string_new (NULL);
   const char *reason;
 
-  if (away == NULL || has_text (away, "reason", "route"))
+  if (away == NULL || has_text (away, "reason", "route")
+      || is_without_owner (away))
     return;
   reason = story_event_text (away, "reason");
   story_event_describe (away, except, figures);
@@ -136,6 +247,7 @@
                           away->vm, reason != NULL ? reason : "no reason");
   if (figures->len > 0)
     g_string_append_printf (why, " (%s)", figures->str);
+  append_search (story, why);
 }
 
 static void
@@ -143,7 +255,10 @@
 {
   const char *end;
 
-  if (story->home == NULL || find_end (story) != NULL)
+  if (g_strcmp0 (get_given_up_reason (story), "this VM had to stop") == 0)
+    g_string_append_printf (why, "its home %s had to stop before it was done",
+                            story->home);
+  if (story->home == NULL || find_end (story) != NULL || story->n_cut > 0)
     return;
   end = find_process_end (story, story->home,
                           find_last_time (story, story->home));
@@ -193,10 +308,34 @@
                             why->len > 0 ? "; " : "", owner, end);
 }
 
+/* Why the home took an owner for lost that lives on, as when the network
+   between them was cut.  */
+static void
+explain_cut (const struct story *story, GString *why)
+{
+  static const char *const reasons[]
+      = { "the owner of its upstreams is lost",
+          "the connection to its owner broke", NULL };
+  const char *reason = get_given_up_reason (story);
+
+  if (reason == NULL || !g_strv_contains (reasons, reason))
+    return;
+  g_string_append_printf (why, "%s gave the job up: %s; it had sent tasks to",
+                          story->home, reason);
+  for (guint i = 0; i < story->events->len; i++)
+    if (get_event (story, i)->number == EVENT_BATCH_SENT)
+      g_string_append_printf (
+          why, " %s", story_event_text (get_event (story, i), "owner"));
+}
+
 static void
 check_owner_lost (const struct story *story, GString *why)
 {
+  if (is_done (story))
+    return;
   visit_open_batches (story, why, explain_owner_lost);
+  if (why->len == 0)
+    explain_cut (story, why);
 }
 
 static void
@@ -325,6 +464,117 @@
                               get_event (story, i)->vm);
 }
 
+/* The reason that the owners gave for a batch that they stopped.  */
+static const char *
+find_stop_reason (const struct story *story, const char **owner)
+{
+  for (guint i = 0; i < story->events->len; i++)
+    {
+      const struct story_event *event = get_event (story, i);
+
+      if (event->number == EVENT_BATCH_ENDED
+          && has_text (event, "end", "stopped")
+          && story_event_text (event, "reason") != NULL)
+        {
+          *owner = event->vm;
+          return story_event_text (event, "reason");
+        }
+    }
+  return NULL;
+}
+
+static void
+check_no_room (const struct story *story, GString *why)
+{
+  static const char *const reasons[]
+      = { "no room in time", "no room before its deadline",
+          "the queues are longer than its time", NULL };
+  const char *reason = get_given_up_reason (story);
+  const char *owner = story->home;
+
+  if (reason == NULL)
+    return;
+  if (!g_strv_contains (reasons, reason))
+    reason = find_stop_reason (story, &owner);
+  if (reason == NULL || !g_strv_contains (reasons, reason))
+    return;
+  g_string_append_printf (why, "%s: %s, when some of it had started", owner,
+                          reason);
+  append_search (story, why);
+}
+
+/* From the acceptance of the job until its last batch with a start had its
+   first one, in milliseconds.  */
+static gint64
+measure_wait (const struct story *story)
+{
+  const struct story_event *accepted = story_find (story, EVENT_JOB_ACCEPTED);
+  gint64 wait_us = 0;
+
+  for (guint i = 0; accepted != NULL && i < story->events->len; i++)
+    for (guint k = i + 1; k < story->events->len; k++)
+      {
+        const struct story_event *sent = get_event (story, i);
+        const struct story_event *ended = get_event (story, k);
+        gint64 in_us = story_event_int (ended, "waited_us", -1);
+
+        if (sent->number == EVENT_BATCH_SENT
+            && ended->number == EVENT_BATCH_ENDED && in_us >= 0
+            && story_is_same_batch (sent, ended))
+          wait_us = MAX (wait_us, sent->at_us - accepted->at_us + in_us);
+      }
+  return wait_us / USEC_PER_MSEC;
+}
+
+/* Whether a late job's tasks mostly waited, rather than ran for long.  */
+static gboolean
+has_waited (const struct story *story)
+{
+  const struct story_event *accepted = story_find (story, EVENT_JOB_ACCEPTED);
+  const struct story_event *answer = story_find (story, EVENT_JOB_ANSWERED);
+  gint64 estimate_ms
+      = accepted != NULL
+            ? story_event_int (accepted, "estimate_us", 0) / USEC_PER_MSEC
+            : 0;
+
+  return 2 * measure_wait (story)
+         > story_event_int (answer, "ms", 0) - estimate_ms;
+}
+
+static void
+append_times (const struct story *story, GString *why)
+{
+  const struct story_event *accepted = story_find (story, EVENT_JOB_ACCEPTED);
+  const struct story_event *answer = story_find (story, EVENT_JOB_ANSWERED);
+
+  g_string_append_printf (
+      why,
+      "answered after %" G_GINT64_FORMAT " ms, objective %" G_GINT64_FORMAT
+      " ms; its last batch began after %" G_GINT64_FORMAT " ms",
+      story_event_int (answer, "ms", 0),
+      story_event_int (answer, "objective_ms", 0), measure_wait (story));
+  if (accepted != NULL)
+    g_string_append_printf (
+        why, "; the estimate of a task was %" G_GINT64_FORMAT " ms",
+        story_event_int (accepted, "estimate_us", 0) / USEC_PER_MSEC);
+}
+
+static void
+check_waited (const struct story *story, GString *why)
+{
+  if (!is_late (story) || !has_waited (story))
+    return;
+  append_times (story, why);
+  append_search (story, why);
+}
+
+static void
+check_slow_run (const struct story *story, GString *why)
+{
+  if (is_late (story) && !has_waited (story))
+    append_times (story, why);
+}
+
 static void
 check_paused (const struct story *story, GString *why)
 {
@@ -342,14 +592,17 @@
   for (guint i = 0; i < story->events->len; i++)
     {
       const struct story_event *event = get_event (story, i);
+      g_autofree char *text = NULL;
 
-      if (event->number == EVENT_UPSTREAM_GONE
-          || event->number == EVENT_UPSTREAM_FENCED)
-        g_string_append_printf (why, "%s%s %s", why->len > 0 ? "; " : "",
-                                story_event_text (event, "upstream"),
-                                event->number == EVENT_UPSTREAM_GONE
-                                    ? "was removed"
-                                    : "went over to another owner");
+      if (event->number != EVENT_UPSTREAM_GONE
+          && event->number != EVENT_UPSTREAM_FENCED)
+        continue;
+      text = g_strdup_printf ("%s %s", story_event_text (event, "upstream"),
+                              event->number == EVENT_UPSTREAM_GONE
+                                  ? "was removed"
+                                  : "went over to another owner");
+      if (strstr (why->str, text) == NULL)
+        g_string_append_printf (why, "%s%s", why->len > 0 ? "; " : "", text);
     }
 }
 
@@ -370,20 +623,31 @@
 check_given_up (const struct story *story, GString *why)
 {
   const struct story_event *up = story_find (story, EVENT_JOB_GIVEN_UP);
-  const char *reason = up != NULL ? story_event_text (up, "reason") : NULL;
+  const char *reason = get_given_up_reason (story);
+  const char *owner = NULL;
+  const char *stop = find_stop_reason (story, &owner);
 
-  if (up != NULL)
-    g_string_append_printf (why, "%s gave the job up: %s", up->vm,
-                            reason != NULL ? reason : "no reason");
+  if (up == NULL)
+    return;
+  g_string_append_printf (why, "%s gave the job up: %s", up->vm,
+                          reason != NULL ? reason : "no reason");
+  if (stop != NULL && g_strcmp0 (stop, reason) != 0)
+    g_string_append_printf (why, "; %s stopped tasks: %s", owner, stop);
 }
 
 static void
 check_dropped (const struct story *story, GString *why)
 {
+  if (story->n_cut > 0)
+    g_string_append_printf (why,
+                            "%u lines that name the job are not whole, as "
+                            "when a reader mixes the lines of processes",
+                            story->n_cut);
   for (guint i = 0; i < story->events->len; i++)
     if (get_event (story, i)->number == EVENT_LOG_LINES_DROPPED)
       {
-        g_string_append_printf (why, "%s dropped log lines around that time",
+        g_string_append_printf (why, "%s%s dropped log lines around that time",
+                                why->len > 0 ? "; " : "",
                                 get_event (story, i)->vm);
         return;
       }
@@ -407,6 +671,10 @@
   { "done", "nothing: the job was answered whole", "", check_done },
   { "no-route", "the desired state has no route for it",
     "correct or publish the routes", check_no_route },
+  { "no-owner", "no live VM owned upstreams for it",
+    "look at why: a start or the loss of VMs (fleet-started, vm-lost), or a "
+    "store that does not answer; the caller may ask again",
+    check_no_owner },
   { "turned-away", "turned away for lack of room",
     "compare the figures with the upstreams that rest or are mute, then add "
     "upstreams or lower the load",
@@ -423,6 +691,18 @@
     "look at the upstream; if several "
     "failed, at the job's input",
     check_failed },
+  { "no-room", "no room in time",
+    "compare the figures with the upstreams that rest or are mute, then add "
+    "upstreams or lower the load",
+    check_no_room },
+  { "waited", "late: it waited for room",
+    "add upstreams or lower the load; room that was promised and taken by "
+    "others shows as many returns",
+    check_waited },
+  { "slow-run", "late: its tasks ran for longer than estimated",
+    "log at debug and look at 'run-ended' for the upstream; else correct the "
+    "caller's estimate",
+    check_slow_run },
   { "upstream-gone", "an upstream went away",
     "harmless unless it repeats; look at who removes upstreams",
     check_upstream_gone },
--- a/commands/explain_story.c
+++ b/commands/explain_story.c
@@ -45,6 +45,7 @@
   { EVENT_SHARD_FENCED, SUBJECT_VM },
   { EVENT_VM_LOST, SUBJECT_PEER },
   { EVENT_VM_BACK, SUBJECT_PEER },
+  { EVENT_RUN_UNANSWERED, SUBJECT_UPSTREAM },
   { EVENT_UPSTREAM_FENCED, SUBJECT_UPSTREAM },
   { EVENT_UPSTREAM_RELEASED, SUBJECT_UPSTREAM },
   { EVENT_UPSTREAM_GONE, SUBJECT_UPSTREAM },
@@ -96,6 +97,7 @@
   g_ptr_array_unref (story->others);
   g_ptr_array_unref (story->lives);
   g_free (story->job);
+  g_free (story->home);
   g_free (story);
 }
 
@@ -116,10 +118,13 @@
 
 /*
  * The life of VM that a line belongs to.  A VM that starts again has a later
- * start by its wall clock; an earlier one means that the clock was set back.
+ * start by its wall clock; an earlier one means that the clock was set back,
+ * unless a process starts with it: then the VM is another machine, which has
+ * been up for longer.
  */
 static struct story_life *
-find_life (struct story *story, const char *vm, gint64 offset_us)
+find_life (struct story *story, const char *vm, gint64 offset_us,
+           gboolean is_start)
 {
   struct story_life *life = NULL;
 
@@ -131,7 +136,7 @@
         continue;
       if (ABS (offset_us - other->offset_us) <= SAME_LIFE_US)
         return other;
-      if (other->offset_us > offset_us)
+      if (other->offset_us > offset_us && !is_start)
         life = other;
     }
   if (life != NULL)
@@ -195,7 +200,8 @@
   event->vm = story_event_text (event, "vm");
   event->name = story_event_text (event, "name");
   event->boot_us = story_event_int (event, "boot_us", 0);
-  event->life = find_life (story, event->vm, time_us - event->boot_us);
+  event->life = find_life (story, event->vm, time_us - event->boot_us,
+                           event->number == EVENT_FLEET_STARTED);
   event->order = story->n_lines;
   event->is_own = g_strcmp0 (job, story->job) == 0;
   story->n_own += event->is_own;
@@ -207,6 +213,18 @@
     free_event (event);
 }
 
+/* Whether LINE has what is left of a log line that names JOB; OBJECT is what
+   was read from it.  */
+static gboolean
+is_cut_line (const char *line, const json_t *object, const char *job)
+{
+  const char *name = json_string_value (json_object_get (object, "job"));
+  g_autofree char *member = g_strdup_printf ("\"job\":\"%s\"", job);
+
+  return g_strcmp0 (name, job) != 0 && strstr (line, member) != NULL
+         && strstr (line, "\"event\":") != NULL;
+}
+
 void
 story_read_line (struct story *story, const char *line)
 {
@@ -216,6 +234,7 @@
   if (strstr (line, "\"job\":") != NULL && strstr (line, story->job) == NULL)
     return;
   object = parse_line (line);
+  story->n_cut += is_cut_line (line, object, story->job);
   if (object != NULL && is_log_line (object))
     {
       take_line (story, object);
@@ -273,6 +292,13 @@
              || g_strcmp0 (story_event_text (event, "status"), "done") == 0);
 }
 
+/* The name of a VM without the number of its process, as in "vm-a#17".  */
+static char *
+copy_vm_name (const char *name)
+{
+  return g_strndup (name, strcspn (name, "#"));
+}
+
 static void
 find_home (struct story *story)
 {
@@ -282,13 +308,18 @@
 
       if (event != NULL)
         {
-          story->home = event->vm;
+          story->home = g_strdup (event->vm);
           return;
         }
     }
   for (guint i = 0; i < story->events->len && story->home == NULL; i++)
-    story->home
-        = story_event_text (g_ptr_array_index (story->events, i), "home");
+    {
+      const char *name
+          = story_event_text (g_ptr_array_index (story->events, i), "home");
+
+      if (name != NULL)
+        story->home = copy_vm_name (name);
+    }
 }
 
 static gint64
@@ -376,7 +407,8 @@
 static GHashTable *
 list_names (const struct story *story, const char *const *keys)
 {
-  GHashTable *names = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTable *names
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 
   for (guint i = 0; i < story->events->len; i++)
     for (const char *const *key = keys; *key != NULL; key++)
@@ -385,7 +417,7 @@
             = story_event_text (g_ptr_array_index (story->events, i), *key);
 
         if (name != NULL)
-          g_hash_table_add (names, (gpointer)name);
+          g_hash_table_add (names, copy_vm_name (name));
       }
   return names;
 }
--- a/commands/explain_story.h
+++ b/commands/explain_story.h
@@ -46,10 +46,11 @@
   GPtrArray *events; /* struct story_event, in order after story_finish () */
   GPtrArray *others; /* of which it is not known whether they belong to it */
   GPtrArray *lives;  /* struct story_life */
-  const char *home;  /* name of the VM; NULL when not known */
+  char *home;        /* name of the VM; NULL when not known */
   guint n_lines;     /* read */
   guint n_foreign;   /* lines that are not log lines of the fleet */
   guint n_own;       /* lines that name the job */
+  guint n_cut;       /* lines that name it and are not whole */
 };
 
 struct story *story_new (const char *job);
--- a/t/t6010-explain.c
+++ b/t/t6010-explain.c
@@ -258,6 +258,143 @@
   assert_cause (log, "home-lost", "vm-a was stopped before it answered");
 }
 
+/* What the owner of a batch logs is joined although it names the home with the
+   number of its process.  */
+static void
+test_no_room (void)
+{
+  g_autoptr (GString) log = g_string_new (NULL);
+
+  add_line (log, home, 0, EVENT_JOB_ACCEPTED, "\"job\":\"j1\",\"tasks\":2");
+  add_line (log, home, 1, EVENT_BATCH_SENT,
+            "\"job\":\"j1\",\"batch\":7,\"owner\":\"vm-b\",\"tasks\":2,"
+            "\"free_slots\":2,\"queued\":0,\"age_us\":9000");
+  add_line (log, owner, 12, EVENT_TASKS_RETURNED,
+            "\"job\":\"j1\",\"batch\":7,\"home\":\"vm-a#12\",\"tasks\":1");
+  add_line (log, home, 13, EVENT_BATCH_SENT,
+            "\"job\":\"j1\",\"batch\":8,\"owner\":\"vm-a\",\"tasks\":1,"
+            "\"free_slots\":0,\"queued\":1,\"age_us\":0");
+  add_line (log, home, 24, EVENT_TASKS_RETURNED,
+            "\"job\":\"j1\",\"batch\":8,\"home\":\"vm-a#12\",\"tasks\":1");
+  add_line (log, owner, 300, EVENT_BATCH_ENDED,
+            "\"job\":\"j1\",\"batch\":7,\"home\":\"vm-a#12\",\"end\":"
+            "\"stopped\",\"reason\":\"no room before its deadline\"");
+  add_line (log, home, 301, EVENT_JOB_GIVEN_UP,
+            "\"job\":\"j1\",\"status\":502,\"reason\":"
+            "\"its owner has stopped it\"");
+  assert_cause (log, "no-room",
+                "vm-b: no room before its deadline, when some of it had "
+                "started; batches handed to owners: 2, times that tasks came "
+                "back unstarted: 2, of these from owners that had told of "
+                "room for all: 1");
+}
+
+static void
+test_no_owner (void)
+{
+  g_autoptr (GString) log = g_string_new (NULL);
+
+  add_line (log, home, -350, EVENT_FLEET_STARTED, "");
+  add_line (log, home, 0, EVENT_JOB_TURNED_AWAY,
+            "\"job\":\"j1\",\"status\":503,\"reason\":"
+            "\"no upstream is owned by a live VM\"");
+  assert_cause (log, "no-owner", "; it had started 350 ms before");
+}
+
+/* Adds a job whose batch began after WAITED_MS and took RAN_MS, against an
+   objective of 200 ms.  */
+static void
+add_late (GString *log, gint64 waited_ms, gint64 ran_ms)
+{
+  g_autofree char *ended = g_strdup_printf (
+      "\"job\":\"j1\",\"batch\":7,\"end\":\"done\",\"waited_us\":"
+      "%" G_GINT64_FORMAT,
+      waited_ms * USEC_PER_MSEC);
+  g_autofree char *answered = g_strdup_printf (
+      "\"job\":\"j1\",\"status\":200,\"objective_ms\":200,\"ms\":"
+      "%" G_GINT64_FORMAT,
+      1 + waited_ms + ran_ms);
+
+  add_line (log, home, 0, EVENT_JOB_ACCEPTED,
+            "\"job\":\"j1\",\"estimate_us\":100000");
+  add_line (log, home, 1, EVENT_BATCH_SENT,
+            "\"job\":\"j1\",\"batch\":7,\"owner\":\"vm-b\",\"tasks\":2,"
+            "\"free_slots\":2");
+  add_line (log, owner, 1 + waited_ms + ran_ms, EVENT_BATCH_ENDED, ended);
+  add_line (log, home, 1 + waited_ms + ran_ms, EVENT_JOB_ANSWERED, answered);
+}
+
+static void
+test_late (void)
+{
+  g_autoptr (GString) waited = g_string_new (NULL);
+  g_autoptr (GString) slow = g_string_new (NULL);
+  g_autoptr (GString) hanging = g_string_new (NULL);
+  g_autoptr (GString) in_time = g_string_new (NULL);
+
+  add_late (waited, 300, 100);
+  assert_cause (waited, "waited",
+                "after 401 ms, objective 200 ms; its last batch began after "
+                "301 ms; the estimate of a task was 100 ms");
+  add_late (slow, 0, 300);
+  assert_cause (slow, "slow-run", "after 301 ms, objective 200 ms");
+  add_late (hanging, 0, 300);
+  add_line (hanging, owner, 200, EVENT_TASK_RETRIED,
+            "\"job\":\"j1\",\"task\":0,\"run\":1,\"upstream\":\"u7\","
+            "\"reason\":\"lost\"");
+  add_line (hanging, owner, 100, EVENT_RUN_UNANSWERED,
+            "\"upstream\":\"u7\",\"reason\":\"silent\"");
+  assert_cause (hanging, "hanging-upstream", ": u7 (1)");
+  add_late (in_time, 50, 100);
+  assert_cause (in_time, "done", "151 ms");
+}
+
+/* The home loses an owner that lives on and is started anew later.  */
+static void
+test_owner_cut_off (void)
+{
+  g_autoptr (GString) log = g_string_new (NULL);
+
+  add_start (log);
+  add_line (log, home, 1000, EVENT_JOB_GIVEN_UP,
+            "\"job\":\"j1\",\"status\":502,\"reason\":"
+            "\"the connection to its owner broke\"");
+  add_line (log, owner, 1200, EVENT_ROUTES_IN_FORCE, "\"version\":41");
+  add_line (log, owner, 4000, EVENT_FLEET_STARTED, "");
+  assert_cause (log, "owner-lost",
+                "vm-a gave the job up: the connection to its owner broke; it "
+                "had sent tasks to vm-b");
+}
+
+/* The answer's line is cut by another VM's, so the home was not lost.  */
+static void
+test_cut_line (void)
+{
+  g_autoptr (GString) log = g_string_new (NULL);
+
+  add_start (log);
+  add_line (log, home, 90, EVENT_JOB_ANSWERED,
+            "\"job\":\"j1\",\"status\":200");
+  g_string_truncate (log, log->len - 4);
+  add_line (log, home, 5000, EVENT_FLEET_STARTED, "");
+  add_line (log, home, 5010, EVENT_FLEET_STARTED, "");
+  assert_cause (log, "log-gap", "1 lines that name the job are not whole");
+}
+
+/* The VM is another machine that has been up for longer than the former.  */
+static void
+test_other_machine (void)
+{
+  g_autoptr (GString) log = g_string_new (NULL);
+
+  add_start (log);
+  add_line_at (log, home, VM_BEGAN_MS + START_MS + 2000, START_MS + HOUR_MS,
+               EVENT_FLEET_STARTED, "");
+  add_line_at (log, home, VM_BEGAN_MS + START_MS + 2100,
+               START_MS + HOUR_MS + 100, EVENT_LOOP_LATE, "\"ms\":300");
+  assert_cause (log, "home-lost", "vm-a started anew");
+}
+
 static void
 test_caller_gone (void)
 {
@@ -484,6 +621,12 @@
   g_test_add_func ("/explain/owner-lost", test_owner_lost);
   g_test_add_func ("/explain/home-lost", test_home_lost);
   g_test_add_func ("/explain/home-stopped", test_home_stopped);
+  g_test_add_func ("/explain/no-room", test_no_room);
+  g_test_add_func ("/explain/no-owner", test_no_owner);
+  g_test_add_func ("/explain/late", test_late);
+  g_test_add_func ("/explain/owner-cut-off", test_owner_cut_off);
+  g_test_add_func ("/explain/other-machine", test_other_machine);
+  g_test_add_func ("/explain/cut-line", test_cut_line);
   g_test_add_func ("/explain/caller-gone", test_caller_gone);
   g_test_add_func ("/explain/others", test_others);
   g_test_add_func ("/explain/clocks", test_clocks);
