--- a/commands/explain_cause.c
+++ b/commands/explain_cause.c
@@ -144,6 +144,21 @@
     }
 }
 
+/* Room is short where VMs are cut off, when the job comes or when it ends.  */
+static void
+append_lost (const struct story *story, const struct story_event *end,
+             GString *why)
+{
+  const struct story_event *accepted = story_find (story, EVENT_JOB_ACCEPTED);
+  guint n_lost = story_count_lost (story, end->vm, end->at_us);
+
+  if (accepted != NULL)
+    n_lost = MAX (n_lost, story_count_lost (story, end->vm, accepted->at_us));
+  if (n_lost > 0)
+    g_string_append_printf (why, "; %s had lost touch with %u other VMs",
+                            end->vm, n_lost);
+}
+
 /* What the home of a job without upstreams had just gone through.  */
 static void
 append_recent (const struct story *story, const struct story_event *away,
@@ -159,6 +174,10 @@
       if (event->number == EVENT_FLEET_STARTED)
         g_string_append_printf (
             why, "; it had started %" G_GINT64_FORMAT " ms before", ago_ms);
+      else if (event->number == EVENT_FLEET_DRAINING)
+        g_string_append_printf (
+            why, "; it had been told to stop %" G_GINT64_FORMAT " ms before",
+            ago_ms);
       else if (event->number == EVENT_STORE_LOST)
         g_string_append_printf (why,
                                 "; it had lost the platform's store "
@@ -184,6 +203,7 @@
       why, "%s knew of no live VM that owns upstreams of the service",
       away->vm);
   append_recent (story, away, why);
+  append_lost (story, away, why);
 }
 
 /* Whether the owner of the batch that RETURNED names had told of room for all
@@ -248,6 +268,7 @@
   if (figures->len > 0)
     g_string_append_printf (why, " (%s)", figures->str);
   append_search (story, why);
+  append_lost (story, away, why);
 }
 
 static void
@@ -501,6 +522,7 @@
   g_string_append_printf (why, "%s: %s, when some of it had started", owner,
                           reason);
   append_search (story, why);
+  append_lost (story, story_find (story, EVENT_JOB_GIVEN_UP), why);
 }
 
 /* From the acceptance of the job until its last batch with a start had its
--- a/commands/explain_story.c
+++ b/commands/explain_story.c
@@ -462,12 +462,12 @@
       = list_names (story, (const char *const[]){ "upstream", NULL });
   g_autoptr (GPtrArray) chosen = g_ptr_array_new ();
 
+  sort_events (story->others);
   for (guint i = 0; i < story->others->len; i++)
     {
       struct story_event *event = g_ptr_array_index (story->others, i);
       enum subject subject = find_subject (event->number);
 
-      event->at_us = place (event);
       if (is_in_time (story, event, subject)
           && is_about (event, subject, vms, upstreams))
         g_ptr_array_add (chosen, event);
@@ -496,6 +496,28 @@
   drop_copies (story->events);
 }
 
+guint
+story_count_lost (const struct story *story, const char *vm, gint64 at_us)
+{
+  g_autoptr (GHashTable) lost = g_hash_table_new (g_str_hash, g_str_equal);
+
+  for (guint i = 0; i < story->others->len; i++)
+    {
+      const struct story_event *event = g_ptr_array_index (story->others, i);
+      const char *peer = story_event_text (event, "peer");
+
+      if (event->at_us > at_us || g_strcmp0 (event->vm, vm) != 0)
+        continue;
+      if (event->number == EVENT_FLEET_STARTED)
+        g_hash_table_remove_all (lost);
+      else if (event->number == EVENT_VM_LOST && peer != NULL)
+        g_hash_table_add (lost, (gpointer)peer);
+      else if (event->number == EVENT_VM_BACK && peer != NULL)
+        g_hash_table_remove (lost, peer);
+    }
+  return g_hash_table_size (lost);
+}
+
 static gboolean
 is_listed (const char *const *list, const char *key)
 {
--- a/commands/explain_story.h
+++ b/commands/explain_story.h
@@ -77,6 +77,11 @@
 /* Whether EVENT is a good answer to the caller.  */
 gboolean story_is_success (const struct story_event *event);
 
+/* How many other VMs VM had lost by AT_US and not heard since, in the process
+   that it then was.  */
+guint story_count_lost (const struct story *story, const char *vm,
+                        gint64 at_us);
+
 /* A field of EVENT, or NULL.  */
 const char *story_event_text (const struct story_event *event,
                               const char *key);
--- a/t/t6010-explain.c
+++ b/t/t6010-explain.c
@@ -299,6 +299,30 @@
             "\"job\":\"j1\",\"status\":503,\"reason\":"
             "\"no upstream is owned by a live VM\"");
   assert_cause (log, "no-owner", "; it had started 350 ms before");
+  add_line (log, home, -200, EVENT_FLEET_DRAINING, "");
+  assert_cause (log, "no-owner", "; it had been told to stop 200 ms before");
+}
+
+/* VMs that were lost long before and are not back, in this process.  */
+static void
+test_lost_touch (void)
+{
+  g_autoptr (GString) log = g_string_new (NULL);
+
+  add_line (log, home, -90000, EVENT_VM_LOST, "\"peer\":\"vm-x\"");
+  add_line (log, home, -80000, EVENT_FLEET_STARTED, "");
+  add_line (log, home, -50000, EVENT_VM_LOST, "\"peer\":\"vm-b\"");
+  add_line (log, home, -50000, EVENT_VM_LOST, "\"peer\":\"vm-c\"");
+  add_line (log, home, -50000, EVENT_VM_LOST, "\"peer\":\"vm-d\"");
+  add_line (log, home, -40000, EVENT_VM_BACK, "\"peer\":\"vm-b\"");
+  add_line (log, "vm-b", -30000, EVENT_VM_LOST, "\"peer\":\"vm-e\"");
+  add_line (log, home, 0, EVENT_JOB_TURNED_AWAY,
+            "\"job\":\"j1\",\"status\":503,\"reason\":\"no room in time\"");
+  add_line (log, home, 100, EVENT_VM_LOST, "\"peer\":\"vm-e\"");
+  assert_cause (log, "turned-away", "; vm-a had lost touch with 2 other VMs");
+  add_line (log, home, -300, EVENT_JOB_ACCEPTED, "\"job\":\"j1\"");
+  add_line (log, home, -200, EVENT_VM_BACK, "\"peer\":\"vm-c\"");
+  assert_cause (log, "turned-away", "; vm-a had lost touch with 2 other VMs");
 }
 
 /* Adds a job whose batch began after WAITED_MS and took RAN_MS, against an
@@ -623,6 +647,7 @@
   g_test_add_func ("/explain/home-stopped", test_home_stopped);
   g_test_add_func ("/explain/no-room", test_no_room);
   g_test_add_func ("/explain/no-owner", test_no_owner);
+  g_test_add_func ("/explain/lost-touch", test_lost_touch);
   g_test_add_func ("/explain/late", test_late);
   g_test_add_func ("/explain/owner-cut-off", test_owner_cut_off);
   g_test_add_func ("/explain/other-machine", test_other_machine);
