--- a/commands/explain_cause.c
+++ b/commands/explain_cause.c
@@ -698,8 +698,8 @@
     "store that does not answer; the caller may ask again",
     check_no_owner },
   { "turned-away", "turned away for lack of room",
-    "compare the figures with the upstreams that rest or are mute, then add "
-    "upstreams or lower the load",
+    "if owners had told of room, compare what the job needs with their "
+    "upstreams; else add upstreams or lower the load",
     check_turned_away },
   { "home-lost", "lost with its home",
     "look at that VM; the caller may ask "
@@ -714,8 +714,8 @@
     "failed, at the job's input",
     check_failed },
   { "no-room", "no room in time",
-    "compare the figures with the upstreams that rest or are mute, then add "
-    "upstreams or lower the load",
+    "if owners had told of room, compare what the job needs with their "
+    "upstreams; else add upstreams or lower the load",
     check_no_room },
   { "waited", "late: it waited for room",
     "add upstreams or lower the load; room that was promised and taken by "
