--- a/commands/explain_story.h
+++ b/commands/explain_story.h
@@ -46,10 +46,11 @@
   GPtrArray *events; /* struct story_event, in order after story_finish () */
   GPtrArray *others; /* of which it is not known whether they belong to it */
   GPtrArray *lives;  /* struct story_life */
-  const char *home;  /* name of the VM; NULL when not known */
+  char *home;        /* name of the VM; NULL when not known */
   guint n_lines;     /* read */
   guint n_foreign;   /* lines that are not log lines of the fleet */
   guint n_own;       /* lines that name the job */
+  guint n_cut;       /* lines that name it and are not whole */
 };
 
 struct story *story_new (const char *job);
@@ -76,6 +77,11 @@
 /* Whether EVENT is a good answer to the caller.  */
 gboolean story_is_success (const struct story_event *event);
 
+/* How many other VMs VM had lost by AT_US and not heard since, in the process
+   that it then was.  */
+guint story_count_lost (const struct story *story, const char *vm,
+                        gint64 at_us);
+
 /* A field of EVENT, or NULL.  */
 const char *story_event_text (const struct story_event *event,
                               const char *key);
