transport, coordination: settle tasks that are sent to and fro, and end jobs at their caller's time

Cause: free slots are told in tasks of usual size. After four rounds such tasks now stay in the queue that they come to.

--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -183,6 +183,7 @@
   gint64 end_by_us;   /* of no use afterwards; DEADLINE_NEVER for none */
   gint64 queued_us;
   gint64 first_started_us; /* 0 before */
+  gboolean is_settled;     /* its queued tasks are not given back */
   gboolean is_late;        /* start_by_us has passed while it was queued */
   guint n_tasks;
   guint n_queued;
@@ -321,6 +322,11 @@
 void owner_return_queued (struct owner *owner, const char *service,
                           guint n_tasks, gint64 now_us);
 
+/* Gives all queued tasks for SERVICE back, also those that were settled here:
+   no upstream takes them any longer.  */
+void owner_return_all (struct owner *owner, const char *service,
+                       gint64 now_us);
+
 /* The batches of HOME are no longer wanted: it is gone or cut off.  */
 void owner_stop_home (struct owner *owner, const char *home, gint64 now_us);
 
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -173,11 +173,11 @@
   return list_entry (owner->queue.next, struct batch, link);
 }
 
-void
-owner_return_queued (struct owner *owner, const char *service, guint n_tasks,
-                     gint64 now_us)
+/* The queued batches for SERVICE, those that are settled only if asked for. */
+static GPtrArray *
+list_queued (struct owner *owner, const char *service, gboolean with_settled)
 {
-  g_autoptr (GPtrArray) found = g_ptr_array_new ();
+  GPtrArray *found = g_ptr_array_new ();
   struct list_node *node;
   struct list_node *after;
 
@@ -185,13 +185,32 @@
     {
       struct batch *batch = list_entry (node, struct batch, link);
 
-      if (g_str_equal (batch->service, service))
+      if (g_str_equal (batch->service, service)
+          && (with_settled || !batch->is_settled))
         g_ptr_array_add (found, batch);
     }
+  return found;
+}
+
+void
+owner_return_queued (struct owner *owner, const char *service, guint n_tasks,
+                     gint64 now_us)
+{
+  g_autoptr (GPtrArray) found = list_queued (owner, service, FALSE);
+
   for (guint i = 0; i < found->len && n_tasks > 0; i++)
     n_tasks -= return_tasks (owner, g_ptr_array_index (found, i), n_tasks);
 }
 
+void
+owner_return_all (struct owner *owner, const char *service, gint64 now_us)
+{
+  g_autoptr (GPtrArray) found = list_queued (owner, service, TRUE);
+
+  for (guint i = 0; i < found->len; i++)
+    return_tasks (owner, g_ptr_array_index (found, i), G_MAXUINT);
+}
+
 static void
 stop_home_in (struct owner *owner, struct list_node *batches, const char *home,
               gint64 now_us)
--- a/protocol/peer.x
+++ b/protocol/peer.x
@@ -100,6 +100,7 @@
   unsigned int per_upstream;
   unsigned int priority;
   unsigned int attempts;
+  bool is_settled; /* queued tasks stay with the owner */
   hyper start_in_us;
   hyper end_in_us;
   unsigned int indexes<PEER_TASKS_MAX>;
--- a/protocol/peer_xdr.c
+++ b/protocol/peer_xdr.c
@@ -175,7 +175,7 @@
 		}
 		 if (!xdr_quad_t (xdrs, &objp->estimate_us))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->far_permille))
 				 return FALSE;
@@ -185,12 +185,15 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->attempts))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_settled))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->far_permille);
 		IXDR_PUT_U_LONG(buf, objp->per_upstream);
 		IXDR_PUT_U_LONG(buf, objp->priority);
 		IXDR_PUT_U_LONG(buf, objp->attempts);
+		IXDR_PUT_BOOL(buf, objp->is_settled);
 		}
 		 if (!xdr_quad_t (xdrs, &objp->start_in_us))
 			 return FALSE;
@@ -234,7 +237,7 @@
 		}
 		 if (!xdr_quad_t (xdrs, &objp->estimate_us))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->far_permille))
 				 return FALSE;
@@ -244,12 +247,15 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->attempts))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_settled))
+				 return FALSE;
 
 		} else {
 		objp->far_permille = IXDR_GET_U_LONG(buf);
 		objp->per_upstream = IXDR_GET_U_LONG(buf);
 		objp->priority = IXDR_GET_U_LONG(buf);
 		objp->attempts = IXDR_GET_U_LONG(buf);
+		objp->is_settled = IXDR_GET_BOOL(buf);
 		}
 		 if (!xdr_quad_t (xdrs, &objp->start_in_us))
 			 return FALSE;
@@ -293,6 +299,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->attempts))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_settled))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->start_in_us))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->end_in_us))
--- a/protocol/peer_xdr.h
+++ b/protocol/peer_xdr.h
@@ -130,6 +130,7 @@
 	u_int per_upstream;
 	u_int priority;
 	u_int attempts;
+	bool_t is_settled;
 	quad_t start_in_us;
 	quad_t end_in_us;
 	struct {
--- a/transport/fleet.c
+++ b/transport/fleet.c
@@ -440,6 +440,7 @@
                       FIELD_INT ("late_us", now_us - fleet->ticked_us));
   fleet->ticked_us = now_us;
   fleet_shards_advance (fleet->shards);
+  fleet_home_advance (fleet->home, now_us);
   if (!fleet->is_draining || !is_drained (fleet, now_us))
     return G_SOURCE_CONTINUE;
   fleet_home_end_jobs (fleet->home, "this VM had to stop");
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -19,6 +19,15 @@
 /* How often tasks of a job are spread anew after an owner gave them back.  */
 #define MAX_SPREADS 24
 
+/* After so many of them, tasks stay in the queue that they come to: the slots
+   that owners tell of do not suit them.  */
+#define MAX_MOVES 4
+
+/* A caller that does not say how long it waits is given this time, and what
+   was given up this long to stop.  */
+#define DEFAULT_TIMEOUT_US (30 * USEC_PER_SEC)
+#define STOPPING_US (1 * USEC_PER_SEC)
+
 /* A call that runs a batch waits this much longer than the batch may take. */
 #define CALL_MARGIN_US (5 * USEC_PER_SEC)
 #define STOP_TIMEOUT_US (1 * USEC_PER_SEC)
@@ -215,6 +224,7 @@
     return;
   job->give_up_reason = reason;
   job->retry_after_ms = retry_after_ms;
+  job->deadline_us = clock_now_us () + STOPPING_US;
   list_for_each (node, after, &job->parts)
     stop_part (list_entry (node, struct fleet_part, link));
   check_given_up (job);
@@ -351,6 +361,7 @@
   batch->per_upstream = s->per_upstream;
   batch->priority = s->priority;
   batch->attempts = s->attempts;
+  batch->is_settled = job->n_spreads > MAX_MOVES;
   batch->start_by_us = job->start_by_us;
   batch->end_by_us = job->end_by_us;
   return batch;
@@ -379,6 +390,7 @@
     .per_upstream = s->per_upstream,
     .priority = s->priority,
     .attempts = s->attempts,
+    .is_settled = job->n_spreads > MAX_MOVES,
     .start_in_us = job->start_by_us - now_us,
     .end_in_us = job->end_by_us - now_us,
     .indexes = { part->n_tasks, part->indexes },
@@ -536,6 +548,9 @@
   const struct fleet_submission *s = job->submission;
   gint64 now_us = job->accepted_us;
 
+  job->deadline_us = now_us
+                     + (s->caller_timeout_us > 0 ? s->caller_timeout_us
+                                                 : DEFAULT_TIMEOUT_US);
   job->start_by_us = now_us + s->objective_us - s->estimate_us;
   job->end_by_us = now_us + s->objective_us * LATE_FACTOR - s->estimate_us;
   if (s->caller_timeout_us > 0)
@@ -614,6 +629,24 @@
   return jobs;
 }
 
+void
+fleet_home_advance (struct fleet_home *home, gint64 now_us)
+{
+  g_autoptr (GPtrArray) jobs = list_jobs (home);
+
+  for (guint i = 0; i < jobs->len; i++)
+    {
+      struct fleet_job *job = g_ptr_array_index (jobs, i);
+
+      if (job->is_ended || job->deadline_us > now_us)
+        continue;
+      if (job->give_up_reason == NULL)
+        give_up_job (job, "its caller's time is over", MIN_RETRY_MS);
+      else
+        answer_job (job, FLEET_UNKNOWN, job->give_up_reason, 0);
+    }
+}
+
 static gboolean
 has_part_at (const struct fleet_job *job, const char *vm, guint64 incarnation)
 {
--- a/transport/fleet_home.h
+++ b/transport/fleet_home.h
@@ -88,6 +88,9 @@
 void fleet_home_lose_vm (struct fleet_home *home, const char *vm,
                          guint64 incarnation);
 
+/* Passes the time: jobs whose callers wait no longer are given up.  */
+void fleet_home_advance (struct fleet_home *home, gint64 now_us);
+
 /* Jobs that are not answered yet, and those of which no task has started.  */
 guint fleet_home_count_jobs (const struct fleet_home *home);
 
--- a/transport/fleet_job.h
+++ b/transport/fleet_job.h
@@ -32,7 +32,8 @@
   gint64 accepted_us;
   gint64 start_by_us;
   gint64 end_by_us;
-  guint n_parts; /* ever made */
+  gint64 deadline_us; /* it is given up, or answered if it was before */
+  guint n_parts;      /* ever made */
   guint n_spreads;
   guint n_done;               /* tasks */
   gboolean is_ended;          /* answered or abandoned */
--- a/transport/fleet_owner.c
+++ b/transport/fleet_owner.c
@@ -369,7 +369,7 @@
     return;
   n_free = count_free_elsewhere (owner, hash64_string (service));
   if (room.n_slots == 0)
-    owner_return_queued (owner->owner, service, G_MAXUINT, now_us);
+    owner_return_all (owner->owner, service, now_us);
   else if (n_free > 0)
     owner_return_queued (owner->owner, service, (n_free + 1) / 2, now_us);
 }
@@ -549,6 +549,7 @@
   batch->per_upstream = args->per_upstream;
   batch->priority = args->priority;
   batch->attempts = MAX (args->attempts, 1u);
+  batch->is_settled = args->is_settled;
   batch->start_by_us = now_us + args->start_in_us;
   batch->end_by_us = now_us + args->end_in_us;
   return batch;
