coordination, transport: tell of room on trial, finish jobs that have begun

Cause 1: an owner all of whose upstreams were on trial told of no room, so no run ever came to end the trial. Seen once, /fleet/killed under the sanitizers: the two VMs that were left held all shards and no usable upstream for 30 s. t2111 fails without the change. A part that has begun is no longer dropped before the caller's time.

--- a/coordination/owner.c
+++ b/coordination/owner.c
@@ -161,28 +161,49 @@
     }
 }
 
+/* Adds the room of UPSTREAM, which takes runs.  */
+static void
+add_room (const struct owner *owner, const struct owned *upstream,
+          struct owner_room *room)
+{
+  gdouble free_cpus = upstream->shape.cpus - upstream->used.cpus;
+  guint n_slots = (guint)(upstream->shape.cpus / owner->usual_cpus);
+
+  room->n_upstreams++;
+  room->free_cpus += free_cpus;
+  room->total_cpus += upstream->shape.cpus;
+  room->free_slots += (guint)(MAX (free_cpus, 0) / owner->usual_cpus);
+  room->n_slots += MAX (n_slots, 1u);
+}
+
 void
 owner_get_room (struct owner *owner, const char *service,
                 struct owner_room *room, gint64 now_us)
 {
   GHashTableIter iter;
   gpointer value;
+  guint n_on_trial = 0;
+  guint n_trials = 0;
 
   *room = (struct owner_room){ 0 };
   g_hash_table_iter_init (&iter, owner->upstreams);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct owned *upstream = value;
-      gdouble free_cpus = upstream->shape.cpus - upstream->used.cpus;
 
-      if (!owned_is_usable (upstream, now_us) || upstream->is_on_trial
+      if (!owned_is_usable (upstream, now_us)
           || (service != NULL && !g_str_equal (upstream->service, service)))
         continue;
-      room->n_upstreams++;
-      room->free_cpus += free_cpus;
-      room->total_cpus += upstream->shape.cpus;
-      room->free_slots += (guint)(MAX (free_cpus, 0) / owner->usual_cpus);
-      room->n_slots += (guint)(upstream->shape.cpus / owner->usual_cpus);
+      if (!upstream->is_on_trial)
+        add_room (owner, upstream, room);
+      n_on_trial += upstream->is_on_trial ? 1 : 0;
+      n_trials += upstream->is_on_trial && upstream->n_runs > 0 ? 1 : 0;
+    }
+  /* Where all are on trial, each has room for the one run that decides.  */
+  if (room->n_slots == 0)
+    {
+      room->n_slots = n_on_trial;
+      room->free_slots = n_on_trial - n_trials;
     }
   add_queued (&owner->queue, service, room);
   add_queued (&owner->batches, service, room);
--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -180,7 +180,8 @@
   guint priority;
   guint attempts;
   gint64 start_by_us; /* to meet the objective */
-  gint64 end_by_us;   /* of no use afterwards; DEADLINE_NEVER for none */
+  gint64
+      end_by_us; /* not begun any more afterwards; DEADLINE_NEVER for none */
   gint64 queued_us;
   gint64 first_started_us; /* 0 before */
   gboolean is_settled;     /* its queued tasks are not given back */
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -483,7 +483,7 @@
     {
       struct batch *batch = list_entry (node, struct batch, link);
 
-      if (batch->end_by_us <= now_us)
+      if (batch->end_by_us <= now_us && batch->n_started == 0)
         g_ptr_array_add (expired, batch);
     }
   for (guint i = 0; i < expired->len; i++)
--- a/t/t2111-owner-wake.c
+++ b/t/t2111-owner-single.c
@@ -1,10 +1,10 @@
-/* When the owner wants to be called again.  */
+/* Single decisions of the owner, with one upstream.  */
 #include "coordination/owner.h"
 
 #define START_US (1000 * USEC_PER_SEC)
 #define LEASE_MS 900
 
-struct wake_bed
+struct single_bed
 {
   struct owner_driver driver;
   gint64 wake_us;
@@ -25,7 +25,7 @@
 on_ask (struct owner_driver *driver, struct owned *upstream, gint64 until_ms,
         guint wait_ms)
 {
-  ((struct wake_bed *)driver)->n_asks++;
+  ((struct single_bed *)driver)->n_asks++;
 }
 
 static void
@@ -49,7 +49,7 @@
 static void
 on_wake_at (struct owner_driver *driver, gint64 when_us)
 {
-  ((struct wake_bed *)driver)->wake_us = when_us;
+  ((struct single_bed *)driver)->wake_us = when_us;
 }
 
 static const struct owner_driver_ops ops = {
@@ -75,13 +75,15 @@
   return batch;
 }
 
-/* An ask that waits at the upstream must not keep the loop turning.  */
-static void
-test_asking (void)
+static const struct owner_limits limits
+    = { .lease_ms = LEASE_MS, .max_lease_ms = 1000, .stop_ms = 50 };
+static const struct upstream_report report
+    = { .clock_ms = 5000, .born_ms = 1 };
+
+/* Takes the upstream, which answers.  */
+static struct owned *
+take (struct owner *owner)
 {
-  struct wake_bed bed = { .driver.ops = &ops };
-  const struct owner_limits limits
-      = { .lease_ms = LEASE_MS, .max_lease_ms = 1000, .stop_ms = 50 };
   const struct owned_spec spec = { .id = "u",
                                    .address = "127.0.0.1:1",
                                    .service = "s",
@@ -89,12 +91,21 @@
                                    .availability_zone = "z",
                                    .shape = { .cpus = 2 },
                                    .born_ms = 1 };
-  const struct upstream_report report = { .clock_ms = 5000, .born_ms = 1 };
-  struct owner *owner = owner_new (&bed.driver, &limits);
   struct owned *upstream = owner_take (owner, &spec, 1, START_US);
+
+  owner_ask_ended (owner, upstream, ORDER_OBEYED, &report, START_US);
+  return upstream;
+}
+
+/* An ask that waits at the upstream must not keep the loop turning.  */
+static void
+test_asking (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
   gint64 now_us = START_US;
 
-  owner_ask_ended (owner, upstream, ORDER_OBEYED, &report, now_us);
+  take (owner);
   owner_submit (owner, make_batch (), now_us);
   owner_advance (owner, now_us += 30 * USEC_PER_MSEC);
   g_assert_cmpuint (bed.n_asks, ==, 2);
@@ -108,10 +119,39 @@
   owner_free (owner);
 }
 
+/* The only upstream has left orders without an answer and answers again: it
+   tells of room for the run that tries it, or nobody ever would.  */
+static void
+test_all_on_trial (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned *upstream = take (owner);
+  gint64 now_us = START_US;
+  struct owner_room room;
+
+  for (guint i = 0; i < 3; i++)
+    {
+      owner_advance (owner, now_us += 1100 * USEC_PER_MSEC);
+      owner_ask_ended (owner, upstream, ORDER_SILENT, NULL, now_us);
+    }
+  for (guint i = 0; i < 20; i++)
+    {
+      owner_advance (owner, now_us += 400 * USEC_PER_MSEC);
+      owner_ask_ended (owner, upstream, ORDER_OBEYED, &report, now_us);
+    }
+  g_assert_true (upstream->is_on_trial);
+  owner_get_room (owner, "s", &room, now_us);
+  g_assert_cmpuint (room.n_slots, ==, 1);
+  g_assert_cmpuint (room.free_slots, ==, 1);
+  owner_free (owner);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
-  g_test_add_func ("/owner/wake/asking", test_asking);
+  g_test_add_func ("/owner/asking", test_asking);
+  g_test_add_func ("/owner/all-on-trial", test_all_on_trial);
   return g_test_run ();
 }
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -236,6 +236,9 @@
 {
   if (n_tasks == 0 || job->is_ended || job->give_up_reason != NULL)
     return;
+  /* What the others have done is not to be in vain.  */
+  if (job->n_done > 0 || job->has_started)
+    job->end_by_us = MAX (job->end_by_us, job->deadline_us);
   if (job->n_spreads < MAX_SPREADS && clock_now_us () < job->end_by_us)
     spread_job (job, indexes, n_tasks);
   else
