--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -52,6 +52,14 @@
   g_free (batch);
 }
 
+/* Whether some of the job may have begun, which would be in vain if the rest
+   of it found no room.  */
+static gboolean
+may_have_begun (const struct batch *batch)
+{
+  return batch->is_part || batch->n_started > 0;
+}
+
 /* Whether A goes before B.  */
 static gboolean
 goes_before (const struct batch *a, const struct batch *b)
@@ -76,6 +84,8 @@
 owner_place_batch (struct owner *owner, struct batch *batch)
 {
   list_remove (&batch->link);
+  if (may_have_begun (batch))
+    batch->is_late = FALSE;
   if (batch->n_queued > 0)
     insert_queued (owner, batch);
   else
@@ -159,6 +169,7 @@
     }
   batch->n_queued -= n;
   batch->n_returned += n;
+  batch->is_part = TRUE;
   owner->driver->ops->return_tasks (owner->driver, batch, indexes, n);
   if (!owner_check_batch (owner, batch))
     owner_place_batch (owner, batch);
@@ -446,7 +457,8 @@
     }
 }
 
-/* Those that miss their objective make room for the others.  */
+/* Jobs that miss their objective before they have begun make room for the
+   others.  */
 static void
 demote_late (struct owner *owner, gint64 now_us)
 {
@@ -460,7 +472,8 @@
 
       if (batch->is_late || batch->start_by_us > now_us)
         break;
-      g_ptr_array_add (late, batch);
+      if (!may_have_begun (batch))
+        g_ptr_array_add (late, batch);
     }
   for (guint i = 0; i < late->len; i++)
     {
--- a/coordination/spread.h
+++ b/coordination/spread.h
@@ -5,7 +5,9 @@
  * Tasks go where they start at once: first to upstreams of this VM, then to
  * owners of its availability zone, then to others.  What finds no free slot is
  * queued where the expected wait is the shortest, for queues are drained in
- * the order of objectives.
+ * the order of objectives.  When none of a job starts at once, one queue gets
+ * all of it: parts in several queues would begin at different times, and what
+ * begins is in vain unless the rest finds room as well.
  */
 #ifndef COORDINATION_SPREAD_H
 #define COORDINATION_SPREAD_H
--- a/protocol/peer.x
+++ b/protocol/peer.x
@@ -101,6 +101,7 @@
   unsigned int priority;
   unsigned int attempts;
   bool is_settled; /* queued tasks stay with the owner */
+  bool is_part;    /* others of the job's tasks may have begun */
   hyper start_in_us;
   hyper end_in_us;
   unsigned int indexes<PEER_TASKS_MAX>;
@@ -118,6 +119,7 @@
   unsigned hyper incarnation; /* of the home */
   string job<PEER_JOB_ID_MAX>;
   unsigned int number;
+  bool has_started; /* another task of the batch may have been started */
   unsigned int indexes<PEER_TASKS_MAX>;
 };
 
--- a/protocol/peer_xdr.c
+++ b/protocol/peer_xdr.c
@@ -175,7 +175,7 @@
 		}
 		 if (!xdr_quad_t (xdrs, &objp->estimate_us))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->far_permille))
 				 return FALSE;
@@ -187,6 +187,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->is_settled))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_part))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->far_permille);
@@ -194,6 +196,7 @@
 		IXDR_PUT_U_LONG(buf, objp->priority);
 		IXDR_PUT_U_LONG(buf, objp->attempts);
 		IXDR_PUT_BOOL(buf, objp->is_settled);
+		IXDR_PUT_BOOL(buf, objp->is_part);
 		}
 		 if (!xdr_quad_t (xdrs, &objp->start_in_us))
 			 return FALSE;
@@ -237,7 +240,7 @@
 		}
 		 if (!xdr_quad_t (xdrs, &objp->estimate_us))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->far_permille))
 				 return FALSE;
@@ -249,6 +252,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->is_settled))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_part))
+				 return FALSE;
 
 		} else {
 		objp->far_permille = IXDR_GET_U_LONG(buf);
@@ -256,6 +261,7 @@
 		objp->priority = IXDR_GET_U_LONG(buf);
 		objp->attempts = IXDR_GET_U_LONG(buf);
 		objp->is_settled = IXDR_GET_BOOL(buf);
+		objp->is_part = IXDR_GET_BOOL(buf);
 		}
 		 if (!xdr_quad_t (xdrs, &objp->start_in_us))
 			 return FALSE;
@@ -301,6 +307,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_settled))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_part))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->start_in_us))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->end_in_us))
@@ -339,6 +347,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->number))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->has_started))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->indexes.indexes_val, (u_int *) &objp->indexes.indexes_len, PEER_TASKS_MAX,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
--- a/protocol/peer_xdr.h
+++ b/protocol/peer_xdr.h
@@ -131,6 +131,7 @@
 	u_int priority;
 	u_int attempts;
 	bool_t is_settled;
+	bool_t is_part;
 	quad_t start_in_us;
 	quad_t end_in_us;
 	struct {
@@ -155,6 +156,7 @@
 	u_quad_t incarnation;
 	char *job;
 	u_int number;
+	bool_t has_started;
 	struct {
 		u_int indexes_len;
 		u_int *indexes_val;
--- a/t/t2111-owner-single.c
+++ b/t/t2111-owner-single.c
@@ -147,11 +147,72 @@
   owner_free (owner);
 }
 
+/* The batch of two processors a task, number NUMBER of its job, whose
+   objective is START_BY_US after the start.  */
+static struct batch *
+make_wide (guint number, gint64 start_by_us)
+{
+  struct batch *batch = make_batch ();
+
+  batch->number = number;
+  batch->need.cpus = 2;
+  batch->start_by_us = START_US + start_by_us;
+  return batch;
+}
+
+/* A job that is late goes behind the others, unless some of it has begun. */
+static void
+test_late_part (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct batch *part = make_wide (1, 10 * USEC_PER_MSEC);
+  gint64 now_us = START_US;
+
+  take (owner);
+  owner_submit (owner, make_wide (0, 0), now_us);
+  owner_submit (owner, make_wide (2, 20 * USEC_PER_MSEC), now_us);
+  part->is_part = TRUE;
+  owner_submit (owner, part, now_us);
+  owner_submit (owner, make_wide (3, USEC_PER_SEC), now_us);
+  g_assert_cmpuint (owner_get_first_queued (owner)->number, ==, 1);
+  owner_advance (owner, now_us += 100 * USEC_PER_MSEC);
+  g_assert_cmpuint (owner_get_first_queued (owner)->number, ==, 1);
+  owner_stop_batch (owner, part, "test", now_us);
+  g_assert_cmpuint (owner_get_first_queued (owner)->number, ==, 3);
+  owner_free (owner);
+}
+
+/* The same for the tasks of a batch that wait for the first ones.  */
+static void
+test_late_begun (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct batch *begun = batch_new ("fedcba9876543210", "home", 2);
+  gint64 now_us = START_US;
+
+  take (owner);
+  begun->service = g_strdup ("s");
+  begun->spec = g_strdup ("");
+  begun->need.cpus = 2;
+  begun->estimate_us = USEC_PER_SEC;
+  begun->start_by_us = START_US;
+  begun->tasks[1].index = 1;
+  owner_submit (owner, begun, now_us);
+  owner_submit (owner, make_wide (1, USEC_PER_SEC), now_us);
+  owner_advance (owner, now_us += 100 * USEC_PER_MSEC);
+  g_assert_true (owner_get_first_queued (owner) == begun);
+  owner_free (owner);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/owner/asking", test_asking);
   g_test_add_func ("/owner/all-on-trial", test_all_on_trial);
+  g_test_add_func ("/owner/late-part", test_late_part);
+  g_test_add_func ("/owner/late-begun", test_late_begun);
   return g_test_run ();
 }
--- a/t/t9600-fleet.c
+++ b/t/t9600-fleet.c
@@ -68,18 +68,9 @@
   return n_unknown;
 }
 
-static void
-test_overload (void)
-{
-  struct fleet_bed *bed = fleet_bed_start (N_VMS);
-
-  run_overload (bed);
-  fleet_bed_stop (bed);
-}
-
 /* A job is run as a whole or not at all, also when there is no room.  */
 static void
-test_overload_known (void)
+test_overload (void)
 {
   struct fleet_bed *bed = fleet_bed_start (N_VMS);
 
@@ -296,7 +287,6 @@
   g_test_set_nonfatal_assertions ();
   g_test_add_func ("/fleet/done", test_done);
   g_test_add_func ("/fleet/overload", test_overload);
-  g_test_add_func ("/fleet/overload-known", test_overload_known);
   g_test_add_func ("/fleet/killed", test_killed);
   g_test_add_func ("/fleet/stopped", test_stopped);
   g_test_add_func ("/fleet/refusals", test_refusals);
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -230,14 +230,32 @@
   check_given_up (job);
 }
 
+/* Whether some of JOB has begun, as far as its home knows: tasks that were
+   sent to free slots have, most of the time.  */
+static gboolean
+may_have_begun (const struct fleet_job *job)
+{
+  struct list_node *node;
+  struct list_node *after;
+
+  if (job->n_done > 0 || job->has_started)
+    return TRUE;
+  list_for_each (node, after, &job->parts)
+    {
+      if (list_entry (node, struct fleet_part, link)->n_tasks > 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 /* An owner gives N_TASKS of JOB back, none of which runs.  */
 static void
 place_anew (struct fleet_job *job, const guint *indexes, guint n_tasks)
 {
   if (n_tasks == 0 || job->is_ended || job->give_up_reason != NULL)
     return;
-  /* What the others have done is not to be in vain.  */
-  if (job->n_done > 0 || job->has_started)
+  /* What has begun is not to be in vain.  */
+  if (may_have_begun (job))
     job->end_by_us = MAX (job->end_by_us, job->deadline_us);
   if (job->n_spreads < MAX_SPREADS && clock_now_us () < job->end_by_us)
     spread_job (job, indexes, n_tasks);
@@ -284,14 +302,15 @@
 }
 
 static void
-handle_returned (struct fleet_part *part, const guint *indexes,
-                 guint n_indexes)
+handle_returned (struct fleet_part *part, gboolean has_started,
+                 const guint *indexes, guint n_indexes)
 {
   guint out[PEER_TASKS_MAX];
   guint n_out;
 
   if (!part->is_open)
     return;
+  part->job->has_started |= has_started;
   n_out = fleet_part_take_out (part, indexes, MIN (n_indexes, PEER_TASKS_MAX),
                                out);
   place_anew (part->job, out, n_out);
@@ -301,8 +320,8 @@
 on_local_returned (struct batch_sink *sink, const struct batch *batch,
                    const guint *indexes, guint n_tasks)
 {
-  handle_returned (list_entry (sink, struct fleet_part, sink), indexes,
-                   n_tasks);
+  handle_returned (list_entry (sink, struct fleet_part, sink),
+                   batch->n_started > 0, indexes, n_tasks);
 }
 
 static void
@@ -328,7 +347,7 @@
   if (reply != NULL && reply->has_started)
     part->job->has_started = TRUE;
   if (part->is_open && reply != NULL)
-    handle_returned (part, reply->returned.returned_val,
+    handle_returned (part, reply->has_started, reply->returned.returned_val,
                      reply->returned.returned_len);
   if (part->is_open && reply != NULL)
     handle_part_end (part, (enum batch_end)MIN (reply->end, BATCH_STOPPED),
@@ -365,6 +384,7 @@
   batch->priority = s->priority;
   batch->attempts = s->attempts;
   batch->is_settled = job->n_spreads > MAX_MOVES;
+  batch->is_part = part->n_tasks < s->n_tasks;
   batch->start_by_us = job->start_by_us;
   batch->end_by_us = job->end_by_us;
   return batch;
@@ -394,6 +414,7 @@
     .priority = s->priority,
     .attempts = s->attempts,
     .is_settled = job->n_spreads > MAX_MOVES,
+    .is_part = part->n_tasks < s->n_tasks,
     .start_in_us = job->start_by_us - now_us,
     .end_in_us = job->end_by_us - now_us,
     .indexes = { part->n_tasks, part->indexes },
@@ -706,7 +727,7 @@
     part = fleet_job_find_part (job, args->number);
   result.is_known = part != NULL;
   if (part != NULL)
-    handle_returned (part, args->indexes.indexes_val,
+    handle_returned (part, args->has_started, args->indexes.indexes_val,
                      args->indexes.indexes_len);
   peer_request_reply (request, &result);
 }
--- a/transport/fleet_owner.c
+++ b/transport/fleet_owner.c
@@ -519,6 +519,7 @@
     .incarnation = remote->incarnation,
     .job = batch->job,
     .number = batch->number,
+    .has_started = batch->n_started > 0,
     .indexes = { n_tasks, (guint *)indexes },
   };
 
@@ -550,6 +551,7 @@
   batch->priority = args->priority;
   batch->attempts = MAX (args->attempts, 1u);
   batch->is_settled = args->is_settled;
+  batch->is_part = args->is_part;
   batch->start_by_us = now_us + args->start_in_us;
   batch->end_by_us = now_us + args->end_in_us;
   return batch;
