transport: read beacons every 20 ms, and send one to all VMs in one call

Ruled out: taking the socket off the loop for 20 ms after each reading, which wakes the loop twice each time (10381 calls).

--- a/transport/fleet_beacon.c
+++ b/transport/fleet_beacon.c
@@ -13,6 +13,9 @@
 /* Beacons after which one tells of other VMs.  */
 #define GOSSIP_EVERY 8
 
+/* News of other VMs may wait this long to be read together.  */
+#define GATHER_US (20 * USEC_PER_MSEC)
+
 struct fleet_beacon
 {
   struct peer_socket_owner socket_owner;
@@ -166,6 +169,7 @@
 fleet_beacon_send (struct fleet_beacon *b)
 {
   const GPtrArray *vms = vm_directory_list (b->directory);
+  g_autoptr (GPtrArray) to = g_ptr_array_sized_new (vms->len);
   guint8 data[BEACON_MAX_LENGTH];
   gsize length = build (b, data);
 
@@ -175,8 +179,9 @@
       GSocketAddress *address = get_address (b, vm->ip);
 
       if (address != NULL)
-        peer_socket_send (b->socket, address, data, length);
+        g_ptr_array_add (to, address);
     }
+  peer_socket_send_all (b->socket, to, data, length);
 }
 
 static gboolean
@@ -212,6 +217,7 @@
       g_free (b);
       return NULL;
     }
+  peer_socket_gather (b->socket, GATHER_US);
   b->addresses = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                         g_object_unref);
   b->timer = g_timeout_add (MIN_INTERVAL_MS, on_timer, b);
--- a/transport/peer_socket.c
+++ b/transport/peer_socket.c
@@ -1,5 +1,6 @@
 #include "transport/peer_socket.h"
 
+#include "base/clock.h"
 #include "base/error.h"
 #include "base/loop_timer.h"
 #include "protocol/heartbeat.h"
@@ -11,27 +12,52 @@
 {
   struct peer_socket_owner *owner;
   GSocket *socket;
-  GSource *source;
+  GSource *source;          /* NULL when read by time */
+  struct loop_timer *timer; /* NULL when read as they come */
+  gint64 gather_us;
 };
 
-static gboolean
-on_readable (GSocket *gsocket, GIOCondition condition, gpointer data)
+static void
+read_datagrams (struct peer_socket *socket)
 {
-  struct peer_socket *socket = data;
   guint8 buffer[HEARTBEAT_MAX_LENGTH + 1];
 
   for (guint i = 0; i < RECEIVE_BATCH; i++)
     {
-      gssize length = g_socket_receive (gsocket, (char *)buffer, sizeof buffer,
-                                        NULL, NULL);
+      gssize length = g_socket_receive (socket->socket, (char *)buffer,
+                                        sizeof buffer, NULL, NULL);
 
       if (length < 0)
-        break;
+        return;
       socket->owner->ops->received (socket->owner, buffer, (gsize)length);
     }
+}
+
+static gboolean
+on_readable (GSocket *gsocket, GIOCondition condition, gpointer data)
+{
+  read_datagrams (data);
   return G_SOURCE_CONTINUE;
 }
 
+static void
+on_gathered (gpointer data)
+{
+  struct peer_socket *socket = data;
+
+  loop_timer_set (socket->timer, clock_now_us () + socket->gather_us);
+  read_datagrams (socket);
+}
+
+static void
+stop_watching (struct peer_socket *socket)
+{
+  if (socket->source == NULL)
+    return;
+  g_source_destroy (socket->source);
+  g_clear_pointer (&socket->source, g_source_unref);
+}
+
 static gboolean
 bind_socket (struct peer_socket *socket, const char *ip, guint port,
              GError **error)
@@ -71,14 +97,21 @@
   return socket;
 }
 
+void
+peer_socket_gather (struct peer_socket *socket, gint64 gather_us)
+{
+  stop_watching (socket);
+  socket->gather_us = gather_us;
+  socket->timer = loop_timer_new (on_gathered, socket);
+  loop_timer_set (socket->timer, clock_now_us () + gather_us);
+}
+
 void
 peer_socket_free (struct peer_socket *socket)
 {
-  if (socket->source != NULL)
-    {
-      g_source_destroy (socket->source);
-      g_source_unref (socket->source);
-    }
+  stop_watching (socket);
+  if (socket->timer != NULL)
+    loop_timer_free (socket->timer);
   g_clear_object (&socket->socket);
   g_free (socket);
 }
@@ -92,6 +125,28 @@
          == (gssize)length;
 }
 
+void
+peer_socket_send_all (struct peer_socket *socket, GPtrArray *to,
+                      const guint8 *data, gsize length)
+{
+  GOutputVector vector = { data, length };
+  g_autofree GOutputMessage *messages = g_new0 (GOutputMessage, to->len);
+  guint n_sent = 0;
+
+  for (guint i = 0; i < to->len; i++)
+    messages[i] = (GOutputMessage){ .address = g_ptr_array_index (to, i),
+                                    .vectors = &vector,
+                                    .num_vectors = 1 };
+  while (n_sent < to->len)
+    {
+      gint n = g_socket_send_messages (socket->socket, messages + n_sent,
+                                       to->len - n_sent, 0, NULL, NULL);
+
+      /* One that the kernel does not take is lost, the others are not.  */
+      n_sent += (guint)MAX (n, 1);
+    }
+}
+
 GSocketAddress *
 peer_address_parse (const char *text)
 {
--- a/transport/peer_socket.h
+++ b/transport/peer_socket.h
@@ -36,6 +36,14 @@
 gboolean peer_socket_send (struct peer_socket *socket, GSocketAddress *to,
                            const guint8 *data, gsize length);
 
+/* The same to each GSocketAddress in TO, with fewer calls of the kernel.  */
+void peer_socket_send_all (struct peer_socket *socket, GPtrArray *to,
+                           const guint8 *data, gsize length);
+
+/* Reads datagrams every GATHER_US from now on, and not as they come, so that
+   the loop wakes once for several.  To be called once.  */
+void peer_socket_gather (struct peer_socket *socket, gint64 gather_us);
+
 /* The address that TEXT, "IP:PORT", writes, or NULL.  The caller owns it.  */
 GSocketAddress *peer_address_parse (const char *text);
 
