--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -185,6 +185,7 @@
   gint64 queued_us;
   gint64 first_started_us; /* 0 before */
   gboolean is_settled;     /* its queued tasks are not given back */
+  gboolean is_trial;       /* what does not start at once is given back */
   gboolean is_part;        /* others of the job's tasks may have begun */
   gboolean is_late;        /* start_by_us has passed while nothing of the job
                               had begun: it goes behind the others */
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -129,18 +129,6 @@
   owner_place_batch (owner, batch);
 }
 
-void
-owner_submit (struct owner *owner, struct batch *batch, gint64 now_us)
-{
-  gdouble more = batch->need.cpus - owner->usual_cpus;
-
-  owner->usual_cpus += USUAL_WEIGHT * more;
-  batch->queued_us = now_us;
-  owner_place_batch (owner, batch);
-  owner_serve (owner, now_us);
-  owner_advance (owner, now_us);
-}
-
 void
 owner_stop_batch (struct owner *owner, struct batch *batch, const char *reason,
                   gint64 now_us)
@@ -176,6 +164,20 @@
   return n;
 }
 
+void
+owner_submit (struct owner *owner, struct batch *batch, gint64 now_us)
+{
+  gdouble more = batch->need.cpus - owner->usual_cpus;
+
+  owner->usual_cpus += USUAL_WEIGHT * more;
+  batch->queued_us = now_us;
+  owner_place_batch (owner, batch);
+  owner_serve (owner, now_us);
+  if (batch->is_trial && batch->n_queued > 0)
+    return_tasks (owner, batch, batch->n_queued);
+  owner_advance (owner, now_us);
+}
+
 const struct batch *
 owner_get_first_queued (const struct owner *owner)
 {
--- a/coordination/spread.c
+++ b/coordination/spread.c
@@ -1,5 +1,23 @@
 #include "coordination/spread.h"
 
+#include "base/hash64.h"
+
+/* Of more owners than this, only some are compared when all are full, not
+   always the same: homes that choose by the same news would all choose the
+   same queue.  */
+#define COMPARE_ALL_MAX 8
+#define N_COMPARED 4
+
+/* The next of the numbers that follow *SEED.  */
+static guint64
+draw_next (guint64 *seed)
+{
+  *seed = hash64_pair (*seed, *seed + 1);
+  return *seed;
+}
+
+#define N_DISTANCES 3
+
 /* How near OWNER is; less is nearer.  */
 static guint
 get_distance (const struct spread_owner *owner)
@@ -18,24 +36,47 @@
                                           : 0;
 }
 
-/* The nearest owner with a free slot, and of several the one with the most. */
+static gboolean
+is_candidate (const struct spread_owner *owner, guint distance)
+{
+  return get_distance (owner) == distance && count_free (owner) > 0;
+}
+
+/* One of the owners at DISTANCE that have free slots, drawn by how many they
+   have, or NULL.  */
 static struct spread_owner *
-find_free (struct spread_owner *owners, guint n_owners)
+draw_free (struct spread_owner *owners, guint n_owners, guint distance,
+           guint64 *seed)
 {
-  struct spread_owner *best = NULL;
+  guint64 n_free = 0;
+  guint64 drawn;
 
+  for (guint i = 0; i < n_owners; i++)
+    if (is_candidate (&owners[i], distance))
+      n_free += count_free (&owners[i]);
+  if (n_free == 0)
+    return NULL;
+  drawn = draw_next (seed) % n_free;
   for (guint i = 0; i < n_owners; i++)
     {
-      struct spread_owner *owner = &owners[i];
-
-      if (count_free (owner) == 0)
+      if (!is_candidate (&owners[i], distance))
         continue;
-      if (best == NULL || get_distance (owner) < get_distance (best)
-          || (get_distance (owner) == get_distance (best)
-              && count_free (owner) > count_free (best)))
-        best = owner;
+      if (drawn < count_free (&owners[i]))
+        return &owners[i];
+      drawn -= count_free (&owners[i]);
     }
-  return best;
+  return NULL;
+}
+
+/* An owner with a free slot, as near as can be, or NULL.  */
+static struct spread_owner *
+find_free (struct spread_owner *owners, guint n_owners, guint64 *seed)
+{
+  struct spread_owner *found = NULL;
+
+  for (guint distance = 0; distance < N_DISTANCES && found == NULL; distance++)
+    found = draw_free (owners, n_owners, distance, seed);
+  return found;
 }
 
 /* How long the last of N_MORE tasks would wait at OWNER, in milliseconds.  */
@@ -51,16 +92,19 @@
 /* The owner where the last of N_MORE tasks waits least, or NULL.  */
 static struct spread_owner *
 find_shortest (struct spread_owner *owners, guint n_owners, guint n_more,
-               guint run_ms)
+               guint run_ms, guint64 *seed)
 {
+  guint n_compared = n_owners <= COMPARE_ALL_MAX ? n_owners : N_COMPARED;
   struct spread_owner *best = NULL;
   gint64 best_ms = 0;
 
-  for (guint i = 0; i < n_owners; i++)
+  for (guint i = 0; i < n_compared; i++)
     {
       struct spread_owner *owner = &owners[i];
       gint64 wait_ms;
 
+      if (n_compared < n_owners)
+        owner = &owners[draw_next (seed) % n_owners];
       if (owner->room.n_slots == 0)
         continue;
       wait_ms = compute_wait_ms (owner, n_more, run_ms);
@@ -75,45 +119,66 @@
   return best;
 }
 
-/* Queues all tasks at one owner.  */
+/* Queues N_TASKS at one owner.  Returns how long the last of them waits, or -1
+   when there is none.  */
 static gint64
 queue_tasks (struct spread_owner *owners, guint n_owners, guint n_tasks,
-             guint run_ms)
+             guint run_ms, guint64 *seed)
 {
   struct spread_owner *owner
-      = find_shortest (owners, n_owners, n_tasks, run_ms);
+      = find_shortest (owners, n_owners, n_tasks, run_ms, seed);
 
   if (owner == NULL)
     return -1;
-  owner->n_given = n_tasks;
+  owner->n_given += n_tasks;
+  owner->has_queued = TRUE;
   return compute_wait_ms (owner, 0, run_ms);
 }
 
+/* How many of N_TASKS go to the free slots of OWNER: not all of those that
+   others may be filling at the same time.  */
+static guint
+count_given (const struct spread_owner *owner, guint n_tasks)
+{
+  guint n_free = count_free (owner);
+
+  return MIN (n_tasks, owner->is_self ? n_free : (n_free + 1) / 2);
+}
+
 gint64
 spread_tasks (struct spread_owner *owners, guint n_owners, guint n_tasks,
-              guint run_ms)
+              guint run_ms, guint64 seed)
 {
   gint64 longest_ms = 0;
   guint n_left = n_tasks;
 
   for (guint i = 0; i < n_owners; i++)
-    owners[i].n_given = 0;
-  if (find_free (owners, n_owners) == NULL && n_tasks > 0)
-    return queue_tasks (owners, n_owners, n_tasks, run_ms);
+    {
+      owners[i].n_given = 0;
+      owners[i].has_queued = FALSE;
+    }
   while (n_left > 0)
     {
-      struct spread_owner *owner = find_free (owners, n_owners);
+      struct spread_owner *owner = find_free (owners, n_owners, &seed);
       guint n = 1;
 
       if (owner != NULL)
-        n = MIN (n_left, count_free (owner));
+        {
+          n = count_given (owner, n_left);
+          owner->n_given += n;
+        }
       else
-        owner = find_shortest (owners, n_owners, 1, run_ms);
-      if (owner == NULL)
-        return -1;
-      if (count_free (owner) == 0)
-        longest_ms = MAX (longest_ms, compute_wait_ms (owner, 1, run_ms));
-      owner->n_given += n;
+        {
+          gint64 wait_ms;
+
+          /* When none of a job starts at once, one queue gets all of it.  */
+          if (n_left == n_tasks)
+            n = n_tasks;
+          wait_ms = queue_tasks (owners, n_owners, n, run_ms, &seed);
+          if (wait_ms < 0)
+            return -1;
+          longest_ms = MAX (longest_ms, wait_ms);
+        }
       n_left -= n;
     }
   return longest_ms;
--- a/coordination/spread.h
+++ b/coordination/spread.h
@@ -21,14 +21,16 @@
   gboolean is_self;
   gboolean is_local; /* of the own zone */
   struct vm_room room;
-  guint n_given; /* filled in: tasks that it gets */
+  guint n_given;       /* filled in: tasks that it gets */
+  gboolean has_queued; /* filled in: some of them wait there */
 };
 
 /*
  * Gives N_TASKS of RUN_MS each to OWNERS.  Returns the longest expected wait,
- * in milliseconds, or -1 when no owner has any slot.
+ * in milliseconds, or -1 when no owner has any slot.  SEED is another one each
+ * time: homes that choose by the same news must not choose alike.
  */
 gint64 spread_tasks (struct spread_owner *owners, guint n_owners,
-                     guint n_tasks, guint run_ms);
+                     guint n_tasks, guint run_ms, guint64 seed);
 
 #endif
--- a/coordination/vm_directory.c
+++ b/coordination/vm_directory.c
@@ -183,6 +183,17 @@
     }
 }
 
+void
+vm_directory_note_full (struct vm_directory *directory, const char *name,
+                        guint64 service)
+{
+  struct vm *vm = find (directory, name);
+
+  for (guint i = 0; vm != NULL && i < vm->n_rooms; i++)
+    if (vm->rooms[i].service == service)
+      vm->rooms[i].free_slots = 0;
+}
+
 static gboolean
 is_forgotten (const struct vm *vm, gint64 now_us)
 {
--- a/coordination/vm_directory.h
+++ b/coordination/vm_directory.h
@@ -111,6 +111,10 @@
 void vm_directory_take_room (struct vm_directory *directory, const char *name,
                              guint64 service, guint n_tasks, guint run_ms);
 
+/* VM has given tasks for SERVICE back: it has no free slots.  */
+void vm_directory_note_full (struct vm_directory *directory, const char *name,
+                             guint64 service);
+
 /* Passes the time.  */
 void vm_directory_advance (struct vm_directory *directory, gint64 now_us);
 
--- a/protocol/peer.x
+++ b/protocol/peer.x
@@ -102,6 +102,7 @@
   unsigned int attempts;
   bool is_settled; /* queued tasks stay with the owner */
   bool is_part;    /* others of the job's tasks may have begun */
+  bool is_trial;   /* what does not start at once is given back */
   hyper start_in_us;
   hyper end_in_us;
   unsigned int indexes<PEER_TASKS_MAX>;
--- a/protocol/peer_xdr.h
+++ b/protocol/peer_xdr.h
@@ -132,6 +132,7 @@
 	u_int attempts;
 	bool_t is_settled;
 	bool_t is_part;
+	bool_t is_trial;
 	quad_t start_in_us;
 	quad_t end_in_us;
 	struct {
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -23,6 +23,10 @@
    that owners tell of do not suit them.  */
 #define MAX_MOVES 4
 
+/* The first times that tasks are spread, an owner that turns out to be full
+   gives them back at once: the news of free slots is up to a beacon old.  */
+#define MAX_TRIALS 3
+
 /* A caller that does not say how long it waits is given this time, and what
    was given up this long to stop.  */
 #define DEFAULT_TIMEOUT_US (30 * USEC_PER_SEC)
@@ -311,6 +315,9 @@
   if (!part->is_open)
     return;
   part->job->has_started |= has_started;
+  if (part->owner != NULL && n_indexes > 0)
+    vm_directory_note_full (part->job->home->directory, part->owner,
+                            hash64_string (part->job->submission->service));
   n_out = fleet_part_take_out (part, indexes, MIN (n_indexes, PEER_TASKS_MAX),
                                out);
   place_anew (part->job, out, n_out);
@@ -415,6 +422,7 @@
     .attempts = s->attempts,
     .is_settled = job->n_spreads > MAX_MOVES,
     .is_part = part->n_tasks < s->n_tasks,
+    .is_trial = part->is_trial,
     .start_in_us = job->start_by_us - now_us,
     .end_in_us = job->end_by_us - now_us,
     .indexes = { part->n_tasks, part->indexes },
@@ -442,6 +450,7 @@
   part->owner = owner->is_self ? NULL : g_strdup (owner->name);
   part->incarnation = vm != NULL ? vm->incarnation : 0;
   part->is_open = TRUE;
+  part->is_trial = !owner->has_queued && job->n_spreads <= MAX_TRIALS;
   part->n_tasks = owner->n_given;
   memcpy (part->indexes, indexes, owner->n_given * sizeof *indexes);
   list_append (&job->parts, &part->link);
@@ -556,7 +565,8 @@
   job->n_spreads++;
   wait_ms
       = spread_tasks ((struct spread_owner *)(void *)owners->data, owners->len,
-                      n_tasks, (guint)(s->estimate_us / USEC_PER_MSEC));
+                      n_tasks, (guint)(s->estimate_us / USEC_PER_MSEC),
+                      hash64_pair (hash64_string (s->job), job->n_spreads));
   if (wait_ms < 0)
     refuse_job (job, "no upstream is owned by a live VM", MIN_RETRY_MS);
   else if (wait_ms > left_ms * HOPELESS_FACTOR)
--- a/transport/fleet_job.h
+++ b/transport/fleet_job.h
@@ -17,6 +17,7 @@
   char *owner; /* name of the VM; NULL for this one */
   guint64 incarnation;
   gboolean is_open;    /* its end is awaited */
+  gboolean is_trial;   /* what does not start at once comes back */
   struct batch *batch; /* of this VM; NULL otherwise */
   guint n_tasks;
   guint indexes[PEER_TASKS_MAX];
--- a/transport/fleet_owner.c
+++ b/transport/fleet_owner.c
@@ -337,23 +337,31 @@
   .wake_at = driver_wake_at,
 };
 
-/* Free slots for SERVICE on upstreams of other VMs.  */
+/* How many tasks for SERVICE may move to free slots of other VMs: a part of
+   these slots, as other owners with queues see them as well.  */
 static guint
-count_free_elsewhere (const struct fleet_owner *owner, guint64 service)
+count_movable (const struct fleet_owner *owner, guint64 service)
 {
   const GPtrArray *vms = vm_directory_list (owner->directory);
-  guint n = 0;
+  guint n_free = 0;
+  guint n_rivals = 1; /* the homes that fill them */
 
   for (guint i = 0; i < vms->len; i++)
     {
       const struct vm *vm = g_ptr_array_index (vms, i);
 
       for (guint k = 0; vm->is_live && !vm->is_leaving && k < vm->n_rooms; k++)
-        if (vm->rooms[k].service == service
-            && vm->rooms[k].free_slots > vm->rooms[k].n_queued)
-          n += vm->rooms[k].free_slots - vm->rooms[k].n_queued;
+        {
+          const struct vm_room *room = &vm->rooms[k];
+
+          if (room->service != service)
+            continue;
+          if (room->free_slots > room->n_queued)
+            n_free += room->free_slots - room->n_queued;
+          n_rivals += room->n_queued > 0 ? 1 : 0;
+        }
     }
-  return n;
+  return (n_free + n_rivals) / (n_rivals + 1);
 }
 
 /* Gives queued tasks back when others have room for them, or when nothing
@@ -362,16 +370,16 @@
 return_queued (struct fleet_owner *owner, const char *service, gint64 now_us)
 {
   struct owner_room room;
-  guint n_free;
+  guint n_movable;
 
   owner_get_room (owner->owner, service, &room, now_us);
   if (room.n_queued == 0)
     return;
-  n_free = count_free_elsewhere (owner, hash64_string (service));
+  n_movable = count_movable (owner, hash64_string (service));
   if (room.n_slots == 0)
     owner_return_all (owner->owner, service, now_us);
-  else if (n_free > 0)
-    owner_return_queued (owner->owner, service, (n_free + 1) / 2, now_us);
+  else if (n_movable > 0)
+    owner_return_queued (owner->owner, service, n_movable, now_us);
 }
 
 static void
@@ -509,7 +517,8 @@
 {
 }
 
-/* The reply names them again, in case that this call gets lost.  */
+/* The reply names them again, in case that this call gets lost; when none are
+   left it follows at once.  */
 static void
 on_remote_returned (struct batch_sink *sink, const struct batch *batch,
                     const guint *indexes, guint n_tasks)
@@ -523,6 +532,8 @@
     .indexes = { n_tasks, (guint *)indexes },
   };
 
+  if (batch->n_returned == batch->n_tasks)
+    return;
   peer_hub_call (remote->owner->hub, remote->vm, PEER_RETURN_TASKS, &args,
                  clock_now_us () + RETURN_TIMEOUT_US, on_return_answered,
                  NULL);
@@ -552,6 +563,7 @@
   batch->attempts = MAX (args->attempts, 1u);
   batch->is_settled = args->is_settled;
   batch->is_part = args->is_part;
+  batch->is_trial = args->is_trial;
   batch->start_by_us = now_us + args->start_in_us;
   batch->end_by_us = now_us + args->end_in_us;
   return batch;
