protocol: read both kinds of settings by the same code

The settings of a fleet had their own copy of the parser of endpoints and of the way in from a file. protocol/settings_read holds both now, as a table of functions a kind. By it a fleet also takes IPv6 endpoints in brackets, and refuses a host name when the settings are checked and not when the address is opened.

The tests look for the wording that is common now, with two cases more (a host name, a bracket that is not closed).

--- a/protocol/fleet_settings.c
+++ b/protocol/fleet_settings.c
@@ -1,7 +1,5 @@
 #include "protocol/fleet_settings.h"
 
-#include "base/error.h"
-#include "protocol/json_read.h"
 #include "protocol/peer_xdr.h"
 
 #include <string.h>
@@ -36,45 +34,13 @@
                                     "cpu_share", "log_level",
                                     NULL };
 
-static gboolean
-parse_endpoint (const char *text, struct endpoint *endpoint)
-{
-  const char *colon = strrchr (text, ':');
-  guint64 port;
-
-  if (colon == NULL || colon == text
-      || !g_ascii_string_to_unsigned (colon + 1, 10, 0, MAX_PORT, &port, NULL))
-    return FALSE;
-  endpoint->ip = g_strndup (text, (gsize)(colon - text));
-  endpoint->port = (guint)port;
-  return TRUE;
-}
-
-static void
-read_endpoint (struct json_check *check, json_t *root, const char *key,
-               gboolean is_required, struct endpoint *endpoint)
-{
-  const char *text = NULL;
-
-  if (!json_read_string (check, key, root, key, is_required, &text)
-      || (text[0] == '\0' && !is_required))
-    return;
-  if (!parse_endpoint (text, endpoint))
-    json_check_fail (check, key, "write it as IP:PORT");
-}
-
 static void
 read_text (struct json_check *check, json_t *root, const char *key,
            char **value)
 {
-  const char *text = NULL;
-
-  if (!json_read_string (check, key, root, key, TRUE, &text))
-    return;
-  if (text[0] == '\0')
+  settings_read_string (check, key, root, key, TRUE, value);
+  if (*value != NULL && (*value)[0] == '\0')
     json_check_fail (check, key, "must not be empty");
-  g_free (*value);
-  *value = g_strdup (text);
 }
 
 /* Reads a text that beacons and the platform's group tell.  */
@@ -110,18 +76,6 @@
   g_ptr_array_add (settings->availability_zones, NULL);
 }
 
-static void
-read_level (struct json_check *check, json_t *root,
-            struct fleet_settings *settings)
-{
-  const char *text = NULL;
-
-  if (json_read_string (check, "log_level", root, "log_level", FALSE, &text)
-      && !log_level_from_name (text, &settings->log_level))
-    json_check_fail (check, "log_level",
-                     "must be one of: error, warning, info, debug");
-}
-
 /* Reads a whole number, which may be written as a fraction.  */
 static void
 read_uint (struct json_check *check, json_t *root, const char *key, guint min,
@@ -167,7 +121,7 @@
     s->grace_ms = (guint)(grace_s * 1000);
 }
 
-static struct fleet_settings *
+static gpointer
 settings_new (void)
 {
   struct fleet_settings *settings = g_new0 (struct fleet_settings, 1);
@@ -186,59 +140,50 @@
 }
 
 static void
-read_root (struct json_check *check, json_t *root,
-           struct fleet_settings *settings)
+read_root (struct json_check *check, json_t *root, gpointer data)
 {
+  struct fleet_settings *settings = data;
+
   json_check_keys (check, "", root, keys);
   read_name (check, root, "vm", &settings->vm);
   read_name (check, root, "availability_zone", &settings->availability_zone);
   read_name (check, root, "ip", &settings->ip);
   read_text (check, root, "store", &settings->store);
-  read_endpoint (check, root, "callers", TRUE, &settings->callers);
-  read_endpoint (check, root, "readiness", TRUE, &settings->readiness);
-  read_endpoint (check, root, "peers", TRUE, &settings->peers);
-  read_endpoint (check, root, "metrics", FALSE, &settings->metrics);
+  settings_read_endpoint (check, "callers", root, "callers", TRUE,
+                          &settings->callers);
+  settings_read_endpoint (check, "readiness", root, "readiness", TRUE,
+                          &settings->readiness);
+  settings_read_endpoint (check, "peers", root, "peers", TRUE,
+                          &settings->peers);
+  settings_read_endpoint (check, "metrics", root, "metrics", FALSE,
+                          &settings->metrics);
   read_zones (check, root, settings);
   read_numbers (check, root, settings);
   read_leases (check, root, settings);
-  read_level (check, root, settings);
+  settings_read_level (check, "log_level", root, "log_level",
+                       &settings->log_level);
+}
+
+static void
+free_settings (gpointer settings)
+{
+  fleet_settings_free (settings);
 }
 
+static const struct settings_kind kind
+    = { settings_new, read_root, free_settings };
+
 struct fleet_settings *
 fleet_settings_parse (const char *text, gsize length, const char *source,
                       GError **error)
 {
-  json_t *root = json_parse_with_comments (text, length, error);
-  struct fleet_settings *settings;
-  struct json_check check;
-
-  if (root == NULL)
-    {
-      g_prefix_error (error, "%s: ", source);
-      return NULL;
-    }
-  settings = settings_new ();
-  json_check_init (&check, source);
-  read_root (&check, root, settings);
-  json_decref (root);
-  if (json_check_end (&check, error))
-    return settings;
-  fleet_settings_free (settings);
-  return NULL;
+  return settings_read_text (&kind, text, length, source, error);
 }
 
 struct fleet_settings *
 fleet_settings_load (const char *path, GError **error)
 {
-  g_autofree char *text = NULL;
-  g_autoptr (GError) cause = NULL;
-  gsize length;
-
-  if (g_file_get_contents (path, &text, &length, &cause))
-    return fleet_settings_parse (text, length, path, error);
-  error_set (error, ERROR_INVALID, "cannot read the settings: %s",
-             cause->message);
-  return NULL;
+  return settings_read_file (&kind, path, error);
 }
 
 void
--- a/protocol/fleet_settings.h
+++ b/protocol/fleet_settings.h
@@ -4,7 +4,7 @@
 #ifndef PROTOCOL_FLEET_SETTINGS_H
 #define PROTOCOL_FLEET_SETTINGS_H
 
-#include "protocol/settings.h"
+#include "protocol/settings_read.h"
 
 struct fleet_settings
 {
--- a/protocol/settings.c
+++ b/protocol/settings.c
@@ -1,13 +1,10 @@
 #include "protocol/settings.h"
 
-#include "base/error.h"
-#include "protocol/json_read.h"
 #include "state/job_id.h"
 
 #include <gio/gio.h>
 #include <string.h>
 
-#define MAX_PORT 65535
 #define MIN_BODY_BYTES 1024
 #define MAX_BODY_BYTES (256 * 1024 * 1024)
 #define DEFAULT_BODY_BYTES (8 * 1024 * 1024)
@@ -53,54 +50,6 @@
         "snapshot_records", "entry_vms",
         "entry_number",     NULL };
 
-static gboolean
-parse_endpoint (const char *text, struct endpoint *endpoint)
-{
-  g_autoptr (GError) error = NULL;
-  const char *colon = strrchr (text, ':');
-  guint64 port = 0;
-
-  if (colon == NULL
-      || !g_ascii_string_to_unsigned (colon + 1, 10, 0, MAX_PORT, &port,
-                                      &error))
-    return FALSE;
-  g_free (endpoint->ip);
-  endpoint->ip = g_strndup (text, (gsize)(colon - text));
-  if (endpoint->ip[0] == '[' && g_str_has_suffix (endpoint->ip, "]"))
-    {
-      char *inner = g_strndup (endpoint->ip + 1, strlen (endpoint->ip) - 2);
-
-      g_free (endpoint->ip);
-      endpoint->ip = inner;
-    }
-  endpoint->port = (guint)port;
-  return g_hostname_is_ip_address (endpoint->ip);
-}
-
-static void
-read_endpoint (struct json_check *check, json_t *root, const char *key,
-               gboolean is_required, struct endpoint *endpoint)
-{
-  const char *text = NULL;
-
-  if (!json_read_string (check, "settings", root, key, is_required, &text))
-    return;
-  if (!parse_endpoint (text, endpoint))
-    json_check_fail (check, key, "must be IP:PORT, as in 10.0.1.5:8080");
-}
-
-static void
-read_text (struct json_check *check, const char *path, json_t *root,
-           const char *key, gboolean is_required, char **value)
-{
-  const char *text = NULL;
-
-  if (!json_read_string (check, path, root, key, is_required, &text))
-    return;
-  g_free (*value);
-  *value = g_strdup (text);
-}
-
 static gboolean
 is_url (const char *text)
 {
@@ -118,7 +67,7 @@
 read_url (struct json_check *check, json_t *root, const char *key,
           char **value)
 {
-  read_text (check, "settings", root, key, TRUE, value);
+  settings_read_string (check, "settings", root, key, TRUE, value);
   if (*value == NULL)
     return;
   if (!is_url (*value))
@@ -132,18 +81,19 @@
 static void
 read_names (struct json_check *check, json_t *root, struct settings *settings)
 {
-  read_text (check, "settings", root, "vm", TRUE, &settings->vm);
+  settings_read_string (check, "settings", root, "vm", TRUE, &settings->vm);
   if (settings->vm != NULL && !vm_name_is_valid (settings->vm))
     json_check_fail (check, "vm", "must have 1 to 63 of a-z, 0-9 and '-'");
-  read_text (check, "settings", root, "availability_zone", TRUE,
-             &settings->availability_zone);
-  read_text (check, "settings", root, "region", FALSE, &settings->region);
-  read_text (check, "settings", root, "config_stream", FALSE,
-             &settings->config_stream);
-  read_text (check, "settings", root, "snapshot_stream", FALSE,
-             &settings->snapshot_stream);
-  read_text (check, "settings", root, "operator_token", FALSE,
-             &settings->operator_token);
+  settings_read_string (check, "settings", root, "availability_zone", TRUE,
+                        &settings->availability_zone);
+  settings_read_string (check, "settings", root, "region", FALSE,
+                        &settings->region);
+  settings_read_string (check, "settings", root, "config_stream", FALSE,
+                        &settings->config_stream);
+  settings_read_string (check, "settings", root, "snapshot_stream", FALSE,
+                        &settings->snapshot_stream);
+  settings_read_string (check, "settings", root, "operator_token", FALSE,
+                        &settings->operator_token);
 }
 
 static void
@@ -158,7 +108,7 @@
       const char *text = json_string_value (json_array_get (seeds, i));
       struct endpoint endpoint = { NULL, 0 };
 
-      if (text == NULL || !parse_endpoint (text, &endpoint)
+      if (text == NULL || !settings_parse_endpoint (text, &endpoint)
           || endpoint.port == 0)
         json_check_fail (check, "peer_seeds",
                          "entry %u must be IP:PORT, as in 10.0.1.6:9000",
@@ -208,25 +158,21 @@
   if (!json_read_object (check, "settings", root, "tls", FALSE, &tls))
     return;
   json_check_keys (check, "tls", tls, tls_keys);
-  read_text (check, "tls", tls, "certificate", TRUE,
-             &settings->tls_certificate);
-  read_text (check, "tls", tls, "key", TRUE, &settings->tls_key);
+  settings_read_string (check, "tls", tls, "certificate", TRUE,
+                        &settings->tls_certificate);
+  settings_read_string (check, "tls", tls, "key", TRUE, &settings->tls_key);
 }
 
 static void
 read_log (struct json_check *check, json_t *root, struct settings *settings)
 {
-  const char *level = NULL;
   const char *format = NULL;
   json_t *log = NULL;
 
   if (!json_read_object (check, "settings", root, "log", FALSE, &log))
     return;
   json_check_keys (check, "log", log, log_keys);
-  if (json_read_string (check, "log", log, "level", FALSE, &level)
-      && !log_level_from_name (level, &settings->log_level))
-    json_check_fail (check, "log.level",
-                     "must be one of: error, warning, info, debug");
+  settings_read_level (check, "log", log, "level", &settings->log_level);
   if (!json_read_string (check, "log", log, "format", FALSE, &format))
     return;
   if (g_str_equal (format, "json"))
@@ -279,7 +225,7 @@
                      "is the same address as 'listen'; give it another port");
 }
 
-static struct settings *
+static gpointer
 settings_new (void)
 {
   struct settings *settings = g_new0 (struct settings, 1);
@@ -302,9 +248,10 @@
 }
 
 static void
-read_settings (struct json_check *check, json_t *root,
-               struct settings *settings)
+read_settings (struct json_check *check, json_t *root, gpointer data)
 {
+  struct settings *settings = data;
+
   if (!json_is_object (root))
     {
       json_check_fail (check, "settings", "must be an object");
@@ -312,8 +259,10 @@
     }
   json_check_keys (check, "settings", root, settings_keys);
   read_names (check, root, settings);
-  read_endpoint (check, root, "listen", TRUE, &settings->listen);
-  read_endpoint (check, root, "peer_listen", TRUE, &settings->peer_listen);
+  settings_read_endpoint (check, "settings", root, "listen", TRUE,
+                          &settings->listen);
+  settings_read_endpoint (check, "settings", root, "peer_listen", TRUE,
+                          &settings->peer_listen);
   read_seeds (check, root, settings);
   read_url (check, root, "log_url", &settings->log_url);
   read_url (check, root, "vm_list_url", &settings->vm_list_url);
@@ -324,40 +273,26 @@
   check_clashes (check, settings);
 }
 
+static void
+free_settings (gpointer settings)
+{
+  settings_free (settings);
+}
+
+static const struct settings_kind kind
+    = { settings_new, read_settings, free_settings };
+
 struct settings *
 settings_parse (const char *text, gsize length, const char *source,
                 GError **error)
 {
-  json_t *root = json_parse_with_comments (text, length, error);
-  struct settings *settings;
-  struct json_check check;
-
-  if (root == NULL)
-    {
-      g_prefix_error (error, "%s: ", source);
-      return NULL;
-    }
-  settings = settings_new ();
-  json_check_init (&check, source);
-  read_settings (&check, root, settings);
-  json_decref (root);
-  if (!json_check_end (&check, error))
-    g_clear_pointer (&settings, settings_free);
-  return settings;
+  return settings_read_text (&kind, text, length, source, error);
 }
 
 struct settings *
 settings_load (const char *path, GError **error)
 {
-  g_autofree char *text = NULL;
-  gsize length = 0;
-
-  if (!g_file_get_contents (path, &text, &length, error))
-    {
-      g_prefix_error (error, "settings cannot be read; check the path: ");
-      return NULL;
-    }
-  return settings_parse (text, length, path, error);
+  return settings_read_file (&kind, path, error);
 }
 
 void
--- a/protocol/settings.h
+++ b/protocol/settings.h
@@ -5,16 +5,10 @@
 #define PROTOCOL_SETTINGS_H
 
 #include "base/event_log.h"
+#include "protocol/settings_read.h"
 
 #include <glib.h>
 
-/* An address of this process or of another one.  */
-struct endpoint
-{
-  char *ip;
-  guint port; /* 0 lets the kernel choose when listening */
-};
-
 struct settings
 {
   char *vm;                    /* own name */
--- a/t/t1001-settings.c
+++ b/t/t1001-settings.c
@@ -63,7 +63,8 @@
   assert_problem ("{" REQUIRED ",\"region\":7}", "'region' must be a string");
   assert_problem ("{" REQUIRED ",\"peer_seeds\":[\"host:1\"]}", "entry 0");
   assert_problem ("{" REQUIRED ",\"keys\":[\"abc\"]}", "hexadecimal");
-  assert_problem ("{" REQUIRED ",\"log\":{\"level\":\"loud\"}}", "log.level");
+  assert_problem ("{" REQUIRED ",\"log\":{\"level\":\"loud\"}}",
+                  "log: 'level' must be one of: error");
   assert_problem ("{" REQUIRED ",\"limits\":{\"connections\":0}}",
                   "'connections' must be a whole number from 1");
   assert_problem ("{" REQUIRED ",\"tls\":{\"key\":\"k\"}}",
--- a/t/t1020-fleet-settings.c
+++ b/t/t1020-fleet-settings.c
@@ -128,6 +128,9 @@
   s = parse ("{" REQUIRED ",\"metrics\":\"10.1.0.13:9464\"}");
   assert_endpoint (&s->metrics, "10.1.0.13", 9464);
   fleet_settings_free (s);
+  s = parse ("{" REQUIRED ",\"metrics\":\"[fd00::13]:9464\"}");
+  assert_endpoint (&s->metrics, "fd00::13", 9464);
+  fleet_settings_free (s);
 }
 
 /* The lease that is not given follows the longest that upstreams grant.  */
@@ -201,10 +204,12 @@
   assert_problem ("{\"vm\":\"entry@1\"}", "must not hold a '@'");
   assert_problem ("{\"availability_zones\":\"a\"}", "must be an array");
   assert_problem ("{\"availability_zones\":[1]}", "must hold names only");
-  assert_problem ("{\"callers\":\"10.1.0.13\"}", "write it as IP:PORT");
-  assert_problem ("{\"callers\":\"\"}", "write it as IP:PORT");
-  assert_problem ("{\"peers\":\":80\"}", "write it as IP:PORT");
-  assert_problem ("{\"peers\":\"10.1.0.13:65536\"}", "write it as IP:PORT");
+  assert_problem ("{\"callers\":\"10.1.0.13\"}", "must be IP:PORT, as in");
+  assert_problem ("{\"callers\":\"\"}", "must be IP:PORT, as in");
+  assert_problem ("{\"peers\":\":80\"}", "must be IP:PORT, as in");
+  assert_problem ("{\"peers\":\"10.1.0.13:65536\"}", "must be IP:PORT, as in");
+  assert_problem ("{\"peers\":\"localhost:80\"}", "must be IP:PORT, as in");
+  assert_problem ("{\"peers\":\"[10.1.0.13:80\"}", "must be IP:PORT, as in");
   assert_problem ("{" REQUIRED ",\"shards\":65}",
                   "'shards' must be a number from 1 to 64");
   assert_problem ("{" REQUIRED ",\"shards\":\"16\"}", "must be a number");
