--- a/commands/cli.c
+++ b/commands/cli.c
@@ -142,6 +142,26 @@
   return client == NULL || check_client_options (usage, client);
 }
 
+gboolean
+cli_parse_daemon (const struct cli_usage *usage,
+                  struct cli_daemon_options *options, int *argc, char ***argv)
+{
+  const GOptionEntry entries[] = {
+    { "settings", 's', 0, G_OPTION_ARG_FILENAME, &options->settings_path,
+      "the settings of this entry VM", "FILE" },
+    { "check-settings", 0, 0, G_OPTION_ARG_NONE, &options->check_settings,
+      "check the settings and exit", NULL },
+    G_OPTION_ENTRY_NULL,
+  };
+
+  if (!cli_parse (usage, entries, NULL, argc, argv))
+    return FALSE;
+  if (options->settings_path != NULL)
+    return TRUE;
+  complain (usage, "name the file of settings with --settings FILE");
+  return FALSE;
+}
+
 void
 cli_client_options_clear (struct cli_client_options *options)
 {
--- a/commands/cli.h
+++ b/commands/cli.h
@@ -40,6 +40,18 @@
                     struct cli_client_options *client, int *argc,
                     char ***argv);
 
+/* The options of every command that runs a daemon.  */
+struct cli_daemon_options
+{
+  char *settings_path; /* the caller's to free */
+  gboolean check_settings;
+};
+
+/* The same for a command that runs a daemon and takes nothing else.  */
+gboolean cli_parse_daemon (const struct cli_usage *usage,
+                           struct cli_daemon_options *options, int *argc,
+                           char ***argv);
+
 /* Frees what cli_parse () put into OPTIONS.  */
 void cli_client_options_clear (struct cli_client_options *options);
 
--- a/commands/entry.c
+++ b/commands/entry.c
@@ -5,12 +5,6 @@
 
 #include <stdio.h>
 
-struct options
-{
-  char *settings_path;
-  gboolean check_settings;
-};
-
 static const struct cli_usage usage = {
   .name = "entry",
   .summary = "Runs the daemon of an entry VM until SIGTERM has drained it.",
@@ -18,26 +12,6 @@
              "  radishchute entry --settings entry.json --check-settings\n",
 };
 
-static gboolean
-parse_options (int *argc, char ***argv, struct options *options)
-{
-  const GOptionEntry entries[] = {
-    { "settings", 's', 0, G_OPTION_ARG_FILENAME, &options->settings_path,
-      "the settings of this entry VM", "FILE" },
-    { "check-settings", 0, 0, G_OPTION_ARG_NONE, &options->check_settings,
-      "check the settings and exit", NULL },
-    G_OPTION_ENTRY_NULL,
-  };
-
-  if (!cli_parse (&usage, entries, NULL, argc, argv))
-    return FALSE;
-  if (options->settings_path != NULL)
-    return TRUE;
-  fprintf (stderr, "radishchute entry: name the file of settings with "
-                   "--settings FILE; see 'radishchute entry --help'\n");
-  return FALSE;
-}
-
 static int
 run_entry (const struct settings *settings, const char *path)
 {
@@ -61,12 +35,12 @@
 int
 command_entry (int argc, char **argv)
 {
-  struct options options = { NULL, FALSE };
+  struct cli_daemon_options options = { NULL, FALSE };
   g_autoptr (GError) error = NULL;
   struct settings *settings;
   int status = EXIT_STATUS_OK;
 
-  if (!parse_options (&argc, &argv, &options))
+  if (!cli_parse_daemon (&usage, &options, &argc, &argv))
     return EXIT_STATUS_USAGE;
   settings = settings_load (options.settings_path, &error);
   if (settings == NULL)
--- a/commands/fleet.c
+++ b/commands/fleet.c
@@ -7,12 +7,6 @@
 #include <stdio.h>
 #include <unistd.h>
 
-struct options
-{
-  char *settings_path;
-  gboolean check_settings;
-};
-
 static const struct cli_usage usage = {
   .name = "fleet",
   .summary
@@ -21,26 +15,6 @@
              "  radishchute fleet --settings fleet.json --check-settings\n",
 };
 
-static gboolean
-parse_options (int *argc, char ***argv, struct options *options)
-{
-  const GOptionEntry entries[] = {
-    { "settings", 's', 0, G_OPTION_ARG_FILENAME, &options->settings_path,
-      "the settings of this entry VM", "FILE" },
-    { "check-settings", 0, 0, G_OPTION_ARG_NONE, &options->check_settings,
-      "check the settings and exit", NULL },
-    G_OPTION_ENTRY_NULL,
-  };
-
-  if (!cli_parse (&usage, entries, NULL, argc, argv))
-    return FALSE;
-  if (options->settings_path != NULL)
-    return TRUE;
-  fprintf (stderr, "radishchute fleet: name the file of settings with "
-                   "--settings FILE; see 'radishchute fleet --help'\n");
-  return FALSE;
-}
-
 static struct fleet_platform *
 open_platform (const struct fleet_settings *settings)
 {
@@ -83,12 +57,12 @@
 int
 command_fleet (int argc, char **argv)
 {
-  struct options options = { NULL, FALSE };
+  struct cli_daemon_options options = { NULL, FALSE };
   g_autoptr (GError) error = NULL;
   struct fleet_settings *settings;
   int status = EXIT_STATUS_OK;
 
-  if (!parse_options (&argc, &argv, &options))
+  if (!cli_parse_daemon (&usage, &options, &argc, &argv))
     return EXIT_STATUS_USAGE;
   settings = fleet_settings_load (options.settings_path, &error);
   g_free (options.settings_path);
