protocol: take settings that decide nothing out

stop_ms, resend_ms and cpu_share were read, checked and carried, and nothing depended on them; nor did anything read the VM's name and the lease in platform_config. A file that still has one of the three is refused as with any unknown member, which a test asserts for each. The tests of bounds and of fractions go by other members of the same kind. lease_ms stays: the owner asks for leases by it.

--- a/commands/fleet.c
+++ b/commands/fleet.c
@@ -22,13 +22,11 @@
       "%s@%s@%s", settings->vm, settings->ip, settings->availability_zone);
   struct platform_config config = {
     .store = settings->store,
-    .vm = settings->vm,
     .member = member,
     .availability_zone = settings->availability_zone,
     .zones = (const char *const *)settings->availability_zones->pdata,
     .n_shards = settings->n_shards,
     .member_ttl_ms = settings->member_ttl_ms,
-    .lease_ms = settings->lease_ms,
   };
 
   return platform_new (&config);
--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -263,7 +263,6 @@
   guint lease_ms;        /* of runs */
   guint max_lease_ms;    /* the longest that an upstream grants */
   guint clock_drift_ppm; /* by which an upstream's clock may be slow */
-  guint stop_ms;         /* the longest that a stop takes */
 };
 
 struct owner *owner_new (struct owner_driver *driver,
--- a/protocol/fleet_settings.c
+++ b/protocol/fleet_settings.c
@@ -17,8 +17,6 @@
 #define DEFAULT_LEASE_MS 900
 #define DEFAULT_LEASE_PART 0.9 /* of max_lease_ms, if that is less */
 #define DEFAULT_MAX_LEASE_MS 1000
-#define DEFAULT_STOP_MS 50
-#define DEFAULT_RESEND_MS 1300
 #define DEFAULT_GRACE_MS 6000
 #define DEFAULT_CONNECTIONS 3000
 
@@ -29,10 +27,8 @@
                                     "metrics",   "store",
                                     "shards",    "member_ttl_ms",
                                     "lease_ms",  "max_lease_ms",
-                                    "stop_ms",   "resend_ms",
                                     "grace_s",   "max_connections",
-                                    "cpu_share", "log_level",
-                                    NULL };
+                                    "log_level", NULL };
 
 static void
 read_text (struct json_check *check, json_t *root, const char *key,
@@ -111,11 +107,8 @@
   read_uint (check, root, "beacon_port", 1, MAX_PORT, &s->beacon_port);
   read_uint (check, root, "shards", 1, MAX_SHARDS, &s->n_shards);
   read_uint (check, root, "member_ttl_ms", 100, MAX_MS, &s->member_ttl_ms);
-  read_uint (check, root, "stop_ms", 0, MAX_MS, &s->stop_ms);
-  read_uint (check, root, "resend_ms", 1, MAX_MS, &s->resend_ms);
   read_uint (check, root, "max_connections", 1, MAX_CONNECTIONS,
              &s->max_connections);
-  json_read_number (check, "", root, "cpu_share", 0.001, 1024, &s->cpu_share);
   if (json_read_number (check, "", root, "grace_s", 0.001, MAX_MS / 1000.0,
                         &grace_s))
     s->grace_ms = (guint)(grace_s * 1000);
@@ -130,11 +123,8 @@
   settings->n_shards = DEFAULT_SHARDS;
   settings->member_ttl_ms = DEFAULT_TTL_MS;
   settings->max_lease_ms = DEFAULT_MAX_LEASE_MS;
-  settings->stop_ms = DEFAULT_STOP_MS;
-  settings->resend_ms = DEFAULT_RESEND_MS;
   settings->grace_ms = DEFAULT_GRACE_MS;
   settings->max_connections = DEFAULT_CONNECTIONS;
-  settings->cpu_share = 1;
   settings->log_level = LOG_LEVEL_INFO;
   return settings;
 }
--- a/protocol/fleet_settings.h
+++ b/protocol/fleet_settings.h
@@ -22,11 +22,8 @@
   guint member_ttl_ms;
   guint lease_ms;     /* of runs */
   guint max_lease_ms; /* the longest that upstreams grant */
-  guint stop_ms;      /* the longest that a stop takes */
-  guint resend_ms;    /* a caller without an answer asks again after it */
   guint grace_ms;     /* from a stop signal to the end of the process */
   guint max_connections;
-  gdouble cpu_share; /* of one core that this VM may use */
   enum log_level log_level;
 };
 
--- a/t/support/fleet_bed.c
+++ b/t/support/fleet_bed.c
@@ -100,12 +100,11 @@
   g_autofree char *ip = format_ip (vm);
   g_autofree char *store
       = g_strdup_printf ("127.0.0.1:%u", bed->store->ports[0]);
-  json_t *settings
-      = json_pack ("{ss ss ss s[s] si ss si si ss}", "vm", name,
-                   "availability_zone", ZONE, "ip", ip, "availability_zones",
-                   ZONE, "beacon_port", bed->ports[PORT_BEACON], "store",
-                   store, "resend_ms", FLEET_BED_RESEND_MS, "grace_s",
-                   FLEET_BED_GRACE_S, "log_level", "warning");
+  json_t *settings = json_pack (
+      "{ss ss ss s[s] si ss si ss}", "vm", name, "availability_zone", ZONE,
+      "ip", ip, "availability_zones", ZONE, "beacon_port",
+      bed->ports[PORT_BEACON], "store", store, "grace_s", FLEET_BED_GRACE_S,
+      "log_level", "warning");
 
   set_endpoint (bed, settings, "callers", vm, PORT_CALLERS);
   set_endpoint (bed, settings, "readiness", vm, PORT_READINESS);
--- a/t/support/fleet_world.c
+++ b/t/support/fleet_world.c
@@ -294,7 +294,7 @@
 begin_owner (struct fleet_world *w, struct sim_owner *o)
 {
   static const struct owner_limits limits
-      = { FLEET_LEASE_MS, FLEET_MAX_LEASE_MS, FLEET_DRIFT_PPM, FLEET_STOP_MS };
+      = { FLEET_LEASE_MS, FLEET_MAX_LEASE_MS, FLEET_DRIFT_PPM };
 
   o->driver.ops = &driver_ops;
   o->world = w;
--- a/t/t1020-fleet-settings.c
+++ b/t/t1020-fleet-settings.c
@@ -29,11 +29,8 @@
   { "{{platform.addr|json}}", "\"10.200.1.7:8169\"" },
   { "{{platform.parts}}", "16" },
   { "{{platform.ttlMinMs}}", "1000.0" },
-  { "{{bounds.holdMaxMs}}", "1000" },
-  { "{{bounds.stopMs}}", "50" },
-  { "{{bounds.retransmitMs}}", "1300.5" },
+  { "{{bounds.holdMaxMs}}", "1000.5" },
   { "{{bounds.graceS}}", "5.5" },
-  { "{{limits.cpuShare}}", "0.25" },
 };
 
 static char *
@@ -91,7 +88,6 @@
   g_assert_cmpuint (s->beacon_port, ==, 7735);
   g_assert_cmpuint (s->n_shards, ==, 16);
   g_assert_cmpuint (s->max_lease_ms, ==, 1000);
-  g_assert_cmpuint (s->stop_ms, ==, 50);
   g_assert_cmpint (s->log_level, ==, LOG_LEVEL_INFO);
   fleet_settings_free (s);
 }
@@ -104,9 +100,8 @@
   struct fleet_settings *s = parse (text);
 
   g_assert_cmpuint (s->member_ttl_ms, ==, 1000);
-  g_assert_cmpuint (s->resend_ms, ==, 1300);
+  g_assert_cmpuint (s->max_lease_ms, ==, 1000);
   g_assert_cmpuint (s->grace_ms, ==, 5500);
-  g_assert_cmpfloat (s->cpu_share, ==, 0.25);
   fleet_settings_free (s);
 }
 
@@ -119,7 +114,6 @@
   g_assert_cmpuint (s->lease_ms, ==, 900);
   g_assert_cmpuint (s->max_lease_ms, ==, 1000);
   g_assert_cmpuint (s->max_connections, ==, 3000);
-  g_assert_cmpfloat (s->cpu_share, ==, 1);
   assert_endpoint (&s->metrics, NULL, 0);
   fleet_settings_free (s);
   s = parse ("{" REQUIRED ",\"metrics\":\"\"}");
@@ -213,13 +207,30 @@
   assert_problem ("{" REQUIRED ",\"shards\":65}",
                   "'shards' must be a number from 1 to 64");
   assert_problem ("{" REQUIRED ",\"shards\":\"16\"}", "must be a number");
-  assert_problem ("{" REQUIRED ",\"cpu_share\":0}", "must be a number from");
-  assert_problem ("{" REQUIRED ",\"stop_ms\":true}", "must be a number from");
+  assert_problem ("{" REQUIRED ",\"grace_s\":0}", "must be a number from");
+  assert_problem ("{" REQUIRED ",\"lease_ms\":true}", "must be a number from");
   assert_problem ("{" REQUIRED ",\"log_level\":\"loud\"}", "must be one of");
   assert_problem ("{" REQUIRED ",\"lease_ms\":700,\"max_lease_ms\":600}",
                   "must not be over max_lease_ms");
 }
 
+/* Members that were known once.  */
+static void
+test_former (void)
+{
+  static const char *const former[] = { "stop_ms", "resend_ms", "cpu_share" };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (former); i++)
+    {
+      g_autofree char *text
+          = g_strdup_printf ("{" REQUIRED ",\"%s\":1}", former[i]);
+      g_autofree char *problem
+          = g_strdup_printf ("unknown member '%s'; remove it", former[i]);
+
+      assert_problem (text, problem);
+    }
+}
+
 /* A name must fit into a beacon.  */
 static void
 test_long_names (void)
@@ -273,6 +284,7 @@
   g_test_add_func ("/fleet-settings/short-leases", test_short_leases);
   g_test_add_func ("/fleet-settings/missing", test_missing);
   g_test_add_func ("/fleet-settings/each-problem", test_each_problem);
+  g_test_add_func ("/fleet-settings/former", test_former);
   g_test_add_func ("/fleet-settings/long-names", test_long_names);
   g_test_add_func ("/fleet-settings/several-problems", test_several_problems);
   g_test_add_func ("/fleet-settings/no-file", test_no_file);
--- a/t/t2111-owner-single.c
+++ b/t/t2111-owner-single.c
@@ -76,7 +76,7 @@
 }
 
 static const struct owner_limits limits
-    = { .lease_ms = LEASE_MS, .max_lease_ms = 1000, .stop_ms = 50 };
+    = { .lease_ms = LEASE_MS, .max_lease_ms = 1000 };
 static const struct upstream_report report
     = { .clock_ms = 5000, .born_ms = 1 };
 
--- a/t/t5016-platform.c
+++ b/t/t5016-platform.c
@@ -122,13 +122,11 @@
   static const char *const zones[] = { "z", NULL };
   struct bed *bed = g_new0 (struct bed, 1);
   struct platform_config config = {
-    .vm = "vm-1",
     .member = "10.0.0.1:7720",
     .availability_zone = "z",
     .zones = zones,
     .n_shards = 16,
     .member_ttl_ms = 1500,
-    .lease_ms = 1000,
   };
 
   bed->events.ops = &ops;
--- a/transport/fleet.c
+++ b/transport/fleet.c
@@ -502,7 +502,6 @@
     .lease_ms = settings->lease_ms,
     .max_lease_ms = settings->max_lease_ms,
     .clock_drift_ppm = CLOCK_DRIFT_PPM,
-    .stop_ms = settings->stop_ms,
   };
 
   fleet->shards
