coordination: let the priority of a route order the owner's queue

The priority came with every batch and decided nothing. Among batches alike in lateness the lower number now goes first, and only then the time by which a batch must start. The queue is then no longer sorted by that time, so looking for those that have become late goes over all that are not late yet, and does not end at the first that is in time.

t2111 asserts the order with and without late batches; it fails without either half of the change. The random worlds of t2110 draw priorities too.

--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -177,7 +177,7 @@
   gint64 estimate_us;
   gdouble far_factor; /* run time elsewhere than on the rack */
   guint per_upstream; /* most tasks on one upstream; 0 for no limit */
-  guint priority;
+  guint priority;     /* 0 goes first; the late ones go after all others */
   guint attempts;
   gint64 start_by_us; /* to meet the objective */
   gint64
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -58,6 +58,8 @@
 {
   if (a->is_late != b->is_late)
     return b->is_late;
+  if (a->priority != b->priority)
+    return a->priority < b->priority;
   return a->start_by_us < b->start_by_us;
 }
 
@@ -458,9 +460,10 @@
     {
       struct batch *batch = list_entry (node, struct batch, link);
 
-      if (batch->is_late || batch->start_by_us > now_us)
+      if (batch->is_late)
         break;
-      g_ptr_array_add (late, batch);
+      if (batch->start_by_us <= now_us)
+        g_ptr_array_add (late, batch);
     }
   for (guint i = 0; i < late->len; i++)
     {
--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -12,7 +12,7 @@
   struct owner_driver *driver;
   struct owner_limits limits;
   GHashTable *upstreams;  /* id -> struct owned */
-  struct list_node queue; /* struct batch with queued tasks, by start_by_us */
+  struct list_node queue; /* struct batch with queued tasks, next one first */
   struct list_node batches; /* the other batches */
   gdouble usual_cpus;       /* of one task, smoothed */
   gint64 wake_us;
--- a/t/support/fleet_world.c
+++ b/t/support/fleet_world.c
@@ -497,6 +497,7 @@
       = (5 + fleet_draw (w, fleet_draw (w, 5) == 0 ? 3000 : 300))
         * USEC_PER_MSEC;
   batch->per_upstream = fleet_draw (w, 3) == 0 ? 2 : 0;
+  batch->priority = fleet_draw (w, 3);
   batch->attempts = model->attempts;
   batch->start_by_us = w->now_us + fleet_draw_us (w, 500 * USEC_PER_MSEC);
   if (fleet_draw (w, 3) == 0)
--- a/t/t2111-owner-single.c
+++ b/t/t2111-owner-single.c
@@ -147,11 +147,59 @@
   owner_free (owner);
 }
 
+/* Queues a batch that has to start within START_S seconds.  */
+static struct batch *
+queue (struct owner *owner, guint priority, guint start_s)
+{
+  struct batch *batch = make_batch ();
+
+  batch->priority = priority;
+  batch->start_by_us = START_US + start_s * USEC_PER_SEC;
+  owner_submit (owner, batch, START_US);
+  return batch;
+}
+
+/* Takes all queued batches off the queue; they must be the N of BATCHES, in
+   that order.  */
+static void
+assert_queued (struct owner *owner, struct batch *const *batches, guint n)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      g_assert_true (owner_get_first_queued (owner) == batches[i]);
+      owner_stop_batch (owner, batches[i], "test", START_US);
+    }
+  g_assert_null (owner_get_first_queued (owner));
+}
+
+/* Lateness goes before priority, and that before the objective.  */
+static void
+test_queue_order (void)
+{
+  for (guint pass = 0; pass < 2; pass++)
+    {
+      struct single_bed bed = { .driver.ops = &ops };
+      struct owner *owner = owner_new (&bed.driver, &limits);
+      struct batch *low = queue (owner, 2, 1);
+      struct batch *normal = queue (owner, 1, 4);
+      struct batch *urgent = queue (owner, 1, 2);
+      struct batch *first = queue (owner, 0, 5);
+      struct batch *in_time[] = { first, urgent, normal, low };
+      struct batch *after_3_s[] = { first, normal, urgent, low };
+
+      if (pass == 1)
+        owner_advance (owner, START_US + 3 * USEC_PER_SEC);
+      assert_queued (owner, pass == 1 ? after_3_s : in_time, 4);
+      owner_free (owner);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/owner/asking", test_asking);
   g_test_add_func ("/owner/all-on-trial", test_all_on_trial);
+  g_test_add_func ("/owner/queue-order", test_queue_order);
   return g_test_run ();
 }
