transport: clamp the queue time that a VM tells

The run time queued at an owner is kept in 64 bits of microseconds and told in 32 bits of milliseconds. Both places that fill the message in cut the upper bits off, so that a queue of 50 days looked short. One function fills it in for both now and stays at the greatest; t2120 asserts it.

--- a/coordination/vm_directory.c
+++ b/coordination/vm_directory.c
@@ -1,5 +1,7 @@
 #include "coordination/vm_directory.h"
 
+#include "base/hash64.h"
+
 struct vm_directory
 {
   struct vm_directory_owner *owner;
@@ -155,6 +157,19 @@
   return vm;
 }
 
+void
+vm_room_init (struct vm_room *room, const char *service,
+              const struct owner_room *own)
+{
+  gint64 queued_ms = own->queued_us / USEC_PER_MSEC;
+
+  room->service = hash64_string (service);
+  room->n_slots = own->n_slots;
+  room->free_slots = own->free_slots;
+  room->n_queued = own->n_queued;
+  room->queued_ms = (guint)CLAMP (queued_ms, 0, G_MAXUINT);
+}
+
 /* Queues N_TASKS more; the time stays at its greatest, as it must not wrap. */
 static void
 add_queued (struct vm_room *room, guint n_tasks, guint run_ms)
--- a/coordination/vm_directory.h
+++ b/coordination/vm_directory.h
@@ -9,6 +9,7 @@
 #define COORDINATION_VM_DIRECTORY_H
 
 #include "base/clock.h"
+#include "coordination/owner.h"
 
 #include <glib.h>
 
@@ -36,6 +37,11 @@
   guint queued_ms;
 };
 
+/* What is told of the room that OWN has for SERVICE; a queue too long for the
+   message counts as the longest that it can tell.  */
+void vm_room_init (struct vm_room *room, const char *service,
+                   const struct owner_room *own);
+
 struct vm
 {
   char *name;
--- a/t/t2120-vm-directory.c
+++ b/t/t2120-vm-directory.c
@@ -1,4 +1,5 @@
 /* The VMs of a fleet: who is found, lost, replaced and forgotten.  */
+#include "base/hash64.h"
 #include "coordination/vm_directory.h"
 
 #define OWN "entry-0"
@@ -276,6 +277,25 @@
   bed_free (bed);
 }
 
+/* What an owner has queued does not wrap in a message either.  */
+static void
+test_own_room (void)
+{
+  struct owner_room own
+      = { .n_slots = 3, .free_slots = 2, .n_queued = 1, .queued_us = 4999 };
+  struct vm_room room;
+
+  vm_room_init (&room, "s", &own);
+  g_assert_cmpuint (room.service, ==, hash64_string ("s"));
+  g_assert_cmpuint (room.n_slots, ==, 3);
+  g_assert_cmpuint (room.free_slots, ==, 2);
+  g_assert_cmpuint (room.n_queued, ==, 1);
+  g_assert_cmpuint (room.queued_ms, ==, 4);
+  own.queued_us = (G_MAXUINT + G_GINT64_CONSTANT (2)) * USEC_PER_MSEC;
+  vm_room_init (&room, "s", &own);
+  g_assert_cmpuint (room.queued_ms, ==, G_MAXUINT);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -285,6 +305,7 @@
   g_test_add_func ("/vm-directory/old-sequence", test_old_sequence);
   g_test_add_func ("/vm-directory/take-room", test_take_room);
   g_test_add_func ("/vm-directory/long-queue", test_long_queue);
+  g_test_add_func ("/vm-directory/own-room", test_own_room);
   g_test_add_func ("/vm-directory/forgotten", test_forgotten);
   g_test_add_func ("/vm-directory/lost-and-forgotten",
                    test_lost_and_forgotten);
--- a/transport/fleet.c
+++ b/transport/fleet.c
@@ -1,7 +1,6 @@
 #include "transport/fleet.h"
 
 #include "base/event_log.h"
-#include "base/hash64.h"
 #include "base/metrics.h"
 #include "transport/fleet_beacon.h"
 #include "transport/fleet_shards.h"
@@ -183,19 +182,13 @@
   for (guint i = 0; i < services->len && news->n_rooms < VM_ROOMS_MAX; i++)
     {
       const char *service = g_ptr_array_index (services, i);
-      struct vm_room *to = &rooms[news->n_rooms];
       struct owner_room room;
 
       owner_get_room (fleet_owner_get (fleet->owner), service, &room,
                       clock_now_us ());
       if (room.n_slots == 0)
         continue;
-      to->service = hash64_string (service);
-      to->n_slots = room.n_slots;
-      to->free_slots = room.free_slots;
-      to->n_queued = room.n_queued;
-      to->queued_ms = (guint)(room.queued_us / USEC_PER_MSEC);
-      news->n_rooms++;
+      vm_room_init (&rooms[news->n_rooms++], service, &room);
     }
 }
 
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -449,10 +449,7 @@
 
   owner_get_room (fleet_owner_get (home->owner), service, &room,
                   clock_now_us ());
-  owner.room.n_slots = room.n_slots;
-  owner.room.free_slots = room.free_slots;
-  owner.room.n_queued = room.n_queued;
-  owner.room.queued_ms = (guint)(room.queued_us / USEC_PER_MSEC);
+  vm_room_init (&owner.room, service, &room);
   if (owner.room.n_slots > 0)
     g_array_append_val (owners, owner);
 }
