--- a/t/support/fleet_world.c
+++ b/t/support/fleet_world.c
@@ -1,6 +1,6 @@
 #include "t/support/fleet_world_private.h"
 
-#include <stdio.h>
+#include <string.h>
 
 /* Time that one step may take, in ms.  */
 #define MAX_STEP_MS 8
@@ -49,14 +49,30 @@
                   (guint)(world->now_us % 1000), text);
 }
 
+/* The number between BEFORE and AFTER at *TEXT, which is moved on.  */
+static guint
+read_part (const char **text, const char *before, char after)
+{
+  gsize n = strlen (before);
+  guint number = 0;
+  const char *c;
+
+  g_assert_cmpint (strncmp (*text, before, n), ==, 0);
+  for (c = *text + n; g_ascii_isdigit (*c); c++)
+    number = number * 10 + (guint)(*c - '0');
+  g_assert_true (c > *text + n && *c == after);
+  *text = c;
+  return number;
+}
+
+/* Called for every run at every millisecond, hence no sscanf ().  */
 struct sim_batch *
 fleet_find_batch (struct fleet_world *world, const char *name, guint *index)
 {
-  guint number;
-  guint step;
+  guint number = read_part (&name, "j", '.');
+  guint step = read_part (&name, ".0.", '.');
 
-  g_assert_cmpint (sscanf (name, "j%u.0.%u.%u", &number, &step, index), ==, 3);
-  *index -= step;
+  *index = read_part (&name, ".", '\0') - step;
   g_assert_cmpuint (number, <, world->batches->len);
   return g_ptr_array_index (world->batches, number);
 }
