--- a/t/t2110-owner-random.c
+++ b/t/t2110-owner-random.c
@@ -12,7 +12,7 @@
 
 #include <stdlib.h>
 
-#define N_SEQUENCES 100
+#define N_SEQUENCES 334
 #define SEQUENCE_LENGTH 3000
 
 /* Runs that the shortening of a sequence may take.  */
