transport: keep deadlines and account of an HTTP server here

Deadlines of calls, fresh connections after silence, and the account of whether a server is reached know nothing of the platform.

--- a/t/t5013-store-client.c
+++ b/t/t5013-store-client.c
@@ -70,7 +70,8 @@
   g_assert_cmpuint (result.status, ==, 200);
   g_assert_cmpstr (fake_store_last (store, "log-read"), ==,
                    "topic=keyed.a&part=0&from=0");
-  g_assert_false (store_client_was_troubled (client, 0));
+  g_assert_false (
+      server_calls_was_troubled (store_client_get_calls (client), 0));
   store_client_free (client);
   fake_store_free (store);
 }
@@ -88,7 +89,8 @@
   read_topic (client, &result);
   g_assert_cmpuint (result.status, ==, 0);
   g_assert_false (result.has_body);
-  g_assert_true (store_client_was_troubled (client, begin_us));
+  g_assert_true (
+      server_calls_was_troubled (store_client_get_calls (client), begin_us));
   fake_store_set_fault (store, 0);
   read_topic (client, &result);
   g_assert_cmpuint (result.status, ==, 200);
@@ -111,7 +113,8 @@
       fake_store_set_fault (store, faults[i]);
       read_topic (client, &result);
       g_assert_cmpuint (result.status, ==, faults[i]);
-      g_assert_true (store_client_was_troubled (client, 0));
+      g_assert_true (
+          server_calls_was_troubled (store_client_get_calls (client), 0));
       store_client_free (client);
     }
   fake_store_free (store);
