t: share the drawing and shortening of sequences

t2090 and t2110 each had their own copy. t/support/sequence holds one, with the world as a table of functions. t2090 gets the bound on the runs that a shortening takes, and shortens to the same failure, as t2110 did; what passes and what fails is the same.

--- a/t/t2090-dispatcher-random.c
+++ b/t/t2090-dispatcher-random.c
@@ -4,92 +4,36 @@
  */
 #include "base/event_log.h"
 #include "t/support/decision_world.h"
+#include "t/support/sequence.h"
 
 #define N_SEQUENCES 200
 #define SEQUENCE_LENGTH 5000
 
-struct sequence
+static gpointer
+create (guint32 seed)
 {
-  guint32 seed;
-  GArray *codes; /* guint32 */
-};
+  return world_new (seed);
+}
 
-/* Runs SEQUENCE.  Returns what broke, or NULL; *N_DONE is the number of steps
-   that were performed.  */
 static const char *
-run (const struct sequence *sequence, guint *n_done)
+step (gpointer world, guint32 code)
 {
-  struct world *world = world_new (sequence->seed);
-  const char *broken = NULL;
-
-  *n_done = 0;
-  while (broken == NULL && *n_done < sequence->codes->len)
-    {
-      guint32 code = g_array_index (sequence->codes, guint32, *n_done);
-
-      broken = world_step (world, code);
-      (*n_done)++;
-    }
-  if (broken == NULL)
-    broken = world_settle (world);
-  world_free (world);
-  return broken;
+  return world_step (world, code);
 }
 
-static struct sequence
-draw_sequence (guint32 seed)
+static const char *
+settle (gpointer world)
 {
-  struct sequence sequence
-      = { seed, g_array_new (FALSE, FALSE, sizeof (guint32)) };
-  GRand *random = g_rand_new_with_seed (seed);
-
-  for (guint i = 0; i < SEQUENCE_LENGTH; i++)
-    {
-      guint32 code = g_rand_int (random);
-
-      g_array_append_val (sequence.codes, code);
-    }
-  g_rand_free (random);
-  return sequence;
+  return world_settle (world);
 }
 
-/* Leaves out parts of a failing sequence as long as it still fails.  */
 static void
-shrink (struct sequence *sequence)
+end (gpointer world)
 {
-  guint n_done;
-
-  for (guint size = sequence->codes->len; size > 0; size /= 2)
-    {
-      for (guint from = 0; from + size <= sequence->codes->len;)
-        {
-          struct sequence shorter = { sequence->seed, NULL };
-
-          shorter.codes = g_array_copy (sequence->codes);
-          g_array_remove_range (shorter.codes, from, size);
-          if (run (&shorter, &n_done) == NULL)
-            {
-              g_array_unref (shorter.codes);
-              from += size;
-              continue;
-            }
-          g_array_unref (sequence->codes);
-          sequence->codes = shorter.codes;
-        }
-    }
+  world_free (world);
 }
 
-static void
-print_failure (struct sequence *sequence, const char *broken, guint n_done)
-{
-  g_test_message ("seed %u: %s, after %u steps", sequence->seed, broken,
-                  n_done);
-  g_array_set_size (sequence->codes, n_done);
-  shrink (sequence);
-  g_test_message ("shortened to %u steps:", sequence->codes->len);
-  for (guint i = 0; i < sequence->codes->len; i++)
-    g_test_message ("  0x%08x", g_array_index (sequence->codes, guint32, i));
-}
+static const struct sequence_ops ops = { create, step, settle, NULL, end };
 
 static void
 test_random_sequences (void)
@@ -98,13 +42,13 @@
 
   for (guint32 seed = 1; seed <= N_SEQUENCES; seed++)
     {
-      struct sequence sequence = draw_sequence (seed);
+      struct sequence sequence = sequence_draw (seed, SEQUENCE_LENGTH);
       guint n_done;
-      const char *broken = run (&sequence, &n_done);
+      const char *broken = sequence_run (&sequence, &ops, FALSE, &n_done);
 
       if (broken != NULL)
         {
-          print_failure (&sequence, broken, n_done);
+          sequence_print_failure (&sequence, &ops, broken, n_done);
           g_test_fail_printf ("seed %u: %s", seed, broken);
           g_array_unref (sequence.codes);
           return;
--- a/t/t2110-owner-random.c
+++ b/t/t2110-owner-random.c
@@ -9,21 +9,13 @@
  */
 #include "base/event_log.h"
 #include "t/support/fleet_world.h"
+#include "t/support/sequence.h"
 
 #include <stdlib.h>
 
 #define N_SEQUENCES 334
 #define SEQUENCE_LENGTH 3000
 
-/* Runs that the shortening of a sequence may take.  */
-#define MAX_SHRINK_RUNS 600
-
-struct sequence
-{
-  guint32 seed;
-  GArray *codes; /* guint32 */
-};
-
 static struct fleet_counts total;
 
 static void
@@ -36,99 +28,53 @@
     ((guint *)(void *)&total)[i] += ((guint *)(void *)&counts)[i];
 }
 
-/* Runs SEQUENCE.  Returns what broke, or NULL; *N_DONE is the number of steps
-   that were performed.  */
-static const char *
-run (const struct sequence *sequence, gboolean is_traced, guint *n_done)
+static gpointer
+create (guint32 seed)
 {
-  struct fleet_world *world = fleet_world_new (sequence->seed);
-  const char *broken = NULL;
-
-  if (is_traced)
-    fleet_world_trace (world);
-  *n_done = 0;
-  while (broken == NULL && *n_done < sequence->codes->len)
-    {
-      guint32 code = g_array_index (sequence->codes, guint32, *n_done);
-
-      broken = fleet_world_step (world, code);
-      (*n_done)++;
-    }
-  if (broken == NULL)
-    broken = fleet_world_settle (world);
-  add_counts (world);
-  fleet_world_free (world);
-  return broken;
+  return fleet_world_new (seed);
 }
 
-static struct sequence
-draw_sequence (guint32 seed)
+static const char *
+step (gpointer world, guint32 code)
 {
-  struct sequence sequence
-      = { seed, g_array_new (FALSE, FALSE, sizeof (guint32)) };
-  GRand *random = g_rand_new_with_seed (seed);
-
-  for (guint i = 0; i < SEQUENCE_LENGTH; i++)
-    {
-      guint32 code = g_rand_int (random);
+  return fleet_world_step (world, code);
+}
 
-      g_array_append_val (sequence.codes, code);
-    }
-  g_rand_free (random);
-  return sequence;
+static const char *
+settle (gpointer world)
+{
+  return fleet_world_settle (world);
 }
 
-/* Leaves out parts of a failing sequence as long as it fails alike.  */
 static void
-shrink (struct sequence *sequence, const char *broken)
+trace (gpointer world)
 {
-  guint n_runs = 0;
-  guint n_done;
-
-  for (guint size = sequence->codes->len; size > 0; size /= 2)
-    for (guint from = 0;
-         from + size <= sequence->codes->len && n_runs++ < MAX_SHRINK_RUNS;)
-      {
-        struct sequence shorter = { sequence->seed, NULL };
-
-        shorter.codes = g_array_copy (sequence->codes);
-        g_array_remove_range (shorter.codes, from, size);
-        if (run (&shorter, FALSE, &n_done) != broken)
-          {
-            g_array_unref (shorter.codes);
-            from += size;
-            continue;
-          }
-        g_array_unref (sequence->codes);
-        sequence->codes = shorter.codes;
-      }
+  fleet_world_trace (world);
 }
 
 static void
-print_failure (struct sequence *sequence, const char *broken, guint n_done)
+end (gpointer world)
 {
-  g_test_message ("seed %u: %s, after %u steps", sequence->seed, broken,
-                  n_done);
-  g_array_set_size (sequence->codes, n_done);
-  shrink (sequence, broken);
-  g_test_message ("shortened to %u steps:", sequence->codes->len);
-  run (sequence, TRUE, &n_done);
+  add_counts (world);
+  fleet_world_free (world);
 }
 
+static const struct sequence_ops ops = { create, step, settle, trace, end };
+
 /* Returns whether the sequence of SEED holds.  */
 static gboolean
 run_seed (guint32 seed, gboolean is_traced)
 {
-  struct sequence sequence = draw_sequence (seed);
+  struct sequence sequence = sequence_draw (seed, SEQUENCE_LENGTH);
   guint n_done;
-  const char *broken = run (&sequence, is_traced, &n_done);
+  const char *broken = sequence_run (&sequence, &ops, is_traced, &n_done);
 
   if (broken != NULL)
     {
       if (g_getenv ("OWNER_SURVEY") != NULL)
         g_test_message ("seed %u: %s, after %u steps", seed, broken, n_done);
       else if (!is_traced)
-        print_failure (&sequence, broken, n_done);
+        sequence_print_failure (&sequence, &ops, broken, n_done);
       g_test_fail_printf ("seed %u: %s", seed, broken);
     }
   g_array_unref (sequence.codes);
