--- a/t/support/fake_store.c
+++ b/t/support/fake_store.c
@@ -442,6 +442,24 @@
   return GPOINTER_TO_UINT (g_hash_table_lookup (store->counts, call));
 }
 
+void
+fake_store_wait (const struct fake_store *store, const char *call, guint n)
+{
+  guint end = fake_store_count (store, call) + n;
+
+  while (fake_store_count (store, call) < end)
+    g_main_context_iteration (NULL, TRUE);
+}
+
+void
+fake_store_expect (GString *told, const char *words)
+{
+  while (told->len < strlen (words))
+    g_main_context_iteration (NULL, TRUE);
+  g_assert_cmpstr (told->str, ==, words);
+  g_string_truncate (told, 0);
+}
+
 const char *
 fake_store_last (const struct fake_store *store, const char *call)
 {
--- a/t/support/fake_store.h
+++ b/t/support/fake_store.h
@@ -48,6 +48,14 @@
 /* How often CALL has come.  */
 guint fake_store_count (const struct fake_store *store, const char *call);
 
+/* Waits until CALL has come N more times.  */
+void fake_store_wait (const struct fake_store *store, const char *call,
+                      guint n);
+
+/* Waits until a test has written just these WORDS to TOLD, which it empties.
+ */
+void fake_store_expect (GString *told, const char *words);
+
 /* The last body or query of CALL; NULL for none.  */
 const char *fake_store_last (const struct fake_store *store, const char *call);
 
--- a/t/t5014-follower.c
+++ b/t/t5014-follower.c
@@ -112,26 +112,6 @@
   g_free (bed);
 }
 
-/* Waits until just these words were told since the last time.  */
-static void
-expect (struct bed *bed, const char *words)
-{
-  while (bed->told->len < strlen (words))
-    g_main_context_iteration (NULL, TRUE);
-  g_assert_cmpstr (bed->told->str, ==, words);
-  g_string_truncate (bed->told, 0);
-}
-
-/* Waits until CALL has come N more times.  */
-static void
-wait_calls (struct bed *bed, const char *call, guint n)
-{
-  guint end = fake_store_count (bed->store, call) + n;
-
-  while (fake_store_count (bed->store, call) < end)
-    g_main_context_iteration (NULL, TRUE);
-}
-
 static void
 pass (guint ms)
 {
@@ -152,10 +132,10 @@
 
   put_upstream (bed, "i-1", "s", "ready", 1);
   follow (bed);
-  wait_calls (bed, "log-newest", 3);
+  fake_store_wait (bed->store, "log-newest", 3);
   g_assert_cmpstr (bed->told->str, ==, "");
   put_state (bed, 3, "s");
-  expect (bed, " v3 +i-1");
+  fake_store_expect (bed->told, " v3 +i-1");
   close_bed (bed);
 }
 
@@ -166,9 +146,9 @@
 
   put_state (bed, 3, "s");
   follow (bed);
-  expect (bed, " v3");
+  fake_store_expect (bed->told, " v3");
   put_state (bed, 7, "s");
-  expect (bed, " v7");
+  fake_store_expect (bed->told, " v7");
   put_state (bed, 5, "s");
   put_state (bed, 7, "t");
   fake_store_put (bed->store, "keyed.op", "config", "{'version':8");
@@ -176,7 +156,7 @@
   fake_store_put (bed->store, "keyed.op", "other", "{'version':10}");
   fake_store_put (bed->store, "keyed.op", "config", NULL);
   put_state (bed, 11, "s");
-  expect (bed, " v11");
+  fake_store_expect (bed->told, " v11");
   close_bed (bed);
 }
 
@@ -188,16 +168,16 @@
 
   put_state (bed, 3, "s");
   follow (bed);
-  expect (bed, " v3");
+  fake_store_expect (bed->told, " v3");
   fake_store_set_fault (bed->store, 503);
-  wait_calls (bed, "log-read", 2);
+  fake_store_wait (bed->store, "log-read", 2);
   put_state (bed, 4, "s");
   put_state (bed, 6, "s");
   fake_store_forget (bed->store, "keyed.op");
   fake_store_set_fault (bed->store, 0);
-  expect (bed, " v6");
+  fake_store_expect (bed->told, " v6");
   put_state (bed, 8, "s");
-  expect (bed, " v8");
+  fake_store_expect (bed->told, " v8");
   close_bed (bed);
 }
 
@@ -209,7 +189,7 @@
 
   do
     {
-      wait_calls (bed, "log-read", 1);
+      fake_store_wait (bed->store, "log-read", 1);
       query = fake_store_last (bed->store, "log-read");
     }
   while (strstr (query, "keyed.op") == NULL);
@@ -225,7 +205,7 @@
 
   put_state (bed, 3, "s");
   follow (bed);
-  expect (bed, " v3");
+  fake_store_expect (bed->told, " v3");
   g_assert_nonnull (strstr (wait_operator_read (bed), "waitMs="));
   fake_store_set_fault (bed->store, 503);
   wait_operator_read (bed);
@@ -233,7 +213,7 @@
   g_assert_null (strstr (wait_operator_read (bed), "waitMs="));
   put_state (bed, 4, "s");
   fake_store_set_fault (bed->store, 0);
-  expect (bed, " v4");
+  fake_store_expect (bed->told, " v4");
   g_assert_nonnull (strstr (wait_operator_read (bed), "waitMs="));
   close_bed (bed);
 }
@@ -254,16 +234,16 @@
   put_state (bed, 3, "s");
   put_upstream (bed, "i-1", "t", "ready", 1);
   follow (bed);
-  expect (bed, " v3");
-  wait_calls (bed, "log-read", 2);
+  fake_store_expect (bed->told, " v3");
+  fake_store_wait (bed->store, "log-read", 2);
   follower_offer_routes (bed->follower, c);
   follower_offer_routes (bed->follower, a);
   follower_offer_routes (bed->follower, a);
   follower_offer_routes (bed->follower, b);
   g_assert_cmpstr (bed->told->str, ==, "");
-  expect (bed, " v5 +i-1");
+  fake_store_expect (bed->told, " v5 +i-1");
   pass (50);
-  expect (bed, "");
+  fake_store_expect (bed->told, "");
   close_bed (bed);
 }
 
@@ -277,20 +257,20 @@
   put_upstream (bed, "i-1", "s", "ready", 1);
   put_upstream (bed, "i-2", "other", "ready", 1);
   follow (bed);
-  expect (bed, " v3 +i-1");
+  fake_store_expect (bed->told, " v3 +i-1");
   put_upstream (bed, "i-1", "s", "ready", 2);
   put_upstream (bed, "i-3", "s", "lost", 1);
   fake_store_put_bytes (bed->store, "keyed.servers", "i-4", "\xff{\0", 3);
   fake_store_put (bed->store, "keyed.servers", "i-1", "{'service':'s'}");
   put_upstream (bed, "i-1", "s", "draining", 3);
-  expect (bed, " +i-1~");
+  fake_store_expect (bed->told, " +i-1~");
   put_upstream (bed, "i-5", "s", "ready", 1);
-  expect (bed, " +i-5");
+  fake_store_expect (bed->told, " +i-5");
   drop_upstream (bed, "i-3");
   drop_upstream (bed, "i-1");
-  expect (bed, " -i-1");
+  fake_store_expect (bed->told, " -i-1");
   put_upstream (bed, "i-1", "s", "ready", 4);
-  expect (bed, " +i-1");
+  fake_store_expect (bed->told, " +i-1");
   close_bed (bed);
 }
 
@@ -324,16 +304,16 @@
   pass (100);
   g_string_truncate (bed->told, 0);
   fake_store_set_fault (bed->store, 503);
-  wait_calls (bed, "log-read", 3);
+  fake_store_wait (bed->store, "log-read", 3);
   drop_upstream (bed, "i-1");
   drop_upstream (bed, "i-2");
   fake_store_set_fault (bed->store, 0);
-  wait_calls (bed, "log-read", 3);
+  fake_store_wait (bed->store, "log-read", 3);
   pass (500);
   put_upstream (bed, "i-1", "s", "ready", 2);
-  expect (bed, " -i-2");
+  fake_store_expect (bed->told, " -i-2");
   pass (600);
-  expect (bed, "");
+  fake_store_expect (bed->told, "");
   close_bed (bed);
 }
 
@@ -351,12 +331,12 @@
   pass (100);
   g_string_truncate (bed->told, 0);
   fake_store_set_fault (bed->store, FAKE_STORE_SILENT);
-  wait_calls (bed, "log-read", 1);
+  fake_store_wait (bed->store, "log-read", 1);
   drop_upstream (bed, "i-1");
   fake_store_forget (bed->store, "keyed.servers");
   begin_us = clock_now_us ();
   fake_store_set_fault (bed->store, 0);
-  expect (bed, " -i-1");
+  fake_store_expect (bed->told, " -i-1");
   g_assert_cmpint (clock_now_us () - begin_us, >=, 2500 * USEC_PER_MSEC);
   close_bed (bed);
 }
@@ -371,7 +351,7 @@
   put_state (bed, 3, "s");
   put_upstream (bed, "i-1", "s", "ready", 1);
   follow (bed);
-  expect (bed, " v3 +i-1");
+  fake_store_expect (bed->told, " v3 +i-1");
   n = fake_store_count (bed->store, "log-read");
   pass (2400);
   g_assert_cmpuint (fake_store_count (bed->store, "log-read") - n, <=, 9);
--- a/t/t5015-shard-group.c
+++ b/t/t5015-shard-group.c
@@ -97,25 +97,6 @@
   fake_store_set_answer (bed->store, "log-join", answer);
 }
 
-static void
-wait_calls (struct bed *bed, const char *call, guint n)
-{
-  guint end = fake_store_count (bed->store, call) + n;
-
-  while (fake_store_count (bed->store, call) < end)
-    g_main_context_iteration (NULL, TRUE);
-}
-
-/* Waits until just these words were told since the last time.  */
-static void
-expect (struct bed *bed, const char *words)
-{
-  while (bed->assigned->len < strlen (words))
-    g_main_context_iteration (NULL, TRUE);
-  g_assert_cmpstr (bed->assigned->str, ==, words);
-  g_string_truncate (bed->assigned, 0);
-}
-
 static json_t *
 last_body (struct bed *bed, const char *call)
 {
@@ -147,21 +128,21 @@
 
   answer_join (bed, "{'generation':6,'ttlMs':1000,'parts':[]}");
   join (bed);
-  expect (bed, " g6:");
+  fake_store_expect (bed->assigned, " g6:");
   expect_join (bed, 0);
   answer_join (bed, "{'generation':7,'parts':[['shards.z-a',12,0],"
                     "['shards.z-a',3,840],['other',4,0],"
                     "['shards.z-a',99,0]]}");
-  expect (bed, " g7:3,12,");
+  fake_store_expect (bed->assigned, " g7:3,12,");
   expect_join (bed, 6);
-  wait_calls (bed, "log-join", 3);
+  fake_store_wait (bed->store, "log-join", 3);
   g_assert_cmpstr (bed->assigned->str, ==, "");
   expect_join (bed, 7);
   answer_join (bed, "{'generation':8,'parts':[['shards.z-a',12,0],"
                     "['shards.z-a',3,840]]}");
-  expect (bed, " g8:3,12,");
+  fake_store_expect (bed->assigned, " g8:3,12,");
   answer_join (bed, "{'generation':8,'parts':[['shards.z-a',12,0]]}");
-  expect (bed, " g8:12,");
+  fake_store_expect (bed->assigned, " g8:12,");
   close_bed (bed);
 }
 
@@ -182,17 +163,17 @@
 
   answer_join (bed, "{'generation':6,'parts':[['shards.z-a',2,0]]}");
   join (bed);
-  expect (bed, " g6:2,");
+  fake_store_expect (bed->assigned, " g6:2,");
   for (gsize i = 0; i < G_N_ELEMENTS (answers); i++)
     {
       answer_join (bed, answers[i]);
-      wait_calls (bed, "log-join", 2);
+      fake_store_wait (bed->store, "log-join", 2);
       g_assert_cmpstr (bed->assigned->str, ==, "");
     }
   answer_join (bed, NULL);
-  wait_calls (bed, "log-join", 2);
+  fake_store_wait (bed->store, "log-join", 2);
   answer_join (bed, "{'generation':10,'parts':[]}");
-  expect (bed, " g10:");
+  fake_store_expect (bed->assigned, " g10:");
   close_bed (bed);
 }
 
@@ -204,12 +185,12 @@
 
   answer_join (bed, "{'generation':6,'parts':[]}");
   join (bed);
-  expect (bed, " g6:");
+  fake_store_expect (bed->assigned, " g6:");
   fake_store_set_fault (bed->store, FAKE_STORE_SILENT);
-  wait_calls (bed, "log-join", 6);
+  fake_store_wait (bed->store, "log-join", 6);
   answer_join (bed, "{'generation':7,'parts':[]}");
   fake_store_set_fault (bed->store, 0);
-  expect (bed, " g7:");
+  fake_store_expect (bed->assigned, " g7:");
   close_bed (bed);
 }
 
@@ -249,7 +230,7 @@
   struct bed *bed = open_bed ();
 
   join (bed);
-  wait_calls (bed, "log-owners", 4);
+  fake_store_wait (bed->store, "log-owners", 4);
   g_assert_cmpuint (bed->n_lists, ==, 0);
   close_bed (bed);
 }
@@ -263,11 +244,11 @@
 
   answer_join (bed, "{'generation':6,'parts':[]}");
   join (bed);
-  expect (bed, " g6:");
+  fake_store_expect (bed->assigned, " g6:");
   fake_store_set_fault (bed->store, 503);
   shard_group_leave (bed->group);
   shard_group_leave (bed->group);
-  wait_calls (bed, "log-leave", 2);
+  fake_store_wait (bed->store, "log-leave", 2);
   body = last_body (bed, "log-leave");
   g_assert_cmpstr (json_string_value (json_object_get (body, "group")), ==,
                    "shards.z-a");
@@ -278,8 +259,8 @@
   answer_join (bed, "{'generation':7,'parts':[]}");
   fake_store_set_answer (bed->store, "log-leave", "{}");
   fake_store_set_fault (bed->store, 0);
-  wait_calls (bed, "log-leave", 1);
-  wait_calls (bed, "log-owners", 2);
+  fake_store_wait (bed->store, "log-leave", 1);
+  fake_store_wait (bed->store, "log-owners", 2);
   g_assert_cmpuint (fake_store_count (bed->store, "log-join"), ==, n);
   g_assert_cmpuint (fake_store_count (bed->store, "log-leave"), ==, 3);
   g_assert_cmpstr (bed->assigned->str, ==, "");
