--- a/t/support/fault_bed.c
+++ b/t/support/fault_bed.c
@@ -236,22 +236,6 @@
   json_decref (state);
 }
 
-static char *
-draw_ticket (struct fault_bed *bed, guint entry)
-{
-  g_autofree char *url
-      = deployment_url (bed->deployment, entry, "/v1/tickets");
-  struct http_answer *answer = http_request ("POST", url, NULL, NULL);
-  json_t *body = http_answer_json (answer);
-  char *ticket = g_strdup (
-      json_string_value (json_array_get (json_get (body, "tickets"), 0)));
-
-  g_assert_nonnull (ticket);
-  json_decref (body);
-  http_answer_free (answer);
-  return ticket;
-}
-
 static char *
 job_text (const char *ticket, guint n_tasks, guint run_ms, guint first_value)
 {
@@ -280,7 +264,7 @@
       = http_url (bed->caller_proxy->ports[entry], "/v1/jobs");
   struct fault_call *call = g_new0 (struct fault_call, 1);
 
-  call->ticket = draw_ticket (bed, entry);
+  call->ticket = peers_draw_ticket (bed->deployment, entry);
   call->text = job_text (call->ticket, n_tasks, run_ms, bed->next_value);
   checker_add_job (bed->checker, call->ticket, n_tasks, bed->next_value);
   bed->next_value += n_tasks;
--- a/t/t9201-config.c
+++ b/t/t9201-config.c
@@ -6,6 +6,7 @@
 #include "t/support/cut_link.h"
 #include "t/support/deployment.h"
 #include "t/support/http.h"
+#include "t/support/peers.h"
 #include "t/support/run.h"
 
 #include <glib/gstdio.h>
@@ -54,53 +55,6 @@
 }
 
 /* Whether a VM knows as many live peers as DATA says.  */
-static gboolean
-has_live_peers (json_t *state, gpointer data)
-{
-  const guint *n_wanted = data;
-  json_t *peers = json_get (state, "peers");
-  guint n = 0;
-
-  for (size_t i = 0; i < json_array_size (peers); i++)
-    if (g_strcmp0 (
-            json_string_value (json_get (json_array_get (peers, i), "state")),
-            "alive")
-        == 0)
-      n++;
-  return n >= *n_wanted;
-}
-
-/* Puts the entry VMs on the platform's list, by which they find each other,
-   and waits until they have.  */
-static void
-list_entries (struct deployment *d)
-{
-  json_t *vms = json_array ();
-  g_autofree char *text = NULL;
-
-  for (guint i = 0; i < d->n_entries; i++)
-    {
-      g_autofree char *name = g_strdup_printf ("entry-%u", i + 1);
-      g_autofree char *address
-          = g_strdup_printf ("127.0.0.1:%u", d->entries[i]->ports[1]);
-
-      json_array_append_new (
-          vms, json_pack ("{s:s, s:s, s:s, s:s, s:s}", "name", name, "role",
-                          "entry", "availability_zone", "reykjavik-a",
-                          "address", address, "status", "live"));
-    }
-  text = json_dumps (vms, JSON_COMPACT);
-  control (d, "/test/vms", text);
-  json_decref (vms);
-  for (guint i = 0; i < d->n_entries; i++)
-    {
-      g_autofree char *url = deployment_url (d, i, "/v1/state");
-      guint n_wanted = d->n_entries - 1;
-
-      json_decref (http_poll_until (url, has_live_peers, &n_wanted));
-    }
-}
-
 /* Writes the deployment's document with WEIGHT to a file.  */
 static char *
 write_document (struct deployment *d, const char *name, int weight)
@@ -368,7 +322,7 @@
   json_object_set_new (settings, "log_url", json_string (cut_url));
   deployment_start_entry (d, 1, settings);
   d->n_entries = 2;
-  list_entries (d);
+  peers_connect (d);
   g_free (wait_version (d, 1, d->version));
   cut_link_silence (link);
   publish_weight (d, 4, 1);
@@ -400,7 +354,7 @@
   json_object_set_new (settings, "log_url", json_string (cut_url));
   deployment_start_entry (d, 1, settings);
   d->n_entries = 2;
-  list_entries (d);
+  peers_connect (d);
   g_free (wait_version (d, 1, d->version));
   cut_link_silence (link);
   process_signal (d->entries[1], SIGSTOP);
