--- a/t/support/decision_bed.c
+++ b/t/support/decision_bed.c
@@ -70,6 +70,15 @@
   return bed;
 }
 
+struct bed *
+bed_new_with (guint n_upstreams, guint slots)
+{
+  struct bed *bed = bed_new ();
+
+  bed_apply (bed, bed_make_document ("t", 1, n_upstreams, slots));
+  return bed;
+}
+
 void
 bed_free (struct bed *bed)
 {
--- a/t/support/decision_bed.h
+++ b/t/support/decision_bed.h
@@ -30,6 +30,9 @@
 
 struct bed *bed_new (void);
 
+/* The same with a document of team "t", N_UPSTREAMS of SLOTS slots.  */
+struct bed *bed_new_with (guint n_upstreams, guint slots);
+
 /* Ends what still runs and frees all.  */
 void bed_free (struct bed *bed);
 
--- a/t/t2000-outcome.c
+++ b/t/t2000-outcome.c
@@ -75,10 +75,9 @@
 static void
 test_refused_by_all (void)
 {
-  struct bed *bed = bed_new ();
+  struct bed *bed = bed_new_with (4, 1);
   struct job *job;
 
-  bed_apply (bed, bed_make_document ("t", 1, 4, 1));
   job = bed_submit (bed, 1);
   for (guint i = 0; i < 1000 && job->state == JOB_ACTIVE; i++)
     {
@@ -97,10 +96,9 @@
 static void
 test_one_started_task_is_told (void)
 {
-  struct bed *bed = bed_new ();
+  struct bed *bed = bed_new_with (1, 1);
   struct job *job;
 
-  bed_apply (bed, bed_make_document ("t", 1, 1, 1));
   job = bed_make_job (bed, 2);
   job->deadline_us = bed->now_us + 10 * 1000 * 1000;
   g_assert_true (dispatcher_submit (bed->dispatcher, job, bed->now_us, NULL));
@@ -116,10 +114,9 @@
 static void
 test_failure_ends_the_rest (void)
 {
-  struct bed *bed = bed_new ();
+  struct bed *bed = bed_new_with (2, 1);
   struct job *job;
 
-  bed_apply (bed, bed_make_document ("t", 1, 2, 1));
   job = bed_submit (bed, 4);
   bed_end (bed, bed_find_running (bed, "u0"), ATTEMPT_ANSWER_FAILED);
   g_assert_cmpint (job->state, ==, JOB_FAILED);
--- a/t/t2010-placement.c
+++ b/t/t2010-placement.c
@@ -95,9 +95,8 @@
 static void
 test_spreads_over_upstreams (void)
 {
-  struct bed *bed = bed_new ();
+  struct bed *bed = bed_new_with (4, 2);
 
-  bed_apply (bed, bed_make_document ("t", 1, 4, 2));
   bed_submit (bed, 4);
   for (guint i = 0; i < 4; i++)
     {
@@ -187,10 +186,9 @@
 static void
 test_shared_host (void)
 {
-  struct bed *bed = bed_new ();
+  struct bed *bed = bed_new_with (1, 2);
   struct job *other;
 
-  bed_apply (bed, bed_make_document ("t", 1, 1, 2));
   bed_apply (bed, bed_make_document ("o", 1, 1, 2));
   bed_submit (bed, 2);
   other = job_new ("other", "o", "s", 1);
@@ -208,11 +206,10 @@
 static void
 test_dropped_upstream (void)
 {
-  struct bed *bed = bed_new ();
+  struct bed *bed = bed_new_with (1, 1);
   struct job *job;
   struct task *task;
 
-  bed_apply (bed, bed_make_document ("t", 1, 1, 1));
   job = bed_submit (bed, 2);
   task = g_ptr_array_index (bed->started, 0);
   bed_apply (bed, bed_make_document ("t", 2, 0, 1));
@@ -230,9 +227,8 @@
 static void
 test_slot_share (void)
 {
-  struct bed *bed = bed_new ();
+  struct bed *bed = bed_new_with (1, 8);
 
-  bed_apply (bed, bed_make_document ("t", 1, 1, 8));
   dispatcher_set_vm_count (bed->dispatcher, 8, 0, bed->now_us);
   dispatcher_set_slot_share (bed->dispatcher, "t/s", "u0", 2,
                              bed->now_us + USEC_PER_SEC, bed->now_us);
--- a/t/t2030-admission.c
+++ b/t/t2030-admission.c
@@ -5,15 +5,6 @@
 
 #include <string.h>
 
-static struct bed *
-make_bed (guint n_upstreams, guint slots)
-{
-  struct bed *bed = bed_new ();
-
-  bed_apply (bed, bed_make_document ("t", 1, n_upstreams, slots));
-  return bed;
-}
-
 /* Runs tasks that take RUN_US, so that the estimates are learned.  */
 static void
 learn (struct bed *bed, gint64 run_us)
@@ -38,7 +29,7 @@
 static void
 test_draining (void)
 {
-  struct bed *bed = make_bed (1, 1);
+  struct bed *bed = bed_new_with (1, 1);
   struct job *job = bed_submit (bed, 2);
 
   dispatcher_drain (bed->dispatcher, bed->now_us);
@@ -52,7 +43,7 @@
 static void
 test_passed_deadline (void)
 {
-  struct bed *bed = make_bed (1, 1);
+  struct bed *bed = bed_new_with (1, 1);
   struct job *job = bed_make_job (bed, 1);
 
   job->deadline_us = bed->now_us;
@@ -92,7 +83,7 @@
 static void
 test_memory_is_shared (void)
 {
-  struct bed *bed = make_bed (1, 1);
+  struct bed *bed = bed_new_with (1, 1);
   gsize bytes = BED_MAX_BYTES / 32;
   guint n = 0;
 
@@ -112,7 +103,7 @@
 static void
 test_deadline_behind_a_queue (void)
 {
-  struct bed *bed = make_bed (1, 4);
+  struct bed *bed = bed_new_with (1, 4);
   struct job *job;
 
   learn (bed, USEC_PER_SEC);
@@ -133,7 +124,7 @@
 static void
 test_deadline_before_a_queue (void)
 {
-  struct bed *bed = make_bed (1, 4);
+  struct bed *bed = bed_new_with (1, 4);
   struct job *job;
 
   learn (bed, USEC_PER_SEC);
@@ -152,7 +143,7 @@
 static void
 test_accepted_deadlines_are_kept (void)
 {
-  struct bed *bed = make_bed (1, 4);
+  struct bed *bed = bed_new_with (1, 4);
   guint n_accepted = 0;
 
   learn (bed, USEC_PER_SEC);
@@ -183,7 +174,7 @@
 static void
 test_declared_times_are_learned (void)
 {
-  struct bed *bed = make_bed (1, 1);
+  struct bed *bed = bed_new_with (1, 1);
   struct job *job;
 
   for (guint i = 0; i < 20; i++)
@@ -206,7 +197,7 @@
 static void
 test_given_up_early (void)
 {
-  struct bed *bed = make_bed (1, 1);
+  struct bed *bed = bed_new_with (1, 1);
   struct job *job;
 
   learn (bed, USEC_PER_SEC);
--- a/t/t2050-health.c
+++ b/t/t2050-health.c
@@ -212,10 +212,9 @@
 static void
 test_silent (void)
 {
-  struct bed *bed = bed_new ();
+  struct bed *bed = bed_new_with (1, 2);
   struct upstream *upstream;
 
-  bed_apply (bed, bed_make_document ("t", 1, 1, 2));
   bed_submit (bed, 1);
   upstream = bed_find_upstream (bed, "u0");
   bed_pass (bed, BED_LEASE_MS * USEC_PER_MSEC * 5 / 6);
@@ -325,10 +324,9 @@
 static void
 test_learns_the_room (void)
 {
-  struct bed *bed = bed_new ();
+  struct bed *bed = bed_new_with (1, SLOTS);
   guint n_refused = 0;
 
-  bed_apply (bed, bed_make_document ("t", 1, 1, SLOTS));
   bed_submit (bed, 130);
   bed_submit (bed, 130);
   for (guint n_done = 0; n_done < 200;)
--- a/t/t2060-cancel.c
+++ b/t/t2060-cancel.c
@@ -3,19 +3,10 @@
 
 #include "base/clock.h"
 
-static struct bed *
-make_bed (guint n_upstreams, guint slots)
-{
-  struct bed *bed = bed_new ();
-
-  bed_apply (bed, bed_make_document ("t", 1, n_upstreams, slots));
-  return bed;
-}
-
 static void
 test_before_any_start (void)
 {
-  struct bed *bed = make_bed (1, 1);
+  struct bed *bed = bed_new_with (1, 1);
   struct job *job;
 
   bed_submit (bed, 1);
@@ -32,7 +23,7 @@
 static void
 test_while_running (void)
 {
-  struct bed *bed = make_bed (1, 2);
+  struct bed *bed = bed_new_with (1, 2);
   struct job *job = bed_submit (bed, 5);
   struct task *task = g_ptr_array_index (bed->started, 0);
 
@@ -52,7 +43,7 @@
 static void
 test_no_stop_near_the_end (void)
 {
-  struct bed *bed = make_bed (1, 1);
+  struct bed *bed = bed_new_with (1, 1);
   struct job *job;
 
   for (guint i = 0; i < 20; i++)
@@ -77,7 +68,7 @@
 static void
 test_wave (void)
 {
-  struct bed *bed = make_bed (1, 1);
+  struct bed *bed = bed_new_with (1, 1);
   struct job *kept;
   guint n = 10000;
 
@@ -97,7 +88,7 @@
 static void
 test_lease_lapses (void)
 {
-  struct bed *bed = make_bed (1, 1);
+  struct bed *bed = bed_new_with (1, 1);
   struct job *job = bed_submit (bed, 1);
   struct task *task = g_ptr_array_index (bed->started, 0);
 
@@ -110,7 +101,7 @@
 static void
 test_lease_is_renewed (void)
 {
-  struct bed *bed = make_bed (1, 1);
+  struct bed *bed = bed_new_with (1, 1);
   struct job *job = bed_submit (bed, 1);
   struct upstream *upstream = bed_find_upstream (bed, "u0");
 
@@ -131,7 +122,7 @@
 static void
 test_lease_is_refused (void)
 {
-  struct bed *bed = make_bed (1, 2);
+  struct bed *bed = bed_new_with (1, 2);
   struct job *lost = bed_submit (bed, 1);
   struct job *kept = bed_submit (bed, 1);
   struct upstream *upstream = bed_find_upstream (bed, "u0");
@@ -149,7 +140,7 @@
 static void
 test_pause (void)
 {
-  struct bed *bed = make_bed (1, 2);
+  struct bed *bed = bed_new_with (1, 2);
   struct job *answered = bed_submit (bed, 1);
   struct job *renewed = bed_submit (bed, 1);
   struct upstream *upstream = bed_find_upstream (bed, "u0");
@@ -175,7 +166,7 @@
 static void
 test_deadline_in_a_pause (void)
 {
-  struct bed *bed = make_bed (1, 1);
+  struct bed *bed = bed_new_with (1, 1);
   struct job *job = bed_make_job (bed, 1);
 
   job->deadline_us = bed->now_us + USEC_PER_SEC;
--- a/t/t2080-used-ids.c
+++ b/t/t2080-used-ids.c
@@ -19,9 +19,8 @@
 static void
 test_forgotten_job (void)
 {
-  struct bed *bed = bed_new ();
+  struct bed *bed = bed_new_with (1, 1);
 
-  bed_apply (bed, bed_make_document ("t", 1, 1, 1));
   g_assert_true (dispatcher_submit (bed->dispatcher, make_job (bed, 1),
                                     bed->now_us, NULL));
   bed_end_all (bed, 1);
