base: give levels a file of their own

event_log counts lines by metrics, and metrics named its labels by event_log. The levels and their names move to base/log_level, which both include: no circle is left in base.

--- a/base/event_log.c
+++ b/base/event_log.c
@@ -18,9 +18,6 @@
   { 0, LOG_LEVEL_ERROR, NULL }
 };
 
-static const char *const level_names[LOG_LEVEL_COUNT]
-    = { "error", "warning", "info", "debug" };
-
 static enum log_level current_level = LOG_LEVEL_INFO;
 static enum log_format current_format = LOG_FORMAT_TEXT;
 static struct log_output *current_output; /* NULL for standard error */
@@ -54,24 +51,6 @@
   current_format = format;
 }
 
-const char *
-log_level_name (enum log_level level)
-{
-  return level_names[level];
-}
-
-gboolean
-log_level_from_name (const char *name, enum log_level *level)
-{
-  for (int i = 0; i < LOG_LEVEL_COUNT; i++)
-    if (g_strcmp0 (level_names[i], name) == 0)
-      {
-        *level = (enum log_level)i;
-        return TRUE;
-      }
-  return FALSE;
-}
-
 static const struct event_info *
 find_event (enum event event)
 {
@@ -88,7 +67,7 @@
 {
   json_t *line
       = json_pack ("{s:s, s:s, s:i, s:s, s:s}", "time", when, "level",
-                   level_names[info->level], "event", (int)info->number,
+                   log_level_name (info->level), "event", (int)info->number,
                    "name", info->name, "message", message);
   char *text = line != NULL ? json_dumps (line, JSON_COMPACT) : NULL;
 
@@ -101,7 +80,7 @@
 write_text (const struct event_info *info, const char *when,
             const char *message)
 {
-  fprintf (stderr, "%s %s %u %s: %s\n", when, level_names[info->level],
+  fprintf (stderr, "%s %s %u %s: %s\n", when, log_level_name (info->level),
            info->number, info->name, message);
 }
 
@@ -156,7 +135,7 @@
   log_line_add_int (&line, "time_us", g_get_real_time ());
   log_line_add_int (&line, "boot_us", now_us);
   log_line_add_text (&line, "vm", current_vm);
-  log_line_add_text (&line, "level", level_names[info->level]);
+  log_line_add_text (&line, "level", log_level_name (info->level));
   log_line_add_int (&line, "event", info->number);
   log_line_add_text (&line, "name", info->name);
   for (const struct event_field *f = fields; f->key != NULL; f++)
--- a/base/event_log.h
+++ b/base/event_log.h
@@ -20,16 +20,9 @@
 #ifndef BASE_EVENT_LOG_H
 #define BASE_EVENT_LOG_H
 
-#include <glib.h>
+#include "base/log_level.h"
 
-enum log_level
-{
-  LOG_LEVEL_ERROR,
-  LOG_LEVEL_WARNING,
-  LOG_LEVEL_INFO,
-  LOG_LEVEL_DEBUG,
-  LOG_LEVEL_COUNT
-};
+#include <glib.h>
 
 enum log_format
 {
@@ -60,12 +53,6 @@
 
 void event_log_set_format (enum log_format format);
 
-/* The name of LEVEL, as in "warning".  Static.  */
-const char *log_level_name (enum log_level level);
-
-/* Finds the level of that name.  Returns FALSE when there is none.  */
-gboolean log_level_from_name (const char *name, enum log_level *level);
-
 enum event_field_type
 {
   EVENT_FIELD_TEXT,
--- a/base/metrics.c
+++ b/base/metrics.c
@@ -2,7 +2,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
-#include "base/event_log.h"
+#include "base/log_level.h"
 #include "base/log_output.h"
 
 #define N_STORE_CELLS ((guint)STORE_CALL_COUNT * STORE_OUTCOME_COUNT)
--- a/protocol/settings_read.h
+++ b/protocol/settings_read.h
@@ -5,7 +5,7 @@
 #ifndef PROTOCOL_SETTINGS_READ_H
 #define PROTOCOL_SETTINGS_READ_H
 
-#include "base/event_log.h"
+#include "base/log_level.h"
 #include "protocol/json_read.h"
 
 #include <glib.h>
