--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -66,6 +66,8 @@
 {
   if (a->is_late != b->is_late)
     return b->is_late;
+  if (a->priority != b->priority)
+    return a->priority < b->priority;
   return a->start_by_us < b->start_by_us;
 }
 
@@ -472,9 +474,9 @@
     {
       struct batch *batch = list_entry (node, struct batch, link);
 
-      if (batch->is_late || batch->start_by_us > now_us)
+      if (batch->is_late)
         break;
-      if (!may_have_begun (batch))
+      if (batch->start_by_us <= now_us && !may_have_begun (batch))
         g_ptr_array_add (late, batch);
     }
   for (guint i = 0; i < late->len; i++)
--- a/t/support/fleet_world.c
+++ b/t/support/fleet_world.c
@@ -1,6 +1,6 @@
 #include "t/support/fleet_world_private.h"
 
-#include <stdio.h>
+#include <string.h>
 
 /* Time that one step may take, in ms.  */
 #define MAX_STEP_MS 8
@@ -49,14 +49,30 @@
                   (guint)(world->now_us % 1000), text);
 }
 
+/* The number between BEFORE and AFTER at *TEXT, which is moved on.  */
+static guint
+read_part (const char **text, const char *before, char after)
+{
+  gsize n = strlen (before);
+  guint number = 0;
+  const char *c;
+
+  g_assert_cmpint (strncmp (*text, before, n), ==, 0);
+  for (c = *text + n; g_ascii_isdigit (*c); c++)
+    number = number * 10 + (guint)(*c - '0');
+  g_assert_true (c > *text + n && *c == after);
+  *text = c;
+  return number;
+}
+
+/* Called for every run at every millisecond, hence no sscanf ().  */
 struct sim_batch *
 fleet_find_batch (struct fleet_world *world, const char *name, guint *index)
 {
-  guint number;
-  guint step;
+  guint number = read_part (&name, "j", '.');
+  guint step = read_part (&name, ".0.", '.');
 
-  g_assert_cmpint (sscanf (name, "j%u.0.%u.%u", &number, &step, index), ==, 3);
-  *index -= step;
+  *index = read_part (&name, ".", '\0') - step;
   g_assert_cmpuint (number, <, world->batches->len);
   return g_ptr_array_index (world->batches, number);
 }
@@ -294,7 +310,7 @@
 begin_owner (struct fleet_world *w, struct sim_owner *o)
 {
   static const struct owner_limits limits
-      = { FLEET_LEASE_MS, FLEET_MAX_LEASE_MS, FLEET_DRIFT_PPM, FLEET_STOP_MS };
+      = { FLEET_LEASE_MS, FLEET_MAX_LEASE_MS, FLEET_DRIFT_PPM };
 
   o->driver.ops = &driver_ops;
   o->world = w;
@@ -497,6 +513,7 @@
       = (5 + fleet_draw (w, fleet_draw (w, 5) == 0 ? 3000 : 300))
         * USEC_PER_MSEC;
   batch->per_upstream = fleet_draw (w, 3) == 0 ? 2 : 0;
+  batch->priority = fleet_draw (w, 3);
   batch->attempts = model->attempts;
   batch->start_by_us = w->now_us + fleet_draw_us (w, 500 * USEC_PER_MSEC);
   if (fleet_draw (w, 3) == 0)
