--- a/base/event_log.c
+++ b/base/event_log.c
@@ -160,7 +160,8 @@
   log_line_add_int (&line, "event", info->number);
   log_line_add_text (&line, "name", info->name);
   for (const struct event_field *f = fields; f->key != NULL; f++)
-    add_field (&line, f);
+    if (*f->key != '\0')
+      add_field (&line, f);
   log_line_end (&line);
   log_output_append (current_output, class_of_level (info->level), line.text,
                      line.length, now_us);
@@ -174,6 +175,8 @@
 
   for (const struct event_field *f = fields; f->key != NULL; f++)
     {
+      if (*f->key == '\0')
+        continue;
       g_string_append_printf (text, "%s%s=", text->len > 0 ? " " : "", f->key);
       if (f->type == EVENT_FIELD_TEXT)
         g_string_append (text, f->text != NULL ? f->text : "-");
--- a/base/event_log.h
+++ b/base/event_log.h
@@ -77,7 +77,8 @@
 /* A field of an event, made by FIELD_TEXT () and its like.  */
 struct event_field
 {
-  const char *key; /* written as it is; NULL ends a list of fields */
+  const char *key; /* written as it is; NULL ends a list of fields, and a field
+                      with an empty one is left out */
   enum event_field_type type;
   const char *text; /* may be NULL */
   gint64 number;    /* also of EVENT_FIELD_BOOL */
@@ -97,6 +98,10 @@
   ((struct event_field){                                                      \
       .key = (name), .type = EVENT_FIELD_BOOL, .number = !!(value) })
 
+/* FIELD, or a field that is left out unless CONDITION.  */
+#define FIELD_IF(condition, field)                                            \
+  ((condition) ? (field) : (struct event_field){ .key = "" })
+
 /* Writes one event with fields, unless its level is filtered out.  */
 #define event_log_fields(event, ...)                                          \
   event_log_write ((event),                                                   \
