transport, commands: tell of what goes as expected in few lines

- The line of a job's coming and that of its answer tell of batches sent and of tasks that came back in a member "trail"; what has no room there gets lines of its own.
- "batch-ended" tells of all runs that ended well, by upstream: number and longest, and of those that were cut short with the batch.
A refused start says so.
- "start-unanswered" names job, task and run; the owner's decisions tell of the run in place of the upstream.
- "upstream-back reason=reborn" only if it was doubted or something ran there.
- "job-accepted" has processors, memory, label and limit an upstream.
- A batch that an owner does not take has a line there.
- Fields that say nothing are left out.

"explain" reads a trail as the lines that it stands for, so its causes stay; it names the longest run of a late job, no longer takes a home for a silent owner, and tells jobs that came to a leaving VM, or were not valid, from those turned away for lack of room.

--- a/commands/explain.c
+++ b/commands/explain.c
@@ -72,6 +72,7 @@
     case EVENT_BATCH_ENDED:
       return g_strcmp0 (story_event_text (event, "end"), "done") == 0;
     case EVENT_BATCH_TAKEN:
+    case EVENT_BATCH_RETURNED:
     case EVENT_STORE_REACHED:
     case EVENT_ROUTES_IN_FORCE:
     case EVENT_VM_BACK:
@@ -88,6 +89,7 @@
 is_minor (const struct story_event *event)
 {
   return event->number == EVENT_TASKS_RETURNED
+         || event->number == EVENT_RUN_CUT_SHORT
          || event->number == EVENT_FLEET_DRAINING
          || event->number == EVENT_UPSTREAM_GONE;
 }
--- a/commands/explain_cause.c
+++ b/commands/explain_cause.c
@@ -4,6 +4,9 @@
 
 #include <string.h>
 
+/* The HTTP status of a request that is wrong in itself.  */
+#define BAD_REQUEST 400
+
 /* Says by WHY whether the rule applies: it does when WHY is not empty.  */
 typedef void rule_check (const struct story *story, GString *why);
 
@@ -250,6 +253,39 @@
                             n_sent, n_returned, n_promised);
 }
 
+static gboolean
+is_by_leaving_vm (const struct story_event *away)
+{
+  return has_text (away, "reason", "this VM is leaving; send the job again");
+}
+
+static void
+check_leaving (const struct story *story, GString *why)
+{
+  const struct story_event *away = story_find (story, EVENT_JOB_TURNED_AWAY);
+
+  if (away == NULL || !is_by_leaving_vm (away))
+    return;
+  g_string_append_printf (why, "%s took no more jobs", away->vm);
+  append_recent (story, away, why);
+}
+
+static gboolean
+is_invalid (const struct story_event *away)
+{
+  return story_event_int (away, "status", 0) == BAD_REQUEST;
+}
+
+static void
+check_invalid (const struct story *story, GString *why)
+{
+  const struct story_event *away = story_find (story, EVENT_JOB_TURNED_AWAY);
+
+  if (away != NULL && is_invalid (away))
+    g_string_append_printf (why, "%s refused it: %s", away->vm,
+                            story_event_text (away, "reason"));
+}
+
 static void
 check_turned_away (const struct story *story, GString *why)
 {
@@ -259,7 +295,8 @@
   const char *reason;
 
   if (away == NULL || has_text (away, "reason", "route")
-      || is_without_owner (away))
+      || is_without_owner (away) || is_by_leaving_vm (away)
+      || is_invalid (away))
     return;
   reason = story_event_text (away, "reason");
   story_event_describe (away, except, figures);
@@ -300,6 +337,39 @@
   return FALSE;
 }
 
+/* Whether all tasks of the batch SENT came back unstarted.  */
+static gboolean
+is_returned (const struct story *story, const struct story_event *sent)
+{
+  gint64 n_left = story_event_int (sent, "tasks", G_MAXINT64);
+
+  for (guint i = 0; i < story->events->len; i++)
+    {
+      const struct story_event *event = get_event (story, i);
+
+      if (event->number == EVENT_TASKS_RETURNED
+          && story_is_same_batch (sent, event))
+        n_left -= story_event_int (event, "tasks", 0);
+    }
+  return n_left <= 0;
+}
+
+/* Whether OWNER has told anything of the job since SENT.  */
+static gboolean
+has_told (const struct story *story, const struct story_event *sent,
+          const char *owner)
+{
+  for (guint i = 0; i < story->events->len; i++)
+    {
+      const struct story_event *event = get_event (story, i);
+
+      if (event->is_own && event != sent && event->at_us >= sent->at_us
+          && g_strcmp0 (event->vm, owner) == 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 /* Calls VISIT with each batch sent whose end is not known.  */
 static void
 visit_open_batches (const struct story *story, GString *why,
@@ -313,7 +383,8 @@
       const char *owner = story_event_text (sent, "owner");
 
       if (sent->number == EVENT_BATCH_SENT && owner != NULL
-          && !has_batch_event (story, sent, EVENT_BATCH_ENDED))
+          && !has_batch_event (story, sent, EVENT_BATCH_ENDED)
+          && !is_returned (story, sent))
         visit (story, sent, owner, why);
     }
 }
@@ -364,7 +435,7 @@
                       const struct story_event *sent, const char *owner,
                       GString *why)
 {
-  if (!has_batch_event (story, sent, EVENT_BATCH_TAKEN)
+  if (g_strcmp0 (owner, sent->vm) != 0 && !has_told (story, sent, owner)
       && find_process_end (story, owner, sent->at_us) == NULL)
     g_string_append_printf (
         why,
@@ -563,6 +634,35 @@
          > story_event_int (answer, "ms", 0) - estimate_ms;
 }
 
+/* The longest run of the job that ended well.  */
+static void
+append_longest (const struct story *story, GString *why)
+{
+  gint64 longest_ms = 0;
+  const char *longest = NULL;
+  gsize length = 0;
+
+  for (guint i = 0; i < story->events->len; i++)
+    {
+      const struct story_event *event = get_event (story, i);
+      const char *upstream = NULL;
+      gsize upstream_length = 0;
+      gint64 ms = event->is_own ? story_find_longest_ms (event, &upstream,
+                                                         &upstream_length)
+                                : 0;
+
+      if (ms <= longest_ms)
+        continue;
+      longest_ms = ms;
+      longest = upstream;
+      length = upstream_length;
+    }
+  if (longest != NULL)
+    g_string_append_printf (
+        why, "; its longest run took %" G_GINT64_FORMAT " ms on %.*s",
+        longest_ms, (int)length, longest);
+}
+
 static void
 append_times (const struct story *story, GString *why)
 {
@@ -579,6 +679,7 @@
     g_string_append_printf (
         why, "; the estimate of a task was %" G_GINT64_FORMAT " ms",
         story_event_int (accepted, "estimate_us", 0) / USEC_PER_MSEC);
+  append_longest (story, why);
 }
 
 static void
@@ -697,6 +798,12 @@
     "look at why: a start or the loss of VMs (fleet-started, vm-lost), or a "
     "store that does not answer; the caller may ask again",
     check_no_owner },
+  { "leaving", "it came to a VM that was leaving",
+    "the caller may ask again; if it repeats, look at why callers still reach "
+    "that VM",
+    check_leaving },
+  { "invalid", "the request was not valid", "correct the caller",
+    check_invalid },
   { "turned-away", "turned away for lack of room",
     "if owners had told of room, compare what the job needs with their "
     "upstreams; else add upstreams or lower the load",
@@ -722,8 +829,8 @@
     "others shows as many returns",
     check_waited },
   { "slow-run", "late: its tasks ran for longer than estimated",
-    "log at debug and look at 'run-ended' for the upstream; else correct the "
-    "caller's estimate",
+    "look at the upstream of its longest run; else correct the caller's "
+    "estimate",
     check_slow_run },
   { "upstream-gone", "an upstream went away",
     "harmless unless it repeats; look at who removes upstreams",
--- a/commands/explain_story.c
+++ b/commands/explain_story.c
@@ -1,6 +1,7 @@
 #include "commands/explain_story.h"
 
 #include "base/clock.h"
+#include "commands/explain_trail.h"
 
 #include <string.h>
 
@@ -16,7 +17,7 @@
 /* What every line has.  */
 static const char *const envelope[]
     = { "time_us", "boot_us", "vm",  "level", "event",
-        "name",    "job",     "cut", NULL };
+        "name",    "job",     "cut", "trail", NULL };
 
 /* What an event that names no job tells of.  */
 enum subject
@@ -213,6 +214,17 @@
     free_event (event);
 }
 
+/* Takes the steps of a trail as lines of their own; the trail itself is then
+   told.  */
+static void
+take_trail (struct story *story, json_t *line)
+{
+  g_autoptr (GPtrArray) steps = explain_trail_expand (line);
+
+  for (guint i = 0; i < steps->len; i++)
+    take_line (story, json_incref (g_ptr_array_index (steps, i)));
+}
+
 /* Whether LINE has what is left of a log line that names JOB; OBJECT is what
    was read from it.  */
 static gboolean
@@ -237,6 +249,7 @@
   story->n_cut += is_cut_line (line, object, story->job);
   if (object != NULL && is_log_line (object))
     {
+      take_trail (story, object);
       take_line (story, object);
       return;
     }
@@ -277,8 +290,11 @@
 {
   json_t *a = json_object_get (sent->line, "batch");
   json_t *b = json_object_get (other->line, "batch");
+  const char *owner = story_event_text (other, "owner");
 
-  return g_strcmp0 (story_event_text (sent, "owner"), other->vm) == 0
+  if (owner == NULL)
+    owner = other->vm;
+  return g_strcmp0 (story_event_text (sent, "owner"), owner) == 0
          && (a == b || json_equal (a, b));
 }
 
@@ -292,6 +308,42 @@
              || g_strcmp0 (story_event_text (event, "status"), "done") == 0);
 }
 
+/* The length of the name in "NAME:COUNT:MS", whose last colon is at END.  */
+static gsize
+find_name_length (const char *word, gsize end)
+{
+  const char *colon = g_strrstr_len (word, (gssize)end, ":");
+
+  return colon != NULL ? (gsize)(colon - word) : end;
+}
+
+gint64
+story_find_longest_ms (const struct story_event *event, const char **upstream,
+                       gsize *length)
+{
+  const char *text = story_event_text (event, "runs");
+  gint64 longest_ms = 0;
+  g_auto (GStrv) words = NULL;
+
+  if (text == NULL)
+    return 0;
+  words = g_strsplit (text, " ", -1);
+  for (guint i = 0; words[i] != NULL; i++)
+    {
+      const char *colon = strrchr (words[i], ':');
+      gint64 ms;
+
+      if (colon == NULL
+          || !g_ascii_string_to_signed (colon + 1, 10, 0, G_MAXINT, &ms, NULL)
+          || ms <= longest_ms)
+        continue;
+      longest_ms = ms;
+      *upstream = strstr (text, words[i]);
+      *length = find_name_length (words[i], (gsize)(colon - words[i]));
+    }
+  return longest_ms;
+}
+
 /* The name of a VM without the number of its process, as in "vm-a#17".  */
 static char *
 copy_vm_name (const char *name)
@@ -328,18 +380,32 @@
   return event->boot_us + event->life->offset_us + event->life->shift_us;
 }
 
+/* How long the batch of an event had been at its owner at least.  */
+static gint64
+get_batch_us (const struct story_event *event)
+{
+  gint64 waited_us = story_event_int (event, "waited_us", 0);
+  const char *upstream;
+  gsize length;
+
+  return MAX (waited_us, 0)
+         + story_find_longest_ms (event, &upstream, &length) * USEC_PER_MSEC;
+}
+
 /* Moves the life of OTHER, at an owner, by what the batch SENT tells.  */
 static void
 move_owner (const struct story *story, const struct story_event *sent,
-            struct story_event *other)
+            struct story_event *other, gboolean is_lower)
 {
   const struct story_event *answer = story_find (story, EVENT_JOB_ANSWERED);
 
+  gint64 begun_us = place (other) - get_batch_us (other);
+
   if (sent->life == other->life || !story_is_same_batch (sent, other))
     return;
-  if (other->number == EVENT_BATCH_TAKEN && place (other) < place (sent))
-    other->life->shift_us += place (sent) - place (other);
-  else if (other->number == EVENT_BATCH_ENDED && answer != NULL
+  if (is_lower && begun_us < place (sent))
+    other->life->shift_us += place (sent) - begun_us;
+  else if (!is_lower && other->number == EVENT_BATCH_ENDED && answer != NULL
            && g_strcmp0 (story_event_text (other, "end"), "done") == 0
            && answer->life == sent->life && story_is_success (answer)
            && place (other) > place (answer))
@@ -348,7 +414,7 @@
 
 /* First the upper bounds, then the lower ones, which always hold.  */
 static void
-move_owners (struct story *story, enum event number)
+move_owners (struct story *story, gboolean is_lower)
 {
   for (guint i = 0; i < story->events->len; i++)
     {
@@ -359,8 +425,9 @@
         {
           struct story_event *other = g_ptr_array_index (story->events, k);
 
-          if (other->number == number)
-            move_owner (story, sent, other);
+          if (other->number == EVENT_BATCH_TAKEN
+              || other->number == EVENT_BATCH_ENDED)
+            move_owner (story, sent, other, is_lower);
         }
     }
 }
@@ -488,8 +555,8 @@
   if (story->events->len == 0)
     return;
   find_home (story);
-  move_owners (story, EVENT_BATCH_ENDED);
-  move_owners (story, EVENT_BATCH_TAKEN);
+  move_owners (story, FALSE);
+  move_owners (story, TRUE);
   sort_events (story->events);
   add_others (story);
   sort_events (story->events);
--- a/commands/explain_story.h
+++ b/commands/explain_story.h
@@ -70,10 +70,16 @@
 const struct story_event *story_find_last (const struct story *story);
 
 /* Whether two events are of the same batch, SENT at the home and OTHER at the
-   owner.  */
+   owner, or of the home about it.  */
 gboolean story_is_same_batch (const struct story_event *sent,
                               const struct story_event *other);
 
+/* The longest run that an event tells of among those that ended well, 0
+   without one, and the name of its upstream, of LENGTH bytes in the event's
+   line.  */
+gint64 story_find_longest_ms (const struct story_event *event,
+                              const char **upstream, gsize *length);
+
 /* Whether EVENT is a good answer to the caller.  */
 gboolean story_is_success (const struct story_event *event);
 
--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -205,7 +205,6 @@
 {
   DOUBT_FAILED, /* it fails what it runs: it rests */
   DOUBT_SLOW,   /* tasks stand still there or crawl: it rests */
-  DOUBT_SILENT, /* an order got no answer */
   DOUBT_MUTE,   /* it answers nothing: its leases are let lapse */
   DOUBT_OVER,   /* it answers again */
   DOUBT_REBORN, /* it has started anew */
@@ -228,6 +227,9 @@
   void (*ask) (struct owner_driver *driver, struct owned *upstream,
                gint64 until_ms, guint wait_ms);
 
+  /* The order to start RUN got no answer; its upstream rests.  May be NULL. */
+  void (*unanswered) (struct owner_driver *driver, const struct run *run);
+
   /* What is thought of UPSTREAM has changed.  May be NULL.  */
   void (*doubted) (struct owner_driver *driver, const struct owned *upstream,
                    enum owner_doubt doubt);
--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -233,7 +233,8 @@
 {
   owned_rest (run->upstream, now_us);
   doubt_upstream (run->upstream, now_us);
-  tell_doubt (owner, run->upstream, DOUBT_SILENT);
+  if (owner->driver->ops->unanswered != NULL)
+    owner->driver->ops->unanswered (owner->driver, run);
   if (run->state != RUN_STARTING)
     return;
   run->state = RUN_OPEN;
--- a/t/t6010-explain.c
+++ b/t/t6010-explain.c
@@ -163,6 +163,23 @@
       "objective (room=0 queued=812 wait_ms=1900.5 objective_ms=600)");
 }
 
+static void
+test_refused (void)
+{
+  g_autoptr (GString) leaving = g_string_new (NULL);
+  g_autoptr (GString) invalid = g_string_new (NULL);
+
+  add_line (leaving, home, -2300, EVENT_FLEET_DRAINING, "");
+  add_line (leaving, home, 0, EVENT_JOB_TURNED_AWAY,
+            "\"job\":\"j1\",\"status\":503,\"reason\":"
+            "\"this VM is leaving; send the job again\"");
+  assert_cause (leaving, "leaving", "it had been told to stop 2300 ms before");
+  add_line (invalid, home, 0, EVENT_JOB_TURNED_AWAY,
+            "\"job\":\"j1\",\"status\":400,\"reason\":"
+            "\"a job must be a JSON object\"");
+  assert_cause (invalid, "invalid", "a job must be a JSON object");
+}
+
 static void
 test_no_route (void)
 {
@@ -373,6 +390,105 @@
   assert_cause (in_time, "done", "151 ms");
 }
 
+/* The names of the events in the order of the story.  */
+static char *
+list_events (const json_t *root)
+{
+  json_t *events = json_object_get (root, "events");
+  GString *names = g_string_new (NULL);
+
+  for (size_t i = 0; i < json_array_size (events); i++)
+    g_string_append_printf (
+        names, "%s ",
+        get_text (json_object_get (json_array_get (events, i), "line"),
+                  "name"));
+  return g_string_free (names, FALSE);
+}
+
+/* A job whose runs went as expected and whose batches are told of by the lines
+   of its home.  */
+static void
+add_trail (GString *log)
+{
+  add_line (log, home, 0, EVENT_JOB_ACCEPTED,
+            "\"job\":\"j1\",\"tasks\":3,\"estimate_us\":100000,"
+            "\"trail\":\"0+0:vm-b:2:2:0:9 0+1:vm-a:1:1:0:0\"");
+}
+
+static void
+test_trail (void)
+{
+  g_autoptr (GString) log = g_string_new (NULL);
+  g_autofree char *names = NULL;
+  json_t *root;
+
+  owner_ahead_ms = -3000;
+  add_trail (log);
+  add_line (log, owner, 340, EVENT_BATCH_ENDED,
+            "\"job\":\"j1\",\"batch\":0,\"home\":\"vm-a\",\"end\":\"done\","
+            "\"waited_us\":0,\"runs\":\"u7:1:90 u:8:1:320\"");
+  add_line (log, home, 150, EVENT_BATCH_ENDED,
+            "\"job\":\"j1\",\"batch\":2,\"end\":\"done\",\"waited_us\":0,"
+            "\"runs\":\"u1:1:100\"");
+  add_line (log, home, 350, EVENT_JOB_ANSWERED,
+            "\"job\":\"j1\",\"status\":200,\"ms\":350,\"objective_ms\":200,"
+            "\"trail\":\"12-1:vm-a:1 12+2:vm-a:1:1:0:0 junk 1+2 x-1:vm-a:1\"");
+  owner_ahead_ms = 0;
+  assert_cause (log, "slow-run", "100 ms; its longest run took 320 ms on u:8");
+  root = explain (log);
+  names = list_events (root);
+  g_assert_cmpstr (names, ==,
+                   "job-accepted batch-sent batch-sent tasks-returned "
+                   "batch-sent batch-ended batch-ended job-answered ");
+  g_assert_null (find_why (root, "owner-silent"));
+  json_decref (root);
+}
+
+static void
+test_trail_no_room (void)
+{
+  g_autoptr (GString) log = g_string_new (NULL);
+
+  add_trail (log);
+  add_line (log, home, 13, EVENT_TASKS_RETURNED,
+            "\"job\":\"j1\",\"batch\":0,\"owner\":\"vm-b\",\"tasks\":2");
+  add_line (log, home, 300, EVENT_JOB_TURNED_AWAY,
+            "\"job\":\"j1\",\"status\":503,\"reason\":\"no room in time\","
+            "\"ms\":300,\"trail\":\"12-1:vm-a:1 14+2:vm-b:3:1:4:0 "
+            "40-2:vm-b:3\"");
+  assert_cause (log, "turned-away",
+                "(ms=300); batches handed to owners: 3, times that tasks came "
+                "back unstarted: 3, of these from owners that had told of "
+                "room for all: 2");
+}
+
+static void
+test_trail_owner_lost (void)
+{
+  g_autoptr (GString) lost = g_string_new (NULL);
+  g_autoptr (GString) silent = g_string_new (NULL);
+  g_autoptr (GString) alive = g_string_new (NULL);
+  g_autoptr (GString) own = g_string_new (NULL);
+
+  add_trail (lost);
+  add_line (lost, home, 700, EVENT_VM_LOST, "\"peer\":\"vm-b\"");
+  add_line (lost, home, 710, EVENT_JOB_GIVEN_UP,
+            "\"job\":\"j1\",\"status\":502,\"ms\":710,\"reason\":"
+            "\"the owner of its upstreams is lost\"");
+  assert_cause (lost, "owner-lost",
+                "vm-b, to which tasks were sent, is no longer heard");
+  add_trail (silent);
+  assert_cause (silent, "owner-silent", "sent to vm-b");
+  add_line (own, home, 0, EVENT_JOB_ACCEPTED,
+            "\"job\":\"j1\",\"trail\":\"0+0:vm-a:2:2:0:0\"");
+  assert_cause (own, "unknown", "'batch-sent' on vm-a");
+  add_trail (alive);
+  add_line (alive, owner, 90, EVENT_TASK_RETRIED,
+            "\"job\":\"j1\",\"task\":0,\"run\":1,\"upstream\":\"u7\","
+            "\"reason\":\"refused\"");
+  assert_cause (alive, "failed-upstream", ": u7 (1)");
+}
+
 /* The home loses an owner that lives on and is started anew later.  */
 static void
 test_owner_cut_off (void)
@@ -448,21 +564,6 @@
   assert_cause (open, "unknown", "'batch-taken' on vm-b");
 }
 
-/* The names of the events in the order of the story.  */
-static char *
-list_events (const json_t *root)
-{
-  json_t *events = json_object_get (root, "events");
-  GString *names = g_string_new (NULL);
-
-  for (size_t i = 0; i < json_array_size (events); i++)
-    g_string_append_printf (
-        names, "%s ",
-        get_text (json_object_get (json_array_get (events, i), "line"),
-                  "name"));
-  return g_string_free (names, FALSE);
-}
-
 /* An owner whose clock is off is put back between the home's lines.  */
 static void
 test_clocks (void)
@@ -639,6 +740,7 @@
   g_test_add_func ("/explain/done", test_done);
   g_test_add_func ("/explain/done-in-spite-of", test_done_in_spite_of);
   g_test_add_func ("/explain/turned-away", test_turned_away);
+  g_test_add_func ("/explain/refused", test_refused);
   g_test_add_func ("/explain/no-route", test_no_route);
   g_test_add_func ("/explain/hanging", test_hanging);
   g_test_add_func ("/explain/failed", test_failed);
@@ -649,6 +751,9 @@
   g_test_add_func ("/explain/no-owner", test_no_owner);
   g_test_add_func ("/explain/lost-touch", test_lost_touch);
   g_test_add_func ("/explain/late", test_late);
+  g_test_add_func ("/explain/trail", test_trail);
+  g_test_add_func ("/explain/trail-no-room", test_trail_no_room);
+  g_test_add_func ("/explain/trail-owner-lost", test_trail_owner_lost);
   g_test_add_func ("/explain/owner-cut-off", test_owner_cut_off);
   g_test_add_func ("/explain/other-machine", test_other_machine);
   g_test_add_func ("/explain/cut-line", test_cut_line);
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -1,11 +1,11 @@
 #include "transport/fleet_home.h"
 
 #include "base/error.h"
-#include "base/event_log.h"
 #include "base/hash64.h"
 #include "base/metrics.h"
 #include "coordination/spread.h"
 #include "transport/fleet_job.h"
+#include "transport/home_log.h"
 
 #include <string.h>
 
@@ -159,25 +159,11 @@
 log_answer (const struct fleet_job *job, const struct fleet_answer *answer)
 {
   gint64 took_us = clock_now_us () - job->accepted_us;
-  enum event event = EVENT_JOB_ANSWERED;
 
-  if (answer->outcome == FLEET_NOT_RUN)
-    event = EVENT_JOB_TURNED_AWAY;
-  else if (answer->outcome != FLEET_DONE)
-    event = EVENT_JOB_GIVEN_UP;
   metrics_record (METRIC_ANSWER_SECONDS, took_us);
   metrics_count_label (METRIC_FLEET_JOBS, outcomes[answer->outcome].counted);
-  event_log_fields (event, FIELD_TEXT ("job", job->submission->job),
-                    FIELD_TEXT ("outcome", outcomes[answer->outcome].name),
-                    FIELD_INT ("status", outcomes[answer->outcome].status),
-                    FIELD_TEXT ("reason", answer->reason),
-                    FIELD_INT ("ms", took_us / USEC_PER_MSEC),
-                    FIELD_INT ("objective_ms",
-                               job->submission->objective_us / USEC_PER_MSEC),
-                    FIELD_INT ("tasks", job->submission->n_tasks),
-                    FIELD_INT ("done", job->n_done),
-                    FIELD_INT ("batches", job->n_parts),
-                    FIELD_INT ("retry_after_ms", answer->retry_after_ms));
+  home_log_answer (job, answer, outcomes[answer->outcome].name,
+                   outcomes[answer->outcome].status, took_us);
 }
 
 static void
@@ -294,6 +280,7 @@
     return;
   n_out = fleet_part_take_out (part, indexes, MIN (n_indexes, PEER_TASKS_MAX),
                                out);
+  home_log_returned (part, n_out, part->job->home->vm);
   place_anew (part->job, out, n_out);
 }
 
@@ -424,13 +411,8 @@
   part->n_tasks = owner->n_given;
   memcpy (part->indexes, indexes, owner->n_given * sizeof *indexes);
   list_append (&job->parts, &part->link);
-  event_log_fields (
-      EVENT_BATCH_SENT, FIELD_TEXT ("job", job->submission->job),
-      FIELD_INT ("batch", part->number), FIELD_TEXT ("owner", owner->name),
-      FIELD_INT ("tasks", part->n_tasks),
-      FIELD_INT ("free_slots", owner->room.free_slots),
-      FIELD_INT ("queued", owner->room.n_queued),
-      FIELD_INT ("age_us", vm != NULL ? clock_now_us () - vm->heard_us : 0));
+  if (part->number >= job->n_told)
+    home_log_sent (part, owner, job->home->directory);
   if (part->owner != NULL)
     {
       send_remote (part);
@@ -523,12 +505,22 @@
   give_up_job (job, reason, wait_ms);
 }
 
+/* Tells of JOB, and of its first batches when they are sent.  */
+static void
+tell_accepted (struct fleet_job *job, const GArray *owners, gboolean is_sent)
+{
+  job->n_told = home_log_accepted (
+      job, (const struct spread_owner *)(const void *)owners->data,
+      is_sent ? owners->len : 0, job->home->directory);
+}
+
 static void
 spread_job (struct fleet_job *job, const guint *indexes, guint n_tasks)
 {
   const struct fleet_submission *s = job->submission;
   g_autoptr (GArray) owners = list_owners (job->home, s->service);
   gint64 left_ms = (job->end_by_us - clock_now_us ()) / USEC_PER_MSEC;
+  gint64 longest_ms = left_ms * HOPELESS_FACTOR;
   gint64 wait_ms;
 
   fleet_job_ref (job);
@@ -536,9 +528,11 @@
   wait_ms
       = spread_tasks ((struct spread_owner *)(void *)owners->data, owners->len,
                       n_tasks, (guint)(s->estimate_us / USEC_PER_MSEC));
+  if (job->n_spreads == 1)
+    tell_accepted (job, owners, wait_ms >= 0 && wait_ms <= longest_ms);
   if (wait_ms < 0)
     refuse_job (job, "no upstream is owned by a live VM", MIN_RETRY_MS);
-  else if (wait_ms > left_ms * HOPELESS_FACTOR)
+  else if (wait_ms > longest_ms)
     refuse_job (job, "the queues are longer than its time", wait_ms);
   else
     send_parts (job, owners, indexes);
@@ -586,16 +580,11 @@
   job->home = home;
   job->submission = submission;
   job->waiter = waiter;
+  job->trail = g_string_new (NULL);
   list_init (&job->parts);
   job->accepted_us = clock_now_us ();
   set_times (job);
   g_hash_table_insert (home->jobs, submission->job, job);
-  event_log_fields (EVENT_JOB_ACCEPTED, FIELD_TEXT ("job", submission->job),
-                    FIELD_TEXT ("service", submission->service),
-                    FIELD_INT ("tasks", submission->n_tasks),
-                    FIELD_INT ("estimate_us", submission->estimate_us),
-                    FIELD_INT ("objective_us", submission->objective_us),
-                    FIELD_INT ("timeout_us", submission->caller_timeout_us));
   for (guint i = 0; i < submission->n_tasks; i++)
     indexes[i] = i;
   spread_job (job, indexes, submission->n_tasks);
@@ -609,10 +598,7 @@
 {
   if (job->is_ended)
     return;
-  event_log_fields (
-      EVENT_CALLER_GONE, FIELD_TEXT ("job", job->submission->job),
-      FIELD_INT ("done", job->n_done),
-      FIELD_INT ("ms", (clock_now_us () - job->accepted_us) / USEC_PER_MSEC));
+  home_log_caller_gone (job);
   metrics_count_label (METRIC_FLEET_JOBS, JOB_OUTCOME_CALLER_GONE);
   job->waiter = NULL;
   end_job (job);
--- a/transport/fleet_job.c
+++ b/transport/fleet_job.c
@@ -24,6 +24,7 @@
   if (--job->ref_count > 0)
     return;
   fleet_submission_free (job->submission);
+  g_string_free (job->trail, TRUE);
   g_free (job);
 }
 
@@ -32,6 +33,7 @@
 {
   list_remove (&part->link);
   fleet_job_unref (part->job);
+  batch_tally_clear (&part->sink.tally);
   g_free (part->owner);
   g_free (part);
 }
--- a/transport/fleet_job.h
+++ b/transport/fleet_job.h
@@ -34,6 +34,8 @@
   gint64 end_by_us;
   gint64 deadline_us; /* it is given up, or answered if it was before */
   guint n_parts;      /* ever made */
+  guint n_told;       /* the first ones, which the line of its coming names */
+  GString *trail;     /* what the line of its end will tell */
   guint n_spreads;
   guint n_done;               /* tasks */
   gboolean is_ended;          /* answered or abandoned */
--- a/transport/fleet_owner.c
+++ b/transport/fleet_owner.c
@@ -15,6 +15,9 @@
    waited for so long.  */
 #define RETURN_AFTER_US (10 * USEC_PER_MSEC)
 
+/* Why a batch is not taken.  */
+#define UNHEARD "its home is not heard here"
+
 struct fleet_owner
 {
   struct owner_driver driver;
@@ -63,6 +66,7 @@
 static void
 remote_free (struct remote_batch *remote)
 {
+  batch_tally_clear (&remote->sink.tally);
   g_free (remote->key);
   g_free (remote->vm);
   g_free (remote);
@@ -74,24 +78,6 @@
   return list_entry (driver, struct fleet_owner, driver);
 }
 
-static const char *
-name_run_end (enum run_end end)
-{
-  static const char *const names[]
-      = { "done", "failed", "stopped", "lapsed", "lost" };
-
-  return names[end];
-}
-
-static const char *
-name_batch_end (enum batch_end end)
-{
-  static const char *const names[]
-      = { "done", "failed", "no-room", "stopped" };
-
-  return names[end];
-}
-
 static void
 driver_start_run (struct owner_driver *driver, struct run *run,
                   gint64 until_ms)
@@ -99,12 +85,7 @@
   struct fleet_owner *owner = from_driver (driver);
 
   metrics_count_label (METRIC_UPSTREAM_ORDERS, UPSTREAM_ORDER_START);
-  event_log_fields (
-      EVENT_RUN_STARTED, FIELD_TEXT ("job", run->task->batch->job),
-      FIELD_INT ("task", run->task->index), FIELD_INT ("run", run->number),
-      FIELD_TEXT ("upstream", run->upstream->id),
-      FIELD_INT ("token", run->upstream->token),
-      FIELD_INT ("expected_us", run->expected_us));
+  owner_log_start (run);
   owner->platform->ops->start_run (owner->platform, owner->owner, run,
                                    until_ms);
 }
@@ -115,11 +96,7 @@
   struct fleet_owner *owner = from_driver (driver);
 
   metrics_count_label (METRIC_UPSTREAM_ORDERS, UPSTREAM_ORDER_STOP);
-  event_log_fields (EVENT_RUN_STOPPED, FIELD_TEXT ("task", run->name),
-                    FIELD_INT ("run", run->number),
-                    FIELD_TEXT ("upstream", run->upstream->id),
-                    FIELD_INT ("percent", run->percent),
-                    FIELD_BOOL ("is_foreign", run->is_foreign));
+  owner_log_stop (run);
   owner->platform->ops->stop_run (owner->platform, owner->owner, run);
 }
 
@@ -134,82 +111,48 @@
                              wait_ms);
 }
 
-/* Why a run that did not end well ended.  */
-static const char *
-name_reason (const struct run *run, enum run_end end)
-{
-  if (end == RUN_STOPPED && run->void_us != 0 && !run->is_confirmed)
-    return "unanswered";
-  if (end == RUN_STOPPED)
-    return run->percent == 0 ? "silent" : "slow";
-  return name_run_end (end);
-}
-
 static void
 driver_run_ended (struct owner_driver *driver, const struct run *run,
                   enum run_end end)
 {
   gint64 took_us = clock_now_us () - run->started_us;
-  gboolean is_retried;
+  struct batch_sink *sink;
 
   if (run->task == NULL)
     return;
-  is_retried = end != RUN_DONE && !run->task->batch->is_ending;
+  sink = run->task->batch->user_data;
   metrics_record (METRIC_TASK_SECONDS, took_us);
-  if (is_retried)
+  if (end != RUN_DONE && !run->task->batch->is_ending)
     metrics_count (METRIC_TASKS_RETRIED);
-  event_log_fields (
-      is_retried ? EVENT_TASK_RETRIED : EVENT_RUN_ENDED,
-      FIELD_TEXT ("job", run->task->batch->job),
-      FIELD_INT ("task", run->task->index), FIELD_INT ("run", run->number),
-      FIELD_TEXT ("upstream", run->upstream->id),
-      FIELD_TEXT ("end", name_run_end (end)),
-      FIELD_TEXT ("reason", name_reason (run, end)),
-      FIELD_INT ("ms", took_us / USEC_PER_MSEC),
-      FIELD_INT ("expected_ms", run->expected_us / USEC_PER_MSEC),
-      FIELD_INT ("percent", run->percent),
-      FIELD_REAL ("slowness", run->upstream->slowness));
+  owner_log_run_ended (run, end, took_us, &sink->tally);
+}
+
+static void
+driver_unanswered (struct owner_driver *driver, const struct run *run)
+{
+  owner_log_unanswered (run);
 }
 
 static void
 driver_doubted (struct owner_driver *driver, const struct owned *upstream,
                 enum owner_doubt doubt)
 {
-  static const struct
-  {
-    enum event event;
-    const char *reason;
-  } doubts[] = {
-    { EVENT_UPSTREAM_RESTING, "failed" }, { EVENT_UPSTREAM_RESTING, "slow" },
-    { EVENT_RUN_UNANSWERED, "silent" },   { EVENT_UPSTREAM_MUTE, "mute" },
-    { EVENT_UPSTREAM_BACK, "answered" },  { EVENT_UPSTREAM_BACK, "reborn" },
-  };
-
-  event_log_fields (
-      doubts[doubt].event, FIELD_TEXT ("upstream", upstream->id),
-      FIELD_TEXT ("reason", doubts[doubt].reason),
-      FIELD_INT ("token", upstream->token),
-      FIELD_REAL ("failure_share", upstream->failure_share),
-      FIELD_REAL ("slowness", upstream->slowness),
-      FIELD_INT ("rest_ms", MAX (upstream->rest_until_us - clock_now_us (), 0)
-                                / USEC_PER_MSEC),
-      FIELD_INT ("runs", upstream->n_runs));
+  owner_log_doubt (upstream, doubt);
 }
 
+static void on_remote_ended (struct batch_sink *sink,
+                             const struct batch *batch);
+
 static void
-log_batch_end (const struct batch *batch)
+note_batch_end (const struct batch *batch)
 {
-  gint64 waited_us = batch->first_started_us - batch->queued_us;
+  struct batch_sink *sink = batch->user_data;
 
   if (batch->first_started_us != 0)
-    metrics_record (METRIC_QUEUE_SECONDS, waited_us);
-  event_log_fields (
-      EVENT_BATCH_ENDED, FIELD_TEXT ("job", batch->job),
-      FIELD_INT ("batch", batch->number), FIELD_TEXT ("home", batch->home),
-      FIELD_INT ("tasks", batch->n_tasks), FIELD_INT ("done", batch->n_done),
-      FIELD_TEXT ("end", name_batch_end (batch->end)),
-      FIELD_TEXT ("reason", batch->reason),
-      FIELD_INT ("waited_us", batch->first_started_us != 0 ? waited_us : -1));
+    metrics_record (METRIC_QUEUE_SECONDS,
+                    batch->first_started_us - batch->queued_us);
+  owner_log_ended (batch, &sink->tally, sink->ended == on_remote_ended);
+  batch_tally_clear (&sink->tally);
 }
 
 static void
@@ -220,11 +163,7 @@
   struct returned_tasks *returned
       = g_malloc (sizeof *returned + n_tasks * sizeof *indexes);
 
-  event_log_fields (
-      EVENT_TASKS_RETURNED, FIELD_TEXT ("job", batch->job),
-      FIELD_INT ("batch", batch->number), FIELD_TEXT ("home", batch->home),
-      FIELD_INT ("tasks", n_tasks),
-      FIELD_INT ("waited_us", clock_now_us () - batch->queued_us));
+  owner_log_returned (batch, n_tasks);
   returned->batch = batch;
   returned->n_tasks = n_tasks;
   memcpy (returned->indexes, indexes, n_tasks * sizeof *indexes);
@@ -237,7 +176,7 @@
 {
   struct fleet_owner *owner = from_driver (driver);
 
-  log_batch_end (batch);
+  note_batch_end (batch);
   g_queue_push_tail (&owner->ended, batch);
   loop_timer_set (owner->teller, 0);
 }
@@ -330,6 +269,7 @@
   .stop_run = driver_stop_run,
   .ask = driver_ask,
   .run_ended = driver_run_ended,
+  .unanswered = driver_unanswered,
   .doubted = driver_doubted,
   .return_tasks = driver_return_tasks,
   .finish_batch = driver_finish_batch,
@@ -461,10 +401,7 @@
 {
   batch->user_data = sink;
   owner->n_batches++;
-  event_log_fields (EVENT_BATCH_TAKEN, FIELD_TEXT ("job", batch->job),
-                    FIELD_INT ("batch", batch->number),
-                    FIELD_TEXT ("home", batch->home),
-                    FIELD_INT ("tasks", batch->n_tasks));
+  owner_log_taken (batch);
   owner_submit (owner->owner, batch, clock_now_us ());
 }
 
@@ -578,7 +515,8 @@
   if (!is_watched (owner, vm, args->incarnation)
       || args->indexes.indexes_len == 0)
     {
-      refuse_batch (request, "its home is not heard here");
+      owner_log_refused (args->job, args->number, vm, UNHEARD);
+      refuse_batch (request, UNHEARD);
       return;
     }
   remote = g_new0 (struct remote_batch, 1);
--- a/transport/fleet_owner.h
+++ b/transport/fleet_owner.h
@@ -8,6 +8,7 @@
 #include "coordination/owner.h"
 #include "coordination/vm_directory.h"
 #include "transport/fleet_platform.h"
+#include "transport/owner_log.h"
 #include "transport/peer_hub.h"
 
 #include <glib.h>
@@ -37,6 +38,7 @@
   void (*returned) (struct batch_sink *sink, const struct batch *batch,
                     const guint *indexes, guint n_tasks);
   void (*ended) (struct batch_sink *sink, const struct batch *batch);
+  struct batch_tally tally; /* the owner's; begins as zeros */
 };
 
 /* PLATFORM carries the orders out; DIRECTORY tells which homes are there.
--- /dev/null
+++ b/transport/home_log.c
@@ -0,0 +1,190 @@
+#include "transport/home_log.h"
+
+#include "base/clock.h"
+#include "base/event_log.h"
+#include "base/log_line.h"
+
+#include <string.h>
+
+static gint64
+get_age_us (const struct vm_directory *directory,
+            const struct spread_owner *owner)
+{
+  const struct vm *vm = vm_directory_find (directory, owner->name);
+
+  return vm != NULL && !owner->is_self ? clock_now_us () - vm->heard_us : 0;
+}
+
+static gint64
+get_spent_ms (const struct fleet_job *job)
+{
+  return (clock_now_us () - job->accepted_us) / USEC_PER_MSEC;
+}
+
+/* Appends STEP to the words of TRAIL; returns whether there was room for it.
+ */
+static gboolean
+append_step (GString *trail, const char *step)
+{
+  if (trail->len + 1 + strlen (step) > LOG_LINE_MAX_TEXT)
+    return FALSE;
+  if (trail->len > 0)
+    g_string_append_c (trail, ' ');
+  g_string_append (trail, step);
+  return TRUE;
+}
+
+static gboolean
+append_sent (GString *trail, gint64 spent_ms, guint batch,
+             const struct spread_owner *owner, gint64 age_us)
+{
+  g_autofree char *step = g_strdup_printf (
+      "%" G_GINT64_FORMAT "+%u:%s:%u:%u:%u"
+      ":%" G_GINT64_FORMAT,
+      spent_ms, batch, owner->name, owner->n_given, owner->room.free_slots,
+      owner->room.n_queued, age_us / USEC_PER_MSEC);
+
+  return append_step (trail, step);
+}
+
+/* Appends the first batches; returns how many there was room for.  */
+static guint
+append_first (GString *trail, const struct spread_owner *owners,
+              guint n_owners, const struct vm_directory *directory)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < n_owners; i++)
+    {
+      if (owners[i].n_given == 0)
+        continue;
+      if (!append_sent (trail, 0, n, &owners[i],
+                        get_age_us (directory, &owners[i])))
+        return n;
+      n++;
+    }
+  return n;
+}
+
+guint
+home_log_accepted (const struct fleet_job *job,
+                   const struct spread_owner *owners, guint n_owners,
+                   const struct vm_directory *directory)
+{
+  const struct fleet_submission *s = job->submission;
+  g_autoptr (GString) trail = g_string_new (NULL);
+  guint n_told = append_first (trail, owners, n_owners, directory);
+  gboolean has_label
+      = s->required_label != NULL && s->required_label[0] != '\0';
+
+  event_log_fields (
+      EVENT_JOB_ACCEPTED, FIELD_TEXT ("job", s->job),
+      FIELD_TEXT ("service", s->service), FIELD_INT ("tasks", s->n_tasks),
+      FIELD_REAL ("cpus", s->need.cpus),
+      FIELD_INT ("memory_mb", s->need.memory_mb),
+      FIELD_IF (s->need.accelerators > 0,
+                FIELD_INT ("accelerators", s->need.accelerators)),
+      FIELD_IF (has_label, FIELD_TEXT ("label", s->required_label)),
+      FIELD_IF (s->per_upstream > 0,
+                FIELD_INT ("per_upstream", s->per_upstream)),
+      FIELD_INT ("estimate_us", s->estimate_us),
+      FIELD_INT ("objective_us", s->objective_us),
+      FIELD_IF (s->caller_timeout_us > 0,
+                FIELD_INT ("timeout_us", s->caller_timeout_us)),
+      FIELD_IF (n_told > 0, FIELD_TEXT ("trail", trail->str)));
+  return n_told;
+}
+
+void
+home_log_sent (const struct fleet_part *part, const struct spread_owner *owner,
+               const struct vm_directory *directory)
+{
+  const struct fleet_job *job = part->job;
+  gint64 age_us = get_age_us (directory, owner);
+
+  if (append_sent (job->trail, get_spent_ms (job), part->number, owner,
+                   age_us))
+    return;
+  event_log_fields (EVENT_BATCH_SENT, FIELD_TEXT ("job", job->submission->job),
+                    FIELD_INT ("batch", part->number),
+                    FIELD_TEXT ("owner", owner->name),
+                    FIELD_INT ("tasks", part->n_tasks),
+                    FIELD_INT ("free_slots", owner->room.free_slots),
+                    FIELD_INT ("queued", owner->room.n_queued),
+                    FIELD_INT ("age_us", age_us));
+}
+
+void
+home_log_returned (const struct fleet_part *part, guint n_tasks,
+                   const char *self)
+{
+  const struct fleet_job *job = part->job;
+  const char *owner = part->owner != NULL ? part->owner : self;
+  g_autofree char *step
+      = g_strdup_printf ("%" G_GINT64_FORMAT "-%u:%s:%u", get_spent_ms (job),
+                         part->number, owner, n_tasks);
+
+  if (n_tasks == 0 || append_step (job->trail, step))
+    return;
+  event_log_fields (EVENT_TASKS_RETURNED,
+                    FIELD_TEXT ("job", job->submission->job),
+                    FIELD_INT ("batch", part->number),
+                    FIELD_TEXT ("owner", owner), FIELD_INT ("tasks", n_tasks));
+}
+
+/* The trail since the job's acceptance was told of.  */
+static struct event_field
+make_trail (const struct fleet_job *job)
+{
+  return FIELD_IF (job->trail->len > 0, FIELD_TEXT ("trail", job->trail->str));
+}
+
+/* The line of a job that was done; the objective is told when it was missed.
+ */
+static void
+log_done (const struct fleet_job *job, guint status, gint64 took_us)
+{
+  gint64 objective_us = job->submission->objective_us;
+
+  event_log_fields (
+      EVENT_JOB_ANSWERED, FIELD_TEXT ("job", job->submission->job),
+      FIELD_INT ("status", status), FIELD_INT ("ms", took_us / USEC_PER_MSEC),
+      FIELD_IF (took_us > objective_us,
+                FIELD_INT ("objective_ms", objective_us / USEC_PER_MSEC)),
+      make_trail (job));
+}
+
+void
+home_log_answer (const struct fleet_job *job,
+                 const struct fleet_answer *answer, const char *outcome,
+                 guint status, gint64 took_us)
+{
+  const struct fleet_submission *s = job->submission;
+
+  if (answer->outcome == FLEET_DONE)
+    {
+      log_done (job, status, took_us);
+      return;
+    }
+  event_log_fields (
+      answer->outcome == FLEET_NOT_RUN ? EVENT_JOB_TURNED_AWAY
+                                       : EVENT_JOB_GIVEN_UP,
+      FIELD_TEXT ("job", s->job), FIELD_TEXT ("outcome", outcome),
+      FIELD_INT ("status", status), FIELD_TEXT ("reason", answer->reason),
+      FIELD_INT ("ms", took_us / USEC_PER_MSEC),
+      FIELD_INT ("objective_ms", s->objective_us / USEC_PER_MSEC),
+      FIELD_INT ("tasks", s->n_tasks), FIELD_INT ("done", job->n_done),
+      FIELD_INT ("batches", job->n_parts),
+      FIELD_IF (answer->retry_after_ms > 0,
+                FIELD_INT ("retry_after_ms", answer->retry_after_ms)),
+      make_trail (job));
+}
+
+void
+home_log_caller_gone (const struct fleet_job *job)
+{
+  event_log_fields (EVENT_CALLER_GONE,
+                    FIELD_TEXT ("job", job->submission->job),
+                    FIELD_INT ("done", job->n_done),
+                    FIELD_INT ("ms", get_spent_ms (job)), make_trail (job));
+}
--- /dev/null
+++ b/transport/owner_log.c
@@ -0,0 +1,230 @@
+#include "transport/owner_log.h"
+
+#include "base/clock.h"
+#include "base/event_log.h"
+
+#include <string.h>
+
+static const char *
+name_run_end (enum run_end end)
+{
+  static const char *const names[]
+      = { "done", "failed", "stopped", "lapsed", "lost" };
+
+  return names[end];
+}
+
+/* Nothing of BATCH was started: its home tells of it.  */
+static gboolean
+is_all_returned (const struct batch *batch)
+{
+  return batch->n_returned == batch->n_tasks;
+}
+
+static const char *
+name_batch_end (enum batch_end end)
+{
+  static const char *const names[]
+      = { "done", "failed", "no-room", "stopped" };
+
+  return names[end];
+}
+
+void
+batch_tally_clear (struct batch_tally *tally)
+{
+  run_tally_clear (&tally->done);
+  run_tally_clear (&tally->cut_short);
+}
+
+void
+owner_log_taken (const struct batch *batch)
+{
+  event_log_fields (EVENT_BATCH_TAKEN, FIELD_TEXT ("job", batch->job),
+                    FIELD_INT ("batch", batch->number),
+                    FIELD_TEXT ("home", batch->home),
+                    FIELD_INT ("tasks", batch->n_tasks));
+}
+
+void
+owner_log_refused (const char *job, guint number, const char *home,
+                   const char *reason)
+{
+  event_log_fields (EVENT_BATCH_ENDED, FIELD_TEXT ("job", job),
+                    FIELD_INT ("batch", number), FIELD_TEXT ("home", home),
+                    FIELD_TEXT ("end", "no-room"),
+                    FIELD_TEXT ("reason", reason));
+}
+
+void
+owner_log_returned (const struct batch *batch, guint n_tasks)
+{
+  event_log_fields (
+      EVENT_BATCH_RETURNED, FIELD_TEXT ("job", batch->job),
+      FIELD_INT ("batch", batch->number), FIELD_INT ("tasks", n_tasks),
+      FIELD_INT ("waited_us", clock_now_us () - batch->queued_us));
+}
+
+void
+owner_log_ended (const struct batch *batch, const struct batch_tally *tally,
+                 gboolean is_remote)
+{
+  g_autofree char *home = g_strndup (batch->home, strcspn (batch->home, "#"));
+  g_autofree char *done = run_tally_format (&tally->done);
+  g_autofree char *cut_short = run_tally_format (&tally->cut_short);
+
+  if (is_all_returned (batch))
+    return;
+  event_log_fields (
+      EVENT_BATCH_ENDED, FIELD_TEXT ("job", batch->job),
+      FIELD_INT ("batch", batch->number),
+      FIELD_IF (is_remote, FIELD_TEXT ("home", home)),
+      FIELD_IF (batch->n_done < batch->n_tasks,
+                FIELD_INT ("tasks", batch->n_tasks)),
+      FIELD_IF (batch->n_done < batch->n_tasks,
+                FIELD_INT ("done", batch->n_done)),
+      FIELD_TEXT ("end", name_batch_end (batch->end)),
+      FIELD_IF (batch->reason != NULL, FIELD_TEXT ("reason", batch->reason)),
+      FIELD_IF (
+          batch->first_started_us != 0,
+          FIELD_INT ("waited_us", batch->first_started_us - batch->queued_us)),
+      FIELD_IF (done != NULL, FIELD_TEXT ("runs", done)),
+      FIELD_IF (cut_short != NULL, FIELD_TEXT ("cut_short", cut_short)));
+}
+
+void
+owner_log_start (const struct run *run)
+{
+  event_log_fields (
+      EVENT_RUN_STARTED, FIELD_TEXT ("job", run->task->batch->job),
+      FIELD_INT ("task", run->task->index), FIELD_INT ("run", run->number),
+      FIELD_TEXT ("upstream", run->upstream->id),
+      FIELD_INT ("token", run->upstream->token),
+      FIELD_INT ("expected_us", run->expected_us));
+}
+
+void
+owner_log_stop (const struct run *run)
+{
+  event_log_fields (EVENT_RUN_STOPPED, FIELD_TEXT ("task", run->name),
+                    FIELD_INT ("run", run->number),
+                    FIELD_TEXT ("upstream", run->upstream->id),
+                    FIELD_INT ("percent", run->percent),
+                    FIELD_BOOL ("is_foreign", run->is_foreign));
+}
+
+void
+owner_log_unanswered (const struct run *run)
+{
+  const struct batch_task *task = run->task;
+  struct event_field job = FIELD_TEXT ("task", run->name);
+  struct event_field index = { .key = "" };
+
+  if (task != NULL)
+    {
+      job = FIELD_TEXT ("job", task->batch->job);
+      index = FIELD_INT ("task", task->index);
+    }
+  event_log_fields (
+      EVENT_RUN_UNANSWERED, job, index, FIELD_INT ("run", run->number),
+      FIELD_TEXT ("upstream", run->upstream->id),
+      FIELD_INT ("token", run->upstream->token),
+      FIELD_INT ("ms", (clock_now_us () - run->started_us) / USEC_PER_MSEC));
+}
+
+/* Why a run that did not end well ended.  */
+static const char *
+name_reason (const struct run *run, enum run_end end)
+{
+  if (end != RUN_STOPPED)
+    return name_run_end (end);
+  if (run->state == RUN_STARTING)
+    return "refused";
+  if (!run->is_confirmed)
+    return "unanswered";
+  return run->percent == 0 ? "silent" : "slow";
+}
+
+/* A run of a batch that goes on without it.  */
+static void
+log_retried (const struct run *run, enum run_end end, gint64 took_us)
+{
+  event_log_fields (
+      EVENT_TASK_RETRIED, FIELD_TEXT ("job", run->task->batch->job),
+      FIELD_INT ("task", run->task->index), FIELD_INT ("run", run->number),
+      FIELD_TEXT ("upstream", run->upstream->id),
+      FIELD_TEXT ("end", name_run_end (end)),
+      FIELD_TEXT ("reason", name_reason (run, end)),
+      FIELD_INT ("ms", took_us / USEC_PER_MSEC),
+      FIELD_INT ("expected_ms", run->expected_us / USEC_PER_MSEC),
+      FIELD_INT ("percent", run->percent),
+      FIELD_REAL ("slowness", run->upstream->slowness));
+}
+
+static void
+log_over (enum event event, const struct run *run, enum run_end end,
+          gint64 took_us)
+{
+  event_log_fields (
+      event, FIELD_TEXT ("job", run->task->batch->job),
+      FIELD_INT ("task", run->task->index), FIELD_INT ("run", run->number),
+      FIELD_TEXT ("upstream", run->upstream->id),
+      FIELD_TEXT ("end", name_run_end (end)),
+      FIELD_INT ("ms", took_us / USEC_PER_MSEC),
+      FIELD_INT ("expected_ms", run->expected_us / USEC_PER_MSEC),
+      FIELD_INT ("percent", run->percent),
+      FIELD_REAL ("slowness", run->upstream->slowness));
+}
+
+void
+owner_log_run_ended (const struct run *run, enum run_end end, gint64 took_us,
+                     struct batch_tally *tally)
+{
+  if (end == RUN_DONE)
+    {
+      run_tally_add (&tally->done, run->upstream->id, took_us);
+      log_over (EVENT_RUN_ENDED, run, end, took_us);
+    }
+  else if (run->task->batch->is_ending)
+    {
+      run_tally_add (&tally->cut_short, run->upstream->id, took_us);
+      log_over (EVENT_RUN_CUT_SHORT, run, end, took_us);
+    }
+  else
+    log_retried (run, end, took_us);
+}
+
+/* Whether an upstream that starts anew was thought well of and idle, so that
+   nothing changes for any job.  */
+static gboolean
+is_plain_rebirth (const struct owned *upstream, enum owner_doubt doubt)
+{
+  return doubt == DOUBT_REBORN && !upstream->is_on_trial
+         && upstream->n_runs == 0;
+}
+
+void
+owner_log_doubt (const struct owned *upstream, enum owner_doubt doubt)
+{
+  static const struct
+  {
+    enum event event;
+    const char *reason;
+  } doubts[] = {
+    { EVENT_UPSTREAM_RESTING, "failed" }, { EVENT_UPSTREAM_RESTING, "slow" },
+    { EVENT_UPSTREAM_MUTE, "mute" },      { EVENT_UPSTREAM_BACK, "answered" },
+    { EVENT_UPSTREAM_BACK, "reborn" },
+  };
+
+  if (is_plain_rebirth (upstream, doubt))
+    return;
+  event_log_fields (
+      doubts[doubt].event, FIELD_TEXT ("upstream", upstream->id),
+      FIELD_TEXT ("reason", doubts[doubt].reason),
+      FIELD_INT ("token", upstream->token),
+      FIELD_REAL ("failure_share", upstream->failure_share),
+      FIELD_REAL ("slowness", upstream->slowness),
+      FIELD_INT ("rest_ms", MAX (upstream->rest_until_us - clock_now_us (), 0)
+                                / USEC_PER_MSEC),
+      FIELD_INT ("runs", upstream->n_runs));
+}
