transport: small HTTP client over kept-alive connections

POSTs of small bodies to one address at a send and a receive each. Nothing uses it yet.

A request is written once at most. It is told as not sent only when the kernel took no byte of it, so also when its deadline passes while it waits for a connection or while one is made; what a paused process finds late is not sent. A kept connection that the peer has closed is noticed by its source, or by a look when it was idle for over half a second; one that is closed within the same turn of the loop makes the request silent, and it is not repeated.

--- /dev/null
+++ b/transport/http_connection.c
@@ -0,0 +1,188 @@
+#include "transport/http_connection.h"
+
+#include "base/clock.h"
+#include "base/loop_timer.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#define READ_BYTES 16384
+
+/* How long the kernel tries to deliver what was written.  */
+#define USER_TIMEOUT_MS 1000
+
+/* A connection that was idle for longer is looked at before it is used: its
+   end may have come in while the process was paused.  */
+#define TRUSTED_IDLE_US (500 * USEC_PER_MSEC)
+
+static void
+unwatch (struct http_connection *connection)
+{
+  if (connection->source == NULL)
+    return;
+  g_source_destroy (connection->source);
+  g_source_unref (connection->source);
+  connection->source = NULL;
+}
+
+void
+http_connection_close (struct http_connection *connection)
+{
+  unwatch (connection);
+  g_socket_close (connection->socket, NULL);
+  g_object_unref (connection->socket);
+  list_remove (&connection->link);
+  if (connection->request != NULL)
+    http_response_clear (&connection->response);
+  g_free (connection);
+}
+
+static gboolean on_event (GSocket *socket, GIOCondition condition,
+                          gpointer data);
+
+static void
+watch (struct http_connection *connection, GIOCondition condition)
+{
+  if (connection->source != NULL && connection->condition == condition)
+    return;
+  unwatch (connection);
+  connection->condition = condition;
+  connection->source
+      = g_socket_create_source (connection->socket, condition, NULL);
+  g_source_set_callback (connection->source, G_SOURCE_FUNC (on_event),
+                         connection, NULL);
+  loop_source_attach (connection->source);
+}
+
+/* Writes what the kernel takes of the request.  Returns FALSE when the
+   connection broke.  */
+static gboolean
+write_request (struct http_connection *connection)
+{
+  const GString *text = connection->text;
+  g_autoptr (GError) error = NULL;
+  gssize n
+      = g_socket_send (connection->socket, text->str + connection->written,
+                       text->len - connection->written, NULL, &error);
+
+  if (n < 0 && !g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+    return FALSE;
+  connection->written += (gsize)MAX (n, 0);
+  watch (connection,
+         connection->written < text->len ? G_IO_IN | G_IO_OUT : G_IO_IN);
+  return TRUE;
+}
+
+/* The answer is whole.  To be called last.  */
+static void
+finish (struct http_connection *connection)
+{
+  struct http_response *response = &connection->response;
+  gpointer request = g_steal_pointer (&connection->request);
+  guint status = response->status;
+  gboolean keeps_open
+      = response->keeps_open && connection->written == connection->text->len;
+  g_autoptr (GBytes) body
+      = g_byte_array_free_to_bytes (g_steal_pointer (&response->body));
+
+  http_response_clear (response);
+  connection->used_us = clock_now_us ();
+  connection->owner->ops->answered (connection, request, status, body,
+                                    keeps_open);
+}
+
+/* Reads what has come in.  To be called last.  */
+static void
+read_answer (struct http_connection *connection)
+{
+  char bytes[READ_BYTES];
+  g_autoptr (GError) error = NULL;
+  enum http_response_state state = HTTP_UNREADABLE;
+  gssize n = g_socket_receive (connection->socket, bytes, sizeof bytes, NULL,
+                               &error);
+
+  if (n < 0 && g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+    return;
+  if (n > 0)
+    state = http_response_feed (&connection->response, bytes, (gsize)n);
+  else if (n == 0)
+    state = http_response_feed_end (&connection->response);
+  if (state == HTTP_WHOLE)
+    finish (connection);
+  else if (state == HTTP_UNREADABLE)
+    connection->owner->ops->broken (connection);
+}
+
+/* Whether the connection was made in time: a process that was paused must not
+   send what its deadline has passed for.  */
+static gboolean
+check_connected (struct http_connection *connection)
+{
+  connection->is_connected
+      = g_socket_check_connect_result (connection->socket, NULL)
+        && clock_now_us () < connection->deadline_us;
+  return connection->is_connected;
+}
+
+static gboolean
+on_event (GSocket *socket, GIOCondition condition, gpointer data)
+{
+  struct http_connection *connection = data;
+  gboolean is_new = !connection->is_connected;
+  gboolean is_writable = is_new || (condition & G_IO_OUT) != 0;
+
+  /* An idle one was closed, or brings what was not asked for.  */
+  if (connection->request == NULL || (is_new && !check_connected (connection))
+      || (is_writable && !write_request (connection)))
+    connection->owner->ops->broken (connection);
+  else if ((condition & ~G_IO_OUT) != 0)
+    read_answer (connection);
+  return G_SOURCE_CONTINUE;
+}
+
+struct http_connection *
+http_connection_open (GSocketAddress *address,
+                      struct http_connection_owner *owner)
+{
+  struct http_connection *connection;
+  g_autoptr (GError) error = NULL;
+  g_autoptr (GSocket) socket
+      = g_socket_new (g_socket_address_get_family (address),
+                      G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
+
+  if (socket == NULL)
+    return NULL;
+  g_socket_set_blocking (socket, FALSE);
+  g_socket_set_option (socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+  g_socket_set_option (socket, IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS,
+                       NULL);
+  if (!g_socket_connect (socket, address, NULL, &error)
+      && !g_error_matches (error, G_IO_ERROR, G_IO_ERROR_PENDING))
+    return NULL;
+  connection = g_new0 (struct http_connection, 1);
+  list_init (&connection->link);
+  connection->owner = owner;
+  connection->socket = g_steal_pointer (&socket);
+  watch (connection, G_IO_OUT);
+  return connection;
+}
+
+gboolean
+http_connection_is_open (const struct http_connection *connection)
+{
+  return connection->used_us + TRUSTED_IDLE_US > clock_now_us ()
+         || g_socket_condition_check (connection->socket, G_IO_IN) == 0;
+}
+
+gboolean
+http_connection_send (struct http_connection *connection, gpointer request,
+                      const GString *text, gint64 deadline_us,
+                      gsize max_body_bytes)
+{
+  connection->request = request;
+  connection->text = text;
+  connection->deadline_us = deadline_us;
+  connection->written = 0;
+  http_response_init (&connection->response, max_body_bytes);
+  return !connection->is_connected || write_request (connection);
+}
