coordination: keep runs that a new life may have obeyed

Cause: when an upstream told of a new life, all runs there counted as gone and began elsewhere, also those whose order the new life itself had taken: the order names the upstream, not its life.

Now only runs that a list has shown are gone with their life; the others stay until a list of the new life, asked for after their order was answered, does not show them; stops are sent again, and the leases that were named on the former clock hold no longer. owner_take () uses the same steps, which it had repeated. Ruled out: an order wrongly told as not sent, which would have been run again under the same number.

--- a/coordination/owner.c
+++ b/coordination/owner.c
@@ -89,16 +89,7 @@
   upstream->is_releasing = FALSE;
   if (spec->born_ms != 0 && upstream->born_ms != 0
       && spec->born_ms > upstream->born_ms)
-    {
-      owner_lose_runs (owner, upstream, now_us);
-      upstream->born_ms = spec->born_ms;
-      upstream->last_seen = 0;
-      upstream->acknowledged = 0;
-      upstream->clock_read_us = 0;
-      upstream->leased_until_ms = 0;
-      upstream->state = OWNED_TAKING;
-      upstream->ask_due_us = now_us;
-    }
+    owner_begin_life (owner, upstream, spec->born_ms, now_us);
   owner_serve (owner, now_us);
   owner_advance (owner, now_us);
   return owner_find (owner, spec->id);
--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -86,6 +86,11 @@
 void owner_end_run (struct owner *owner, struct run *run, enum run_end end,
                     gint64 now_us);
 
+/* UPSTREAM has started anew under its name: nothing of before is there, but it
+   may have obeyed orders that were meant for its former life.  */
+void owner_begin_life (struct owner *owner, struct owned *upstream,
+                       gint64 born_ms, gint64 now_us);
+
 /* No run of UPSTREAM can be there any more.  */
 void owner_lose_runs (struct owner *owner, struct owned *upstream,
                       gint64 now_us);
--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -201,10 +201,47 @@
   owned_unref (upstream);
 }
 
-/* The upstream has started anew: nothing of before is there.  */
+/* Whether RUN was there before the latest life of its upstream began.  An
+   order whose run no list has shown yet may have been obeyed by either life.
+ */
+static gboolean
+is_of_former_life (const struct run *run)
+{
+  return run->is_foreign || run->seen_in != 0;
+}
+
+/* What is known of RUN from a former life holds no longer.  */
 static void
-begin_life (struct owner *owner, struct owned *upstream, gint64 born_ms,
-            gint64 now_us)
+doubt_run (struct run *run, gint64 now_us)
+{
+  run->is_stop_acknowledged = FALSE;
+  run->stop_due_us = now_us;
+  run->void_us = 0;
+}
+
+static void
+lose_former_runs (struct owner *owner, struct owned *upstream, gint64 now_us)
+{
+  struct list_node *node = upstream->runs.next;
+
+  while (node != &upstream->runs)
+    {
+      struct run *run = list_entry (node, struct run, link);
+
+      node = node->next;
+      if (!is_of_former_life (run))
+        {
+          doubt_run (run, now_us);
+          continue;
+        }
+      owner_end_run (owner, run, RUN_LOST, now_us);
+      node = upstream->runs.next;
+    }
+}
+
+void
+owner_begin_life (struct owner *owner, struct owned *upstream, gint64 born_ms,
+                  gint64 now_us)
 {
   upstream->born_ms = born_ms;
   upstream->last_seen = 0;
@@ -214,7 +251,15 @@
   upstream->state = OWNED_TAKING;
   upstream->ask_due_us = now_us;
   tell_doubt (owner, upstream, DOUBT_REBORN);
+  lose_former_runs (owner, upstream, now_us);
+}
+
+/* The upstream has refused an order, as it is another one by now.  */
+static void
+replace_life (struct owner *owner, struct owned *upstream, gint64 now_us)
+{
   owner_lose_runs (owner, upstream, now_us);
+  owner_begin_life (owner, upstream, 0, now_us);
 }
 
 /* Nothing more is started there before it has told that it lives, and which of
@@ -290,7 +335,7 @@
   if (run != NULL)
     start_ended (owner, run, end, now_us);
   if (end == ORDER_OTHER_LIFE)
-    begin_life (owner, upstream, 0, now_us);
+    replace_life (owner, upstream, now_us);
   owner_serve (owner, now_us);
   owner_advance (owner, now_us);
 }
@@ -416,16 +461,27 @@
     }
 }
 
+/* In a new life orders of before, if there are any, have got leases of an
+   unknown end.  */
+static void
+note_leases (const struct owner *owner, struct owned *upstream)
+{
+  if (upstream->leased_until_ms == 0 && !list_is_empty (&upstream->runs))
+    upstream->leased_until_ms
+        = upstream->clock_ms + owner->limits.max_lease_ms;
+}
+
 static void
 take_report (struct owner *owner, struct owned *upstream,
              const struct upstream_report *report, gint64 now_us)
 {
   if (report->born_ms != 0 && upstream->born_ms != 0
       && report->born_ms != upstream->born_ms)
-    begin_life (owner, upstream, report->born_ms, now_us);
+    owner_begin_life (owner, upstream, report->born_ms, now_us);
   if (upstream->born_ms == 0)
     upstream->born_ms = report->born_ms;
   owned_read_clock (upstream, report->clock_ms, now_us);
+  note_leases (owner, upstream);
   if (upstream->state == OWNED_SHUNNED)
     tell_doubt (owner, upstream, DOUBT_OVER);
   upstream->state = owned_is_doubted (upstream) ? OWNED_TAKING : OWNED_HELD;
@@ -479,7 +535,7 @@
       take_report (owner, upstream, report, now_us);
     }
   else if (end == ORDER_OTHER_LIFE)
-    begin_life (owner, upstream, 0, now_us);
+    replace_life (owner, upstream, now_us);
   else
     note_silence (owner, upstream, now_us);
   owner_check_released (owner, upstream);
--- a/t/support/fleet_upstream.c
+++ b/t/support/fleet_upstream.c
@@ -73,8 +73,13 @@
 {
   fleet_tell (world, "%s crashes", upstream->id);
   upstream->is_up = FALSE;
-  upstream->rebirth_us = world->now_us + 1500 * USEC_PER_MSEC
-                         + fleet_draw_us (world, 2 * USEC_PER_SEC);
+  /* Some are back before anybody has missed them.  */
+  upstream->rebirth_us
+      = world->now_us
+        + (fleet_draw (world, 3) == 0
+               ? fleet_draw_us (world, 50 * USEC_PER_MSEC)
+               : 1500 * USEC_PER_MSEC
+                     + fleet_draw_us (world, 2 * USEC_PER_SEC));
   g_ptr_array_set_size (upstream->runs, 0);
   g_ptr_array_set_size (upstream->ends, 0);
   g_hash_table_remove_all (upstream->highest);
--- a/t/support/fleet_world.c
+++ b/t/support/fleet_world.c
@@ -437,7 +437,11 @@
         owner_remove (w->owners[i].owner, u->id, w->now_us);
     }
   sim_upstream_begin (w, u, u->is_gone);
-  give (w, u);
+  /* The news of a new life may come late.  */
+  if (fleet_draw (w, 2) == 0)
+    u->is_news = TRUE;
+  else
+    give (w, u);
 }
 
 /* An owner that has woken is told what it has missed.  */
