transport: know how much longer a task runs away from its rack

The home told owners that a task runs as fast on any rack, so they never preferred the one that a task names. The factor comes from the settings.

--- a/protocol/fleet_settings.c
+++ b/protocol/fleet_settings.c
@@ -19,16 +19,18 @@
 #define DEFAULT_MAX_LEASE_MS 1000
 #define DEFAULT_GRACE_MS 6000
 #define DEFAULT_CONNECTIONS 3000
-
-static const char *const keys[] = { "vm",        "availability_zone",
-                                    "ip",        "availability_zones",
-                                    "callers",   "readiness",
-                                    "peers",     "beacon_port",
-                                    "metrics",   "store",
-                                    "shards",    "member_ttl_ms",
-                                    "lease_ms",  "max_lease_ms",
-                                    "grace_s",   "max_connections",
-                                    "log_level", NULL };
+#define MAX_FAR_FACTOR 100
+
+static const char *const keys[] = { "vm",         "availability_zone",
+                                    "ip",         "availability_zones",
+                                    "callers",    "readiness",
+                                    "peers",      "beacon_port",
+                                    "metrics",    "store",
+                                    "shards",     "member_ttl_ms",
+                                    "lease_ms",   "max_lease_ms",
+                                    "grace_s",    "max_connections",
+                                    "far_factor", "log_level",
+                                    NULL };
 
 static void
 read_text (struct json_check *check, json_t *root, const char *key,
@@ -109,6 +111,8 @@
   read_uint (check, root, "member_ttl_ms", 100, MAX_MS, &s->member_ttl_ms);
   read_uint (check, root, "max_connections", 1, MAX_CONNECTIONS,
              &s->max_connections);
+  json_read_number (check, "", root, "far_factor", 1, MAX_FAR_FACTOR,
+                    &s->far_factor);
   if (json_read_number (check, "", root, "grace_s", 0.001, MAX_MS / 1000.0,
                         &grace_s))
     s->grace_ms = (guint)(grace_s * 1000);
@@ -124,6 +128,7 @@
   settings->member_ttl_ms = DEFAULT_TTL_MS;
   settings->max_lease_ms = DEFAULT_MAX_LEASE_MS;
   settings->grace_ms = DEFAULT_GRACE_MS;
+  settings->far_factor = 1;
   settings->max_connections = DEFAULT_CONNECTIONS;
   settings->log_level = LOG_LEVEL_INFO;
   return settings;
--- a/protocol/fleet_settings.h
+++ b/protocol/fleet_settings.h
@@ -22,6 +22,7 @@
   guint member_ttl_ms;
   guint lease_ms;     /* of runs */
   guint max_lease_ms; /* the longest that upstreams grant */
+  gdouble far_factor; /* run time away from the rack with the data */
   guint grace_ms;     /* from a stop signal to the end of the process */
   guint max_connections;
   enum log_level log_level;
--- a/t/t1020-fleet-settings.c
+++ b/t/t1020-fleet-settings.c
@@ -31,6 +31,8 @@
   { "{{platform.ttlMinMs}}", "1000.0" },
   { "{{bounds.holdMaxMs}}", "1000.5" },
   { "{{bounds.graceS}}", "5.5" },
+  { "{{#bounds.farFactor}}  \"far_factor\": {{.}},\n{{/bounds.farFactor}}",
+    "  \"far_factor\": 1.5,\n" },
 };
 
 static char *
@@ -102,6 +104,7 @@
   g_assert_cmpuint (s->member_ttl_ms, ==, 1000);
   g_assert_cmpuint (s->max_lease_ms, ==, 1000);
   g_assert_cmpuint (s->grace_ms, ==, 5500);
+  g_assert_cmpfloat (s->far_factor, ==, 1.5);
   fleet_settings_free (s);
 }
 
@@ -208,6 +211,8 @@
                   "'shards' must be a number from 1 to 64");
   assert_problem ("{" REQUIRED ",\"shards\":\"16\"}", "must be a number");
   assert_problem ("{" REQUIRED ",\"grace_s\":0}", "must be a number from");
+  assert_problem ("{" REQUIRED ",\"far_factor\":0.5}",
+                  "must be a number from");
   assert_problem ("{" REQUIRED ",\"lease_ms\":true}", "must be a number from");
   assert_problem ("{" REQUIRED ",\"log_level\":\"loud\"}", "must be one of");
   assert_problem ("{" REQUIRED ",\"lease_ms\":700,\"max_lease_ms\":600}",
--- a/t/t2111-owner-single.c
+++ b/t/t2111-owner-single.c
@@ -9,11 +9,16 @@
   struct owner_driver driver;
   gint64 wake_us;
   guint n_asks;
+  char *started_on; /* id of the upstream of the latest start */
 };
 
 static void
 on_start (struct owner_driver *driver, struct run *run, gint64 until_ms)
 {
+  struct single_bed *bed = (struct single_bed *)driver;
+
+  g_free (bed->started_on);
+  bed->started_on = g_strdup (run->upstream->id);
 }
 
 static void
@@ -80,14 +85,14 @@
 static const struct upstream_report report
     = { .clock_ms = 5000, .born_ms = 1 };
 
-/* Takes the upstream, which answers.  */
+/* Takes the upstream ID on RACK, which answers.  */
 static struct owned *
-take (struct owner *owner)
+take_on (struct owner *owner, const char *id, const char *rack)
 {
-  const struct owned_spec spec = { .id = "u",
+  const struct owned_spec spec = { .id = id,
                                    .address = "127.0.0.1:1",
                                    .service = "s",
-                                   .rack = "",
+                                   .rack = rack,
                                    .availability_zone = "z",
                                    .shape = { .cpus = 2 },
                                    .born_ms = 1 };
@@ -97,6 +102,19 @@
   return upstream;
 }
 
+static struct owned *
+take (struct owner *owner)
+{
+  return take_on (owner, "u", "");
+}
+
+static void
+finish (struct single_bed *bed, struct owner *owner)
+{
+  owner_free (owner);
+  g_clear_pointer (&bed->started_on, g_free);
+}
+
 /* An ask that waits at the upstream must not keep the loop turning.  */
 static void
 test_asking (void)
@@ -116,7 +134,7 @@
       g_assert_cmpint (bed.wake_us, >=, now_us + USEC_PER_MSEC);
     }
   g_assert_cmpuint (bed.n_asks, ==, 2);
-  owner_free (owner);
+  finish (&bed, owner);
 }
 
 /* The only upstream has left orders without an answer and answers again: it
@@ -144,7 +162,7 @@
   owner_get_room (owner, "s", &room, now_us);
   g_assert_cmpuint (room.n_slots, ==, 1);
   g_assert_cmpuint (room.free_slots, ==, 1);
-  owner_free (owner);
+  finish (&bed, owner);
 }
 
 /* Queues a batch that has to start within START_S seconds.  */
@@ -190,7 +208,7 @@
       if (pass == 1)
         owner_advance (owner, START_US + 3 * USEC_PER_SEC);
       assert_queued (owner, pass == 1 ? after_3_s : in_time, 4);
-      owner_free (owner);
+      finish (&bed, owner);
     }
 }
 
@@ -227,7 +245,7 @@
   g_assert_cmpuint (owner_get_first_queued (owner)->number, ==, 1);
   owner_stop_batch (owner, part, "test", now_us);
   g_assert_cmpuint (owner_get_first_queued (owner)->number, ==, 3);
-  owner_free (owner);
+  finish (&bed, owner);
 }
 
 /* The same for the tasks of a batch that wait for the first ones.  */
@@ -250,7 +268,30 @@
   owner_submit (owner, make_wide (1, USEC_PER_SEC), now_us);
   owner_advance (owner, now_us += 100 * USEC_PER_MSEC);
   g_assert_true (owner_get_first_queued (owner) == begun);
-  owner_free (owner);
+  finish (&bed, owner);
+}
+
+/* A task runs on the rack that it names, unless there is no room.  */
+static void
+test_rack (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  const char *const racks[] = { "r1", "r2", "r1", "r2" };
+  const char *const expected[] = { "u1", "u2", "u1", "u2" };
+
+  take_on (owner, "u1", "r1");
+  take_on (owner, "u2", "r2");
+  for (guint i = 0; i < G_N_ELEMENTS (racks); i++)
+    {
+      struct batch *batch = make_batch ();
+
+      batch->affinity = g_strdup (racks[i]);
+      batch->far_factor = 3;
+      owner_submit (owner, batch, START_US);
+      g_assert_cmpstr (bed.started_on, ==, expected[i]);
+    }
+  finish (&bed, owner);
 }
 
 int
@@ -260,6 +301,7 @@
   g_test_add_func ("/owner/asking", test_asking);
   g_test_add_func ("/owner/all-on-trial", test_all_on_trial);
   g_test_add_func ("/owner/queue-order", test_queue_order);
+  g_test_add_func ("/owner/rack", test_rack);
   g_test_add_func ("/owner/late-part", test_late_part);
   g_test_add_func ("/owner/late-begun", test_late_begun);
   return g_test_run ();
--- a/transport/fleet.c
+++ b/transport/fleet.c
@@ -504,9 +504,9 @@
                                   &fleet->owner_listener);
   fleet_shards_set_owner (fleet->shards, fleet->owner);
   fleet_owner_serve (fleet->owner, fleet->hub);
-  fleet->home = fleet_home_new (settings->vm, fleet->incarnation,
-                                settings->availability_zone, fleet->directory,
-                                fleet->hub, fleet->owner);
+  fleet->home = fleet_home_new (
+      settings->vm, fleet->incarnation, settings->availability_zone,
+      settings->far_factor, fleet->directory, fleet->hub, fleet->owner);
   peer_hub_serve (fleet->hub, PEER_FETCH_ROUTES, on_fetch_routes, fleet);
 }
 
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -48,6 +48,7 @@
   char *name; /* VM and incarnation */
   char *availability_zone;
   guint64 incarnation;
+  gdouble far_factor; /* of run times away from a task's rack */
   struct vm_directory *directory;
   struct peer_hub *hub;
   struct fleet_owner *owner;
@@ -59,8 +60,9 @@
 
 struct fleet_home *
 fleet_home_new (const char *vm, guint64 incarnation,
-                const char *availability_zone, struct vm_directory *directory,
-                struct peer_hub *hub, struct fleet_owner *owner)
+                const char *availability_zone, gdouble far_factor,
+                struct vm_directory *directory, struct peer_hub *hub,
+                struct fleet_owner *owner)
 {
   struct fleet_home *home = g_new0 (struct fleet_home, 1);
 
@@ -68,6 +70,7 @@
   home->name = fleet_format_home (vm, incarnation);
   home->availability_zone = g_strdup (availability_zone);
   home->incarnation = incarnation;
+  home->far_factor = far_factor;
   home->directory = directory;
   home->hub = hub;
   home->owner = owner;
@@ -374,6 +377,7 @@
   batch->required_label = g_strdup (s->required_label);
   batch->need = s->need;
   batch->estimate_us = s->estimate_us;
+  batch->far_factor = job->home->far_factor;
   batch->per_upstream = s->per_upstream;
   batch->priority = s->priority;
   batch->attempts = s->attempts;
@@ -403,7 +407,7 @@
     .memory_mb = s->need.memory_mb,
     .accelerators = s->need.accelerators,
     .estimate_us = s->estimate_us,
-    .far_permille = MILLI,
+    .far_permille = (u_int)(job->home->far_factor * MILLI + 0.5),
     .per_upstream = s->per_upstream,
     .priority = s->priority,
     .attempts = s->attempts,
--- a/transport/fleet_home.h
+++ b/transport/fleet_home.h
@@ -67,6 +67,7 @@
    must outlive the home.  */
 struct fleet_home *fleet_home_new (const char *vm, guint64 incarnation,
                                    const char *availability_zone,
+                                   gdouble far_factor,
                                    struct vm_directory *directory,
                                    struct peer_hub *hub,
                                    struct fleet_owner *owner);
