--- a/platform/json_text.c
+++ b/protocol/json_text.c
@@ -1,4 +1,4 @@
-#include "platform/json_text.h"
+#include "protocol/json_text.h"
 
 /* What ends a run of plain bytes.  */
 static const gboolean is_special[G_MAXUINT8 + 1] = {
--- a/platform/json_text.h
+++ b/protocol/json_text.h
@@ -1,8 +1,8 @@
 /*
  * Writes JSON by hand, for messages that are too frequent to build a tree for.
  */
-#ifndef PLATFORM_JSON_TEXT_H
-#define PLATFORM_JSON_TEXT_H
+#ifndef PROTOCOL_JSON_TEXT_H
+#define PROTOCOL_JSON_TEXT_H
 
 #include <glib.h>
 
