transport: stop a batch whose home can no longer be reached

Trace: the connection between a home and an owner was reset, and new ones were refused for a second while beacons passed. The home answered that the outcome is unknown and told the owner to stop, which did not arrive; the caller sent the job again 1,300 ms later, and the first run was still going. Ruled out: the lease, which the owner rightly prolongs for a home that lives.

The owner now looks at the connection on which the batch came, each time that its timer fires, and stops the batch when it is gone.

--- a/t/t3003-peer-rpc.c
+++ b/t/t3003-peer-rpc.c
@@ -263,8 +263,12 @@
   f->holds = TRUE;
   begin (f, &outcome, 200, 10, FAR_US);
   wait_for_held (f, 1);
+  g_assert_true (peer_request_is_connected (g_queue_peek_head (f->held)));
   set_faults (f, "{\"reset_existing\":true}");
   wait_for (&outcome);
+  /* The side that serves learns of it as well.  */
+  while (peer_request_is_connected (g_queue_peek_head (f->held)))
+    g_main_context_iteration (NULL, TRUE);
   g_assert_cmpint (outcome.kind, ==, ERROR_UNAVAILABLE);
   g_assert_cmpuint (f->n_broke, ==, 1);
   f->holds = FALSE;
--- a/transport/fleet_owner.c
+++ b/transport/fleet_owner.c
@@ -334,12 +334,32 @@
   return_queued (owner, service, now_us);
 }
 
+/* A home that can no longer be told how its batch ends has answered that this
+   is unknown, or will do so soon: its caller may send the job again.  */
+static void
+stop_unreachable (struct fleet_owner *owner, gint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, owner->remote);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct remote_batch *remote = value;
+
+      if (!peer_request_is_connected (remote->request))
+        owner_stop_batch (owner->owner, remote->batch,
+                          "the connection to its home broke", now_us);
+    }
+}
+
 static void
 on_timer (gpointer data)
 {
   struct fleet_owner *owner = data;
   gint64 now_us = clock_now_us ();
 
+  stop_unreachable (owner, now_us);
   owner_advance (owner->owner, now_us);
   rebalance (owner, now_us);
 }
--- a/transport/peer_hub.h
+++ b/transport/peer_hub.h
@@ -125,6 +125,7 @@
  * peer_service.h has, for handlers:
  *
  * peer_request_get_sender () - the name of the VM that calls;
+ * peer_request_is_connected () - whether a reply could still reach that VM.
  * peer_request_reply () - answers with a result of the type that peer.x gives,
  *   serialised before it returns, and frees the request;
  * peer_request_fail () - answers that the procedure cannot be served.
--- a/transport/peer_service.c
+++ b/transport/peer_service.c
@@ -377,6 +377,12 @@
   return request->sender;
 }
 
+gboolean
+peer_request_is_connected (const struct peer_request *request)
+{
+  return request->connection != NULL;
+}
+
 void
 peer_request_reply (struct peer_request *request, const void *result)
 {
