--- a/t/standin/listener.c
+++ b/t/standin/listener.c
@@ -6,13 +6,13 @@
 #define NO_TIMEOUT_MS G_MAXINT
 
 GSocket *
-listen_on_loopback (guint16 port, guint16 *bound_port, GError **error)
+listen_on (const char *ip, guint16 port, guint16 *bound_port, GError **error)
 {
   g_autoptr (GSocket) socket
       = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
                       G_SOCKET_PROTOCOL_TCP, error);
   g_autoptr (GSocketAddress) address
-      = g_inet_socket_address_new_from_string ("127.0.0.1", port);
+      = g_inet_socket_address_new_from_string (ip, port);
   g_autoptr (GSocketAddress) bound = NULL;
 
   if (socket == NULL)
@@ -29,6 +29,12 @@
   return g_steal_pointer (&socket);
 }
 
+GSocket *
+listen_on_loopback (guint16 port, guint16 *bound_port, GError **error)
+{
+  return listen_on ("127.0.0.1", port, bound_port, error);
+}
+
 static struct connection_guard *
 guard_server (SoupServer *server, guint max_connections)
 {
--- a/t/standin/listener.h
+++ b/t/standin/listener.h
@@ -20,6 +20,10 @@
 GSocket *listen_on_loopback (guint16 port, guint16 *bound_port,
                              GError **error);
 
+/* The same on another address of this machine.  */
+GSocket *listen_on (const char *ip, guint16 port, guint16 *bound_port,
+                    GError **error);
+
 struct listener
 {
   SoupServer *server; /* not owned; shared between listeners */
--- a/t/standin/proxy.c
+++ b/t/standin/proxy.c
@@ -135,6 +135,7 @@
   int listen_port;
   int control_port;
   char **targets;
+  char **origins; /* where the routes listen, or NULL */
   char *script;
   int seed;
   gboolean udp;
@@ -150,6 +151,9 @@
       "Port of the controls, 0 for any", "PORT" },
     { "to", 0, 0, G_OPTION_ARG_STRING_ARRAY, &options->targets,
       "A route to this target; may be repeated", "ADDRESS:PORT" },
+    { "from", 0, 0, G_OPTION_ARG_STRING_ARRAY, &options->origins,
+      "Where a route listens; as often as --to, or not at all",
+      "ADDRESS:PORT" },
     { "script", 0, 0, G_OPTION_ARG_FILENAME, &options->script,
       "Steps of faults in JSON", "FILE" },
     { "seed", 0, 0, G_OPTION_ARG_INT, &options->seed, "Seed of the draws",
@@ -161,31 +165,59 @@
   program_parse (argc, argv, entries);
 }
 
+/* Lives as long as the process.  */
+static GNetworkAddress *
+parse_address (const char *text)
+{
+  g_autoptr (GError) error = NULL;
+  GSocketConnectable *address = g_network_address_parse (text, 0, &error);
+
+  if (address == NULL)
+    program_fail (error);
+  return G_NETWORK_ADDRESS (address);
+}
+
 static struct route *
 make_route (const struct proxy_options *options, const char *target, guint i)
 {
   g_autoptr (GError) error = NULL;
-  g_autoptr (GSocketConnectable) connectable
-      = g_network_address_parse (target, 0, &error);
-  GSocketAddress *address;
-  GNetworkAddress *parsed;
+  GNetworkAddress *far = parse_address (target);
+  GSocketAddress *address = g_inet_socket_address_new_from_string (
+      g_network_address_get_hostname (far), g_network_address_get_port (far));
   guint port = options->listen_port == 0 ? 0 : options->listen_port + i;
+  const char *ip = "127.0.0.1";
   struct route *route;
 
-  if (connectable == NULL)
-    program_fail (error);
-  parsed = G_NETWORK_ADDRESS (connectable);
-  address = g_inet_socket_address_new_from_string (
-      g_network_address_get_hostname (parsed),
-      g_network_address_get_port (parsed));
+  if (options->origins != NULL)
+    {
+      GNetworkAddress *near = parse_address (options->origins[i]);
+
+      ip = g_network_address_get_hostname (near);
+      port = g_network_address_get_port (near);
+    }
   route = (options->udp ? proxy_udp_new : proxy_tcp_new) (
-      (guint16)port, address, g_rand_new_with_seed (options->seed + i),
+      ip, (guint16)port, address, g_rand_new_with_seed (options->seed + i),
       &error);
   if (route == NULL)
     program_fail (error);
   return route;
 }
 
+static void
+check_origins (const struct proxy_options *options)
+{
+  g_autoptr (GError) error = NULL;
+
+  if (options->origins == NULL
+      || (options->targets != NULL
+          && g_strv_length (options->origins)
+                 == g_strv_length (options->targets)))
+    return;
+  error = g_error_new (G_OPTION_ERROR, G_OPTION_ERROR_BAD_VALUE,
+                       "give --from as often as --to, or not at all");
+  program_fail (error);
+}
+
 int
 standin_proxy (int argc, char **argv)
 {
@@ -197,6 +229,7 @@
   struct listener *control;
 
   parse_options (argc, argv, &options);
+  check_origins (&options);
   for (guint i = 0; options.targets != NULL && options.targets[i] != NULL; i++)
     {
       struct route *route = make_route (&options, options.targets[i], i);
--- a/t/standin/proxy_route.h
+++ b/t/standin/proxy_route.h
@@ -30,6 +30,7 @@
   GSocketAddress *target;
   GSocket *socket; /* NULL while the port is closed */
   GSource *accept_source;
+  const char *ip; /* borrowed; the route listens on it */
   guint16 port;
   struct proxy_faults faults;
   GRand *random;
@@ -39,12 +40,15 @@
   guint64 bytes[DIRECTION_COUNT]; /* received, relayed or not */
 };
 
-/* Relays the connections to PORT of 127.0.0.1, 0 for any.  NULL on error.  */
-struct route *proxy_tcp_new (guint16 port, GSocketAddress *target,
-                             GRand *random, GError **error);
+/* Relays the connections to PORT of IP, 0 for any, which must outlive the
+   route.  NULL on error.  */
+struct route *proxy_tcp_new (const char *ip, guint16 port,
+                             GSocketAddress *target, GRand *random,
+                             GError **error);
 
 /* The same for datagrams.  */
-struct route *proxy_udp_new (guint16 port, GSocketAddress *target,
-                             GRand *random, GError **error);
+struct route *proxy_udp_new (const char *ip, guint16 port,
+                             GSocketAddress *target, GRand *random,
+                             GError **error);
 
 #endif
--- a/t/standin/proxy_tcp.c
+++ b/t/standin/proxy_tcp.c
@@ -454,7 +454,7 @@
 static gboolean
 open_port (struct route *route, guint16 port, GError **error)
 {
-  route->socket = listen_on_loopback (port, &route->port, error);
+  route->socket = listen_on (route->ip, port, &route->port, error);
   if (route->socket == NULL)
     return FALSE;
   route->accept_source = g_socket_create_source (route->socket, G_IO_IN, NULL);
@@ -486,12 +486,13 @@
                                           .set_listening = set_listening };
 
 struct route *
-proxy_tcp_new (guint16 port, GSocketAddress *target, GRand *random,
-               GError **error)
+proxy_tcp_new (const char *ip, guint16 port, GSocketAddress *target,
+               GRand *random, GError **error)
 {
   struct route *route = g_new0 (struct route, 1);
 
   route->ops = &tcp_ops;
+  route->ip = ip;
   route->target = target;
   route->random = random;
   proxy_faults_init (&route->faults);
--- a/t/standin/proxy_udp.c
+++ b/t/standin/proxy_udp.c
@@ -182,16 +182,17 @@
                                           .set_listening = set_listening };
 
 struct route *
-proxy_udp_new (guint16 port, GSocketAddress *target, GRand *random,
-               GError **error)
+proxy_udp_new (const char *ip, guint16 port, GSocketAddress *target,
+               GRand *random, GError **error)
 {
   struct route *route = g_new0 (struct route, 1);
   g_autoptr (GSocketAddress) address
-      = g_inet_socket_address_new_from_string ("127.0.0.1", port);
+      = g_inet_socket_address_new_from_string (ip, port);
   g_autoptr (GSocketAddress) bound = NULL;
   g_autoptr (GSource) source = NULL;
 
   route->ops = &udp_ops;
+  route->ip = ip;
   route->target = target;
   route->random = random;
   proxy_faults_init (&route->faults);
--- a/t/standin/worker.c
+++ b/t/standin/worker.c
@@ -17,6 +17,7 @@
 {
   int port;
   int control_port;
+  int entry_port;
   int count;
   int store;
   int seed;
@@ -36,6 +37,9 @@
       "Port of the first worker, 0 for any", "PORT" },
     { "control-port", 0, 0, G_OPTION_ARG_INT, &options->control_port,
       "Port of the controls, 0 for any", "PORT" },
+    { "entry-port", 0, 0, G_OPTION_ARG_INT, &options->entry_port,
+      "Port of the first worker in its entry, as of a proxy; 0 for its own",
+      "PORT" },
     { "count", 0, 0, G_OPTION_ARG_INT, &options->count,
       "Workers in this process, each on its own port", "N" },
     { "store", 0, 0, G_OPTION_ARG_INT, &options->store,
@@ -90,6 +94,9 @@
   worker->id = g_strdup_printf (
       "%s-%d", options->name == NULL ? "worker" : options->name, i);
   worker->port = listener->port;
+  worker->entry_port = options->entry_port == 0
+                           ? worker->port
+                           : (guint16)(options->entry_port + i);
   worker->labels[0] = g_strdup (options->kind == NULL ? "a" : options->kind);
   worker->labels[1] = g_strdup_printf ("r%d", i % MAX (1, options->racks));
   worker->capacity = options->capacity;
--- a/t/standin/worker.h
+++ b/t/standin/worker.h
@@ -72,7 +72,8 @@
   guint index;
   char *id;
   guint16 port;
-  char *labels[2]; /* kind and rack */
+  guint16 entry_port; /* the port that its entry names */
+  char *labels[2];    /* kind and rack */
   struct room capacity;
   gint64 slow_ppm; /* by which its clock is slow */
   struct worker_faults faults;
--- a/t/standin/worker_beat.c
+++ b/t/standin/worker_beat.c
@@ -23,7 +23,8 @@
 {
   const struct fleet *fleet = worker->fleet;
   gint64 now_us = clock_now_us ();
-  g_autofree char *address = g_strdup_printf ("127.0.0.1:%u", worker->port);
+  g_autofree char *address
+      = g_strdup_printf ("127.0.0.1:%u", worker->entry_port);
   gboolean is_draining = worker->state == WORKER_DRAINING;
   json_t *entry = json_pack (
       "{ss ss ss ss sI ss si s{sI sI sI} s[ss] sI sI sI}", "service",
