t: let workers give up a heartbeat without an answer

A worker stand-in sends one heartbeat at a time and waited for its answer without a limit. After a cut of the link to the store the connection stays silent for good, and the worker never came back to the list: in a fleet whose links to the store were cut for 1.3 s all upstreams were gone from then on. A heartbeat is now given up after 1 s.

/lives/silent-link fails without the change: the list stays empty.

--- a/t/standin/worker.c
+++ b/t/standin/worker.c
@@ -13,6 +13,9 @@
 #define DEFAULT_STOP_MS 50
 #define STORE_CONNECTIONS 4
 
+/* A heartbeat without an answer is given up after this.  */
+#define STORE_TIMEOUT_S 1
+
 struct worker_options
 {
   int port;
@@ -156,7 +159,7 @@
   fleet.random = g_rand_new_with_seed ((guint32)options.seed);
   fleet.session = soup_session_new_with_options (
       "max-conns", STORE_CONNECTIONS, "max-conns-per-host", STORE_CONNECTIONS,
-      "proxy-resolver", NULL, NULL);
+      "proxy-resolver", NULL, "timeout", STORE_TIMEOUT_S, NULL);
   for (int i = 0; i < options.count; i++)
     {
       struct worker *worker = make_worker (&fleet, &options, i);
--- a/t/t8007-worker-lives.c
+++ b/t/t8007-worker-lives.c
@@ -15,18 +15,24 @@
 };
 
 static void
-start_bed (struct bed *bed, const char *heartbeat_ms)
+start_workers (struct bed *bed, guint16 store_port, const char *count,
+               const char *heartbeat_ms)
 {
-  g_autofree char *port = NULL;
+  g_autofree char *port = g_strdup_printf ("%u", store_port);
 
-  bed->store = process_start_standin ("store", "--doors", "2", NULL);
-  port = g_strdup_printf ("%u", bed->store->ports[0]);
   bed->workers = process_start_standin (
       "worker", LONG_HOLDS, "--store", port, "--name", "w", "--service", "s",
-      "--zone", "z", "--count", "3", "--racks", "2", "--cpu", "4000",
+      "--zone", "z", "--count", count, "--racks", "2", "--cpu", "4000",
       "--heartbeat-ms", heartbeat_ms, NULL);
 }
 
+static void
+start_bed (struct bed *bed, const char *heartbeat_ms)
+{
+  bed->store = process_start_standin ("store", "--doors", "2", NULL);
+  start_workers (bed, bed->store->ports[0], "3", heartbeat_ms);
+}
+
 static void
 free_bed (struct bed *bed)
 {
@@ -186,6 +192,30 @@
   free_bed (&bed);
 }
 
+/* Entries that expire as a connection has lost a heartbeat, and stays silent
+   for good, are written again on another.  */
+static void
+test_silent_link (void)
+{
+  struct bed bed;
+  struct process *proxy;
+  g_autofree char *target = NULL;
+  g_autofree char *faults = NULL;
+
+  bed.store = process_start_standin ("store", "--doors", "2", NULL);
+  target = g_strdup_printf ("127.0.0.1:%u", bed.store->ports[0]);
+  proxy = process_start_standin ("proxy", "--to", target, NULL);
+  faults = http_url (proxy->ports[1], "/test/faults");
+  start_workers (&bed, proxy->ports[0], "1", "100");
+  json_decref (wait_entry (&bed, "w-0", "ready"));
+  http_post (faults, "{\"up\":{\"silent\":true}}");
+  wait_entry (&bed, "w-0", NULL);
+  http_post (faults, "{}");
+  json_decref (wait_entry (&bed, "w-0", "ready"));
+  free_bed (&bed);
+  process_free (proxy);
+}
+
 static gint64
 get_born (guint16 port, gint64 token)
 {
@@ -248,6 +278,7 @@
   g_test_add_func ("/lives/crash-expires", test_crash_expires);
   g_test_add_func ("/lives/drain", test_drain);
   g_test_add_func ("/lives/outage", test_outage);
+  g_test_add_func ("/lives/silent-link", test_silent_link);
   g_test_add_func ("/lives/rebirth", test_rebirth);
   return g_test_run ();
 }
