t: let a bed be planned

A bed of a fleet had fixed numbers of VMs and workers, one process of workers, no proxy and no logs. A plan now says all that; the beds of the tests are one of the plans. Children can write to a log file, requests share a session and so its open connections, and be left without running the main loop.

--- a/t/support/fleet_bed.c
+++ b/t/support/fleet_bed.c
@@ -33,10 +33,18 @@
       "\",\"prefix\":\"" FLEET_BED_PATIENT "\",\"service\":\"" SERVICE
       "\",\"attempts\":4,\"goalMs\":10000,\"stretch\":2}]}";
 
+/* Networks of loopback: where VMs are reached, and where their peers' ports
+   are when a proxy stands before them.  */
+enum network
+{
+  NETWORK_PUBLIC,
+  NETWORK_HIDDEN,
+};
+
 static char *
-format_ip (guint vm)
+format_ip (enum network network, guint vm)
 {
-  return g_strdup_printf ("127.0.0.%u", vm + 1);
+  return g_strdup_printf ("127.0.%u.%u", network, vm + 1);
 }
 
 static gboolean
@@ -53,9 +61,9 @@
 static gboolean
 is_free_everywhere (guint16 port)
 {
-  for (guint vm = 0; vm < FLEET_BED_MAX_VMS; vm++)
+  for (guint i = 0; i < FLEET_BED_MAX_VMS * 2; i++)
     {
-      g_autofree char *ip = format_ip (vm);
+      g_autofree char *ip = format_ip ((enum network) (i % 2), i / 2);
 
       if (!is_free (ip, port, G_SOCKET_TYPE_STREAM)
           || !is_free (ip, port, G_SOCKET_TYPE_DATAGRAM))
@@ -77,6 +85,18 @@
     }
 }
 
+/* Draws N ports in a row for the workers, and N for the proxy before them.  */
+static void
+draw_worker_ports (struct fleet_bed *bed, guint n)
+{
+  guint16 port = (guint16)g_random_int_range (MIN_PORT, MAX_PORT);
+  guint n_free = 0;
+
+  for (; n_free < 2 * n; port++)
+    n_free = is_free_everywhere (port) ? n_free + 1 : 0;
+  bed->worker_port = (guint16)(port - 2 * n);
+}
+
 static char *
 settings_path (struct fleet_bed *bed, guint vm)
 {
@@ -87,25 +107,35 @@
 set_endpoint (struct fleet_bed *bed, json_t *settings, const char *key,
               guint vm, enum port_use use)
 {
-  g_autofree char *ip = format_ip (vm);
+  gboolean is_hidden = use == PORT_PEERS && bed->plan.has_proxy;
+  g_autofree char *ip
+      = format_ip (is_hidden ? NETWORK_HIDDEN : NETWORK_PUBLIC, vm);
   g_autofree char *text = g_strdup_printf ("%s:%u", ip, bed->ports[use]);
 
   json_object_set_new (settings, key, json_string (text));
 }
 
+static guint16
+get_store_port (struct fleet_bed *bed, guint vm)
+{
+  return bed->proxy != NULL
+             ? bed->proxy->ports[fleet_bed_store_route (bed, vm)]
+             : bed->store->ports[0];
+}
+
 static json_t *
 build_settings (struct fleet_bed *bed, guint vm)
 {
   g_autofree char *name = g_strdup_printf ("vm-%u", vm + 1);
-  g_autofree char *ip = format_ip (vm);
+  g_autofree char *ip = format_ip (NETWORK_PUBLIC, vm);
   g_autofree char *store
-      = g_strdup_printf ("127.0.0.1:%u", bed->store->ports[0]);
-  json_t *settings
-      = json_pack ("{ss ss ss s[s] si ss si si ss}", "vm", name,
-                   "availability_zone", ZONE, "ip", ip, "availability_zones",
-                   ZONE, "beacon_port", bed->ports[PORT_BEACON], "store",
-                   store, "resend_ms", FLEET_BED_RESEND_MS, "grace_s",
-                   FLEET_BED_GRACE_S, "log_level", "warning");
+      = g_strdup_printf ("127.0.0.1:%u", get_store_port (bed, vm));
+  json_t *settings = json_pack (
+      "{ss ss ss s[s] si ss si si ss}", "vm", name, "availability_zone", ZONE,
+      "ip", ip, "availability_zones", ZONE, "beacon_port",
+      bed->ports[PORT_BEACON], "store", store, "resend_ms",
+      FLEET_BED_RESEND_MS, "grace_s", FLEET_BED_GRACE_S, "log_level",
+      bed->plan.log_directory != NULL ? "debug" : "warning");
 
   set_endpoint (bed, settings, "callers", vm, PORT_CALLERS);
   set_endpoint (bed, settings, "readiness", vm, PORT_READINESS);
@@ -114,39 +144,154 @@
   return settings;
 }
 
-static void
-start_vm (struct fleet_bed *bed, guint vm)
+void
+fleet_bed_start_vm (struct fleet_bed *bed, guint vm)
 {
   g_autofree char *path = settings_path (bed, vm);
+  g_autofree char *log = NULL;
   json_t *settings = build_settings (bed, vm);
 
   g_assert_cmpint (json_dump_file (settings, path, JSON_INDENT (1)), ==, 0);
   json_decref (settings);
-  bed->vms[vm]
-      = process_start ("radishchute", "fleet", "--settings", path, NULL);
+  if (bed->plan.log_directory != NULL)
+    log = g_strdup_printf ("%s/vm-%u.%u.log", bed->plan.log_directory, vm + 1,
+                           ++bed->n_starts);
+  bed->vms[vm] = process_start_logged (log, "radishchute", "fleet",
+                                       "--settings", path, NULL);
+}
+
+guint
+fleet_bed_worker_route (const struct fleet_bed *bed, guint worker)
+{
+  return worker;
+}
+
+guint
+fleet_bed_store_route (const struct fleet_bed *bed, guint vm)
+{
+  return bed->plan.n_workers + vm;
+}
+
+guint
+fleet_bed_peer_route (const struct fleet_bed *bed, guint vm)
+{
+  return bed->plan.n_workers + bed->n_vms + 1 + vm;
+}
+
+static void
+add_route (GPtrArray *arguments, const char *near_ip, guint16 near,
+           const char *far_ip, guint16 far)
+{
+  g_ptr_array_add (arguments, g_strdup ("--from"));
+  g_ptr_array_add (arguments, g_strdup_printf ("%s:%u", near_ip, near));
+  g_ptr_array_add (arguments, g_strdup ("--to"));
+  g_ptr_array_add (arguments, g_strdup_printf ("%s:%u", far_ip, far));
+}
+
+static void
+start_proxy (struct fleet_bed *bed)
+{
+  g_autoptr (GPtrArray) arguments = g_ptr_array_new_with_free_func (g_free);
+  guint n = bed->plan.n_workers;
+
+  draw_worker_ports (bed, n);
+  g_ptr_array_add (arguments, g_strdup ("proxy"));
+  g_ptr_array_add (arguments, g_strdup ("--exit-on-eof"));
+  g_ptr_array_add (arguments, g_strdup ("--seed"));
+  g_ptr_array_add (arguments, g_strdup_printf ("%u", bed->plan.seed));
+  for (guint16 i = 0; i < n; i++)
+    add_route (arguments, "127.0.0.1", bed->worker_port + n + i, "127.0.0.1",
+               bed->worker_port + i);
+  for (guint vm = 0; vm <= bed->n_vms; vm++)
+    add_route (arguments, "127.0.0.1", 0, "127.0.0.1", bed->store->ports[vm]);
+  for (guint vm = 0; vm < bed->n_vms; vm++)
+    {
+      g_autofree char *near = format_ip (NETWORK_PUBLIC, vm);
+      g_autofree char *far = format_ip (NETWORK_HIDDEN, vm);
+
+      add_route (arguments, near, bed->ports[PORT_PEERS], far,
+                 bed->ports[PORT_PEERS]);
+    }
+  g_ptr_array_add (arguments, NULL);
+  bed->proxy
+      = process_start_array ("standin", (const char *const *)arguments->pdata);
+  process_wait_ready (bed->proxy);
+}
+
+/* Adds an option whose value is a number.  */
+static void
+add_number (GPtrArray *arguments, const char *option, gint64 value)
+{
+  g_ptr_array_add (arguments, g_strdup (option));
+  g_ptr_array_add (arguments, g_strdup_printf ("%" G_GINT64_FORMAT, value));
+}
+
+static void
+start_workers (struct fleet_bed *bed, guint process)
+{
+  const struct fleet_bed_plan *plan = &bed->plan;
+  g_autoptr (GPtrArray) arguments = g_ptr_array_new_with_free_func (g_free);
+  const char *const fixed[]
+      = { "worker", "--exit-on-eof", "--service", SERVICE, "--zone", ZONE };
+  guint n = plan->n_workers / plan->n_worker_processes;
+  guint first = n * process;
+
+  for (gsize i = 0; i < G_N_ELEMENTS (fixed); i++)
+    g_ptr_array_add (arguments, g_strdup (fixed[i]));
+  g_ptr_array_add (arguments, g_strdup ("--name"));
+  g_ptr_array_add (arguments, process == 0 ? g_strdup ("w")
+                                           : g_strdup_printf ("w%u", process));
+  add_number (arguments, "--count", n);
+  add_number (arguments, "--store", get_store_port (bed, bed->n_vms));
+  add_number (arguments, "--cpu", FLEET_BED_SLOTS * 1000);
+  add_number (arguments, "--seed", plan->seed + process);
+  add_number (arguments, "--slow-ppm",
+              plan->max_slow_ppm * process
+                  / MAX (1, plan->n_worker_processes - 1));
+  if (bed->worker_port != 0)
+    {
+      add_number (arguments, "--port", bed->worker_port + first);
+      add_number (arguments, "--entry-port",
+                  bed->worker_port + plan->n_workers + first);
+    }
+  g_ptr_array_add (arguments, NULL);
+  bed->workers[process]
+      = process_start_array ("standin", (const char *const *)arguments->pdata);
+  process_wait_ready (bed->workers[process]);
 }
 
 struct fleet_bed *
-fleet_bed_start_bare (guint n_vms)
+fleet_bed_start_plan (const struct fleet_bed_plan *plan)
 {
   struct fleet_bed *bed = g_new0 (struct fleet_bed, 1);
-  g_autofree char *count = g_strdup_printf ("%d", FLEET_BED_WORKERS);
-  g_autofree char *cpu = g_strdup_printf ("%d", FLEET_BED_SLOTS * 1000);
-  g_autofree char *store = NULL;
+  g_autofree char *doors = g_strdup_printf ("%u", plan->n_vms + 1);
 
+  bed->plan = *plan;
+  bed->n_vms = plan->n_vms;
   bed->directory = g_dir_make_tmp ("radishchute-XXXXXX", NULL);
-  bed->store = process_start_standin ("store", NULL);
-  store = g_strdup_printf ("%u", bed->store->ports[0]);
-  bed->workers = process_start_standin (
-      "worker", "--count", count, "--store", store, "--name", "w", "--service",
-      SERVICE, "--zone", ZONE, "--cpu", cpu, NULL);
+  bed->store = process_start_standin ("store", "--doors", doors, NULL);
   draw_ports (bed);
-  bed->n_vms = n_vms;
-  for (guint vm = 0; vm < n_vms; vm++)
-    start_vm (bed, vm);
+  if (plan->has_proxy)
+    start_proxy (bed);
+  for (guint i = 0; i < plan->n_worker_processes; i++)
+    start_workers (bed, i);
+  for (guint vm = 0; vm < bed->n_vms; vm++)
+    fleet_bed_start_vm (bed, vm);
   return bed;
 }
 
+struct fleet_bed *
+fleet_bed_start_bare (guint n_vms)
+{
+  struct fleet_bed_plan plan = {
+    .n_vms = n_vms,
+    .n_workers = FLEET_BED_WORKERS,
+    .n_worker_processes = 1,
+  };
+
+  return fleet_bed_start_plan (&plan);
+}
+
 struct fleet_bed *
 fleet_bed_start (guint n_vms)
 {
@@ -170,7 +315,7 @@
 build_url (struct fleet_bed *bed, guint vm, enum port_use use,
            const char *path)
 {
-  g_autofree char *ip = format_ip (vm);
+  g_autofree char *ip = format_ip (NETWORK_PUBLIC, vm);
 
   return g_strdup_printf ("http://%s:%u%s", ip, bed->ports[use], path);
 }
@@ -235,7 +380,7 @@
       n_owned += dump != NULL ? json_get_int (dump, "upstreams") : 0;
       json_decref (dump);
     }
-  return is_known && n_owned == FLEET_BED_WORKERS;
+  return is_known && n_owned == bed->plan.n_workers;
 }
 
 void
@@ -253,6 +398,27 @@
   g_error ("the VMs never owned all workers");
 }
 
+gboolean
+fleet_bed_is_listening (struct fleet_bed *bed, guint vm)
+{
+  g_autofree char *ip = format_ip (NETWORK_PUBLIC, vm);
+  g_autoptr (GSocketAddress) address
+      = g_inet_socket_address_new_from_string (ip, bed->ports[PORT_CALLERS]);
+  g_autoptr (GSocket) socket = g_socket_new (
+      G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
+
+  return g_socket_connect (socket, address, NULL, NULL);
+}
+
+char *
+fleet_bed_worker_control (struct fleet_bed *bed, guint process,
+                          const char *name)
+{
+  struct process *workers = bed->workers[process];
+
+  return http_url (workers->ports[workers->n_ports - 1], "/standin/%s", name);
+}
+
 static void
 judge (struct fleet_bed *bed)
 {
@@ -267,6 +433,12 @@
 fleet_bed_stop (struct fleet_bed *bed)
 {
   judge (bed);
+  fleet_bed_free (bed);
+}
+
+void
+fleet_bed_free (struct fleet_bed *bed)
+{
   for (guint vm = 0; vm < bed->n_vms; vm++)
     {
       g_autofree char *path = settings_path (bed, vm);
@@ -274,7 +446,9 @@
       g_clear_pointer (&bed->vms[vm], process_free);
       g_unlink (path);
     }
-  process_free (bed->workers);
+  for (guint i = 0; i < bed->plan.n_worker_processes; i++)
+    process_free (bed->workers[i]);
+  g_clear_pointer (&bed->proxy, process_free);
   process_free (bed->store);
   g_rmdir (bed->directory);
   g_free (bed->directory);
--- a/t/support/fleet_bed.h
+++ b/t/support/fleet_bed.h
@@ -11,7 +11,8 @@
 #include "t/support/http.h"
 #include "t/support/process.h"
 
-#define FLEET_BED_MAX_VMS 3
+#define FLEET_BED_MAX_VMS 8
+#define FLEET_BED_MAX_WORKER_PROCESSES 8
 #define FLEET_BED_WORKERS 6
 
 /* Tasks of one core that a worker has room for.  */
@@ -27,17 +28,58 @@
 #define FLEET_BED_HASTY "/hasty/"
 #define FLEET_BED_PATIENT "/patient/"
 
+/* What a bed consists of.  */
+struct fleet_bed_plan
+{
+  guint n_vms;
+  guint n_workers; /* shared out evenly over the processes */
+  guint n_worker_processes;
+  guint32 seed;              /* of what the stand-ins draw */
+  gint64 max_slow_ppm;       /* of the workers' clocks; the first are right */
+  gboolean has_proxy;        /* before the store, the workers and the peers */
+  const char *log_directory; /* of the VMs' logs, or NULL for none */
+};
+
 struct fleet_bed
 {
+  struct fleet_bed_plan plan;
   char *directory;  /* settings files */
   guint16 ports[5]; /* the same on all VMs */
   struct process *store;
-  struct process *workers; /* the last port is that of the controls */
+  struct process *proxy; /* NULL without one */
+  struct process *workers[FLEET_BED_MAX_WORKER_PROCESSES];
+  guint16 worker_port; /* of the first worker; 0 for any */
   guint n_vms;
+  guint n_starts;                         /* of VMs */
   struct process *vms[FLEET_BED_MAX_VMS]; /* NULL when ended */
   guint n_jobs;
 };
 
+/*
+ * The routes of the proxy: one for each worker, then one to the store for each
+ * VM, each to a door of its own, one to the store for all workers, then one to
+ * the peers' port of each VM.
+ */
+guint fleet_bed_worker_route (const struct fleet_bed *bed, guint worker);
+guint fleet_bed_store_route (const struct fleet_bed *bed, guint vm);
+guint fleet_bed_peer_route (const struct fleet_bed *bed, guint vm);
+
+/* Starts everything of PLAN; without a desired state.  */
+struct fleet_bed *fleet_bed_start_plan (const struct fleet_bed_plan *plan);
+
+/* Starts VM, which has ended or was never started.  */
+void fleet_bed_start_vm (struct fleet_bed *bed, guint vm);
+
+/* Whether VM takes connections from callers.  */
+gboolean fleet_bed_is_listening (struct fleet_bed *bed, guint vm);
+
+/* The URL of the control NAME of a process of workers.  The caller owns it. */
+char *fleet_bed_worker_control (struct fleet_bed *bed, guint process,
+                                const char *name);
+
+/* Ends everything without a judgement.  */
+void fleet_bed_free (struct fleet_bed *bed);
+
 /* Starts everything and waits until it serves.  */
 struct fleet_bed *fleet_bed_start (guint n_vms);
 
--- a/t/support/fleet_call.c
+++ b/t/support/fleet_call.c
@@ -3,8 +3,7 @@
 static char *
 control_url (struct fleet_bed *bed, const char *name)
 {
-  return http_url (bed->workers->ports[bed->workers->n_ports - 1],
-                   "/standin/%s", name);
+  return fleet_bed_worker_control (bed, 0, name);
 }
 
 void
--- a/t/support/http.c
+++ b/t/support/http.c
@@ -131,10 +131,19 @@
 struct http_call *
 http_begin (const char *method, const char *url, const char *body,
             const char *const *headers)
+{
+  g_autoptr (SoupSession) session = soup_session_new ();
+
+  return http_begin_in (session, method, url, body, headers);
+}
+
+struct http_call *
+http_begin_in (SoupSession *session, const char *method, const char *url,
+               const char *body, const char *const *headers)
 {
   struct http_call *call = g_new0 (struct http_call, 1);
 
-  call->session = soup_session_new ();
+  call->session = g_object_ref (session);
   call->msg = make_message (method, url, body, headers);
   call->cancellable = g_cancellable_new ();
   soup_session_send_and_read_async (call->session, call->msg,
@@ -165,9 +174,15 @@
 }
 
 void
-http_abandon (struct http_call *call)
+http_cancel (struct http_call *call)
 {
   g_cancellable_cancel (call->cancellable);
+}
+
+void
+http_abandon (struct http_call *call)
+{
+  http_cancel (call);
   http_answer_free (http_finish (call));
 }
 
--- a/t/support/http.h
+++ b/t/support/http.h
@@ -49,12 +49,20 @@
 struct http_call *http_begin (const char *method, const char *url,
                               const char *body, const char *const *headers);
 
+/* The same in SESSION, whose open connections it may use.  */
+struct http_call *http_begin_in (SoupSession *session, const char *method,
+                                 const char *url, const char *body,
+                                 const char *const *headers);
+
 /* Whether the answer of CALL has come or its connection has ended.  */
 gboolean http_call_is_finished (const struct http_call *call);
 
 /* Runs the main loop until CALL is finished; frees CALL.  */
 struct http_answer *http_finish (struct http_call *call);
 
+/* Closes the connection of CALL, which is finished soon after.  */
+void http_cancel (struct http_call *call);
+
 /* Closes the connection of CALL without waiting; frees CALL.  */
 void http_abandon (struct http_call *call);
 
--- a/t/support/process.c
+++ b/t/support/process.c
@@ -11,7 +11,7 @@
 }
 
 static struct process *
-start (GPtrArray *arguments)
+start (GPtrArray *arguments, const char *log)
 {
   struct process *process = g_new0 (struct process, 1);
   g_autoptr (GError) error = NULL;
@@ -20,6 +20,13 @@
 
   g_subprocess_launcher_set_child_setup (launcher, die_with_parent, NULL,
                                          NULL);
+  if (log != NULL)
+    {
+      g_subprocess_launcher_set_flags (launcher,
+                                       G_SUBPROCESS_FLAGS_STDIN_PIPE
+                                           | G_SUBPROCESS_FLAGS_STDERR_MERGE);
+      g_subprocess_launcher_set_stdout_file_path (launcher, log);
+    }
   g_ptr_array_add (arguments, NULL);
   process->subprocess = g_subprocess_launcher_spawnv (
       launcher, (const char *const *)arguments->pdata, &error);
@@ -64,7 +71,19 @@
   va_start (list, program);
   add_arguments (arguments, list);
   va_end (list);
-  return start (arguments);
+  return start (arguments, NULL);
+}
+
+struct process *
+process_start_logged (const char *log, const char *program, ...)
+{
+  g_autoptr (GPtrArray) arguments = new_arguments (program);
+  va_list list;
+
+  va_start (list, program);
+  add_arguments (arguments, list);
+  va_end (list);
+  return start (arguments, log);
 }
 
 struct process *
@@ -74,7 +93,7 @@
 
   for (; *arguments != NULL; arguments++)
     g_ptr_array_add (all, g_strdup (*arguments));
-  return start (all);
+  return start (all, NULL);
 }
 
 struct process *
@@ -89,7 +108,7 @@
   add_arguments (arguments, list);
   va_end (list);
   g_ptr_array_add (arguments, g_strdup ("--exit-on-eof"));
-  process = start (arguments);
+  process = start (arguments, NULL);
   process_wait_ready (process);
   return process;
 }
@@ -126,6 +145,12 @@
   g_subprocess_send_signal (process->subprocess, signal_number);
 }
 
+gboolean
+process_is_running (struct process *process)
+{
+  return g_subprocess_get_identifier (process->subprocess) != NULL;
+}
+
 int
 process_wait_exit (struct process *process)
 {
--- a/t/support/process.h
+++ b/t/support/process.h
@@ -29,6 +29,10 @@
 struct process *process_start (const char *program,
                                ...) G_GNUC_NULL_TERMINATED;
 
+/* The same, with all that it prints in the new file LOG, unless NULL.  */
+struct process *process_start_logged (const char *log, const char *program,
+                                      ...) G_GNUC_NULL_TERMINATED;
+
 /* The same with an array that ends in NULL.  */
 struct process *process_start_array (const char *program,
                                      const char *const *arguments);
@@ -46,6 +50,9 @@
 /* Sends a signal, as in SIGSTOP, to the child.  */
 void process_signal (struct process *process, int signal_number);
 
+/* Whether the child has not ended yet, as far as is known.  */
+gboolean process_is_running (struct process *process);
+
 /* Kills the child by SIGKILL and waits for its end.  */
 void process_kill (struct process *process);
 
