--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 #   make                 build the binary
 #   make check           build and run the numbered tests
 #   make sanitize        the same under ASan and UBSan
+#   make soak SEED=N     a fleet under faults, judged; see docs/SOAK.md
 #   make format-check lint
 #   make demo            a whole session on loopback
 #   make bench           the standard measurements
@@ -44,13 +45,15 @@
 BENCH_CONFIG_SRCS := $(wildcard bench/config/*.c)
 BENCH_SHARE_SRCS := $(wildcard bench/share/*.c)
 
+SOAK_SRCS := $(wildcard t/soak/*.c)
+
 HAND_SRCS := $(LIB_SRCS) $(BENCH_SRCS) $(BENCH_CONFIG_SRCS) \
   $(BENCH_SHARE_SRCS) $(COMMAND_SRCS) $(STANDIN_SRCS) $(SUPPORT_SRCS) \
-  $(TEST_SRCS) $(wildcard t/fuzz/libfuzzer.c t/demo/*.c t/bench/*.c) \
+  $(TEST_SRCS) $(SOAK_SRCS) $(wildcard t/fuzz/libfuzzer.c t/demo/*.c t/bench/*.c) \
   $(wildcard bench/peers/*.c)
 HAND_HDRS := $(wildcard $(LAYERS:%=%/*.h) commands/*.h bench/*.h \
   bench/config/*.h bench/share/*.h t/*.h t/standin/*.h t/support/*.h \
-  t/fuzz/*.h)
+  t/soak/*.h t/fuzz/*.h)
 HAND_HDRS := $(filter-out protocol/peer_xdr.h,$(HAND_HDRS))
 
 all: $(PROGRAMS)
@@ -91,9 +94,22 @@
 	  | sed 's|^#include ".*peer.h"|#include "protocol/peer_xdr.h"|' \
 	  >protocol/peer_xdr.c
 
-check: all $(TESTS)
+check: all $(TESTS) $(BUILD)/fleet-soak
 	t/run $(BUILD) $(sort $(TESTS))
 
+# A fleet under faults that are drawn from SEED; see docs/SOAK.md.
+SEED ?= 1
+SECONDS ?= 15
+VMS ?= 4
+WORKERS ?= 12
+soak: all $(BUILD)/fleet-soak
+	RADISHCHUTE_BUILD=$(BUILD) $(BUILD)/fleet-soak --seed $(SEED) \
+	  --seconds $(SECONDS) --vms $(VMS) --workers $(WORKERS)
+
+$(BUILD)/fleet-soak: $(SOAK_SRCS:%.c=$(BUILD)/%.o) $(BUILD)/libsupport.a \
+  $(BUILD)/libradishchute.a
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
+
 # The decisions of one entry VM, against fake upstreams.
 bench-decisions: $(BUILD)/bench-decisions
 	$<
@@ -207,7 +223,7 @@
 	rm -rf build build-sanitize build-fuzz
 
 .PHONY: all install golden-update demo bench fuzz bench-config bench-share \
-  bench-decisions bench-membership bench-restart generate check sanitize \
+  bench-decisions bench-membership bench-restart generate check soak sanitize \
   format format-check lint layers-check clean
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
