t: let half of the soak's callers leave when their time is over

A VM that gives a job up when its caller's time is over takes up to a second to stop what runs, which the caller's slack of a second raced with. Half of the callers now wait 3 s more and must be answered, the others leave in time and send the job again.

--- a/t/soak/judge.c
+++ b/t/soak/judge.c
@@ -379,7 +379,7 @@
            gint64 start_ms, FILE *file)
 {
   static const char *const ends[]
-      = { "waiting", "answered", "broken", "left", "timed out" };
+      = { "waiting", "answered", "broken", "left", "unanswered", "timed out" };
 
   fprintf (file, "job %s: %u tasks of %u ms, cpu %u, %s%s\n", job->id,
            job->n_tasks, job->run_ms, job->cpu,
@@ -451,11 +451,11 @@
     }
   fprintf (file,
            "%u jobs: %u done, %u failed, %u refused, %u unknown, %u broken, "
-           "%u left, %u timed out",
+           "%u left, %u unanswered, %u timed out",
            jobs->len, n_done, n_failed, n_refused,
            n_ends[REQUEST_ANSWERED] - n_done - n_failed - n_refused,
            n_ends[REQUEST_BROKEN], n_ends[REQUEST_LEFT],
-           n_ends[REQUEST_TIMED_OUT]);
+           n_ends[REQUEST_UNANSWERED], n_ends[REQUEST_TIMED_OUT]);
   if (judge->n_over_attempts != 0)
     fprintf (file, ", %u tasks failed more often than one VM lets them",
              judge->n_over_attempts);
--- a/t/soak/traffic.c
+++ b/t/soak/traffic.c
@@ -8,7 +8,9 @@
 #define MAX_CONNECTIONS 512
 #define MIN_TIMEOUT_MS 2400
 #define MAX_TIMEOUT_MS 3300
-#define TIMEOUT_SLACK_MS 1000
+
+/* How much longer callers wait who want to see that an answer comes at all. */
+#define TIMEOUT_SLACK_MS 3000
 #define PROBE_TASKS 8
 #define PROBE_RUN_MS 60
 
@@ -164,6 +166,7 @@
   job->is_failing = draw_percent (traffic, 2);
   job->has_own = draw_percent (traffic, 30);
   job->leave_ms = draw_percent (traffic, 5) ? 50 + draw (traffic, 800) : 0;
+  job->waits_on = draw_percent (traffic, 50);
   job->n_sends = 1 + draw (traffic, 3);
   job->is_repeated = draw_percent (traffic, 2);
   send_job (traffic, job, draw (traffic, traffic->bed->n_vms));
@@ -199,6 +202,7 @@
       job->n_tasks = PROBE_TASKS;
       job->run_ms = PROBE_RUN_MS;
       job->is_patient = TRUE;
+      job->waits_on = TRUE;
       send_job (traffic, job, vm);
       g_ptr_array_add (jobs, job);
     }
@@ -283,6 +287,8 @@
     return;
   if (job->leave_ms != 0 && waited_ms >= job->leave_ms)
     request->end = REQUEST_LEFT;
+  else if (!job->waits_on && waited_ms >= job->timeout_ms)
+    request->end = REQUEST_UNANSWERED;
   else if (waited_ms >= job->timeout_ms + TIMEOUT_SLACK_MS)
     request->end = REQUEST_TIMED_OUT;
   if (request->end != REQUEST_WAITING)
--- a/t/soak/traffic.h
+++ b/t/soak/traffic.h
@@ -19,9 +19,10 @@
 {
   REQUEST_WAITING,
   REQUEST_ANSWERED,
-  REQUEST_BROKEN,   /* the connection ended without a whole answer */
-  REQUEST_LEFT,     /* the caller left early */
-  REQUEST_TIMED_OUT /* the caller left long after its time */
+  REQUEST_BROKEN,     /* the connection ended without a whole answer */
+  REQUEST_LEFT,       /* the caller left early */
+  REQUEST_UNANSWERED, /* the caller left when its time was over */
+  REQUEST_TIMED_OUT   /* the caller left long after that */
 };
 
 /* One time that a job was sent.  */
@@ -46,6 +47,7 @@
   gboolean has_own;     /* a connection for each request */
   guint leave_ms;       /* after which the caller leaves; 0 for never */
   guint timeout_ms;     /* as told to the VM */
+  gboolean waits_on;    /* for some time more than it told */
   guint n_sends;        /* requests at the most */
   gboolean is_repeated; /* sent again although it was answered */
   GArray *requests;     /* struct request */
