t: harm the links from callers in the soak

Callers reach each VM through the proxy too, so that answers are lost, late or never come while the VM runs on, and the job comes again elsewhere. A harmed link excuses a broken or unanswered request, and callers open connections anew when it is mended, as those that it silenced stay silent.

--- a/t/soak/faults.c
+++ b/t/soak/faults.c
@@ -7,6 +7,9 @@
 #define MAX_DRAWS 8
 #define MS_PER_S 1000
 
+/* Faults are taken back by then.  */
+#define END_SLACK_MS 100
+
 enum target
 {
   TARGET_VM,
@@ -16,6 +19,7 @@
   TARGET_TO_WORKER,
   TARGET_TO_STORE,
   TARGET_TO_PEER,
+  TARGET_FROM_CALLERS, /* their links to a VM */
   TARGET_CALLERS,
   TARGET_COUNT
 };
@@ -64,7 +68,8 @@
 #define ALL_LINKS(name, on, min, max)                                         \
   LINKS (TARGET_TO_WORKER, "worker-" name, on, min, max),                     \
       LINKS (TARGET_TO_STORE, "store-" name, on, min, max),                   \
-      LINKS (TARGET_TO_PEER, "peer-" name, on, min, max)
+      LINKS (TARGET_TO_PEER, "peer-" name, on, min, max),                     \
+      LINKS (TARGET_FROM_CALLERS, "caller-" name, on, min, max)
 
 static const struct fault_kind kinds[] = {
   { "vm-pause", TARGET_VM, .min = VM_PAUSE },
@@ -171,6 +176,7 @@
     [TARGET_TO_WORKER] = bed->plan.n_workers,
     [TARGET_TO_STORE] = bed->n_vms + 1,
     [TARGET_TO_PEER] = bed->n_vms,
+    [TARGET_FROM_CALLERS] = bed->n_vms,
     [TARGET_CALLERS] = 1,
   };
 
@@ -392,6 +398,8 @@
         index = fleet_bed_worker_route (bed, index);
       else if (target == TARGET_TO_STORE)
         index = fleet_bed_store_route (bed, index);
+      else if (target == TARGET_FROM_CALLERS)
+        index = fleet_bed_caller_route (bed, index);
       else
         index = fleet_bed_peer_route (bed, index);
     }
@@ -435,6 +443,9 @@
       post (faults, fault,
             kind->off_path != NULL ? kind->off_path : kind->path, kind->off,
             i);
+  if (kind->target == TARGET_FROM_CALLERS)
+    for (guint i = fault->first; i < fault->first + fault->n; i++)
+      traffic_renew_connections (faults->traffic, i);
   if (kind->target != TARGET_VM)
     faults->end_ms = soak_now_ms ();
 }
@@ -529,6 +540,23 @@
   return FALSE;
 }
 
+gboolean
+faults_were_callers_cut (const struct faults *faults, guint vm, gint64 from_ms,
+                         gint64 to_ms)
+{
+  for (guint i = 0; i < faults->schedule->len; i++)
+    {
+      const struct fault *fault
+          = &g_array_index (faults->schedule, struct fault, i);
+
+      if (fault->kind->target == TARGET_FROM_CALLERS && fault->first <= vm
+          && vm < fault->first + fault->n && fault->from_ms <= to_ms
+          && (!fault->is_over || fault->to_ms + END_SLACK_MS >= from_ms))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 gboolean
 faults_were_others (const struct faults *faults, gint64 from_ms, gint64 to_ms)
 {
--- a/t/soak/faults.h
+++ b/t/soak/faults.h
@@ -42,6 +42,10 @@
 gboolean faults_was_out (const struct faults *faults, guint vm,
                          enum outage_kind kind, gint64 from_ms, gint64 to_ms);
 
+/* The same for a fault of the links from callers to VM.  */
+gboolean faults_were_callers_cut (const struct faults *faults, guint vm,
+                                  gint64 from_ms, gint64 to_ms);
+
 /* Whether any fault other than the stop of one VM lasted then.  */
 gboolean faults_were_others (const struct faults *faults, gint64 from_ms,
                              gint64 to_ms);
--- a/t/soak/judge.c
+++ b/t/soak/judge.c
@@ -318,6 +318,9 @@
 {
   if (request->end == REQUEST_ANSWERED)
     judge_answer (judge, job, request);
+  else if (faults_were_callers_cut (judge->faults, request->vm,
+                                    request->sent_ms, request->end_ms))
+    return;
   else if (request->end == REQUEST_BROKEN
            && !is_break_excused (judge, request))
     judge_add (judge, job, "VM %u broke the connection without a fault",
--- a/t/soak/traffic.c
+++ b/t/soak/traffic.c
@@ -18,7 +18,7 @@
 {
   struct fleet_bed *bed;
   GRand *random;
-  SoupSession *session;
+  SoupSession *sessions[FLEET_BED_MAX_VMS]; /* open connections to each VM */
   GPtrArray *jobs;
   GPtrArray *active; /* those of JOBS that have not ended */
   guint rate;        /* jobs a second */
@@ -61,6 +61,15 @@
   g_free (job);
 }
 
+void
+traffic_renew_connections (struct traffic *traffic, guint vm)
+{
+  g_clear_object (&traffic->sessions[vm]);
+  traffic->sessions[vm] = soup_session_new_with_options (
+      "max-conns", MAX_CONNECTIONS, "max-conns-per-host", MAX_CONNECTIONS,
+      "proxy-resolver", NULL, NULL);
+}
+
 struct traffic *
 traffic_new (struct fleet_bed *bed, guint32 seed)
 {
@@ -68,9 +77,8 @@
 
   traffic->bed = bed;
   traffic->random = g_rand_new_with_seed (seed);
-  traffic->session = soup_session_new_with_options (
-      "max-conns", MAX_CONNECTIONS, "max-conns-per-host", MAX_CONNECTIONS,
-      "proxy-resolver", NULL, NULL);
+  for (guint vm = 0; vm < bed->n_vms; vm++)
+    traffic_renew_connections (traffic, vm);
   traffic->jobs = g_ptr_array_new_with_free_func (free_job);
   traffic->active = g_ptr_array_new ();
   return traffic;
@@ -88,7 +96,8 @@
     }
   g_ptr_array_unref (traffic->active);
   g_ptr_array_unref (traffic->jobs);
-  g_object_unref (traffic->session);
+  for (guint vm = 0; vm < traffic->bed->n_vms; vm++)
+    g_object_unref (traffic->sessions[vm]);
   g_rand_free (traffic->random);
   g_free (traffic);
 }
@@ -122,7 +131,8 @@
   struct request request = { .vm = vm, .sent_ms = soak_now_ms () };
 
   job->resend_ms = 0;
-  job->call = http_begin_in (traffic->session, "POST", url, body, headers);
+  job->call
+      = http_begin_in (traffic->sessions[vm], "POST", url, body, headers);
   g_array_append_val (job->requests, request);
 }
 
--- a/t/soak/traffic.h
+++ b/t/soak/traffic.h
@@ -69,6 +69,9 @@
 /* Begins a small job at every VM, that may wait long; adds them to JOBS.  */
 void traffic_probe (struct traffic *traffic, GPtrArray *jobs);
 
+/* Callers of VM open connections anew from now on.  */
+void traffic_renew_connections (struct traffic *traffic, guint vm);
+
 /* Does what is due; to be called every few ms.  */
 void traffic_advance (struct traffic *traffic);
 
--- a/t/support/fleet_bed.c
+++ b/t/support/fleet_bed.c
@@ -178,6 +178,12 @@
   return bed->plan.n_workers + bed->n_vms + 1 + vm;
 }
 
+guint
+fleet_bed_caller_route (const struct fleet_bed *bed, guint vm)
+{
+  return bed->plan.n_workers + 2 * bed->n_vms + 1 + vm;
+}
+
 static void
 add_route (GPtrArray *arguments, const char *near_ip, guint16 near,
            const char *far_ip, guint16 far)
@@ -199,7 +205,7 @@
   g_ptr_array_add (arguments, g_strdup ("--exit-on-eof"));
   g_ptr_array_add (arguments, g_strdup ("--seed"));
   g_ptr_array_add (arguments, g_strdup_printf ("%u", bed->plan.seed));
-  for (guint16 i = 0; i < n; i++)
+  for (guint i = 0; i < n; i++)
     add_route (arguments, "127.0.0.1", bed->worker_port + n + i, "127.0.0.1",
                bed->worker_port + i);
   for (guint vm = 0; vm <= bed->n_vms; vm++)
@@ -212,6 +218,12 @@
       add_route (arguments, near, bed->ports[PORT_PEERS], far,
                  bed->ports[PORT_PEERS]);
     }
+  for (guint vm = 0; vm < bed->n_vms; vm++)
+    {
+      g_autofree char *far = format_ip (NETWORK_PUBLIC, vm);
+
+      add_route (arguments, "127.0.0.1", 0, far, bed->ports[PORT_CALLERS]);
+    }
   g_ptr_array_add (arguments, NULL);
   bed->proxy
       = process_start_array ("standin", (const char *const *)arguments->pdata);
@@ -323,6 +335,9 @@
 char *
 fleet_bed_url (struct fleet_bed *bed, guint vm, const char *path)
 {
+  if (bed->proxy != NULL)
+    return http_url (bed->proxy->ports[fleet_bed_caller_route (bed, vm)], "%s",
+                     path);
   return build_url (bed, vm, PORT_CALLERS, path);
 }
 
--- a/t/support/fleet_bed.h
+++ b/t/support/fleet_bed.h
@@ -58,11 +58,12 @@
 /*
  * The routes of the proxy: one for each worker, then one to the store for each
  * VM, each to a door of its own, one to the store for all workers, then one to
- * the peers' port of each VM.
+ * the peers' port of each VM, then one to the callers' port of each VM.
  */
 guint fleet_bed_worker_route (const struct fleet_bed *bed, guint worker);
 guint fleet_bed_store_route (const struct fleet_bed *bed, guint vm);
 guint fleet_bed_peer_route (const struct fleet_bed *bed, guint vm);
+guint fleet_bed_caller_route (const struct fleet_bed *bed, guint vm);
 
 /* Starts everything of PLAN; without a desired state.  */
 struct fleet_bed *fleet_bed_start_plan (const struct fleet_bed_plan *plan);
@@ -99,7 +100,8 @@
  */
 void fleet_bed_stop (struct fleet_bed *bed);
 
-/* The URL of PATH on VM INDEX.  The caller owns it.  */
+/* The URL of PATH on VM INDEX, through the proxy if there is one.  The caller
+   owns it.  */
 char *fleet_bed_url (struct fleet_bed *bed, guint vm, const char *path);
 
 /* What VM says of itself.  The caller owns it.  */
