--- a/t/soak/main.c
+++ b/t/soak/main.c
@@ -8,7 +8,7 @@
 
 #include <glib/gstdio.h>
 
-#define RATE_PER_S 40
+#define RATE_PER_S 25
 #define TICK_MS 4
 #define MS_PER_S 1000
 #define RECOVERY_S 12
--- a/t/soak/traffic.c
+++ b/t/soak/traffic.c
@@ -31,7 +31,9 @@
   guint percent;
   guint n_tasks;
   guint run_ms;
-} shapes[] = { { 25, 8, 60 }, { 5, 4, 900 }, { 70, 2, 200 } };
+} shapes[] = {
+  { 25, 8, 60 }, { 10, 4, 900 }, { 45, 2, 200 }, { 15, 2, 600 }, { 5, 1, 2000 }
+};
 
 gint64
 soak_now_ms (void)
