--- a/t/standin/worker.c
+++ b/t/standin/worker.c
@@ -13,10 +13,14 @@
 #define DEFAULT_STOP_MS 50
 #define STORE_CONNECTIONS 4
 
+/* A heartbeat without an answer is given up after this.  */
+#define STORE_TIMEOUT_S 1
+
 struct worker_options
 {
   int port;
   int control_port;
+  int entry_port;
   int count;
   int store;
   int seed;
@@ -36,6 +40,9 @@
       "Port of the first worker, 0 for any", "PORT" },
     { "control-port", 0, 0, G_OPTION_ARG_INT, &options->control_port,
       "Port of the controls, 0 for any", "PORT" },
+    { "entry-port", 0, 0, G_OPTION_ARG_INT, &options->entry_port,
+      "Port of the first worker in its entry, as of a proxy; 0 for its own",
+      "PORT" },
     { "count", 0, 0, G_OPTION_ARG_INT, &options->count,
       "Workers in this process, each on its own port", "N" },
     { "store", 0, 0, G_OPTION_ARG_INT, &options->store,
@@ -90,6 +97,9 @@
   worker->id = g_strdup_printf (
       "%s-%d", options->name == NULL ? "worker" : options->name, i);
   worker->port = listener->port;
+  worker->entry_port = options->entry_port == 0
+                           ? worker->port
+                           : (guint16)(options->entry_port + i);
   worker->labels[0] = g_strdup (options->kind == NULL ? "a" : options->kind);
   worker->labels[1] = g_strdup_printf ("r%d", i % MAX (1, options->racks));
   worker->capacity = options->capacity;
@@ -149,7 +159,7 @@
   fleet.random = g_rand_new_with_seed ((guint32)options.seed);
   fleet.session = soup_session_new_with_options (
       "max-conns", STORE_CONNECTIONS, "max-conns-per-host", STORE_CONNECTIONS,
-      "proxy-resolver", NULL, NULL);
+      "proxy-resolver", NULL, "timeout", STORE_TIMEOUT_S, NULL);
   for (int i = 0; i < options.count; i++)
     {
       struct worker *worker = make_worker (&fleet, &options, i);
