--- a/t/t2111-owner-single.c
+++ b/t/t2111-owner-single.c
@@ -266,7 +266,7 @@
   begun->tasks[1].index = 1;
   owner_submit (owner, begun, now_us);
   owner_submit (owner, make_wide (1, USEC_PER_SEC), now_us);
-  owner_advance (owner, now_us += 100 * USEC_PER_MSEC);
+  owner_advance (owner, now_us + 100 * USEC_PER_MSEC);
   g_assert_true (owner_get_first_queued (owner) == begun);
   finish (&bed, owner);
 }
