--- a/t/support/fleet_bed.c
+++ b/t/support/fleet_bed.c
@@ -10,7 +10,8 @@
 
 /* Below the ports that systems give out by themselves.  */
 #define MIN_PORT 20000
-#define MAX_PORT 30000
+#define BLOCK_PORTS 200
+#define N_BLOCKS 50
 
 #define POLL_INTERVAL_MS 20
 #define MAX_POLLS 1500
@@ -72,16 +73,39 @@
   return TRUE;
 }
 
+/* Draws a block of ports that no other bed uses, in this process or another. A
+   bed holds the first one bound, as others are free between their drawing and
+   the start of what listens there.  */
 static void
-draw_ports (struct fleet_bed *bed)
+reserve_ports (struct fleet_bed *bed)
 {
-  guint16 port = (guint16)g_random_int_range (MIN_PORT, MAX_PORT);
+  guint first = (guint)g_random_int_range (0, N_BLOCKS);
+
+  for (guint i = 0; i < N_BLOCKS && bed->reservation == NULL; i++)
+    {
+      g_autoptr (GSocket) socket
+          = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                          G_SOCKET_PROTOCOL_DEFAULT, NULL);
+      guint block = (first + i) % N_BLOCKS;
+      g_autoptr (GSocketAddress) address
+          = g_inet_socket_address_new_from_string (
+              "127.0.0.1", MIN_PORT + block * BLOCK_PORTS);
+
+      bed->next_port = (guint16)(MIN_PORT + block * BLOCK_PORTS + 1);
+      if (g_socket_bind (socket, address, FALSE, NULL))
+        bed->reservation = g_steal_pointer (&socket);
+    }
+  g_assert_nonnull (bed->reservation);
+}
 
+static void
+draw_ports (struct fleet_bed *bed)
+{
   for (gsize i = 0; i < G_N_ELEMENTS (bed->ports); i++)
     {
-      while (!is_free_everywhere (port))
-        port++;
-      bed->ports[i] = port++;
+      while (!is_free_everywhere (bed->next_port))
+        bed->next_port++;
+      bed->ports[i] = bed->next_port++;
     }
 }
 
@@ -89,12 +113,11 @@
 static void
 draw_worker_ports (struct fleet_bed *bed, guint n)
 {
-  guint16 port = (guint16)g_random_int_range (MIN_PORT, MAX_PORT);
   guint n_free = 0;
 
-  for (; n_free < 2 * n; port++)
-    n_free = is_free_everywhere (port) ? n_free + 1 : 0;
-  bed->worker_port = (guint16)(port - 2 * n);
+  for (; n_free < 2 * n; bed->next_port++)
+    n_free = is_free_everywhere (bed->next_port) ? n_free + 1 : 0;
+  bed->worker_port = (guint16)(bed->next_port - 2 * n);
 }
 
 static char *
@@ -281,6 +304,7 @@
   bed->n_vms = plan->n_vms;
   bed->directory = g_dir_make_tmp ("radishchute-XXXXXX", NULL);
   bed->store = process_start_standin ("store", "--doors", doors, NULL);
+  reserve_ports (bed);
   draw_ports (bed);
   if (plan->has_proxy)
     start_proxy (bed);
@@ -464,6 +488,7 @@
     process_free (bed->workers[i]);
   g_clear_pointer (&bed->proxy, process_free);
   process_free (bed->store);
+  g_object_unref (bed->reservation);
   g_rmdir (bed->directory);
   g_free (bed->directory);
   g_free (bed);
--- a/t/support/fleet_bed.h
+++ b/t/support/fleet_bed.h
@@ -48,7 +48,9 @@
   struct process *store;
   struct process *proxy; /* NULL without one */
   struct process *workers[FLEET_BED_MAX_WORKER_PROCESSES];
-  guint16 worker_port; /* of the first worker; 0 for any */
+  GSocket *reservation; /* of a block of ports */
+  guint16 next_port;    /* to be drawn from it */
+  guint16 worker_port;  /* of the first worker; 0 for any */
   guint n_vms;
   guint n_starts;                         /* of VMs */
   struct process *vms[FLEET_BED_MAX_VMS]; /* NULL when ended */
