coordination: ask an upstream that was replaced only now and then

Ruled out: a list that tells another life than the platform's entry; all of these asks were refused for their name.

--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -254,12 +254,15 @@
   lose_former_runs (owner, upstream, now_us);
 }
 
-/* The upstream has refused an order, as it is another one by now.  */
+/* The upstream has refused an order, as it is another one by now.  It will not
+   answer to this name any more, most probably, so it is asked rarely.  */
 static void
 replace_life (struct owner *owner, struct owned *upstream, gint64 now_us)
 {
   owner_lose_runs (owner, upstream, now_us);
-  owner_begin_life (owner, upstream, 0, now_us);
+  if (upstream->born_ms != 0)
+    owner_begin_life (owner, upstream, 0, now_us);
+  upstream->ask_due_us = now_us + OWNED_SILENT_INTERVAL_US;
 }
 
 /* Nothing more is started there before it has told that it lives, and which of
--- a/t/t2111-owner-single.c
+++ b/t/t2111-owner-single.c
@@ -294,6 +294,26 @@
   finish (&bed, owner);
 }
 
+/* An upstream that has been replaced refuses its former name each time: it
+   must not be asked again at once.  */
+static void
+test_replaced (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned *upstream = take (owner);
+  gint64 now_us = START_US + 2 * USEC_PER_SEC;
+
+  for (guint i = 0; i < 1000; i++)
+    {
+      owner_advance (owner, now_us += USEC_PER_MSEC);
+      if (upstream->is_asking)
+        owner_ask_ended (owner, upstream, ORDER_OTHER_LIFE, NULL, now_us);
+    }
+  g_assert_cmpuint (bed.n_asks, <, 1000 / 100);
+  finish (&bed, owner);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -302,6 +322,7 @@
   g_test_add_func ("/owner/all-on-trial", test_all_on_trial);
   g_test_add_func ("/owner/queue-order", test_queue_order);
   g_test_add_func ("/owner/rack", test_rack);
+  g_test_add_func ("/owner/replaced", test_replaced);
   g_test_add_func ("/owner/late-part", test_late_part);
   g_test_add_func ("/owner/late-begun", test_late_begun);
   return g_test_run ();
