t: allow that a killed home is out of reach until it is known to be dead

Trace: the home was killed, the entry VM logged it silent (5002), answered, and logged it dead (5003) 0.2 s later. PROTOCOLS.md has that answer for a home that is silent: not known at present, ask again for the same id. Whether the proof of the death or the silence comes first is up to the machine. What must be answered once the home is known to be dead is asserted as before.

--- a/t/t9101-tickets.c
+++ b/t/t9101-tickets.c
@@ -45,6 +45,18 @@
   http_answer_free (answer);
 }
 
+/* The same for a job whose home was just killed: until that is proved, as on a
+   machine that is busy with other things, its home may be taken for one that
+   is out of reach, and the caller is told to ask again.  */
+static void
+expect_lost (struct http_answer *answer)
+{
+  if (answer->status == 503)
+    expect_error (answer, 503, "unavailable");
+  else
+    expect_error (answer, 502, "unknown");
+}
+
 static void
 expect_whole (struct http_answer *answer)
 {
@@ -131,7 +143,7 @@
 
   wait_for_start (d);
   process_kill (d->entries[0]);
-  expect_error (http_finish (call), 502, "unknown");
+  expect_lost (http_finish (call));
   n_started = deployment_assert_starts (d);
   peers_wait_state (d, 1, 0, "dead");
   peers_wait_state (d, 2, 0, "dead");
