--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -319,6 +319,20 @@
     }
 }
 
+/* Takes the answer to an order.  Returns FALSE when UPSTREAM is not owned, or
+   turns out not to be.  */
+static gboolean
+take_answer (struct owner *owner, struct owned *upstream, enum order_end end,
+             gint64 clock_ms, gint64 now_us)
+{
+  if (upstream->is_removed)
+    return FALSE;
+  owned_read_clock (upstream, clock_ms, now_us);
+  if (end == ORDER_FENCED)
+    owner_lose_upstream (owner, upstream, now_us);
+  return end != ORDER_FENCED;
+}
+
 void
 owner_start_ended (struct owner *owner, struct owned *upstream,
                    const char *name, guint number, enum order_end end,
@@ -326,14 +340,8 @@
 {
   struct run *run;
 
-  if (upstream->is_removed)
+  if (!take_answer (owner, upstream, end, clock_ms, now_us))
     return;
-  owned_read_clock (upstream, clock_ms, now_us);
-  if (end == ORDER_FENCED)
-    {
-      owner_lose_upstream (owner, upstream, now_us);
-      return;
-    }
   run = owned_find_run (upstream, name, number);
   if (run != NULL)
     start_ended (owner, run, end, now_us);
@@ -350,14 +358,8 @@
 {
   struct run *run;
 
-  if (upstream->is_removed)
+  if (!take_answer (owner, upstream, end, clock_ms, now_us))
     return;
-  owned_read_clock (upstream, clock_ms, now_us);
-  if (end == ORDER_FENCED)
-    {
-      owner_lose_upstream (owner, upstream, now_us);
-      return;
-    }
   run = owned_find_run (upstream, name, number);
   if (run == NULL || (end != ORDER_OBEYED && end != ORDER_REJECTED))
     return;
