--- a/t/support/fleet_orders.c
+++ b/t/support/fleet_orders.c
@@ -32,16 +32,6 @@
   g_free (order);
 }
 
-/* The upstream that an order is for, or NULL when that id is gone.  */
-static struct sim_upstream *
-find_upstream (struct fleet_world *world, const char *id)
-{
-  for (guint i = 0; i < FLEET_UPSTREAMS; i++)
-    if (g_str_equal (world->upstreams[i].id, id))
-      return &world->upstreams[i];
-  return NULL;
-}
-
 /* What becomes of an order on the way there.  */
 static void
 draw_way (struct fleet_world *world, const struct sim_upstream *upstream,
@@ -69,7 +59,8 @@
 sim_order_send (struct fleet_world *world, struct sim_order *order,
                 guint timeout_ms)
 {
-  struct sim_upstream *upstream = find_upstream (world, order->owned->id);
+  struct sim_upstream *upstream
+      = fleet_find_upstream (world, order->owned->id);
 
   order->sent_us = world->now_us;
   order->give_up_us = world->now_us + timeout_ms * USEC_PER_MSEC;
--- a/t/support/fleet_world.c
+++ b/t/support/fleet_world.c
@@ -89,8 +89,8 @@
   return w->now_us >= o->frozen_until_us;
 }
 
-static struct sim_upstream *
-find_upstream (struct fleet_world *world, const char *id)
+struct sim_upstream *
+fleet_find_upstream (struct fleet_world *world, const char *id)
 {
   for (guint i = 0; i < FLEET_UPSTREAMS; i++)
     if (g_str_equal (world->upstreams[i].id, id))
@@ -105,7 +105,8 @@
   guint index;
   const struct sim_batch *batch = fleet_find_batch (world, run->name, &index);
   const struct sim_task *task = &batch->tasks[index];
-  const struct sim_upstream *u = find_upstream (world, run->upstream->id);
+  const struct sim_upstream *u
+      = fleet_find_upstream (world, run->upstream->id);
 
   fleet_expect (world, batch->n_finished == 0, "a batch that ended starts");
   fleet_expect (world, batch->unwanted_us == 0, "a stopped batch starts");
@@ -164,7 +165,7 @@
 {
   struct sim_owner *o = from_driver (driver);
   struct sim_order *order = sim_order_new (o, upstream, SIM_ASK);
-  const struct sim_upstream *u = find_upstream (o->world, upstream->id);
+  const struct sim_upstream *u = fleet_find_upstream (o->world, upstream->id);
 
   if (until_ms == 0 || o->world->is_traced)
     fleet_tell (o->world, "owner %u asks %s until %" G_GINT64_FORMAT, o->slot,
@@ -410,7 +411,7 @@
       for (guint i = 0; i < lost->len; i++)
         {
           const struct owned *owned = g_ptr_array_index (lost, i);
-          struct sim_upstream *u = find_upstream (w, owned->id);
+          struct sim_upstream *u = fleet_find_upstream (w, owned->id);
 
           if (u == NULL || !u->is_up
               || owner_find (w->owners[u->owner].owner, u->id) != NULL)
--- a/t/support/fleet_world_private.h
+++ b/t/support/fleet_world_private.h
@@ -197,6 +197,10 @@
 struct sim_batch *fleet_find_batch (struct fleet_world *world,
                                     const char *name, guint *index);
 
+/* The upstream of that id, or NULL when the id is gone.  */
+struct sim_upstream *fleet_find_upstream (struct fleet_world *world,
+                                          const char *id);
+
 /* fleet_upstream.c: what upstreams do.  */
 void sim_upstream_init (struct fleet_world *world, guint slot);
 void sim_upstream_clear (struct sim_upstream *upstream);
