--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -311,6 +311,9 @@
 struct batch *batch_new (const char *job, const char *home, guint n_tasks);
 void batch_free (struct batch *batch);
 
+/* Whether all of BATCH was given back: nothing of it was done here.  */
+gboolean batch_is_returned (const struct batch *batch);
+
 /* Accepts BATCH, which is the owner's until finish_batch.  */
 void owner_submit (struct owner *owner, struct batch *batch, gint64 now_us);
 
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -52,6 +52,12 @@
   g_free (batch);
 }
 
+gboolean
+batch_is_returned (const struct batch *batch)
+{
+  return batch->n_returned == batch->n_tasks;
+}
+
 /* Whether some of the job may have begun, which would be in vain if the rest
    of it found no room.  */
 static gboolean
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -529,13 +529,6 @@
     }
 }
 
-/* Refuses JOB, or the rest of it, when there is nothing to run it on.  */
-static void
-refuse_job (struct fleet_job *job, const char *reason, gint64 wait_ms)
-{
-  give_up_job (job, reason, wait_ms);
-}
-
 /* Tells of JOB, and of its first batches when they are sent.  */
 static void
 tell_accepted (struct fleet_job *job, const GArray *owners, gboolean is_sent)
@@ -563,9 +556,9 @@
   if (job->n_spreads == 1)
     tell_accepted (job, owners, wait_ms >= 0 && wait_ms <= longest_ms);
   if (wait_ms < 0)
-    refuse_job (job, "no upstream is owned by a live VM", MIN_RETRY_MS);
+    give_up_job (job, "no upstream is owned by a live VM", MIN_RETRY_MS);
   else if (wait_ms > longest_ms)
-    refuse_job (job, "the queues are longer than its time", wait_ms);
+    give_up_job (job, "the queues are longer than its time", wait_ms);
   else
     send_parts (job, owners, indexes);
   fleet_job_unref (job);
--- a/transport/fleet_owner.c
+++ b/transport/fleet_owner.c
@@ -489,7 +489,7 @@
     .indexes = { n_tasks, (guint *)indexes },
   };
 
-  if (batch->n_returned == batch->n_tasks)
+  if (batch_is_returned (batch))
     return;
   peer_hub_call (remote->owner->hub, remote->vm, PEER_RETURN_TASKS, &args,
                  clock_now_us () + RETURN_TIMEOUT_US, on_return_answered,
--- a/transport/owner_log.c
+++ b/transport/owner_log.c
@@ -14,13 +14,6 @@
   return names[end];
 }
 
-/* Nothing of BATCH was started: its home tells of it.  */
-static gboolean
-is_all_returned (const struct batch *batch)
-{
-  return batch->n_returned == batch->n_tasks;
-}
-
 static const char *
 name_batch_end (enum batch_end end)
 {
@@ -73,7 +66,8 @@
   g_autofree char *done = run_tally_format (&tally->done);
   g_autofree char *cut_short = run_tally_format (&tally->cut_short);
 
-  if (is_all_returned (batch))
+  /* Its home tells of it.  */
+  if (batch_is_returned (batch))
     return;
   event_log_fields (
       EVENT_BATCH_ENDED, FIELD_TEXT ("job", batch->job),
