--- a/t/t9610-caller-leaves.c
+++ b/t/t9610-caller-leaves.c
@@ -4,6 +4,7 @@
  */
 #include "t/support/fleet_bed.h"
 
+#include <signal.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -44,9 +45,9 @@
       g_output_stream_write_all (out, bytes, length, NULL, NULL, NULL));
 }
 
-/* Sends a job, its last bytes after a while, and waits until its tasks run. */
+/* Sends a job, its last bytes after a while.  */
 static void
-begin (struct leaver *leaver, struct fleet_bed *bed, guint run_ms)
+send_job (struct leaver *leaver, guint run_ms)
 {
   g_autofree char *body = g_strdup_printf (
       "{\"bestEffort\":true,\"spec\":\"%u\",\"steps\":[{\"count\":%d,"
@@ -54,15 +55,22 @@
       run_ms, N_TASKS, run_ms);
   g_autofree char *head = NULL;
 
-  leaver->bed = bed;
-  leaver->connection = connect_to_first (bed);
-  leaver->id = g_strdup_printf ("%016x", ++bed->n_jobs);
+  leaver->id = g_strdup_printf ("%016x", ++leaver->bed->n_jobs);
   head = g_strdup_printf ("POST %s%s HTTP/1.1\r\nHost: jobs.example\r\n"
                           "Content-Length: %" G_GSIZE_FORMAT "\r\n\r\n",
                           FLEET_BED_PATIENT, leaver->id, strlen (body));
   send_bytes (leaver, head, strlen (head));
   fleet_bed_pass (20);
   send_bytes (leaver, body, strlen (body));
+}
+
+/* Sends a job and waits until its tasks run.  */
+static void
+begin (struct leaver *leaver, struct fleet_bed *bed, guint run_ms)
+{
+  leaver->bed = bed;
+  leaver->connection = connect_to_first (bed);
+  send_job (leaver, run_ms);
   fleet_bed_wait_count (bed, "running", N_TASKS);
 }
 
@@ -140,6 +148,31 @@
   fleet_bed_stop (bed);
 }
 
+/* The request is still unread when its caller resets the connection, as the VM
+   stands still.  The caller may send it again to another VM at once, so
+   nothing must be started for it.  */
+static void
+test_leave_unread (void)
+{
+  struct fleet_bed *bed = fleet_bed_start (2);
+  struct leaver leaver = { .bed = bed };
+  json_t *record;
+
+  leaver.connection = connect_to_first (bed);
+  fleet_bed_pass (50);
+  process_signal (bed->vms[0], SIGSTOP);
+  send_job (&leaver, LONG_MS);
+  leave_by_reset (&leaver);
+  process_signal (bed->vms[0], SIGCONT);
+  fleet_bed_pass (300);
+  record = fleet_bed_get_record (bed);
+  g_assert_cmpint (json_get_int (record, "starts"), ==, 0);
+  json_decref (record);
+  g_object_unref (leaver.connection);
+  g_free (leaver.id);
+  fleet_bed_stop (bed);
+}
+
 /* What comes in while the caller waits is no end: it gets its answer.  */
 static void
 test_stay_after_more (void)
@@ -179,6 +212,7 @@
   g_test_set_nonfatal_assertions ();
   for (gsize i = 0; i < G_N_ELEMENTS (ways); i++)
     g_test_add_data_func (ways[i].path, &ways[i].leave, test_leave);
+  g_test_add_func ("/caller-leaves/leave-unread", test_leave_unread);
   g_test_add_func ("/caller-leaves/stay-after-more", test_stay_after_more);
   return g_test_run ();
 }
