--- a/coordination/owned.c
+++ b/coordination/owned.c
@@ -19,13 +19,12 @@
    inverse.  */
 #define MAX_SLOWNESS 20.0
 
-/* Sums of CPUs may exceed the shape by this much through rounding; needs are
-   given in thousandths of a CPU.  */
-#define CPU_EPSILON 0.0005
-
 /* Added to times that are computed from the clock of an upstream.  */
 #define CLOCK_MARGIN_US (30 * USEC_PER_MSEC)
 
+/* An order without an answer may be carried out up to this much later.  */
+#define MAX_ORDER_DELAY_US (15 * USEC_PER_SEC)
+
 #define PPM 1000000
 
 struct owned_upstream *
@@ -96,6 +95,16 @@
          + (now_us - upstream->clock_read_us) / USEC_PER_MSEC;
 }
 
+/* The latest time at which an order that was sent by NOW_US to UPSTREAM is
+   carried out.  None is sent while its polls are not answered.  */
+static gint64
+latest_order_us (const struct owned_upstream *upstream, gint64 now_us)
+{
+  if (upstream->unanswered_since_us == 0)
+    return now_us;
+  return upstream->unanswered_since_us + MAX_ORDER_DELAY_US;
+}
+
 gint64
 owned_latest_time_us (const struct owner *owner,
                       const struct owned_upstream *upstream, gint64 until_ms,
@@ -104,7 +113,8 @@
   gint64 ahead_us = (until_ms - upstream->clock_ms) * USEC_PER_MSEC;
 
   if (upstream->clock_read_us == 0)
-    return now_us + owner->limits.max_lease_ms * 2 * USEC_PER_MSEC;
+    return latest_order_us (upstream, now_us)
+           + owner->limits.max_lease_ms * 2 * USEC_PER_MSEC;
   ahead_us += ahead_us * owner->limits.clock_drift_ppm / PPM;
   return upstream->clock_read_us + ahead_us + CLOCK_MARGIN_US;
 }
--- a/coordination/owner.c
+++ b/coordination/owner.c
@@ -1,7 +1,7 @@
 #include "coordination/owner_private.h"
 
 /* How long an upstream may hold back the answer to a poll until a run ends. */
-#define POLL_WAIT_MS 350
+#define POLL_WAIT_MS 200
 
 /* When nothing runs, the poll that only acknowledges ended runs is delayed by
    this, so that it can acknowledge further ones too.  */
@@ -150,16 +150,35 @@
 
       if (service != NULL && !g_str_equal (batch->service, service))
         continue;
-      room->n_queued += batch->n_queued;
+      if (batch->is_late)
+        room->n_late += batch->n_queued;
+      else
+        room->n_queued[owner_room_priority (batch->priority)]
+            += batch->n_queued;
       room->n_running += batch->n_active;
-      room->queued_us += batch->n_queued * batch->estimate_us;
     }
 }
 
+guint
+owner_room_priority (guint priority)
+{
+  return MIN (priority, ROOM_PRIORITIES - 1);
+}
+
+guint
+owner_room_count_queued (const struct owner_room *room)
+{
+  guint n = room->n_late;
+
+  for (guint i = 0; i < ROOM_PRIORITIES; i++)
+    n += room->n_queued[i];
+  return n;
+}
+
 /* Adds the room of UPSTREAM, which accepts runs, to ROOM.  */
 static void
 add_room (const struct owner *owner, const struct owned_upstream *upstream,
-          struct owner_room *room)
+          struct owner_room *room, gint64 now_us)
 {
   gdouble free_cpus = upstream->shape.cpus - upstream->used.cpus;
   guint n_slots = (guint)(upstream->shape.cpus / owner->typical_cpus);
@@ -167,8 +186,10 @@
   room->n_upstreams++;
   room->free_cpus += free_cpus;
   room->total_cpus += upstream->shape.cpus;
-  room->free_slots += (guint)(MAX (free_cpus, 0) / owner->typical_cpus);
+  free_slots_add_upstream (&room->free_slots, free_cpus);
   room->n_slots += MAX (n_slots, 1u);
+  for (guint i = 0; i < ROOM_PRIORITIES; i++)
+    room->starts_per_s[i] += event_rate_get (&upstream->starts[i], now_us);
 }
 
 void
@@ -181,6 +202,7 @@
   guint n_probing = 0;
 
   *room = (struct owner_room){ 0 };
+  free_slots_init (&room->free_slots, owner->typical_cpus);
   g_hash_table_iter_init (&iter, owner->upstreams);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -190,7 +212,7 @@
           || (service != NULL && !g_str_equal (upstream->service, service)))
         continue;
       if (!upstream->is_on_probation)
-        add_room (owner, upstream, room);
+        add_room (owner, upstream, room, now_us);
       n_on_probation += upstream->is_on_probation ? 1 : 0;
       n_probing += upstream->is_on_probation && upstream->n_runs > 0 ? 1 : 0;
     }
@@ -198,12 +220,47 @@
   if (room->n_slots == 0)
     {
       room->n_slots = n_on_probation;
-      room->free_slots = n_on_probation - n_probing;
+      for (guint i = n_probing; i < n_on_probation; i++)
+        free_slots_add_single (&room->free_slots);
     }
   add_batches (&owner->queue, service, room);
   add_batches (&owner->batches, service, room);
 }
 
+/* How many tasks that need CPUS each would start at once on UPSTREAM.  */
+static guint
+count_free_slots (const struct owned_upstream *upstream, gdouble cpus,
+                  gint64 now_us)
+{
+  const struct shape need = { .cpus = cpus };
+  gdouble free_cpus = upstream->shape.cpus - upstream->used.cpus;
+
+  if (!owned_can_start (upstream, &need, now_us))
+    return 0;
+  if (upstream->is_on_probation || cpus <= 0)
+    return 1;
+  return (guint)((free_cpus + CPU_EPSILON) / cpus);
+}
+
+guint
+owner_count_free_slots (struct owner *owner, const char *service, gdouble cpus,
+                        gint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+  guint n = 0;
+
+  g_hash_table_iter_init (&iter, owner->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct owned_upstream *upstream = value;
+
+      if (g_str_equal (upstream->service, service))
+        n += count_free_slots (upstream, cpus, now_us);
+    }
+  return n;
+}
+
 /* Polls UPSTREAM if that is due and no poll is in flight.  */
 static void
 poll_if_due (struct owner *owner, struct owned_upstream *upstream,
@@ -222,13 +279,18 @@
       upstream->poll_due_us = upstream->last_end_us + ACK_DELAY_US;
       return;
     }
-  if (has_runs && upstream->clock_read_us != 0 && !owned_is_stale (upstream)
+  /* A renewal would also prolong the runs of a former owner, which expects
+     them to end.  */
+  if (has_runs && upstream->n_foreign == 0 && upstream->clock_read_us != 0
+      && !owned_is_stale (upstream)
       && upstream->n_unanswered_polls < OWNED_MAX_UNANSWERED_POLLS)
     until_ms
         = owned_estimate_clock_ms (upstream, now_us) + owner->limits.lease_ms;
-  if (has_runs && upstream->state == OWNED_HELD && upstream->n_foreign == 0)
+  if (has_runs && upstream->state == OWNED_HELD && upstream->n_foreign == 0
+      && !owner_expects_news (upstream, now_us))
     wait_ms = POLL_WAIT_MS;
   upstream->leased_until_ms = MAX (upstream->leased_until_ms, until_ms);
+  upstream->is_poll_held = wait_ms > 0;
   upstream->is_polling = TRUE;
   upstream->polled_us = now_us;
   upstream->poll_due_us = DEADLINE_NEVER;
--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -24,10 +24,16 @@
 
 #include "base/clock.h"
 #include "base/list.h"
+#include "coordination/event_rate.h"
+#include "coordination/free_slots.h"
 #include "state/document.h"
 
 #include <glib.h>
 
+/* Queues and starts are told apart by priority up to this number of
+   priorities; all less urgent ones count as the last.  */
+#define ROOM_PRIORITIES 4
+
 struct owner;
 struct owner_driver;
 struct owned_upstream;
@@ -75,10 +81,13 @@
   gint64 stop_due_us;      /* when to repeat the stop order */
   guint percent;           /* progress, 0 to 100, as last reported */
   gint64 progressed_us;    /* when percent last changed */
+  gint64 listed_us; /* when an answer last listed it as running; its start
+                       before the first one */
   gboolean is_stop_acknowledged;
   gboolean is_confirmed; /* the upstream has reported it as running */
   gboolean is_foreign; /* listed by the upstream, not started by this owner */
   gboolean is_slowness_counted; /* counted in the upstream's slowness */
+  guint64 sent_after_poll;      /* the last poll before its start order */
   guint64 visible_after_poll;   /* if the upstream has the run, the answers to
                                    polls after this one list it */
   guint64 last_listed_poll;     /* last poll whose answer listed it; 0: none */
@@ -116,6 +125,7 @@
   guint n_foreign;       /* of them, those that this owner did not start */
   guint64 n_polls;       /* polls sent so far; numbers them from 1 */
   guint64 last_answered_poll;   /* number of the last answered poll */
+  gint64 answered_us;           /* when a poll was last answered */
   guint64 last_ended_entry;     /* highest entry_number processed; see
                                    struct listed_end */
   guint64 reported_ended_entry; /* the value that the latest poll sent */
@@ -123,7 +133,8 @@
                                    sent */
   gint64 last_end_us;           /* when an ended run was last processed */
   gint64 polled_us;             /* when the latest poll was sent */
-  gboolean is_polling;          /* a poll is in flight */
+  gboolean is_poll_held;   /* the upstream may hold back the answer to it */
+  gboolean is_polling;     /* a poll is in flight */
   guint64 last_stale_poll; /* the answers to polls up to this number are too
                               old to confirm ownership; 0 for none */
   gint64 poll_due_us;      /* when to poll next */
@@ -136,6 +147,7 @@
                              its clock */
   gdouble slowness; /* run time divided by expected run time, smoothed; 1 at
                        first */
+  struct event_rate starts[ROOM_PRIORITIES]; /* of runs here, by priority */
   gdouble failure_share;    /* of its runs, smoothed; 0 to 1 */
   gint64 rest_until_us;     /* gets no runs before this time */
   guint n_rests;            /* since the last success on probation */
@@ -162,7 +174,8 @@
   guint n_runs;     /* run numbers used, skipped ones included */
   guint n_failed;   /* failed runs */
   guint n_restarts; /* because of slow or hanging upstreams */
-  char *failed_on;  /* the upstream where it failed last; NULL for none */
+  char *failed_on;  /* the upstream where it failed last, or that left its
+                       start unanswered; NULL for none */
 };
 
 enum batch_end
@@ -201,10 +214,11 @@
   gint64 first_started_us; /* 0 before the first start */
   gboolean is_settled;     /* its queued tasks stay here unless no upstream can
                               take them */
-  gboolean is_trial;       /* tasks that do not start at once are given back */
-  gboolean is_part;        /* other tasks of the job may have been started */
-  gboolean is_late; /* start_by_us passed before any task of the job could
-                       start: queued behind the others */
+  gint64 max_wait_us; /* tasks that are expected to wait longer are given back
+                         on arrival; DEADLINE_NEVER for no limit */
+  gboolean is_part;   /* other tasks of the job may have been started */
+  gboolean is_late;   /* start_by_us passed before any task of the job could
+                         start: queued behind the others */
   guint n_tasks;
   guint n_queued;
   guint n_active; /* may be running */
@@ -432,10 +446,12 @@
   guint n_ended;
 };
 
-/* Reports the outcome END of poll ().  REPORT, which is the caller's, is NULL
-   unless END is ORDER_ACCEPTED.  */
+/* Reports the outcome END of poll (), for the poll number POLL: n_polls of
+   UPSTREAM when it was sent.  Of an answer to an earlier poll than the latest
+   only the ended runs count, and that the upstream is fenced.  REPORT, which
+   is the caller's, is NULL unless END is ORDER_ACCEPTED.  */
 void owner_poll_ended (struct owner *owner, struct owned_upstream *upstream,
-                       enum order_end end,
+                       guint64 poll, enum order_end end,
                        const struct upstream_report *report, gint64 now_us);
 
 /* The capacity of the owned upstreams.  */
@@ -444,17 +460,28 @@
   guint n_upstreams;  /* that accept runs now and are not on probation */
   gdouble free_cpus;  /* of those */
   gdouble total_cpus; /* of those */
-  guint free_slots;   /* tasks of typical size that would start at once */
-  guint n_slots;      /* tasks of typical size that fit at all */
-  guint n_queued;     /* tasks */
-  guint n_running;    /* tasks */
-  gint64 queued_us;   /* total estimated run time of the queued tasks */
+  struct free_slots free_slots;    /* tasks that would start at once */
+  guint n_slots;                   /* tasks of typical size that fit at all */
+  guint n_queued[ROOM_PRIORITIES]; /* tasks that aren't late, by priority */
+  guint n_late;    /* queued tasks of late batches, served after them */
+  guint n_running; /* tasks */
+  gdouble starts_per_s[ROOM_PRIORITIES]; /* lately, by priority */
 };
 
+/* The index in the queues of a room for batches of PRIORITY.  */
+guint owner_room_priority (guint priority);
+
+/* All queued tasks in ROOM.  */
+guint owner_room_count_queued (const struct owner_room *room);
+
 /* Fills ROOM for SERVICE, or for all services when that is NULL.  */
 void owner_get_room (struct owner *owner, const char *service,
                      struct owner_room *room, gint64 now_us);
 
+/* How many tasks for SERVICE that need CPUS each would start at once.  */
+guint owner_count_free_slots (struct owner *owner, const char *service,
+                              gdouble cpus, gint64 now_us);
+
 /* Does what is due at NOW_US.  A call that comes late, as after a pause of the
    process, starts and renews nothing before the upstreams have answered a
    poll.  */
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -1,4 +1,5 @@
 #include "coordination/owner_private.h"
+#include "coordination/vm_room.h"
 
 #include <string.h>
 
@@ -30,6 +31,7 @@
   batch->attempts = 1;
   batch->far_factor = 1;
   batch->end_by_us = DEADLINE_NEVER;
+  batch->max_wait_us = DEADLINE_NEVER;
   batch->n_tasks = n_tasks;
   batch->n_queued = n_tasks;
   batch->tasks = g_new0 (struct batch_task, n_tasks);
@@ -176,6 +178,30 @@
   return n;
 }
 
+/* How long the last queued task of BATCH is expected to wait.  */
+static gint64
+estimate_wait_us (struct owner *owner, const struct batch *batch,
+                  gint64 now_us)
+{
+  guint n_ahead = batch->n_queued;
+  struct owner_room own;
+  struct vm_room room;
+  const struct list_node *node;
+
+  for (node = owner->queue.next; node != &batch->link; node = node->next)
+    {
+      const struct batch *other = list_entry (node, struct batch, link);
+
+      if (g_str_equal (other->service, batch->service))
+        n_ahead += other->n_queued;
+    }
+  owner_get_room (owner, batch->service, &own, now_us);
+  vm_room_init (&room, batch->service, &own);
+  return vm_room_estimate_wait_ms (&room, n_ahead, batch->priority,
+                                   (guint)(batch->estimate_us / USEC_PER_MSEC))
+         * USEC_PER_MSEC;
+}
+
 void
 owner_submit_batch (struct owner *owner, struct batch *batch, gint64 now_us)
 {
@@ -185,7 +211,8 @@
   batch->queued_us = now_us;
   owner_relink_batch (owner, batch);
   owner_start_queued (owner, now_us);
-  if (batch->is_trial && batch->n_queued > 0)
+  if (batch->n_queued > 0 && batch->max_wait_us != DEADLINE_NEVER
+      && estimate_wait_us (owner, batch, now_us) > batch->max_wait_us)
     return_tasks (owner, batch, batch->n_queued);
   owner_advance (owner, now_us);
 }
@@ -432,8 +459,12 @@
   if (is_far (batch, upstream))
     slowness *= batch->far_factor;
   run->state = RUN_STARTING;
+  event_rate_count (&upstream->starts[owner_room_priority (batch->priority)],
+                    now_us);
   run->started_us = now_us;
   run->progressed_us = now_us;
+  run->listed_us = now_us;
+  run->sent_after_poll = upstream->n_polls;
   run->expected_us = (gint64)((gdouble)batch->estimate_us * slowness);
   run->start_expires_us
       = owned_latest_time_us (owner, upstream, until_ms, now_us);
@@ -508,6 +539,29 @@
     }
 }
 
+/* Whether BATCH, none of which has begun, can't be started in time: it is
+   late, and the batches in time have tasks that wait for the same upstreams.
+ */
+static gboolean
+is_hopeless (struct owner *owner, const struct batch *batch, gint64 now_us)
+{
+  struct owner_room room;
+  gdouble starts_per_s = 0;
+  guint n_ahead = batch->n_queued;
+
+  if (!batch->is_late || may_have_begun (batch))
+    return FALSE;
+  owner_get_room (owner, batch->service, &room, now_us);
+  for (guint i = 0; i < ROOM_PRIORITIES; i++)
+    {
+      n_ahead += room.n_queued[i];
+      starts_per_s += room.starts_per_s[i];
+    }
+  return n_ahead > batch->n_queued
+         && n_ahead * USEC_PER_SEC
+                > (batch->end_by_us - now_us) * MAX (starts_per_s, 1);
+}
+
 void
 owner_expire_batches (struct owner *owner, gint64 now_us)
 {
@@ -520,7 +574,9 @@
     {
       struct batch *batch = list_entry (node, struct batch, link);
 
-      if (batch->end_by_us <= now_us && batch->n_started == 0)
+      if (batch->n_started == 0
+          && (batch->end_by_us <= now_us
+              || is_hopeless (owner, batch, now_us)))
         g_ptr_array_add (expired, batch);
     }
   for (guint i = 0; i < expired->len; i++)
--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -7,6 +7,10 @@
 #include "base/clock.h"
 #include "coordination/owner.h"
 
+/* Sums of CPUs may exceed the shape by this much through rounding; needs are
+   given in thousandths of a CPU.  */
+#define CPU_EPSILON 0.0005
+
 struct owner
 {
   struct owner_driver *driver;
@@ -43,7 +47,7 @@
 
 /* The latest time, on this VM's clock, at which the clock of UPSTREAM can
    show UNTIL_MS, clock drift included.  Before the first reading of that
-   clock, NOW_US plus twice the longest lease.  */
+   clock, twice the longest lease after the last order may be carried out.  */
 gint64 owned_latest_time_us (const struct owner *owner,
                              const struct owned_upstream *upstream,
                              gint64 until_ms, gint64 now_us);
@@ -110,6 +114,11 @@
                            struct owned_upstream *upstream,
                            gint64 instance_start_ms, gint64 now_us);
 
+/* Whether UPSTREAM should have told by NOW_US of an end, or of the start of a
+   run whose order is not answered.  */
+gboolean owner_expects_news (const struct owned_upstream *upstream,
+                             gint64 now_us);
+
 /* Ends all runs of UPSTREAM as lost, none of which can be running any more. */
 void owner_drop_runs (struct owner *owner, struct owned_upstream *upstream,
                       gint64 now_us);
@@ -119,8 +128,8 @@
                                  struct owned_upstream *upstream,
                                  gint64 now_us);
 
-/* Handles what is overdue at UPSTREAM: unacknowledged stops, stalled or slow
-   tasks, expired leases.  */
+/* Handles what is overdue at UPSTREAM: unanswered starts and polls,
+   unacknowledged stops, stalled or slow tasks, expired leases.  */
 void owner_check_runs (struct owner *owner, struct owned_upstream *upstream,
                        gint64 now_us);
 
--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -25,6 +25,17 @@
 /* Restarts allowed for one task because of stalls and slow upstreams.  */
 #define MAX_RESTARTS 3
 
+/* A start order or a poll that takes longer than usual by this is checked by a
+   poll that is answered at once: the answer may be lost.  */
+#define ANSWER_MARGIN_US (40 * USEC_PER_MSEC)
+
+/* The margin for the end of a run, as a fraction of its time up to then.  */
+#define END_MARGIN 0.1
+
+/* Progress of less than this many percent does not tell when a run will
+   end.  */
+#define MIN_PERCENT 10
+
 /* Added to run times before they are compared, so that measuring noise counts
    little for short tasks.  */
 #define SPEED_NOISE_US (15 * USEC_PER_MSEC)
@@ -64,6 +75,14 @@
   owner_relink_batch (owner, batch);
 }
 
+/* Runs TASK on UPSTREAM again only if no other can take it.  */
+static void
+avoid_upstream (struct batch_task *task, const struct owned_upstream *upstream)
+{
+  g_free (task->failed_on);
+  task->failed_on = g_strdup (upstream->id);
+}
+
 /* Counts a failed run of TASK: queues it again, or ends its batch when all
    attempts are used up.  */
 static void
@@ -73,8 +92,7 @@
   struct batch *batch = task->batch;
 
   task->n_failed++;
-  g_free (task->failed_on);
-  task->failed_on = g_strdup (upstream->id);
+  avoid_upstream (task, upstream);
   if (task->n_failed < batch->attempts)
     {
       requeue (owner, task);
@@ -297,13 +315,14 @@
 static void
 handle_unanswered_start (struct owner *owner, struct run *run, gint64 now_us)
 {
-  owned_start_rest (run->upstream, now_us);
-  mark_unconfirmed (run->upstream, now_us);
-  if (owner->driver->ops->start_unanswered != NULL)
-    owner->driver->ops->start_unanswered (owner->driver, run);
   if (run->state != RUN_STARTING)
     return;
+  owned_record_failure (run->upstream, now_us);
+  if (owner->driver->ops->start_unanswered != NULL)
+    owner->driver->ops->start_unanswered (owner->driver, run);
   run->state = RUN_UNCONFIRMED;
+  if (run->task != NULL)
+    avoid_upstream (run->task, run->upstream);
   owner_stop_run (owner, run, now_us);
 }
 
@@ -319,8 +338,10 @@
       run->is_confirmed = TRUE;
       run->visible_after_poll = run->upstream->n_polls;
       run->progressed_us = now_us;
+      run->listed_us = now_us;
       break;
     case ORDER_UNANSWERED:
+      mark_unconfirmed (run->upstream, now_us);
       handle_unanswered_start (owner, run, now_us);
       break;
     case ORDER_INVALID:
@@ -383,6 +404,9 @@
     return;
   run->is_stop_acknowledged = TRUE;
   run->visible_after_poll = upstream->n_polls;
+  /* Nothing ends that would make the upstream answer a poll it holds back.  */
+  if (upstream->is_poll_held && run->last_listed_poll == 0)
+    upstream->is_polling = FALSE;
   upstream->poll_due_us = now_us;
   owner_advance (owner, now_us);
 }
@@ -408,10 +432,11 @@
     }
 }
 
-/* Records when the progress of RUN has changed.  */
+/* Records that RUN is listed, and when its progress has changed.  */
 static void
 note_progress (struct run *run, guint percent, gint64 now_us)
 {
+  run->listed_us = now_us;
   if (percent == run->percent)
     return;
   run->percent = percent;
@@ -528,6 +553,41 @@
     upstream->poll_due_us = now_us + IDLE_POLL_INTERVAL_US;
 }
 
+/* Processes the successful runs in a report of a former instance, whose
+   entries were numbered anew since.  */
+static void
+process_successes (struct owner *owner, struct owned_upstream *upstream,
+                   const struct upstream_report *report, gint64 now_us)
+{
+  for (guint i = 0; i < report->n_ended; i++)
+    {
+      const struct listed_end *end = &report->ended[i];
+      struct run *run = owned_find_run (upstream, end->name, end->run_number);
+
+      if (end->end != RUN_DONE)
+        continue;
+      if (run != NULL)
+        owner_end_run (owner, run, RUN_DONE, now_us);
+      else
+        owner_accept_late_success (owner, end->name, end->run_number);
+    }
+}
+
+/* Processes the ended runs in the answer to a poll that was superseded.  What
+   else it tells may be older than what is known.  */
+static void
+apply_superseded_report (struct owner *owner, struct owned_upstream *upstream,
+                         const struct upstream_report *report, gint64 now_us)
+{
+  if (report->instance_start_ms == upstream->instance_start_ms)
+    process_ended_runs (owner, upstream, report, now_us);
+  else
+    process_successes (owner, upstream, report, now_us);
+  owner_finish_release (owner, upstream);
+  owner_start_queued (owner, now_us);
+  owner_advance (owner, now_us);
+}
+
 static void
 note_unanswered_poll (struct owner *owner, struct owned_upstream *upstream,
                       gint64 now_us)
@@ -546,11 +606,17 @@
 
 void
 owner_poll_ended (struct owner *owner, struct owned_upstream *upstream,
-                  enum order_end end, const struct upstream_report *report,
-                  gint64 now_us)
+                  guint64 poll, enum order_end end,
+                  const struct upstream_report *report, gint64 now_us)
 {
   if (upstream->is_removed)
     return;
+  if (poll != upstream->n_polls && end != ORDER_FENCED)
+    {
+      if (end == ORDER_ACCEPTED && report != NULL)
+        apply_superseded_report (owner, upstream, report, now_us);
+      return;
+    }
   upstream->is_polling = FALSE;
   upstream->poll_due_us = DEADLINE_NEVER;
   if (end == ORDER_FENCED)
@@ -561,6 +627,7 @@
   if (end == ORDER_ACCEPTED && report != NULL)
     {
       upstream->last_answered_poll = upstream->n_polls;
+      upstream->answered_us = now_us;
       upstream->acked_ended_entry = upstream->reported_ended_entry;
       owned_clear_unanswered (upstream);
       apply_report (owner, upstream, report, now_us);
@@ -574,20 +641,88 @@
   owner_advance (owner, now_us);
 }
 
+/* When RUN should have ended and its upstream have told so, judged by its
+   progress as last listed.  */
+static gint64
+compute_end_due_us (const struct run *run)
+{
+  gint64 spent_us = run->listed_us - run->started_us;
+  gint64 total_us = run->expected_us;
+
+  if (run->percent >= MIN_PERCENT)
+    total_us = spent_us * 100 / run->percent;
+  return run->started_us + ANSWER_MARGIN_US
+         + (gint64)((gdouble)MAX (total_us, spent_us) * (1 + END_MARGIN));
+}
+
+/* Whether news of RUN is overdue.  */
+static gboolean
+is_overdue (const struct run *run, gint64 now_us)
+{
+  switch (run->state)
+    {
+    case RUN_STARTING:
+      return run->started_us + ANSWER_MARGIN_US < now_us;
+    case RUN_RUNNING:
+      return run->task != NULL && compute_end_due_us (run) < now_us;
+    case RUN_STOPPING:
+      return run->is_stop_acknowledged && run->last_listed_poll == 0;
+    default:
+      return FALSE;
+    }
+}
+
+gboolean
+owner_expects_news (const struct owned_upstream *upstream, gint64 now_us)
+{
+  const struct list_node *node;
+
+  for (node = upstream->runs.next; node != &upstream->runs; node = node->next)
+    if (is_overdue (list_entry (node, struct run, link), now_us))
+      return TRUE;
+  return FALSE;
+}
+
+/* Gives up waiting for the answer to a poll that the upstream may hold back,
+   if that answer should have come: the next poll is answered at once.  */
+static void
+supersede_poll (struct owned_upstream *upstream, gint64 now_us)
+{
+  if (!upstream->is_polling || !upstream->is_poll_held
+      || upstream->polled_us + ANSWER_MARGIN_US > now_us
+      || !owner_expects_news (upstream, now_us))
+    return;
+  upstream->is_polling = FALSE;
+  upstream->poll_due_us = now_us;
+}
+
+/* Whether the start order for RUN got no answer, and a later poll did not list
+   the run.  */
+static gboolean
+is_start_lost (const struct run *run, gint64 now_us)
+{
+  return run->state == RUN_STARTING && run->last_listed_poll == 0
+         && run->started_us + ANSWER_MARGIN_US < now_us
+         && run->upstream->last_answered_poll > run->sent_after_poll
+         && run->upstream->answered_us > run->started_us + ANSWER_MARGIN_US;
+}
+
+/* Whether the answers of the upstream show that RUN makes no progress.  The
+   silence of an upstream shows nothing.  */
 static gboolean
-is_stalled (const struct run *run, gint64 now_us)
+is_stalled (const struct run *run)
 {
   gint64 expected_us = (gint64)((gdouble)run->expected_us * STALL_FACTOR);
 
-  return now_us - run->progressed_us > MAX (MIN_STALL_US, expected_us);
+  return run->listed_us - run->progressed_us > MAX (MIN_STALL_US, expected_us);
 }
 
 /* Whether RUN would end sooner if it started again on a usual upstream.  */
 static gboolean
-is_too_slow (const struct run *run, gint64 now_us)
+is_too_slow (const struct run *run)
 {
   gint64 estimate_us = run->task->batch->estimate_us;
-  gint64 spent_us = now_us - run->started_us;
+  gint64 spent_us = run->listed_us - run->started_us;
   gint64 left_us;
 
   if (spent_us < MIN_STALL_US || run->percent == 0)
@@ -599,10 +734,10 @@
 /* Counts RUN in the slowness of its upstream, once, as soon as its progress
    shows that it takes far longer than estimated.  */
 static void
-record_slow_run (struct run *run, gint64 now_us)
+record_slow_run (struct run *run)
 {
   gint64 estimate_us = run->task->batch->estimate_us + SPEED_NOISE_US;
-  gint64 spent_us = now_us - run->started_us;
+  gint64 spent_us = run->listed_us - run->started_us;
   gint64 total_us;
 
   if (run->is_slowness_counted || run->percent == 0
@@ -620,6 +755,11 @@
 {
   struct batch_task *task = run->task;
 
+  if (is_start_lost (run, now_us))
+    {
+      handle_unanswered_start (owner, run, now_us);
+      return;
+    }
   if (run->state == RUN_STOPPING && run->stop_due_us <= now_us
       && !run->is_stop_acknowledged)
     {
@@ -631,8 +771,8 @@
   if (run->state != RUN_RUNNING || task == NULL
       || task->n_restarts >= MAX_RESTARTS)
     return;
-  record_slow_run (run, now_us);
-  if (!is_stalled (run, now_us) && !is_too_slow (run, now_us))
+  record_slow_run (run);
+  if (!is_stalled (run) && !is_too_slow (run))
     return;
   task->n_restarts++;
   owned_record_failure (run->upstream, now_us);
@@ -650,6 +790,7 @@
 
   list_for_each (node, after, &upstream->runs)
     check_run (owner, list_entry (node, struct run, link), now_us);
+  supersede_poll (upstream, now_us);
   if (upstream->n_unanswered_polls < OWNED_MAX_UNANSWERED_POLLS
       || list_is_empty (&upstream->runs))
     return;
--- a/coordination/spread.c
+++ b/coordination/spread.c
@@ -30,10 +30,10 @@
 static guint
 count_free_slots (const struct spread_owner *owner)
 {
-  guint n_taken = owner->room.n_queued + owner->n_given;
+  guint n_taken
+      = vm_room_count_ahead (&owner->room, ROOM_PRIORITIES) + owner->n_given;
 
-  return owner->room.free_slots > n_taken ? owner->room.free_slots - n_taken
-                                          : 0;
+  return owner->free_slots > n_taken ? owner->free_slots - n_taken : 0;
 }
 
 static gboolean
@@ -79,21 +79,24 @@
   return found;
 }
 
-/* How long the last of N_MORE tasks would wait at OWNER, in milliseconds.  */
+/* How long the last of N_MORE of TASKS would wait at OWNER, in milliseconds:
+   until as many runs have ended there as go before it.  */
 static gint64
-compute_wait_ms (const struct spread_owner *owner, guint n_more, guint run_ms)
+compute_wait_ms (const struct spread_owner *owner, guint n_more,
+                 const struct spread_tasks *tasks)
 {
-  gint64 queued_ms
-      = owner->room.queued_ms + (gint64)(owner->n_given + n_more) * run_ms;
+  guint n_ahead = vm_room_count_ahead (&owner->room, tasks->priority)
+                  + owner->n_given + n_more;
 
-  return queued_ms / owner->room.n_slots;
+  return vm_room_estimate_wait_ms (&owner->room, n_ahead, tasks->priority,
+                                   tasks->run_ms);
 }
 
 /* The owner where the last of N_MORE tasks has the shortest wait, or NULL when
    no compared one has a slot.  With equal waits, the nearer one is taken.  */
 static struct spread_owner *
 find_shortest_queue (struct spread_owner *owners, guint n_owners, guint n_more,
-                     guint run_ms, guint64 *seed)
+                     const struct spread_tasks *tasks, guint64 *seed)
 {
   guint n_compared = n_owners <= COMPARE_ALL_MAX ? n_owners : N_COMPARED;
   struct spread_owner *best = NULL;
@@ -108,7 +111,7 @@
         owner = &owners[next_random (seed) % n_owners];
       if (owner->room.n_slots == 0)
         continue;
-      wait_ms = compute_wait_ms (owner, n_more, run_ms);
+      wait_ms = compute_wait_ms (owner, n_more, tasks);
       if (best != NULL
           && (wait_ms > best_ms
               || (wait_ms == best_ms
@@ -124,16 +127,16 @@
    in milliseconds, or -1 when no owner was found.  */
 static gint64
 queue_tasks (struct spread_owner *owners, guint n_owners, guint n_tasks,
-             guint run_ms, guint64 *seed)
+             const struct spread_tasks *tasks, guint64 *seed)
 {
   struct spread_owner *owner
-      = find_shortest_queue (owners, n_owners, n_tasks, run_ms, seed);
+      = find_shortest_queue (owners, n_owners, n_tasks, tasks, seed);
 
   if (owner == NULL)
     return -1;
   owner->n_given += n_tasks;
   owner->has_queued = TRUE;
-  return compute_wait_ms (owner, 0, run_ms);
+  return compute_wait_ms (owner, 0, tasks);
 }
 
 /* How many of N_TASKS go to the free slots of OWNER.  Of another VM only half
@@ -148,11 +151,11 @@
 }
 
 gint64
-spread_tasks (struct spread_owner *owners, guint n_owners, guint n_tasks,
-              guint run_ms, guint64 seed)
+spread_assign (struct spread_owner *owners, guint n_owners,
+               const struct spread_tasks *tasks, guint64 seed)
 {
   gint64 longest_ms = 0;
-  guint n_left = n_tasks;
+  guint n_left = tasks->n;
 
   for (guint i = 0; i < n_owners; i++)
     {
@@ -174,9 +177,9 @@
           gint64 wait_ms;
 
           /* No task of the job starts at once: one queue gets all of them.  */
-          if (n_left == n_tasks)
-            n = n_tasks;
-          wait_ms = queue_tasks (owners, n_owners, n, run_ms, &seed);
+          if (n_left == tasks->n)
+            n = tasks->n;
+          wait_ms = queue_tasks (owners, n_owners, n, tasks, &seed);
           if (wait_ms < 0)
             return -1;
           longest_ms = MAX (longest_ms, wait_ms);
--- a/coordination/spread.h
+++ b/coordination/spread.h
@@ -22,16 +22,25 @@
   gboolean is_self;
   gboolean is_local; /* in the availability zone of this VM */
   struct vm_room room;
+  guint free_slots;    /* tasks of the job that would start at once */
   guint n_given;       /* result: tasks that it gets */
   gboolean has_queued; /* result: some of them are queued there */
 };
 
+/* The tasks to spread: as many as are left of one job.  */
+struct spread_tasks
+{
+  guint n;
+  guint run_ms;   /* estimate for each */
+  guint priority; /* 0 is the most urgent */
+};
+
 /*
- * Gives N_TASKS of RUN_MS each to OWNERS.  Returns the longest expected wait,
+ * Gives TASKS to OWNERS.  Returns the longest expected wait,
  * in milliseconds, or -1 when no owner has any slot.  SEED must differ for
  * each call, so that homes that know the same rooms choose differently.
  */
-gint64 spread_tasks (struct spread_owner *owners, guint n_owners,
-                     guint n_tasks, guint run_ms, guint64 seed);
+gint64 spread_assign (struct spread_owner *owners, guint n_owners,
+                      const struct spread_tasks *tasks, guint64 seed);
 
 #endif
--- a/coordination/vm_directory.c
+++ b/coordination/vm_directory.c
@@ -156,56 +156,31 @@
   return vm;
 }
 
-void
-vm_room_init (struct vm_room *room, const char *service,
-              const struct owner_room *own)
-{
-  gint64 queued_ms = own->queued_us / USEC_PER_MSEC;
-
-  room->service_hash = hash64_string (service);
-  room->n_slots = own->n_slots;
-  room->free_slots = own->free_slots;
-  room->n_queued = own->n_queued;
-  room->queued_ms = (guint)CLAMP (queued_ms, 0, G_MAXUINT);
-}
-
-/* Adds N_TASKS to the queue of ROOM.  The queue time saturates.  */
-static void
-add_queued (struct vm_room *room, guint n_tasks, guint run_ms)
-{
-  guint64 queued_ms = room->queued_ms + (guint64)n_tasks * run_ms;
-
-  room->n_queued += n_tasks;
-  room->queued_ms = (guint)MIN (queued_ms, G_MAXUINT);
-}
-
 void
 vm_directory_reserve_room (struct vm_directory *directory, const char *name,
-                           guint64 service_hash, guint n_tasks, guint run_ms)
+                           guint64 service_hash, guint n_tasks, gdouble cpus,
+                           guint priority)
 {
   struct vm *vm = find_vm (directory, name);
 
   for (guint i = 0; vm != NULL && i < vm->n_rooms; i++)
     {
       struct vm_room *room = &vm->rooms[i];
-      guint n_now = MIN (n_tasks, room->free_slots);
 
-      if (room->service_hash != service_hash)
-        continue;
-      room->free_slots -= n_now;
-      add_queued (room, n_tasks - n_now, run_ms);
+      if (room->service_hash == service_hash)
+        vm_room_take (room, n_tasks, cpus, priority);
     }
 }
 
 void
 vm_directory_mark_full (struct vm_directory *directory, const char *name,
-                        guint64 service_hash)
+                        guint64 service_hash, gdouble cpus)
 {
   struct vm *vm = find_vm (directory, name);
 
   for (guint i = 0; vm != NULL && i < vm->n_rooms; i++)
     if (vm->rooms[i].service_hash == service_hash)
-      vm->rooms[i].free_slots = 0;
+      free_slots_mark_full (&vm->rooms[i].free_slots, cpus);
 }
 
 static gboolean
--- a/coordination/vm_directory.h
+++ b/coordination/vm_directory.h
@@ -9,7 +9,7 @@
 #define COORDINATION_VM_DIRECTORY_H
 
 #include "base/clock.h"
-#include "coordination/owner.h"
+#include "coordination/vm_room.h"
 
 #include <glib.h>
 
@@ -27,21 +27,6 @@
 /* Maximum number of services for which a VM announces its room.  */
 #define VM_ROOMS_MAX 8
 
-/* The room for tasks of one service on the upstreams that a VM owns.  */
-struct vm_room
-{
-  guint64 service_hash; /* of the service's name */
-  guint n_slots;        /* tasks of typical size that fit at all */
-  guint free_slots;     /* tasks of typical size that would start at once */
-  guint n_queued;       /* tasks */
-  guint queued_ms;      /* total estimated run time of the queued tasks */
-};
-
-/* Fills ROOM from OWN, the room for SERVICE on this VM's upstreams.  Limits
-   queued_ms to the longest time that fits into a beacon.  */
-void vm_room_init (struct vm_room *room, const char *service,
-                   const struct owner_room *own);
-
 struct vm
 {
   char *name;
@@ -119,17 +104,17 @@
    it.  */
 const GPtrArray *vm_directory_list (const struct vm_directory *directory);
 
-/* Subtracts N_TASKS that were just handed to the VM NAME from its announced
-   room, as its next beacon is still to come.  Tasks without a free slot are
-   added to its queue with RUN_MS each.  */
+/* Subtracts N_TASKS of PRIORITY that need CPUS each and were just handed to
+   the VM NAME from its announced room, as its next beacon is still to come.
+   Tasks without a free slot are added to its queue.  */
 void vm_directory_reserve_room (struct vm_directory *directory,
                                 const char *name, guint64 service_hash,
-                                guint n_tasks, guint run_ms);
+                                guint n_tasks, gdouble cpus, guint priority);
 
-/* The VM NAME has given tasks for SERVICE back: sets its free slots to 0 until
-   its next beacon.  */
+/* The VM NAME has given tasks for SERVICE that need CPUS each back: it has no
+   free slots of that size until its next beacon.  */
 void vm_directory_mark_full (struct vm_directory *directory, const char *name,
-                             guint64 service_hash);
+                             guint64 service_hash, gdouble cpus);
 
 /* Marks VMs as lost, and removes VMs, as due at NOW_US.  */
 void vm_directory_advance (struct vm_directory *directory, gint64 now_us);
--- a/protocol/peer.x
+++ b/protocol/peer.x
@@ -20,7 +20,9 @@
 const PEER_SPEC_MAX = 65536;
 const PEER_TASKS_MAX = 130;
 const BEACON_ROOMS_MAX = 8;
-const BEACON_VMS_MAX = 4;
+const BEACON_PRIORITIES = 4;
+const BEACON_SIZES = 8;
+const BEACON_VMS_MAX = 3;
 
 /* PING: checks that the called peer is alive, or asks it to check another peer
    that the caller suspects to be dead. */
@@ -108,8 +110,8 @@
   bool is_settled;   /* queued tasks are not returned to the home, unless no
                         upstream can take them */
   bool is_part;      /* other tasks of the job may have been started */
-  bool is_trial;     /* tasks that cannot start at once are returned to the
-                        home */
+  hyper max_wait_us; /* tasks that are expected to wait longer are returned to
+                        the home on arrival; negative for no limit */
   hyper start_in_us; /* time left to start in order to meet the objective */
   hyper end_in_us;   /* time left until the batch is dropped if no task of it
                         was started */
@@ -174,9 +176,12 @@
 struct beacon_room {
   unsigned hyper service;  /* hash of its name */
   unsigned int n_slots;    /* tasks that fit on empty upstreams */
-  unsigned int free_slots; /* tasks that would start at once */
-  unsigned int n_queued;   /* tasks */
-  unsigned int queued_ms;  /* total run time of the queued tasks */
+  unsigned int unit_milli_cpus;    /* of a typical task */
+  opaque free_slots[BEACON_SIZES]; /* tasks that would start at once, by their
+                                      size */
+  unsigned int n_queued[BEACON_PRIORITIES]; /* tasks that aren't late, by
+                                               priority */
+  unsigned int starts_per_s[BEACON_PRIORITIES]; /* lately, by priority */
 };
 
 struct beacon_vm {
--- a/protocol/peer_xdr.c
+++ b/protocol/peer_xdr.c
@@ -175,7 +175,7 @@
 		}
 		 if (!xdr_quad_t (xdrs, &objp->estimate_us))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->far_permille))
 				 return FALSE;
@@ -189,8 +189,6 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->is_part))
 				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->is_trial))
-				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->far_permille);
@@ -199,8 +197,9 @@
 		IXDR_PUT_U_LONG(buf, objp->attempts);
 		IXDR_PUT_BOOL(buf, objp->is_settled);
 		IXDR_PUT_BOOL(buf, objp->is_part);
-		IXDR_PUT_BOOL(buf, objp->is_trial);
 		}
+		 if (!xdr_quad_t (xdrs, &objp->max_wait_us))
+			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->start_in_us))
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->end_in_us))
@@ -243,7 +242,7 @@
 		}
 		 if (!xdr_quad_t (xdrs, &objp->estimate_us))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->far_permille))
 				 return FALSE;
@@ -257,8 +256,6 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->is_part))
 				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->is_trial))
-				 return FALSE;
 
 		} else {
 		objp->far_permille = IXDR_GET_U_LONG(buf);
@@ -267,8 +264,9 @@
 		objp->attempts = IXDR_GET_U_LONG(buf);
 		objp->is_settled = IXDR_GET_BOOL(buf);
 		objp->is_part = IXDR_GET_BOOL(buf);
-		objp->is_trial = IXDR_GET_BOOL(buf);
 		}
+		 if (!xdr_quad_t (xdrs, &objp->max_wait_us))
+			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->start_in_us))
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->end_in_us))
@@ -315,7 +313,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_part))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->is_trial))
+	 if (!xdr_quad_t (xdrs, &objp->max_wait_us))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->start_in_us))
 		 return FALSE;
@@ -444,45 +442,78 @@
 {
 	register int32_t *buf;
 
+	int i;
 
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->service))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_int (xdrs, &objp->n_slots))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->unit_milli_cpus))
+			 return FALSE;
+		 if (!xdr_opaque (xdrs, objp->free_slots, BEACON_SIZES))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, ( BEACON_PRIORITIES  + BEACON_PRIORITIES ) * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->n_slots))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->free_slots))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->n_queued))
+			 if (!xdr_vector (xdrs, (char *)objp->n_queued, BEACON_PRIORITIES,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->queued_ms))
+			 if (!xdr_vector (xdrs, (char *)objp->starts_per_s, BEACON_PRIORITIES,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
 				 return FALSE;
 		} else {
-			IXDR_PUT_U_LONG(buf, objp->n_slots);
-			IXDR_PUT_U_LONG(buf, objp->free_slots);
-			IXDR_PUT_U_LONG(buf, objp->n_queued);
-			IXDR_PUT_U_LONG(buf, objp->queued_ms);
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->n_queued;
+					i < BEACON_PRIORITIES; ++i) {
+					IXDR_PUT_U_LONG(buf, *genp++);
+				}
+			}
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->starts_per_s;
+					i < BEACON_PRIORITIES; ++i) {
+					IXDR_PUT_U_LONG(buf, *genp++);
+				}
+			}
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->service))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_int (xdrs, &objp->n_slots))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->unit_milli_cpus))
+			 return FALSE;
+		 if (!xdr_opaque (xdrs, objp->free_slots, BEACON_SIZES))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, ( BEACON_PRIORITIES  + BEACON_PRIORITIES ) * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->n_slots))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->free_slots))
+			 if (!xdr_vector (xdrs, (char *)objp->n_queued, BEACON_PRIORITIES,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->n_queued))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->queued_ms))
+			 if (!xdr_vector (xdrs, (char *)objp->starts_per_s, BEACON_PRIORITIES,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
 				 return FALSE;
 		} else {
-			objp->n_slots = IXDR_GET_U_LONG(buf);
-			objp->free_slots = IXDR_GET_U_LONG(buf);
-			objp->n_queued = IXDR_GET_U_LONG(buf);
-			objp->queued_ms = IXDR_GET_U_LONG(buf);
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->n_queued;
+					i < BEACON_PRIORITIES; ++i) {
+					*genp++ = IXDR_GET_U_LONG(buf);
+				}
+			}
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->starts_per_s;
+					i < BEACON_PRIORITIES; ++i) {
+					*genp++ = IXDR_GET_U_LONG(buf);
+				}
+			}
 		}
 	 return TRUE;
 	}
@@ -491,11 +522,15 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->n_slots))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->free_slots))
+	 if (!xdr_u_int (xdrs, &objp->unit_milli_cpus))
+		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->free_slots, BEACON_SIZES))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->n_queued))
+	 if (!xdr_vector (xdrs, (char *)objp->n_queued, BEACON_PRIORITIES,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->queued_ms))
+	 if (!xdr_vector (xdrs, (char *)objp->starts_per_s, BEACON_PRIORITIES,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
 	return TRUE;
 }
--- a/protocol/peer_xdr.h
+++ b/protocol/peer_xdr.h
@@ -28,7 +28,9 @@
 #define PEER_SPEC_MAX 65536
 #define PEER_TASKS_MAX 130
 #define BEACON_ROOMS_MAX 8
-#define BEACON_VMS_MAX 4
+#define BEACON_PRIORITIES 4
+#define BEACON_SIZES 8
+#define BEACON_VMS_MAX 3
 
 struct peer_ping_args {
 	char *suspect;
@@ -132,7 +134,7 @@
 	u_int attempts;
 	bool_t is_settled;
 	bool_t is_part;
-	bool_t is_trial;
+	quad_t max_wait_us;
 	quad_t start_in_us;
 	quad_t end_in_us;
 	struct {
@@ -209,9 +211,10 @@
 struct beacon_room {
 	u_quad_t service;
 	u_int n_slots;
-	u_int free_slots;
-	u_int n_queued;
-	u_int queued_ms;
+	u_int unit_milli_cpus;
+	char free_slots[BEACON_SIZES];
+	u_int n_queued[BEACON_PRIORITIES];
+	u_int starts_per_s[BEACON_PRIORITIES];
 };
 typedef struct beacon_room beacon_room;
 
--- a/t/support/fleet_orders.c
+++ b/t/support/fleet_orders.c
@@ -10,6 +10,7 @@
   order->owner = owner->slot;
   order->owner_life = owner->life;
   order->owned = owned_ref (owned);
+  order->poll = owned->n_polls;
   order->token = owned->token;
   order->running = g_array_new (FALSE, FALSE, sizeof (struct listed_run));
   order->ended = g_array_new (FALSE, FALSE, sizeof (struct listed_end));
@@ -120,7 +121,7 @@
     to->unproven &= ~(G_GUINT64_CONSTANT (1) << order->slot);
   if (end == ORDER_ACCEPTED)
     note_told_ends (world, order);
-  owner_poll_ended (to->owner, order->owned, end,
+  owner_poll_ended (to->owner, order->owned, order->poll, end,
                     end == ORDER_ACCEPTED ? &report : NULL, world->now_us);
 }
 
--- a/t/support/fleet_world_private.h
+++ b/t/support/fleet_world_private.h
@@ -114,6 +114,7 @@
   struct shape need;
   gint64 estimate_us;
   guint64 token;
+  guint64 poll; /* number of the upstream's latest poll, when it was sent */
   guint64 last_seen;
   gint64 until_ms;
   guint wait_ms;
--- a/t/t2111-owner-single.c
+++ b/t/t2111-owner-single.c
@@ -4,11 +4,20 @@
 #define START_US (1000 * USEC_PER_SEC)
 #define LEASE_MS 900
 
+/* The names of the tasks of make_batch () and make_other_batch ().  */
+#define TASK "0123456789abcdef.0.0.0"
+#define OTHER_TASK "fedcba9876543210.0.0.0"
+
 struct single_bed
 {
   struct owner_driver driver;
   gint64 wake_us;
   guint n_asks;
+  guint wait_ms; /* of the latest ask */
+  guint n_stops;
+  guint n_returned;   /* tasks */
+  enum batch_end end; /* of the latest batch that has ended */
+  guint n_ended;
   char *started_on; /* id of the upstream of the latest start */
 };
 
@@ -24,6 +33,7 @@
 static void
 on_stop (struct owner_driver *driver, struct run *run)
 {
+  ((struct single_bed *)driver)->n_stops++;
 }
 
 static void
@@ -31,17 +41,21 @@
         gint64 until_ms, guint wait_ms)
 {
   ((struct single_bed *)driver)->n_asks++;
+  ((struct single_bed *)driver)->wait_ms = wait_ms;
 }
 
 static void
 on_return (struct owner_driver *driver, struct batch *batch,
            const guint *indexes, guint n_tasks)
 {
+  ((struct single_bed *)driver)->n_returned += n_tasks;
 }
 
 static void
 on_finish (struct owner_driver *driver, struct batch *batch)
 {
+  ((struct single_bed *)driver)->end = batch->end;
+  ((struct single_bed *)driver)->n_ended++;
   batch_free (batch);
 }
 
@@ -80,6 +94,17 @@
   return batch;
 }
 
+/* The same of another job.  */
+static struct batch *
+make_other_batch (void)
+{
+  struct batch *batch = make_batch ();
+
+  g_free (batch->job);
+  batch->job = g_strdup ("fedcba9876543210");
+  return batch;
+}
+
 static const struct owner_limits limits
     = { .lease_ms = LEASE_MS, .max_lease_ms = 1000 };
 static const struct upstream_report report
@@ -99,7 +124,8 @@
   struct owned_upstream *upstream
       = owner_take_upstream (owner, &spec, 1, START_US);
 
-  owner_poll_ended (owner, upstream, ORDER_ACCEPTED, &report, START_US);
+  owner_poll_ended (owner, upstream, upstream->n_polls, ORDER_ACCEPTED,
+                    &report, START_US);
   return upstream;
 }
 
@@ -122,13 +148,16 @@
 {
   struct single_bed bed = { .driver.ops = &ops };
   struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned_upstream *upstream = take (owner);
   gint64 now_us = START_US;
 
-  take (owner);
   owner_submit_batch (owner, make_batch (), now_us);
+  owner_start_ended (owner, upstream, TASK, 1, ORDER_ACCEPTED, 5000, now_us);
   owner_advance (owner, now_us += 30 * USEC_PER_MSEC);
   g_assert_cmpuint (bed.n_asks, ==, 2);
-  owner_submit_batch (owner, make_batch (), now_us);
+  owner_submit_batch (owner, make_other_batch (), now_us);
+  owner_start_ended (owner, upstream, OTHER_TASK, 1, ORDER_ACCEPTED, 5030,
+                     now_us);
   for (guint i = 0; i < 10; i++)
     {
       owner_advance (owner, now_us += 15 * USEC_PER_MSEC);
@@ -152,17 +181,19 @@
   for (guint i = 0; i < 3; i++)
     {
       owner_advance (owner, now_us += 1100 * USEC_PER_MSEC);
-      owner_poll_ended (owner, upstream, ORDER_UNANSWERED, NULL, now_us);
+      owner_poll_ended (owner, upstream, upstream->n_polls, ORDER_UNANSWERED,
+                        NULL, now_us);
     }
   for (guint i = 0; i < 20; i++)
     {
       owner_advance (owner, now_us += 400 * USEC_PER_MSEC);
-      owner_poll_ended (owner, upstream, ORDER_ACCEPTED, &report, now_us);
+      owner_poll_ended (owner, upstream, upstream->n_polls, ORDER_ACCEPTED,
+                        &report, now_us);
     }
   g_assert_true (upstream->is_on_probation);
   owner_get_room (owner, "s", &room, now_us);
   g_assert_cmpuint (room.n_slots, ==, 1);
-  g_assert_cmpuint (room.free_slots, ==, 1);
+  g_assert_cmpuint (free_slots_count (&room.free_slots, 1), ==, 1);
   finish (&bed, owner);
 }
 
@@ -309,12 +340,221 @@
     {
       owner_advance (owner, now_us += USEC_PER_MSEC);
       if (upstream->is_polling)
-        owner_poll_ended (owner, upstream, ORDER_OTHER_INSTANCE, NULL, now_us);
+        owner_poll_ended (owner, upstream, upstream->n_polls,
+                          ORDER_OTHER_INSTANCE, NULL, now_us);
     }
   g_assert_cmpuint (bed.n_asks, <, 1000 / 100);
   finish (&bed, owner);
 }
 
+/* Answers the latest poll of UPSTREAM: the only task runs and has done
+   PERCENT, or does not run if that is negative.  */
+static void
+answer_ask (struct owner *owner, struct owned_upstream *upstream, int percent,
+            gint64 now_us)
+{
+  const struct listed_run running
+      = { .name = TASK, .run_number = 1, .percent = (guint)MAX (percent, 0) };
+  const struct upstream_report answer = {
+    .clock_ms = 5000 + (now_us - START_US) / USEC_PER_MSEC,
+    .instance_start_ms = 1,
+    .running = &running,
+    .n_running = percent < 0 ? 0 : 1,
+  };
+
+  owner_poll_ended (owner, upstream, upstream->n_polls, ORDER_ACCEPTED,
+                    &answer, now_us);
+}
+
+/* Starts the only task, of a second, and has it listed at 10 percent after
+   100 ms.  Returns that time.  */
+static gint64
+begin_task (struct single_bed *bed, struct owner *owner,
+            struct owned_upstream *upstream)
+{
+  gint64 now_us = START_US;
+
+  owner_submit_batch (owner, make_batch (), now_us);
+  owner_start_ended (owner, upstream, TASK, 1, ORDER_ACCEPTED, 5000, now_us);
+  owner_advance (owner, now_us += 20 * USEC_PER_MSEC);
+  g_assert_cmpuint (bed->wait_ms, >, 0);
+  answer_ask (owner, upstream, 10, now_us += 80 * USEC_PER_MSEC);
+  return now_us;
+}
+
+/* A poll that gets no answer tells nothing of the progress of a task.  */
+static void
+test_silence (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned_upstream *upstream = take (owner);
+  gint64 now_us = begin_task (&bed, owner, upstream);
+
+  for (guint i = 0; i < 40; i++)
+    owner_advance (owner, now_us += 20 * USEC_PER_MSEC);
+  owner_poll_ended (owner, upstream, upstream->n_polls, ORDER_UNANSWERED, NULL,
+                    now_us);
+  owner_advance (owner, now_us += 20 * USEC_PER_MSEC);
+  g_assert_cmpuint (bed.n_stops, ==, 0);
+  g_assert_cmpint (upstream->rest_until_us, ==, 0);
+  finish (&bed, owner);
+}
+
+/* A task that is listed without progress is stopped.  */
+static void
+test_stall (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned_upstream *upstream = take (owner);
+  gint64 now_us = begin_task (&bed, owner, upstream);
+
+  for (guint i = 0; i < 50 && bed.n_stops == 0; i++)
+    {
+      owner_advance (owner, now_us += 20 * USEC_PER_MSEC);
+      if (upstream->is_polling)
+        answer_ask (owner, upstream, 10, now_us);
+    }
+  g_assert_cmpuint (bed.n_stops, ==, 1);
+  g_assert_cmpint (upstream->rest_until_us, >, now_us);
+  finish (&bed, owner);
+}
+
+/* Orders without an answer: when a task should have ended, the upstream is
+   asked again, and must answer at once.  */
+static void
+test_overdue_end (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned_upstream *upstream = take (owner);
+  gint64 now_us = begin_task (&bed, owner, upstream);
+  const struct listed_end ended
+      = { .entry_number = 1, .name = TASK, .run_number = 1, .end = RUN_DONE };
+  const struct upstream_report answer = {
+    .clock_ms = 6300, .instance_start_ms = 1, .ended = &ended, .n_ended = 1
+  };
+  guint n_asks;
+
+  /* It should take a second in all.  */
+  while (now_us < START_US + 900 * USEC_PER_MSEC)
+    {
+      owner_advance (owner, now_us += 20 * USEC_PER_MSEC);
+      if (upstream->is_polling)
+        answer_ask (owner, upstream,
+                    (int)((now_us - START_US) / (10 * USEC_PER_MSEC)), now_us);
+    }
+  owner_advance (owner, now_us += 20 * USEC_PER_MSEC);
+  n_asks = bed.n_asks;
+  g_assert_cmpuint (bed.wait_ms, >, 0);
+  while (now_us < START_US + 1200 * USEC_PER_MSEC)
+    owner_advance (owner, now_us += 20 * USEC_PER_MSEC);
+  g_assert_cmpuint (bed.n_asks, ==, n_asks + 1);
+  g_assert_cmpuint (bed.wait_ms, ==, 0);
+  /* The answer to the former poll comes after all: its ends count.  */
+  owner_poll_ended (owner, upstream, upstream->n_polls - 1, ORDER_ACCEPTED,
+                    &answer, now_us);
+  g_assert_cmpuint (bed.n_ended, ==, 1);
+  g_assert_cmpint (bed.end, ==, BATCH_DONE);
+  finish (&bed, owner);
+}
+
+/* Orders without an answer: a start that a later poll does not list is stopped
+   and made elsewhere, without waiting for its timeout, and one such upstream
+   goes on getting runs.  */
+static void
+test_lost_start (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned_upstream *first = take_on (owner, "u1", "");
+  struct owned_upstream *upstream;
+  gint64 now_us = START_US;
+
+  take_on (owner, "u2", "");
+  owner_submit_batch (owner, make_batch (), now_us);
+  upstream = g_str_equal (bed.started_on, "u1")
+                 ? first
+                 : owner_find_upstream (owner, "u2");
+  while (now_us < START_US + 100 * USEC_PER_MSEC)
+    {
+      owner_advance (owner, now_us += 20 * USEC_PER_MSEC);
+      if (upstream->is_polling && bed.wait_ms == 0)
+        answer_ask (owner, upstream, -1, now_us);
+    }
+  g_assert_cmpuint (bed.n_stops, ==, 1);
+  owner_stop_ended (owner, upstream, TASK, 1, ORDER_REJECTED, 0, now_us);
+  answer_ask (owner, upstream, -1, now_us);
+  g_assert_cmpuint (upstream->n_runs, ==, 0);
+  g_assert_cmpint (upstream->rest_until_us, ==, 0);
+  g_assert_cmpint (now_us, <, START_US + 150 * USEC_PER_MSEC);
+  finish (&bed, owner);
+}
+
+/* A new owner does not prolong what runs on an upstream for the former one. */
+static void
+test_foreign_run (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned_upstream *upstream = take (owner);
+  gint64 now_us = START_US + USEC_PER_SEC;
+
+  owner_advance (owner, now_us);
+  answer_ask (owner, upstream, 10, now_us);
+  g_assert_cmpuint (upstream->n_foreign, ==, 1);
+  owner_advance (owner, now_us += 20 * USEC_PER_MSEC);
+  g_assert_true (upstream->is_polling);
+  g_assert_cmpint (upstream->leased_until_ms, ==, 0);
+  finish (&bed, owner);
+}
+
+/* A burst: an owner whose queue is too long for a batch returns it on arrival,
+   so that its home can try others.  */
+static void
+test_full_queue (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct batch *patient = make_wide (1, USEC_PER_SEC);
+  struct batch *hasty = make_wide (2, USEC_PER_SEC);
+
+  take (owner);
+  owner_submit_batch (owner, make_wide (0, USEC_PER_SEC), START_US);
+  /* One slot, a second a task.  */
+  patient->max_wait_us = 2 * USEC_PER_SEC;
+  owner_submit_batch (owner, patient, START_US);
+  g_assert_cmpuint (bed.n_returned, ==, 0);
+  hasty->max_wait_us = 100 * USEC_PER_MSEC;
+  owner_submit_batch (owner, hasty, START_US);
+  g_assert_cmpuint (bed.n_returned, ==, 1);
+  finish (&bed, owner);
+}
+
+/* A burst: what is late and has no chance behind the batches in time is given
+   up at once, not at its end.  */
+static void
+test_hopeless (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct batch *late = make_wide (1, 50 * USEC_PER_MSEC);
+  gint64 now_us = START_US;
+
+  take (owner);
+  late->end_by_us = START_US + USEC_PER_SEC;
+  owner_submit_batch (owner, make_wide (0, USEC_PER_SEC), now_us);
+  owner_submit_batch (owner, late, now_us);
+  owner_advance (owner, now_us += 100 * USEC_PER_MSEC);
+  g_assert_cmpuint (bed.n_ended, ==, 0);
+  owner_submit_batch (owner, make_wide (2, USEC_PER_SEC), now_us);
+  owner_advance (owner, now_us += 30 * USEC_PER_MSEC);
+  g_assert_cmpuint (bed.n_ended, ==, 1);
+  g_assert_cmpint (bed.end, ==, BATCH_NOT_STARTED);
+  finish (&bed, owner);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -326,5 +566,12 @@
   g_test_add_func ("/owner/replaced", test_replaced);
   g_test_add_func ("/owner/late-part", test_late_part);
   g_test_add_func ("/owner/late-begun", test_late_begun);
+  g_test_add_func ("/owner/silence", test_silence);
+  g_test_add_func ("/owner/stall", test_stall);
+  g_test_add_func ("/owner/overdue-end", test_overdue_end);
+  g_test_add_func ("/owner/lost-start", test_lost_start);
+  g_test_add_func ("/owner/foreign-run", test_foreign_run);
+  g_test_add_func ("/owner/full-queue", test_full_queue);
+  g_test_add_func ("/owner/hopeless", test_hopeless);
   return g_test_run ();
 }
--- a/t/t2120-vm-directory.c
+++ b/t/t2120-vm-directory.c
@@ -161,32 +161,51 @@
   bed_free (bed);
 }
 
+/* A room with N_SLOTS, of which N_FREE are free, for tasks of one CPU.  */
+static struct vm_room
+make_room (guint64 service, guint n_slots, guint n_free)
+{
+  struct vm_room room = { .service_hash = service, .n_slots = n_slots };
+
+  free_slots_init (&room.free_slots, 1);
+  for (guint i = 0; i < n_free; i++)
+    free_slots_add_single (&room.free_slots);
+  return room;
+}
+
+static guint
+count_free (const struct vm_room *room)
+{
+  return free_slots_count (&room->free_slots, 1);
+}
+
 static void
 test_take_room (void)
 {
-  const struct vm_room rooms[] = {
-    { .service_hash = SERVICE,
-      .n_slots = 8,
-      .free_slots = 5,
-      .queued_ms = 10 },
-    { .service_hash = OTHER_SERVICE, .n_slots = 8, .free_slots = 5 },
+  struct vm_room rooms[] = {
+    make_room (SERVICE, 8, 5),
+    make_room (OTHER_SERVICE, 8, 5),
   };
   struct bed *bed = bed_new ();
-  const struct vm *vm = hear_room (bed, 10, 1, rooms, G_N_ELEMENTS (rooms));
-
-  vm_directory_reserve_room (bed->directory, PEER, SERVICE, 3, 100);
-  g_assert_cmpuint (vm->rooms[0].free_slots, ==, 2);
-  g_assert_cmpuint (vm->rooms[0].n_queued, ==, 0);
-  vm_directory_reserve_room (bed->directory, PEER, SERVICE, 6, 100);
-  g_assert_cmpuint (vm->rooms[0].free_slots, ==, 0);
-  g_assert_cmpuint (vm->rooms[0].n_queued, ==, 4);
-  g_assert_cmpuint (vm->rooms[0].queued_ms, ==, 410);
-  g_assert_cmpuint (vm->rooms[1].free_slots, ==, 5);
-  vm_directory_reserve_room (bed->directory, "nobody", SERVICE, 1, 100);
+  const struct vm *vm;
+
+  rooms[0].n_queued[2] = 1;
+  vm = hear_room (bed, 10, 1, rooms, G_N_ELEMENTS (rooms));
+  vm_directory_reserve_room (bed->directory, PEER, SERVICE, 3, 1, 1);
+  g_assert_cmpuint (count_free (&vm->rooms[0]), ==, 2);
+  g_assert_cmpuint (vm_room_count_ahead (&vm->rooms[0], 1), ==, 0);
+  vm_directory_reserve_room (bed->directory, PEER, SERVICE, 6, 1, 1);
+  g_assert_cmpuint (count_free (&vm->rooms[0]), ==, 0);
+  /* Only less urgent tasks wait behind them.  */
+  g_assert_cmpuint (vm_room_count_ahead (&vm->rooms[0], 0), ==, 0);
+  g_assert_cmpuint (vm_room_count_ahead (&vm->rooms[0], 1), ==, 4);
+  g_assert_cmpuint (vm_room_count_ahead (&vm->rooms[0], 2), ==, 5);
+  g_assert_cmpuint (count_free (&vm->rooms[1]), ==, 5);
+  vm_directory_reserve_room (bed->directory, "nobody", SERVICE, 1, 1, 1);
   /* What the VM says itself replaces the guess.  */
   hear_room (bed, 10, 2, rooms, G_N_ELEMENTS (rooms));
-  g_assert_cmpuint (vm->rooms[0].free_slots, ==, 5);
-  g_assert_cmpuint (vm->rooms[0].queued_ms, ==, 10);
+  g_assert_cmpuint (count_free (&vm->rooms[0]), ==, 5);
+  g_assert_cmpuint (vm_room_count_ahead (&vm->rooms[0], 1), ==, 0);
   bed_free (bed);
 }
 
@@ -194,18 +213,23 @@
 static void
 test_long_queue (void)
 {
-  const struct vm_room room = { .service_hash = SERVICE, .n_slots = 1 };
+  const struct vm_room room = make_room (SERVICE, 1, 0);
   struct bed *bed = bed_new ();
   const struct vm *vm = hear_room (bed, 10, 1, &room, 1);
+  gint64 before_ms = 0;
 
   for (guint i = 0; i < 10; i++)
     {
-      guint before_ms = vm->rooms[0].queued_ms;
-
-      vm_directory_reserve_room (bed->directory, PEER, SERVICE, 130, 3600000);
-      g_assert_cmpuint (vm->rooms[0].queued_ms, >=, before_ms);
+      guint n_ahead;
+      gint64 wait_ms;
+
+      vm_directory_reserve_room (bed->directory, PEER, SERVICE, 130, 1, 0);
+      n_ahead = vm_room_count_ahead (&vm->rooms[0], 0);
+      wait_ms = vm_room_estimate_wait_ms (&vm->rooms[0], n_ahead, 0, 3600000);
+      g_assert_cmpint (wait_ms, >, before_ms);
+      before_ms = wait_ms;
     }
-  g_assert_cmpuint (vm->rooms[0].n_queued, ==, 1300);
+  g_assert_cmpuint (vm_room_count_ahead (&vm->rooms[0], 0), ==, 1300);
   bed_free (bed);
 }
 
@@ -280,23 +304,38 @@
   bed_free (bed);
 }
 
-/* What an owner has queued does not wrap in a message either.  */
 static void
 test_own_room (void)
 {
-  struct owner_room own
-      = { .n_slots = 3, .free_slots = 2, .n_queued = 1, .queued_us = 4999 };
+  struct owner_room own = { .n_slots = 3,
+                            .n_queued = { 1, 2, 3, 4 },
+                            .starts_per_s = { 0.4, 0.6, 10, 0 } };
   struct vm_room room;
 
+  free_slots_init (&own.free_slots, 2);
+  free_slots_add_single (&own.free_slots);
   vm_room_init (&room, "s", &own);
   g_assert_cmpuint (room.service_hash, ==, hash64_string ("s"));
   g_assert_cmpuint (room.n_slots, ==, 3);
-  g_assert_cmpuint (room.free_slots, ==, 2);
-  g_assert_cmpuint (room.n_queued, ==, 1);
-  g_assert_cmpuint (room.queued_ms, ==, 4);
-  own.queued_us = (G_MAXUINT + G_GINT64_CONSTANT (2)) * USEC_PER_MSEC;
-  vm_room_init (&room, "s", &own);
-  g_assert_cmpuint (room.queued_ms, ==, G_MAXUINT);
+  g_assert_cmpuint (free_slots_count (&room.free_slots, 2), ==, 1);
+  g_assert_cmpuint (vm_room_count_ahead (&room, 1), ==, 3);
+  g_assert_cmpuint (vm_room_count_ahead (&room, 99), ==, 10);
+  g_assert_cmpuint (room.starts_per_s[0], ==, 0);
+  g_assert_cmpuint (room.starts_per_s[1], ==, 1);
+}
+
+/* The wait of a task follows from the starts that more urgent ones leave.  */
+static void
+test_wait (void)
+{
+  struct vm_room room = { .n_slots = 10, .starts_per_s = { 60, 30, 10, 0 } };
+
+  g_assert_cmpint (vm_room_estimate_wait_ms (&room, 5, 0, 1000), ==, 50);
+  g_assert_cmpint (vm_room_estimate_wait_ms (&room, 4, 1, 1000), ==, 100);
+  /* At least a quarter of all starts.  */
+  g_assert_cmpint (vm_room_estimate_wait_ms (&room, 5, 2, 1000), ==, 200);
+  room = (struct vm_room){ .n_slots = 10 };
+  g_assert_cmpint (vm_room_estimate_wait_ms (&room, 5, 0, 1000), ==, 500);
 }
 
 int
@@ -314,5 +353,6 @@
                    test_lost_and_forgotten);
   g_test_add_func ("/vm-directory/introduced", test_introduced);
   g_test_add_func ("/vm-directory/full", test_full);
+  g_test_add_func ("/vm-directory/wait", test_wait);
   return g_test_run ();
 }
--- a/t/t2130-spread.c
+++ b/t/t2130-spread.c
@@ -10,6 +10,16 @@
   N_OWNERS
 };
 
+/* spread_assign () of N_TASKS of 100 ms each, of the priority 1.  */
+static gint64
+assign (struct spread_owner *owners, guint n_owners, guint n_tasks,
+        guint64 seed)
+{
+  struct spread_tasks tasks = { .n = n_tasks, .run_ms = 100, .priority = 1 };
+
+  return spread_assign (owners, n_owners, &tasks, seed);
+}
+
 static void
 fill (struct spread_owner owners[N_OWNERS], guint n_slots, guint free_slots)
 {
@@ -18,7 +28,8 @@
       .name = "entry",
       .is_self = i == SELF,
       .is_local = i != FAR,
-      .room = { .n_slots = n_slots, .free_slots = free_slots },
+      .room = { .n_slots = n_slots },
+      .free_slots = free_slots,
       .n_given = 99, /* of an earlier use */
     };
 }
@@ -38,14 +49,14 @@
   struct spread_owner owners[N_OWNERS];
 
   fill (owners, 4, 4);
-  g_assert_cmpint (spread_tasks (owners, N_OWNERS, 3, 100, 1), ==, 0);
+  g_assert_cmpint (assign (owners, N_OWNERS, 3, 1), ==, 0);
   assert_given (owners, 3, 0, 0);
-  owners[SELF].room.free_slots = 0;
-  g_assert_cmpint (spread_tasks (owners, N_OWNERS, 3, 100, 1), ==, 0);
+  owners[SELF].free_slots = 0;
+  g_assert_cmpint (assign (owners, N_OWNERS, 3, 1), ==, 0);
   assert_given (owners, 0, 3, 0);
   /* Slots for which tasks wait already are not free.  */
-  owners[NEAR].room.n_queued = 4;
-  g_assert_cmpint (spread_tasks (owners, N_OWNERS, 3, 100, 1), ==, 0);
+  owners[NEAR].room.n_queued[1] = 4;
+  g_assert_cmpint (assign (owners, N_OWNERS, 3, 1), ==, 0);
   assert_given (owners, 0, 0, 3);
 }
 
@@ -55,7 +66,7 @@
   struct spread_owner owners[N_OWNERS];
 
   fill (owners, 4, 4);
-  g_assert_cmpint (spread_tasks (owners, N_OWNERS, 10, 100, 1), ==, 0);
+  g_assert_cmpint (assign (owners, N_OWNERS, 10, 1), ==, 0);
   assert_given (owners, 4, 4, 2);
 }
 
@@ -68,10 +79,10 @@
 
   fill (owners, 9, 2);
   owners[SELF].is_self = FALSE;
-  owners[SELF].room.free_slots = 6;
+  owners[SELF].free_slots = 6;
   for (guint seed = 0; seed < 1000; seed++)
     {
-      g_assert_cmpint (spread_tasks (owners, N_OWNERS, 1, 100, seed), ==, 0);
+      g_assert_cmpint (assign (owners, N_OWNERS, 1, seed), ==, 0);
       g_assert_cmpuint (owners[FAR].n_given, ==, 0);
       g_assert_cmpuint (owners[NEAR].n_given + owners[SELF].n_given, ==, 1);
       n_self += owners[SELF].n_given;
@@ -87,8 +98,8 @@
   struct spread_owner owners[N_OWNERS];
 
   fill (owners, 9, 8);
-  owners[SELF].room.free_slots = 0;
-  g_assert_cmpint (spread_tasks (owners, N_OWNERS, 4, 100, 1), ==, 0);
+  owners[SELF].free_slots = 0;
+  g_assert_cmpint (assign (owners, N_OWNERS, 4, 1), ==, 0);
   assert_given (owners, 0, 4, 0);
   g_assert_false (owners[NEAR].has_queued);
 }
@@ -102,12 +113,11 @@
 
   for (guint i = 0; i < G_N_ELEMENTS (owners); i++)
     owners[i] = (struct spread_owner){
-      .name = "entry", .room = { .n_slots = 1, .queued_ms = 100 * (i + 1) }
+      .name = "entry", .room = { .n_slots = 1, .n_queued = { i + 1 } }
     };
   for (guint seed = 0; seed < 1000; seed++)
     {
-      g_assert_cmpint (
-          spread_tasks (owners, G_N_ELEMENTS (owners), 3, 100, seed), >, 0);
+      g_assert_cmpint (assign (owners, G_N_ELEMENTS (owners), 3, seed), >, 0);
       n_shortest += owners[0].n_given > 0 ? 1 : 0;
     }
   g_assert_cmpuint (n_shortest, >, 100);
@@ -120,16 +130,16 @@
   struct spread_owner owners[N_OWNERS];
 
   fill (owners, 2, 0);
-  owners[SELF].room.queued_ms = 1000;
-  owners[NEAR].room.queued_ms = 600;
-  owners[FAR].room.queued_ms = 200;
-  g_assert_cmpint (spread_tasks (owners, N_OWNERS, 1, 100, 1), ==, 150);
+  owners[SELF].room.n_queued[0] = 10;
+  owners[NEAR].room.n_queued[0] = 6;
+  owners[FAR].room.n_queued[0] = 2;
+  g_assert_cmpint (assign (owners, N_OWNERS, 1, 1), ==, 150);
   assert_given (owners, 0, 0, 1);
   /* All of a job goes to one queue, the one that is shortest with it.  */
-  g_assert_cmpint (spread_tasks (owners, N_OWNERS, 5, 100, 1), ==, 350);
+  g_assert_cmpint (assign (owners, N_OWNERS, 5, 1), ==, 350);
   assert_given (owners, 0, 0, 5);
   owners[NEAR].room.n_slots = 8;
-  g_assert_cmpint (spread_tasks (owners, N_OWNERS, 5, 100, 1), ==, 137);
+  g_assert_cmpint (assign (owners, N_OWNERS, 5, 1), ==, 137);
   assert_given (owners, 0, 5, 0);
 }
 
@@ -141,9 +151,9 @@
 
   fill (owners, 2, 0);
   for (guint i = 0; i < N_OWNERS; i++)
-    owners[i].room.queued_ms = 1000;
+    owners[i].room.n_queued[0] = 10;
   owners[FAR].room.n_slots = 20;
-  g_assert_cmpint (spread_tasks (owners, N_OWNERS, 1, 100, 1), ==, 55);
+  g_assert_cmpint (assign (owners, N_OWNERS, 1, 1), ==, 55);
   assert_given (owners, 0, 0, 1);
 }
 
@@ -154,7 +164,7 @@
   struct spread_owner owners[N_OWNERS];
 
   fill (owners, 4, 4);
-  g_assert_cmpint (spread_tasks (owners, N_OWNERS, 15, 100, 1), ==, 125);
+  g_assert_cmpint (assign (owners, N_OWNERS, 15, 1), ==, 125);
   assert_given (owners, 5, 5, 5);
 }
 
@@ -164,10 +174,10 @@
   struct spread_owner owners[N_OWNERS];
 
   fill (owners, 0, 0);
-  g_assert_cmpint (spread_tasks (owners, N_OWNERS, 1, 100, 1), ==, -1);
+  g_assert_cmpint (assign (owners, N_OWNERS, 1, 1), ==, -1);
   assert_given (owners, 0, 0, 0);
-  g_assert_cmpint (spread_tasks (NULL, 0, 1, 100, 1), ==, -1);
-  g_assert_cmpint (spread_tasks (owners, N_OWNERS, 0, 100, 1), ==, 0);
+  g_assert_cmpint (assign (NULL, 0, 1, 1), ==, -1);
+  g_assert_cmpint (assign (owners, N_OWNERS, 0, 1), ==, 0);
 }
 
 int
--- a/t/t3010-beacon.c
+++ b/t/t3010-beacon.c
@@ -36,8 +36,16 @@
   message->held = G_GUINT64_CONSTANT (0x8000000000000001);
   message->routes_version = 77;
   for (guint i = 0; i < BEACON_ROOMS_MAX; i++)
-    sample->rooms[i]
-        = (struct beacon_room){ i, i + 1, i + 2, i + 3, G_MAXUINT32 };
+    {
+      sample->rooms[i] = (struct beacon_room){
+        .service = i,
+        .n_slots = i + 1,
+        .unit_milli_cpus = i + 2,
+        .n_queued = { i + 3, i + 4, i + 5, i + 6 },
+        .starts_per_s = { i + 7, i + 8, i + 9, G_MAXUINT32 },
+      };
+      memset (sample->rooms[i].free_slots, (int)(i + 10), BEACON_SIZES);
+    }
   for (guint i = 0; i < G_N_ELEMENTS (sample->known); i++)
     sample->known[i] = make_vm (LONG_NAME);
   message->rooms.rooms_len = BEACON_ROOMS_MAX;
--- a/t/t3011-fleet-beacon.c
+++ b/t/t3011-fleet-beacon.c
@@ -43,7 +43,12 @@
 on_fill (struct fleet_beacon_owner *owner, struct vm_beacon *news,
          struct vm_room *rooms)
 {
-  rooms[0] = (struct vm_room){ 1, 8, 5, 3, 900 };
+  rooms[0] = (struct vm_room){ .service_hash = 1,
+                               .n_slots = 8,
+                               .n_queued = { 3, 0, 0, 2 },
+                               .starts_per_s = { 0, 900, 0, 1 } };
+  free_slots_init (&rooms[0].free_slots, 2.5);
+  free_slots_add_upstream (&rooms[0].free_slots, 1000);
   news->n_rooms = 1;
   news->held = 6;
   news->routes_version = 41;
@@ -150,6 +155,7 @@
 test_sent (void)
 {
   struct bed *bed = bed_new ();
+  const struct beacon_room *room;
   struct beacon message;
 
   receive (bed, &message);
@@ -159,7 +165,13 @@
   g_assert_cmpuint (message.held, ==, 6);
   g_assert_cmpuint (message.routes_version, ==, 41);
   g_assert_cmpuint (message.rooms.rooms_len, ==, 1);
-  g_assert_cmpuint (message.rooms.rooms_val[0].queued_ms, ==, 900);
+  room = &message.rooms.rooms_val[0];
+  g_assert_cmpuint (room->n_queued[0], ==, 3);
+  g_assert_cmpuint (room->n_queued[3], ==, 2);
+  g_assert_cmpuint (room->starts_per_s[1], ==, 900);
+  g_assert_cmpuint (room->unit_milli_cpus, ==, 2500);
+  g_assert_cmpuint ((guint8)room->free_slots[0], ==, FREE_SLOTS_MAX);
+  g_assert_cmpuint ((guint8)room->free_slots[7], ==, 222);
   beacon_clear (&message);
   bed_free (bed);
 }
--- a/t/t5012-orders.c
+++ b/t/t5012-orders.c
@@ -80,8 +80,8 @@
 
 static void
 on_ask_ended (struct owner *owner, struct owned_upstream *upstream,
-              enum order_end end, const struct upstream_report *report,
-              gint64 now_us)
+              guint64 poll, enum order_end end,
+              const struct upstream_report *report, gint64 now_us)
 {
   GString *text = g_string_new ("ask");
 
--- a/t/t5016-platform.c
+++ b/t/t5016-platform.c
@@ -60,8 +60,8 @@
 
 void
 owner_poll_ended (struct owner *owner, struct owned_upstream *upstream,
-                  enum order_end end, const struct upstream_report *report,
-                  gint64 now_us)
+                  guint64 poll, enum order_end end,
+                  const struct upstream_report *report, gint64 now_us)
 {
   n_asked++;
   last_end = end;
--- a/t/t5017-fleet-log.c
+++ b/t/t5017-fleet-log.c
@@ -184,9 +184,9 @@
 {
   struct vm_directory *directory = vm_directory_new (NULL, "vm-a");
   struct spread_owner owners[] = {
-    { .name = "vm-a", .is_self = TRUE, .n_given = 1, .room.free_slots = 4 },
+    { .name = "vm-a", .is_self = TRUE, .n_given = 1, .free_slots = 4 },
     { .name = "vm-b" },
-    { .name = "vm-c", .n_given = 2, .room.n_queued = 5 },
+    { .name = "vm-c", .n_given = 2, .room.n_queued = { 0, 5 } },
   };
   struct fleet_submission submission = {
     .job = "j1",
--- a/transport/fleet.c
+++ b/transport/fleet.c
@@ -400,7 +400,7 @@
   metrics_set (METRIC_ROUTES_VERSION,
                fleet->routes != NULL ? fleet->routes->version : 0);
   metrics_set (METRIC_JOBS_ACTIVE, fleet_home_count_jobs (fleet->home));
-  metrics_set (METRIC_TASKS_QUEUED, room.n_queued);
+  metrics_set (METRIC_TASKS_QUEUED, owner_room_count_queued (&room));
   metrics_set (METRIC_TASKS_RUNNING, room.n_running);
   metrics_set (METRIC_DRAINING, fleet->is_draining ? 1 : 0);
 }
@@ -652,6 +652,8 @@
       (json_int_t)(fleet->routes != NULL ? fleet->routes->version : 0), "held",
       (json_int_t)fleet_shards_get_held (fleet->shards), "jobs",
       (int)fleet_home_count_jobs (fleet->home), "upstreams",
-      (int)room.n_upstreams, "free_slots", (int)room.free_slots, "queued",
-      (int)room.n_queued, "running", (int)room.n_running, "peers", peers);
+      (int)room.n_upstreams, "free_slots",
+      (int)free_slots_count (&room.free_slots, room.free_slots.unit_cpus),
+      "queued", (int)owner_room_count_queued (&room), "running",
+      (int)room.n_running, "peers", peers);
 }
--- a/transport/fleet_beacon.c
+++ b/transport/fleet_beacon.c
@@ -16,6 +16,12 @@
 /* Received beacons are read at this interval, several at a time.  */
 #define READ_INTERVAL_US (20 * USEC_PER_MSEC)
 
+/* CPUs are sent as integers, in thousandths.  */
+#define MILLI 1000.0
+
+G_STATIC_ASSERT (FREE_SLOTS_SIZES == BEACON_SIZES);
+G_STATIC_ASSERT (ROOM_PRIORITIES == BEACON_PRIORITIES);
+
 struct fleet_beacon
 {
   struct peer_socket_owner socket_owner;
@@ -35,9 +41,13 @@
 {
   to->service_hash = from->service;
   to->n_slots = from->n_slots;
-  to->free_slots = from->free_slots;
-  to->n_queued = from->n_queued;
-  to->queued_ms = from->queued_ms;
+  free_slots_init (&to->free_slots, MAX (from->unit_milli_cpus, 1u) / MILLI);
+  for (guint i = 0; i < FREE_SLOTS_SIZES; i++)
+    to->free_slots.counts[i] = (guint8)from->free_slots[i];
+  for (guint i = 0; i < ROOM_PRIORITIES; i++)
+    to->n_queued[i] = from->n_queued[i];
+  for (guint i = 0; i < ROOM_PRIORITIES; i++)
+    to->starts_per_s[i] = from->starts_per_s[i];
 }
 
 static void
@@ -45,9 +55,13 @@
 {
   to->service = from->service_hash;
   to->n_slots = from->n_slots;
-  to->free_slots = from->free_slots;
-  to->n_queued = from->n_queued;
-  to->queued_ms = from->queued_ms;
+  to->unit_milli_cpus = (guint)(from->free_slots.unit_cpus * MILLI + 0.5);
+  for (guint i = 0; i < FREE_SLOTS_SIZES; i++)
+    to->free_slots[i] = (char)from->free_slots.counts[i];
+  for (guint i = 0; i < ROOM_PRIORITIES; i++)
+    to->n_queued[i] = from->n_queued[i];
+  for (guint i = 0; i < ROOM_PRIORITIES; i++)
+    to->starts_per_s[i] = from->starts_per_s[i];
 }
 
 static void
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -13,9 +13,9 @@
    objective.  */
 #define LATE_FACTOR 3
 
-/* Estimates are rough: a job is turned away for its expected wait only if this
-   exceeds the time left by this factor.  */
-#define MAX_WAIT_FACTOR 2
+/* A job that has not begun is queued only if the time until it has to start
+   exceeds the expected wait by this factor.  */
+#define WAIT_MARGIN_FACTOR 2
 
 /* The most times that tasks of a job are assigned to owners, the first time
    included.  Further assignments follow when owners return tasks.  */
@@ -23,9 +23,9 @@
 
 /* After this many assignments tasks stay in the queue of their owner: the free
    slots that other owners report evidently don't fit them.  */
-#define MAX_MOVABLE_ASSIGNMENTS 4
+#define MAX_MOVABLE_ASSIGNMENTS 6
 
-/* In the first assignments, another VM that turns out to be full returns the
+/* In the first assignments, an owner that turns out to be full returns the
    tasks at once: reports of free slots are up to one beacon interval old.  */
 #define MAX_TRIAL_ASSIGNMENTS 3
 
@@ -259,6 +259,14 @@
   return FALSE;
 }
 
+/* How often tasks of JOB are assigned.  A job that has not begun is given up
+   sooner, so that its caller can come back.  */
+static guint
+get_max_assignments (const struct fleet_job *job)
+{
+  return may_have_started (job) ? MAX_ASSIGNMENTS : MAX_MOVABLE_ASSIGNMENTS;
+}
+
 /* Assigns N_TASKS of JOB, which an owner has returned unstarted, to owners
    again, or gives the job up if that is no longer possible.  */
 static void
@@ -270,7 +278,8 @@
      so the others may start until the deadline.  */
   if (may_have_started (job))
     job->end_by_us = MAX (job->end_by_us, job->deadline_us);
-  if (job->n_assignments < MAX_ASSIGNMENTS && clock_now_us () < job->end_by_us)
+  if (job->n_assignments < get_max_assignments (job)
+      && clock_now_us () < job->end_by_us)
     assign_tasks (job, indexes, n_tasks);
   else
     give_up_job (job, "no room in time", MIN_RETRY_MS);
@@ -329,7 +338,8 @@
   part->job->has_started |= has_started;
   if (part->owner != NULL && n_indexes > 0)
     vm_directory_mark_full (part->job->home->directory, part->owner,
-                            hash64_string (part->job->submission->service));
+                            hash64_string (part->job->submission->service),
+                            part->job->submission->need.cpus);
   n_out = fleet_part_remove_tasks (part, indexes,
                                    MIN (n_indexes, PEER_TASKS_MAX), out);
   fleet_home_log_tasks_returned (part, n_out, part->job->home->vm);
@@ -410,6 +420,7 @@
   batch->is_part = part->n_tasks < s->n_tasks;
   batch->start_by_us = job->start_by_us;
   batch->end_by_us = job->end_by_us;
+  batch->max_wait_us = part->max_wait_us;
   return batch;
 }
 
@@ -439,7 +450,8 @@
     .attempts = s->attempts,
     .is_settled = job->n_assignments > MAX_MOVABLE_ASSIGNMENTS,
     .is_part = part->n_tasks < s->n_tasks,
-    .is_trial = part->is_trial,
+    .max_wait_us
+    = part->max_wait_us == DEADLINE_NEVER ? -1 : part->max_wait_us,
     .start_in_us = job->start_by_us - now_us,
     .end_in_us = job->end_by_us - now_us,
     .indexes = { part->n_tasks, part->indexes },
@@ -451,6 +463,29 @@
                  on_remote_ended, part);
 }
 
+/* The longest wait in a queue with which tasks of JOB are still assigned.  */
+static gint64
+get_longest_wait_ms (const struct fleet_job *job)
+{
+  gint64 now_us = clock_now_us ();
+
+  if (may_have_started (job) || job->start_by_us <= now_us)
+    return (job->end_by_us - now_us) / USEC_PER_MSEC;
+  return (job->start_by_us - now_us) / WAIT_MARGIN_FACTOR / USEC_PER_MSEC;
+}
+
+/* How long tasks of JOB may wait at an owner, where they are queued or, if not
+   IS_QUEUED, are expected to start at once.  */
+static gint64
+compute_max_wait_us (const struct fleet_job *job, gboolean is_queued)
+{
+  if (!is_queued && job->n_assignments <= MAX_TRIAL_ASSIGNMENTS)
+    return 0;
+  if (job->n_assignments > MAX_MOVABLE_ASSIGNMENTS && may_have_started (job))
+    return DEADLINE_NEVER;
+  return MAX (get_longest_wait_ms (job), 0) * USEC_PER_MSEC;
+}
+
 /* Sends the first OWNER->n_given tasks of INDEXES to OWNER as a new part of
    JOB.  */
 static void
@@ -468,8 +503,7 @@
   part->owner = owner->is_self ? NULL : g_strdup (owner->name);
   part->incarnation = vm != NULL ? vm->incarnation : 0;
   part->is_open = TRUE;
-  part->is_trial
-      = !owner->has_queued && job->n_assignments <= MAX_TRIAL_ASSIGNMENTS;
+  part->max_wait_us = compute_max_wait_us (job, owner->has_queued);
   part->n_tasks = owner->n_given;
   memcpy (part->indexes, indexes, owner->n_given * sizeof *indexes);
   list_append (&job->parts, &part->link);
@@ -484,9 +518,11 @@
   fleet_owner_run (job->home->owner, part->batch, &part->sink);
 }
 
-/* Appends this VM to OWNERS if it has slots for SERVICE.  */
+/* Appends this VM to OWNERS if it has slots for SERVICE.  CPUS are those that
+   a task needs.  */
 static void
-add_self (struct fleet_home *home, const char *service, GArray *owners)
+add_self (struct fleet_home *home, const char *service, gdouble cpus,
+          GArray *owners)
 {
   struct spread_owner owner
       = { .name = home->vm, .is_self = TRUE, .is_local = TRUE };
@@ -495,20 +531,23 @@
   owner_get_room (fleet_owner_get_owner (home->owner), service, &room,
                   clock_now_us ());
   vm_room_init (&owner.room, service, &room);
+  owner.free_slots = owner_count_free_slots (
+      fleet_owner_get_owner (home->owner), service, cpus, clock_now_us ());
   if (owner.room.n_slots > 0)
     g_array_append_val (owners, owner);
 }
 
 /* The live owners, struct spread_owner, that have slots, free or not, for
-   SERVICE.  VMs that are leaving are left out, except this one.  */
+   tasks for SERVICE that need CPUS each.  VMs that are leaving are left out,
+   except this one.  */
 static GArray *
-list_owners (struct fleet_home *home, const char *service)
+list_owners (struct fleet_home *home, const char *service, gdouble cpus)
 {
   GArray *owners = g_array_new (FALSE, FALSE, sizeof (struct spread_owner));
   const GPtrArray *vms = vm_directory_list (home->directory);
   guint64 hash = hash64_string (service);
 
-  add_self (home, service, owners);
+  add_self (home, service, cpus, owners);
   for (guint i = 0; i < vms->len; i++)
     {
       const struct vm *vm = g_ptr_array_index (vms, i);
@@ -522,6 +561,7 @@
           owner.is_local
               = g_str_equal (vm->availability_zone, home->availability_zone);
           owner.room = vm->rooms[k];
+          owner.free_slots = free_slots_count (&owner.room.free_slots, cpus);
           g_array_append_val (owners, owner);
         }
     }
@@ -531,7 +571,7 @@
 gboolean
 fleet_home_has_slots (struct fleet_home *home, const char *service)
 {
-  g_autoptr (GArray) owners = list_owners (home, service);
+  g_autoptr (GArray) owners = list_owners (home, service, 0);
 
   return owners->len > 0;
 }
@@ -542,7 +582,6 @@
 {
   const struct fleet_submission *s = job->submission;
   guint64 hash = hash64_string (s->service);
-  guint run_ms = (guint)(s->estimate_us / USEC_PER_MSEC);
   guint offset = 0;
 
   for (guint i = 0; i < owners->len && !job->is_closed; i++)
@@ -554,7 +593,7 @@
         continue;
       if (!owner->is_self)
         vm_directory_reserve_room (job->home->directory, owner->name, hash,
-                                   owner->n_given, run_ms);
+                                   owner->n_given, s->need.cpus, s->priority);
       send_part (job, owner, indexes + offset);
       offset += owner->n_given;
     }
@@ -575,16 +614,20 @@
 assign_tasks (struct fleet_job *job, const guint *indexes, guint n_tasks)
 {
   const struct fleet_submission *s = job->submission;
-  g_autoptr (GArray) owners = list_owners (job->home, s->service);
-  gint64 left_ms = (job->end_by_us - clock_now_us ()) / USEC_PER_MSEC;
-  gint64 longest_ms = left_ms * MAX_WAIT_FACTOR;
+  g_autoptr (GArray) owners
+      = list_owners (job->home, s->service, s->need.cpus);
+  struct spread_tasks tasks = {
+    .n = n_tasks,
+    .run_ms = (guint)(s->estimate_us / USEC_PER_MSEC),
+    .priority = s->priority,
+  };
+  gint64 longest_ms = get_longest_wait_ms (job);
   gint64 wait_ms;
 
   fleet_job_ref (job);
   job->n_assignments++;
-  wait_ms = spread_tasks (
-      (struct spread_owner *)(void *)owners->data, owners->len, n_tasks,
-      (guint)(s->estimate_us / USEC_PER_MSEC),
+  wait_ms = spread_assign (
+      (struct spread_owner *)(void *)owners->data, owners->len, &tasks,
       hash64_pair (hash64_string (s->job), job->n_assignments));
   if (job->n_assignments == 1)
     log_accepted (job, owners, wait_ms >= 0 && wait_ms <= longest_ms);
--- a/transport/fleet_home_log.c
+++ b/transport/fleet_home_log.c
@@ -42,8 +42,9 @@
   g_autofree char *step = g_strdup_printf (
       "%" G_GINT64_FORMAT "+%u:%s:%u:%u:%u"
       ":%" G_GINT64_FORMAT,
-      elapsed_ms, batch, owner->name, owner->n_given, owner->room.free_slots,
-      owner->room.n_queued, age_us / USEC_PER_MSEC);
+      elapsed_ms, batch, owner->name, owner->n_given, owner->free_slots,
+      vm_room_count_ahead (&owner->room, ROOM_PRIORITIES),
+      age_us / USEC_PER_MSEC);
 
   return append_step (trail, step);
 }
@@ -109,13 +110,14 @@
   if (append_batch_sent (job->trail, get_elapsed_ms (job), part->number, owner,
                          age_us))
     return;
-  event_log_fields (EVENT_BATCH_SENT, FIELD_TEXT ("job", job->submission->job),
-                    FIELD_INT ("batch", part->number),
-                    FIELD_TEXT ("owner", owner->name),
-                    FIELD_INT ("tasks", part->n_tasks),
-                    FIELD_INT ("free_slots", owner->room.free_slots),
-                    FIELD_INT ("queued", owner->room.n_queued),
-                    FIELD_INT ("age_us", age_us));
+  event_log_fields (
+      EVENT_BATCH_SENT, FIELD_TEXT ("job", job->submission->job),
+      FIELD_INT ("batch", part->number), FIELD_TEXT ("owner", owner->name),
+      FIELD_INT ("tasks", part->n_tasks),
+      FIELD_INT ("free_slots", owner->free_slots),
+      FIELD_INT ("queued",
+                 vm_room_count_ahead (&owner->room, ROOM_PRIORITIES)),
+      FIELD_INT ("age_us", age_us));
 }
 
 void
--- a/transport/fleet_job.h
+++ b/transport/fleet_job.h
@@ -19,9 +19,10 @@
   char *owner;           /* name of the owner VM; NULL for this VM */
   guint64 incarnation;   /* of the owner VM; 0 when not known */
   gboolean is_open;      /* its end has not been handled yet */
-  gboolean is_trial;   /* another VM returns tasks that don't start at once */
-  struct batch *batch; /* the batch if it runs on this VM, otherwise NULL */
-  guint n_tasks;       /* that were not returned */
+  gint64 max_wait_us;    /* the owner returns tasks that are expected to wait
+                            longer; DEADLINE_NEVER for no limit */
+  struct batch *batch;   /* the batch if it runs on this VM, otherwise NULL */
+  guint n_tasks;         /* that were not returned */
   guint indexes[PEER_TASKS_MAX]; /* of these tasks in the job */
 };
 
--- a/transport/fleet_owner.c
+++ b/transport/fleet_owner.c
@@ -283,11 +283,11 @@
   .wake_at = driver_wake_at,
 };
 
-/* How many queued tasks for SERVICE may move to free slots of other VMs.  This
-   is only a share of these slots, rounded up, since homes and the other owners
-   that have queues compete for them.  */
+/* How many queued tasks like those of FIRST may move to free slots of other
+   VMs.  This is only a share of these slots, rounded up, since homes and the
+   other owners that have queues compete for them.  */
 static guint
-count_movable (const struct fleet_owner *owner, guint64 service)
+count_movable (const struct fleet_owner *owner, const struct batch *first)
 {
   const GPtrArray *vms = vm_directory_list (owner->directory);
   guint n_free = 0;
@@ -300,29 +300,36 @@
       for (guint k = 0; vm->is_live && !vm->is_leaving && k < vm->n_rooms; k++)
         {
           const struct vm_room *room = &vm->rooms[k];
+          guint n_queued;
+          guint free_slots;
 
-          if (room->service_hash != service)
+          if (room->service_hash != hash64_string (first->service))
             continue;
-          if (room->free_slots > room->n_queued)
-            n_free += room->free_slots - room->n_queued;
-          n_competitors += room->n_queued > 0 ? 1 : 0;
+          n_queued = vm_room_count_ahead (room, ROOM_PRIORITIES);
+          free_slots = free_slots_count (&room->free_slots, first->need.cpus);
+          if (free_slots > n_queued)
+            n_free += free_slots - n_queued;
+          n_competitors += n_queued > 0 ? 1 : 0;
         }
     }
   return (n_free + n_competitors) / (n_competitors + 1);
 }
 
-/* Returns queued tasks for SERVICE to their homes: all if no upstream here
-   takes them any longer, otherwise as many as other VMs have room for.  */
+/* Returns queued tasks for the service of FIRST to their homes: all if no
+   upstream here takes them any longer, otherwise as many as other VMs have
+   room for.  */
 static void
-return_queued (struct fleet_owner *owner, const char *service, gint64 now_us)
+return_queued (struct fleet_owner *owner, const struct batch *first,
+               gint64 now_us)
 {
+  g_autofree char *service = g_strdup (first->service);
   struct owner_room room;
   guint n_movable;
 
   owner_get_room (owner->owner, service, &room, now_us);
-  if (room.n_queued == 0)
+  if (owner_room_count_queued (&room) == 0)
     return;
-  n_movable = count_movable (owner, hash64_string (service));
+  n_movable = count_movable (owner, first);
   if (room.n_slots == 0)
     owner_return_all_queued (owner->owner, service, now_us);
   else if (n_movable > 0)
@@ -335,12 +342,10 @@
 rebalance (struct fleet_owner *owner, gint64 now_us)
 {
   const struct batch *first = owner_get_first_queued (owner->owner);
-  g_autofree char *service = NULL;
 
   if (first == NULL || now_us - first->queued_us < RETURN_AFTER_US)
     return;
-  service = g_strdup (first->service);
-  return_queued (owner, service, now_us);
+  return_queued (owner, first, now_us);
 }
 
 /* Stops the batches whose home is no longer connected.  The result cannot
@@ -533,7 +538,8 @@
   batch->attempts = MAX (args->attempts, 1u);
   batch->is_settled = args->is_settled;
   batch->is_part = args->is_part;
-  batch->is_trial = args->is_trial;
+  if (args->max_wait_us >= 0)
+    batch->max_wait_us = args->max_wait_us;
   batch->start_by_us = now_us + args->start_in_us;
   batch->end_by_us = now_us + args->end_in_us;
   return batch;
