--- a/t/t2111-owner-single.c
+++ b/t/t2111-owner-single.c
@@ -395,7 +395,7 @@
     owner_advance (owner, now_us += 20 * USEC_PER_MSEC);
   owner_poll_ended (owner, upstream, upstream->n_polls, ORDER_UNANSWERED, NULL,
                     now_us);
-  owner_advance (owner, now_us += 20 * USEC_PER_MSEC);
+  owner_advance (owner, now_us + 20 * USEC_PER_MSEC);
   g_assert_cmpuint (bed.n_stops, ==, 0);
   g_assert_cmpint (upstream->rest_until_us, ==, 0);
   finish (&bed, owner);
@@ -504,7 +504,7 @@
   owner_advance (owner, now_us);
   answer_ask (owner, upstream, 10, now_us);
   g_assert_cmpuint (upstream->n_foreign, ==, 1);
-  owner_advance (owner, now_us += 20 * USEC_PER_MSEC);
+  owner_advance (owner, now_us + 20 * USEC_PER_MSEC);
   g_assert_true (upstream->is_polling);
   g_assert_cmpint (upstream->leased_until_ms, ==, 0);
   finish (&bed, owner);
@@ -549,7 +549,7 @@
   owner_advance (owner, now_us += 100 * USEC_PER_MSEC);
   g_assert_cmpuint (bed.n_ended, ==, 0);
   owner_submit_batch (owner, make_wide (2, USEC_PER_SEC), now_us);
-  owner_advance (owner, now_us += 30 * USEC_PER_MSEC);
+  owner_advance (owner, now_us + 30 * USEC_PER_MSEC);
   g_assert_cmpuint (bed.n_ended, ==, 1);
   g_assert_cmpint (bed.end, ==, BATCH_NOT_STARTED);
   finish (&bed, owner);
--- a/t/t2130-spread.c
+++ b/t/t2130-spread.c
@@ -143,6 +143,26 @@
   assert_given (owners, 0, 5, 0);
 }
 
+/* Burst of one kind: an urgent job passes the queues of less urgent ones,
+   which wait for what it leaves.  */
+static void
+test_priorities (void)
+{
+  struct spread_owner owners[N_OWNERS];
+  struct spread_tasks urgent = { .n = 2, .run_ms = 100, .priority = 0 };
+  struct spread_tasks usual = { .n = 2, .run_ms = 100, .priority = 1 };
+
+  fill (owners, 10, 0);
+  for (guint i = 0; i < N_OWNERS; i++)
+    {
+      owners[i].room.n_queued[1] = 20;
+      owners[i].room.starts_per_s[0] = 50;
+      owners[i].room.starts_per_s[1] = 50;
+    }
+  g_assert_cmpint (spread_assign (owners, N_OWNERS, &urgent, 1), ==, 20);
+  g_assert_cmpint (spread_assign (owners, N_OWNERS, &usual, 1), ==, 440);
+}
+
 /* More slots drain the same queue faster.  */
 static void
 test_wider_queue (void)
@@ -190,6 +210,7 @@
   g_test_add_func ("/spread/shared", test_shared);
   g_test_add_func ("/spread/compared", test_compared);
   g_test_add_func ("/spread/shortest-queue", test_shortest_queue);
+  g_test_add_func ("/spread/priorities", test_priorities);
   g_test_add_func ("/spread/wider-queue", test_wider_queue);
   g_test_add_func ("/spread/free-then-queued", test_free_then_queued);
   g_test_add_func ("/spread/none", test_none);
