--- a/t/t2140-burst.c
+++ b/t/t2140-burst.c
@@ -360,7 +360,7 @@
   batch->start_by_us = load->now_us + (OBJECTIVE_MS - RUN_MS) * USEC_PER_MSEC;
   batch->end_by_us
       = load->now_us + (OBJECTIVE_MS * LATE_FACTOR - RUN_MS) * USEC_PER_MSEC;
-  batch->max_wait_us = (batch->start_by_us - load->now_us) / 2;
+  batch->max_wait_us = (batch->start_by_us - load->now_us) * 2 / 3;
   owner_submit_batch (load->owner, batch, load->now_us);
 }
 
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -13,9 +13,9 @@
    objective.  */
 #define LATE_FACTOR 3
 
-/* A job that has not begun is queued only if the time until it has to start
-   exceeds the expected wait by this factor.  */
-#define WAIT_MARGIN_FACTOR 2
+/* Estimates are rough: a job that has not begun is queued only if the time
+   until it has to start exceeds the expected wait by this factor.  */
+#define WAIT_MARGIN_FACTOR 1.5
 
 /* The most times that tasks of a job are assigned to owners, the first time
    included.  Further assignments follow when owners return tasks.  */
@@ -471,7 +471,8 @@
 
   if (may_have_started (job) || job->start_by_us <= now_us)
     return (job->end_by_us - now_us) / USEC_PER_MSEC;
-  return (job->start_by_us - now_us) / WAIT_MARGIN_FACTOR / USEC_PER_MSEC;
+  return (gint64)((gdouble)(job->start_by_us - now_us) / WAIT_MARGIN_FACTOR)
+         / USEC_PER_MSEC;
 }
 
 /* How long tasks of JOB may wait at an owner, where they are queued or, if not
