--- a/coordination/spread.c
+++ b/coordination/spread.c
@@ -80,7 +80,7 @@
 }
 
 /* How long the last of N_MORE of TASKS would wait at OWNER, in milliseconds:
-   until as many runs have ended there as go before it.  */
+   until as many tasks have been started there as go before it.  */
 static gint64
 compute_wait_ms (const struct spread_owner *owner, guint n_more,
                  const struct spread_tasks *tasks)
