--- a/commands/explain_trail.c
+++ b/commands/explain_trail.c
@@ -5,14 +5,16 @@
 
 #include <string.h>
 
-/* A step of a trail: a batch was sent, or tasks of it returned unstarted.  */
+/* A step of a trail: a batch was sent or offered, or tasks of it returned
+   unstarted.  */
 struct step
 {
   gint64 ms;    /* since the job was accepted */
   gint64 batch; /* number of the batch within the job */
   gboolean is_return;
-  char *owner;    /* points into the word that was parsed */
-  gint64 n_tasks; /* tasks sent or returned */
+  gboolean is_offer; /* the tasks were offered to several owners */
+  char *owner;       /* points into the word that was parsed */
+  gint64 n_tasks;    /* tasks sent or returned */
   /* The rest is known of sent batches only.  The slots and the queue are based
      on the owner's last beacon.  */
   gint64 free_slots;
@@ -43,6 +45,7 @@
  * Parses WORD, which is one of
  *
  *   MS+BATCH:OWNER:TASKS:FREE_SLOTS:QUEUED:AGE_MS
+ *   MS~BATCH:OWNER:TASKS:FREE_SLOTS:QUEUED:AGE_MS
  *   MS-BATCH:OWNER:TASKS
  *
  * and is overwritten.  STEP keeps pointing into it.  OWNER may contain colons
@@ -51,13 +54,14 @@
 static gboolean
 parse_step (char *word, struct step *step)
 {
-  char *sign = strpbrk (word, "+-");
+  char *sign = strpbrk (word, "+-~");
   char *colon = sign != NULL ? strchr (sign, ':') : NULL;
   gint64 age_ms = 0;
 
   if (colon == NULL)
     return FALSE;
   step->is_return = *sign == '-';
+  step->is_offer = *sign == '~';
   *sign = '\0';
   *colon = '\0';
   step->owner = colon + 1;
@@ -82,11 +86,11 @@
                       (json_int_t)step->batch, "owner", step->owner, "tasks",
                       (json_int_t)step->n_tasks);
   return json_pack (
-      "{s:i s:s s:I s:s s:I s:I s:I s:I}", "event", EVENT_BATCH_SENT, "name",
-      "batch-sent", "batch", (json_int_t)step->batch, "owner", step->owner,
-      "tasks", (json_int_t)step->n_tasks, "free_slots",
-      (json_int_t)step->free_slots, "queued", (json_int_t)step->queued,
-      "age_us", (json_int_t)step->age_us);
+      "{s:i s:s s:I s:s s:I s:b s:I s:I s:I}", "event", EVENT_BATCH_SENT,
+      "name", "batch-sent", "batch", (json_int_t)step->batch, "owner",
+      step->owner, "tasks", (json_int_t)step->n_tasks, "is_offer",
+      step->is_offer, "free_slots", (json_int_t)step->free_slots, "queued",
+      (json_int_t)step->queued, "age_us", (json_int_t)step->age_us);
 }
 
 /* Sets the time KEY of COPY to that of LINE plus STEP_OFFSET_US.  */
--- a/coordination/owned.c
+++ b/coordination/owned.c
@@ -38,6 +38,7 @@
   upstream->slowness = 1.0;
   upstream->labels = g_ptr_array_new_with_free_func (g_free);
   list_init (&upstream->runs);
+  list_init (&upstream->holds);
   owned_update (upstream, spec);
   return upstream;
 }
@@ -181,7 +182,9 @@
 
   if (!owned_is_usable (upstream, now_us))
     return FALSE;
-  if (upstream->is_on_probation && !list_is_empty (&upstream->runs))
+  if (upstream->is_on_probation
+      && (!list_is_empty (&upstream->runs)
+          || !list_is_empty (&upstream->holds)))
     return FALSE;
   return used->cpus + need->cpus <= shape->cpus + CPU_EPSILON
          && used->memory_mb + need->memory_mb <= shape->memory_mb
@@ -245,8 +248,8 @@
   return NULL;
 }
 
-/* Computes the resources in use anew from all runs: adding and subtracting
-   would pile up rounding errors.  */
+/* Computes the resources in use anew from all runs and holds: adding and
+   subtracting would pile up rounding errors.  */
 static void
 recompute_usage (struct owned_upstream *upstream)
 {
@@ -265,6 +268,39 @@
       upstream->n_foreign += run->is_foreign ? 1 : 0;
       upstream->n_runs++;
     }
+  for (node = upstream->holds.next; node != &upstream->holds;
+       node = node->next)
+    {
+      const struct slot_hold *hold = list_entry (node, struct slot_hold, link);
+
+      upstream->used.cpus += hold->need.cpus;
+      upstream->used.memory_mb += hold->need.memory_mb;
+      upstream->used.accelerators += hold->need.accelerators;
+    }
+}
+
+void
+slot_hold_new (struct owned_upstream *upstream, struct batch *batch)
+{
+  struct slot_hold *hold = g_new0 (struct slot_hold, 1);
+
+  hold->upstream = owned_ref (upstream);
+  hold->need = batch->need;
+  list_append (&upstream->holds, &hold->link);
+  list_append (&batch->holds, &hold->batch_link);
+  recompute_usage (upstream);
+}
+
+void
+slot_hold_free (struct slot_hold *hold)
+{
+  struct owned_upstream *upstream = hold->upstream;
+
+  list_remove (&hold->link);
+  list_remove (&hold->batch_link);
+  g_free (hold);
+  recompute_usage (upstream);
+  owned_unref (upstream);
 }
 
 struct run *
--- a/coordination/owner.c
+++ b/coordination/owner.c
@@ -151,10 +151,10 @@
       if (service != NULL && !g_str_equal (batch->service, service))
         continue;
       if (batch->is_late)
-        room->n_late += batch->n_queued;
+        room->n_late += batch_count_waiting (batch);
       else
         room->n_queued[owner_room_priority (batch->priority)]
-            += batch->n_queued;
+            += batch_count_waiting (batch);
       room->n_running += batch->n_active;
     }
 }
@@ -175,6 +175,23 @@
   return n;
 }
 
+/* The rate at which the runs of UPSTREAM are expected to end.  */
+static gdouble
+estimate_ends_per_s (const struct owned_upstream *upstream)
+{
+  const struct list_node *node;
+  gdouble ends_per_s = 0;
+
+  for (node = upstream->runs.next; node != &upstream->runs; node = node->next)
+    {
+      const struct run *run = list_entry (node, struct run, link);
+
+      if (run->expected_us > 0)
+        ends_per_s += (gdouble)USEC_PER_SEC / (gdouble)run->expected_us;
+    }
+  return ends_per_s;
+}
+
 /* Adds the room of UPSTREAM, which accepts runs, to ROOM.  */
 static void
 add_room (const struct owner *owner, const struct owned_upstream *upstream,
@@ -190,6 +207,7 @@
   room->n_slots += MAX (n_slots, 1u);
   for (guint i = 0; i < ROOM_PRIORITIES; i++)
     room->starts_per_s[i] += event_rate_get (&upstream->starts[i], now_us);
+  room->ends_per_s += estimate_ends_per_s (upstream);
 }
 
 void
--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -100,6 +100,16 @@
   OWNED_UNRESPONSIVE, /* polls are not answered; gets no new runs */
 };
 
+/* A slot that is kept free until the home has answered the claim for which it
+   is meant.  */
+struct slot_hold
+{
+  struct list_node link;           /* in upstream->holds */
+  struct list_node batch_link;     /* in batch->holds */
+  struct owned_upstream *upstream; /* holds a reference */
+  struct shape need;
+};
+
 /* An upstream that this VM owns.  */
 struct owned_upstream
 {
@@ -110,7 +120,7 @@
   char *rack;
   GPtrArray *labels; /* strings */
   struct shape shape;
-  struct shape used;        /* by all runs that may exist there */
+  struct shape used;        /* by holds and by all runs that may exist there */
   gint64 instance_start_ms; /* start time of the instance; 0 when not known */
   gint64 listed_instance_start_ms; /* of the instance that shape belongs to;
                                       0 when not known */
@@ -120,10 +130,11 @@
   gboolean is_removed;   /* no longer owned; freed with the last reference */
   gboolean is_releasing; /* given up once nothing runs there */
   guint ref_count;
-  struct list_node runs; /* struct run by link */
-  guint n_runs;          /* in runs */
-  guint n_foreign;       /* of them, those that this owner did not start */
-  guint64 n_polls;       /* polls sent so far; numbers them from 1 */
+  struct list_node runs;  /* struct run by link */
+  struct list_node holds; /* struct slot_hold by link */
+  guint n_runs;           /* in runs */
+  guint n_foreign;        /* of them, those that this owner did not start */
+  guint64 n_polls;        /* polls sent so far; numbers them from 1 */
   guint64 last_answered_poll;   /* number of the last answered poll */
   gint64 answered_us;           /* when a poll was last answered */
   guint64 last_ended_entry;     /* highest entry_number processed; see
@@ -162,6 +173,7 @@
   BATCH_TASK_DONE,
   BATCH_TASK_FAILED,
   BATCH_TASK_RETURNED, /* given back to the home; not running */
+  BATCH_TASK_OFFERED,  /* may be started once the home has granted it */
   BATCH_TASK_DROPPED,  /* its batch is ending; its run may still be stopping */
 };
 
@@ -186,7 +198,9 @@
   BATCH_STOPPED,     /* stopped after something was started; nothing runs */
 };
 
-/* Tasks of one job that need the same resources.  */
+/* Tasks of one job that need the same resources.  Those of an offer are
+   offered to several owners: each may start only what it has claimed and the
+   home has granted.  */
 struct batch
 {
   struct list_node link; /* in owner->queue or owner->batches */
@@ -220,13 +234,17 @@
   gboolean is_late;   /* start_by_us passed before any task of the job could
                          start: queued behind the others */
   guint n_tasks;
+  guint n_offers;  /* owners that the tasks are offered to; 0: no offer */
+  guint n_offered; /* tasks that are not granted */
   guint n_queued;
   guint n_active; /* may be running */
   guint n_done;
   guint n_returned;
   guint n_started;      /* start orders sent, less those that had no effect */
-  gboolean is_ending;   /* end and reason are set; waits for runs to stop */
-  gboolean is_finished; /* finish_batch was called */
+  gboolean is_claiming; /* a claim is not answered yet */
+  struct list_node holds; /* struct slot_hold by batch_link; for that claim */
+  gboolean is_ending;     /* end and reason are set; waits for runs to stop */
+  gboolean is_finished;   /* finish_batch was called */
   enum batch_end end;
   const char *reason; /* static; why it did not end as BATCH_DONE */
   struct batch_task *tasks;
@@ -281,6 +299,12 @@
   void (*return_tasks) (struct owner_driver *driver, struct batch *batch,
                         const guint *indexes, guint n_tasks);
 
+  /* Asks the home of BATCH, which is an offer, for N_TASKS of its tasks.  Ends
+     with owner_claim_ended () or owner_claim_failed (), unless the batch ends
+     before.  */
+  void (*claim_tasks) (struct owner_driver *driver, struct batch *batch,
+                       guint n_tasks);
+
   /* BATCH has ended.  The driver frees it with batch_free ().  */
   void (*finish_batch) (struct owner_driver *driver, struct batch *batch);
 
@@ -360,6 +384,13 @@
 struct batch *batch_new (const char *job, const char *home, guint n_tasks);
 void batch_free (struct batch *batch);
 
+/* Makes BATCH, which is new, an offer to N_OFFERS owners.  */
+void batch_set_offered (struct batch *batch, guint n_offers);
+
+/* The tasks of BATCH that wait here; of offered ones the share of this
+   owner.  */
+guint batch_count_waiting (const struct batch *batch);
+
 /* Whether all tasks of BATCH were given back to its home.  */
 gboolean batch_is_returned (const struct batch *batch);
 
@@ -373,6 +404,17 @@
 void owner_stop_batch (struct owner *owner, struct batch *batch,
                        const char *reason, gint64 now_us);
 
+/* The home has granted the N_GRANTED tasks of BATCH with the indexes GRANTED,
+   which may start here.  IS_EXHAUSTED: nothing is left to claim.  */
+void owner_claim_ended (struct owner *owner, struct batch *batch,
+                        const guint *granted, guint n_granted,
+                        gboolean is_exhausted, gint64 now_us);
+
+/* The home of BATCH has not answered a claim, so that it is not known what it
+   has granted: gives all offered tasks back.  */
+void owner_claim_failed (struct owner *owner, struct batch *batch,
+                         gint64 now_us);
+
 /* The first batch of the queue, or NULL when nothing is queued.  */
 const struct batch *owner_get_first_queued (const struct owner *owner);
 
@@ -466,6 +508,7 @@
   guint n_late;    /* queued tasks of late batches, served after them */
   guint n_running; /* tasks */
   gdouble starts_per_s[ROOM_PRIORITIES]; /* lately, by priority */
+  gdouble ends_per_s; /* of runs, as expected of those that are running */
 };
 
 /* The index in the queues of a room for batches of PRIORITY.  */
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -25,6 +25,7 @@
   struct batch *batch = g_new0 (struct batch, 1);
 
   list_init (&batch->link);
+  list_init (&batch->holds);
   batch->job = g_strdup (job);
   batch->home = g_strdup (home);
   batch->first_run_number = 1;
@@ -44,6 +45,7 @@
 batch_free (struct batch *batch)
 {
   list_remove (&batch->link);
+  owner_release_holds (batch);
   for (guint i = 0; i < batch->n_tasks; i++)
     g_free (batch->tasks[i].failed_on);
   g_free (batch->tasks);
@@ -56,6 +58,25 @@
   g_free (batch);
 }
 
+void
+batch_set_offered (struct batch *batch, guint n_offers)
+{
+  batch->n_offers = n_offers;
+  batch->n_offered = batch->n_tasks;
+  batch->n_queued = 0;
+  for (guint i = 0; i < batch->n_tasks; i++)
+    batch->tasks[i].state = BATCH_TASK_OFFERED;
+}
+
+guint
+batch_count_waiting (const struct batch *batch)
+{
+  if (batch->n_offered == 0)
+    return batch->n_queued;
+  return batch->n_queued
+         + (batch->n_offered + batch->n_offers - 1) / batch->n_offers;
+}
+
 gboolean
 batch_is_returned (const struct batch *batch)
 {
@@ -98,7 +119,7 @@
   list_remove (&batch->link);
   if (may_have_begun (batch))
     batch->is_late = FALSE;
-  if (batch->n_queued > 0)
+  if (batch->n_queued + batch->n_offered > 0)
     insert_queued (owner, batch);
   else
     list_append (&owner->batches, &batch->link);
@@ -132,12 +153,15 @@
     {
       struct batch_task *task = &batch->tasks[i];
 
-      if (task->state == BATCH_TASK_QUEUED)
+      if (task->state == BATCH_TASK_QUEUED
+          || task->state == BATCH_TASK_OFFERED)
         task->state = BATCH_TASK_DROPPED;
       if (task->run != NULL)
         owner_stop_run (owner, task->run, now_us);
     }
   batch->n_queued = 0;
+  batch->n_offered = 0;
+  owner_release_holds (batch);
   owner_relink_batch (owner, batch);
 }
 
@@ -152,24 +176,31 @@
   owner_finish_batch_if_done (owner, batch);
 }
 
-/* Gives up to N_TASKS queued tasks of BATCH back to its home.  Returns their
-   number.  BATCH may have been freed then.  */
-static guint
-return_tasks (struct owner *owner, struct batch *batch, guint n_tasks)
+guint
+owner_return_tasks (struct owner *owner, struct batch *batch, guint n_tasks,
+                    gboolean with_offered)
 {
   g_autofree guint *indexes = g_new (guint, batch->n_tasks);
   guint n = 0;
 
-  for (guint i = 0; i < batch->n_tasks && n < n_tasks; i++)
+  for (guint i = 0; i < batch->n_tasks; i++)
     {
       struct batch_task *task = &batch->tasks[i];
 
-      if (task->state != BATCH_TASK_QUEUED)
+      if (task->state == BATCH_TASK_QUEUED && n_tasks > 0)
+        {
+          n_tasks--;
+          batch->n_queued--;
+        }
+      else if (task->state == BATCH_TASK_OFFERED && with_offered)
+        batch->n_offered--;
+      else
         continue;
       task->state = BATCH_TASK_RETURNED;
       indexes[n++] = task->index;
     }
-  batch->n_queued -= n;
+  if (n == 0)
+    return 0;
   batch->n_returned += n;
   batch->is_part = TRUE;
   owner->driver->ops->return_tasks (owner->driver, batch, indexes, n);
@@ -183,7 +214,7 @@
 estimate_wait_us (struct owner *owner, const struct batch *batch,
                   gint64 now_us)
 {
-  guint n_ahead = batch->n_queued;
+  guint n_ahead = batch_count_waiting (batch);
   struct owner_room own;
   struct vm_room room;
   const struct list_node *node;
@@ -193,7 +224,7 @@
       const struct batch *other = list_entry (node, struct batch, link);
 
       if (g_str_equal (other->service, batch->service))
-        n_ahead += other->n_queued;
+        n_ahead += batch_count_waiting (other);
     }
   owner_get_room (owner, batch->service, &own, now_us);
   vm_room_init (&room, batch->service, &own);
@@ -213,7 +244,7 @@
   owner_start_queued (owner, now_us);
   if (batch->n_queued > 0 && batch->max_wait_us != DEADLINE_NEVER
       && estimate_wait_us (owner, batch, now_us) > batch->max_wait_us)
-    return_tasks (owner, batch, batch->n_queued);
+    owner_return_tasks (owner, batch, batch->n_queued, FALSE);
   owner_advance (owner, now_us);
 }
 
@@ -251,7 +282,8 @@
   g_autoptr (GPtrArray) found = list_queued (owner, service, FALSE);
 
   for (guint i = 0; i < found->len && n_tasks > 0; i++)
-    n_tasks -= return_tasks (owner, g_ptr_array_index (found, i), n_tasks);
+    n_tasks -= owner_return_tasks (owner, g_ptr_array_index (found, i),
+                                   n_tasks, FALSE);
 }
 
 void
@@ -261,7 +293,7 @@
   g_autoptr (GPtrArray) found = list_queued (owner, service, TRUE);
 
   for (guint i = 0; i < found->len; i++)
-    return_tasks (owner, g_ptr_array_index (found, i), G_MAXUINT);
+    owner_return_tasks (owner, g_ptr_array_index (found, i), G_MAXUINT, TRUE);
 }
 
 static void
@@ -347,6 +379,7 @@
   return FALSE;
 }
 
+/* The runs and holds of BATCH on UPSTREAM.  */
 static guint
 count_runs_of (const struct owned_upstream *upstream,
                const struct batch *batch)
@@ -360,6 +393,8 @@
 
       n += run->task != NULL && run->task->batch == batch ? 1 : 0;
     }
+  for (node = batch->holds.next; node != &batch->holds; node = node->next)
+    n += list_entry (node, struct slot_hold, batch_link)->upstream == upstream;
   return n;
 }
 
@@ -407,10 +442,9 @@
   return cost;
 }
 
-/* The upstream of the lowest cost that can start TASK now, or NULL.  */
-static struct owned_upstream *
-find_upstream (struct owner *owner, const struct batch_task *task,
-               gint64 now_us)
+struct owned_upstream *
+owner_find_slot (struct owner *owner, const struct batch_task *task,
+                 gint64 now_us)
 {
   struct owned_upstream *best = NULL;
   gdouble best_cost = 0;
@@ -474,9 +508,8 @@
   owner->driver->ops->start_run (owner->driver, run, until_ms);
 }
 
-/* Starts queued tasks of BATCH until one does not fit.  */
-static void
-start_batch_tasks (struct owner *owner, struct batch *batch, gint64 now_us)
+void
+owner_start_batch (struct owner *owner, struct batch *batch, gint64 now_us)
 {
   for (guint i = 0; batch->n_queued > 0 && i < batch->n_tasks; i++)
     {
@@ -485,7 +518,7 @@
 
       if (task->state != BATCH_TASK_QUEUED)
         continue;
-      upstream = find_upstream (owner, task, now_us);
+      upstream = owner_find_slot (owner, task, now_us);
       if (upstream == NULL)
         return;
       start_task (owner, task, upstream, now_us);
@@ -504,8 +537,10 @@
     {
       struct batch *batch = list_entry (node, struct batch, link);
 
-      start_batch_tasks (owner, batch, now_us);
+      owner_start_batch (owner, batch, now_us);
       if (batch->n_queued == 0)
+        owner_claim_slots (owner, batch, now_us);
+      if (batch->n_queued + batch->n_offered == 0)
         owner_relink_batch (owner, batch);
       else if (++n_skipped >= MAX_SKIPPED_BATCHES)
         break;
@@ -547,7 +582,8 @@
 {
   struct owner_room room;
   gdouble starts_per_s = 0;
-  guint n_ahead = batch->n_queued;
+  guint n_own = batch_count_waiting (batch);
+  guint n_ahead = n_own;
 
   if (!batch->is_late || may_have_begun (batch))
     return FALSE;
@@ -557,7 +593,8 @@
       n_ahead += room.n_queued[i];
       starts_per_s += room.starts_per_s[i];
     }
-  return n_ahead > batch->n_queued
+  starts_per_s = MAX (starts_per_s, room.ends_per_s);
+  return n_ahead > n_own
          && n_ahead * USEC_PER_SEC
                 > (batch->end_by_us - now_us) * MAX (starts_per_s, 1);
 }
--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -98,6 +98,12 @@
 /* Removes RUN from its upstream and frees it.  */
 void run_free (struct run *run);
 
+/* Keeps a slot on UPSTREAM free for a task that BATCH claims.  */
+void slot_hold_new (struct owned_upstream *upstream, struct batch *batch);
+
+/* Frees HOLD, and with it the slot.  */
+void slot_hold_free (struct slot_hold *hold);
+
 /* owner_runs.c: starts, stops and ends of runs.  */
 
 /* Sends the order to stop RUN, unless it is stopping already.  */
@@ -153,6 +159,31 @@
 void owner_accept_late_success (struct owner *owner, const char *name,
                                 guint number);
 
+/* The best upstream that can start TASK now, or NULL.  */
+struct owned_upstream *owner_find_slot (struct owner *owner,
+                                        const struct batch_task *task,
+                                        gint64 now_us);
+
+/* Starts queued tasks of BATCH until one does not fit.  */
+void owner_start_batch (struct owner *owner, struct batch *batch,
+                        gint64 now_us);
+
+/* Gives up to N_TASKS queued tasks of BATCH, and all offered ones if
+   WITH_OFFERED, back to its home.  Returns their number.  BATCH may have been
+   freed then.  */
+guint owner_return_tasks (struct owner *owner, struct batch *batch,
+                          guint n_tasks, gboolean with_offered);
+
+/* owner_claims.c: offers.  */
+
+/* Claims as many offered tasks of BATCH as fit now, unless a claim is under
+   way.  */
+void owner_claim_slots (struct owner *owner, struct batch *batch,
+                        gint64 now_us);
+
+/* Frees the slots that are kept for a claim of BATCH.  */
+void owner_release_holds (struct batch *batch);
+
 /* Starts the queued tasks that fit, in the order of the queue.  */
 void owner_start_queued (struct owner *owner, gint64 now_us);
 
--- a/coordination/spread.c
+++ b/coordination/spread.c
@@ -2,11 +2,9 @@
 
 #include "base/hash64.h"
 
-/* If no owner has a free slot and there are more than COMPARE_ALL_MAX of them,
-   only N_COMPARED random ones are compared.  Otherwise all homes that know the
-   same rooms would choose the same queue.  */
-#define COMPARE_ALL_MAX 8
-#define N_COMPARED 4
+/* Of more owners than this, tasks are offered to the best of a random sample
+   of this size: homes that know the same rooms choose differently.  */
+#define SAMPLE_MAX (2 * SPREAD_OFFERS_MAX)
 
 /* Returns the next pseudo-random number and stores it in *SEED.  */
 static guint64
@@ -79,8 +77,7 @@
   return found;
 }
 
-/* How long the last of N_MORE of TASKS would wait at OWNER, in milliseconds:
-   until as many tasks have been started there as go before it.  */
+/* How long N_MORE of TASKS would wait at OWNER alone, in milliseconds.  */
 static gint64
 compute_wait_ms (const struct spread_owner *owner, guint n_more,
                  const struct spread_tasks *tasks)
@@ -92,51 +89,93 @@
                                    tasks->run_ms);
 }
 
-/* The owner where the last of N_MORE tasks has the shortest wait, or NULL when
-   no compared one has a slot.  With equal waits, the nearer one is taken.  */
-static struct spread_owner *
-find_shortest_queue (struct spread_owner *owners, guint n_owners, guint n_more,
-                     const struct spread_tasks *tasks, guint64 *seed)
+/* Whether A is better for an offer of TASKS than B, which may be NULL: its
+   wait is shorter or, with equal waits, it is nearer.  */
+static gboolean
+is_better (const struct spread_owner *a, const struct spread_owner *b,
+           const struct spread_tasks *tasks)
 {
-  guint n_compared = n_owners <= COMPARE_ALL_MAX ? n_owners : N_COMPARED;
-  struct spread_owner *best = NULL;
-  gint64 best_ms = 0;
+  gint64 difference_ms;
+
+  if (b == NULL)
+    return TRUE;
+  difference_ms = compute_wait_ms (a, tasks->n, tasks)
+                  - compute_wait_ms (b, tasks->n, tasks);
+  return difference_ms < 0
+         || (difference_ms == 0 && get_distance (a) < get_distance (b));
+}
+
+/* Moves a random sample of OWNERS to their front.  Returns its size.  */
+static guint
+sample_owners (struct spread_owner *owners, guint n_owners, guint64 *seed)
+{
+  guint n = MIN (n_owners, SAMPLE_MAX);
 
-  for (guint i = 0; i < n_compared; i++)
+  for (guint i = 0; i < n; i++)
     {
-      struct spread_owner *owner = &owners[i];
-      gint64 wait_ms;
+      guint other = i + (guint)(next_random (seed) % (n_owners - i));
+      struct spread_owner owner = owners[i];
 
-      if (n_compared < n_owners)
-        owner = &owners[next_random (seed) % n_owners];
-      if (owner->room.n_slots == 0)
-        continue;
-      wait_ms = compute_wait_ms (owner, n_more, tasks);
-      if (best != NULL
-          && (wait_ms > best_ms
-              || (wait_ms == best_ms
-                  && get_distance (owner) >= get_distance (best))))
-        continue;
-      best = owner;
-      best_ms = wait_ms;
+      owners[i] = owners[other];
+      owners[other] = owner;
     }
+  return n;
+}
+
+/* Marks the best owner of OWNERS that is not marked yet.  Returns it, or NULL
+   when no other one has a slot.  */
+static const struct spread_owner *
+mark_best (struct spread_owner *owners, guint n_owners,
+           const struct spread_tasks *tasks)
+{
+  struct spread_owner *best = NULL;
+
+  for (guint i = 0; i < n_owners; i++)
+    if (!owners[i].is_offered && owners[i].room.n_slots > 0
+        && is_better (&owners[i], best, tasks))
+      best = &owners[i];
+  if (best != NULL)
+    best->is_offered = TRUE;
   return best;
 }
 
-/* Queues N_TASKS at one owner.  Returns the expected wait of the last of them,
-   in milliseconds, or -1 when no owner was found.  */
-static gint64
-queue_tasks (struct spread_owner *owners, guint n_owners, guint n_tasks,
+/* Adds the slots, starts and queue of OWNER to POOL, which counts all queued
+   tasks that go before PRIORITY as of that priority.  */
+static void
+add_to_pool (struct vm_room *pool, const struct spread_owner *owner,
+             guint priority)
+{
+  pool->n_slots += owner->room.n_slots;
+  pool->n_queued[0]
+      += vm_room_count_ahead (&owner->room, priority) + owner->n_given;
+  for (guint i = 0; i < ROOM_PRIORITIES; i++)
+    pool->starts_per_s[i] += owner->room.starts_per_s[i];
+  pool->ends_per_s += owner->room.ends_per_s;
+}
+
+/* Offers N_LEFT of TASKS to some of OWNERS.  */
+static struct spread_offer
+offer_tasks (struct spread_owner *owners, guint n_owners, guint n_left,
              const struct spread_tasks *tasks, guint64 *seed)
 {
-  struct spread_owner *owner
-      = find_shortest_queue (owners, n_owners, n_tasks, tasks, seed);
-
-  if (owner == NULL)
-    return -1;
-  owner->n_given += n_tasks;
-  owner->has_queued = TRUE;
-  return compute_wait_ms (owner, 0, tasks);
+  struct spread_offer offer = { .n_tasks = n_left };
+  struct vm_room pool = { 0 };
+  guint n = sample_owners (owners, n_owners, seed);
+
+  while (offer.n_offers < SPREAD_OFFERS_MAX)
+    {
+      const struct spread_owner *owner = mark_best (owners, n, tasks);
+
+      if (owner == NULL)
+        break;
+      add_to_pool (&pool, owner, tasks->priority);
+      offer.n_offers++;
+    }
+  offer.wait_ms = vm_room_estimate_wait_ms (&pool, pool.n_queued[0] + n_left,
+                                            tasks->priority, tasks->run_ms);
+  if (offer.n_offers == 0)
+    offer.wait_ms = -1;
+  return offer;
 }
 
 /* How many of N_TASKS go to the free slots of OWNER.  Of another VM only half
@@ -150,41 +189,42 @@
   return MIN (n_tasks, owner->is_self ? n_free : (n_free + 1) / 2);
 }
 
-gint64
+/* Gives TASKS to free slots.  Returns how many are left.  */
+static guint
+fill_free_slots (struct spread_owner *owners, guint n_owners,
+                 const struct spread_tasks *tasks, guint64 *seed)
+{
+  guint n_left = tasks->n;
+
+  while (n_left > 0)
+    {
+      struct spread_owner *owner = find_free_owner (owners, n_owners, seed);
+      guint n;
+
+      if (owner == NULL)
+        break;
+      n = count_to_give (owner, n_left);
+      owner->n_given += n;
+      n_left -= n;
+    }
+  return n_left;
+}
+
+struct spread_offer
 spread_assign (struct spread_owner *owners, guint n_owners,
                const struct spread_tasks *tasks, guint64 seed)
 {
-  gint64 longest_ms = 0;
+  struct spread_offer none = { 0 };
   guint n_left = tasks->n;
 
   for (guint i = 0; i < n_owners; i++)
     {
       owners[i].n_given = 0;
-      owners[i].has_queued = FALSE;
-    }
-  while (n_left > 0)
-    {
-      struct spread_owner *owner = find_free_owner (owners, n_owners, &seed);
-      guint n = 1;
-
-      if (owner != NULL)
-        {
-          n = count_to_give (owner, n_left);
-          owner->n_given += n;
-        }
-      else
-        {
-          gint64 wait_ms;
-
-          /* No task of the job starts at once: one queue gets all of them.  */
-          if (n_left == tasks->n)
-            n = tasks->n;
-          wait_ms = queue_tasks (owners, n_owners, n, tasks, &seed);
-          if (wait_ms < 0)
-            return -1;
-          longest_ms = MAX (longest_ms, wait_ms);
-        }
-      n_left -= n;
+      owners[i].is_offered = FALSE;
     }
-  return longest_ms;
+  if (!tasks->is_offer_only)
+    n_left = fill_free_slots (owners, n_owners, tasks, &seed);
+  if (n_left == 0)
+    return none;
+  return offer_tasks (owners, n_owners, n_left, tasks, &seed);
 }
--- a/coordination/spread.h
+++ b/coordination/spread.h
@@ -3,12 +3,10 @@
  * Does no I/O.
  *
  * Tasks go to owners where they start at once: first to this VM, then to
- * owners in its availability zone, then to others.  Tasks that find no free
- * slot are queued where the expected wait is shortest; owners serve their
- * queues in the order of the objectives.  When no task of a job can start at
- * once, one owner gets all of them: parts in several queues would start at
- * different times, and the work of the first part would be wasted if the rest
- * found no room.
+ * owners in its availability zone, then to others.  The tasks that find no
+ * free slot are offered to several owners, those where the expected wait is
+ * shortest.  Each claims tasks when their turn has come in its queue and it
+ * has a free slot; see task_offer.h.
  */
 #ifndef COORDINATION_SPREAD_H
 #define COORDINATION_SPREAD_H
@@ -24,23 +22,38 @@
   struct vm_room room;
   guint free_slots;    /* tasks of the job that would start at once */
   guint n_given;       /* result: tasks that it gets */
-  gboolean has_queued; /* result: some of them are queued there */
+  gboolean is_offered; /* result: the tasks that are left are offered to it */
 };
 
 /* The tasks to spread: as many as are left of one job.  */
 struct spread_tasks
 {
   guint n;
-  guint run_ms;   /* estimate for each */
-  guint priority; /* 0 is the most urgent */
+  guint run_ms;           /* estimate for each */
+  guint priority;         /* 0 is the most urgent */
+  gboolean is_offer_only; /* not given to announced free slots: announcements
+                             were wrong for them before */
+};
+
+/* The most owners that tasks are offered to.  */
+#define SPREAD_OFFERS_MAX 4
+
+/* The tasks that were not given to free slots.  */
+struct spread_offer
+{
+  guint n_tasks;
+  guint n_offers; /* owners that they are offered to */
+  gint64 wait_ms; /* expected until the last of them starts; 0 for none, -1
+                     when no owner has any slot */
 };
 
 /*
- * Gives TASKS to OWNERS.  Returns the longest expected wait,
- * in milliseconds, or -1 when no owner has any slot.  SEED must differ for
- * each call, so that homes that know the same rooms choose differently.
+ * Gives TASKS to OWNERS, and selects the owners that the rest of them is
+ * offered to.  SEED must differ for each call, so that homes that know the
+ * same rooms choose differently.
  */
-gint64 spread_assign (struct spread_owner *owners, guint n_owners,
-                      const struct spread_tasks *tasks, guint64 seed);
+struct spread_offer spread_assign (struct spread_owner *owners, guint n_owners,
+                                   const struct spread_tasks *tasks,
+                                   guint64 seed);
 
 #endif
--- a/coordination/vm_room.c
+++ b/coordination/vm_room.c
@@ -19,6 +19,7 @@
     room->n_queued[i] = own->n_queued[i];
   for (guint i = 0; i < ROOM_PRIORITIES; i++)
     room->starts_per_s[i] = (guint)(own->starts_per_s[i] + 0.5);
+  room->ends_per_s = (guint)(own->ends_per_s + 0.5);
 }
 
 guint
@@ -31,19 +32,21 @@
   return n;
 }
 
-/* Starts per second that are left to tasks of PRIORITY by more urgent ones. */
+/* Starts per second that are left to tasks of PRIORITY by more urgent ones.
+   While tasks are queued, one can start whenever a run ends.  */
 static guint
 count_starts_left (const struct vm_room *room, guint priority)
 {
   guint n_all = 0;
-  guint n_left = 0;
+  guint n_urgent = 0;
 
   for (guint i = 0; i < ROOM_PRIORITIES; i++)
     {
       n_all += room->starts_per_s[i];
-      n_left += i >= priority ? room->starts_per_s[i] : 0;
+      n_urgent += i < priority ? room->starts_per_s[i] : 0;
     }
-  return MAX (n_left, n_all / MIN_SHARE_DIVISOR);
+  n_all = MAX (n_all, room->ends_per_s);
+  return MAX (n_all - n_urgent, n_all / MIN_SHARE_DIVISOR);
 }
 
 gint64
--- a/coordination/vm_room.h
+++ b/coordination/vm_room.h
@@ -16,6 +16,7 @@
   struct free_slots free_slots;    /* tasks that would start at once */
   guint n_queued[ROOM_PRIORITIES]; /* tasks that aren't late, by priority */
   guint starts_per_s[ROOM_PRIORITIES]; /* lately, by priority */
+  guint ends_per_s; /* of runs, as expected of those that are running */
 };
 
 /* Fills ROOM from OWN, the room for SERVICE on this VM's upstreams.  */
--- a/protocol/beacon.c
+++ b/protocol/beacon.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 /* Identifies a beacon and its version: "RcB2" in ASCII.  */
-#define BEACON_MAGIC 0x52634232u
+#define BEACON_MAGIC 0x52634233u
 
 /* Encodes MESSAGE with only the first N_KNOWN of its known VMs.  Returns the
    length in bytes, or 0 when it does not fit.  */
--- a/protocol/peer.x
+++ b/protocol/peer.x
@@ -94,7 +94,7 @@
   string job<PEER_JOB_ID_MAX>;
   unsigned int number; /* of the batch, unique within the job */
   string service<PEER_SERVICE_MAX>;
-  string spec<PEER_SPEC_MAX>;
+  string spec<PEER_SPEC_MAX>; /* empty in an offer */
   string affinity<PEER_NAME_MAX>;       /* rack; empty for none */
   string required_label<PEER_NAME_MAX>; /* of upstreams; empty for none */
   unsigned int step;
@@ -115,6 +115,9 @@
   hyper start_in_us; /* time left to start in order to meet the objective */
   hyper end_in_us;   /* time left until the batch is dropped if no task of it
                         was started */
+  unsigned int n_offers; /* 0: the owner may start the tasks.  Otherwise the
+                            number of owners that the tasks are offered to: it
+                            may start only those that CLAIM_TASKS grants */
   unsigned int indexes<PEER_TASKS_MAX>; /* of the tasks, in the job */
 };
 
@@ -139,6 +142,21 @@
   bool is_known; /* FALSE: there is no such batch */
 };
 
+/* CLAIM_TASKS: an owner that has free slots for tasks that it was offered asks
+   the home for some of them.  The home grants each task to one owner. */
+struct peer_claim_args {
+  unsigned hyper incarnation; /* of the home */
+  string job<PEER_JOB_ID_MAX>;
+  unsigned int number;  /* of the batch that offers the tasks */
+  unsigned int n_tasks; /* that would start at once */
+};
+
+struct peer_claim_result {
+  unsigned int granted<PEER_TASKS_MAX>; /* indexes of the tasks, in the job */
+  bool is_exhausted; /* there is nothing left to claim */
+  string spec<PEER_SPEC_MAX>; /* of the job, if a task was granted */
+};
+
 /* STOP_BATCH: the home cancels a batch. */
 struct peer_stop_args {
   unsigned hyper incarnation; /* of the home */
@@ -182,6 +200,7 @@
   unsigned int n_queued[BEACON_PRIORITIES]; /* tasks that aren't late, by
                                                priority */
   unsigned int starts_per_s[BEACON_PRIORITIES]; /* lately, by priority */
+  unsigned int ends_per_s; /* of runs, as expected of those running */
 };
 
 struct beacon_vm {
@@ -271,5 +290,6 @@
     peer_yield_result PEER_YIELD (peer_yield_args) = 6;
     peer_routes_result PEER_FETCH_ROUTES (peer_routes_args) = 7;
     peer_return_result PEER_RETURN_TASKS (peer_return_args) = 8;
+    peer_claim_result PEER_CLAIM_TASKS (peer_claim_args) = 9;
   } = 1;
 } = 0x20526368;
--- a/protocol/peer_xdr.c
+++ b/protocol/peer_xdr.c
@@ -204,6 +204,8 @@
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->end_in_us))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->n_offers))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->indexes.indexes_val, (u_int *) &objp->indexes.indexes_len, PEER_TASKS_MAX,
 			sizeof (u_int), (xdrproc_t) xdr_u_int))
 			 return FALSE;
@@ -271,6 +273,8 @@
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->end_in_us))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->n_offers))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->indexes.indexes_val, (u_int *) &objp->indexes.indexes_len, PEER_TASKS_MAX,
 			sizeof (u_int), (xdrproc_t) xdr_u_int))
 			 return FALSE;
@@ -319,6 +323,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->end_in_us))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->n_offers))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->indexes.indexes_val, (u_int *) &objp->indexes.indexes_len, PEER_TASKS_MAX,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
@@ -371,6 +377,37 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_claim_args (XDR *xdrs, peer_claim_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->job, PEER_JOB_ID_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->n_tasks))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_claim_result (XDR *xdrs, peer_claim_result *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->granted.granted_val, (u_int *) &objp->granted.granted_len, PEER_TASKS_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_exhausted))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->spec, PEER_SPEC_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_stop_args (XDR *xdrs, peer_stop_args *objp)
 {
@@ -453,7 +490,7 @@
 			 return FALSE;
 		 if (!xdr_opaque (xdrs, objp->free_slots, BEACON_SIZES))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, ( BEACON_PRIORITIES  + BEACON_PRIORITIES ) * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, (1 +  BEACON_PRIORITIES  + BEACON_PRIORITIES )* BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_vector (xdrs, (char *)objp->n_queued, BEACON_PRIORITIES,
 				sizeof (u_int), (xdrproc_t) xdr_u_int))
@@ -461,6 +498,8 @@
 			 if (!xdr_vector (xdrs, (char *)objp->starts_per_s, BEACON_PRIORITIES,
 				sizeof (u_int), (xdrproc_t) xdr_u_int))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->ends_per_s))
+				 return FALSE;
 		} else {
 			{
 				register u_int *genp;
@@ -478,6 +517,7 @@
 					IXDR_PUT_U_LONG(buf, *genp++);
 				}
 			}
+			IXDR_PUT_U_LONG(buf, objp->ends_per_s);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
@@ -489,7 +529,7 @@
 			 return FALSE;
 		 if (!xdr_opaque (xdrs, objp->free_slots, BEACON_SIZES))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, ( BEACON_PRIORITIES  + BEACON_PRIORITIES ) * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, (1 +  BEACON_PRIORITIES  + BEACON_PRIORITIES )* BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_vector (xdrs, (char *)objp->n_queued, BEACON_PRIORITIES,
 				sizeof (u_int), (xdrproc_t) xdr_u_int))
@@ -497,6 +537,8 @@
 			 if (!xdr_vector (xdrs, (char *)objp->starts_per_s, BEACON_PRIORITIES,
 				sizeof (u_int), (xdrproc_t) xdr_u_int))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->ends_per_s))
+				 return FALSE;
 		} else {
 			{
 				register u_int *genp;
@@ -514,6 +556,7 @@
 					*genp++ = IXDR_GET_U_LONG(buf);
 				}
 			}
+			objp->ends_per_s = IXDR_GET_U_LONG(buf);
 		}
 	 return TRUE;
 	}
@@ -532,6 +575,8 @@
 	 if (!xdr_vector (xdrs, (char *)objp->starts_per_s, BEACON_PRIORITIES,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ends_per_s))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/protocol/peer_xdr.h
+++ b/protocol/peer_xdr.h
@@ -137,6 +137,7 @@
 	quad_t max_wait_us;
 	quad_t start_in_us;
 	quad_t end_in_us;
+	u_int n_offers;
 	struct {
 		u_int indexes_len;
 		u_int *indexes_val;
@@ -172,6 +173,24 @@
 };
 typedef struct peer_return_result peer_return_result;
 
+struct peer_claim_args {
+	u_quad_t incarnation;
+	char *job;
+	u_int number;
+	u_int n_tasks;
+};
+typedef struct peer_claim_args peer_claim_args;
+
+struct peer_claim_result {
+	struct {
+		u_int granted_len;
+		u_int *granted_val;
+	} granted;
+	bool_t is_exhausted;
+	char *spec;
+};
+typedef struct peer_claim_result peer_claim_result;
+
 struct peer_stop_args {
 	u_quad_t incarnation;
 	char *job;
@@ -215,6 +234,7 @@
 	char free_slots[BEACON_SIZES];
 	u_int n_queued[BEACON_PRIORITIES];
 	u_int starts_per_s[BEACON_PRIORITIES];
+	u_int ends_per_s;
 };
 typedef struct beacon_room beacon_room;
 
@@ -341,6 +361,9 @@
 #define PEER_RETURN_TASKS 8
 extern  peer_return_result * peer_return_tasks_1(peer_return_args *, CLIENT *);
 extern  peer_return_result * peer_return_tasks_1_svc(peer_return_args *, struct svc_req *);
+#define PEER_CLAIM_TASKS 9
+extern  peer_claim_result * peer_claim_tasks_1(peer_claim_args *, CLIENT *);
+extern  peer_claim_result * peer_claim_tasks_1_svc(peer_claim_args *, struct svc_req *);
 extern int radishchute_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -368,6 +391,9 @@
 #define PEER_RETURN_TASKS 8
 extern  peer_return_result * peer_return_tasks_1();
 extern  peer_return_result * peer_return_tasks_1_svc();
+#define PEER_CLAIM_TASKS 9
+extern  peer_claim_result * peer_claim_tasks_1();
+extern  peer_claim_result * peer_claim_tasks_1_svc();
 extern int radishchute_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -388,6 +414,8 @@
 extern  bool_t xdr_peer_batch_result (XDR *, peer_batch_result*);
 extern  bool_t xdr_peer_return_args (XDR *, peer_return_args*);
 extern  bool_t xdr_peer_return_result (XDR *, peer_return_result*);
+extern  bool_t xdr_peer_claim_args (XDR *, peer_claim_args*);
+extern  bool_t xdr_peer_claim_result (XDR *, peer_claim_result*);
 extern  bool_t xdr_peer_stop_args (XDR *, peer_stop_args*);
 extern  bool_t xdr_peer_stop_result (XDR *, peer_stop_result*);
 extern  bool_t xdr_peer_yield_args (XDR *, peer_yield_args*);
@@ -421,6 +449,8 @@
 extern bool_t xdr_peer_batch_result ();
 extern bool_t xdr_peer_return_args ();
 extern bool_t xdr_peer_return_result ();
+extern bool_t xdr_peer_claim_args ();
+extern bool_t xdr_peer_claim_result ();
 extern bool_t xdr_peer_stop_args ();
 extern bool_t xdr_peer_stop_result ();
 extern bool_t xdr_peer_yield_args ();
--- a/protocol/rpc_message.c
+++ b/protocol/rpc_message.c
@@ -28,6 +28,7 @@
   PROCEDURE (PEER_YIELD, yield),
   PROCEDURE (PEER_FETCH_ROUTES, routes),
   PROCEDURE (PEER_RETURN_TASKS, return ),
+  PROCEDURE (PEER_CLAIM_TASKS, claim),
 };
 
 const struct rpc_procedure *
--- a/transport/fleet_beacon.c
+++ b/transport/fleet_beacon.c
@@ -48,6 +48,7 @@
     to->n_queued[i] = from->n_queued[i];
   for (guint i = 0; i < ROOM_PRIORITIES; i++)
     to->starts_per_s[i] = from->starts_per_s[i];
+  to->ends_per_s = from->ends_per_s;
 }
 
 static void
@@ -62,6 +63,7 @@
     to->n_queued[i] = from->n_queued[i];
   for (guint i = 0; i < ROOM_PRIORITIES; i++)
     to->starts_per_s[i] = from->starts_per_s[i];
+  to->ends_per_s = from->ends_per_s;
 }
 
 static void
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -13,9 +13,9 @@
    objective.  */
 #define LATE_FACTOR 3
 
-/* Estimates are rough: a job that has not begun is queued only if the time
-   until it has to start exceeds the expected wait by this factor.  */
-#define WAIT_MARGIN_FACTOR 1.5
+/* Estimates are rough: a job that has not begun is turned away only if the
+   expected wait exceeds the time until it has to start by this factor.  */
+#define WAIT_TOLERANCE 1.4
 
 /* The most times that tasks of a job are assigned to owners, the first time
    included.  Further assignments follow when owners return tasks.  */
@@ -25,9 +25,10 @@
    slots that other owners report evidently don't fit them.  */
 #define MAX_MOVABLE_ASSIGNMENTS 6
 
-/* In the first assignments, an owner that turns out to be full returns the
-   tasks at once: reports of free slots are up to one beacon interval old.  */
-#define MAX_TRIAL_ASSIGNMENTS 3
+/* A part that is given its tasks, as its owner has announced free slots, gets
+   those back at once that find none: announcements are up to one beacon
+   interval old.  */
+#define GIVEN_WAIT_US 0
 
 /* How long a caller is assumed to wait if it does not say.  */
 #define DEFAULT_CALLER_TIMEOUT_US (30 * USEC_PER_SEC)
@@ -66,6 +67,8 @@
 
 static void on_return_tasks (struct peer_request *request,
                              const void *arguments, gpointer data);
+static void on_claim_tasks (struct peer_request *request,
+                            const void *arguments, gpointer data);
 
 struct fleet_home *
 fleet_home_new (const char *vm, guint64 incarnation,
@@ -85,6 +88,7 @@
   home->owner = owner;
   home->jobs = g_hash_table_new (g_str_hash, g_str_equal);
   peer_hub_serve (hub, PEER_RETURN_TASKS, on_return_tasks, home);
+  peer_hub_serve (hub, PEER_CLAIM_TASKS, on_claim_tasks, home);
   return home;
 }
 
@@ -129,15 +133,30 @@
                       "its home has stopped it", clock_now_us ());
 }
 
-static void
-stop_parts (struct fleet_job *job)
+/* The open parts of JOB; if ONLY_UNCLAIMED, those offers of which no task was
+   granted.  */
+static GPtrArray *
+list_parts (const struct fleet_job *job, gboolean only_unclaimed)
 {
-  g_autoptr (GPtrArray) parts = g_ptr_array_new ();
+  GPtrArray *parts = g_ptr_array_new ();
   struct list_node *node;
   struct list_node *after;
 
   list_for_each (node, after, &job->parts)
-    g_ptr_array_add (parts, list_entry (node, struct fleet_part, link));
+    {
+      struct fleet_part *part = list_entry (node, struct fleet_part, link);
+
+      if (!only_unclaimed || part->n_tasks == 0)
+        g_ptr_array_add (parts, part);
+    }
+  return parts;
+}
+
+static void
+stop_parts (struct fleet_job *job)
+{
+  g_autoptr (GPtrArray) parts = list_parts (job, FALSE);
+
   for (guint i = 0; i < parts->len; i++)
     {
       struct fleet_part *part = g_ptr_array_index (parts, i);
@@ -147,6 +166,27 @@
     }
 }
 
+/* Closes PART, an offer of which no task was granted: nothing of it can have
+   been started, and no later claim is granted.  */
+static void
+close_offer (struct fleet_part *part)
+{
+  part->is_open = FALSE;
+  list_remove (&part->link);
+  stop_part (part);
+}
+
+/* Withdraws the offers of JOB of which no task was granted, but for KEPT.  */
+static void
+withdraw_offers (struct fleet_job *job, const struct fleet_part *kept)
+{
+  g_autoptr (GPtrArray) parts = list_parts (job, TRUE);
+
+  for (guint i = 0; i < parts->len; i++)
+    if (g_ptr_array_index (parts, i) != kept)
+      close_offer (g_ptr_array_index (parts, i));
+}
+
 /* Removes JOB from the table, stops its open parts and drops the home's
    reference.  */
 static void
@@ -235,6 +275,7 @@
   job->give_up_reason = reason;
   job->retry_after_ms = retry_after_ms;
   job->deadline_us = clock_now_us () + STOP_GRACE_US;
+  withdraw_offers (job, NULL);
   list_for_each (node, after, &job->parts)
     stop_part (list_entry (node, struct fleet_part, link));
   answer_if_given_up (job);
@@ -272,7 +313,8 @@
 static void
 reassign_tasks (struct fleet_job *job, const guint *indexes, guint n_tasks)
 {
-  if (n_tasks == 0 || job->is_closed || job->give_up_reason != NULL)
+  if ((n_tasks == 0 && job->wanted.n == 0) || job->is_closed
+      || job->give_up_reason != NULL)
     return;
   /* If tasks of the job may have started, giving it up would waste their work,
      so the others may start until the deadline.  */
@@ -285,6 +327,31 @@
     give_up_job (job, "no room in time", MIN_RETRY_MS);
 }
 
+/* Whether an open part of JOB may still claim tasks.  */
+static gboolean
+has_offers (const struct fleet_job *job)
+{
+  struct list_node *node;
+  struct list_node *after;
+
+  list_for_each (node, after, &job->parts)
+    if (task_set_intersects (
+            &job->wanted,
+            &list_entry (node, struct fleet_part, link)->offered))
+      return TRUE;
+  return FALSE;
+}
+
+/* Assigns the tasks that JOB still offers again if no owner is left that could
+   claim them.  */
+static void
+renew_offers (struct fleet_job *job)
+{
+  if (!job->is_closed && job->give_up_reason == NULL && job->wanted.n > 0
+      && !has_offers (job))
+    reassign_tasks (job, NULL, 0);
+}
+
 /* PART has ended with END.  REASON, a static string, explains
    BATCH_STOPPED.  */
 static void
@@ -322,6 +389,7 @@
       answer_job (job, FLEET_UNKNOWN, reason, 0);
       break;
     }
+  renew_offers (job);
 }
 
 /* The owner of PART has returned the tasks with INDEXES unstarted.
@@ -336,14 +404,50 @@
   if (!part->is_open)
     return;
   part->job->has_started |= has_started;
-  if (part->owner != NULL && n_indexes > 0)
+  if (part->owner != NULL && part->n_offers == 0 && n_indexes > 0)
     vm_directory_mark_full (part->job->home->directory, part->owner,
                             hash64_string (part->job->submission->service),
                             part->job->submission->need.cpus);
   n_out = fleet_part_remove_tasks (part, indexes,
                                    MIN (n_indexes, PEER_TASKS_MAX), out);
   fleet_home_log_tasks_returned (part, n_out, part->job->home->vm);
-  reassign_tasks (part->job, out, n_out);
+  if (n_out > 0)
+    reassign_tasks (part->job, out, n_out);
+}
+
+/* The owner of PART, an open offer, has slots for N_TASKS.  Writes the indexes
+   of the tasks that it gets to GRANTED.  Returns their number.  */
+static guint
+grant_tasks (struct fleet_part *part, guint n_tasks, guint *granted)
+{
+  struct fleet_job *job = part->job;
+  guint n;
+
+  if (!part->is_open || job->give_up_reason != NULL)
+    return 0;
+  n = fleet_part_grant (part, MIN (n_tasks, PEER_TASKS_MAX), granted);
+  if (job->wanted.n == 0)
+    withdraw_offers (job, part);
+  return n;
+}
+
+/* Whether PART can claim nothing more, after a claim that was granted N
+   tasks.  */
+static gboolean
+is_exhausted (const struct fleet_part *part, guint n)
+{
+  return n == 0 || !task_set_intersects (&part->job->wanted, &part->offered);
+}
+
+static void
+on_local_claimed (struct batch_sink *sink, struct batch *batch, guint n_tasks)
+{
+  struct fleet_part *part = list_entry (sink, struct fleet_part, sink);
+  guint granted[PEER_TASKS_MAX];
+  guint n = grant_tasks (part, n_tasks, granted);
+
+  owner_claim_ended (fleet_owner_get_owner (part->job->home->owner), batch,
+                     granted, n, is_exhausted (part, n), clock_now_us ());
 }
 
 static void
@@ -382,7 +486,8 @@
   if (part->is_open && reply != NULL)
     handle_part_end (part, (enum batch_end)MIN (reply->end, BATCH_STOPPED),
                      "its owner has stopped it");
-  else if (part->is_open && error_get_kind (error) == ERROR_NOT_RUN)
+  else if (part->is_open
+           && (error_get_kind (error) == ERROR_NOT_RUN || part->n_tasks == 0))
     handle_part_end (part, BATCH_NOT_STARTED, NULL);
   else if (part->is_open)
     {
@@ -395,16 +500,47 @@
   fleet_part_free (part);
 }
 
+/* The tasks that PART is sent with: those that it offers or is given.  Sets
+ *N_TASKS to their number.  */
+static const guint *
+get_sent_tasks (const struct fleet_part *part, guint *n_tasks)
+{
+  *n_tasks = part->n_offers > 0 ? part->offered.n : part->n_tasks;
+  return part->n_offers > 0 ? part->offered.indexes : part->indexes;
+}
+
+/* Whether tasks of the job of PART may have been started, or are at other
+   owners, which may start them.  */
+static gboolean
+is_part_of_begun (const struct fleet_part *part)
+{
+  guint n_tasks;
+
+  get_sent_tasks (part, &n_tasks);
+  return n_tasks < part->job->submission->n_tasks;
+}
+
+/* How long tasks of PART may wait at its owner.  */
+static gint64
+get_max_wait_us (const struct fleet_part *part)
+{
+  return part->n_offers > 0 ? DEADLINE_NEVER : GIVEN_WAIT_US;
+}
+
 /* The batch for PART, which runs on this VM.  */
 static struct batch *
 build_batch (const struct fleet_part *part)
 {
   const struct fleet_job *job = part->job;
   const struct fleet_submission *s = job->submission;
-  struct batch *batch = batch_new (s->job, job->home->name, part->n_tasks);
-
-  for (guint i = 0; i < part->n_tasks; i++)
-    batch->tasks[i].index = part->indexes[i];
+  guint n_tasks;
+  const guint *indexes = get_sent_tasks (part, &n_tasks);
+  struct batch *batch = batch_new (s->job, job->home->name, n_tasks);
+
+  for (guint i = 0; i < n_tasks; i++)
+    batch->tasks[i].index = indexes[i];
+  if (part->n_offers > 0)
+    batch_set_offered (batch, part->n_offers);
   batch->number = part->number;
   batch->service = g_strdup (s->service);
   batch->spec = g_strdup (s->spec);
@@ -417,10 +553,10 @@
   batch->priority = s->priority;
   batch->attempts = s->attempts;
   batch->is_settled = job->n_assignments > MAX_MOVABLE_ASSIGNMENTS;
-  batch->is_part = part->n_tasks < s->n_tasks;
+  batch->is_part = is_part_of_begun (part);
   batch->start_by_us = job->start_by_us;
   batch->end_by_us = job->end_by_us;
-  batch->max_wait_us = part->max_wait_us;
+  batch->max_wait_us = get_max_wait_us (part);
   return batch;
 }
 
@@ -431,12 +567,14 @@
   struct fleet_job *job = part->job;
   const struct fleet_submission *s = job->submission;
   gint64 now_us = clock_now_us ();
+  guint n_tasks;
+  const guint *indexes = get_sent_tasks (part, &n_tasks);
   peer_batch_args args = {
     .incarnation = job->home->incarnation,
     .job = s->job,
     .number = part->number,
     .service = s->service,
-    .spec = s->spec,
+    .spec = part->n_offers > 0 ? (char *)"" : s->spec,
     .affinity = s->affinity != NULL ? s->affinity : (char *)"",
     .required_label
     = s->required_label != NULL ? s->required_label : (char *)"",
@@ -449,12 +587,12 @@
     .priority = s->priority,
     .attempts = s->attempts,
     .is_settled = job->n_assignments > MAX_MOVABLE_ASSIGNMENTS,
-    .is_part = part->n_tasks < s->n_tasks,
-    .max_wait_us
-    = part->max_wait_us == DEADLINE_NEVER ? -1 : part->max_wait_us,
+    .is_part = is_part_of_begun (part),
+    .max_wait_us = part->n_offers > 0 ? -1 : GIVEN_WAIT_US,
     .start_in_us = job->start_by_us - now_us,
     .end_in_us = job->end_by_us - now_us,
-    .indexes = { part->n_tasks, part->indexes },
+    .n_offers = part->n_offers,
+    .indexes = { n_tasks, (guint *)indexes },
   };
 
   peer_hub_call (job->home->hub, part->owner, PEER_RUN_BATCH, &args,
@@ -471,32 +609,19 @@
 
   if (may_have_started (job) || job->start_by_us <= now_us)
     return (job->end_by_us - now_us) / USEC_PER_MSEC;
-  return (gint64)((gdouble)(job->start_by_us - now_us) / WAIT_MARGIN_FACTOR)
+  return (gint64)((gdouble)(job->start_by_us - now_us) * WAIT_TOLERANCE)
          / USEC_PER_MSEC;
 }
 
-/* How long tasks of JOB may wait at an owner, where they are queued or, if not
-   IS_QUEUED, are expected to start at once.  */
-static gint64
-compute_max_wait_us (const struct fleet_job *job, gboolean is_queued)
-{
-  if (!is_queued && job->n_assignments <= MAX_TRIAL_ASSIGNMENTS)
-    return 0;
-  if (job->n_assignments > MAX_MOVABLE_ASSIGNMENTS && may_have_started (job))
-    return DEADLINE_NEVER;
-  return MAX (get_longest_wait_ms (job), 0) * USEC_PER_MSEC;
-}
-
-/* Sends the first OWNER->n_given tasks of INDEXES to OWNER as a new part of
-   JOB.  */
-static void
-send_part (struct fleet_job *job, const struct spread_owner *owner,
-           const guint *indexes)
+/* A new part of JOB at OWNER, without tasks.  */
+static struct fleet_part *
+part_new (struct fleet_job *job, const struct spread_owner *owner)
 {
   struct fleet_part *part = g_new0 (struct fleet_part, 1);
   const struct vm *vm = vm_directory_find (job->home->directory, owner->name);
 
   list_init (&part->link);
+  part->sink.tasks_claimed = on_local_claimed;
   part->sink.tasks_returned = on_local_returned;
   part->sink.batch_ended = on_local_ended;
   part->job = fleet_job_ref (job);
@@ -504,10 +629,16 @@
   part->owner = owner->is_self ? NULL : g_strdup (owner->name);
   part->incarnation = vm != NULL ? vm->incarnation : 0;
   part->is_open = TRUE;
-  part->max_wait_us = compute_max_wait_us (job, owner->has_queued);
-  part->n_tasks = owner->n_given;
-  memcpy (part->indexes, indexes, owner->n_given * sizeof *indexes);
   list_append (&job->parts, &part->link);
+  return part;
+}
+
+/* Hands PART to OWNER, to which it belongs.  */
+static void
+send_part (struct fleet_part *part, const struct spread_owner *owner)
+{
+  struct fleet_job *job = part->job;
+
   if (part->number >= job->n_logged_parts)
     fleet_home_log_batch_sent (part, owner, job->home->directory);
   if (part->owner != NULL)
@@ -577,9 +708,10 @@
   return owners->len > 0;
 }
 
-/* Sends the tasks in INDEXES to OWNERS, as many to each as its n_given.  */
+/* Gives the first tasks of INDEXES to OWNERS, as many to each as its
+   n_given.  */
 static void
-send_parts (struct fleet_job *job, const GArray *owners, const guint *indexes)
+give_tasks (struct fleet_job *job, const GArray *owners, const guint *indexes)
 {
   const struct fleet_submission *s = job->submission;
   guint64 hash = hash64_string (s->service);
@@ -589,17 +721,50 @@
     {
       const struct spread_owner *owner
           = &g_array_index (owners, struct spread_owner, i);
+      struct fleet_part *part;
 
       if (owner->n_given == 0)
         continue;
       if (!owner->is_self)
         vm_directory_reserve_room (job->home->directory, owner->name, hash,
                                    owner->n_given, s->need.cpus, s->priority);
-      send_part (job, owner, indexes + offset);
+      part = part_new (job, owner);
+      part->n_tasks = owner->n_given;
+      memcpy (part->indexes, indexes + offset,
+              owner->n_given * sizeof *indexes);
+      send_part (part, owner);
       offset += owner->n_given;
     }
 }
 
+/* Offers the wanted tasks of JOB to OWNERS, as OFFER says.  */
+static void
+offer_tasks (struct fleet_job *job, const GArray *owners,
+             const struct spread_offer *offer)
+{
+  const struct fleet_submission *s = job->submission;
+  const struct task_set offered = job->wanted;
+  guint n_share = (offered.n + offer->n_offers - 1) / offer->n_offers;
+
+  for (guint i = 0; i < owners->len && !job->is_closed; i++)
+    {
+      const struct spread_owner *owner
+          = &g_array_index (owners, struct spread_owner, i);
+      struct fleet_part *part;
+
+      if (!owner->is_offered)
+        continue;
+      if (!owner->is_self)
+        vm_directory_reserve_room (job->home->directory, owner->name,
+                                   hash64_string (s->service), n_share,
+                                   s->need.cpus, s->priority);
+      part = part_new (job, owner);
+      part->n_offers = offer->n_offers;
+      part->offered = offered;
+      send_part (part, owner);
+    }
+}
+
 /* Logs that JOB was accepted, with its first batches if IS_SENT.  */
 static void
 log_accepted (struct fleet_job *job, const GArray *owners, gboolean is_sent)
@@ -609,8 +774,9 @@
       is_sent ? owners->len : 0, job->home->directory);
 }
 
-/* Assigns N_TASKS of JOB to owners and sends them.  Gives the job up if there
-   is no owner with slots, or the expected wait is too long.  */
+/* Assigns N_TASKS of JOB to owners, and those that are wanted already.  Gives
+   the job up if there is no owner with slots, or the expected wait is too
+   long.  */
 static void
 assign_tasks (struct fleet_job *job, const guint *indexes, guint n_tasks)
 {
@@ -618,26 +784,35 @@
   g_autoptr (GArray) owners
       = list_owners (job->home, s->service, s->need.cpus);
   struct spread_tasks tasks = {
-    .n = n_tasks,
+    .n = n_tasks + job->wanted.n,
     .run_ms = (guint)(s->estimate_us / USEC_PER_MSEC),
     .priority = s->priority,
+    .is_offer_only = job->n_assignments > 0,
   };
   gint64 longest_ms = get_longest_wait_ms (job);
-  gint64 wait_ms;
+  struct spread_offer offer;
 
   fleet_job_ref (job);
+  withdraw_offers (job, NULL);
   job->n_assignments++;
-  wait_ms = spread_assign (
+  offer = spread_assign (
       (struct spread_owner *)(void *)owners->data, owners->len, &tasks,
       hash64_pair (hash64_string (s->job), job->n_assignments));
   if (job->n_assignments == 1)
-    log_accepted (job, owners, wait_ms >= 0 && wait_ms <= longest_ms);
-  if (wait_ms < 0)
+    log_accepted (job, owners,
+                  offer.wait_ms >= 0 && offer.wait_ms <= longest_ms);
+  task_set_add (&job->wanted, indexes + (tasks.n - offer.n_tasks),
+                n_tasks - (tasks.n - offer.n_tasks));
+  if (offer.wait_ms < 0)
     give_up_job (job, "no upstream is owned by a live VM", MIN_RETRY_MS);
-  else if (wait_ms > longest_ms)
-    give_up_job (job, "the queues are longer than its time", wait_ms);
+  else if (offer.wait_ms > longest_ms)
+    give_up_job (job, "the queues are longer than its time", offer.wait_ms);
   else
-    send_parts (job, owners, indexes);
+    {
+      give_tasks (job, owners, indexes);
+      if (offer.n_tasks > 0)
+        offer_tasks (job, owners, &offer);
+    }
   fleet_job_unref (job);
 }
 
@@ -739,24 +914,42 @@
     }
 }
 
-/* Whether JOB has an open part on VM in INCARNATION or an earlier one.  */
 static gboolean
-has_part_on (const struct fleet_job *job, const char *vm, guint64 incarnation)
+is_on (const struct fleet_part *part, const char *vm, guint64 incarnation)
 {
-  struct list_node *node;
-  struct list_node *after;
+  return g_strcmp0 (part->owner, vm) == 0 && part->incarnation <= incarnation;
+}
 
-  list_for_each (node, after, &job->parts)
+/* Whether VM, in INCARNATION or an earlier one, has tasks of JOB that may have
+   been started.  */
+static gboolean
+has_tasks_on (const struct fleet_job *job, const char *vm, guint64 incarnation)
+{
+  g_autoptr (GPtrArray) parts = list_parts (job, FALSE);
+
+  for (guint i = 0; i < parts->len; i++)
     {
-      const struct fleet_part *part
-          = list_entry (node, struct fleet_part, link);
+      const struct fleet_part *part = g_ptr_array_index (parts, i);
 
-      if (g_strcmp0 (part->owner, vm) == 0 && part->incarnation <= incarnation)
+      if (part->n_tasks > 0 && is_on (part, vm, incarnation))
         return TRUE;
     }
   return FALSE;
 }
 
+/* Withdraws the offers of JOB to VM, in INCARNATION or an earlier one, of
+   which no task was granted.  */
+static void
+withdraw_offers_on (struct fleet_job *job, const char *vm, guint64 incarnation)
+{
+  g_autoptr (GPtrArray) parts = list_parts (job, TRUE);
+
+  for (guint i = 0; i < parts->len; i++)
+    if (is_on (g_ptr_array_index (parts, i), vm, incarnation))
+      close_offer (g_ptr_array_index (parts, i));
+  renew_offers (job);
+}
+
 void
 fleet_home_handle_vm_lost (struct fleet_home *home, const char *vm,
                            guint64 incarnation)
@@ -767,9 +960,13 @@
     {
       struct fleet_job *job = g_ptr_array_index (jobs, i);
 
-      if (!job->is_closed && has_part_on (job, vm, incarnation))
+      if (job->is_closed)
+        continue;
+      if (has_tasks_on (job, vm, incarnation))
         answer_job (job, FLEET_UNKNOWN, "the owner of its upstreams is lost",
                     0);
+      else
+        withdraw_offers_on (job, vm, incarnation);
     }
 }
 
@@ -800,3 +997,29 @@
                      args->indexes.indexes_len);
   peer_request_reply (request, &result);
 }
+
+static void
+on_claim_tasks (struct peer_request *request, const void *arguments,
+                gpointer data)
+{
+  struct fleet_home *home = data;
+  const peer_claim_args *args = arguments;
+  struct fleet_job *job = g_hash_table_lookup (home->jobs, args->job);
+  struct fleet_part *part = NULL;
+  guint granted[PEER_TASKS_MAX];
+  peer_claim_result result = { .granted = { 0, granted },
+                               .is_exhausted = TRUE,
+                               .spec = (char *)"" };
+
+  if (job != NULL && args->incarnation == home->incarnation)
+    part = fleet_job_find_part (job, args->number);
+  if (part != NULL
+      && g_strcmp0 (part->owner, peer_request_get_sender (request)) == 0)
+    {
+      result.granted.granted_len = grant_tasks (part, args->n_tasks, granted);
+      result.is_exhausted = is_exhausted (part, result.granted.granted_len);
+      if (result.granted.granted_len > 0)
+        result.spec = job->submission->spec;
+    }
+  peer_request_reply (request, &result);
+}
--- a/transport/fleet_home_log.c
+++ b/transport/fleet_home_log.c
@@ -35,15 +35,18 @@
   return TRUE;
 }
 
+/* Appends that OWNER is given N_TASKS tasks or, if IS_OFFER, is offered
+   them.  */
 static gboolean
 append_batch_sent (GString *trail, gint64 elapsed_ms, guint batch,
+                   gboolean is_offer, guint n_tasks,
                    const struct spread_owner *owner, gint64 age_us)
 {
   g_autofree char *step = g_strdup_printf (
-      "%" G_GINT64_FORMAT "+%u:%s:%u:%u:%u"
+      "%" G_GINT64_FORMAT "%c%u:%s:%u:%u:%u"
       ":%" G_GINT64_FORMAT,
-      elapsed_ms, batch, owner->name, owner->n_given, owner->free_slots,
-      vm_room_count_ahead (&owner->room, ROOM_PRIORITIES),
+      elapsed_ms, is_offer ? '~' : '+', batch, owner->name, n_tasks,
+      owner->free_slots, vm_room_count_ahead (&owner->room, ROOM_PRIORITIES),
       age_us / USEC_PER_MSEC);
 
   return append_step (trail, step);
@@ -61,8 +64,8 @@
     {
       if (owners[i].n_given == 0)
         continue;
-      if (!append_batch_sent (trail, 0, n, &owners[i],
-                              get_age_us (directory, &owners[i])))
+      if (!append_batch_sent (trail, 0, n, FALSE, owners[i].n_given,
+                              &owners[i], get_age_us (directory, &owners[i])))
         return n;
       n++;
     }
@@ -106,14 +109,17 @@
 {
   const struct fleet_job *job = part->job;
   gint64 age_us = get_age_us (directory, owner);
+  gboolean is_offer = part->n_offers > 0;
+  guint n_tasks = is_offer ? part->offered.n : part->n_tasks;
 
-  if (append_batch_sent (job->trail, get_elapsed_ms (job), part->number, owner,
-                         age_us))
+  if (append_batch_sent (job->trail, get_elapsed_ms (job), part->number,
+                         is_offer, n_tasks, owner, age_us))
     return;
   event_log_fields (
       EVENT_BATCH_SENT, FIELD_TEXT ("job", job->submission->job),
       FIELD_INT ("batch", part->number), FIELD_TEXT ("owner", owner->name),
-      FIELD_INT ("tasks", part->n_tasks),
+      FIELD_INT ("tasks", n_tasks),
+      FIELD_IF (is_offer, FIELD_INT ("offers", part->n_offers)),
       FIELD_INT ("free_slots", owner->free_slots),
       FIELD_INT ("queued",
                  vm_room_count_ahead (&owner->room, ROOM_PRIORITIES)),
--- a/transport/fleet_job.c
+++ b/transport/fleet_job.c
@@ -38,6 +38,17 @@
   g_free (part);
 }
 
+guint
+fleet_part_grant (struct fleet_part *part, guint n, guint *granted)
+{
+  guint n_granted
+      = task_set_grant (&part->job->wanted, &part->offered, n, granted);
+
+  for (guint i = 0; i < n_granted; i++)
+    part->indexes[part->n_tasks++] = granted[i];
+  return n_granted;
+}
+
 guint
 fleet_part_remove_tasks (struct fleet_part *part, const guint *indexes,
                          guint n_indexes, guint *out)
--- a/transport/fleet_job.h
+++ b/transport/fleet_job.h
@@ -6,6 +6,7 @@
 #ifndef TRANSPORT_FLEET_JOB_H
 #define TRANSPORT_FLEET_JOB_H
 
+#include "coordination/task_offer.h"
 #include "transport/fleet_home.h"
 
 /* Tasks of a job that were sent to one owner in one batch, as the home tracks
@@ -19,10 +20,11 @@
   char *owner;           /* name of the owner VM; NULL for this VM */
   guint64 incarnation;   /* of the owner VM; 0 when not known */
   gboolean is_open;      /* its end has not been handled yet */
-  gint64 max_wait_us;    /* the owner returns tasks that are expected to wait
-                            longer; DEADLINE_NEVER for no limit */
   struct batch *batch;   /* the batch if it runs on this VM, otherwise NULL */
-  guint n_tasks;         /* that were not returned */
+  guint n_offers;        /* owners that its tasks are offered to; 0 if it was
+                            given its tasks */
+  struct task_set offered;       /* the tasks that it may claim */
+  guint n_tasks;                 /* given or granted, and not returned */
   guint indexes[PEER_TASKS_MAX]; /* of these tasks in the job */
 };
 
@@ -43,6 +45,7 @@
                              acceptance contains */
   GString *trail;         /* steps for the log line of the answer */
   guint n_assignments;    /* times that tasks were assigned to owners */
+  struct task_set wanted; /* tasks that are offered and not granted yet */
   guint n_done;           /* tasks that have succeeded */
   gboolean is_closed;     /* answered or cancelled */
   const char *give_up_reason; /* static string; NULL unless given up.  The
@@ -63,6 +66,10 @@
 /* Unlinks and frees PART, and drops its reference to the job.  */
 void fleet_part_free (struct fleet_part *part);
 
+/* Grants up to N of the tasks that PART may claim.  Writes their indexes to
+   GRANTED, which has room for N.  Returns their number.  */
+guint fleet_part_grant (struct fleet_part *part, guint n, guint *granted);
+
 /* Removes the tasks with INDEXES from PART.  Writes the indexes of those that
    were in PART to OUT, which has room for N_INDEXES.  Returns their number. */
 guint fleet_part_remove_tasks (struct fleet_part *part, const guint *indexes,
--- a/transport/fleet_owner.c
+++ b/transport/fleet_owner.c
@@ -17,6 +17,10 @@
    the first of the queue has waited for this long.  */
 #define RETURN_AFTER_US (10 * USEC_PER_MSEC)
 
+/* The timeout of a call that claims tasks.  The slots for them stand idle
+   until it ends.  */
+#define CLAIM_TIMEOUT_US (250 * USEC_PER_MSEC)
+
 /* The reason for refusing a batch whose home is not live.  */
 #define REASON_HOME_NOT_LIVE "no beacons of its home are received here"
 
@@ -33,12 +37,20 @@
   struct loop_timer *notify_timer; /* sends the queued notifications from the
                                       main loop, as the driver's functions must
                                       not call back into the owner */
+  GQueue claims;                   /* struct claim */
   GQueue returned;                 /* struct returned_tasks */
   GQueue ended;                    /* struct batch */
   GQueue lost;                     /* struct lost_upstream */
   guint n_batches;                 /* that have not ended */
 };
 
+/* A claim of which the sink was not notified yet.  */
+struct claim
+{
+  struct batch *batch;
+  guint n_tasks;
+};
+
 /* Returned tasks of which the sink was not notified yet.  */
 struct returned_tasks
 {
@@ -161,6 +173,20 @@
   batch_tally_clear (&sink->tally);
 }
 
+static void
+driver_claim_tasks (struct owner_driver *driver, struct batch *batch,
+                    guint n_tasks)
+{
+  struct fleet_owner *owner = owner_from_driver (driver);
+  struct claim *claim = g_new0 (struct claim, 1);
+
+  metrics_count (METRIC_CLAIMS);
+  claim->batch = batch;
+  claim->n_tasks = n_tasks;
+  g_queue_push_tail (&owner->claims, claim);
+  loop_timer_set (owner->notify_timer, 0);
+}
+
 static void
 driver_return_tasks (struct owner_driver *driver, struct batch *batch,
                      const guint *indexes, guint n_tasks)
@@ -208,6 +234,22 @@
   loop_timer_set (owner->notify_timer, 0);
 }
 
+/* Batches are freed by notify_ended (), so those of the claims still exist. */
+static void
+notify_claims (struct fleet_owner *owner)
+{
+  struct claim *claim;
+
+  while ((claim = g_queue_pop_head (&owner->claims)) != NULL)
+    {
+      struct batch_sink *sink = claim->batch->user_data;
+
+      if (!claim->batch->is_ending && !claim->batch->is_finished)
+        sink->tasks_claimed (sink, claim->batch, claim->n_tasks);
+      g_free (claim);
+    }
+}
+
 static void
 notify_returned (struct fleet_owner *owner)
 {
@@ -257,6 +299,7 @@
 {
   struct fleet_owner *owner = data;
 
+  notify_claims (owner);
   notify_returned (owner);
   notify_ended (owner);
   notify_lost (owner);
@@ -277,6 +320,7 @@
   .run_ended = driver_run_ended,
   .start_unanswered = driver_start_unanswered,
   .health_changed = driver_health_changed,
+  .claim_tasks = driver_claim_tasks,
   .return_tasks = driver_return_tasks,
   .finish_batch = driver_finish_batch,
   .ownership_ended = driver_ownership_ended,
@@ -394,6 +438,7 @@
   owner->remote_batches = g_hash_table_new (g_str_hash, g_str_equal);
   owner->timer = loop_timer_new (on_timer, owner);
   owner->notify_timer = loop_timer_new (on_notify_timer, owner);
+  g_queue_init (&owner->claims);
   g_queue_init (&owner->returned);
   g_queue_init (&owner->ended);
   g_queue_init (&owner->lost);
@@ -410,6 +455,7 @@
 
   loop_timer_free (owner->timer);
   loop_timer_free (owner->notify_timer);
+  g_queue_clear_full (&owner->claims, g_free);
   g_queue_clear_full (&owner->returned, g_free);
   g_queue_clear_full (&owner->ended, (GDestroyNotify)batch_free);
   owner_free (owner->owner);
@@ -485,6 +531,60 @@
   remote_batch_free (remote);
 }
 
+/* A PEER_CLAIM_TASKS call to a home.  */
+struct remote_claim
+{
+  struct fleet_owner *owner;
+  char *key; /* of the remote batch, which may have ended since */
+};
+
+/* An offer is sent without the spec, which comes with what is granted.  */
+static void
+set_spec (struct batch *batch, const char *spec)
+{
+  if (spec[0] == '\0')
+    return;
+  g_free (batch->spec);
+  batch->spec = g_strdup (spec);
+}
+
+static void
+on_claim_answered (const void *result, const GError *error, gpointer data)
+{
+  const peer_claim_result *reply = result;
+  struct remote_claim *claim = data;
+  const struct remote_batch *remote
+      = g_hash_table_lookup (claim->owner->remote_batches, claim->key);
+  gint64 now_us = clock_now_us ();
+
+  if (remote != NULL && reply != NULL)
+    set_spec (remote->batch, reply->spec);
+  if (remote != NULL && remote->batch->is_claiming && reply != NULL)
+    owner_claim_ended (claim->owner->owner, remote->batch,
+                       reply->granted.granted_val, reply->granted.granted_len,
+                       reply->is_exhausted, now_us);
+  else if (remote != NULL && remote->batch->is_claiming)
+    owner_claim_failed (claim->owner->owner, remote->batch, now_us);
+  g_free (claim->key);
+  g_free (claim);
+}
+
+static void
+on_remote_claimed (struct batch_sink *sink, struct batch *batch, guint n_tasks)
+{
+  struct remote_batch *remote = list_entry (sink, struct remote_batch, sink);
+  struct remote_claim *claim = g_new0 (struct remote_claim, 1);
+  peer_claim_args args = { .incarnation = remote->incarnation,
+                           .job = batch->job,
+                           .number = batch->number,
+                           .n_tasks = n_tasks };
+
+  claim->owner = remote->owner;
+  claim->key = g_strdup (remote->key);
+  peer_hub_call (remote->owner->hub, remote->vm, PEER_CLAIM_TASKS, &args,
+                 clock_now_us () + CLAIM_TIMEOUT_US, on_claim_answered, claim);
+}
+
 /* The reply to PEER_RETURN_TASKS is not used.  */
 static void
 on_return_answered (const void *result, const GError *error, gpointer data)
@@ -540,6 +640,8 @@
   batch->is_part = args->is_part;
   if (args->max_wait_us >= 0)
     batch->max_wait_us = args->max_wait_us;
+  if (args->n_offers > 0)
+    batch_set_offered (batch, args->n_offers);
   batch->start_by_us = now_us + args->start_in_us;
   batch->end_by_us = now_us + args->end_in_us;
   return batch;
@@ -576,6 +678,7 @@
       return;
     }
   remote = g_new0 (struct remote_batch, 1);
+  remote->sink.tasks_claimed = on_remote_claimed;
   remote->sink.tasks_returned = on_remote_returned;
   remote->sink.batch_ended = on_remote_ended;
   remote->vm = g_strdup (vm);
--- a/transport/fleet_owner.h
+++ b/transport/fleet_owner.h
@@ -40,6 +40,13 @@
   void (*tasks_returned) (struct batch_sink *sink, const struct batch *batch,
                           const guint *indexes, guint n_tasks);
 
+  /* The owner has free slots for N_TASKS tasks of BATCH, which is an offer.
+     The submitter calls owner_claim_ended () or owner_claim_failed (), now or
+     later, if BATCH has not ended by then.  May be NULL if it submits no
+     offers.  */
+  void (*tasks_claimed) (struct batch_sink *sink, struct batch *batch,
+                         guint n_tasks);
+
   /* The batch has ended.  Called once; the batch is freed afterwards.  */
   void (*batch_ended) (struct batch_sink *sink, const struct batch *batch);
   struct batch_tally tally; /* for the fleet owner's use; starts as zeros */
--- a/transport/fleet_owner_log.c
+++ b/transport/fleet_owner_log.c
@@ -68,7 +68,8 @@
   g_autofree char *cut_short = run_tally_format (&tally->cut_short);
 
   /* The home logs it.  */
-  if (batch_is_returned (batch))
+  if (batch_is_returned (batch)
+      || (batch->n_offers > 0 && batch->first_started_us == 0))
     return;
   event_log_fields (
       EVENT_BATCH_ENDED, FIELD_TEXT ("job", batch->job),
