transport: watch connections with one source of the main loop

Cause: GLib visits every source, and polls every descriptor, in each iteration of a loop; a VM of a large fleet has a connection to every peer and several to each upstream. In a profile of a soak a quarter of the processor time went to it. Change: the connections to peers and upstreams are in one epoll set.

--- /dev/null
+++ b/t/support/load_model.h
@@ -0,0 +1,76 @@
+/*
+ * A model of the load of a fleet: homes that spread jobs, and owners that run
+ * them on simulated upstreams.  The decisions are those of the real modules
+ * (owner.h, spread.h, task_offer.h, vm_room.h); messages take time, and rooms
+ * are announced at intervals.
+ */
+#ifndef T_SUPPORT_LOAD_MODEL_H
+#define T_SUPPORT_LOAD_MODEL_H
+
+#include "base/clock.h"
+
+#include <glib.h>
+
+#define LOAD_MAX_KINDS 3
+
+/* Jobs of one kind.  */
+struct load_kind
+{
+  guint n_tasks;
+  guint run_ms;
+  guint jobs_per_s;
+  guint priority;
+  gdouble worth; /* of a job that is done in time */
+};
+
+struct load_config
+{
+  guint32 seed;
+  guint n_owners; /* each VM is a home, too */
+  guint n_upstreams;
+  guint max_offers;       /* see struct spread_tasks */
+  gdouble wait_tolerance; /* as in transport/fleet_home.c */
+  guint message_ms;       /* one way, between VMs */
+  guint late_share;       /* one message in this many takes 40 ms more; 0 for
+                             none */
+  gdouble lost_share;     /* of the orders to upstreams */
+  struct load_kind kinds[LOAD_MAX_KINDS];
+};
+
+/* What became of the jobs of one kind.  */
+struct load_result
+{
+  guint n_jobs;
+  guint n_in_time;
+  guint n_late;
+  guint n_refused;
+  guint n_failed;
+};
+
+struct load_model;
+
+struct load_model *load_model_new (const struct load_config *config);
+void load_model_free (struct load_model *model);
+
+/* Lets MS pass with FACTOR times the configured load.  */
+void load_model_run (struct load_model *model, guint ms, gdouble factor);
+
+/* Takes the upstreams from FIRST on, COUNT of them, away.  */
+void load_model_remove_upstreams (struct load_model *model, guint first,
+                                  guint count);
+
+/* The VM of the owner is gone, with all that it holds.  Homes learn of it 600
+   ms later, and its jobs are lost.  */
+void load_model_kill_owner (struct load_model *model, guint owner);
+
+/* Lets all jobs end, and returns the results of KIND.  Fails the test if a job
+   does not end, or a task was granted twice.  */
+struct load_result load_model_finish (struct load_model *model, guint kind);
+
+/* The share of the worth of all jobs that was served in time.  */
+gdouble load_model_worth (struct load_model *model);
+
+/* Messages between VMs.  */
+guint load_model_count_messages (const struct load_model *model);
+
+#endif
--- /dev/null
+++ b/t/support/load_upstream.h
@@ -0,0 +1,38 @@
+/*
+ * Simulated upstreams of one owner, for the load model: they run what they are
+ * told for a given time and answer polls.  Orders take 1 ms each way.
+ */
+#ifndef T_SUPPORT_LOAD_UPSTREAM_H
+#define T_SUPPORT_LOAD_UPSTREAM_H
+
+#include "coordination/owner.h"
+
+/* Slots of one upstream, of one CPU each.  */
+#define LOAD_SLOTS 2
+
+struct load_upstreams;
+
+/* Upstreams for OWNER, which takes N of them, numbered from FIRST on, at
+   NOW_US.  LOST_SHARE of the orders get no answer.  */
+struct load_upstreams *load_upstreams_new (struct owner *owner, guint first,
+                                           guint n, gdouble lost_share,
+                                           GRand *rand, gint64 now_us);
+void load_upstreams_free (struct load_upstreams *upstreams);
+
+/* The upstream with this number is gone.  Ignores those of other owners.  */
+void load_upstreams_remove (struct load_upstreams *upstreams, guint number,
+                            gint64 now_us);
+
+/* For the driver of the owner.  RUN_MS is how long the run takes.  */
+void load_upstreams_start (struct load_upstreams *upstreams,
+                           const struct run *run, guint run_ms, gint64 now_us);
+void load_upstreams_stop (struct load_upstreams *upstreams,
+                          const struct run *run, gint64 now_us);
+void load_upstreams_poll (struct load_upstreams *upstreams,
+                          struct owned_upstream *owned, guint wait_ms,
+                          gint64 now_us);
+
+/* Does what is due at NOW_US.  */
+void load_upstreams_advance (struct load_upstreams *upstreams, gint64 now_us);
+
+#endif
--- a/transport/http_connection.c
+++ b/transport/http_connection.c
@@ -1,7 +1,7 @@
 #include "transport/http_connection.h"
 
 #include "base/clock.h"
-#include "base/loop_timer.h"
+#include "transport/socket_watch.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -16,20 +16,10 @@
    other side may have closed it while this process was paused.  */
 #define UNCHECKED_IDLE_US (500 * USEC_PER_MSEC)
 
-static void
-stop_watching (struct http_connection *connection)
-{
-  if (connection->source == NULL)
-    return;
-  g_source_destroy (connection->source);
-  g_source_unref (connection->source);
-  connection->source = NULL;
-}
-
 void
 http_connection_close (struct http_connection *connection)
 {
-  stop_watching (connection);
+  socket_watch_free (connection->watch);
   g_socket_close (connection->socket, NULL);
   g_object_unref (connection->socket);
   list_remove (&connection->link);
@@ -38,23 +28,6 @@
   g_free (connection);
 }
 
-static gboolean on_event (GSocket *socket, GIOCondition condition,
-                          gpointer data);
-
-static void
-watch (struct http_connection *connection, GIOCondition condition)
-{
-  if (connection->source != NULL && connection->condition == condition)
-    return;
-  stop_watching (connection);
-  connection->condition = condition;
-  connection->source
-      = g_socket_create_source (connection->socket, condition, NULL);
-  g_source_set_callback (connection->source, G_SOURCE_FUNC (on_event),
-                         connection, NULL);
-  loop_source_attach (connection->source);
-}
-
 /* Writes as much of the request as the kernel accepts.  Returns FALSE if the
    connection is broken.  */
 static gboolean
@@ -69,8 +42,9 @@
   if (n < 0 && !g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
     return FALSE;
   connection->written += (gsize)MAX (n, 0);
-  watch (connection,
-         connection->written < text->len ? G_IO_IN | G_IO_OUT : G_IO_IN);
+  socket_watch_set (connection->watch, connection->written < text->len
+                                           ? G_IO_IN | G_IO_OUT
+                                           : G_IO_IN);
   return TRUE;
 }
 
@@ -127,8 +101,8 @@
   return connection->is_connected;
 }
 
-static gboolean
-on_event (GSocket *socket, GIOCondition condition, gpointer data)
+static void
+on_event (GIOCondition condition, gpointer data)
 {
   struct http_connection *connection = data;
   gboolean is_new = !connection->is_connected;
@@ -141,7 +115,6 @@
     connection->owner->ops->broken (connection);
   else if ((condition & ~G_IO_OUT) != 0)
     read_answer (connection);
-  return G_SOURCE_CONTINUE;
 }
 
 struct http_connection *
@@ -164,10 +137,16 @@
       && !g_error_matches (error, G_IO_ERROR, G_IO_ERROR_PENDING))
     return NULL;
   connection = g_new0 (struct http_connection, 1);
+  connection->watch
+      = socket_watch_new (socket, G_IO_OUT, on_event, connection);
+  if (connection->watch == NULL)
+    {
+      g_free (connection);
+      return NULL;
+    }
   list_init (&connection->link);
   connection->owner = owner;
   connection->socket = g_steal_pointer (&socket);
-  watch (connection, G_IO_OUT);
   return connection;
 }
 
--- a/transport/http_connection.h
+++ b/transport/http_connection.h
@@ -39,8 +39,7 @@
   gpointer request;    /* set by the owner; NULL while idle */
   gboolean is_retired; /* for the owner's use */
   GSocket *socket;
-  GSource *source;
-  GIOCondition condition; /* that SOURCE waits for */
+  struct socket_watch *watch;
   gboolean is_connected;
   const GString *text; /* of the request */
   gint64 deadline_us;  /* of the request */
--- a/transport/rpc_stream.c
+++ b/transport/rpc_stream.c
@@ -1,8 +1,8 @@
 #include "transport/rpc_stream.h"
 
 #include "base/clock.h"
-#include "base/loop_timer.h"
 #include "protocol/rpc_message.h"
+#include "transport/socket_watch.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -16,11 +16,11 @@
   guint ref_count;
   struct rpc_stream_owner *owner; /* NULL once closed */
   GSocket *socket;
-  GSource *read_source;
-  GSource *write_source; /* NULL unless connecting or output waits */
-  guint end_source;      /* of on_end_idle (), 0 if it is not pending */
-  gboolean is_open;      /* the connection is established */
-  gboolean was_refused;  /* as for ended () */
+  struct socket_watch *watch; /* NULL once the connection has ended */
+  gboolean is_output_waiting; /* for the kernel to accept more */
+  guint end_source;           /* of on_end_idle (), 0 if it is not pending */
+  gboolean is_open;           /* the connection is established */
+  gboolean was_refused;       /* as for ended () */
   gsize max_record_bytes;
   GByteArray *input;       /* received data, from the start of a record */
   GQueue *output;          /* GBytes that are not written completely */
@@ -42,21 +42,16 @@
 }
 
 static void
-clear_source (GSource **source)
+stop_watching (struct rpc_stream *stream)
 {
-  if (*source == NULL)
-    return;
-  g_source_destroy (*source);
-  g_source_unref (*source);
-  *source = NULL;
+  g_clear_pointer (&stream->watch, socket_watch_free);
 }
 
 void
 rpc_stream_close (struct rpc_stream *stream)
 {
   stream->owner = NULL;
-  clear_source (&stream->read_source);
-  clear_source (&stream->write_source);
+  stop_watching (stream);
   if (stream->end_source != 0)
     g_source_remove (stream->end_source);
   stream->end_source = 0;
@@ -68,8 +63,7 @@
 static void
 report_end (struct rpc_stream *stream)
 {
-  clear_source (&stream->read_source);
-  clear_source (&stream->write_source);
+  stop_watching (stream);
   if (stream->owner != NULL)
     stream->owner->ops->ended (stream->owner, stream->was_refused);
 }
@@ -135,17 +129,15 @@
   return n;
 }
 
-static gboolean
-on_readable (GSocket *socket, GIOCondition condition, gpointer data)
+static void
+read_records (struct rpc_stream *stream)
 {
-  struct rpc_stream *stream = data;
   g_autoptr (GError) error = NULL;
   gssize n = read_chunk (stream, &error);
   gboolean is_valid = TRUE;
 
   if (n < 0 && g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
-    return G_SOURCE_CONTINUE;
-  stream->ref_count++;
+    return;
   if (n > 0)
     {
       stream->received_us = clock_now_us ();
@@ -153,19 +145,6 @@
     }
   if (n <= 0 || !is_valid)
     report_end (stream);
-  stream_unref (stream);
-  return G_SOURCE_CONTINUE;
-}
-
-static GSource *
-watch (struct rpc_stream *stream, GIOCondition condition,
-       GSocketSourceFunc function)
-{
-  GSource *source = g_socket_create_source (stream->socket, condition, NULL);
-
-  g_source_set_callback (source, G_SOURCE_FUNC (function), stream, NULL);
-  loop_source_attach (source);
-  return source;
 }
 
 /* Writes as much as the kernel accepts.  Returns FALSE if the connection is
@@ -195,9 +174,6 @@
   return TRUE;
 }
 
-static gboolean on_writable (GSocket *socket, GIOCondition condition,
-                             gpointer data);
-
 static void
 flush (struct rpc_stream *stream)
 {
@@ -206,10 +182,11 @@
       report_end_later (stream);
       return;
     }
-  if (g_queue_is_empty (stream->output))
-    clear_source (&stream->write_source);
-  else if (stream->write_source == NULL)
-    stream->write_source = watch (stream, G_IO_OUT, on_writable);
+  stream->is_output_waiting = !g_queue_is_empty (stream->output);
+  if (stream->watch != NULL)
+    socket_watch_set (stream->watch, stream->is_output_waiting
+                                         ? G_IO_IN | G_IO_OUT
+                                         : G_IO_IN);
 }
 
 static void
@@ -219,35 +196,40 @@
   stream->received_us = clock_now_us ();
   g_socket_set_option (stream->socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
   g_socket_set_keepalive (stream->socket, TRUE);
-  stream->read_source = watch (stream, G_IO_IN, on_readable);
 }
 
-static gboolean
-on_writable (GSocket *socket, GIOCondition condition, gpointer data)
+static void
+finish_connecting (struct rpc_stream *stream)
 {
-  struct rpc_stream *stream = data;
   g_autoptr (GError) error = NULL;
 
-  stream->ref_count++;
-  if (!stream->is_open)
+  if (g_socket_check_connect_result (stream->socket, &error))
     {
-      if (g_socket_check_connect_result (socket, &error))
-        {
-          begin_reading (stream);
-          if (stream->owner->ops->opened != NULL)
-            stream->owner->ops->opened (stream->owner);
-        }
-      else
-        {
-          stream->was_refused = g_error_matches (
-              error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED);
-          report_end (stream);
-        }
+      begin_reading (stream);
+      if (stream->owner->ops->opened != NULL)
+        stream->owner->ops->opened (stream->owner);
+      return;
     }
-  if (stream->owner != NULL && stream->is_open)
+  stream->was_refused
+      = g_error_matches (error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED);
+  report_end (stream);
+}
+
+static void
+on_event (GIOCondition condition, gpointer data)
+{
+  struct rpc_stream *stream = data;
+  gboolean is_new = !stream->is_open;
+
+  stream->ref_count++;
+  if (is_new)
+    finish_connecting (stream);
+  else if ((condition & ~G_IO_OUT) != 0)
+    read_records (stream);
+  if (stream->owner != NULL && stream->watch != NULL
+      && (is_new || (condition & G_IO_OUT) != 0))
     flush (stream);
   stream_unref (stream);
-  return G_SOURCE_CONTINUE;
 }
 
 static struct rpc_stream *
@@ -282,7 +264,9 @@
   if (g_socket_connect (socket, address, NULL, &error)
       || g_error_matches (error, G_IO_ERROR, G_IO_ERROR_PENDING))
     {
-      stream->write_source = watch (stream, G_IO_OUT, on_writable);
+      stream->watch = socket_watch_new (socket, G_IO_OUT, on_event, stream);
+      if (stream->watch == NULL)
+        report_end_later (stream);
       return stream;
     }
   stream->was_refused
@@ -297,6 +281,9 @@
   struct rpc_stream *stream = stream_new (g_object_ref (socket), owner);
 
   g_socket_set_blocking (socket, FALSE);
+  stream->watch = socket_watch_new (socket, G_IO_IN, on_event, stream);
+  if (stream->watch == NULL)
+    report_end_later (stream);
   begin_reading (stream);
   return stream;
 }
@@ -314,7 +301,7 @@
 
   stream->n_queued_bytes += g_bytes_get_size (record);
   g_queue_push_tail (stream->output, g_bytes_ref (record));
-  if (stream->is_open && stream->write_source == NULL)
+  if (stream->is_open && !stream->is_output_waiting)
     flush (stream);
   return offset;
 }
