--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -180,7 +180,7 @@
 owner_return_tasks (struct owner *owner, struct batch *batch, guint n_tasks,
                     gboolean with_offered)
 {
-  g_autofree guint *indexes = g_new (guint, batch->n_tasks);
+  guint *indexes = g_new (guint, batch->n_tasks);
   guint n = 0;
 
   for (guint i = 0; i < batch->n_tasks; i++)
@@ -199,11 +199,13 @@
       task->state = BATCH_TASK_RETURNED;
       indexes[n++] = task->index;
     }
-  if (n == 0)
-    return 0;
-  batch->n_returned += n;
-  batch->is_part = TRUE;
-  owner->driver->ops->return_tasks (owner->driver, batch, indexes, n);
+  if (n > 0)
+    {
+      batch->n_returned += n;
+      batch->is_part = TRUE;
+      owner->driver->ops->return_tasks (owner->driver, batch, indexes, n);
+    }
+  g_free (indexes);
   if (!owner_finish_batch_if_done (owner, batch))
     owner_relink_batch (owner, batch);
   return n;
--- a/coordination/spread.c
+++ b/coordination/spread.c
@@ -4,7 +4,7 @@
 
 /* Of more owners than this, tasks are offered to the best of a random sample
    of this size: homes that know the same rooms choose differently.  */
-#define SAMPLE_MAX (2 * SPREAD_OFFERS_MAX)
+#define SAMPLE_FACTOR 2
 
 /* Returns the next pseudo-random number and stores it in *SEED.  */
 static guint64
@@ -107,9 +107,10 @@
 
 /* Moves a random sample of OWNERS to their front.  Returns its size.  */
 static guint
-sample_owners (struct spread_owner *owners, guint n_owners, guint64 *seed)
+sample_owners (struct spread_owner *owners, guint n_owners, guint n_sampled,
+               guint64 *seed)
 {
-  guint n = MIN (n_owners, SAMPLE_MAX);
+  guint n = MIN (n_owners, n_sampled);
 
   for (guint i = 0; i < n; i++)
     {
@@ -160,9 +161,10 @@
 {
   struct spread_offer offer = { .n_tasks = n_left };
   struct vm_room pool = { 0 };
-  guint n = sample_owners (owners, n_owners, seed);
+  guint n = sample_owners (owners, n_owners, SAMPLE_FACTOR * tasks->max_offers,
+                           seed);
 
-  while (offer.n_offers < SPREAD_OFFERS_MAX)
+  while (offer.n_offers < tasks->max_offers)
     {
       const struct spread_owner *owner = mark_best (owners, n, tasks);
 
--- a/coordination/spread.h
+++ b/coordination/spread.h
@@ -33,9 +33,10 @@
   guint priority;         /* 0 is the most urgent */
   gboolean is_offer_only; /* not given to announced free slots: announcements
                              were wrong for them before */
+  guint max_offers; /* owners that tasks are offered to at most; at least 1 */
 };
 
-/* The most owners that tasks are offered to.  */
+/* The usual number of owners that tasks are offered to.  */
 #define SPREAD_OFFERS_MAX 4
 
 /* The tasks that were not given to free slots.  */
--- a/t/support/load_model.c
+++ b/t/support/load_model.c
@@ -24,8 +24,8 @@
 #define MAX_ASSIGNMENTS 24
 #define MAX_ASSIGNMENTS_BEFORE_START 6
 
-/* Run times differ from the estimate by up to this many percent.  */
-#define RUN_SPREAD_PERCENT 25
+/* Runs of one job differ by this part of the configured spread.  */
+#define RUN_SPREAD_DIVISOR 4
 
 struct model_vm
 {
@@ -46,6 +46,8 @@
   guint kind;
   char *id;
   struct model_vm *home;
+  guint run_ms;      /* of its tasks */
+  guint estimate_ms; /* that the home knows */
   gint64 accepted_us;
   gint64 start_by_us;
   gint64 end_by_us;
@@ -115,6 +117,23 @@
   return &job->home->model->config.kinds[job->kind];
 }
 
+/* VALUE, changed by up to PERCENT at random.  */
+static guint
+vary (struct load_model *model, guint value, guint percent)
+{
+  guint drawn = (guint)g_rand_int_range (model->rand, 100 - (gint32)percent,
+                                         101 + (gint32)percent);
+
+  return value * drawn / 100;
+}
+
+/* The objective of a job whose tasks take RUN_MS.  */
+static gint64
+get_objective_us (guint run_ms)
+{
+  return (run_ms * STRETCH_PERCENT / 100 + GOAL_MS) * USEC_PER_MSEC;
+}
+
 /* A message about PART, on its way from now on.  */
 static struct message *
 send_message (struct model_part *part, enum message_kind kind)
@@ -148,14 +167,14 @@
 {
   struct model_vm *vm = vm_from_driver (driver);
   struct model_part *part = run->task->batch->user_data;
-  guint run_ms = get_kind (part->job)->run_ms;
-  guint percent = (guint)g_rand_int_range (
-      vm->model->rand, 100 - RUN_SPREAD_PERCENT, 101 + RUN_SPREAD_PERCENT);
 
   if (part->n_offers > 0)
     g_assert_true (part->job->is_granted[run->task->index]);
-  load_upstreams_start (vm->upstreams, run, run_ms * percent / 100,
-                        vm->model->now_us);
+  load_upstreams_start (
+      vm->upstreams, run,
+      vary (vm->model, part->job->run_ms,
+            vm->model->config.spread_percent / RUN_SPREAD_DIVISOR),
+      vm->model->now_us);
 }
 
 static void
@@ -376,9 +395,7 @@
 
   if (may_have_started (job) || job->start_by_us <= now_us)
     return (job->end_by_us - now_us) / USEC_PER_MSEC;
-  return (gint64)((gdouble)(job->start_by_us - now_us)
-                  * model->config.wait_tolerance)
-         / USEC_PER_MSEC;
+  return (job->start_by_us - now_us) / USEC_PER_MSEC;
 }
 
 static void
@@ -389,7 +406,7 @@
   g_autofree struct spread_owner *owners
       = g_new0 (struct spread_owner, model->config.n_owners);
   struct spread_tasks tasks = { .n = n_tasks + job->wanted.n,
-                                .run_ms = kind->run_ms,
+                                .run_ms = job->estimate_ms,
                                 .priority = kind->priority,
                                 .is_offer_only = job->n_assignments > 0,
                                 .max_offers = model->config.max_offers };
@@ -528,9 +545,7 @@
   else
     end_job (job, &result->n_failed);
   if (job->n_done == get_kind (job)->n_tasks)
-    end_job (job, took_us <= (get_kind (job)->run_ms * STRETCH_PERCENT / 100
-                              + GOAL_MS)
-                                 * USEC_PER_MSEC
+    end_job (job, took_us <= get_objective_us (job->run_ms)
                       ? &result->n_in_time
                       : &result->n_late);
   renew_offers (job);
@@ -575,7 +590,7 @@
   batch->service = g_strdup ("s");
   batch->spec = g_strdup ("");
   batch->need.cpus = 1;
-  batch->estimate_us = kind->run_ms * USEC_PER_MSEC;
+  batch->estimate_us = job->estimate_ms * USEC_PER_MSEC;
   batch->attempts = 3;
   batch->priority = kind->priority;
   batch->start_by_us = job->start_by_us;
@@ -674,9 +689,8 @@
 {
   struct model_job *job = g_new0 (struct model_job, 1);
   const struct load_kind *k = &model->config.kinds[kind];
-  gint64 objective_us
-      = (k->run_ms * STRETCH_PERCENT / 100 + GOAL_MS) * USEC_PER_MSEC;
-  gint64 run_us = k->run_ms * USEC_PER_MSEC;
+  gint64 objective_us;
+  gint64 run_us;
   guint indexes[TASK_OFFER_MAX];
 
   job->kind = kind;
@@ -684,6 +698,10 @@
   job->home = &model->vms[g_rand_int_range (model->rand, 0,
                                             (gint32)model->config.n_owners)];
   job->parts = g_ptr_array_new_with_free_func (g_free);
+  job->run_ms = vary (model, k->run_ms, model->config.spread_percent);
+  job->estimate_ms = vary (model, job->run_ms, model->config.spread_percent);
+  objective_us = get_objective_us (job->estimate_ms);
+  run_us = job->estimate_ms * USEC_PER_MSEC;
   job->accepted_us = model->now_us;
   job->start_by_us = model->now_us + objective_us - run_us;
   job->end_by_us = model->now_us + objective_us * LATE_FACTOR - run_us;
@@ -715,7 +733,7 @@
   deliver_due (model);
 }
 
-/* The jobs that arrive in one step, at random times.  */
+/* Submits the jobs that arrive in one step.  */
 static void
 submit_due (struct load_model *model, gdouble factor)
 {
@@ -724,7 +742,8 @@
       gdouble n = model->config.kinds[i].jobs_per_s * factor * (gdouble)STEP_US
                   / (gdouble)USEC_PER_SEC;
 
-      model->due[i] += 2 * n * g_rand_double (model->rand);
+      model->due[i]
+          += model->config.is_even ? n : 2 * n * g_rand_double (model->rand);
       for (; model->due[i] >= 1; model->due[i]--)
         submit_job (model, i);
     }
@@ -754,8 +773,7 @@
   vm->is_lost = g_new0 (gboolean, model->config.n_owners);
   vm->owner = owner_new (&vm->driver, &limits);
   vm->upstreams
-      = load_upstreams_new (vm->owner, first, n, model->config.lost_share,
-                            model->rand, model->now_us);
+      = load_upstreams_new (vm->owner, first, n, model->rand, model->now_us);
 }
 
 struct load_model *
@@ -800,6 +818,19 @@
   g_free (model);
 }
 
+void
+load_model_set_lost_share (struct load_model *model, gdouble share)
+{
+  for (guint i = 0; i < model->config.n_owners; i++)
+    load_upstreams_set_lost_share (model->vms[i].upstreams, share);
+}
+
+guint
+load_model_count_in_time (const struct load_model *model, guint kind)
+{
+  return model->results[kind].n_in_time;
+}
+
 void
 load_model_remove_upstreams (struct load_model *model, guint first,
                              guint count)
--- a/t/support/load_model.h
+++ b/t/support/load_model.h
@@ -28,12 +28,13 @@
   guint32 seed;
   guint n_owners; /* each VM is a home, too */
   guint n_upstreams;
-  guint max_offers;       /* see struct spread_tasks */
-  gdouble wait_tolerance; /* as in transport/fleet_home.c */
-  guint message_ms;       /* one way, between VMs */
-  guint late_share;       /* one message in this many takes 40 ms more; 0 for
-                             none */
-  gdouble lost_share;     /* of the orders to upstreams */
+  guint max_offers;     /* see struct spread_tasks */
+  gboolean is_even;     /* jobs arrive at even distances */
+  guint spread_percent; /* by which jobs differ from their kind, and
+                           estimates from the run times */
+  guint message_ms;     /* one way, between VMs */
+  guint late_share;     /* one message in this many takes 40 ms more; 0 for
+                           none */
   struct load_kind kinds[LOAD_MAX_KINDS];
 };
 
@@ -55,6 +56,12 @@
 /* Lets MS pass with FACTOR times the configured load.  */
 void load_model_run (struct load_model *model, guint ms, gdouble factor);
 
+/* From now on SHARE of the orders to upstreams get no answer.  */
+void load_model_set_lost_share (struct load_model *model, gdouble share);
+
+/* The jobs of KIND that were served in time so far.  */
+guint load_model_count_in_time (const struct load_model *model, guint kind);
+
 /* Takes the upstreams from FIRST on, COUNT of them, away.  */
 void load_model_remove_upstreams (struct load_model *model, guint first,
                                   guint count);
--- a/t/support/load_upstream.c
+++ b/t/support/load_upstream.c
@@ -145,14 +145,13 @@
 }
 
 struct load_upstreams *
-load_upstreams_new (struct owner *owner, guint first, guint n,
-                    gdouble lost_share, GRand *rand, gint64 now_us)
+load_upstreams_new (struct owner *owner, guint first, guint n, GRand *rand,
+                    gint64 now_us)
 {
   struct load_upstreams *all = g_new0 (struct load_upstreams, 1);
 
   all->owner = owner;
   all->rand = rand;
-  all->lost_share = lost_share;
   all->now_us = now_us;
   all->began_us = now_us;
   all->upstreams = g_ptr_array_new_with_free_func (upstream_free);
@@ -162,6 +161,12 @@
   return all;
 }
 
+void
+load_upstreams_set_lost_share (struct load_upstreams *upstreams, gdouble share)
+{
+  upstreams->lost_share = share;
+}
+
 void
 load_upstreams_free (struct load_upstreams *upstreams)
 {
--- a/t/support/load_upstream.h
+++ b/t/support/load_upstream.h
@@ -13,10 +13,15 @@
 struct load_upstreams;
 
 /* Upstreams for OWNER, which takes N of them, numbered from FIRST on, at
-   NOW_US.  LOST_SHARE of the orders get no answer.  */
+   NOW_US.  */
 struct load_upstreams *load_upstreams_new (struct owner *owner, guint first,
-                                           guint n, gdouble lost_share,
-                                           GRand *rand, gint64 now_us);
+                                           guint n, GRand *rand,
+                                           gint64 now_us);
+
+/* From now on SHARE of the orders get no answer, and are not carried out.  */
+void load_upstreams_set_lost_share (struct load_upstreams *upstreams,
+                                    gdouble share);
+
 void load_upstreams_free (struct load_upstreams *upstreams);
 
 /* The upstream with this number is gone.  Ignores those of other owners.  */
--- a/t/t2130-spread.c
+++ b/t/t2130-spread.c
@@ -15,7 +15,9 @@
 assign (struct spread_owner *owners, guint n_owners, guint n_tasks,
         guint64 seed)
 {
-  struct spread_tasks tasks = { .n = n_tasks, .run_ms = 100, .priority = 1 };
+  struct spread_tasks tasks = {
+    .n = n_tasks, .run_ms = 100, .priority = 1, .max_offers = SPREAD_OFFERS_MAX
+  };
 
   return spread_assign (owners, n_owners, &tasks, seed);
 }
@@ -259,8 +261,12 @@
 test_priorities (void)
 {
   struct spread_owner owners[N_OWNERS];
-  struct spread_tasks urgent = { .n = 6, .run_ms = 100, .priority = 0 };
-  struct spread_tasks usual = { .n = 6, .run_ms = 100, .priority = 1 };
+  struct spread_tasks urgent = {
+    .n = 6, .run_ms = 100, .priority = 0, .max_offers = SPREAD_OFFERS_MAX
+  };
+  struct spread_tasks usual = {
+    .n = 6, .run_ms = 100, .priority = 1, .max_offers = SPREAD_OFFERS_MAX
+  };
 
   fill (owners, 10, 0);
   for (guint i = 0; i < N_OWNERS; i++)
@@ -295,7 +301,10 @@
 test_offer_only (void)
 {
   struct spread_owner owners[N_OWNERS];
-  struct spread_tasks tasks = { .n = 2, .run_ms = 100, .is_offer_only = TRUE };
+  struct spread_tasks tasks = { .n = 2,
+                                .run_ms = 100,
+                                .is_offer_only = TRUE,
+                                .max_offers = SPREAD_OFFERS_MAX };
 
   fill (owners, 4, 4);
   g_assert_cmpuint (spread_assign (owners, N_OWNERS, &tasks, 1).n_tasks, ==,
--- a/t/t2141-load.c
+++ b/t/t2141-load.c
@@ -23,7 +23,7 @@
   .n_owners = N_OWNERS,
   .n_upstreams = N_UPSTREAMS,
   .max_offers = N_OFFERS,
-  .wait_tolerance = 1.4,
+  .spread_percent = 40,
   .message_ms = 1,
   .kinds = { [WIDE] = { 8, 60, 40, 0, 0.029 },
              [LONG] = { 4, 900, 7, 2, 0.16 },
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -13,10 +13,6 @@
    objective.  */
 #define LATE_FACTOR 3
 
-/* Estimates are rough: a job that has not begun is turned away only if the
-   expected wait exceeds the time until it has to start by this factor.  */
-#define WAIT_TOLERANCE 1.4
-
 /* The most times that tasks of a job are assigned to owners, the first time
    included.  Further assignments follow when owners return tasks.  */
 #define MAX_ASSIGNMENTS 24
@@ -609,8 +605,7 @@
 
   if (may_have_started (job) || job->start_by_us <= now_us)
     return (job->end_by_us - now_us) / USEC_PER_MSEC;
-  return (gint64)((gdouble)(job->start_by_us - now_us) * WAIT_TOLERANCE)
-         / USEC_PER_MSEC;
+  return (job->start_by_us - now_us) / USEC_PER_MSEC;
 }
 
 /* A new part of JOB at OWNER, without tasks.  */
@@ -788,6 +783,7 @@
     .run_ms = (guint)(s->estimate_us / USEC_PER_MSEC),
     .priority = s->priority,
     .is_offer_only = job->n_assignments > 0,
+    .max_offers = SPREAD_OFFERS_MAX,
   };
   gint64 longest_ms = get_longest_wait_ms (job);
   struct spread_offer offer;
