transport: a call or reply of a VM shows that it is alive

Cause: a VM counted as lost after 600 ms without beacons, which are datagrams and get lost on full links, four of them in a row at 97 VMs. Its running work was then given up, while calls still went to and fro. Change: calls and replies of a live VM count as news of it. t2120 /vm-directory/heard-by-call fails without it.

--- a/coordination/vm_directory.c
+++ b/coordination/vm_directory.c
@@ -156,6 +156,16 @@
   return vm;
 }
 
+void
+vm_directory_note_message (struct vm_directory *directory, const char *name,
+                           gint64 now_us)
+{
+  struct vm *vm = find_vm (directory, name);
+
+  if (vm != NULL && vm->is_live)
+    vm->heard_us = MAX (vm->heard_us, now_us);
+}
+
 void
 vm_directory_reserve_room (struct vm_directory *directory, const char *name,
                            guint64 service_hash, guint n_tasks, gdouble cpus,
--- a/coordination/vm_directory.h
+++ b/coordination/vm_directory.h
@@ -96,6 +96,11 @@
                                              const struct vm_beacon *beacon,
                                              gint64 now_us);
 
+/* A call or a reply of the VM NAME was received: it is alive, even if its
+   beacons are lost.  Ignored unless it is live.  */
+void vm_directory_note_message (struct vm_directory *directory,
+                                const char *name, gint64 now_us);
+
 /* The VM of that name, or NULL.  */
 const struct vm *vm_directory_find (const struct vm_directory *directory,
                                     const char *name);
--- a/t/t2120-vm-directory.c
+++ b/t/t2120-vm-directory.c
@@ -338,6 +338,29 @@
   g_assert_cmpint (vm_room_estimate_wait_ms (&room, 5, 0, 1000), ==, 500);
 }
 
+/* Beacons are lost while calls still arrive: the VM is alive, and its work is
+   not given up.  One that was lost before stays so until a beacon comes.  */
+static void
+test_heard_by_call (void)
+{
+  struct bed *bed = bed_new ();
+
+  hear (bed, 10, 1);
+  for (guint i = 0; i < 5; i++)
+    {
+      pass (bed, VM_LOST_AFTER_US / 2);
+      vm_directory_note_message (bed->directory, PEER, bed->now_us);
+      vm_directory_note_message (bed->directory, "entry-9", bed->now_us);
+    }
+  g_assert_true (find (bed)->is_live);
+  pass (bed, VM_LOST_AFTER_US + 1);
+  g_assert_false (find (bed)->is_live);
+  vm_directory_note_message (bed->directory, PEER, bed->now_us);
+  g_assert_false (find (bed)->is_live);
+  g_assert_cmpuint (bed->n_lost, ==, 1);
+  bed_free (bed);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -354,5 +377,6 @@
   g_test_add_func ("/vm-directory/introduced", test_introduced);
   g_test_add_func ("/vm-directory/full", test_full);
   g_test_add_func ("/vm-directory/wait", test_wait);
+  g_test_add_func ("/vm-directory/heard-by-call", test_heard_by_call);
   return g_test_run ();
 }
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -474,6 +474,9 @@
   const peer_batch_result *reply = result;
   struct fleet_part *part = data;
 
+  if (reply != NULL)
+    vm_directory_note_message (part->job->home->directory, part->owner,
+                               clock_now_us ());
   if (reply != NULL && reply->has_started)
     part->job->has_started = TRUE;
   if (part->is_open && reply != NULL)
@@ -985,6 +988,8 @@
   struct fleet_part *part = NULL;
   peer_return_result result;
 
+  vm_directory_note_message (
+      home->directory, peer_request_get_sender (request), clock_now_us ());
   if (job != NULL && args->incarnation == home->incarnation)
     part = fleet_job_find_part (job, args->number);
   result.is_known = part != NULL;
@@ -1007,6 +1012,8 @@
                                .is_exhausted = TRUE,
                                .spec = (char *)"" };
 
+  vm_directory_note_message (
+      home->directory, peer_request_get_sender (request), clock_now_us ());
   if (job != NULL && args->incarnation == home->incarnation)
     part = fleet_job_find_part (job, args->number);
   if (part != NULL
--- a/transport/fleet_owner.c
+++ b/transport/fleet_owner.c
@@ -29,7 +29,7 @@
   struct owner_driver driver;
   struct owner *owner;
   struct fleet_platform *platform;
-  const struct vm_directory *directory;
+  struct vm_directory *directory;
   struct peer_hub *hub;
   struct fleet_owner_listener *listener;
   GHashTable *remote_batches; /* "HOME/JOB/NUMBER" -> struct remote_batch */
@@ -426,7 +426,7 @@
 struct fleet_owner *
 fleet_owner_new (const struct owner_limits *limits,
                  struct fleet_platform *platform,
-                 const struct vm_directory *directory,
+                 struct vm_directory *directory,
                  struct fleet_owner_listener *listener)
 {
   struct fleet_owner *owner = g_new0 (struct fleet_owner, 1);
@@ -558,7 +558,10 @@
   gint64 now_us = clock_now_us ();
 
   if (remote != NULL && reply != NULL)
-    set_spec (remote->batch, reply->spec);
+    {
+      vm_directory_note_message (claim->owner->directory, remote->vm, now_us);
+      set_spec (remote->batch, reply->spec);
+    }
   if (remote != NULL && remote->batch->is_claiming && reply != NULL)
     owner_claim_ended (claim->owner->owner, remote->batch,
                        reply->granted.granted_val, reply->granted.granted_len,
@@ -669,6 +672,7 @@
   g_autofree char *home = fleet_format_home (vm, args->incarnation);
   struct remote_batch *remote;
 
+  vm_directory_note_message (owner->directory, vm, clock_now_us ());
   if (!is_home_live (owner, vm, args->incarnation)
       || args->indexes.indexes_len == 0)
     {
@@ -704,6 +708,8 @@
       = g_hash_table_lookup (owner->remote_batches, key);
   peer_stop_result result = { .is_known = remote != NULL };
 
+  vm_directory_note_message (
+      owner->directory, peer_request_get_sender (request), clock_now_us ());
   if (remote != NULL)
     owner_stop_batch (owner->owner, remote->batch, "its home has stopped it",
                       clock_now_us ());
--- a/transport/fleet_owner.h
+++ b/transport/fleet_owner.h
@@ -57,7 +57,7 @@
    owner.  */
 struct fleet_owner *fleet_owner_new (const struct owner_limits *limits,
                                      struct fleet_platform *platform,
-                                     const struct vm_directory *directory,
+                                     struct vm_directory *directory,
                                      struct fleet_owner_listener *listener);
 void fleet_owner_free (struct fleet_owner *owner);
 
