coordination: judge refusals by what the order carried

Two starts were sent to an instance that had gone; the answer to the first told of the restart, the new instance was polled and given runs, and the answer to the second, older one dropped these as if it told of another restart. Their tasks were started again elsewhere. Change: a refusal that is older than what the owner knows, of a token or of an instance, tells only that the order had no effect.

--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -448,13 +448,6 @@
   ORDER_UNANSWERED,     /* no answer; may be carried out now or later */
 };
 
-/* The outcome of an order, a start if IS_START, that was sent to UPSTREAM with
-   TOKEN and refused as fenced.  If this owner has taken the upstream again
-   since, with a higher token, that one was in force: the order had no effect,
-   and the upstream is not lost.  */
-enum order_end owner_judge_fence (const struct owned_upstream *upstream,
-                                  guint64 token, gboolean is_start);
-
 /* Reports the outcome END of start_run () for the run NUMBER of the task NAME
    on UPSTREAM.  CLOCK_MS is the upstream's clock, 0 when the answer did not
    carry it.  */
--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -358,16 +358,6 @@
     }
 }
 
-enum order_end
-owner_judge_fence (const struct owned_upstream *upstream, guint64 token,
-                   gboolean is_start)
-{
-  if (token >= upstream->token)
-    return ORDER_FENCED;
-  /* A stop that counted as rejected would be taken for acknowledged.  */
-  return is_start ? ORDER_REJECTED : ORDER_UNANSWERED;
-}
-
 /* Handles what the answers to all orders have in common.  Returns FALSE when
    UPSTREAM is no longer owned.  */
 static gboolean
--- a/t/support/fleet_orders.c
+++ b/t/support/fleet_orders.c
@@ -12,7 +12,7 @@
   order->owned = owned_ref (owned);
   order->poll = owned->n_polls;
   order->token = owned->token;
-  order->known_ms = owned->instance_start_ms;
+  order->sent = order_credentials_get (owned);
   order->running = g_array_new (FALSE, FALSE, sizeof (struct listed_run));
   order->ended = g_array_new (FALSE, FALSE, sizeof (struct listed_end));
   return order;
@@ -133,9 +133,8 @@
   gint64 clock_ms
       = end == ORDER_UNANSWERED || end == ORDER_NOT_SENT ? 0 : order->clock_ms;
 
-  if (end == ORDER_FENCED)
-    end = owner_judge_fence (order->owned, order->token,
-                             order->kind == SIM_START);
+  end = order_judge_refusal (order->owned, &order->sent,
+                             order->kind == SIM_START, end);
   order->is_told = TRUE;
   if (to->life != order->owner_life)
     return;
--- a/t/support/fleet_upstream.c
+++ b/t/support/fleet_upstream.c
@@ -376,7 +376,8 @@
 {
   /* A start goes only over a connection that has carried an answer of the
      instance that the owner knows; see platform/orders.c.  */
-  if (order->kind == SIM_START && order->known_ms != upstream->born_ms)
+  if (order->kind == SIM_START
+      && order->sent.instance_start_ms != upstream->born_ms)
     order->end = ORDER_OTHER_INSTANCE;
   else if (upstream->is_unhealthy && order->kind == SIM_START)
     order->end = ORDER_UNHEALTHY;
--- a/t/support/fleet_world_private.h
+++ b/t/support/fleet_world_private.h
@@ -5,7 +5,7 @@
 #define T_SUPPORT_FLEET_WORLD_PRIVATE_H
 
 #include "base/clock.h"
-#include "coordination/owner.h"
+#include "coordination/order_refusal.h"
 #include "t/support/fleet_world.h"
 
 #define FLEET_UPSTREAMS 6
@@ -108,8 +108,8 @@
   guint owner_life;
   struct owned_upstream *owned; /* referenced */
   guint slot;
-  gint64 life_us;  /* of the upstream, when it was sent */
-  gint64 known_ms; /* start of the instance that the owner knew then */
+  gint64 life_us; /* of the upstream, when it was sent */
+  struct order_credentials sent;
   char *name;
   guint number;
   struct shape need;
--- a/t/t5012-orders.c
+++ b/t/t5012-orders.c
@@ -610,6 +610,25 @@
   close_bed ();
 }
 
+/* An order that is refused as meant for an instance of which this VM has
+   learned since that it is gone: nothing of the present one is to be
+   dropped.  */
+static void
+test_known_restart (void)
+{
+  open_bed ();
+  bed->status = 421;
+  bed->answer = "";
+  start ();
+  bed->upstream.instance_start_ms = 1800;
+  wait_told (1);
+  g_assert_cmpint (bed->end, ==, ORDER_REJECTED);
+  start ();
+  wait_told (2);
+  g_assert_cmpint (bed->end, ==, ORDER_OTHER_INSTANCE);
+  close_bed ();
+}
+
 /* A check without a good answer: nothing was sent that could have run.  */
 static void
 test_failed_check (void)
@@ -664,6 +683,7 @@
   g_test_add_func ("/orders/checked-instance", test_checked_instance);
   g_test_add_func ("/orders/restarted-instance", test_restarted_instance);
   g_test_add_func ("/orders/own-fence", test_own_fence);
+  g_test_add_func ("/orders/known-restart", test_known_restart);
   g_test_add_func ("/orders/failed-check", test_failed_check);
   return g_test_run ();
 }
