--- a/t/t9600-fleet.c
+++ b/t/t9600-fleet.c
@@ -147,6 +147,24 @@
   fleet_bed_stop (bed);
 }
 
+/* A VM that is leaving serves what still comes to it: the load balancer needs
+   two checks of its readiness, a second apart, to send callers elsewhere.  */
+static void
+test_served_while_leaving (void)
+{
+  struct fleet_bed *bed = fleet_bed_start (N_VMS);
+  guint leaver = fleet_bed_find_owner (bed);
+  gint64 until_us = g_get_monotonic_time ()
+                    + FLEET_BED_GRACE_S * G_USEC_PER_SEC * 37 / 100;
+
+  process_signal (bed->vms[leaver], SIGTERM);
+  while (g_get_monotonic_time () < until_us)
+    g_assert_true (fleet_bed_run (bed, leaver, 4, 20));
+  g_assert_cmpint (process_wait_exit (bed->vms[leaver]), ==, 0);
+  fleet_bed_kill_vm (bed, leaver);
+  fleet_bed_stop (bed);
+}
+
 #define JOB_PATH "0123456789abcdef"
 
 /* Sends BODY to PATH; the answer has STATUS and holds TEXT.  Returns whether
@@ -289,6 +307,7 @@
   g_test_add_func ("/fleet/overload", test_overload);
   g_test_add_func ("/fleet/killed", test_killed);
   g_test_add_func ("/fleet/stopped", test_stopped);
+  g_test_add_func ("/fleet/served-while-leaving", test_served_while_leaving);
   g_test_add_func ("/fleet/refusals", test_refusals);
   g_test_add_func ("/fleet/caller-leaves", test_caller_leaves);
   g_test_add_func ("/fleet/store-down", test_store_down);
--- a/transport/fleet.c
+++ b/transport/fleet.c
@@ -15,12 +15,16 @@
    drain is checked.  */
 #define TICK_MS 50
 
-/* Fractions of the grace period of a drain.  Jobs on open connections are
-   accepted until DRAIN_ACCEPT_FRACTION of it has passed.  All remaining jobs
-   are answered when DRAIN_ANSWER_FRACTION of it has passed.  */
-#define DRAIN_ACCEPT_FRACTION 0.3
+/* Fractions of the grace period of a drain.  The VM stays at least until
+   DRAIN_STAY_FRACTION of it has passed: the load balancer goes on sending new
+   connections for a while.  All remaining jobs are answered when
+   DRAIN_ANSWER_FRACTION of it has passed.  */
+#define DRAIN_STAY_FRACTION 0.4
 #define DRAIN_ANSWER_FRACTION 0.9
 
+/* A job may take this many times its objective.  */
+#define LATE_FACTOR 3
+
 /* A drain takes at least this long, so that the platform and the load balancer
    notice it.  */
 #define MIN_DRAIN_US (1500 * USEC_PER_MSEC)
@@ -68,7 +72,7 @@
   gboolean is_draining;
   gint64 drain_began_us;
   gint64 drain_deadline_us; /* remaining jobs are answered at this time */
-  gint64 accept_until_us;   /* in a drain, no job is accepted from then on */
+  gint64 stay_until_us;     /* in a drain, any job is accepted until then */
   gint64 last_tick_us;
   guint tick_source;
 };
@@ -117,9 +121,18 @@
 }
 
 gboolean
-fleet_is_accepting_jobs (const struct fleet *fleet)
+fleet_is_draining (const struct fleet *fleet)
 {
-  return !fleet->is_draining || clock_now_us () < fleet->accept_until_us;
+  return fleet->is_draining;
+}
+
+gboolean
+fleet_is_accepting_job (const struct fleet *fleet, gint64 objective_us)
+{
+  gint64 now_us = clock_now_us ();
+
+  return !fleet->is_draining || now_us < fleet->stay_until_us
+         || now_us + objective_us * LATE_FACTOR < fleet->drain_deadline_us;
 }
 
 /* Passes the list of all known VMs to the hub.  */
@@ -422,7 +435,7 @@
   if (now_us >= fleet->drain_deadline_us)
     return TRUE;
   return now_us - fleet->drain_began_us >= MIN_DRAIN_US
-         && now_us >= fleet->accept_until_us
+         && now_us >= fleet->stay_until_us
          && fleet_home_count_jobs (fleet->home) == 0
          && fleet_owner_count_batches (fleet->owner) == 0
          && fleet_shards_get_held (fleet->shards) == 0;
@@ -471,8 +484,8 @@
                     FIELD_INT ("jobs", fleet_home_count_jobs (fleet->home)));
   fleet->is_draining = TRUE;
   fleet->drain_began_us = now_us;
-  fleet->accept_until_us
-      = now_us + (gint64)((gdouble)grace_us * DRAIN_ACCEPT_FRACTION);
+  fleet->stay_until_us
+      = now_us + (gint64)((gdouble)grace_us * DRAIN_STAY_FRACTION);
   fleet->drain_deadline_us
       = now_us + (gint64)((gdouble)grace_us * DRAIN_ANSWER_FRACTION);
   fleet->platform->ops->leave (fleet->platform);
--- a/transport/fleet.h
+++ b/transport/fleet.h
@@ -37,9 +37,13 @@
    a live owner has a slot for at least one service.  */
 gboolean fleet_is_ready (struct fleet *fleet);
 
-/* Whether new jobs are accepted: always, except in the last part of a
-   drain.  */
-gboolean fleet_is_accepting_jobs (const struct fleet *fleet);
+/* Whether this VM stops soon: callers should use other connections.  */
+gboolean fleet_is_draining (const struct fleet *fleet);
+
+/* Whether a new job that is to be answered within OBJECTIVE_US is accepted:
+   always, unless a drain may end before the job does.  */
+gboolean fleet_is_accepting_job (const struct fleet *fleet,
+                                 gint64 objective_us);
 
 /* The state of the process as JSON, for a dump.  The caller owns the
    reference.  */
