--- a/t/t3004-peer-codec.c
+++ b/t/t3004-peer-codec.c
@@ -105,12 +105,27 @@
                          &credential, &arguments);
 }
 
+/* A claim of offered tasks, as a record.  */
+static GBytes *
+build_claim (struct peer_mac *mac)
+{
+  peer_claim_args arguments = { .incarnation = 7,
+                                .job = (char *)"0123456789abcdef",
+                                .number = 3,
+                                .n_tasks = 8 };
+  peer_credential credential
+      = { (char *)"entry-1", (char *)"entry-2", 1, 2, (guint64)NOW_MS };
+
+  return rpc_build_call (mac, 5, rpc_procedure_find (PEER_CLAIM_TASKS),
+                         &credential, &arguments);
+}
+
+/* Calls made from RECORD with some bytes changed or missing are read or
+   refused.  */
 static void
-test_calls (void)
+check_bent_calls (struct peer_mac *mac, GBytes *record)
 {
-  struct peer_mac *mac = no_keys ();
   GRand *random = g_rand_new_with_seed (12);
-  g_autoptr (GBytes) record = build_call (mac);
   gsize length = g_bytes_get_size (record) - RPC_MARK_LENGTH;
   const guint8 *good
       = (const guint8 *)g_bytes_get_data (record, NULL) + RPC_MARK_LENGTH;
@@ -131,26 +146,27 @@
   for (guint i = 0; i < G_N_ELEMENTS (ends); i++)
     g_assert_cmpuint (ends[i], >, 0);
   g_rand_free (random);
+}
+
+static void
+test_calls (void)
+{
+  struct peer_mac *mac = no_keys ();
+  g_autoptr (GBytes) record = build_call (mac);
+  g_autoptr (GBytes) claim = build_claim (mac);
+
+  check_bent_calls (mac, record);
+  check_bent_calls (mac, claim);
   peer_mac_free (mac);
 }
 
+/* The same for the reply RESULT of PROCEDURE.  */
 static void
-test_replies (void)
+check_bent_replies (const struct rpc_procedure *procedure, const void *result)
 {
   struct peer_mac *mac = no_keys ();
   GRand *random = g_rand_new_with_seed (13);
-  const struct rpc_procedure *procedure
-      = rpc_procedure_find (PEER_FETCH_DOCUMENTS);
-  peer_document document = { .team = (char *)"hjolavinir",
-                             .document_version = 7,
-                             .base = 6,
-                             .edit = (char *)"edit-7",
-                             .author = (char *)"ops",
-                             .text = { 2, (char *)"{}" } };
-  peer_fetch_result result = { .next_offset = 9,
-                               .is_complete = TRUE,
-                               .documents = { 1, &document } };
-  g_autoptr (GBytes) record = rpc_build_reply (mac, 5, procedure, &result);
+  g_autoptr (GBytes) record = rpc_build_reply (mac, 5, procedure, result);
   gsize length = g_bytes_get_size (record) - RPC_MARK_LENGTH;
   const guint8 *good
       = (const guint8 *)g_bytes_get_data (record, NULL) + RPC_MARK_LENGTH;
@@ -174,6 +190,27 @@
   peer_mac_free (mac);
 }
 
+static void
+test_replies (void)
+{
+  peer_document document = { .team = (char *)"hjolavinir",
+                             .document_version = 7,
+                             .base = 6,
+                             .edit = (char *)"edit-7",
+                             .author = (char *)"ops",
+                             .text = { 2, (char *)"{}" } };
+  peer_fetch_result result = { .next_offset = 9,
+                               .is_complete = TRUE,
+                               .documents = { 1, &document } };
+  guint granted[] = { 4, 0, 129 };
+  peer_claim_result grant = { .granted = { 3, granted },
+                              .is_exhausted = TRUE,
+                              .spec = (char *)"spec" };
+
+  check_bent_replies (rpc_procedure_find (PEER_FETCH_DOCUMENTS), &result);
+  check_bent_replies (rpc_procedure_find (PEER_CLAIM_TASKS), &grant);
+}
+
 int
 main (int argc, char **argv)
 {
--- a/transport/fleet.c
+++ b/transport/fleet.c
@@ -22,9 +22,6 @@
 #define DRAIN_STAY_FRACTION 0.4
 #define DRAIN_ANSWER_FRACTION 0.9
 
-/* A job may take this many times its objective.  */
-#define LATE_FACTOR 3
-
 /* A drain takes at least this long, so that the platform and the load balancer
    notice it.  */
 #define MIN_DRAIN_US (1500 * USEC_PER_MSEC)
@@ -132,7 +129,8 @@
   gint64 now_us = clock_now_us ();
 
   return !fleet->is_draining || now_us < fleet->stay_until_us
-         || now_us + objective_us * LATE_FACTOR < fleet->drain_deadline_us;
+         || now_us + objective_us * FLEET_LATE_FACTOR
+                < fleet->drain_deadline_us;
 }
 
 /* Passes the list of all known VMs to the hub.  */
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -9,10 +9,6 @@
 
 #include <string.h>
 
-/* A job that misses its objective is still useful until this many times the
-   objective.  */
-#define LATE_FACTOR 3
-
 /* The most times that tasks of a job are assigned to owners, the first time
    included.  Further assignments follow when owners return tasks.  */
 #define MAX_ASSIGNMENTS 24
@@ -595,7 +591,7 @@
   };
 
   peer_hub_call (job->home->hub, part->owner, PEER_RUN_BATCH, &args,
-                 job->end_by_us + s->estimate_us * LATE_FACTOR
+                 job->end_by_us + s->estimate_us * FLEET_LATE_FACTOR
                      + CALL_MARGIN_US,
                  on_remote_ended, part);
 }
@@ -826,7 +822,8 @@
                      + (s->caller_timeout_us > 0 ? s->caller_timeout_us
                                                  : DEFAULT_CALLER_TIMEOUT_US);
   job->start_by_us = now_us + s->objective_us - s->estimate_us;
-  job->end_by_us = now_us + s->objective_us * LATE_FACTOR - s->estimate_us;
+  job->end_by_us
+      = now_us + s->objective_us * FLEET_LATE_FACTOR - s->estimate_us;
   if (s->caller_timeout_us > 0)
     job->end_by_us = MIN (job->end_by_us,
                           now_us + s->caller_timeout_us - s->estimate_us / 2);
--- a/transport/fleet_home.h
+++ b/transport/fleet_home.h
@@ -17,6 +17,10 @@
 
 #include <glib.h>
 
+/* A job that misses its objective is still useful until this many times the
+   objective.  */
+#define FLEET_LATE_FACTOR 3
+
 struct fleet_home;
 struct fleet_job;
 
