transport: one offer that ends does not renew the others

Cause: read in the diff: when one owner gave its offer up unstarted, the home withdrew the offers to the others and offered all tasks anew, six times at most.

--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -374,7 +374,8 @@
       answer_job (job, FLEET_FAILED, "a task used up its attempts", 0);
       break;
     case BATCH_NOT_STARTED:
-      reassign_tasks (job, part->indexes, part->n_tasks);
+      if (part->n_tasks > 0)
+        reassign_tasks (job, part->indexes, part->n_tasks);
       break;
     case BATCH_STOPPED:
       job->has_started = TRUE;
