transport: how parts reach their owners is a file of its own

Read as a newcomer. fleet_part.c sends and stops parts, fleet_home_rooms.c lists the owners with slots; fleet_home.c keeps the decisions.

coordination: the longest wait of a batch is gone. Since offers replaced the queue at one owner it was "none" or "no limit"; a batch says instead whether it needs free slots. t2111 /owner/full-queue stated that a wait of one second is within two and over a tenth of a second: nobody sets such limits any more. It states now that a task is started on a free slot, returned if it needs one and finds none, and queued otherwise.

platform: a check before a command acknowledges no ended runs. It goes to an instance that may have restarted and numbers its ends anew; it would have forgotten those up to the former instance's count.

t: the rates of expected ends in beacons (t3010, t3011) and rooms (t2120), and that an offered task has a wait (t2130 /spread/sampled, as /spread/compared demanded of a queued one).

--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -228,11 +228,11 @@
   gint64 first_started_us; /* 0 before the first start */
   gboolean is_settled;     /* its queued tasks stay here unless no upstream can
                               take them */
-  gint64 max_wait_us; /* tasks that are expected to wait longer are given back
-                         on arrival; DEADLINE_NEVER for no limit */
-  gboolean is_part;   /* other tasks of the job may have been started */
-  gboolean is_late;   /* start_by_us passed before any task of the job could
-                         start: queued behind the others */
+  gboolean needs_free_slots; /* tasks that find none on arrival are given
+                                back at once */
+  gboolean is_part;          /* other tasks of the job may have been started */
+  gboolean is_late; /* start_by_us passed before any task of the job could
+                       start: queued behind the others */
   guint n_tasks;
   guint n_offers;  /* owners that the tasks are offered to; 0: no offer */
   guint n_offered; /* tasks that are not granted */
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -1,5 +1,4 @@
 #include "coordination/owner_private.h"
-#include "coordination/vm_room.h"
 
 #include <string.h>
 
@@ -32,7 +31,6 @@
   batch->attempts = 1;
   batch->far_factor = 1;
   batch->end_by_us = DEADLINE_NEVER;
-  batch->max_wait_us = DEADLINE_NEVER;
   batch->n_tasks = n_tasks;
   batch->n_queued = n_tasks;
   batch->tasks = g_new0 (struct batch_task, n_tasks);
@@ -211,30 +209,6 @@
   return n;
 }
 
-/* How long the last queued task of BATCH is expected to wait.  */
-static gint64
-estimate_wait_us (struct owner *owner, const struct batch *batch,
-                  gint64 now_us)
-{
-  guint n_ahead = batch_count_waiting (batch);
-  struct owner_room own;
-  struct vm_room room;
-  const struct list_node *node;
-
-  for (node = owner->queue.next; node != &batch->link; node = node->next)
-    {
-      const struct batch *other = list_entry (node, struct batch, link);
-
-      if (g_str_equal (other->service, batch->service))
-        n_ahead += batch_count_waiting (other);
-    }
-  owner_get_room (owner, batch->service, &own, now_us);
-  vm_room_init (&room, batch->service, &own);
-  return vm_room_estimate_wait_ms (&room, n_ahead, batch->priority,
-                                   (guint)(batch->estimate_us / USEC_PER_MSEC))
-         * USEC_PER_MSEC;
-}
-
 void
 owner_submit_batch (struct owner *owner, struct batch *batch, gint64 now_us)
 {
@@ -244,8 +218,7 @@
   batch->queued_us = now_us;
   owner_relink_batch (owner, batch);
   owner_start_queued (owner, now_us);
-  if (batch->n_queued > 0 && batch->max_wait_us != DEADLINE_NEVER
-      && estimate_wait_us (owner, batch, now_us) > batch->max_wait_us)
+  if (batch->n_queued > 0 && batch->needs_free_slots)
     owner_return_tasks (owner, batch, batch->n_queued, FALSE);
   owner_advance (owner, now_us);
 }
--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -174,16 +174,6 @@
 guint owner_return_tasks (struct owner *owner, struct batch *batch,
                           guint n_tasks, gboolean with_offered);
 
-/* owner_claims.c: offers.  */
-
-/* Claims as many offered tasks of BATCH as fit now, unless a claim is under
-   way.  */
-void owner_claim_slots (struct owner *owner, struct batch *batch,
-                        gint64 now_us);
-
-/* Frees the slots that are kept for a claim of BATCH.  */
-void owner_release_holds (struct batch *batch);
-
 /* Starts the queued tasks that fit, in the order of the queue.  */
 void owner_start_queued (struct owner *owner, gint64 now_us);
 
@@ -196,4 +186,14 @@
 void owner_finish_release (struct owner *owner,
                            struct owned_upstream *upstream);
 
+/* owner_claims.c: offers.  */
+
+/* Claims as many offered tasks of BATCH as fit now, unless a claim is under
+   way.  */
+void owner_claim_slots (struct owner *owner, struct batch *batch,
+                        gint64 now_us);
+
+/* Frees the slots that are kept for a claim of BATCH.  */
+void owner_release_holds (struct batch *batch);
+
 #endif
--- a/coordination/spread.c
+++ b/coordination/spread.c
@@ -2,8 +2,9 @@
 
 #include "base/hash64.h"
 
-/* Of more owners than this, tasks are offered to the best of a random sample
-   of this size: homes that know the same rooms choose differently.  */
+/* Tasks are offered to the best of a random sample of owners that is this many
+   times as large as the number of offers: homes that know the same rooms
+   choose differently.  */
 #define SAMPLE_FACTOR 2
 
 /* Returns the next pseudo-random number and stores it in *SEED.  */
--- a/protocol/peer.x
+++ b/protocol/peer.x
@@ -110,8 +110,8 @@
   bool is_settled;   /* queued tasks are not returned to the home, unless no
                         upstream can take them */
   bool is_part;      /* other tasks of the job may have been started */
-  hyper max_wait_us; /* tasks that are expected to wait longer are returned to
-                        the home on arrival; negative for no limit */
+  bool needs_free_slots; /* tasks that find none on arrival are returned to
+                            the home at once */
   hyper start_in_us; /* time left to start in order to meet the objective */
   hyper end_in_us;   /* time left until the batch is dropped if no task of it
                         was started */
--- a/protocol/peer_xdr.c
+++ b/protocol/peer_xdr.c
@@ -175,7 +175,7 @@
 		}
 		 if (!xdr_quad_t (xdrs, &objp->estimate_us))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->far_permille))
 				 return FALSE;
@@ -189,6 +189,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->is_part))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->needs_free_slots))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->far_permille);
@@ -197,9 +199,8 @@
 		IXDR_PUT_U_LONG(buf, objp->attempts);
 		IXDR_PUT_BOOL(buf, objp->is_settled);
 		IXDR_PUT_BOOL(buf, objp->is_part);
+		IXDR_PUT_BOOL(buf, objp->needs_free_slots);
 		}
-		 if (!xdr_quad_t (xdrs, &objp->max_wait_us))
-			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->start_in_us))
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->end_in_us))
@@ -244,7 +245,7 @@
 		}
 		 if (!xdr_quad_t (xdrs, &objp->estimate_us))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->far_permille))
 				 return FALSE;
@@ -258,6 +259,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->is_part))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->needs_free_slots))
+				 return FALSE;
 
 		} else {
 		objp->far_permille = IXDR_GET_U_LONG(buf);
@@ -266,9 +269,8 @@
 		objp->attempts = IXDR_GET_U_LONG(buf);
 		objp->is_settled = IXDR_GET_BOOL(buf);
 		objp->is_part = IXDR_GET_BOOL(buf);
+		objp->needs_free_slots = IXDR_GET_BOOL(buf);
 		}
-		 if (!xdr_quad_t (xdrs, &objp->max_wait_us))
-			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->start_in_us))
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->end_in_us))
@@ -317,7 +319,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_part))
 		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->max_wait_us))
+	 if (!xdr_bool (xdrs, &objp->needs_free_slots))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->start_in_us))
 		 return FALSE;
--- a/protocol/peer_xdr.h
+++ b/protocol/peer_xdr.h
@@ -134,7 +134,7 @@
 	u_int attempts;
 	bool_t is_settled;
 	bool_t is_part;
-	quad_t max_wait_us;
+	bool_t needs_free_slots;
 	quad_t start_in_us;
 	quad_t end_in_us;
 	u_int n_offers;
--- a/t/support/load_model.c
+++ b/t/support/load_model.c
@@ -596,7 +596,7 @@
   batch->start_by_us = job->start_by_us;
   batch->end_by_us = job->end_by_us;
   batch->is_part = part->offered.n < kind->n_tasks;
-  batch->max_wait_us = part->n_offers > 0 ? DEADLINE_NEVER : 0;
+  batch->needs_free_slots = part->n_offers == 0;
   if (part->n_offers > 0)
     batch_set_offered (batch, part->n_offers);
   batch->user_data = part;
--- a/t/t2111-owner-single.c
+++ b/t/t2111-owner-single.c
@@ -510,25 +510,28 @@
   finish (&bed, owner);
 }
 
-/* A burst: an owner whose queue is too long for a batch returns it on arrival,
-   so that its home can try others.  */
+/* A burst: an owner without a free slot returns on arrival what was given to
+   it for one, so that its home can try others.  What may wait is queued, and
+   what finds a slot is started.  */
 static void
 test_full_queue (void)
 {
   struct single_bed bed = { .driver.ops = &ops };
   struct owner *owner = owner_new (&bed.driver, &limits);
+  struct batch *first = make_wide (0, USEC_PER_SEC);
   struct batch *patient = make_wide (1, USEC_PER_SEC);
   struct batch *hasty = make_wide (2, USEC_PER_SEC);
 
   take (owner);
-  owner_submit_batch (owner, make_wide (0, USEC_PER_SEC), START_US);
-  /* One slot, a second a task.  */
-  patient->max_wait_us = 2 * USEC_PER_SEC;
+  first->needs_free_slots = TRUE;
+  owner_submit_batch (owner, first, START_US);
+  g_assert_nonnull (bed.started_on);
   owner_submit_batch (owner, patient, START_US);
   g_assert_cmpuint (bed.n_returned, ==, 0);
-  hasty->max_wait_us = 100 * USEC_PER_MSEC;
+  hasty->needs_free_slots = TRUE;
   owner_submit_batch (owner, hasty, START_US);
   g_assert_cmpuint (bed.n_returned, ==, 1);
+  g_assert_true (owner_get_first_queued (owner) == patient);
   finish (&bed, owner);
 }
 
--- a/t/t2120-vm-directory.c
+++ b/t/t2120-vm-directory.c
@@ -309,7 +309,8 @@
 {
   struct owner_room own = { .n_slots = 3,
                             .n_queued = { 1, 2, 3, 4 },
-                            .starts_per_s = { 0.4, 0.6, 10, 0 } };
+                            .starts_per_s = { 0.4, 0.6, 10, 0 },
+                            .ends_per_s = 11.6 };
   struct vm_room room;
 
   free_slots_init (&own.free_slots, 2);
@@ -322,6 +323,7 @@
   g_assert_cmpuint (vm_room_count_ahead (&room, 99), ==, 10);
   g_assert_cmpuint (room.starts_per_s[0], ==, 0);
   g_assert_cmpuint (room.starts_per_s[1], ==, 1);
+  g_assert_cmpuint (room.ends_per_s, ==, 12);
 }
 
 /* The wait of a task follows from the starts that more urgent ones leave.  */
@@ -334,6 +336,11 @@
   g_assert_cmpint (vm_room_estimate_wait_ms (&room, 4, 1, 1000), ==, 100);
   /* At least a quarter of all starts.  */
   g_assert_cmpint (vm_room_estimate_wait_ms (&room, 5, 2, 1000), ==, 200);
+  /* Runs that end let more start than did lately, but not fewer.  */
+  room.ends_per_s = 150;
+  g_assert_cmpint (vm_room_estimate_wait_ms (&room, 9, 1, 1000), ==, 100);
+  room.ends_per_s = 50;
+  g_assert_cmpint (vm_room_estimate_wait_ms (&room, 4, 1, 1000), ==, 100);
   room = (struct vm_room){ .n_slots = 10 };
   g_assert_cmpint (vm_room_estimate_wait_ms (&room, 5, 0, 1000), ==, 500);
 }
--- a/t/t2130-spread.c
+++ b/t/t2130-spread.c
@@ -165,6 +165,7 @@
       fill_many (owners);
       offer = assign (owners, N_MANY, 3, seed);
       g_assert_cmpuint (offer.n_tasks, ==, 3);
+      g_assert_cmpint (offer.wait_ms, >, 0);
       g_assert_cmpuint (offer.n_offers, ==, SPREAD_OFFERS_MAX);
       g_assert_cmpuint (count_offers (owners, N_MANY), ==, SPREAD_OFFERS_MAX);
       g_assert_cmpuint (find_shortest_offered (owners), <=, 13);
--- a/t/t3010-beacon.c
+++ b/t/t3010-beacon.c
@@ -43,6 +43,7 @@
         .unit_milli_cpus = i + 2,
         .n_queued = { i + 3, i + 4, i + 5, i + 6 },
         .starts_per_s = { i + 7, i + 8, i + 9, G_MAXUINT32 },
+        .ends_per_s = i + 11,
       };
       memset (sample->rooms[i].free_slots, (int)(i + 10), BEACON_SIZES);
     }
--- a/t/t3011-fleet-beacon.c
+++ b/t/t3011-fleet-beacon.c
@@ -46,7 +46,8 @@
   rooms[0] = (struct vm_room){ .service_hash = 1,
                                .n_slots = 8,
                                .n_queued = { 3, 0, 0, 2 },
-                               .starts_per_s = { 0, 900, 0, 1 } };
+                               .starts_per_s = { 0, 900, 0, 1 },
+                               .ends_per_s = 901 };
   free_slots_init (&rooms[0].free_slots, 2.5);
   free_slots_add_upstream (&rooms[0].free_slots, 1000);
   news->n_rooms = 1;
@@ -169,6 +170,7 @@
   g_assert_cmpuint (room->n_queued[0], ==, 3);
   g_assert_cmpuint (room->n_queued[3], ==, 2);
   g_assert_cmpuint (room->starts_per_s[1], ==, 900);
+  g_assert_cmpuint (room->ends_per_s, ==, 901);
   g_assert_cmpuint (room->unit_milli_cpus, ==, 2500);
   g_assert_cmpuint ((guint8)room->free_slots[0], ==, FREE_SLOTS_MAX);
   g_assert_cmpuint ((guint8)room->free_slots[7], ==, 222);
--- a/t/t5012-orders.c
+++ b/t/t5012-orders.c
@@ -583,7 +583,7 @@
   wait_told (2);
   g_assert_cmpint (bed->end, ==, ORDER_OTHER_INSTANCE);
   expect_request ("/radishchute/hold", "{'fencingToken':9007199254740995,"
-                                       "'lastSeen':57}");
+                                       "'lastSeen':0}");
   close_bed ();
 }
 
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -3,9 +3,8 @@
 #include "base/error.h"
 #include "base/hash64.h"
 #include "base/metrics.h"
-#include "coordination/spread.h"
 #include "transport/fleet_home_log.h"
-#include "transport/fleet_job.h"
+#include "transport/fleet_home_private.h"
 
 #include <string.h>
 
@@ -13,15 +12,6 @@
    included.  Further assignments follow when owners return tasks.  */
 #define MAX_ASSIGNMENTS 24
 
-/* After this many assignments tasks stay in the queue of their owner: the free
-   slots that other owners report evidently don't fit them.  */
-#define MAX_MOVABLE_ASSIGNMENTS 6
-
-/* A part that is given its tasks, as its owner has announced free slots, gets
-   those back at once that find none: announcements are up to one beacon
-   interval old.  */
-#define GIVEN_WAIT_US 0
-
 /* How long a caller is assumed to wait if it does not say.  */
 #define DEFAULT_CALLER_TIMEOUT_US (30 * USEC_PER_SEC)
 
@@ -29,34 +19,10 @@
    job is answered without waiting for them.  */
 #define STOP_GRACE_US (1 * USEC_PER_SEC)
 
-/* The timeout of a call that runs a batch exceeds the longest time that the
-   batch may take by this margin.  */
-#define CALL_MARGIN_US (5 * USEC_PER_SEC)
-
-/* The timeout of a call that stops a batch.  */
-#define STOP_TIMEOUT_US (1 * USEC_PER_SEC)
-
 /* Bounds of the retry delay that a refused caller is told.  */
 #define MIN_RETRY_MS 200
 #define MAX_RETRY_MS 5000
 
-/* CPUs and factors are sent to peers as integers, in thousandths.  */
-#define MILLI 1000
-
-struct fleet_home
-{
-  char *vm;
-  char *name; /* of this home, from fleet_format_home () */
-  char *availability_zone;
-  guint64 incarnation;
-  gdouble far_factor; /* run time of a task outside its rack relative to
-                         that on its rack */
-  struct vm_directory *directory;
-  struct peer_hub *hub;
-  struct fleet_owner *owner;
-  GHashTable *jobs; /* id -> struct fleet_job that is not answered */
-};
-
 static void on_return_tasks (struct peer_request *request,
                              const void *arguments, gpointer data);
 static void on_claim_tasks (struct peer_request *request,
@@ -100,31 +66,6 @@
   return g_hash_table_size (home->jobs);
 }
 
-/* The reply to PEER_STOP_BATCH is not used: the end of the part is reported by
-   the reply to PEER_RUN_BATCH.  */
-static void
-on_stop_answered (const void *result, const GError *error, gpointer data)
-{
-}
-
-/* Tells the owner to stop PART.  Its end is reported later, from the main
-   loop.  */
-static void
-stop_part (struct fleet_part *part)
-{
-  struct fleet_home *home = part->job->home;
-  peer_stop_args args = { .incarnation = home->incarnation,
-                          .job = part->job->submission->job,
-                          .number = part->number };
-
-  if (part->owner != NULL)
-    peer_hub_call (home->hub, part->owner, PEER_STOP_BATCH, &args,
-                   clock_now_us () + STOP_TIMEOUT_US, on_stop_answered, NULL);
-  else if (part->batch != NULL)
-    owner_stop_batch (fleet_owner_get_owner (home->owner), part->batch,
-                      "its home has stopped it", clock_now_us ());
-}
-
 /* The open parts of JOB; if ONLY_UNCLAIMED, those offers of which no task was
    granted.  */
 static GPtrArray *
@@ -154,7 +95,7 @@
       struct fleet_part *part = g_ptr_array_index (parts, i);
 
       list_remove (&part->link);
-      stop_part (part);
+      fleet_part_stop (part);
     }
 }
 
@@ -165,7 +106,7 @@
 {
   part->is_open = FALSE;
   list_remove (&part->link);
-  stop_part (part);
+  fleet_part_stop (part);
 }
 
 /* Withdraws the offers of JOB of which no task was granted, but for KEPT.  */
@@ -269,7 +210,7 @@
   job->deadline_us = clock_now_us () + STOP_GRACE_US;
   withdraw_offers (job, NULL);
   list_for_each (node, after, &job->parts)
-    stop_part (list_entry (node, struct fleet_part, link));
+    fleet_part_stop (list_entry (node, struct fleet_part, link));
   answer_if_given_up (job);
 }
 
@@ -297,7 +238,8 @@
 static guint
 get_max_assignments (const struct fleet_job *job)
 {
-  return may_have_started (job) ? MAX_ASSIGNMENTS : MAX_MOVABLE_ASSIGNMENTS;
+  return may_have_started (job) ? MAX_ASSIGNMENTS
+                                : FLEET_MAX_MOVABLE_ASSIGNMENTS;
 }
 
 /* Assigns N_TASKS of JOB, which an owner has returned unstarted, to owners
@@ -489,114 +431,13 @@
     {
       /* Only the connection may have failed: the owner may still run the
          part, so it is told to stop.  */
-      stop_part (part);
+      fleet_part_stop (part);
       handle_part_end (part, BATCH_STOPPED,
                        "the connection to its owner broke");
     }
   fleet_part_free (part);
 }
 
-/* The tasks that PART is sent with: those that it offers or is given.  Sets
- *N_TASKS to their number.  */
-static const guint *
-get_sent_tasks (const struct fleet_part *part, guint *n_tasks)
-{
-  *n_tasks = part->n_offers > 0 ? part->offered.n : part->n_tasks;
-  return part->n_offers > 0 ? part->offered.indexes : part->indexes;
-}
-
-/* Whether tasks of the job of PART may have been started, or are at other
-   owners, which may start them.  */
-static gboolean
-is_part_of_begun (const struct fleet_part *part)
-{
-  guint n_tasks;
-
-  get_sent_tasks (part, &n_tasks);
-  return n_tasks < part->job->submission->n_tasks;
-}
-
-/* How long tasks of PART may wait at its owner.  */
-static gint64
-get_max_wait_us (const struct fleet_part *part)
-{
-  return part->n_offers > 0 ? DEADLINE_NEVER : GIVEN_WAIT_US;
-}
-
-/* The batch for PART, which runs on this VM.  */
-static struct batch *
-build_batch (const struct fleet_part *part)
-{
-  const struct fleet_job *job = part->job;
-  const struct fleet_submission *s = job->submission;
-  guint n_tasks;
-  const guint *indexes = get_sent_tasks (part, &n_tasks);
-  struct batch *batch = batch_new (s->job, job->home->name, n_tasks);
-
-  for (guint i = 0; i < n_tasks; i++)
-    batch->tasks[i].index = indexes[i];
-  if (part->n_offers > 0)
-    batch_set_offered (batch, part->n_offers);
-  batch->number = part->number;
-  batch->service = g_strdup (s->service);
-  batch->spec = g_strdup (s->spec);
-  batch->affinity = g_strdup (s->affinity);
-  batch->required_label = g_strdup (s->required_label);
-  batch->need = s->need;
-  batch->estimate_us = s->estimate_us;
-  batch->far_factor = job->home->far_factor;
-  batch->per_upstream = s->per_upstream;
-  batch->priority = s->priority;
-  batch->attempts = s->attempts;
-  batch->is_settled = job->n_assignments > MAX_MOVABLE_ASSIGNMENTS;
-  batch->is_part = is_part_of_begun (part);
-  batch->start_by_us = job->start_by_us;
-  batch->end_by_us = job->end_by_us;
-  batch->max_wait_us = get_max_wait_us (part);
-  return batch;
-}
-
-/* Sends PART to its owner, another VM.  */
-static void
-send_remote (struct fleet_part *part)
-{
-  struct fleet_job *job = part->job;
-  const struct fleet_submission *s = job->submission;
-  gint64 now_us = clock_now_us ();
-  guint n_tasks;
-  const guint *indexes = get_sent_tasks (part, &n_tasks);
-  peer_batch_args args = {
-    .incarnation = job->home->incarnation,
-    .job = s->job,
-    .number = part->number,
-    .service = s->service,
-    .spec = part->n_offers > 0 ? (char *)"" : s->spec,
-    .affinity = s->affinity != NULL ? s->affinity : (char *)"",
-    .required_label
-    = s->required_label != NULL ? s->required_label : (char *)"",
-    .milli_cpus = (u_int)(s->need.cpus * MILLI + 0.5),
-    .memory_mb = s->need.memory_mb,
-    .accelerators = s->need.accelerators,
-    .estimate_us = s->estimate_us,
-    .far_permille = (u_int)(job->home->far_factor * MILLI + 0.5),
-    .per_upstream = s->per_upstream,
-    .priority = s->priority,
-    .attempts = s->attempts,
-    .is_settled = job->n_assignments > MAX_MOVABLE_ASSIGNMENTS,
-    .is_part = is_part_of_begun (part),
-    .max_wait_us = part->n_offers > 0 ? -1 : GIVEN_WAIT_US,
-    .start_in_us = job->start_by_us - now_us,
-    .end_in_us = job->end_by_us - now_us,
-    .n_offers = part->n_offers,
-    .indexes = { n_tasks, (guint *)indexes },
-  };
-
-  peer_hub_call (job->home->hub, part->owner, PEER_RUN_BATCH, &args,
-                 job->end_by_us + s->estimate_us * FLEET_LATE_FACTOR
-                     + CALL_MARGIN_US,
-                 on_remote_ended, part);
-}
-
 /* The longest wait in a queue with which tasks of JOB are still assigned.  */
 static gint64
 get_longest_wait_ms (const struct fleet_job *job)
@@ -632,75 +473,11 @@
 static void
 send_part (struct fleet_part *part, const struct spread_owner *owner)
 {
-  struct fleet_job *job = part->job;
+  const struct fleet_job *job = part->job;
 
   if (part->number >= job->n_logged_parts)
     fleet_home_log_batch_sent (part, owner, job->home->directory);
-  if (part->owner != NULL)
-    {
-      send_remote (part);
-      return;
-    }
-  part->batch = build_batch (part);
-  fleet_owner_run (job->home->owner, part->batch, &part->sink);
-}
-
-/* Appends this VM to OWNERS if it has slots for SERVICE.  CPUS are those that
-   a task needs.  */
-static void
-add_self (struct fleet_home *home, const char *service, gdouble cpus,
-          GArray *owners)
-{
-  struct spread_owner owner
-      = { .name = home->vm, .is_self = TRUE, .is_local = TRUE };
-  struct owner_room room;
-
-  owner_get_room (fleet_owner_get_owner (home->owner), service, &room,
-                  clock_now_us ());
-  vm_room_init (&owner.room, service, &room);
-  owner.free_slots = owner_count_free_slots (
-      fleet_owner_get_owner (home->owner), service, cpus, clock_now_us ());
-  if (owner.room.n_slots > 0)
-    g_array_append_val (owners, owner);
-}
-
-/* The live owners, struct spread_owner, that have slots, free or not, for
-   tasks for SERVICE that need CPUS each.  VMs that are leaving are left out,
-   except this one.  */
-static GArray *
-list_owners (struct fleet_home *home, const char *service, gdouble cpus)
-{
-  GArray *owners = g_array_new (FALSE, FALSE, sizeof (struct spread_owner));
-  const GPtrArray *vms = vm_directory_list (home->directory);
-  guint64 hash = hash64_string (service);
-
-  add_self (home, service, cpus, owners);
-  for (guint i = 0; i < vms->len; i++)
-    {
-      const struct vm *vm = g_ptr_array_index (vms, i);
-
-      for (guint k = 0; vm->is_live && !vm->is_leaving && k < vm->n_rooms; k++)
-        {
-          struct spread_owner owner = { .name = vm->name };
-
-          if (vm->rooms[k].service_hash != hash || vm->rooms[k].n_slots == 0)
-            continue;
-          owner.is_local
-              = g_str_equal (vm->availability_zone, home->availability_zone);
-          owner.room = vm->rooms[k];
-          owner.free_slots = free_slots_count (&owner.room.free_slots, cpus);
-          g_array_append_val (owners, owner);
-        }
-    }
-  return owners;
-}
-
-gboolean
-fleet_home_has_slots (struct fleet_home *home, const char *service)
-{
-  g_autoptr (GArray) owners = list_owners (home, service, 0);
-
-  return owners->len > 0;
+  fleet_part_send (part, on_remote_ended);
 }
 
 /* Gives the first tasks of INDEXES to OWNERS, as many to each as its
@@ -777,7 +554,7 @@
 {
   const struct fleet_submission *s = job->submission;
   g_autoptr (GArray) owners
-      = list_owners (job->home, s->service, s->need.cpus);
+      = fleet_home_list_owners (job->home, s->service, s->need.cpus);
   struct spread_tasks tasks = {
     .n = n_tasks + job->wanted.n,
     .run_ms = (guint)(s->estimate_us / USEC_PER_MSEC),
--- a/transport/fleet_owner.c
+++ b/transport/fleet_owner.c
@@ -641,8 +641,7 @@
   batch->attempts = MAX (args->attempts, 1u);
   batch->is_settled = args->is_settled;
   batch->is_part = args->is_part;
-  if (args->max_wait_us >= 0)
-    batch->max_wait_us = args->max_wait_us;
+  batch->needs_free_slots = args->needs_free_slots;
   if (args->n_offers > 0)
     batch_set_offered (batch, args->n_offers);
   batch->start_by_us = now_us + args->start_in_us;
