transport: batches are numbered in their home, not in their job

Cause: read in the diff: numbers began at 0 in each job, so that a batch of a job that was sent again could have the key of a former one that was still stopping. The owner forgot the former, a stop did not find it, and a grant for one was taken for the other. Change: one count for all jobs of a home.

--- a/commands/explain_trail.c
+++ b/commands/explain_trail.c
@@ -10,7 +10,7 @@
 struct step
 {
   gint64 ms;    /* since the job was accepted */
-  gint64 batch; /* number of the batch within the job */
+  gint64 batch; /* number of the batch, unique in its home */
   gboolean is_return;
   gboolean is_offer; /* the tasks were offered to several owners */
   char *owner;       /* points into the word that was parsed */
--- a/protocol/peer.x
+++ b/protocol/peer.x
@@ -92,7 +92,7 @@
 struct peer_batch_args {
   unsigned hyper incarnation; /* of the home */
   string job<PEER_JOB_ID_MAX>;
-  unsigned int number; /* of the batch, unique within the job */
+  unsigned int number; /* of the batch, unique in this incarnation */
   string service<PEER_SERVICE_MAX>;
   string spec<PEER_SPEC_MAX>; /* empty in an offer */
   string affinity<PEER_NAME_MAX>;       /* rack; empty for none */
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -461,7 +461,8 @@
   part->sink.tasks_returned = on_local_returned;
   part->sink.batch_ended = on_local_ended;
   part->job = fleet_job_ref (job);
-  part->number = job->n_parts++;
+  part->number = job->home->n_parts++;
+  job->n_parts++;
   part->owner = owner->is_self ? NULL : g_strdup (owner->name);
   part->incarnation = vm != NULL ? vm->incarnation : 0;
   part->is_open = TRUE;
@@ -475,7 +476,7 @@
 {
   const struct fleet_job *job = part->job;
 
-  if (part->number >= job->n_logged_parts)
+  if (part->number - job->first_number >= job->n_logged_parts)
     fleet_home_log_batch_sent (part, owner, job->home->directory);
   fleet_part_send (part, on_remote_ended);
 }
@@ -634,6 +635,7 @@
   job->handler = handler;
   job->trail = g_string_new (NULL);
   list_init (&job->parts);
+  job->first_number = home->n_parts;
   job->accepted_us = clock_now_us ();
   set_times (job);
   g_hash_table_insert (home->jobs, submission->job, job);
--- a/transport/fleet_home_log.c
+++ b/transport/fleet_home_log.c
@@ -52,11 +52,12 @@
   return append_step (trail, step);
 }
 
-/* Appends the batches that OWNERS get.  Returns how many of them fit into a
-   log line.  */
+/* Appends the batches that OWNERS get, numbered from FIRST_NUMBER on.  Returns
+   how many of them fit into a log line.  */
 static guint
-append_first_batches (GString *trail, const struct spread_owner *owners,
-                      guint n_owners, const struct vm_directory *directory)
+append_first_batches (GString *trail, guint first_number,
+                      const struct spread_owner *owners, guint n_owners,
+                      const struct vm_directory *directory)
 {
   guint n = 0;
 
@@ -64,8 +65,9 @@
     {
       if (owners[i].n_given == 0)
         continue;
-      if (!append_batch_sent (trail, 0, n, FALSE, owners[i].n_given,
-                              &owners[i], get_age_us (directory, &owners[i])))
+      if (!append_batch_sent (trail, 0, first_number + n, FALSE,
+                              owners[i].n_given, &owners[i],
+                              get_age_us (directory, &owners[i])))
         return n;
       n++;
     }
@@ -79,8 +81,8 @@
 {
   const struct fleet_submission *s = job->submission;
   g_autoptr (GString) trail = g_string_new (NULL);
-  guint n_logged_parts
-      = append_first_batches (trail, owners, n_owners, directory);
+  guint n_logged_parts = append_first_batches (trail, job->first_number,
+                                               owners, n_owners, directory);
   gboolean has_label
       = s->required_label != NULL && s->required_label[0] != '\0';
 
--- a/transport/fleet_home_private.h
+++ b/transport/fleet_home_private.h
@@ -23,6 +23,8 @@
   struct peer_hub *hub;
   struct fleet_owner *owner;
   GHashTable *jobs; /* id -> struct fleet_job that is not answered */
+  guint n_parts;    /* of all jobs, which numbers them: batches of a job that
+                       was sent again must not be taken for its former ones */
 };
 
 /* fleet_home_rooms.c */
--- a/transport/fleet_job.h
+++ b/transport/fleet_job.h
@@ -16,7 +16,7 @@
   struct batch_sink sink;
   struct list_node link; /* in job->parts */
   struct fleet_job *job; /* holds a reference */
-  guint number;          /* of the batch; unique in the job, from 0 */
+  guint number;          /* of the batch; unique in the home */
   char *owner;           /* name of the owner VM; NULL for this VM */
   guint64 incarnation;   /* of the owner VM; 0 when not known */
   gboolean is_open;      /* its end has not been handled yet */
@@ -40,6 +40,7 @@
   gint64 end_by_us;       /* no task is started later */
   gint64 deadline_us;     /* when to give the job up; once it is given up,
                              when to answer it at the latest */
+  guint first_number;     /* of its first part */
   guint n_parts;          /* created so far */
   guint n_logged_parts;   /* the first parts, which the log line of the
                              acceptance contains */
