t: the load model is split by job: homes, VMs, upstreams

A part keeps the tasks that it was granted, so that those that come back or were not started are the right ones.

--- /dev/null
+++ b/t/support/load_home.c
@@ -0,0 +1,419 @@
+#include "t/support/load_model_private.h"
+
+#include "base/hash64.h"
+#include "coordination/spread.h"
+
+/* The home's rules; see transport/fleet_home.c.  */
+#define STRETCH_PERCENT 160
+#define GOAL_MS 60
+#define LATE_FACTOR 3
+#define MAX_ASSIGNMENTS 24
+#define MAX_ASSIGNMENTS_BEFORE_START 6
+
+const struct load_kind *
+load_job_get_kind (const struct model_job *job)
+{
+  return &job->home->model->config.kinds[job->kind];
+}
+
+/* The objective of a job whose tasks take RUN_MS.  */
+static gint64
+get_objective_us (guint run_ms)
+{
+  return (run_ms * STRETCH_PERCENT / 100 + GOAL_MS) * USEC_PER_MSEC;
+}
+
+static struct model_part *
+part_new (struct model_job *job, struct model_vm *vm, guint n_offers)
+{
+  struct model_part *part = g_new0 (struct model_part, 1);
+
+  part->job = job;
+  part->vm = vm;
+  part->number = job->n_parts++;
+  part->n_offers = n_offers;
+  part->is_open = TRUE;
+  job->n_open++;
+  g_ptr_array_add (job->parts, part);
+  return part;
+}
+
+static void
+close_part (struct model_part *part)
+{
+  if (part->is_open)
+    part->job->n_open--;
+  part->is_open = FALSE;
+}
+
+/* Closes the offers of JOB that were granted nothing, but for KEPT.  */
+static void
+withdraw_offers (struct model_job *job, const struct model_part *kept)
+{
+  for (guint i = 0; i < job->parts->len; i++)
+    {
+      struct model_part *part = g_ptr_array_index (job->parts, i);
+
+      if (!part->is_open || part->tasks.n > 0 || part == kept)
+        continue;
+      close_part (part);
+      load_model_send (part, MESSAGE_STOP);
+    }
+}
+
+static gboolean
+may_have_started (const struct model_job *job)
+{
+  if (job->has_started || job->n_done > 0)
+    return TRUE;
+  for (guint i = 0; i < job->parts->len; i++)
+    {
+      const struct model_part *part = g_ptr_array_index (job->parts, i);
+
+      if (part->is_open && part->tasks.n > 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Ends JOB: counts it in N and stops what is left of it.  */
+static void
+end_job (struct model_job *job, guint *n)
+{
+  if (job->is_over)
+    return;
+  (*n)++;
+  job->is_over = TRUE;
+  job->wanted.n = 0;
+  list_remove (&job->link);
+  for (guint i = 0; i < job->parts->len; i++)
+    {
+      struct model_part *part = g_ptr_array_index (job->parts, i);
+
+      if (part->is_open)
+        load_model_send (part, MESSAGE_STOP);
+      close_part (part);
+    }
+}
+
+static struct load_result *
+get_result (struct model_job *job)
+{
+  return &job->home->model->results[job->kind];
+}
+
+static void
+give_up_job (struct model_job *job)
+{
+  struct load_result *result = get_result (job);
+
+  end_job (job,
+           may_have_started (job) ? &result->n_failed : &result->n_refused);
+}
+
+/* The rooms that HOME knows.  */
+static guint
+list_owners (struct model_vm *home, struct spread_owner *owners)
+{
+  struct load_model *model = home->model;
+  guint n = 0;
+
+  for (guint i = 0; i < model->config.n_owners; i++)
+    {
+      struct spread_owner owner = { .is_local = TRUE };
+
+      if (home->is_lost[i])
+        continue;
+      owner.is_self = i == home->index;
+      owner.name = (const char *)&model->vms[i];
+      owner.room = owner.is_self ? home->room : home->announced[i];
+      owner.free_slots = free_slots_count (&owner.room.free_slots, 1);
+      if (owner.is_self)
+        owner.free_slots
+            = owner_count_free_slots (home->owner, "s", 1, model->now_us);
+      if (owner.room.n_slots > 0)
+        owners[n++] = owner;
+    }
+  return n;
+}
+
+void
+load_home_refresh_room (struct model_vm *vm)
+{
+  struct owner_room room;
+
+  owner_get_room (vm->owner, "s", &room, vm->model->now_us);
+  vm_room_init (&vm->room, "s", &room);
+}
+
+/* Sends PART to its owner.  */
+static void
+send_part (struct model_part *part, guint n_share)
+{
+  struct model_job *job = part->job;
+  struct model_vm *home = job->home;
+
+  if (part->vm != home)
+    vm_room_take (&home->announced[part->vm->index], n_share, 1,
+                  load_job_get_kind (job)->priority);
+  load_model_send (part, MESSAGE_BATCH);
+}
+
+static gint64
+get_longest_wait_ms (const struct model_job *job)
+{
+  const struct load_model *model = job->home->model;
+  gint64 now_us = model->now_us;
+
+  if (may_have_started (job) || job->start_by_us <= now_us)
+    return (job->end_by_us - now_us) / USEC_PER_MSEC;
+  return (job->start_by_us - now_us) / USEC_PER_MSEC;
+}
+
+static void
+assign_tasks (struct model_job *job, const guint *indexes, guint n_tasks)
+{
+  struct load_model *model = job->home->model;
+  const struct load_kind *kind = load_job_get_kind (job);
+  g_autofree struct spread_owner *owners
+      = g_new0 (struct spread_owner, model->config.n_owners);
+  struct spread_tasks tasks = { .n = n_tasks + job->wanted.n,
+                                .run_ms = job->estimate_ms,
+                                .priority = kind->priority,
+                                .is_offer_only = job->n_assignments > 0,
+                                .max_offers = model->config.max_offers };
+  struct spread_offer offer;
+  guint n_owners;
+  guint n_given;
+
+  withdraw_offers (job, NULL);
+  load_home_refresh_room (job->home);
+  n_owners = list_owners (job->home, owners);
+  job->n_assignments++;
+  offer = spread_assign (
+      owners, n_owners, &tasks,
+      hash64_pair (hash64_string (job->id), job->n_assignments));
+  if (offer.wait_ms < 0 || offer.wait_ms > get_longest_wait_ms (job))
+    {
+      give_up_job (job);
+      return;
+    }
+  n_given = tasks.n - offer.n_tasks;
+  task_set_add (&job->wanted, indexes + n_given, n_tasks - n_given);
+  for (guint i = 0; i < n_owners; i++)
+    {
+      struct model_vm *vm = (struct model_vm *)(gpointer)owners[i].name;
+      struct model_part *part;
+
+      if (owners[i].n_given == 0)
+        continue;
+      part = part_new (job, vm, 0);
+      task_set_add (&part->offered, indexes, owners[i].n_given);
+      part->tasks = part->offered;
+      indexes += owners[i].n_given;
+      send_part (part, part->tasks.n);
+    }
+  for (guint i = 0; i < n_owners && offer.n_tasks > 0; i++)
+    {
+      struct model_vm *vm = (struct model_vm *)(gpointer)owners[i].name;
+      struct model_part *part;
+
+      if (!owners[i].is_offered)
+        continue;
+      part = part_new (job, vm, offer.n_offers);
+      part->offered = job->wanted;
+      send_part (part, (job->wanted.n + offer.n_offers - 1) / offer.n_offers);
+    }
+}
+
+static void
+reassign_tasks (struct model_job *job, const guint *indexes, guint n_tasks)
+{
+  gboolean has_started = may_have_started (job);
+
+  if (job->is_over)
+    return;
+  if (job->n_assignments
+          < (has_started ? MAX_ASSIGNMENTS : MAX_ASSIGNMENTS_BEFORE_START)
+      && (has_started || job->home->model->now_us < job->end_by_us))
+    assign_tasks (job, indexes, n_tasks);
+  else
+    give_up_job (job);
+}
+
+/* Offers the tasks that no open part can claim anew.  */
+static void
+renew_offers (struct model_job *job)
+{
+  if (job->is_over || job->wanted.n == 0)
+    return;
+  for (guint i = 0; i < job->parts->len; i++)
+    {
+      const struct model_part *part = g_ptr_array_index (job->parts, i);
+
+      if (part->is_open && part->n_offers > 0
+          && task_set_intersects (&job->wanted, &part->offered))
+        return;
+    }
+  reassign_tasks (job, NULL, 0);
+}
+
+/* PART has no longer those of its tasks that are in RETURNED.  Writes them to
+   INDEXES, and returns their number.  */
+static guint
+take_back (struct model_part *part, const struct task_set *returned,
+           guint *indexes)
+{
+  guint n = task_set_grant (&part->tasks, returned, TASK_OFFER_MAX, indexes);
+
+  for (guint i = 0; i < n; i++)
+    part->job->is_granted[indexes[i]] = FALSE;
+  return n;
+}
+
+void
+load_home_handle_returned (const struct message *message)
+{
+  struct model_part *part = message->part;
+  struct task_set returned = { 0 };
+  guint indexes[TASK_OFFER_MAX];
+  guint n;
+
+  if (!part->is_open)
+    return;
+  part->job->has_started |= message->flag;
+  task_set_add (&returned, message->indexes, message->n);
+  n = take_back (part, &returned, indexes);
+  if (n > 0)
+    reassign_tasks (part->job, indexes, n);
+}
+
+void
+load_home_handle_end (const struct message *message)
+{
+  struct model_part *part = message->part;
+  struct model_job *job = part->job;
+  struct load_result *result = get_result (job);
+  gint64 took_us = job->home->model->now_us - job->accepted_us;
+
+  if (!part->is_open)
+    return;
+  close_part (part);
+  job->has_started |= message->flag;
+  if (message->end == BATCH_DONE)
+    job->n_done += part->tasks.n;
+  else if (message->end == BATCH_NOT_STARTED)
+    {
+      guint indexes[TASK_OFFER_MAX];
+      guint n = take_back (part, &part->offered, indexes);
+
+      if (n > 0)
+        reassign_tasks (job, indexes, n);
+    }
+  else
+    end_job (job, &result->n_failed);
+  if (job->n_done == load_job_get_kind (job)->n_tasks)
+    end_job (job, took_us <= get_objective_us (job->run_ms)
+                      ? &result->n_in_time
+                      : &result->n_late);
+  renew_offers (job);
+}
+
+void
+load_home_handle_claim (const struct message *message)
+{
+  struct model_part *part = message->part;
+  struct model_job *job = part->job;
+  struct message *reply = load_model_send (part, MESSAGE_GRANT);
+
+  reply->flag = TRUE;
+  if (!part->is_open || job->is_over)
+    return;
+  reply->n = task_set_grant (&job->wanted, &part->offered, message->n,
+                             reply->indexes);
+  for (guint i = 0; i < reply->n; i++)
+    {
+      g_assert_false (job->is_granted[reply->indexes[i]]);
+      job->is_granted[reply->indexes[i]] = TRUE;
+    }
+  task_set_add (&part->tasks, reply->indexes, reply->n);
+  reply->flag
+      = reply->n == 0 || !task_set_intersects (&job->wanted, &part->offered);
+  if (job->wanted.n == 0)
+    withdraw_offers (job, part);
+}
+
+void
+load_home_free_job (gpointer data)
+{
+  struct model_job *job = data;
+
+  g_ptr_array_unref (job->parts);
+  g_free (job->id);
+  g_free (job);
+}
+
+void
+load_home_submit (struct load_model *model, guint kind)
+{
+  struct model_job *job = g_new0 (struct model_job, 1);
+  const struct load_kind *k = &model->config.kinds[kind];
+  gint64 objective_us;
+  gint64 run_us;
+  guint indexes[TASK_OFFER_MAX];
+
+  job->kind = kind;
+  job->id = g_strdup_printf ("%016x", model->all_jobs->len + 1);
+  job->home = &model->vms[g_rand_int_range (model->rand, 0,
+                                            (gint32)model->config.n_owners)];
+  job->parts = g_ptr_array_new_with_free_func (g_free);
+  job->run_ms
+      = load_model_vary (model, k->run_ms, model->config.spread_percent);
+  job->estimate_ms
+      = load_model_vary (model, job->run_ms, model->config.spread_percent);
+  objective_us = get_objective_us (job->estimate_ms);
+  run_us = job->estimate_ms * USEC_PER_MSEC;
+  job->accepted_us = model->now_us;
+  job->start_by_us = model->now_us + objective_us - run_us;
+  job->end_by_us = model->now_us + objective_us * LATE_FACTOR - run_us;
+  list_init (&job->link);
+  g_ptr_array_add (model->all_jobs, job);
+  if (job->home->is_dead)
+    return;
+  model->results[kind].n_jobs++;
+  list_append (&model->jobs, &job->link);
+  for (guint i = 0; i < k->n_tasks; i++)
+    indexes[i] = i;
+  assign_tasks (job, indexes, k->n_tasks);
+}
+
+void
+load_home_lose_vm (struct load_model *model, struct model_vm *vm)
+{
+  g_autoptr (GPtrArray) jobs = g_ptr_array_new ();
+  struct list_node *node;
+  struct list_node *after;
+
+  for (guint i = 0; i < model->config.n_owners; i++)
+    model->vms[i].is_lost[vm->index] = TRUE;
+  list_for_each (node, after, &model->jobs)
+    g_ptr_array_add (jobs, list_entry (node, struct model_job, link));
+  for (guint i = 0; i < jobs->len; i++)
+    {
+      struct model_job *job = g_ptr_array_index (jobs, i);
+
+      if (job->home == vm)
+        end_job (job, &get_result (job)->n_failed);
+      for (guint k = 0; k < job->parts->len; k++)
+        {
+          struct model_part *part = g_ptr_array_index (job->parts, k);
+
+          if (part->vm != vm || !part->is_open)
+            continue;
+          close_part (part);
+          if (part->tasks.n > 0)
+            end_job (job, &get_result (job)->n_failed);
+        }
+      renew_offers (job);
+    }
+}
--- /dev/null
+++ b/t/support/load_model_private.h
@@ -0,0 +1,128 @@
+/*
+ * The parts of the load model: its VMs, its jobs and the messages between
+ * them.
+ */
+#ifndef T_SUPPORT_LOAD_MODEL_PRIVATE_H
+#define T_SUPPORT_LOAD_MODEL_PRIVATE_H
+
+#include "coordination/owner.h"
+#include "coordination/task_offer.h"
+#include "coordination/vm_room.h"
+#include "t/support/load_model.h"
+#include "t/support/load_upstream.h"
+
+struct model_vm
+{
+  struct owner_driver driver;
+  struct load_model *model;
+  guint index;
+  gboolean is_dead;
+  struct owner *owner;
+  struct load_upstreams *upstreams;
+  struct vm_room room;       /* as it is now */
+  struct vm_room *announced; /* of each other VM, as this one knows it */
+  gboolean *is_lost;         /* of each other VM, likewise */
+};
+
+struct model_job
+{
+  struct list_node link; /* in model->jobs */
+  guint kind;
+  char *id;
+  struct model_vm *home;
+  guint run_ms;      /* of its tasks */
+  guint estimate_ms; /* that the home knows */
+  gint64 accepted_us;
+  gint64 start_by_us;
+  gint64 end_by_us;
+  guint n_assignments;
+  guint n_done;
+  guint n_parts;
+  guint n_open; /* parts that have not ended */
+  gboolean has_started;
+  gboolean is_over;
+  struct task_set wanted;
+  gboolean is_granted[TASK_OFFER_MAX];
+  GPtrArray *parts; /* struct model_part */
+};
+
+/* Tasks of a job at one owner.  */
+struct model_part
+{
+  struct model_job *job;
+  struct model_vm *vm;
+  guint number;
+  guint n_offers;
+  struct task_set offered; /* or given, if N_OFFERS is 0 */
+  struct task_set tasks;   /* given or granted, and not returned */
+  gboolean is_open;
+  struct batch *batch; /* at the owner; NULL once it has ended */
+};
+
+enum message_kind
+{
+  MESSAGE_BATCH,
+  MESSAGE_STOP,
+  MESSAGE_CLAIM,
+  MESSAGE_GRANT,
+  MESSAGE_RETURN,
+  MESSAGE_END,
+};
+
+struct message
+{
+  enum message_kind kind;
+  gint64 arrives_us;
+  struct model_part *part;
+  guint n;
+  guint indexes[TASK_OFFER_MAX];
+  gboolean flag; /* GRANT: nothing is left; RETURN, END: something started */
+  enum batch_end end;
+};
+
+struct load_model
+{
+  struct load_config config;
+  GRand *rand;
+  gint64 now_us;
+  gint64 announce_us; /* when the next beacons are due */
+  struct model_vm *vms;
+  struct list_node jobs; /* struct model_job that is not over */
+  GPtrArray *all_jobs;   /* struct model_job */
+  GPtrArray *messages;   /* struct message on the way */
+  guint n_messages;
+  gdouble due[LOAD_MAX_KINDS]; /* jobs that are to arrive, with fractions */
+  struct load_result results[LOAD_MAX_KINDS];
+};
+
+/* load_model.c */
+
+/* A message about PART, on its way from now on.  */
+struct message *load_model_send (struct model_part *part,
+                                 enum message_kind kind);
+
+/* VALUE, changed by up to PERCENT at random.  */
+guint load_model_vary (struct load_model *model, guint value, guint percent);
+
+/* load_home.c: the homes of jobs.  Their rules are those of
+   transport/fleet_home.c.  */
+
+const struct load_kind *load_job_get_kind (const struct model_job *job);
+
+/* A job of KIND arrives at a random home.  */
+void load_home_submit (struct load_model *model, guint kind);
+void load_home_free_job (gpointer data);
+
+/* Computes the room of VM as it is now.  */
+void load_home_refresh_room (struct model_vm *vm);
+
+/* Handle what an owner has sent.  */
+void load_home_handle_claim (const struct message *message);
+void load_home_handle_returned (const struct message *message);
+void load_home_handle_end (const struct message *message);
+
+/* The homes notice that VM is gone: jobs that have tasks there are lost, and
+   its offers count as withdrawn.  */
+void load_home_lose_vm (struct load_model *model, struct model_vm *vm);
+
+#endif
