--- a/coordination/spread.c
+++ b/coordination/spread.c
@@ -141,8 +141,8 @@
   return best;
 }
 
-/* Adds the slots, starts and queue of OWNER to POOL, which counts all queued
-   tasks that go before PRIORITY as of that priority.  */
+/* Adds the slots, starts and queue of OWNER to POOL.  Of the queue, the tasks
+   that go before PRIORITY count, all as the most urgent.  */
 static void
 add_to_pool (struct vm_room *pool, const struct spread_owner *owner,
              guint priority)
--- a/t/t2112-owner-claims.c
+++ b/t/t2112-owner-claims.c
@@ -4,7 +4,7 @@
 #define START_US (1000 * USEC_PER_SEC)
 #define N_TASKS 3
 
-struct claims_bed
+struct claims_fixture
 {
   struct owner_driver driver;
   struct owner *owner;
@@ -22,7 +22,7 @@
 static void
 on_start (struct owner_driver *driver, struct run *run, gint64 until_ms)
 {
-  ((struct claims_bed *)driver)->n_started++;
+  ((struct claims_fixture *)driver)->n_started++;
 }
 
 static void
@@ -39,22 +39,22 @@
 static void
 on_claim (struct owner_driver *driver, struct batch *batch, guint n_tasks)
 {
-  ((struct claims_bed *)driver)->n_claims++;
-  ((struct claims_bed *)driver)->n_claimed = n_tasks;
+  ((struct claims_fixture *)driver)->n_claims++;
+  ((struct claims_fixture *)driver)->n_claimed = n_tasks;
 }
 
 static void
 on_return (struct owner_driver *driver, struct batch *batch,
            const guint *indexes, guint n_tasks)
 {
-  ((struct claims_bed *)driver)->n_returned += n_tasks;
+  ((struct claims_fixture *)driver)->n_returned += n_tasks;
 }
 
 static void
 on_finish (struct owner_driver *driver, struct batch *batch)
 {
-  ((struct claims_bed *)driver)->has_ended = TRUE;
-  ((struct claims_bed *)driver)->end = batch->end;
+  ((struct claims_fixture *)driver)->has_ended = TRUE;
+  ((struct claims_fixture *)driver)->end = batch->end;
   batch_free (batch);
 }
 
@@ -101,7 +101,7 @@
 /* An owner with one upstream of two slots, and an offer of three tasks to it
    and another owner.  */
 static void
-bed_init (struct claims_bed *bed)
+fixture_init (struct claims_fixture *fixture)
 {
   static const struct owner_limits limits
       = { .lease_ms = 900, .max_lease_ms = 1000 };
@@ -113,22 +113,23 @@
                                                .shape = { .cpus = 2 },
                                                .instance_start_ms = 1 };
 
-  *bed = (struct claims_bed){ .driver.ops = &ops, .now_us = START_US };
-  bed->owner = owner_new (&bed->driver, &limits);
-  bed->upstream = owner_take_upstream (bed->owner, &spec, 1, START_US);
-  owner_poll_ended (bed->owner, bed->upstream, bed->upstream->n_polls,
-                    ORDER_ACCEPTED, &report, START_US);
-  bed->batch = make_batch ("0123456789abcdef", N_TASKS);
-  batch_set_offered (bed->batch, 2);
-  owner_submit_batch (bed->owner, bed->batch, START_US);
+  *fixture = (struct claims_fixture){ .driver.ops = &ops, .now_us = START_US };
+  fixture->owner = owner_new (&fixture->driver, &limits);
+  fixture->upstream = owner_take_upstream (fixture->owner, &spec, 1, START_US);
+  owner_poll_ended (fixture->owner, fixture->upstream,
+                    fixture->upstream->n_polls, ORDER_ACCEPTED, &report,
+                    START_US);
+  fixture->batch = make_batch ("0123456789abcdef", N_TASKS);
+  batch_set_offered (fixture->batch, 2);
+  owner_submit_batch (fixture->owner, fixture->batch, START_US);
 }
 
 static void
-grant (struct claims_bed *bed, const guint *indexes, guint n,
+grant (struct claims_fixture *fixture, const guint *indexes, guint n,
        gboolean is_exhausted)
 {
-  owner_claim_ended (bed->owner, bed->batch, indexes, n, is_exhausted,
-                     bed->now_us);
+  owner_claim_ended (fixture->owner, fixture->batch, indexes, n, is_exhausted,
+                     fixture->now_us);
 }
 
 /* As many tasks are claimed as fit, once, and nothing starts before the
@@ -137,20 +138,21 @@
 test_claim (void)
 {
   static const guint granted[] = { 11, 12 };
-  struct claims_bed bed;
-
-  bed_init (&bed);
-  g_assert_cmpuint (bed.n_claims, ==, 1);
-  g_assert_cmpuint (bed.n_claimed, ==, 2);
-  owner_submit_batch (bed.owner, make_batch ("fedcba9876543210", 1), START_US);
-  owner_advance (bed.owner, bed.now_us += 50 * USEC_PER_MSEC);
-  g_assert_cmpuint (bed.n_started, ==, 0);
-  g_assert_cmpuint (bed.n_claims, ==, 1);
-  grant (&bed, granted, 2, FALSE);
-  g_assert_cmpuint (bed.n_started, ==, 2);
-  g_assert_cmpuint (bed.batch->n_offered, ==, 1);
-  g_assert_cmpuint (bed.n_claims, ==, 1); /* no slot is free */
-  owner_free (bed.owner);
+  struct claims_fixture fixture;
+
+  fixture_init (&fixture);
+  g_assert_cmpuint (fixture.n_claims, ==, 1);
+  g_assert_cmpuint (fixture.n_claimed, ==, 2);
+  owner_submit_batch (fixture.owner, make_batch ("fedcba9876543210", 1),
+                      START_US);
+  owner_advance (fixture.owner, fixture.now_us += 50 * USEC_PER_MSEC);
+  g_assert_cmpuint (fixture.n_started, ==, 0);
+  g_assert_cmpuint (fixture.n_claims, ==, 1);
+  grant (&fixture, granted, 2, FALSE);
+  g_assert_cmpuint (fixture.n_started, ==, 2);
+  g_assert_cmpuint (fixture.batch->n_offered, ==, 1);
+  g_assert_cmpuint (fixture.n_claims, ==, 1); /* no slot is free */
+  owner_free (fixture.owner);
 }
 
 /* Other owners were granted the rest: the slots are free again at once, for
@@ -159,31 +161,32 @@
 test_exhausted (void)
 {
   static const guint granted[] = { 12 };
-  struct claims_bed bed;
-
-  bed_init (&bed);
-  owner_submit_batch (bed.owner, make_batch ("fedcba9876543210", 1), START_US);
-  grant (&bed, granted, 1, TRUE);
-  g_assert_cmpuint (bed.n_started, ==, 2);
-  g_assert_cmpuint (bed.batch->n_offered, ==, 0);
-  g_assert_cmpuint (bed.n_returned, ==, 0);
-  g_assert_false (bed.has_ended);
-  owner_free (bed.owner);
+  struct claims_fixture fixture;
+
+  fixture_init (&fixture);
+  owner_submit_batch (fixture.owner, make_batch ("fedcba9876543210", 1),
+                      START_US);
+  grant (&fixture, granted, 1, TRUE);
+  g_assert_cmpuint (fixture.n_started, ==, 2);
+  g_assert_cmpuint (fixture.batch->n_offered, ==, 0);
+  g_assert_cmpuint (fixture.n_returned, ==, 0);
+  g_assert_false (fixture.has_ended);
+  owner_free (fixture.owner);
 }
 
 /* Nothing is granted at all.  */
 static void
 test_nothing_left (void)
 {
-  struct claims_bed bed;
-
-  bed_init (&bed);
-  grant (&bed, NULL, 0, TRUE);
-  g_assert_true (bed.has_ended);
-  g_assert_cmpint (bed.end, ==, BATCH_DONE);
-  g_assert_cmpuint (bed.n_started, ==, 0);
-  g_assert_cmpfloat (bed.upstream->used.cpus, ==, 0);
-  owner_free (bed.owner);
+  struct claims_fixture fixture;
+
+  fixture_init (&fixture);
+  grant (&fixture, NULL, 0, TRUE);
+  g_assert_true (fixture.has_ended);
+  g_assert_cmpint (fixture.end, ==, BATCH_DONE);
+  g_assert_cmpuint (fixture.n_started, ==, 0);
+  g_assert_cmpfloat (fixture.upstream->used.cpus, ==, 0);
+  owner_free (fixture.owner);
 }
 
 /* A task that was not offered here, or was granted before, is not started by
@@ -192,13 +195,13 @@
 test_wrong_grant (void)
 {
   static const guint granted[] = { 10, 10, 99, 10 };
-  struct claims_bed bed;
+  struct claims_fixture fixture;
 
-  bed_init (&bed);
-  grant (&bed, granted, 4, FALSE);
-  g_assert_cmpuint (bed.n_started, ==, 1);
-  g_assert_cmpuint (bed.batch->n_offered, ==, 2);
-  owner_free (bed.owner);
+  fixture_init (&fixture);
+  grant (&fixture, granted, 4, FALSE);
+  g_assert_cmpuint (fixture.n_started, ==, 1);
+  g_assert_cmpuint (fixture.batch->n_offered, ==, 2);
+  owner_free (fixture.owner);
 }
 
 /* The reply to a claim is lost: all tasks go back, since the home may have
@@ -206,29 +209,29 @@
 static void
 test_lost_reply (void)
 {
-  struct claims_bed bed;
-
-  bed_init (&bed);
-  owner_claim_failed (bed.owner, bed.batch, bed.now_us);
-  g_assert_cmpuint (bed.n_returned, ==, N_TASKS);
-  g_assert_true (bed.has_ended);
-  g_assert_cmpuint (bed.n_started, ==, 0);
-  g_assert_cmpfloat (bed.upstream->used.cpus, ==, 0);
-  owner_free (bed.owner);
+  struct claims_fixture fixture;
+
+  fixture_init (&fixture);
+  owner_claim_failed (fixture.owner, fixture.batch, fixture.now_us);
+  g_assert_cmpuint (fixture.n_returned, ==, N_TASKS);
+  g_assert_true (fixture.has_ended);
+  g_assert_cmpuint (fixture.n_started, ==, 0);
+  g_assert_cmpfloat (fixture.upstream->used.cpus, ==, 0);
+  owner_free (fixture.owner);
 }
 
 /* The offer is withdrawn while a claim is under way.  */
 static void
 test_withdrawn (void)
 {
-  struct claims_bed bed;
-
-  bed_init (&bed);
-  owner_stop_batch (bed.owner, bed.batch, "withdrawn", bed.now_us);
-  g_assert_true (bed.has_ended);
-  g_assert_cmpint (bed.end, ==, BATCH_NOT_STARTED);
-  g_assert_cmpfloat (bed.upstream->used.cpus, ==, 0);
-  owner_free (bed.owner);
+  struct claims_fixture fixture;
+
+  fixture_init (&fixture);
+  owner_stop_batch (fixture.owner, fixture.batch, "withdrawn", fixture.now_us);
+  g_assert_true (fixture.has_ended);
+  g_assert_cmpint (fixture.end, ==, BATCH_NOT_STARTED);
+  g_assert_cmpfloat (fixture.upstream->used.cpus, ==, 0);
+  owner_free (fixture.owner);
 }
 
 /* The process is paused between claim and grant: what it knew of the upstream
@@ -237,17 +240,17 @@
 test_paused (void)
 {
   static const guint granted[] = { 10, 11 };
-  struct claims_bed bed;
-
-  bed_init (&bed);
-  bed.now_us += 3 * USEC_PER_SEC;
-  grant (&bed, granted, 2, FALSE);
-  g_assert_cmpuint (bed.n_started, ==, 0);
-  g_assert_cmpuint (bed.batch->n_queued, ==, 2);
-  owner_poll_ended (bed.owner, bed.upstream, bed.upstream->n_polls,
-                    ORDER_ACCEPTED, &report, bed.now_us);
-  g_assert_cmpuint (bed.n_started, ==, 2);
-  owner_free (bed.owner);
+  struct claims_fixture fixture;
+
+  fixture_init (&fixture);
+  fixture.now_us += 3 * USEC_PER_SEC;
+  grant (&fixture, granted, 2, FALSE);
+  g_assert_cmpuint (fixture.n_started, ==, 0);
+  g_assert_cmpuint (fixture.batch->n_queued, ==, 2);
+  owner_poll_ended (fixture.owner, fixture.upstream, fixture.upstream->n_polls,
+                    ORDER_ACCEPTED, &report, fixture.now_us);
+  g_assert_cmpuint (fixture.n_started, ==, 2);
+  owner_free (fixture.owner);
 }
 
 /* The upstream is gone when the grant comes: the tasks wait for another.  */
@@ -255,17 +258,17 @@
 test_slot_lost (void)
 {
   static const guint granted[] = { 10, 11 };
-  struct claims_bed bed;
-
-  bed_init (&bed);
-  owner_remove_upstream (bed.owner, "u", bed.now_us);
-  grant (&bed, granted, 2, FALSE);
-  g_assert_cmpuint (bed.n_started, ==, 0);
-  g_assert_cmpuint (bed.batch->n_queued, ==, 2);
-  owner_return_all_queued (bed.owner, "s", bed.now_us);
-  g_assert_cmpuint (bed.n_returned, ==, N_TASKS);
-  g_assert_true (bed.has_ended);
-  owner_free (bed.owner);
+  struct claims_fixture fixture;
+
+  fixture_init (&fixture);
+  owner_remove_upstream (fixture.owner, "u", fixture.now_us);
+  grant (&fixture, granted, 2, FALSE);
+  g_assert_cmpuint (fixture.n_started, ==, 0);
+  g_assert_cmpuint (fixture.batch->n_queued, ==, 2);
+  owner_return_all_queued (fixture.owner, "s", fixture.now_us);
+  g_assert_cmpuint (fixture.n_returned, ==, N_TASKS);
+  g_assert_true (fixture.has_ended);
+  owner_free (fixture.owner);
 }
 
 int
