transport: a returned task is not granted to the same offer again

An owner that returned a granted task (its upstream had refused the start) while it kept the rest of an offer could be granted the same task again by its next claim. The owner ignored that grant. At a remote owner the task was only found again at the end of the batch.

What an owner returns is now removed from the offer, an exhausted offer grants nothing more, and a local batch names its returned tasks when it ends, like a remote one.

--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -75,6 +75,17 @@
          + (batch->n_offered + batch->n_offers - 1) / batch->n_offers;
 }
 
+guint
+batch_list_returned (const struct batch *batch, guint *indexes)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < batch->n_tasks; i++)
+    if (batch->tasks[i].state == BATCH_TASK_RETURNED)
+      indexes[n++] = batch->tasks[i].index;
+  return n;
+}
+
 gboolean
 batch_is_returned (const struct batch *batch)
 {
--- a/coordination/task_offer.c
+++ b/coordination/task_offer.c
@@ -16,6 +16,18 @@
   return FALSE;
 }
 
+void
+task_set_remove (struct task_set *set, const guint *indexes, guint n)
+{
+  for (guint i = 0; i < n; i++)
+    for (guint k = 0; k < set->n; k++)
+      if (set->indexes[k] == indexes[i])
+        {
+          set->indexes[k] = set->indexes[--set->n];
+          break;
+        }
+}
+
 guint
 task_set_grant (struct task_set *wanted, const struct task_set *offered,
                 guint n, guint *granted)
--- a/coordination/task_offer.h
+++ b/coordination/task_offer.h
@@ -25,6 +25,9 @@
    for.  */
 void task_set_add (struct task_set *set, const guint *indexes, guint n);
 
+/* Removes those of the N tasks INDEXES that SET contains.  */
+void task_set_remove (struct task_set *set, const guint *indexes, guint n);
+
 /* Moves up to N tasks of WANTED that are also in OFFERED to GRANTED, which has
    room for N.  Returns their number.  */
 guint task_set_grant (struct task_set *wanted, const struct task_set *offered,
--- a/t/support/load_home.c
+++ b/t/support/load_home.c
@@ -266,6 +266,7 @@
 {
   guint n = task_set_grant (&part->tasks, returned, TASK_OFFER_MAX, indexes);
 
+  task_set_remove (&part->offered, returned->indexes, returned->n);
   for (guint i = 0; i < n; i++)
     part->job->is_granted[indexes[i]] = FALSE;
   return n;
@@ -296,16 +297,21 @@
   struct load_result *result = get_result (job);
   gint64 took_us = job->home->model->now_us - job->accepted_us;
 
+  load_home_handle_returned (message);
   if (!part->is_open)
     return;
   close_part (part);
-  job->has_started |= message->flag;
   if (message->end == BATCH_DONE)
-    job->n_done += part->tasks.n;
+    {
+      /* A task that was not run must not count as done.  */
+      g_assert_cmpuint (part->tasks.n, ==, message->n_done);
+      job->n_done += part->tasks.n;
+    }
   else if (message->end == BATCH_NOT_STARTED)
     {
+      const struct task_set dropped = part->tasks;
       guint indexes[TASK_OFFER_MAX];
-      guint n = take_back (part, &part->offered, indexes);
+      guint n = take_back (part, &dropped, indexes);
 
       if (n > 0)
         reassign_tasks (job, indexes, n);
@@ -339,6 +345,8 @@
   task_set_add (&part->tasks, reply->indexes, reply->n);
   reply->flag
       = reply->n == 0 || !task_set_intersects (&job->wanted, &part->offered);
+  if (reply->flag)
+    part->offered.n = 0;
   if (job->wanted.n == 0)
     withdraw_offers (job, part);
 }
--- a/t/support/load_model.c
+++ b/t/support/load_model.c
@@ -107,10 +107,9 @@
   struct message *message = load_model_send (part, MESSAGE_END);
 
   message->end = batch->end;
+  message->n_done = batch->n_done;
   message->flag = batch->n_started > 0;
-  for (guint i = 0; i < batch->n_tasks; i++)
-    if (batch->tasks[i].state == BATCH_TASK_RETURNED)
-      message->indexes[message->n++] = batch->tasks[i].index;
+  message->n = batch_list_returned (batch, message->indexes);
   part->batch = NULL;
   batch_free (batch);
 }
--- a/t/support/load_model_private.h
+++ b/t/support/load_model_private.h
@@ -78,6 +78,7 @@
   guint indexes[TASK_OFFER_MAX];
   gboolean flag; /* GRANT: nothing is left; RETURN, END: something started */
   enum batch_end end;
+  guint n_done; /* END: tasks that the owner has run with success */
 };
 
 struct load_model
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -367,11 +367,15 @@
 }
 
 /* Whether PART can claim nothing more, after a claim that was granted N
-   tasks.  */
+   tasks.  Its owner then forgets the rest of the offer, so that nothing of it
+   may be granted to PART later.  */
 static gboolean
-is_exhausted (const struct fleet_part *part, guint n)
+end_offer_if_exhausted (struct fleet_part *part, guint n)
 {
-  return n == 0 || !task_set_intersects (&part->job->wanted, &part->offered);
+  if (n > 0 && task_set_intersects (&part->job->wanted, &part->offered))
+    return FALSE;
+  part->offered.n = 0;
+  return TRUE;
 }
 
 static void
@@ -382,7 +386,8 @@
   guint n = grant_tasks (part, n_tasks, granted);
 
   owner_claim_ended (fleet_owner_get_owner (part->job->home->owner), batch,
-                     granted, n, is_exhausted (part, n), clock_now_us ());
+                     granted, n, end_offer_if_exhausted (part, n),
+                     clock_now_us ());
 }
 
 static void
@@ -397,10 +402,15 @@
 on_local_ended (struct batch_sink *sink, const struct batch *batch)
 {
   struct fleet_part *part = list_entry (sink, struct fleet_part, sink);
+  guint returned[PEER_TASKS_MAX];
+  guint n_returned = batch_list_returned (batch, returned);
 
   part->batch = NULL;
   if (batch->n_started > 0)
     part->job->has_started = TRUE;
+  /* Only the batch tells for certain which tasks are done.  */
+  if (part->is_open)
+    handle_returned (part, batch->n_started > 0, returned, n_returned);
   if (part->is_open)
     handle_part_end (part, batch->end,
                      batch->reason != NULL ? batch->reason : "");
@@ -797,7 +807,8 @@
       && g_strcmp0 (part->owner, peer_request_get_sender (request)) == 0)
     {
       result.granted.granted_len = grant_tasks (part, args->n_tasks, granted);
-      result.is_exhausted = is_exhausted (part, result.granted.granted_len);
+      result.is_exhausted
+          = end_offer_if_exhausted (part, result.granted.granted_len);
       if (result.granted.granted_len > 0)
         result.spec = job->submission->spec;
     }
--- a/transport/fleet_job.c
+++ b/transport/fleet_job.c
@@ -55,6 +55,7 @@
 {
   guint n_out = 0;
 
+  task_set_remove (&part->offered, indexes, n_indexes);
   for (guint i = 0; i < n_indexes; i++)
     for (guint k = 0; k < part->n_tasks; k++)
       if (part->indexes[k] == indexes[i])
--- a/transport/fleet_job.h
+++ b/transport/fleet_job.h
@@ -71,8 +71,10 @@
    GRANTED, which has room for N.  Returns their number.  */
 guint fleet_part_grant (struct fleet_part *part, guint n, guint *granted);
 
-/* Removes the tasks with INDEXES from PART.  Writes the indexes of those that
-   were in PART to OUT, which has room for N_INDEXES.  Returns their number. */
+/* Removes the tasks with INDEXES, which its owner has returned, from PART.
+   PART may not claim them again, since its owner has forgotten them.  Writes
+   the indexes of those that were in PART to OUT, which has room for N_INDEXES.
+   Returns their number.  */
 guint fleet_part_remove_tasks (struct fleet_part *part, const guint *indexes,
                                guint n_indexes, guint *out);
 
--- a/transport/fleet_owner_peers.c
+++ b/transport/fleet_owner_peers.c
@@ -58,12 +58,9 @@
     .end = batch->end,
     .has_started = batch->n_started > 0,
     .reason = (char *)(batch->reason != NULL ? batch->reason : ""),
-    .returned = { 0, indexes },
+    .returned = { batch_list_returned (batch, indexes), indexes },
   };
 
-  for (guint i = 0; i < batch->n_tasks; i++)
-    if (batch->tasks[i].state == BATCH_TASK_RETURNED)
-      indexes[result.returned.returned_len++] = batch->tasks[i].index;
   if (g_hash_table_lookup (remote->owner->remote_batches, remote->key)
       == remote)
     g_hash_table_remove (remote->owner->remote_batches, remote->key);
