coordination, platform: evacuate availability zones on the operator's request

Each VM now reads the keys with the desired state. The state is ordered by positions in the log, goes along with beacons to VMs that do not reach the store, and is taken as evacuated until it is known. Owners treat the upstreams of such a zone as leaving: what runs there ends, queued tasks go back to their homes, no free slots are announced. Homes leave the VMs of the zone out at once.

--- a/coordination/vm_directory.c
+++ b/coordination/vm_directory.c
@@ -148,6 +148,7 @@
   vm->heard_us = now_us;
   vm->held = beacon->held;
   vm->routes_version = beacon->routes_version;
+  vm->evacuation = beacon->evacuation;
   vm->n_rooms = MIN (beacon->n_rooms, VM_ROOMS_MAX);
   for (guint i = 0; i < vm->n_rooms; i++)
     vm->rooms[i] = beacon->rooms[i];
--- a/coordination/vm_directory.h
+++ b/coordination/vm_directory.h
@@ -9,6 +9,7 @@
 #define COORDINATION_VM_DIRECTORY_H
 
 #include "base/clock.h"
+#include "coordination/evacuation.h"
 #include "coordination/vm_room.h"
 
 #include <glib.h>
@@ -39,6 +40,7 @@
   gint64 heard_us; /* time of its latest beacon, or when it became known */
   guint64 held;    /* shards that it holds in its zone, as bits */
   guint64 routes_version;
+  struct evacuation evacuation; /* as it knows it */
   struct vm_room rooms[VM_ROOMS_MAX];
   guint n_rooms;
 };
@@ -54,6 +56,7 @@
   gboolean is_leaving;
   guint64 held; /* shards that the VM holds in its zone, as bits */
   guint64 routes_version;
+  struct evacuation evacuation; /* as the VM knows it */
   const struct vm_room *rooms;
   guint n_rooms;
 };
--- a/protocol/peer.x
+++ b/protocol/peer.x
@@ -23,6 +23,8 @@
 const BEACON_PRIORITIES = 4;
 const BEACON_SIZES = 8;
 const BEACON_VMS_MAX = 3;
+const BEACON_ZONES_MAX = 32;
+const BEACON_CALLERS_MAX = 8;
 
 /* PING: checks that the called peer is alive, or asks it to check another peer
    that the caller suspects to be dead. */
@@ -209,6 +211,12 @@
   string availability_zone<PEER_NAME_MAX>;
 };
 
+/* A caller with much of the demand that the sender has seen lately. */
+struct beacon_caller {
+  unsigned hyper caller;     /* hash of its account or address */
+  unsigned int demand_milli; /* CPUs that its jobs ask for, in thousandths */
+};
+
 /* The datagram that a VM sends to all others many times a second. */
 struct beacon {
   unsigned int magic;
@@ -219,6 +227,12 @@
   unsigned hyper held; /* bit mask of the shards of its zone that it owns: bit N
                           for shard N */
   unsigned hyper routes_version; /* of its desired state */
+  unsigned hyper evacuation_position; /* the operator's evacuation requests
+                                         before it are applied; 0: none known */
+  unsigned hyper evacuated_zones<BEACON_ZONES_MAX>; /* hashes of names */
+  unsigned int capacity; /* of its processor, in thousandths of a core; 0: not
+                            known */
+  beacon_caller callers<BEACON_CALLERS_MAX>;
   beacon_room rooms<BEACON_ROOMS_MAX>;
   beacon_vm known<BEACON_VMS_MAX>; /* gossip: some live VMs that it knows */
 };
--- a/protocol/peer_xdr.c
+++ b/protocol/peer_xdr.c
@@ -596,6 +596,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_beacon_caller (XDR *xdrs, beacon_caller *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->caller))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->demand_milli))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_beacon (XDR *xdrs, beacon *objp)
 {
@@ -615,6 +627,16 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->routes_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->evacuation_position))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->evacuated_zones.evacuated_zones_val, (u_int *) &objp->evacuated_zones.evacuated_zones_len, BEACON_ZONES_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->capacity))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->callers.callers_val, (u_int *) &objp->callers.callers_len, BEACON_CALLERS_MAX,
+		sizeof (beacon_caller), (xdrproc_t) xdr_beacon_caller))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->rooms.rooms_val, (u_int *) &objp->rooms.rooms_len, BEACON_ROOMS_MAX,
 		sizeof (beacon_room), (xdrproc_t) xdr_beacon_room))
 		 return FALSE;
--- a/protocol/peer_xdr.h
+++ b/protocol/peer_xdr.h
@@ -31,6 +31,8 @@
 #define BEACON_PRIORITIES 4
 #define BEACON_SIZES 8
 #define BEACON_VMS_MAX 3
+#define BEACON_ZONES_MAX 32
+#define BEACON_CALLERS_MAX 8
 
 struct peer_ping_args {
 	char *suspect;
@@ -245,6 +247,12 @@
 };
 typedef struct beacon_vm beacon_vm;
 
+struct beacon_caller {
+	u_quad_t caller;
+	u_int demand_milli;
+};
+typedef struct beacon_caller beacon_caller;
+
 struct beacon {
 	u_int magic;
 	beacon_vm sender;
@@ -253,6 +261,16 @@
 	bool_t is_leaving;
 	u_quad_t held;
 	u_quad_t routes_version;
+	u_quad_t evacuation_position;
+	struct {
+		u_int evacuated_zones_len;
+		u_quad_t *evacuated_zones_val;
+	} evacuated_zones;
+	u_int capacity;
+	struct {
+		u_int callers_len;
+		beacon_caller *callers_val;
+	} callers;
 	struct {
 		u_int rooms_len;
 		beacon_room *rooms_val;
@@ -424,6 +442,7 @@
 extern  bool_t xdr_peer_routes_result (XDR *, peer_routes_result*);
 extern  bool_t xdr_beacon_room (XDR *, beacon_room*);
 extern  bool_t xdr_beacon_vm (XDR *, beacon_vm*);
+extern  bool_t xdr_beacon_caller (XDR *, beacon_caller*);
 extern  bool_t xdr_beacon (XDR *, beacon*);
 extern  bool_t xdr_peer_credential (XDR *, peer_credential*);
 extern  bool_t xdr_heartbeat_section_kind (XDR *, heartbeat_section_kind*);
@@ -459,6 +478,7 @@
 extern bool_t xdr_peer_routes_result ();
 extern bool_t xdr_beacon_room ();
 extern bool_t xdr_beacon_vm ();
+extern bool_t xdr_beacon_caller ();
 extern bool_t xdr_beacon ();
 extern bool_t xdr_peer_credential ();
 extern bool_t xdr_heartbeat_section_kind ();
--- a/t/t5014-follower.c
+++ b/t/t5014-follower.c
@@ -17,6 +17,7 @@
   struct store_client *client;
   struct follower *follower;
   GString *told; /* words with a space before each */
+  struct evacuation evacuation;
 };
 
 static void
@@ -29,6 +30,16 @@
   g_string_append_printf (bed->told, " v%" G_GUINT64_FORMAT, table->version);
 }
 
+static void
+on_zones_evacuated (struct fleet_events *events,
+                    const struct evacuation *state)
+{
+  struct bed *bed = (struct bed *)(void *)events;
+
+  g_assert_cmpuint (state->position, >, bed->evacuation.position);
+  bed->evacuation = *state;
+}
+
 static void
 on_upstream_changed (struct fleet_events *events,
                      const struct listed_upstream *spec)
@@ -49,6 +60,7 @@
 
 static const struct fleet_events_ops ops = {
   .routes_changed = on_routes_changed,
+  .zones_evacuated = on_zones_evacuated,
   .upstream_changed = on_upstream_changed,
   .upstream_gone = on_upstream_gone,
 };
@@ -218,6 +230,58 @@
   close_bed (bed);
 }
 
+static void
+wait_evacuated (struct bed *bed, const char *zone, gboolean is_evacuated)
+{
+  while (evacuation_includes (&bed->evacuation, zone) != is_evacuated)
+    g_main_context_iteration (NULL, TRUE);
+}
+
+/* Evacuations are found in the list after a start, and in the records that
+   follow it.  Their order is that of the log.  */
+static void
+test_evacuations (void)
+{
+  struct bed *bed = open_bed ();
+
+  fake_store_put (bed->store, "keyed.op", "evacuate/a", "{}");
+  put_state (bed, 3, "s");
+  follow (bed);
+  fake_store_expect (bed->told, " v3");
+  wait_evacuated (bed, "a", TRUE);
+  g_assert_false (evacuation_includes (&bed->evacuation, "b"));
+  fake_store_put (bed->store, "keyed.op", "evacuate/b", "{}");
+  wait_evacuated (bed, "b", TRUE);
+  fake_store_put (bed->store, "keyed.op", "evacuate/a", NULL);
+  wait_evacuated (bed, "a", FALSE);
+  g_assert_true (evacuation_includes (&bed->evacuation, "b"));
+  fake_store_put (bed->store, "keyed.op", "evacuate/a", "no JSON");
+  wait_evacuated (bed, "a", TRUE);
+  close_bed (bed);
+}
+
+/* A zone that was evacuated, and one that was taken back, while the store was
+   away and forgot its history.  */
+static void
+test_evacuations_in_forgotten_history (void)
+{
+  struct bed *bed = open_bed ();
+
+  fake_store_put (bed->store, "keyed.op", "evacuate/a", "{}");
+  put_state (bed, 3, "s");
+  follow (bed);
+  wait_evacuated (bed, "a", TRUE);
+  fake_store_set_fault (bed->store, 503);
+  fake_store_wait (bed->store, "log-read", 2);
+  fake_store_put (bed->store, "keyed.op", "evacuate/a", NULL);
+  fake_store_put (bed->store, "keyed.op", "evacuate/b", "{}");
+  fake_store_forget (bed->store, "keyed.op");
+  fake_store_set_fault (bed->store, 0);
+  wait_evacuated (bed, "b", TRUE);
+  g_assert_false (evacuation_includes (&bed->evacuation, "a"));
+  close_bed (bed);
+}
+
 static void
 test_offers_of_peers (void)
 {
@@ -367,6 +431,9 @@
   g_test_add_func ("/follower/versions", test_versions);
   g_test_add_func ("/follower/forgotten-history", test_forgotten_history);
   g_test_add_func ("/follower/after-trouble", test_reads_after_trouble);
+  g_test_add_func ("/follower/evacuations", test_evacuations);
+  g_test_add_func ("/follower/evacuations-forgotten",
+                   test_evacuations_in_forgotten_history);
   g_test_add_func ("/follower/offers", test_offers_of_peers);
   g_test_add_func ("/follower/upstreams", test_upstreams);
   g_test_add_func ("/follower/pages", test_pages);
--- a/t/t5016-platform.c
+++ b/t/t5016-platform.c
@@ -74,6 +74,12 @@
   ((struct bed *)(void *)events)->version = table->version;
 }
 
+static void
+on_zones_evacuated (struct fleet_events *events,
+                    const struct evacuation *state)
+{
+}
+
 static void
 on_upstream_changed (struct fleet_events *events,
                      const struct listed_upstream *spec)
@@ -109,6 +115,7 @@
 
 static const struct fleet_events_ops ops = {
   .routes_changed = on_routes_changed,
+  .zones_evacuated = on_zones_evacuated,
   .upstream_changed = on_upstream_changed,
   .upstream_gone = on_upstream_gone,
   .shards_assigned = on_shards_assigned,
--- a/transport/fleet.c
+++ b/transport/fleet.c
@@ -64,6 +64,7 @@
   struct fleet_beacon *beacon;
   struct route_table *routes; /* NULL before any are known */
   GBytes *routes_text;
+  struct evacuation evacuation;
   gboolean is_fetching_routes;
   gboolean is_store_reached;
   gboolean is_draining;
@@ -201,6 +202,7 @@
   state->is_leaving = fleet->is_draining;
   state->held = fleet_shards_get_held (fleet->shards);
   state->routes_version = fleet->routes != NULL ? fleet->routes->version : 0;
+  state->evacuation = fleet->evacuation;
   for (guint i = 0; i < services->len && state->n_rooms < VM_ROOMS_MAX; i++)
     {
       const char *service = g_ptr_array_index (services, i);
@@ -261,11 +263,49 @@
   peer_request_reply (request, &result);
 }
 
+/* Logs the zones of this deployment that NOW evacuates and BEFORE does not,
+   and the reverse.  */
+static void
+log_evacuation (const struct fleet *fleet, const struct evacuation *before,
+                const struct evacuation *now)
+{
+  const GPtrArray *zones = fleet->settings->availability_zones;
+
+  for (guint i = 0; i < zones->len && zones->pdata[i] != NULL; i++)
+    {
+      const char *zone = zones->pdata[i];
+      gboolean is_evacuated = evacuation_includes (now, zone);
+
+      if (is_evacuated != evacuation_includes (before, zone))
+        event_log_fields (is_evacuated ? EVENT_ZONE_EVACUATED
+                                       : EVENT_ZONE_TAKEN_BACK,
+                          FIELD_TEXT ("availability_zone", zone),
+                          FIELD_INT ("position", now->position));
+    }
+}
+
+/* Brings STATE, which the platform or a peer has told, into force if it is
+   newer.  */
+static void
+apply_evacuation (struct fleet *fleet, const struct evacuation *state)
+{
+  const struct evacuation before = fleet->evacuation;
+
+  if (!evacuation_update (&fleet->evacuation, state))
+    return;
+  log_evacuation (fleet, &before, &fleet->evacuation);
+  fleet_shards_allow_starts (
+      fleet->shards,
+      evacuation_allows_starts (&fleet->evacuation,
+                                fleet->settings->availability_zone));
+}
+
 static void
 on_beacon_received (struct fleet_beacon_owner *owner, const struct vm *vm)
 {
   struct fleet *fleet = list_entry (owner, struct fleet, beacon_owner);
 
+  apply_evacuation (fleet, &vm->evacuation);
   fleet_shards_handle_beacon (fleet->shards, vm);
   fetch_routes (fleet, vm);
 }
@@ -299,6 +339,13 @@
   fleet->routes_text = text;
 }
 
+static void
+on_zones_evacuated (struct fleet_events *events,
+                    const struct evacuation *state)
+{
+  apply_evacuation (fleet_from_events (events), state);
+}
+
 static void
 on_upstream_changed (struct fleet_events *events,
                      const struct listed_upstream *spec)
@@ -352,6 +399,7 @@
 
 static const struct fleet_events_ops events_ops = {
   .routes_changed = on_routes_changed,
+  .zones_evacuated = on_zones_evacuated,
   .upstream_changed = on_upstream_changed,
   .upstream_gone = on_upstream_gone,
   .shards_assigned = on_shards_assigned,
@@ -410,6 +458,8 @@
   metrics_set (METRIC_STORE_REACHED, fleet->is_store_reached ? 1 : 0);
   metrics_set (METRIC_ROUTES_VERSION,
                fleet->routes != NULL ? fleet->routes->version : 0);
+  metrics_set (METRIC_ZONES_EVACUATED, fleet->evacuation.n_zones);
+  metrics_set (METRIC_EVACUATION_POSITION, fleet->evacuation.position);
   metrics_set (METRIC_JOBS_ACTIVE, fleet_home_count_jobs (fleet->home));
   metrics_set (METRIC_TASKS_QUEUED, owner_room_count_queued (&room));
   metrics_set (METRIC_TASKS_RUNNING, room.n_running);
@@ -534,6 +584,7 @@
   fleet->home = fleet_home_new (
       settings->vm, fleet->incarnation, settings->availability_zone,
       settings->far_factor, fleet->directory, fleet->hub, fleet->owner);
+  fleet_home_set_evacuation (fleet->home, &fleet->evacuation);
   peer_hub_serve (fleet->hub, PEER_FETCH_ROUTES, serve_fetch_routes, fleet);
 }
 
@@ -644,6 +695,19 @@
                     (json_int_t)vm->held);
 }
 
+/* The names of the evacuated zones of this deployment.  */
+static json_t *
+describe_evacuation (const struct fleet *fleet)
+{
+  const GPtrArray *zones = fleet->settings->availability_zones;
+  json_t *names = json_array ();
+
+  for (guint i = 0; i < zones->len && zones->pdata[i] != NULL; i++)
+    if (evacuation_includes (&fleet->evacuation, zones->pdata[i]))
+      json_array_append_new (names, json_string (zones->pdata[i]));
+  return names;
+}
+
 json_t *
 fleet_describe (struct fleet *fleet)
 {
@@ -657,8 +721,8 @@
                            describe_vm (g_ptr_array_index (vms, i), now_us));
   owner_get_room (fleet_owner_get_owner (fleet->owner), NULL, &room, now_us);
   return json_pack (
-      "{s:s, s:b, s:b, s:I, s:I, s:i, s:i, s:i, s:i, s:i, s:o}", "vm",
-      fleet->settings->vm, "is_draining", fleet->is_draining,
+      "{s:s, s:b, s:b, s:I, s:I, s:i, s:i, s:i, s:i, s:i, s:I, s:o, s:o}",
+      "vm", fleet->settings->vm, "is_draining", fleet->is_draining,
       "is_store_reached", fleet->is_store_reached, "routes_version",
       (json_int_t)(fleet->routes != NULL ? fleet->routes->version : 0), "held",
       (json_int_t)fleet_shards_get_held (fleet->shards), "jobs",
@@ -666,5 +730,7 @@
       (int)room.n_upstreams, "free_slots",
       (int)free_slots_count (&room.free_slots, room.free_slots.unit_cpus),
       "queued", (int)owner_room_count_queued (&room), "running",
-      (int)room.n_running, "peers", peers);
+      (int)room.n_running, "evacuation_position",
+      (json_int_t)fleet->evacuation.position, "evacuated_zones",
+      describe_evacuation (fleet), "peers", peers);
 }
--- a/transport/fleet_beacon.c
+++ b/transport/fleet_beacon.c
@@ -4,6 +4,8 @@
 #include "protocol/beacon.h"
 #include "transport/peer_socket.h"
 
+#include <string.h>
+
 /* The interval between beacons grows with the number of VMs, which limits the
    number of beacons that a VM sends and receives per second.  */
 #define INTERVAL_PER_VM_MS 5
@@ -21,6 +23,7 @@
 
 G_STATIC_ASSERT (FREE_SLOTS_SIZES == BEACON_SIZES);
 G_STATIC_ASSERT (ROOM_PRIORITIES == BEACON_PRIORITIES);
+G_STATIC_ASSERT (EVACUATION_MAX_ZONES == BEACON_ZONES_MAX);
 
 struct fleet_beacon
 {
@@ -66,6 +69,16 @@
   to->ends_per_s = from->ends_per_s;
 }
 
+static void
+decode_evacuation (const struct beacon *from, struct evacuation *to)
+{
+  to->position = from->evacuation_position;
+  to->n_zones
+      = MIN (from->evacuated_zones.evacuated_zones_len, EVACUATION_MAX_ZONES);
+  for (guint i = 0; i < to->n_zones; i++)
+    to->zones[i] = from->evacuated_zones.evacuated_zones_val[i];
+}
+
 static void
 handle_beacon (struct fleet_beacon *b, const struct beacon *message)
 {
@@ -85,6 +98,7 @@
   gint64 now_us = clock_now_us ();
   const struct vm *vm;
 
+  decode_evacuation (message, &received.evacuation);
   for (guint i = 0; i < received.n_rooms; i++)
     decode_room (&message->rooms.rooms_val[i], &rooms[i]);
   for (guint i = 0; i < message->known.known_len; i++)
@@ -162,6 +176,7 @@
   struct vm_room rooms[VM_ROOMS_MAX];
   struct beacon_room sent[VM_ROOMS_MAX];
   struct beacon_vm known[BEACON_VMS_MAX];
+  guint64 evacuated[EVACUATION_MAX_ZONES];
   struct vm_beacon own = { .rooms = rooms };
   struct beacon message = {
     .sender
@@ -174,6 +189,10 @@
   message.is_leaving = own.is_leaving;
   message.held = own.held;
   message.routes_version = own.routes_version;
+  message.evacuation_position = own.evacuation.position;
+  message.evacuated_zones.evacuated_zones_len = own.evacuation.n_zones;
+  message.evacuated_zones.evacuated_zones_val = evacuated;
+  memcpy (evacuated, own.evacuation.zones, sizeof evacuated);
   for (guint i = 0; i < own.n_rooms; i++)
     encode_room (&rooms[i], &sent[i]);
   message.rooms.rooms_len = own.n_rooms;
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -50,6 +50,13 @@
   return home;
 }
 
+void
+fleet_home_set_evacuation (struct fleet_home *home,
+                           const struct evacuation *evacuation)
+{
+  home->evacuation = evacuation;
+}
+
 void
 fleet_home_free (struct fleet_home *home)
 {
--- a/transport/fleet_home.h
+++ b/transport/fleet_home.h
@@ -78,6 +78,12 @@
                                    struct vm_directory *directory,
                                    struct peer_hub *hub,
                                    struct fleet_owner *owner);
+
+/* Sets the state of evacuations, which must outlive HOME: no task is sent to
+   VMs of evacuated zones.  */
+void fleet_home_set_evacuation (struct fleet_home *home,
+                                const struct evacuation *evacuation);
+
 void fleet_home_free (struct fleet_home *home);
 
 /*
--- a/transport/fleet_home_private.h
+++ b/transport/fleet_home_private.h
@@ -22,6 +22,7 @@
   struct vm_directory *directory;
   struct peer_hub *hub;
   struct fleet_owner *owner;
+  const struct evacuation *evacuation; /* NULL: no zone is evacuated */
   GHashTable *jobs; /* id -> struct fleet_job that is not answered */
   guint n_parts;    /* of all jobs, which numbers them: batches of a job that
                        was sent again must not be taken for its former ones */
--- a/transport/fleet_home_rooms.c
+++ b/transport/fleet_home_rooms.c
@@ -21,6 +21,17 @@
     g_array_append_val (owners, owner);
 }
 
+/* Whether tasks may be sent to VM.  Its room in an evacuated zone is gone as
+   soon as this home knows of the evacuation, before a beacon tells so.  */
+static gboolean
+may_receive_tasks (const struct fleet_home *home, const struct vm *vm)
+{
+  if (!vm->is_live || vm->is_leaving)
+    return FALSE;
+  return home->evacuation == NULL
+         || !evacuation_includes (home->evacuation, vm->availability_zone);
+}
+
 GArray *
 fleet_home_list_owners (struct fleet_home *home, const char *service,
                         gdouble cpus)
@@ -34,7 +45,9 @@
     {
       const struct vm *vm = g_ptr_array_index (vms, i);
 
-      for (guint k = 0; vm->is_live && !vm->is_leaving && k < vm->n_rooms; k++)
+      if (!may_receive_tasks (home, vm))
+        continue;
+      for (guint k = 0; k < vm->n_rooms; k++)
         {
           struct spread_owner owner = { .name = vm->name };
 
--- a/transport/fleet_platform.h
+++ b/transport/fleet_platform.h
@@ -13,6 +13,7 @@
 #ifndef TRANSPORT_FLEET_PLATFORM_H
 #define TRANSPORT_FLEET_PLATFORM_H
 
+#include "coordination/evacuation.h"
 #include "coordination/owner.h"
 #include "state/route.h"
 
@@ -33,6 +34,12 @@
   void (*routes_changed) (struct fleet_events *events,
                           struct route_table *table, GBytes *text);
 
+  /* The operator has evacuated availability zones, or taken them back.  STATE
+     is valid only during the call.  Called once STATE is first known, also
+     when no zone is evacuated.  */
+  void (*zones_evacuated) (struct fleet_events *events,
+                           const struct evacuation *state);
+
   /* An upstream is new or has changed.  SPEC and everything in it are valid
      only during the call.  */
   void (*upstream_changed) (struct fleet_events *events,
--- a/transport/fleet_shards.c
+++ b/transport/fleet_shards.c
@@ -20,6 +20,7 @@
   struct fleet_owner *owner;
   char *availability_zone;
   guint n_shards;
+  gboolean is_start_allowed;
   GHashTable *upstreams; /* id -> struct known_upstream */
 };
 
@@ -66,13 +67,16 @@
 take_upstream (struct fleet_shards *shards, struct known_upstream *known,
                guint64 token)
 {
+  struct listed_upstream spec = known->spec;
+
+  spec.is_leaving |= !shards->is_start_allowed;
   if (known->token != token)
     event_log_fields (
         EVENT_UPSTREAM_TAKEN, FIELD_TEXT ("upstream", known->spec.id),
         FIELD_INT ("shard", known->shard), FIELD_INT ("token", token));
   known->token = token;
-  owner_take_upstream (fleet_owner_get_owner (shards->owner), &known->spec,
-                       token, clock_now_us ());
+  owner_take_upstream (fleet_owner_get_owner (shards->owner), &spec, token,
+                       clock_now_us ());
 }
 
 static struct fleet_shards *
@@ -217,6 +221,26 @@
     take_upstream (shards, known, MAX (token, known->token));
 }
 
+void
+fleet_shards_allow_starts (struct fleet_shards *shards, gboolean is_allowed)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (shards->is_start_allowed == is_allowed)
+    return;
+  shards->is_start_allowed = is_allowed;
+  g_hash_table_iter_init (&iter, shards->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct known_upstream *known = value;
+      guint64 token = ownership_get_token (shards->ownership, known->shard);
+
+      if (token != 0)
+        take_upstream (shards, known, MAX (token, known->token));
+    }
+}
+
 void
 fleet_shards_remove_upstream (struct fleet_shards *shards, const char *id)
 {
--- a/transport/fleet_shards.h
+++ b/transport/fleet_shards.h
@@ -37,6 +37,12 @@
 void fleet_shards_assign (struct fleet_shards *shards, guint64 generation,
                           const guint *assigned, guint n_assigned);
 
+/* Allows starts on the upstreams of this availability zone or, if the operator
+   has evacuated it, no longer allows them: what runs there may end.  They are
+   not allowed before the first call.  */
+void fleet_shards_allow_starts (struct fleet_shards *shards,
+                                gboolean is_allowed);
+
 /* The owner no longer owns the upstream ID: it was fenced by a higher token
    (IS_FENCED) or released.  */
 void fleet_shards_handle_upstream_lost (struct fleet_shards *shards,
