--- a/t/support/fleet_bed.c
+++ b/t/support/fleet_bed.c
@@ -4,7 +4,7 @@
 #include <signal.h>
 #include <string.h>
 
-#define ZONE "reykjavik-a"
+static const char *const zones[] = { "reykjavik-a", "hafnarfj-b" };
 #define SERVICE "staerdarvisir"
 #define HOST "jobs.example"
 
@@ -146,6 +146,13 @@
              : bed->store->ports[0];
 }
 
+/* The zone of the VM or the process of workers with INDEX.  */
+static const char *
+get_zone (const struct fleet_bed *bed, guint index)
+{
+  return zones[index % MAX (bed->plan.n_zones, 1u)];
+}
+
 static json_t *
 build_settings (struct fleet_bed *bed, guint vm)
 {
@@ -154,11 +161,15 @@
   g_autofree char *store
       = g_strdup_printf ("127.0.0.1:%u", get_store_port (bed, vm));
   json_t *settings = json_pack (
-      "{ss ss ss s[s] si ss si ss}", "vm", name, "availability_zone", ZONE,
-      "ip", ip, "availability_zones", ZONE, "beacon_port",
-      bed->ports[PORT_BEACON], "store", store, "grace_s", FLEET_BED_GRACE_S,
-      "log_level", bed->plan.log_directory != NULL ? "debug" : "warning");
-
+      "{ss ss ss s[s] si ss si ss}", "vm", name, "availability_zone",
+      get_zone (bed, vm), "ip", ip, "availability_zones", zones[0],
+      "beacon_port", bed->ports[PORT_BEACON], "store", store, "grace_s",
+      FLEET_BED_GRACE_S, "log_level",
+      bed->plan.log_directory != NULL ? "debug" : "warning");
+
+  if (bed->plan.n_zones > 1)
+    json_array_append_new (json_object_get (settings, "availability_zones"),
+                           json_string (zones[1]));
   set_endpoint (bed, settings, "callers", vm, PORT_CALLERS);
   set_endpoint (bed, settings, "readiness", vm, PORT_READINESS);
   set_endpoint (bed, settings, "peers", vm, PORT_PEERS);
@@ -266,7 +277,8 @@
   const struct fleet_bed_plan *plan = &bed->plan;
   g_autoptr (GPtrArray) arguments = g_ptr_array_new_with_free_func (g_free);
   const char *const fixed[]
-      = { "worker", "--exit-on-eof", "--service", SERVICE, "--zone", ZONE };
+      = { "worker", "--exit-on-eof", "--service",
+          SERVICE,  "--zone",        get_zone (bed, process) };
   guint n = plan->n_workers / plan->n_worker_processes;
   guint first = n * process;
 
@@ -337,6 +349,31 @@
   return bed;
 }
 
+/* The URL at which the key evacuate/ZONE of the zone with INDEX is set.  */
+static char *
+evacuation_url (struct fleet_bed *bed, guint index)
+{
+  return http_url (bed->store->ports[0],
+                   "/standin/put?topic=keyed.op&key=evacuate%%2F%s",
+                   zones[index]);
+}
+
+void
+fleet_bed_evacuate (struct fleet_bed *bed, guint zone)
+{
+  g_autofree char *url = evacuation_url (bed, zone);
+
+  http_post (url, "{}");
+}
+
+void
+fleet_bed_take_back (struct fleet_bed *bed, guint zone)
+{
+  g_autofree char *url = evacuation_url (bed, zone);
+
+  http_post (url, "");
+}
+
 void
 fleet_bed_put_state (struct fleet_bed *bed)
 {
--- a/t/support/fleet_bed.h
+++ b/t/support/fleet_bed.h
@@ -34,7 +34,9 @@
   guint n_vms;
   guint n_workers; /* shared out evenly over the processes */
   guint n_worker_processes;
-  guint32 seed;              /* of what the stand-ins draw */
+  guint n_zones; /* 0 for one, at most 2: the VMs and the processes of workers
+                    take turns */
+  guint32 seed;  /* of what the stand-ins draw */
   gint64 max_slow_ppm;       /* of the workers' clocks; the first are right */
   gboolean has_proxy;        /* before the store, the workers and the peers */
   const char *log_directory; /* of the VMs' logs, or NULL for none */
@@ -92,6 +94,10 @@
 /* Puts the desired state.  */
 void fleet_bed_put_state (struct fleet_bed *bed);
 
+/* The operator evacuates the zone with that index, or takes it back.  */
+void fleet_bed_evacuate (struct fleet_bed *bed, guint zone);
+void fleet_bed_take_back (struct fleet_bed *bed, guint zone);
+
 /* Waits until the VMs that run know each other and the desired state, and own
    all workers among them.  */
 void fleet_bed_wait_settled (struct fleet_bed *bed);
