commands: evacuate a zone, take it back, list the evacuated ones

The operator's request is a record in the platform's store. The store stand-in lets one door write the operator's topic.

--- a/commands/client.c
+++ b/commands/client.c
@@ -86,6 +86,9 @@
       soup_message_set_request_body_from_bytes (message, "application/json",
                                                 body);
     }
+  if (request->bytes != NULL)
+    soup_message_set_request_body_from_bytes (
+        message, "application/octet-stream", request->bytes);
   return message;
 }
 
--- a/commands/client.h
+++ b/commands/client.h
@@ -21,6 +21,7 @@
   const char *address; /* "IP:PORT", or a URL such as "http://10.0.0.2:7000" */
   const char *path;    /* with the query, such as "/v1/tickets?count=1" */
   const char *body;    /* JSON text, or NULL */
+  GBytes *bytes;       /* a binary body instead of BODY, or NULL */
   const char *prefer;  /* value of the header Prefer, or NULL for none */
   gint64 deadline_us;  /* on the clock of clock_now_us () */
 };
--- a/commands/command.h
+++ b/commands/command.h
@@ -43,6 +43,7 @@
 int command_drain (int argc, char **argv);
 int command_dump (int argc, char **argv);
 int command_entry (int argc, char **argv);
+int command_evacuate (int argc, char **argv);
 int command_explain (int argc, char **argv);
 int command_fleet (int argc, char **argv);
 int command_help (int argc, char **argv);
--- a/commands/main.c
+++ b/commands/main.c
@@ -15,6 +15,8 @@
   { "drain", "make entry VMs finish their jobs and exit", command_drain },
   { "dump", "print the state of an entry VM", command_dump },
   { "entry", "run the daemon of an entry VM", command_entry },
+  { "evacuate", "start nothing more in an availability zone",
+    command_evacuate },
   { "explain", "explain from logs what happened to a job", command_explain },
   { "fleet", "run the daemon of an entry VM that owns upstreams",
     command_fleet },
--- a/t/standin/store.h
+++ b/t/standin/store.h
@@ -46,6 +46,7 @@
 {
   struct store *store;
   enum door_mode mode;
+  gboolean is_operator;   /* may write the operator's topic */
   guint delay_ms;         /* calls are carried out this much later */
   guint late_ms;          /* the same for changes, which get no answer */
   gboolean loses_answers; /* of changes */
--- a/t/standin/store_control.c
+++ b/t/standin/store_control.c
@@ -198,6 +198,8 @@
   door->late_ms = (guint)json_int_member (body, "late_ms", door->late_ms);
   door->loses_answers
       = json_int_member (body, "loses_answers", door->loses_answers) != 0;
+  door->is_operator
+      = json_int_member (body, "operator", door->is_operator) != 0;
   for (guint i = 0; i < DOOR_MODE_COUNT; i++)
     if (g_strcmp0 (mode, mode_names[i]) == 0)
       store_door_set_mode (door, (enum door_mode)i);
--- a/t/standin/store_log.c
+++ b/t/standin/store_log.c
@@ -31,6 +31,8 @@
 {
   const char *topic = store_call_text (call, "topic");
 
+  if (strcmp (topic, "keyed.op") == 0 && call->door->is_operator)
+    return FALSE;
   if (strcmp (topic, "keyed.op") != 0 && strcmp (topic, "keyed.servers") != 0)
     return FALSE;
   store_call_refuse (call, 403, "topic");
--- a/t/t6001-commands.c
+++ b/t/t6001-commands.c
@@ -61,8 +61,9 @@
 }
 
 static const char *const command_names[]
-    = { "bench", "cancel",    "drain",  "dump",   "entry",  "explain", "fleet",
-        "job",   "log-level", "status", "submit", "ticket", "version" };
+    = { "bench",    "cancel",  "drain",  "dump",   "entry",
+        "evacuate", "explain", "fleet",  "job",    "log-level",
+        "status",   "submit",  "ticket", "version" };
 
 static void
 test_help (void)
--- a/t/t9620-evacuation.c
+++ b/t/t9620-evacuation.c
@@ -3,7 +3,11 @@
  * there, nothing that runs there is cut, and neither a restart nor a VM that
  * does not reach the store brings the zone back into use.
  */
+#include "commands/command.h"
 #include "t/support/fleet_bed.h"
+#include "t/support/run.h"
+
+#include <string.h>
 
 #define OTHER_ZONE 1 /* evacuated; its VMs are 1 and 3 */
 #define N_JOBS 12
@@ -170,6 +174,52 @@
   fleet_bed_stop (bed);
 }
 
+/* Runs the command with ARGUMENT and ZONE; its end must be STATUS, and its
+   output name PART.  */
+static void
+run_evacuate (struct fleet_bed *bed, const char *argument, const char *zone,
+              int status, const char *part)
+{
+  g_autofree char *store
+      = g_strdup_printf ("127.0.0.1:%u", bed->store->ports[0]);
+  struct run_result *r
+      = run_command (NULL, "evacuate", "--store", store, argument, zone, NULL);
+
+  if (r->status != status
+      || (strstr (r->out, part) == NULL && strstr (r->err, part) == NULL))
+    g_error ("status %d, '%s', '%s'", r->status, r->out, r->err);
+  run_result_free (r);
+}
+
+/* The operator's command: a request that would do harm or nothing is refused
+   with the reason, and an accepted one is in force.  */
+static void
+test_command (void)
+{
+  struct fleet_bed *bed = start ();
+
+  run_evacuate (bed, "--timeout=9000", "hafnarfj-b", EXIT_STATUS_USAGE,
+                "where the operator may write");
+  fleet_bed_set_store_faults (bed, "{\"door\":0,\"operator\":1}");
+  run_evacuate (bed, "--timeout=9000", "nowhere", EXIT_STATUS_USAGE,
+                "hafnarfj-b, reykjavik-a");
+  run_evacuate (bed, "--timeout=9000", "hafnarfj-b", EXIT_STATUS_OK,
+                "evacuated, accepted at offset");
+  wait_evacuated (bed, 1);
+  run_evacuate (bed, "--timeout=9000", "hafnarfj-b", EXIT_STATUS_OK,
+                "evacuated already");
+  run_evacuate (bed, "--timeout=9000", "reykjavik-a", EXIT_STATUS_USAGE,
+                "last zone in use");
+  run_evacuate (bed, "--timeout=9000", NULL, EXIT_STATUS_OK,
+                "evacuated: hafnarfj-b");
+  run_evacuate (bed, "--take-back", "hafnarfj-b", EXIT_STATUS_OK, "in use");
+  wait_evacuated (bed, 0);
+  fleet_bed_set_store_faults (bed, "{\"door\":0,\"mode\":\"refuses\"}");
+  run_evacuate (bed, "--timeout=700", "hafnarfj-b", EXIT_STATUS_UNAVAILABLE,
+                "does not accept the request");
+  fleet_bed_stop (bed);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -178,5 +228,6 @@
   g_test_add_func ("/evacuation/restart", test_restart);
   g_test_add_func ("/evacuation/store-unreachable", test_store_unreachable);
   g_test_add_func ("/evacuation/all-zones", test_all_zones);
+  g_test_add_func ("/evacuation/command", test_command);
   return g_test_run ();
 }
