coordination: an upstream that warms up gets one run at a time

An upstream tells how much longer it runs slower after its start (warmupLeftMs); a zone that is taken back may return so. Nothing used it.

--- a/coordination/owned.c
+++ b/coordination/owned.c
@@ -66,6 +66,7 @@
   upstream->shape = spec->shape;
   upstream->listed_instance_start_ms = spec->instance_start_ms;
   upstream->is_leaving = spec->is_leaving;
+  upstream->warm_at_us = spec->warm_at_us;
 }
 
 struct owned_upstream *
@@ -163,6 +164,12 @@
          || upstream->listed_instance_start_ms == upstream->instance_start_ms;
 }
 
+gboolean
+owned_is_warming_up (const struct owned_upstream *upstream, gint64 now_us)
+{
+  return upstream->warm_at_us > now_us;
+}
+
 gboolean
 owned_is_usable (const struct owned_upstream *upstream, gint64 now_us)
 {
@@ -182,7 +189,7 @@
 
   if (!owned_is_usable (upstream, now_us))
     return FALSE;
-  if (upstream->is_on_probation
+  if ((upstream->is_on_probation || owned_is_warming_up (upstream, now_us))
       && (!list_is_empty (&upstream->runs)
           || !list_is_empty (&upstream->holds)))
     return FALSE;
--- a/coordination/owner.c
+++ b/coordination/owner.c
@@ -199,12 +199,16 @@
 {
   gdouble free_cpus = upstream->shape.cpus - upstream->used.cpus;
   guint n_slots = (guint)(upstream->shape.cpus / owner->typical_cpus);
+  gboolean is_warming_up = owned_is_warming_up (upstream, now_us);
 
   room->n_upstreams++;
   room->free_cpus += free_cpus;
   room->total_cpus += upstream->shape.cpus;
-  free_slots_add_upstream (&room->free_slots, free_cpus);
-  room->n_slots += MAX (n_slots, 1u);
+  if (!is_warming_up)
+    free_slots_add_upstream (&room->free_slots, free_cpus);
+  else if (upstream->n_runs == 0)
+    free_slots_add_single (&room->free_slots);
+  room->n_slots += is_warming_up ? 1 : MAX (n_slots, 1u);
   for (guint i = 0; i < ROOM_PRIORITIES; i++)
     room->starts_per_s[i] += event_rate_get (&upstream->starts[i], now_us);
   room->ends_per_s += estimate_ends_per_s (upstream);
@@ -255,7 +259,8 @@
 
   if (!owned_can_start (upstream, &need, now_us))
     return 0;
-  if (upstream->is_on_probation || cpus <= 0)
+  if (upstream->is_on_probation || owned_is_warming_up (upstream, now_us)
+      || cpus <= 0)
     return 1;
   return (guint)((free_cpus + CPU_EPSILON) / cpus);
 }
--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -126,6 +126,7 @@
                                       0 when not known */
   guint64 token;                   /* fencing token that orders carry */
   enum owned_state state;
+  gint64 warm_at_us;     /* runs are slower before this time */
   gboolean is_leaving;   /* gets no new runs */
   gboolean is_removed;   /* no longer owned; freed with the last reference */
   gboolean is_releasing; /* given up once nothing runs there */
@@ -350,6 +351,7 @@
   const char *const *labels; /* NULL-terminated; may be NULL */
   struct shape shape;
   gint64 instance_start_ms; /* 0 when not known */
+  gint64 warm_at_us;        /* runs are slower before this time */
   gboolean is_leaving;
 };
 
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -408,10 +408,11 @@
 
 /* The cost of running TASK on UPSTREAM; the lowest is preferred.  The terms,
    the one that counts most first: TASK failed there last, UPSTREAM is on
-   probation, its expected slowness in steps, the CPUs left free.  */
+   probation or warming up, its expected slowness in steps, the CPUs left free.
+ */
 static gdouble
 compute_cost (const struct batch_task *task,
-              const struct owned_upstream *upstream)
+              const struct owned_upstream *upstream, gint64 now_us)
 {
   const struct batch *batch = task->batch;
   gdouble slowness = upstream->slowness;
@@ -423,7 +424,7 @@
   cost = (gdouble)(gint64)(slowness / SLOWNESS_STEP) * 1000 + left;
   if (g_strcmp0 (task->failed_on, upstream->id) == 0)
     cost += 1000000;
-  if (upstream->is_on_probation)
+  if (upstream->is_on_probation || owned_is_warming_up (upstream, now_us))
     cost += 100000;
   return cost;
 }
@@ -445,7 +446,7 @@
 
       if (!may_run_on (task, upstream, now_us))
         continue;
-      cost = compute_cost (task, upstream);
+      cost = compute_cost (task, upstream, now_us);
       if (best != NULL && cost >= best_cost)
         continue;
       best = upstream;
--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -63,6 +63,11 @@
 gboolean owned_can_start (const struct owned_upstream *upstream,
                           const struct shape *need, gint64 now_us);
 
+/* Whether UPSTREAM runs slower than it will.  It gets one run at a time, so
+   that few tasks are late while it warms up.  */
+gboolean owned_is_warming_up (const struct owned_upstream *upstream,
+                              gint64 now_us);
+
 /* Whether UPSTREAM may get runs now, as far as it has room.  */
 gboolean owned_is_usable (const struct owned_upstream *upstream,
                           gint64 now_us);
--- a/t/support/load_model.c
+++ b/t/support/load_model.c
@@ -359,6 +359,40 @@
       load_upstreams_remove (model->vms[k].upstreams, i, model->now_us);
 }
 
+static void
+set_leaving (struct load_model *model, guint first, guint count,
+             gboolean is_leaving, guint warm_up_ms)
+{
+  for (guint i = first; i < first + count; i++)
+    for (guint k = 0; k < model->config.n_owners; k++)
+      load_upstreams_set_leaving (model->vms[k].upstreams, i, is_leaving,
+                                  warm_up_ms, model->now_us);
+}
+
+/* Owners without an upstream that takes runs return what is queued, as
+   transport/fleet_owner.c has them do.  */
+void
+load_model_evacuate (struct load_model *model, guint first, guint count)
+{
+  set_leaving (model, first, count, TRUE, 0);
+  for (guint i = 0; i < model->config.n_owners; i++)
+    {
+      struct owner *owner = model->vms[i].owner;
+      struct owner_room room;
+
+      owner_get_room (owner, "s", &room, model->now_us);
+      if (room.n_slots == 0)
+        owner_return_all_queued (owner, "s", model->now_us);
+    }
+}
+
+void
+load_model_take_back (struct load_model *model, guint first, guint count,
+                      guint warm_up_ms)
+{
+  set_leaving (model, first, count, FALSE, warm_up_ms);
+}
+
 void
 load_model_kill_owner (struct load_model *model, guint owner)
 {
--- a/t/support/load_model.h
+++ b/t/support/load_model.h
@@ -66,6 +66,12 @@
 void load_model_remove_upstreams (struct load_model *model, guint first,
                                   guint count);
 
+/* The operator evacuates the upstreams from FIRST on, COUNT of them, or takes
+   them back, in which case they run slower for WARM_UP_MS.  */
+void load_model_evacuate (struct load_model *model, guint first, guint count);
+void load_model_take_back (struct load_model *model, guint first, guint count,
+                           guint warm_up_ms);
+
 /* The VM of the owner is gone, with all that it holds.  Homes learn of it 600
    ms later, and its jobs are lost.  */
 void load_model_kill_owner (struct load_model *model, guint owner);
--- a/t/support/load_upstream.c
+++ b/t/support/load_upstream.c
@@ -7,6 +7,9 @@
 #define STOP_TIMEOUT_MS 200
 #define POLL_MARGIN_MS 200
 
+/* How many times longer a run takes that begins while its upstream is cold. */
+#define COLD_SLOWNESS 3
+
 enum order_kind
 {
   START_ORDER,
@@ -34,8 +37,9 @@
   guint number;
   struct owned_upstream *owned; /* referenced */
   gboolean is_gone;
-  GArray *runs; /* struct sim_run */
-  GArray *ends; /* struct sim_end, by entry number less one */
+  gint64 warm_at_us; /* runs that begin before are slower */
+  GArray *runs;      /* struct sim_run */
+  GArray *ends;      /* struct sim_end, by entry number less one */
 };
 
 struct sim_order
@@ -114,12 +118,11 @@
   return NULL;
 }
 
-static void
-take_upstream (struct load_upstreams *all, guint number)
+/* Takes the upstream NUMBER, or tells its owner anew what it is.  */
+static struct owned_upstream *
+tell_owner (struct load_upstreams *all, guint number, gboolean is_leaving,
+            gint64 warm_at_us)
 {
-  const struct upstream_report report
-      = { .clock_ms = get_clock_ms (all), .instance_start_ms = 1 };
-  struct sim_upstream *upstream = g_new0 (struct sim_upstream, 1);
   g_autofree char *id = g_strdup_printf ("u%u", number);
   const struct listed_upstream spec = { .id = id,
                                         .address = "127.0.0.1:1",
@@ -127,9 +130,20 @@
                                         .rack = "",
                                         .availability_zone = "z",
                                         .shape = { .cpus = LOAD_SLOTS },
-                                        .instance_start_ms = 1 };
-  struct owned_upstream *owned
-      = owner_take_upstream (all->owner, &spec, 1, all->now_us);
+                                        .instance_start_ms = 1,
+                                        .warm_at_us = warm_at_us,
+                                        .is_leaving = is_leaving };
+
+  return owner_take_upstream (all->owner, &spec, 1, all->now_us);
+}
+
+static void
+take_upstream (struct load_upstreams *all, guint number)
+{
+  const struct upstream_report report
+      = { .clock_ms = get_clock_ms (all), .instance_start_ms = 1 };
+  struct sim_upstream *upstream = g_new0 (struct sim_upstream, 1);
+  struct owned_upstream *owned = tell_owner (all, number, FALSE, 0);
 
   upstream->number = number;
   upstream->runs = g_array_new (FALSE, FALSE, sizeof (struct sim_run));
@@ -192,6 +206,24 @@
     }
 }
 
+void
+load_upstreams_set_leaving (struct load_upstreams *upstreams, guint number,
+                            gboolean is_leaving, guint warm_up_ms,
+                            gint64 now_us)
+{
+  for (guint i = 0; i < upstreams->upstreams->len; i++)
+    {
+      struct sim_upstream *upstream
+          = g_ptr_array_index (upstreams->upstreams, i);
+
+      if (upstream->number != number || upstream->is_gone)
+        continue;
+      upstreams->now_us = now_us;
+      upstream->warm_at_us = now_us + warm_up_ms * USEC_PER_MSEC;
+      tell_owner (upstreams, number, is_leaving, upstream->warm_at_us);
+    }
+}
+
 static struct sim_order *
 send_order (struct load_upstreams *all, enum order_kind kind,
             const struct owned_upstream *owned, const struct run *run,
@@ -314,10 +346,11 @@
 carry_out (struct load_upstreams *all, const struct sim_order *order)
 {
   struct sim_upstream *upstream = order->upstream;
+  guint slowness = all->now_us < upstream->warm_at_us ? COLD_SLOWNESS : 1;
   struct sim_run run
       = { .number = order->number,
           .began_us = all->now_us,
-          .ends_us = all->now_us + order->run_ms * USEC_PER_MSEC };
+          .ends_us = all->now_us + order->run_ms * slowness * USEC_PER_MSEC };
 
   if (order->kind == START_ORDER)
     {
--- a/t/support/load_upstream.h
+++ b/t/support/load_upstream.h
@@ -28,6 +28,12 @@
 void load_upstreams_remove (struct load_upstreams *upstreams, guint number,
                             gint64 now_us);
 
+/* The upstream with this number gets nothing more, or is used again and runs
+   slower for WARM_UP_MS.  Ignores those of other owners.  */
+void load_upstreams_set_leaving (struct load_upstreams *upstreams,
+                                 guint number, gboolean is_leaving,
+                                 guint warm_up_ms, gint64 now_us);
+
 /* For the driver of the owner.  RUN_MS is how long the run takes.  */
 void load_upstreams_start (struct load_upstreams *upstreams,
                            const struct run *run, guint run_ms, gint64 now_us);
--- a/t/t2141-load.c
+++ b/t/t2141-load.c
@@ -129,6 +129,27 @@
   load_model_run (model, 3000, 0.8 * FULL);
 }
 
+/* The load is 0.9 of what the two zones that are left can do.  */
+static void
+play_evacuated (struct load_model *model)
+{
+  load_model_run (model, 1000, 0.6 * FULL);
+  load_model_evacuate (model, 0, N_UPSTREAMS / 3);
+  load_model_run (model, 3000, 0.6 * FULL);
+  load_model_take_back (model, 0, N_UPSTREAMS / 3, 0);
+  load_model_run (model, 2000, 0.6 * FULL);
+}
+
+static void
+play_returned_cold (struct load_model *model)
+{
+  load_model_run (model, 500, 0.6 * FULL);
+  load_model_evacuate (model, 0, N_UPSTREAMS / 3);
+  load_model_run (model, 1500, 0.6 * FULL);
+  load_model_take_back (model, 0, N_UPSTREAMS / 3, 2000);
+  load_model_run (model, 4000, 0.75 * FULL);
+}
+
 /* "A wave that peaks at 95% of the slots".  */
 static void
 test_wave (void)
@@ -202,6 +223,22 @@
     }
 }
 
+/* "A zone's upstreams go away by order under 0.9 of the load that is left":
+   what is queued there moves, and nothing more is sent there.  */
+static void
+test_evacuated (void)
+{
+  check_against_one_queue (&base, play_evacuated, 0.93);
+}
+
+/* "It returns cold": its upstreams get few runs while they are slow, instead
+   of all that the others would have served in time.  */
+static void
+test_returned_cold (void)
+{
+  check_against_one_queue (&base, play_returned_cold, 0.93);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -213,5 +250,7 @@
   g_test_add_func ("/load/burst", test_burst);
   g_test_add_func ("/load/late-answers", test_late_answers);
   g_test_add_func ("/load/owner-dies", test_owner_dies);
+  g_test_add_func ("/load/evacuated", test_evacuated);
+  g_test_add_func ("/load/returned-cold", test_returned_cold);
   return g_test_run ();
 }
--- a/t/t5011-service-entry.c
+++ b/t/t5011-service-entry.c
@@ -181,7 +181,7 @@
 {
   expect_equal ("seq", "5", TRUE);
   expect_equal ("clockMs", "5", TRUE);
-  expect_equal ("warmupLeftMs", "5", TRUE);
+  expect_equal ("warmupLeftMs", "5", FALSE);
   expect_equal ("born", "5", FALSE);
   expect_equal ("state", "'draining'", FALSE);
   expect_equal ("addr", "'10.0.0.9:8081'", FALSE);
@@ -189,6 +189,20 @@
   expect_equal ("capacity", "{'cpu':16501,'memMb':32768,'gpu':2}", FALSE);
 }
 
+/* How long an upstream is still slower is told once, not with each
+   heartbeat.  */
+static void
+test_warm_up (void)
+{
+  struct service_entry *a = parse_changed ("warmupLeftMs", "4000");
+  struct service_entry *b = parse_changed ("warmupLeftMs", "2500");
+
+  g_assert_cmpuint (a->warm_up_ms, ==, 4000);
+  g_assert_true (service_entry_equals (a, b));
+  service_entry_free (a);
+  service_entry_free (b);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -199,5 +213,6 @@
   g_test_add_func ("/service-entry/foreign", test_foreign_entries);
   g_test_add_func ("/service-entry/unreadable", test_unreadable_bytes);
   g_test_add_func ("/service-entry/equality", test_equality);
+  g_test_add_func ("/service-entry/warm-up", test_warm_up);
   return g_test_run ();
 }
