coordination: a start order without an answer is checked after 10 ms

Such a start was noticed after 44 to 95 ms, 77 in the median: after 40 ms, at the next 20 ms check, a poll, and one more check. Of jobs of eight tasks of 60 ms with 156 ms to their objective every eighth was late there. The poll that follows a start by 10 ms now asks for an answer at once when the start is unanswered by then, replaces a poll that the upstream holds back, and its answer is judged when it comes.

--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -137,7 +137,7 @@
   guint n_foreign;        /* of them, those that this owner did not start */
   guint64 n_polls;        /* polls sent so far; numbers them from 1 */
   guint64 last_answered_poll;   /* number of the last answered poll */
-  gint64 answered_us;           /* when a poll was last answered */
+  gint64 answered_sent_us;      /* when that poll was sent */
   guint64 last_ended_entry;     /* highest entry_number processed; see
                                    struct listed_end */
   guint64 reported_ended_entry; /* the value that the latest poll sent */
--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -25,10 +25,15 @@
 /* Restarts allowed for one task because of stalls and slow upstreams.  */
 #define MAX_RESTARTS 3
 
-/* A start order or a poll that takes longer than usual by this is checked by a
-   poll that is answered at once: the answer may be lost.  */
+/* A poll that takes longer than usual by this is replaced by one that is
+   answered at once: its answer may be lost.  */
 #define ANSWER_MARGIN_US (40 * USEC_PER_MSEC)
 
+/* A start order without an answer is checked by a poll after this.  Answers
+   take a few milliseconds, and the shortest tasks have some 100 ms to spare
+   for a second start.  */
+#define START_MARGIN_US (10 * USEC_PER_MSEC)
+
 /* The margin for the end of a run, as a fraction of its time up to then.  */
 #define END_MARGIN 0.1
 
@@ -45,6 +50,10 @@
    have used this number and the next ones.  */
 #define N_SKIPPED_RUN_NUMBERS 7
 
+static void handle_lost_starts (struct owner *owner,
+                                struct owned_upstream *upstream,
+                                gint64 now_us);
+
 static void
 report_health (struct owner *owner, const struct owned_upstream *upstream,
                enum owner_health_event event)
@@ -638,10 +647,11 @@
   if (end == ORDER_ACCEPTED && report != NULL)
     {
       upstream->last_answered_poll = upstream->n_polls;
-      upstream->answered_us = now_us;
+      upstream->answered_sent_us = upstream->polled_us;
       upstream->acked_ended_entry = upstream->reported_ended_entry;
       owned_clear_unanswered (upstream);
       apply_report (owner, upstream, report, now_us);
+      handle_lost_starts (owner, upstream, now_us);
     }
   else if (end == ORDER_OTHER_INSTANCE)
     handle_other_instance (owner, upstream, now_us);
@@ -673,7 +683,7 @@
   switch (run->state)
     {
     case RUN_STARTING:
-      return run->started_us + ANSWER_MARGIN_US < now_us;
+      return run->started_us + START_MARGIN_US <= now_us;
     case RUN_RUNNING:
       return run->task != NULL && compute_end_due_us (run) < now_us;
     case RUN_STOPPING:
@@ -694,14 +704,41 @@
   return FALSE;
 }
 
-/* Gives up waiting for the answer to a poll that the upstream may hold back,
-   if that answer should have come: the next poll is answered at once.  */
-static void
-supersede_poll (struct owned_upstream *upstream, gint64 now_us)
+/* When the poll that is in flight is too old to tell whether the start of RUN
+   was lost; DEADLINE_NEVER if it may tell.  */
+static gint64
+get_start_check_us (const struct run *run)
+{
+  gint64 due_us = run->started_us + START_MARGIN_US;
+
+  return run->state == RUN_STARTING && run->last_listed_poll == 0
+                 && run->upstream->polled_us < due_us
+             ? due_us
+             : DEADLINE_NEVER;
+}
+
+gint64
+owner_get_start_check_us (const struct owned_upstream *upstream)
+{
+  const struct list_node *node;
+  gint64 due_us = DEADLINE_NEVER;
+
+  if (!upstream->is_polling || !upstream->is_poll_held)
+    return DEADLINE_NEVER;
+  for (node = upstream->runs.next; node != &upstream->runs; node = node->next)
+    due_us = MIN (due_us,
+                  get_start_check_us (list_entry (node, struct run, link)));
+  return due_us;
+}
+
+void
+owner_supersede_poll (struct owned_upstream *upstream, gint64 now_us)
 {
-  if (!upstream->is_polling || !upstream->is_poll_held
-      || upstream->polled_us + ANSWER_MARGIN_US > now_us
-      || !owner_expects_news (upstream, now_us))
+  if (!upstream->is_polling || !upstream->is_poll_held)
+    return;
+  if (owner_get_start_check_us (upstream) > now_us
+      && (upstream->polled_us + ANSWER_MARGIN_US > now_us
+          || !owner_expects_news (upstream, now_us)))
     return;
   upstream->is_polling = FALSE;
   upstream->poll_due_us = now_us;
@@ -710,12 +747,27 @@
 /* Whether the start order for RUN got no answer, and a later poll did not list
    the run.  */
 static gboolean
-is_start_lost (const struct run *run, gint64 now_us)
+is_start_lost (const struct run *run)
 {
   return run->state == RUN_STARTING && run->last_listed_poll == 0
-         && run->started_us + ANSWER_MARGIN_US < now_us
          && run->upstream->last_answered_poll > run->sent_after_poll
-         && run->upstream->answered_us > run->started_us + ANSWER_MARGIN_US;
+         && run->upstream->answered_sent_us
+                >= run->started_us + START_MARGIN_US;
+}
+
+/* Stops the runs whose start orders were lost, as the answer to a poll of
+   UPSTREAM has shown.  */
+static void
+handle_lost_starts (struct owner *owner, struct owned_upstream *upstream,
+                    gint64 now_us)
+{
+  struct list_node *node;
+  struct list_node *after;
+
+  list_for_each (node, after, &upstream->runs)
+    if (is_start_lost (list_entry (node, struct run, link)))
+      handle_unanswered_start (owner, list_entry (node, struct run, link),
+                               now_us);
 }
 
 /* Whether the answers of the upstream show that RUN makes no progress.  The
@@ -766,11 +818,6 @@
 {
   struct batch_task *task = run->task;
 
-  if (is_start_lost (run, now_us))
-    {
-      handle_unanswered_start (owner, run, now_us);
-      return;
-    }
   if (run->state == RUN_STOPPING && run->stop_due_us <= now_us
       && !run->is_stop_acknowledged)
     {
@@ -801,7 +848,7 @@
 
   list_for_each (node, after, &upstream->runs)
     check_run (owner, list_entry (node, struct run, link), now_us);
-  supersede_poll (upstream, now_us);
+  owner_supersede_poll (upstream, now_us);
   if (upstream->n_unanswered_polls < OWNED_MAX_UNANSWERED_POLLS
       || list_is_empty (&upstream->runs))
     return;
