--- a/coordination/ownership.c
+++ b/coordination/ownership.c
@@ -494,6 +494,13 @@
       release_shard (ownership, i, 0);
 }
 
+void
+ownership_end_listening (struct ownership *ownership, gint64 now_us)
+{
+  update_time (ownership, now_us);
+  ownership->listen_until_us = MIN (ownership->listen_until_us, now_us);
+}
+
 guint64
 ownership_get_held (const struct ownership *ownership)
 {
--- a/coordination/vm_directory.c
+++ b/coordination/vm_directory.c
@@ -48,6 +48,25 @@
   return g_hash_table_lookup (directory->by_name, name);
 }
 
+gboolean
+vm_directory_has_heard_all (const struct vm_directory *directory,
+                            const char *availability_zone)
+{
+  guint n_heard = 0;
+
+  for (guint i = 0; i < directory->vms->len; i++)
+    {
+      const struct vm *vm = g_ptr_array_index (directory->vms, i);
+
+      if (!g_str_equal (vm->availability_zone, availability_zone))
+        continue;
+      if (vm->incarnation == 0)
+        return FALSE;
+      n_heard++;
+    }
+  return n_heard > 0;
+}
+
 const struct vm *
 vm_directory_find (const struct vm_directory *directory, const char *name)
 {
--- a/coordination/vm_directory.h
+++ b/coordination/vm_directory.h
@@ -104,6 +104,11 @@
 void vm_directory_note_message (struct vm_directory *directory,
                                 const char *name, gint64 now_us);
 
+/* Whether other VMs of AVAILABILITY_ZONE are known, and each of them was heard
+   since the start.  */
+gboolean vm_directory_has_heard_all (const struct vm_directory *directory,
+                                     const char *availability_zone);
+
 /* The VM of that name, or NULL.  */
 const struct vm *vm_directory_find (const struct vm_directory *directory,
                                     const char *name);
--- a/t/t2100-ownership.c
+++ b/t/t2100-ownership.c
@@ -788,6 +788,27 @@
   bed_free (bed);
 }
 
+/* A VM that has heard all others of its zone takes free shards sooner, and
+   still none that a live peer holds.  */
+static void
+test_heard_all (void)
+{
+  struct bed *bed = g_new0 (struct bed, 1);
+
+  bed->driver.ops = &bed_ops;
+  bed->ownership = ownership_new (&bed->driver, "b");
+  bed->log = g_string_new (NULL);
+  bed->now_us = USEC_PER_SEC;
+  bed_assign (bed, 5, bit (0) | bit (1));
+  bed_pass (bed, 50);
+  bed_hear (bed, "a", bit (1));
+  bed_expect (bed, "");
+  ownership_end_listening (bed->ownership, bed->now_us);
+  bed_pass (bed, 50);
+  g_assert_cmpuint (ownership_get_held (bed->ownership), ==, bit (0));
+  bed_free (bed);
+}
+
 /* A new assignment takes nothing away.  */
 static void
 test_keeps (void)
@@ -977,6 +998,7 @@
   g_test_add_func ("/ownership/fenced", test_fenced);
   g_test_add_func ("/ownership/shared", test_shared);
   g_test_add_func ("/ownership/pause", test_pause);
+  g_test_add_func ("/ownership/heard-all", test_heard_all);
   g_test_add_func ("/ownership/leave", test_leave);
   g_test_add_func ("/ownership/tokens", test_tokens);
   g_test_add_func ("/ownership/random", test_random);
--- a/t/t2120-vm-directory.c
+++ b/t/t2120-vm-directory.c
@@ -368,6 +368,22 @@
   bed_free (bed);
 }
 
+/* A VM that is listed and was never heard may hold shards.  */
+static void
+test_heard_all (void)
+{
+  struct bed *bed = bed_new ();
+
+  g_assert_false (vm_directory_has_heard_all (bed->directory, "a"));
+  vm_directory_add (bed->directory, PEER, "127.0.0.2", "a", bed->now_us);
+  vm_directory_add (bed->directory, "entry-2", "127.0.0.3", "b", bed->now_us);
+  g_assert_false (vm_directory_has_heard_all (bed->directory, "a"));
+  hear_room (bed, 4, 1, NULL, 0);
+  g_assert_true (vm_directory_has_heard_all (bed->directory, "a"));
+  g_assert_false (vm_directory_has_heard_all (bed->directory, "b"));
+  bed_free (bed);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -385,5 +401,6 @@
   g_test_add_func ("/vm-directory/full", test_full);
   g_test_add_func ("/vm-directory/wait", test_wait);
   g_test_add_func ("/vm-directory/heard-by-call", test_heard_by_call);
+  g_test_add_func ("/vm-directory/heard-all", test_heard_all);
   return g_test_run ();
 }
--- a/transport/fleet.c
+++ b/transport/fleet.c
@@ -66,6 +66,8 @@
   GBytes *routes_text;
   struct evacuation evacuation;
   gboolean is_fetching_routes;
+  gboolean are_members_listed; /* the platform's list was read */
+  gboolean has_slots;          /* at the last tick */
   gboolean is_store_reached;
   gboolean is_draining;
   gint64 drain_began_us;
@@ -300,6 +302,17 @@
                                 fleet->settings->availability_zone));
 }
 
+/* Ends the time in which this VM listens before it takes shards, once all VMs
+   of its zone that the platform lists were heard.  */
+static void
+check_listening (struct fleet *fleet)
+{
+  if (fleet->are_members_listed
+      && vm_directory_has_heard_all (fleet->directory,
+                                     fleet->settings->availability_zone))
+    fleet_shards_end_listening (fleet->shards);
+}
+
 static void
 on_beacon_received (struct fleet_beacon_owner *owner, const struct vm *vm)
 {
@@ -307,6 +320,7 @@
 
   apply_evacuation (fleet, &vm->evacuation);
   fleet_shards_handle_beacon (fleet->shards, vm);
+  check_listening (fleet);
   fetch_routes (fleet, vm);
 }
 
@@ -382,6 +396,7 @@
         has_new |= vm_directory_add (fleet->directory, parts[0], parts[1],
                                      parts[2], clock_now_us ());
     }
+  fleet->are_members_listed |= n_members > 0;
   if (has_new)
     apply_vms (fleet);
 }
@@ -498,6 +513,21 @@
   return G_SOURCE_REMOVE;
 }
 
+/* Sends a beacon as soon as this VM's upstreams have slots and had none
+   before: homes that know of no others wait for it.  */
+static void
+announce_first_slots (struct fleet *fleet)
+{
+  struct owner_room room;
+  gboolean had_slots = fleet->has_slots;
+
+  owner_get_room (fleet_owner_get_owner (fleet->owner), NULL, &room,
+                  clock_now_us ());
+  fleet->has_slots = room.n_slots > 0;
+  if (fleet->has_slots && !had_slots)
+    fleet_beacon_send (fleet->beacon);
+}
+
 static gboolean
 on_tick (gpointer data)
 {
@@ -510,6 +540,7 @@
   fleet->last_tick_us = now_us;
   fleet_shards_advance (fleet->shards);
   fleet_home_advance (fleet->home, now_us);
+  announce_first_slots (fleet);
   if (!fleet->is_draining || !is_drained (fleet, now_us))
     return G_SOURCE_CONTINUE;
   fleet_home_answer_all (fleet->home, "this VM had to stop");
--- a/transport/fleet_shards.c
+++ b/transport/fleet_shards.c
@@ -356,6 +356,12 @@
                            vm->is_leaving, clock_now_us ());
 }
 
+void
+fleet_shards_end_listening (struct fleet_shards *shards)
+{
+  ownership_end_listening (shards->ownership, clock_now_us ());
+}
+
 void
 fleet_shards_leave (struct fleet_shards *shards)
 {
--- a/transport/fleet_shards.h
+++ b/transport/fleet_shards.h
@@ -48,6 +48,10 @@
 void fleet_shards_handle_upstream_lost (struct fleet_shards *shards,
                                         const char *id, gboolean is_fenced);
 
+/* Every VM that the platform lists in this availability zone was heard: shards
+   may be taken.  */
+void fleet_shards_end_listening (struct fleet_shards *shards);
+
 /* A beacon of VM was received.  */
 void fleet_shards_handle_beacon (struct fleet_shards *shards,
                                  const struct vm *vm);
