--- a/t/soak/faults.c
+++ b/t/soak/faults.c
@@ -10,6 +10,18 @@
 /* Faults are taken back by then.  */
 #define END_SLACK_MS 100
 
+/* With two zones, the second one is evacuated from this time after the start
+   to this time before the end of the faults.  */
+#define EVACUATED_ZONE 1
+#define EVACUATION_DELAY_MS 500
+#define EVACUATION_REST_MS 500
+
+/* How long it takes until an evacuation is in force, and the longest time by
+   which a fault delays that, or the execution of an order.  */
+#define EVACUATION_MS 5000
+#define MAX_FAULT_MS 3200
+#define MAX_ORDER_DELAY_MS 2000
+
 enum target
 {
   TARGET_VM,
@@ -155,6 +167,10 @@
   GArray *schedule; /* struct fault */
   GArray *outages;  /* struct outage */
   gint64 end_ms;
+  gint64 evacuate_ms;  /* when to; G_MAXINT64 for never */
+  gint64 take_back_ms; /* when to */
+  gint64 evacuated_ms; /* when the store had it; 0 before */
+  gint64 in_use_ms;    /* when the zone was taken back; 0 before */
   guint n_own_ends;
 };
 
@@ -249,6 +265,13 @@
   faults->random = g_rand_new_with_seed (seed);
   faults->schedule = g_array_new (FALSE, FALSE, sizeof (struct fault));
   faults->outages = g_array_new (FALSE, FALSE, sizeof (struct outage));
+  faults->evacuate_ms = G_MAXINT64;
+  if (bed->plan.n_zones > 1)
+    {
+      faults->evacuate_ms = now_ms + EVACUATION_DELAY_MS;
+      faults->take_back_ms
+          = now_ms + (gint64)seconds * MS_PER_S - EVACUATION_REST_MS;
+    }
   draw_schedule (faults, now_ms + MS_PER_S,
                  now_ms + (gint64)seconds * MS_PER_S);
   return faults;
@@ -486,12 +509,38 @@
       }
 }
 
+static void
+advance_evacuation (struct faults *faults, gint64 now_ms)
+{
+  if (faults->evacuated_ms == 0 && now_ms >= faults->evacuate_ms)
+    {
+      fleet_bed_evacuate (faults->bed, EVACUATED_ZONE);
+      faults->evacuated_ms = soak_now_ms ();
+    }
+  if (faults->evacuated_ms != 0 && faults->in_use_ms == 0
+      && now_ms >= faults->take_back_ms)
+    {
+      faults->in_use_ms = soak_now_ms ();
+      fleet_bed_take_back (faults->bed, EVACUATED_ZONE);
+    }
+}
+
+gboolean
+faults_forbid_start (const struct faults *faults, guint zone, gint64 start_ms)
+{
+  return zone == EVACUATED_ZONE && faults->in_use_ms != 0
+         && start_ms < faults->in_use_ms
+         && start_ms > faults->evacuated_ms + EVACUATION_MS + MAX_FAULT_MS
+                           + MAX_ORDER_DELAY_MS;
+}
+
 void
 faults_advance (struct faults *faults)
 {
   gint64 now_ms = soak_now_ms ();
 
   check_own_ends (faults);
+  advance_evacuation (faults, now_ms);
   for (guint i = 0; i < faults->schedule->len; i++)
     {
       struct fault *fault = &g_array_index (faults->schedule, struct fault, i);
@@ -506,6 +555,8 @@
 gboolean
 faults_are_over (const struct faults *faults)
 {
+  if (faults->evacuate_ms != G_MAXINT64 && faults->in_use_ms == 0)
+    return FALSE;
   for (guint i = 0; i < faults->schedule->len; i++)
     if (!g_array_index (faults->schedule, struct fault, i).is_over)
       return FALSE;
--- a/t/soak/faults.h
+++ b/t/soak/faults.h
@@ -50,6 +50,12 @@
 gboolean faults_were_others (const struct faults *faults, gint64 from_ms,
                              gint64 to_ms);
 
+/* Whether a start at START_MS on a worker of ZONE was forbidden: the zone was
+   evacuated for longer than it takes in the worst case until that is in force
+   everywhere, VMs included that a fault had cut off.  */
+gboolean faults_forbid_start (const struct faults *faults, guint zone,
+                              gint64 start_ms);
+
 /* VMs that ended without being told to.  */
 guint faults_count_own_ends (const struct faults *faults);
 
--- a/t/soak/judge.c
+++ b/t/soak/judge.c
@@ -23,6 +23,7 @@
   gint64 start_ms;
   gint64 end_ms; /* G_MAXINT64 while it runs */
   gboolean is_over_capacity;
+  guint zone; /* of the worker */
 };
 
 struct judge
@@ -49,7 +50,7 @@
 }
 
 static void
-add_run (struct judge *judge, json_t *entry)
+add_run (struct judge *judge, json_t *entry, guint zone)
 {
   struct run run = {
     .worker = json_string_value (json_get (entry, "worker")),
@@ -59,6 +60,7 @@
     .start_ms = json_get_int (entry, "start_ms"),
     .end_ms = json_get_int (entry, "end_ms"),
     .is_over_capacity = json_is_true (json_get (entry, "over_capacity")),
+    .zone = zone,
   };
   GArray *runs = g_hash_table_lookup (judge->runs, run.task);
 
@@ -87,7 +89,8 @@
 
       g_ptr_array_add (judge->records, record);
       for (size_t j = 0; j < json_array_size (list); j++)
-        add_run (judge, json_array_get (list, j));
+        add_run (judge, json_array_get (list, j),
+                 i % MAX (judge->bed->plan.n_zones, 1u));
     }
   g_hash_table_iter_init (&iter, judge->runs);
   while (g_hash_table_iter_next (&iter, NULL, &runs))
@@ -207,6 +210,9 @@
       if (run->is_over_capacity)
         judge_add (judge, job, "task %s brought %s over its capacity",
                    run->task, run->worker);
+      if (faults_forbid_start (judge->faults, run->zone, run->start_ms))
+        judge_add (judge, job, "task %s was started in an evacuated zone",
+                   run->task);
       if (run->start_ms < first->sent_ms)
         judge_add (judge, job, "task %s ran before it was sent", run->task);
       for (guint j = 0; j < i; j++)
--- a/t/soak/judge.h
+++ b/t/soak/judge.h
@@ -6,6 +6,7 @@
  * - nothing ran of a job that was refused each time, or that nobody sent,
  * - a request got an answer, or only a fault broke its connection,
  * - an answer is one that the pages name, and `done` and `failed` are true,
+ * - nothing was started in an evacuated zone,
  * - no task failed more often than its job allows,
  * - VMs end only when they are told to.
  */
--- a/t/soak/main.c
+++ b/t/soak/main.c
@@ -83,6 +83,7 @@
     .n_vms = (guint)soak->n_vms,
     .n_workers = (guint)soak->n_workers,
     .n_worker_processes = worker_processes ((guint)soak->n_workers),
+    .n_zones = soak->seed % 2 == 0 ? 2 : 1,
     .seed = (guint32)soak->seed,
     .max_slow_ppm = MAX_SLOW_PPM,
     .has_proxy = TRUE,
