protocol, coordination, transport: settings for callers' shares, callers in the beacon

A flood that arrives through many VMs is small at each of them, so the VMs have to tell each other of their largest callers. The beacon's field for them was not filled.

t3010: a beacon with the longest names and all callers has no room for three known VMs, so that bound is checked without callers as before, and a new test checks that a beacon with every list full still names one VM.

--- a/coordination/vm_directory.c
+++ b/coordination/vm_directory.c
@@ -110,6 +110,7 @@
   vm->is_live = FALSE;
   vm->held = 0;
   vm->n_rooms = 0;
+  vm->callers.n = 0;
   directory->listener->ops->vm_lost (directory->listener, vm, incarnation);
 }
 
@@ -149,6 +150,7 @@
   vm->held = beacon->held;
   vm->routes_version = beacon->routes_version;
   vm->evacuation = beacon->evacuation;
+  vm->callers = beacon->callers;
   vm->n_rooms = MIN (beacon->n_rooms, VM_ROOMS_MAX);
   for (guint i = 0; i < vm->n_rooms; i++)
     vm->rooms[i] = beacon->rooms[i];
--- a/coordination/vm_directory.h
+++ b/coordination/vm_directory.h
@@ -9,6 +9,7 @@
 #define COORDINATION_VM_DIRECTORY_H
 
 #include "base/clock.h"
+#include "coordination/caller_share.h"
 #include "coordination/evacuation.h"
 #include "coordination/vm_room.h"
 
@@ -41,6 +42,8 @@
   guint64 held;    /* shards that it holds in its zone, as bits */
   guint64 routes_version;
   struct evacuation evacuation; /* as it knows it */
+  struct caller_list callers;   /* with the largest demand there; empty unless
+                                   it is live */
   struct vm_room rooms[VM_ROOMS_MAX];
   guint n_rooms;
 };
@@ -57,6 +60,7 @@
   guint64 held; /* shards that the VM holds in its zone, as bits */
   guint64 routes_version;
   struct evacuation evacuation; /* as the VM knows it */
+  struct caller_list callers;   /* with the largest demand there */
   const struct vm_room *rooms;
   guint n_rooms;
 };
--- a/protocol/fleet_settings.c
+++ b/protocol/fleet_settings.c
@@ -25,15 +25,26 @@
 #define DEFAULT_CONNECTIONS 3000
 #define MAX_FAR_FACTOR 100
 
-static const char *const keys[] = { "vm",         "availability_zone",
-                                    "ip",         "availability_zones",
-                                    "callers",    "readiness",
-                                    "peers",      "beacon_port",
-                                    "metrics",    "store",
-                                    "shards",     "member_ttl_ms",
-                                    "lease_ms",   "max_lease_ms",
-                                    "grace_s",    "max_connections",
-                                    "far_factor", "log_level",
+static const char *const keys[] = { "vm",
+                                    "availability_zone",
+                                    "ip",
+                                    "availability_zones",
+                                    "callers",
+                                    "readiness",
+                                    "peers",
+                                    "beacon_port",
+                                    "metrics",
+                                    "store",
+                                    "shards",
+                                    "member_ttl_ms",
+                                    "lease_ms",
+                                    "max_lease_ms",
+                                    "grace_s",
+                                    "max_connections",
+                                    "far_factor",
+                                    "log_level",
+                                    "share_by_caller",
+                                    "spread_retries",
                                     NULL };
 
 /* Reads a required string that must not be empty.  */
@@ -166,6 +177,10 @@
   read_zones (check, root, settings);
   read_numbers (check, root, settings);
   read_leases (check, root, settings);
+  json_read_boolean (check, "", root, "share_by_caller",
+                     &settings->share_by_caller);
+  json_read_boolean (check, "", root, "spread_retries",
+                     &settings->spread_retries);
   settings_read_log_level (check, "log_level", root, "log_level",
                            &settings->log_level);
 }
--- a/protocol/fleet_settings.h
+++ b/protocol/fleet_settings.h
@@ -31,6 +31,10 @@
                             relative to the one on it; 1 or more */
   guint grace_ms;        /* from a stop signal to the end of the process */
   guint max_connections; /* of callers */
+  gboolean share_by_caller; /* while tasks wait for slots, the requests by
+                               which a caller clearly exceeds its share are
+                               refused first */
+  gboolean spread_retries;  /* refused callers are told different times */
   enum log_level log_level;
 };
 
--- a/t/t1020-fleet-settings.c
+++ b/t/t1020-fleet-settings.c
@@ -91,6 +91,8 @@
   g_assert_cmpuint (s->n_shards, ==, 16);
   g_assert_cmpuint (s->max_lease_ms, ==, 1000);
   g_assert_cmpint (s->log_level, ==, LOG_LEVEL_INFO);
+  g_assert_true (s->share_by_caller);
+  g_assert_true (s->spread_retries);
   fleet_settings_free (s);
 }
 
@@ -117,6 +119,8 @@
   g_assert_cmpuint (s->lease_ms, ==, 900);
   g_assert_cmpuint (s->max_lease_ms, ==, 1000);
   g_assert_cmpuint (s->max_connections, ==, 3000);
+  g_assert_false (s->share_by_caller);
+  g_assert_false (s->spread_retries);
   assert_endpoint (&s->metrics, NULL, 0);
   fleet_settings_free (s);
   s = parse ("{" REQUIRED ",\"metrics\":\"\"}");
@@ -215,6 +219,8 @@
                   "must be a number from");
   assert_problem ("{" REQUIRED ",\"lease_ms\":true}", "must be a number from");
   assert_problem ("{" REQUIRED ",\"log_level\":\"loud\"}", "must be one of");
+  assert_problem ("{" REQUIRED ",\"share_by_caller\":1}", "'share_by_caller'");
+  assert_problem ("{" REQUIRED ",\"spread_retries\":1}", "'spread_retries'");
   assert_problem ("{" REQUIRED ",\"lease_ms\":700,\"max_lease_ms\":600}",
                   "must not exceed max_lease_ms");
 }
--- a/t/t2120-vm-directory.c
+++ b/t/t2120-vm-directory.c
@@ -35,6 +35,7 @@
   g_assert_false (vm->is_live);
   g_assert_cmpuint (vm->n_rooms, ==, 0);
   g_assert_cmpuint (vm->held, ==, 0);
+  g_assert_cmpuint (vm->callers.n, ==, 0);
   bed->n_lost++;
   bed->lost_incarnation = incarnation;
 }
@@ -73,6 +74,7 @@
     .incarnation = incarnation,
     .sequence = sequence,
     .held = 5,
+    .callers = { { { 1, 700 } }, 1 },
     .rooms = rooms,
     .n_rooms = n_rooms,
   };
@@ -107,6 +109,7 @@
   g_assert_nonnull (hear (bed, 10, 1));
   pass (bed, VM_LOST_AFTER_US);
   g_assert_true (find (bed)->is_live);
+  g_assert_cmpuint (find (bed)->callers.n, ==, 1);
   g_assert_cmpuint (bed->n_lost, ==, 0);
   pass (bed, 1);
   g_assert_false (find (bed)->is_live);
--- a/t/t3010-beacon.c
+++ b/t/t3010-beacon.c
@@ -13,6 +13,7 @@
 {
   struct beacon_room rooms[BEACON_ROOMS_MAX];
   struct beacon_vm known[BEACON_VMS_MAX + 2];
+  struct beacon_caller callers[BEACON_CALLERS_MAX + 1];
   struct beacon message;
 };
 
@@ -49,6 +50,10 @@
     }
   for (guint i = 0; i < G_N_ELEMENTS (sample->known); i++)
     sample->known[i] = make_vm (LONG_NAME);
+  for (guint i = 0; i < G_N_ELEMENTS (sample->callers); i++)
+    sample->callers[i] = (struct beacon_caller){ G_MAXUINT64 - i, i };
+  message->callers.callers_len = BEACON_CALLERS_MAX;
+  message->callers.callers_val = sample->callers;
   message->rooms.rooms_len = BEACON_ROOMS_MAX;
   message->rooms.rooms_val = sample->rooms;
   message->known.known_len = BEACON_VMS_MAX;
@@ -111,11 +116,33 @@
   g_assert_cmpmem (got.rooms.rooms_val,
                    got.rooms.rooms_len * sizeof *got.rooms.rooms_val,
                    sample.rooms, sizeof sample.rooms);
+  g_assert_cmpuint (got.callers.callers_len, ==, BEACON_CALLERS_MAX);
+  for (guint i = 0; i < BEACON_CALLERS_MAX; i++)
+    {
+      g_assert_cmpuint (got.callers.callers_val[i].caller, ==,
+                        G_MAXUINT64 - i);
+      g_assert_cmpuint (got.callers.callers_val[i].demand_milli, ==, i);
+    }
   beacon_clear (&got);
   beacon_clear (&got);
+  sample.message.callers.callers_len = 0;
   g_assert_cmpuint (count_known (&sample.message), ==, BEACON_VMS_MAX);
 }
 
+/* With every list at its bound, the beacon must still be sent and name a VM:
+   otherwise VMs would no longer learn of each other.  */
+static void
+test_all_full (void)
+{
+  guint64 zones[BEACON_ZONES_MAX] = { 0 };
+  struct sample sample;
+
+  fill (&sample);
+  sample.message.evacuated_zones.evacuated_zones_len = BEACON_ZONES_MAX;
+  sample.message.evacuated_zones.evacuated_zones_val = zones;
+  g_assert_cmpuint (count_known (&sample.message), >=, 1);
+}
+
 /* Known VMs that do not fit are left out; the rest goes.  */
 static void
 test_too_many_known (void)
@@ -123,6 +150,7 @@
   struct sample sample;
 
   fill (&sample);
+  sample.message.callers.callers_len = 0;
   sample.message.known.known_len = G_N_ELEMENTS (sample.known);
   g_assert_cmpuint (count_known (&sample.message), ==, BEACON_VMS_MAX);
   sample.known[2] = make_vm (TOO_LONG_NAME);
@@ -143,6 +171,9 @@
   fill (&sample);
   sample.message.rooms.rooms_len = BEACON_ROOMS_MAX + 1;
   g_assert_cmpuint (beacon_encode (&sample.message, data), ==, 0);
+  fill (&sample);
+  sample.message.callers.callers_len = BEACON_CALLERS_MAX + 1;
+  g_assert_cmpuint (beacon_encode (&sample.message, data), ==, 0);
 }
 
 static void
@@ -154,6 +185,7 @@
   g_assert_null (got.sender.name);
   g_assert_null (got.rooms.rooms_val);
   g_assert_null (got.known.known_val);
+  g_assert_null (got.callers.callers_val);
 }
 
 static void
@@ -190,6 +222,7 @@
 
   g_assert_cmpuint (got->rooms.rooms_len, <=, BEACON_ROOMS_MAX);
   g_assert_cmpuint (got->known.known_len, <=, BEACON_VMS_MAX);
+  g_assert_cmpuint (got->callers.callers_len, <=, BEACON_CALLERS_MAX);
   g_assert_cmpstr (got->sender.name, !=, "");
   assert_vm_in_bounds (&got->sender);
   for (guint i = 0; i < got->known.known_len; i++)
@@ -246,6 +279,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/beacon/round-trip", test_round_trip);
+  g_test_add_func ("/beacon/all-full", test_all_full);
   g_test_add_func ("/beacon/too-many-known", test_too_many_known);
   g_test_add_func ("/beacon/cannot-encode", test_cannot_encode);
   g_test_add_func ("/beacon/truncated", test_truncated);
--- a/t/t3011-fleet-beacon.c
+++ b/t/t3011-fleet-beacon.c
@@ -53,6 +53,9 @@
   news->n_rooms = 1;
   news->held = 6;
   news->routes_version = 41;
+  news->callers.n = 2;
+  news->callers.callers[0] = (struct caller_demand){ 11, 3000 };
+  news->callers.callers[1] = (struct caller_demand){ 12, 1 };
 }
 
 static void
@@ -138,10 +141,12 @@
 static void
 send_beacon (struct bed *bed, const char *name, const char *ip)
 {
+  struct beacon_caller callers[] = { { 21, 700 }, { 22, 5 } };
   struct beacon message
       = { .sender = { (char *)name, (char *)ip, (char *)"b" },
           .incarnation = 5,
-          .sequence = 1 };
+          .sequence = 1,
+          .callers = { G_N_ELEMENTS (callers), callers } };
   g_autoptr (GSocketAddress) own = g_inet_socket_address_new_from_string (
       OWN_IP, bed->settings.beacon_port);
   guint8 data[BEACON_MAX_LENGTH];
@@ -165,6 +170,10 @@
   g_assert_cmpuint (message.incarnation, ==, INCARNATION);
   g_assert_cmpuint (message.held, ==, 6);
   g_assert_cmpuint (message.routes_version, ==, 41);
+  g_assert_cmpuint (message.callers.callers_len, ==, 2);
+  g_assert_cmpuint (message.callers.callers_val[0].caller, ==, 11);
+  g_assert_cmpuint (message.callers.callers_val[0].demand_milli, ==, 3000);
+  g_assert_cmpuint (message.callers.callers_val[1].caller, ==, 12);
   g_assert_cmpuint (message.rooms.rooms_len, ==, 1);
   room = &message.rooms.rooms_val[0];
   g_assert_cmpuint (room->n_queued[0], ==, 3);
@@ -182,11 +191,17 @@
 test_heard (void)
 {
   struct bed *bed = bed_new ();
+  const struct vm *vm;
 
   send_beacon (bed, "peer", PEER_IP);
   while (bed->n_heard == 0)
     g_main_context_iteration (NULL, TRUE);
-  g_assert_true (vm_directory_find (bed->directory, "peer")->is_live);
+  vm = vm_directory_find (bed->directory, "peer");
+  g_assert_true (vm->is_live);
+  g_assert_cmpuint (vm->callers.n, ==, 2);
+  g_assert_cmpuint (vm->callers.callers[0].caller, ==, 21);
+  g_assert_cmpuint (vm->callers.callers[0].demand_milli, ==, 700);
+  g_assert_cmpuint (vm->callers.callers[1].caller, ==, 22);
   bed_free (bed);
 }
 
--- a/transport/fleet_beacon.c
+++ b/transport/fleet_beacon.c
@@ -24,6 +24,7 @@
 G_STATIC_ASSERT (FREE_SLOTS_SIZES == BEACON_SIZES);
 G_STATIC_ASSERT (ROOM_PRIORITIES == BEACON_PRIORITIES);
 G_STATIC_ASSERT (EVACUATION_MAX_ZONES == BEACON_ZONES_MAX);
+G_STATIC_ASSERT (CALLER_LIST_MAX == BEACON_CALLERS_MAX);
 
 struct fleet_beacon
 {
@@ -79,6 +80,28 @@
     to->zones[i] = from->evacuated_zones.evacuated_zones_val[i];
 }
 
+static void
+decode_callers (const struct beacon *from, struct caller_list *to)
+{
+  to->n = MIN (from->callers.callers_len, CALLER_LIST_MAX);
+  for (guint i = 0; i < to->n; i++)
+    {
+      const struct beacon_caller *caller = &from->callers.callers_val[i];
+
+      to->callers[i]
+          = (struct caller_demand){ caller->caller, caller->demand_milli };
+    }
+}
+
+static void
+encode_callers (const struct caller_list *from,
+                struct beacon_caller to[CALLER_LIST_MAX])
+{
+  for (guint i = 0; i < from->n; i++)
+    to[i] = (struct beacon_caller){ from->callers[i].caller,
+                                    from->callers[i].demand_milli };
+}
+
 static void
 handle_beacon (struct fleet_beacon *b, const struct beacon *message)
 {
@@ -99,6 +122,7 @@
   const struct vm *vm;
 
   decode_evacuation (message, &received.evacuation);
+  decode_callers (message, &received.callers);
   for (guint i = 0; i < received.n_rooms; i++)
     decode_room (&message->rooms.rooms_val[i], &rooms[i]);
   for (guint i = 0; i < message->known.known_len; i++)
@@ -176,6 +200,7 @@
   struct vm_room rooms[VM_ROOMS_MAX];
   struct beacon_room sent[VM_ROOMS_MAX];
   struct beacon_vm known[BEACON_VMS_MAX];
+  struct beacon_caller callers[CALLER_LIST_MAX];
   guint64 evacuated[EVACUATION_MAX_ZONES];
   struct vm_beacon own = { .rooms = rooms };
   struct beacon message = {
@@ -193,6 +218,9 @@
   message.evacuated_zones.evacuated_zones_len = own.evacuation.n_zones;
   message.evacuated_zones.evacuated_zones_val = evacuated;
   memcpy (evacuated, own.evacuation.zones, sizeof evacuated);
+  encode_callers (&own.callers, callers);
+  message.callers.callers_len = own.callers.n;
+  message.callers.callers_val = callers;
   for (guint i = 0; i < own.n_rooms; i++)
     encode_room (&rooms[i], &sent[i]);
   message.rooms.rooms_len = own.n_rooms;
