transport, platform: refuse a caller's excess first, spread the times of retries

While tasks wait for slots, a job was refused only when its own wait was too long: a flood of one caller filled the queues, and the jobs of all others were refused or late with it. The home now refuses the part of the requests by which a caller clearly exceeds its share as soon as there is a queue. The caller is the remote address of the connection, as requests on this platform name no account. Retry-After of refused jobs is booked one after another, so that those which are expected back do not return together.

The decisions are in coordination/; transport/fleet_admission connects them with the directory.

Refusals are counted by cause, and by route in the metrics and the dump, with late and waiting jobs; the log names the cause, the caller's demand and its limit.

--- a/base/metrics.c
+++ b/base/metrics.c
@@ -54,6 +54,9 @@
 static const char *const outcome_names[JOB_OUTCOME_COUNT]
     = { "done", "failed", "turned-away", "too-late", "lost", "caller-gone" };
 
+static const char *const refusal_names[REFUSAL_COUNT]
+    = { "other", "wait-too-long", "no-owner", "over-share" };
+
 static const char *const order_names[UPSTREAM_ORDER_COUNT]
     = { "start", "stop", "ask" };
 
@@ -94,8 +97,15 @@
   = { "call", N_STORE_CELLS, .names = store_call_names,
       .second_key = "outcome", .second_names = store_outcome_names,
       .n_second = STORE_OUTCOME_COUNT },
+  [METRIC_LABEL_REFUSAL] = { "cause", REFUSAL_COUNT, .names = refusal_names },
 };
 
+const char *
+refusal_cause_name (enum refusal_cause cause)
+{
+  return refusal_names[cause];
+}
+
 void
 metrics_count (enum metric metric)
 {
--- a/base/metrics.h
+++ b/base/metrics.h
@@ -40,6 +40,7 @@
   METRIC_LABEL_OUTCOME,    /* enum job_outcome */
   METRIC_LABEL_ORDER,      /* enum upstream_order */
   METRIC_LABEL_STORE_CALL, /* enum store_call and enum store_outcome */
+  METRIC_LABEL_REFUSAL,    /* enum refusal_cause */
 };
 
 /* Requests that an entry VM's dispatcher sends to an upstream.  */
@@ -63,6 +64,16 @@
   JOB_OUTCOME_COUNT
 };
 
+/* Why a home refused a job of which nothing was run.  */
+enum refusal_cause
+{
+  REFUSAL_OTHER,
+  REFUSAL_WAIT_TOO_LONG, /* its tasks would have waited too long, or have */
+  REFUSAL_NO_OWNER,      /* no live owner has slots */
+  REFUSAL_OVER_SHARE,    /* its caller requests more than its share */
+  REFUSAL_COUNT
+};
+
 /* Orders that an owner sends to an upstream.  */
 enum upstream_order
 {
@@ -91,6 +102,9 @@
   STORE_OUTCOME_COUNT
 };
 
+/* The name of CAUSE in logs and metrics.  Static.  */
+const char *refusal_cause_name (enum refusal_cause cause);
+
 /* Adds one to a counter without labels.  */
 void metrics_count (enum metric metric);
 
--- a/transport/fleet.c
+++ b/transport/fleet.c
@@ -59,6 +59,7 @@
   struct peer_hub *hub;
   struct vm_directory *directory;
   struct fleet_owner *owner;
+  struct fleet_admission *admission;
   struct fleet_home *home;
   struct fleet_shards *shards;
   struct fleet_beacon *beacon;
@@ -203,6 +204,7 @@
   state->held = fleet_shards_get_held (fleet->shards);
   state->routes_version = fleet->routes != NULL ? fleet->routes->version : 0;
   state->evacuation = fleet->evacuation;
+  fleet_admission_list_callers (fleet->admission, &state->callers);
   for (guint i = 0; i < services->len && state->n_rooms < VM_ROOMS_MAX; i++)
     {
       const char *service = g_ptr_array_index (services, i);
@@ -472,9 +474,25 @@
   return fleet_describe (list_entry (source, struct fleet, metrics_source));
 }
 
+static const struct route_counts *
+count_routes (struct fleet *fleet)
+{
+  return fleet_admission_count_routes (fleet->admission,
+                                       fleet_home_get_jobs (fleet->home));
+}
+
+static void
+append_metrics (struct metrics_source *source, GString *text)
+{
+  struct fleet *fleet = list_entry (source, struct fleet, metrics_source);
+
+  route_counts_format (count_routes (fleet), text);
+}
+
 static const struct metrics_source_ops metrics_source_ops = {
   .refresh = refresh_gauges,
   .dump = dump_state,
+  .append = append_metrics,
 };
 
 static gboolean
@@ -509,6 +527,7 @@
                       FIELD_INT ("late_us", now_us - fleet->last_tick_us));
   fleet->last_tick_us = now_us;
   fleet_shards_advance (fleet->shards);
+  fleet_admission_advance (fleet->admission, now_us);
   fleet_home_advance (fleet->home, now_us);
   if (!fleet->is_draining || !is_drained (fleet, now_us))
     return G_SOURCE_CONTINUE;
@@ -581,9 +600,12 @@
                                   &fleet->owner_listener);
   fleet_shards_set_owner (fleet->shards, fleet->owner);
   fleet_owner_serve (fleet->owner, fleet->hub);
-  fleet->home = fleet_home_new (
-      settings->vm, fleet->incarnation, settings->availability_zone,
-      settings->far_factor, fleet->directory, fleet->hub, fleet->owner);
+  fleet->admission
+      = fleet_admission_new (settings, fleet->directory, fleet->owner);
+  fleet->home = fleet_home_new (settings->vm, fleet->incarnation,
+                                settings->availability_zone,
+                                settings->far_factor, fleet->directory,
+                                fleet->hub, fleet->owner, fleet->admission);
   fleet_home_set_evacuation (fleet->home, &fleet->evacuation);
   peer_hub_serve (fleet->hub, PEER_FETCH_ROUTES, serve_fetch_routes, fleet);
 }
@@ -652,6 +674,7 @@
   g_clear_pointer (&fleet->beacon, fleet_beacon_free);
   g_clear_pointer (&fleet->hub, peer_hub_free);
   g_clear_pointer (&fleet->home, fleet_home_free);
+  g_clear_pointer (&fleet->admission, fleet_admission_free);
   g_clear_pointer (&fleet->owner, fleet_owner_free);
   g_clear_pointer (&fleet->shards, fleet_shards_free);
   vm_directory_free (fleet->directory);
@@ -721,7 +744,8 @@
                            describe_vm (g_ptr_array_index (vms, i), now_us));
   owner_get_room (fleet_owner_get_owner (fleet->owner), NULL, &room, now_us);
   return json_pack (
-      "{s:s, s:b, s:b, s:I, s:I, s:i, s:i, s:i, s:i, s:i, s:I, s:o, s:o}",
+      "{s:s, s:b, s:b, s:I, s:I, s:i, s:i, s:i, s:i, s:i, s:I, s:o, s:o, "
+      "s:o}",
       "vm", fleet->settings->vm, "is_draining", fleet->is_draining,
       "is_store_reached", fleet->is_store_reached, "routes_version",
       (json_int_t)(fleet->routes != NULL ? fleet->routes->version : 0), "held",
@@ -732,5 +756,6 @@
       "queued", (int)owner_room_count_queued (&room), "running",
       (int)room.n_running, "evacuation_position",
       (json_int_t)fleet->evacuation.position, "evacuated_zones",
-      describe_evacuation (fleet), "peers", peers);
+      describe_evacuation (fleet), "routes",
+      route_counts_describe (count_routes (fleet)), "peers", peers);
 }
--- a/transport/fleet.h
+++ b/transport/fleet.h
@@ -10,6 +10,7 @@
 #define TRANSPORT_FLEET_H
 
 #include "protocol/fleet_settings.h"
+#include "transport/fleet_admission.h"
 #include "transport/fleet_home.h"
 #include "transport/fleet_platform.h"
 
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -3,6 +3,7 @@
 #include "base/error.h"
 #include "base/hash64.h"
 #include "base/metrics.h"
+#include "coordination/retry_spread.h"
 #include "transport/fleet_home_log.h"
 #include "transport/fleet_home_private.h"
 
@@ -20,8 +21,8 @@
 #define STOP_GRACE_US (1 * USEC_PER_SEC)
 
 /* Bounds of the retry delay that a refused caller is told.  */
-#define MIN_RETRY_MS 200
-#define MAX_RETRY_MS 5000
+#define MIN_RETRY_MS RETRY_SPREAD_MIN_MS
+#define MAX_RETRY_MS RETRY_SPREAD_MAX_MS
 
 static void on_return_tasks (struct peer_request *request,
                              const void *arguments, gpointer data);
@@ -32,7 +33,7 @@
 fleet_home_new (const char *vm, guint64 incarnation,
                 const char *availability_zone, gdouble far_factor,
                 struct vm_directory *directory, struct peer_hub *hub,
-                struct fleet_owner *owner)
+                struct fleet_owner *owner, struct fleet_admission *admission)
 {
   struct fleet_home *home = g_new0 (struct fleet_home, 1);
 
@@ -44,19 +45,13 @@
   home->directory = directory;
   home->hub = hub;
   home->owner = owner;
+  home->admission = admission;
   home->jobs = g_hash_table_new (g_str_hash, g_str_equal);
   peer_hub_serve (hub, PEER_RETURN_TASKS, on_return_tasks, home);
   peer_hub_serve (hub, PEER_CLAIM_TASKS, on_claim_tasks, home);
   return home;
 }
 
-void
-fleet_home_set_evacuation (struct fleet_home *home,
-                           const struct evacuation *evacuation)
-{
-  home->evacuation = evacuation;
-}
-
 void
 fleet_home_free (struct fleet_home *home)
 {
@@ -67,12 +62,6 @@
   g_free (home);
 }
 
-guint
-fleet_home_count_jobs (const struct fleet_home *home)
-{
-  return g_hash_table_size (home->jobs);
-}
-
 /* The open parts of JOB; if ONLY_UNCLAIMED, those offers of which no task was
    granted.  */
 static GPtrArray *
@@ -163,6 +152,7 @@
   metrics_record (METRIC_ANSWER_SECONDS, took_us);
   metrics_count_label (METRIC_FLEET_JOBS,
                        outcomes[answer->outcome].metric_label);
+  fleet_admission_note_answer (job->home->admission, job, answer, took_us);
   fleet_home_log_job_answered (job, answer, outcomes[answer->outcome].name,
                                outcomes[answer->outcome].status, took_us);
 }
@@ -265,7 +255,8 @@
       && clock_now_us () < job->end_by_us)
     assign_tasks (job, indexes, n_tasks);
   else
-    give_up_job (job, "no room in time", MIN_RETRY_MS);
+    give_up_job (job, "no room in time",
+                 fleet_home_get_retry_ms (job, MIN_RETRY_MS));
 }
 
 /* Whether an open part of JOB may still claim tasks.  */
@@ -589,15 +580,17 @@
   offer = spread_assign (
       (struct spread_owner *)(void *)owners->data, owners->len, &tasks,
       hash64_pair (hash64_string (s->job), job->n_assignments));
+  job->refusal = fleet_admission_judge (job->home->admission, job, owners,
+                                        &offer, longest_ms);
   if (job->n_assignments == 1)
     log_accepted (job, owners,
-                  offer.wait_ms >= 0 && offer.wait_ms <= longest_ms);
+                  offer.wait_ms >= 0 && job->refusal.reason == NULL);
   task_set_add (&job->wanted, indexes + (tasks.n - offer.n_tasks),
                 n_tasks - (tasks.n - offer.n_tasks));
   if (offer.wait_ms < 0)
     give_up_job (job, "no upstream is owned by a live VM", MIN_RETRY_MS);
-  else if (offer.wait_ms > longest_ms)
-    give_up_job (job, "the queues are longer than its time", offer.wait_ms);
+  else if (job->refusal.reason != NULL)
+    give_up_job (job, job->refusal.reason, job->refusal.retry_after_ms);
   else
     {
       give_tasks (job, owners, indexes);
@@ -655,6 +648,7 @@
   job->first_number = home->n_parts;
   job->accepted_us = clock_now_us ();
   set_times (job);
+  fleet_admission_note_job (home->admission, job);
   g_hash_table_insert (home->jobs, submission->job, job);
   for (guint i = 0; i < submission->n_tasks; i++)
     indexes[i] = i;
--- a/transport/fleet_home.h
+++ b/transport/fleet_home.h
@@ -21,6 +21,7 @@
    objective.  */
 #define FLEET_LATE_FACTOR 3
 
+struct fleet_admission;
 struct fleet_home;
 struct fleet_job;
 
@@ -30,6 +31,8 @@
   char *job;  /* id, chosen by the caller */
   char *spec; /* passed to the upstream unchanged */
   char *service;
+  char *route;          /* its name, or NULL */
+  char *caller;         /* identity of the caller, or NULL */
   char *affinity;       /* rack, or NULL */
   char *required_label; /* or NULL */
   struct shape need;    /* of one task */
@@ -71,13 +74,12 @@
 
 /* VM and INCARNATION identify this process.  FAR_FACTOR is the expected run
    time of a task outside its rack relative to that on its rack.  DIRECTORY,
-   HUB and OWNER must outlive the home.  */
-struct fleet_home *fleet_home_new (const char *vm, guint64 incarnation,
-                                   const char *availability_zone,
-                                   gdouble far_factor,
-                                   struct vm_directory *directory,
-                                   struct peer_hub *hub,
-                                   struct fleet_owner *owner);
+   HUB, OWNER and ADMISSION must outlive the home.  */
+struct fleet_home *
+fleet_home_new (const char *vm, guint64 incarnation,
+                const char *availability_zone, gdouble far_factor,
+                struct vm_directory *directory, struct peer_hub *hub,
+                struct fleet_owner *owner, struct fleet_admission *admission);
 
 /* Sets the state of evacuations, which must outlive HOME: no task is sent to
    VMs of evacuated zones.  */
@@ -111,6 +113,9 @@
 /* The number of jobs that are not answered yet.  */
 guint fleet_home_count_jobs (const struct fleet_home *home);
 
+/* The jobs that are not answered yet, struct fleet_job by ID.  */
+GHashTable *fleet_home_get_jobs (const struct fleet_home *home);
+
 /* Whether any live owner has a slot, free or not, for SERVICE.  */
 gboolean fleet_home_has_slots (struct fleet_home *home, const char *service);
 
--- a/transport/fleet_home_log.c
+++ b/transport/fleet_home_log.c
@@ -175,6 +175,8 @@
                              const char *outcome, guint status, gint64 took_us)
 {
   const struct fleet_submission *s = job->submission;
+  const struct fleet_refusal *refusal = &job->refusal;
+  gboolean is_over_share = refusal->cause == REFUSAL_OVER_SHARE;
 
   if (answer->outcome == FLEET_DONE)
     {
@@ -190,6 +192,15 @@
       FIELD_INT ("objective_ms", s->objective_us / USEC_PER_MSEC),
       FIELD_INT ("tasks", s->n_tasks), FIELD_INT ("done", job->n_done),
       FIELD_INT ("batches", job->n_parts),
+      FIELD_IF (answer->outcome == FLEET_NOT_RUN,
+                FIELD_TEXT ("cause", refusal_cause_name (refusal->cause))),
+      FIELD_IF (is_over_share, FIELD_TEXT ("caller", s->caller)),
+      FIELD_IF (is_over_share, FIELD_INT ("demand_milli_cpus",
+                                          refusal->standing.demand_milli)),
+      FIELD_IF (is_over_share,
+                FIELD_INT ("limit_milli_cpus", refusal->standing.limit_milli)),
+      FIELD_IF (is_over_share,
+                FIELD_INT ("callers", refusal->standing.n_callers)),
       FIELD_IF (answer->retry_after_ms > 0,
                 FIELD_INT ("retry_after_ms", answer->retry_after_ms)),
       make_trail_field (job));
--- a/transport/fleet_home_private.h
+++ b/transport/fleet_home_private.h
@@ -22,6 +22,7 @@
   struct vm_directory *directory;
   struct peer_hub *hub;
   struct fleet_owner *owner;
+  struct fleet_admission *admission;
   const struct evacuation *evacuation; /* NULL: no zone is evacuated */
   GHashTable *jobs; /* id -> struct fleet_job that is not answered */
   guint n_parts;    /* of all jobs, which numbers them: batches of a job that
@@ -36,6 +37,10 @@
 GArray *fleet_home_list_owners (struct fleet_home *home, const char *service,
                                 gdouble cpus);
 
+/* Retry-After of JOB, in milliseconds, if there is no room for it in time;
+   FALLBACK_MS if retries are not spread.  */
+gint64 fleet_home_get_retry_ms (struct fleet_job *job, gint64 fallback_ms);
+
 /* fleet_part.c: how parts of jobs reach their owners.  */
 
 /* Hands PART to its owner.  If that is another VM, ENDED is called with PART
--- a/transport/fleet_home_rooms.c
+++ b/transport/fleet_home_rooms.c
@@ -21,6 +21,13 @@
     g_array_append_val (owners, owner);
 }
 
+void
+fleet_home_set_evacuation (struct fleet_home *home,
+                           const struct evacuation *evacuation)
+{
+  home->evacuation = evacuation;
+}
+
 /* Whether tasks may be sent to VM.  Its room in an evacuated zone is gone as
    soon as this home knows of the evacuation, before a beacon tells so.  */
 static gboolean
@@ -70,3 +77,26 @@
 
   return owners->len > 0;
 }
+
+guint
+fleet_home_count_jobs (const struct fleet_home *home)
+{
+  return g_hash_table_size (home->jobs);
+}
+
+GHashTable *
+fleet_home_get_jobs (const struct fleet_home *home)
+{
+  return home->jobs;
+}
+
+gint64
+fleet_home_get_retry_ms (struct fleet_job *job, gint64 fallback_ms)
+{
+  const struct fleet_submission *s = job->submission;
+  g_autoptr (GArray) owners
+      = fleet_home_list_owners (job->home, s->service, s->need.cpus);
+
+  return fleet_admission_get_retry_ms (job->home->admission, job, owners,
+                                       fallback_ms);
+}
--- a/transport/fleet_job.c
+++ b/transport/fleet_job.c
@@ -6,6 +6,8 @@
   g_free (submission->job);
   g_free (submission->spec);
   g_free (submission->service);
+  g_free (submission->route);
+  g_free (submission->caller);
   g_free (submission->affinity);
   g_free (submission->required_label);
   g_free (submission);
--- a/transport/fleet_job.h
+++ b/transport/fleet_job.h
@@ -7,6 +7,7 @@
 #define TRANSPORT_FLEET_JOB_H
 
 #include "coordination/task_offer.h"
+#include "transport/fleet_admission.h"
 #include "transport/fleet_home.h"
 
 /* Tasks of a job that were sent to one owner in one batch, as the home tracks
@@ -49,10 +50,11 @@
   struct task_set wanted; /* tasks that are offered and not granted yet */
   guint n_done;           /* tasks that have succeeded */
   gboolean is_closed;     /* answered or cancelled */
-  const char *give_up_reason; /* static string; NULL unless given up.  The
-                                 answer follows when all parts have ended */
-  gint64 retry_after_ms;      /* for the answer if nothing was started */
-  gboolean has_started;       /* a task may have been started */
+  const char *give_up_reason;   /* static string; NULL unless given up.  The
+                                   answer follows when all parts have ended */
+  gint64 retry_after_ms;        /* for the answer if nothing was started */
+  struct fleet_refusal refusal; /* why the queues are too long for it */
+  gboolean has_started;         /* a task may have been started */
 };
 
 /* References are held by the home, until the job is closed, and by each
--- a/transport/metrics_server.c
+++ b/transport/metrics_server.c
@@ -33,6 +33,8 @@
   if (source->ops->refresh != NULL)
     source->ops->refresh (source);
   metrics_format (text);
+  if (source->ops->append != NULL)
+    source->ops->append (source, text);
   soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
   soup_server_message_set_response (message, METRICS_TYPE, SOUP_MEMORY_COPY,
                                     text->str, text->len);
--- a/transport/metrics_server.h
+++ b/transport/metrics_server.h
@@ -31,6 +31,10 @@
   /* The state as a new JSON value, which the caller owns.  If the member is
      NULL, /dump does not exist.  */
   json_t *(*dump) (struct metrics_source *source);
+
+  /* Appends metrics whose labels are known only at run time, in the text
+     exposition format.  May be NULL.  */
+  void (*append) (struct metrics_source *source, GString *text);
 };
 
 struct metrics_server;
