--- a/t/support/fleet_bed.c
+++ b/t/support/fleet_bed.c
@@ -161,11 +161,11 @@
   g_autofree char *store
       = g_strdup_printf ("127.0.0.1:%u", get_store_port (bed, vm));
   json_t *settings = json_pack (
-      "{ss ss ss s[s] si ss si ss}", "vm", name, "availability_zone",
+      "{ss ss ss s[s] si ss si sb sb ss}", "vm", name, "availability_zone",
       get_zone (bed, vm), "ip", ip, "availability_zones", zones[0],
       "beacon_port", bed->ports[PORT_BEACON], "store", store, "grace_s",
-      FLEET_BED_GRACE_S, "log_level",
-      bed->plan.log_directory != NULL ? "debug" : "warning");
+      FLEET_BED_GRACE_S, "share_by_caller", TRUE, "spread_retries", TRUE,
+      "log_level", bed->plan.log_directory != NULL ? "debug" : "warning");
 
   if (bed->plan.n_zones > 1)
     json_array_append_new (json_object_get (settings, "availability_zones"),
--- a/t/t9600-fleet.c
+++ b/t/t9600-fleet.c
@@ -48,13 +48,16 @@
 
 /* Hands more tasks than there is room for to every VM at once, of several run
    times, so that parts of a job wait when others run.  Returns how many jobs
-   got an answer that does not tell whether they were run.  */
+   got an answer that does not tell whether they were run; *N_REFUSED is set to
+   how many were refused.  */
 static guint
-run_overload (struct fleet_bed *bed)
+run_overload (struct fleet_bed *bed, guint *n_refused)
 {
   struct fleet_call *calls[OVERLOAD_JOBS];
   guint n_unknown = 0;
 
+  *n_refused = 0;
+
   for (guint i = 0; i < OVERLOAD_JOBS; i++)
     calls[i] = fleet_bed_begin (bed, i % N_VMS, FLEET_BED_HASTY, 2 + i % 5,
                                 400 + i % 4 * 100);
@@ -63,18 +66,43 @@
   for (guint i = 0; i < OVERLOAD_JOBS; i++)
     {
       assert_true_answer (bed, calls[i]);
+      *n_refused += calls[i]->status == 503 ? 1 : 0;
       fleet_call_free (calls[i]);
     }
   return n_unknown;
 }
 
-/* A job is run as a whole or not at all, also when there is no room.  */
+/* The jobs of all routes that the VMs' dumps count as refused for CAUSE.  */
+static guint
+count_refused (struct fleet_bed *bed, const char *cause)
+{
+  guint n = 0;
+
+  for (guint vm = 0; vm < N_VMS; vm++)
+    {
+      json_t *dump = fleet_bed_dump (bed, vm);
+      json_t *route;
+      gsize i;
+
+      json_array_foreach (json_get (dump, "routes"), i, route) n
+          += (guint)json_get_int (json_get (route, "refused"), cause);
+      json_decref (dump);
+    }
+  return n;
+}
+
+/* A job is run as a whole or not at all, also when there is no room.  The
+   refusals are counted by cause; the only caller is within its share.  */
 static void
 test_overload (void)
 {
   struct fleet_bed *bed = fleet_bed_start (N_VMS);
+  guint n_refused;
 
-  g_assert_cmpuint (run_overload (bed), ==, 0);
+  g_assert_cmpuint (run_overload (bed, &n_refused), ==, 0);
+  g_assert_cmpuint (n_refused, >, 0);
+  g_assert_cmpuint (count_refused (bed, "wait-too-long"), ==, n_refused);
+  g_assert_cmpuint (count_refused (bed, "over-share"), ==, 0);
   fleet_bed_stop (bed);
 }
 
