--- a/commands/explain_cause.c
+++ b/commands/explain_cause.c
@@ -314,6 +314,28 @@
                             timeline_get_text (turned_away, "reason"));
 }
 
+static gboolean
+is_over_share (const struct timeline_event *turned_away)
+{
+  return has_text (turned_away, "cause", "over-share");
+}
+
+static void
+check_over_share (const struct timeline *timeline, GString *why)
+{
+  static const char *const except[]
+      = { "reason", "status", "cause", "outcome", NULL };
+  const struct timeline_event *turned_away
+      = timeline_find_first (timeline, EVENT_JOB_TURNED_AWAY);
+  g_autoptr (GString) figures = g_string_new (NULL);
+
+  if (turned_away == NULL || !is_over_share (turned_away))
+    return;
+  timeline_format_fields (turned_away, except, figures);
+  g_string_append_printf (why, "%s refused the job before anything ran (%s)",
+                          turned_away->vm, figures->str);
+}
+
 static void
 check_turned_away (const struct timeline *timeline, GString *why)
 {
@@ -325,7 +347,7 @@
 
   if (turned_away == NULL || has_text (turned_away, "reason", "route")
       || has_no_owner (turned_away) || is_vm_leaving (turned_away)
-      || is_invalid (turned_away))
+      || is_invalid (turned_away) || is_over_share (turned_away))
     return;
   reason = timeline_get_text (turned_away, "reason");
   timeline_format_fields (turned_away, except, figures);
@@ -865,6 +887,9 @@
     check_leaving },
   { "invalid", "the request was not valid", "correct the caller's request",
     check_invalid },
+  { "over-share", "its caller requested more than its share",
+    "find out why that caller sends so much; the others are served first",
+    check_over_share },
   { "turned-away", "turned away for lack of room",
     "if owners had reported free slots, compare what the job needs with their "
     "upstreams; otherwise add upstreams or reduce the load",
--- a/t/t6010-explain.c
+++ b/t/t6010-explain.c
@@ -308,6 +308,22 @@
                 "slots: 1");
 }
 
+/* A refusal for the share of the caller is not lack of room for all.  */
+static void
+test_over_share (void)
+{
+  g_autoptr (GString) log = g_string_new (NULL);
+
+  add_line (log, home, 0, EVENT_JOB_TURNED_AWAY,
+            "\"job\":\"j1\",\"status\":503,\"reason\":"
+            "\"its caller is over its share\",\"cause\":\"over-share\","
+            "\"caller\":\"10.0.0.7\",\"demand_milli_cpus\":9000,"
+            "\"limit_milli_cpus\":4000");
+  assert_cause (log, "over-share",
+                "vm-a refused the job before anything ran (caller=10.0.0.7 "
+                "demand_milli_cpus=9000 limit_milli_cpus=4000)");
+}
+
 static void
 test_no_owner (void)
 {
@@ -752,6 +768,7 @@
   g_test_add_func ("/explain/home-lost", test_home_lost);
   g_test_add_func ("/explain/home-stopped", test_home_stopped);
   g_test_add_func ("/explain/no-room", test_no_room);
+  g_test_add_func ("/explain/over-share", test_over_share);
   g_test_add_func ("/explain/no-owner", test_no_owner);
   g_test_add_func ("/explain/lost-touch", test_lost_touch);
   g_test_add_func ("/explain/late", test_late);
