--- a/t/t5025-fleet-admission.c
+++ b/t/t5025-fleet-admission.c
@@ -15,6 +15,8 @@
   GArray *owners;
   struct fleet_submission submission;
   struct fleet_job job;
+  char id[32];
+  char caller[32];
 };
 
 /* One owner with 100 slots of one CPU, 300 starts a second and N_QUEUED
@@ -58,11 +60,10 @@
 static void
 arrive (struct bed *bed, const char *id, guint number)
 {
-  static char caller[16];
-
-  g_snprintf (caller, sizeof caller, "10.0.0.%u", number);
-  bed->submission.job = (char *)id;
-  bed->submission.caller = caller;
+  g_strlcpy (bed->id, id, sizeof bed->id);
+  g_snprintf (bed->caller, sizeof bed->caller, "10.0.0.%u", number);
+  bed->submission.job = bed->id;
+  bed->submission.caller = bed->caller;
   bed->job.accepted_us = clock_now_us ();
   fleet_admission_note_job (bed->admission, &bed->job);
 }
