transport: count only live VMs as reporting callers

The demand of the other callers is that seen here times the number of VMs. Lost VMs stay in the directory for 30 s and were counted, so that the limits of callers were too high after VMs had died.

--- a/transport/fleet_admission.c
+++ b/transport/fleet_admission.c
@@ -229,8 +229,12 @@
   a->next_update_us = now_us + UPDATE_INTERVAL_US;
   lists = g_ptr_array_sized_new (vms->len);
   for (guint i = 0; i < vms->len; i++)
-    g_ptr_array_add (lists,
-                     &((struct vm *)g_ptr_array_index (vms, i))->callers);
+    {
+      struct vm *vm = g_ptr_array_index (vms, i);
+
+      if (vm->is_live)
+        g_ptr_array_add (lists, &vm->callers);
+    }
   queue = sum_all_queues (a, now_us);
   caller_share_update (
       a->share, (const struct caller_list *const *)(gpointer)lists->pdata,
