coordination: never refuse the only active caller for its share

Its limit was four times the capacity. A caller alone whose jobs are long, such as 130 tasks of 10 s on 100 CPUs, exceeded that with one job, and was refused although no other caller could use the slots (new case in t2190, which fails without the change).

--- a/coordination/caller_share.c
+++ b/coordination/caller_share.c
@@ -290,7 +290,8 @@
 {
   gdouble drawn = (gdouble)hash64_pair (seed, 0) / (gdouble)G_MAXUINT64;
 
-  return standing->demand_milli > standing->limit_milli
+  return standing->n_callers > 1
+         && standing->demand_milli > standing->limit_milli
          && drawn * standing->demand_milli >= standing->limit_milli;
 }
 
--- a/coordination/caller_share.h
+++ b/coordination/caller_share.h
@@ -99,7 +99,8 @@
 
 /* Whether a request of a caller with STANDING belongs to its excess.  Of a
    caller over its limit, the part of the requests that keeps the rest at the
-   limit is drawn by SEED, which must differ for each request.  */
+   limit is drawn by SEED, which must differ for each request.  A caller that
+   is the only active one has no excess: its refusal would serve no other.  */
 gboolean caller_standing_is_excess (const struct caller_standing *standing,
                                     guint64 seed);
 
--- a/t/t2190-caller-share.c
+++ b/t/t2190-caller-share.c
@@ -68,6 +68,22 @@
   caller_share_free (share);
 }
 
+/* The only active caller is not refused, whatever it requests: nobody else
+   could use the slots.  */
+static void
+test_only_caller (void)
+{
+  struct caller_share *share = caller_share_new ();
+  gint64 now_us = request (share, 1, 1000, TRUE, 10000, START_US);
+  struct caller_standing standing
+      = caller_share_get (share, 1, CAPACITY_MILLI, now_us);
+
+  g_assert_cmpfloat (standing.demand_milli, >, 2 * standing.limit_milli);
+  for (guint64 seed = 0; seed < 100; seed++)
+    g_assert_false (caller_standing_is_excess (&standing, seed));
+  caller_share_free (share);
+}
+
 /* A caller that always requests more than others is not refused for that when
    a queue forms, also at the peak of a wave of all; and a flood does not
    become usual while there is a queue.  */
@@ -356,6 +372,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/caller-share/clear-excess", test_clear_excess);
+  g_test_add_func ("/caller-share/only-caller", test_only_caller);
   g_test_add_func ("/caller-share/usual", test_usual);
   g_test_add_func ("/caller-share/reports", test_reports);
   g_test_add_func ("/caller-share/bounded", test_bounded);
