--- a/coordination/caller_share.c
+++ b/coordination/caller_share.c
@@ -85,6 +85,12 @@
     g_hash_table_remove (share->entries, &smallest->caller);
 }
 
+static gboolean
+is_full (const struct caller_share *share)
+{
+  return g_hash_table_size (share->entries) >= CALLER_SHARE_MAX;
+}
+
 /* The entry of CALLER, which is added if there is none.  */
 static struct entry *
 get_entry (struct caller_share *share, guint64 caller, gint64 now_us)
@@ -93,7 +99,7 @@
 
   if (entry != NULL)
     return entry;
-  if (g_hash_table_size (share->entries) >= CALLER_SHARE_MAX)
+  if (is_full (share))
     drop_smallest (share, now_us);
   entry = g_new0 (struct entry, 1);
   entry->caller = caller;
@@ -122,9 +128,17 @@
   for (guint i = 0; i < MIN (list->n, CALLER_LIST_MAX); i++)
     {
       const struct caller_demand *reported = &list->callers[i];
-      struct entry *entry = get_entry (share, reported->caller, now_us);
-      guint free_milli = G_MAXUINT - entry->reported_milli;
-
+      struct entry *entry;
+      guint free_milli;
+
+      /* Evicting an entry scans the table: the reports of 480 VMs, of 3,840
+         callers, took 84 to 176 ms.  A caller that requests something here
+         gets an entry by that, and its next report counts.  */
+      if (is_full (share)
+          && !g_hash_table_contains (share->entries, &reported->caller))
+        continue;
+      entry = get_entry (share, reported->caller, now_us);
+      free_milli = G_MAXUINT - entry->reported_milli;
       entry->reported_milli += MIN (reported->demand_milli, free_milli);
       entry->seen_us = now_us;
     }
--- a/coordination/caller_share.h
+++ b/coordination/caller_share.h
@@ -81,6 +81,7 @@
                          gdouble work_us, gint64 now_us);
 
 /* Replaces the reports of the other VMs by the N LISTS, one of each live VM.
+   Reports of callers without an entry are ignored when the table is full.
    HAS_QUEUE: tasks wait for slots, so that the usual demand is not learned.
    To be called several times a second.  */
 void caller_share_update (struct caller_share *share,
--- a/t/t2190-caller-share.c
+++ b/t/t2190-caller-share.c
@@ -84,6 +84,30 @@
   caller_share_free (share);
 }
 
+/* Reports of more callers than the table holds do not evict the callers whose
+   requests arrive here: each eviction scans the table, and there may be
+   thousands several times a second.  */
+static void
+test_reports_when_full (void)
+{
+  struct caller_share *share = caller_share_new ();
+  struct caller_list report = { { { 0 } }, CALLER_LIST_MAX };
+  const struct caller_list *lists[] = { &report };
+
+  for (guint64 caller = 1; caller <= CALLER_SHARE_MAX; caller++)
+    caller_share_count (share, caller, 1000, START_US);
+  for (guint i = 0; i < CALLER_LIST_MAX; i++)
+    report.callers[i]
+        = (struct caller_demand){ i == 0 ? 1 : CALLER_SHARE_MAX + i, 500 };
+  caller_share_update (share, lists, 1, TRUE, START_US);
+  g_assert_cmpfloat (caller_share_get (share, 1, 1, START_US).demand_milli, >=,
+                     500);
+  for (guint64 caller = 1; caller <= CALLER_SHARE_MAX; caller++)
+    g_assert_cmpfloat (
+        caller_share_get (share, caller, 1, START_US).demand_milli, >, 0);
+  caller_share_free (share);
+}
+
 /* A caller that always requests more than others is not refused for that when
    a queue forms, also at the peak of a wave of all; and a flood does not
    become usual while there is a queue.  */
@@ -375,6 +399,7 @@
   g_test_add_func ("/caller-share/only-caller", test_only_caller);
   g_test_add_func ("/caller-share/usual", test_usual);
   g_test_add_func ("/caller-share/reports", test_reports);
+  g_test_add_func ("/caller-share/reports-when-full", test_reports_when_full);
   g_test_add_func ("/caller-share/bounded", test_bounded);
   g_test_add_func ("/caller-share/queue", test_queue);
   for (guint i = 0; i < G_N_ELEMENTS (floods); i++)
