coordination: skip the scan for callers that are surely within limits

While there is a queue, every job scanned the table of callers, which takes 24 to 28 us when it is full (2,000 calls). A lower bound of the limit that needs no scan is now compared first. The decisions are the same: t2190 checks that no caller over its limit is passed over.

--- a/coordination/caller_share.c
+++ b/coordination/caller_share.c
@@ -277,6 +277,23 @@
   return entry->usual_milli * MAX (growth, 1);
 }
 
+gboolean
+caller_share_may_exceed (const struct caller_share *share, guint64 caller,
+                         gdouble capacity_milli, gint64 now_us)
+{
+  const struct entry *entry = g_hash_table_lookup (share->entries, &caller);
+  gdouble least_limit_milli;
+
+  if (entry == NULL)
+    return FALSE;
+  /* No more callers are active than there are entries, and the growth of the
+     others only raises the limit.  */
+  least_limit_milli = MAX (CALLER_SHARE_EXCESS * capacity_milli
+                               / g_hash_table_size (share->entries),
+                           CALLER_SHARE_GROWTH * entry->usual_milli);
+  return get_demand_milli (entry, now_us) > least_limit_milli;
+}
+
 struct caller_standing
 caller_share_get (const struct caller_share *share, guint64 caller,
                   gdouble capacity_milli, gint64 now_us)
--- a/coordination/caller_share.h
+++ b/coordination/caller_share.h
@@ -92,6 +92,12 @@
 void caller_share_list_largest (const struct caller_share *share,
                                 struct caller_list *list, gint64 now_us);
 
+/* Whether the demand of CALLER may exceed its limit.  If not, the scan of
+   caller_share_get () can be saved, which takes 24 us with a full table.  */
+gboolean caller_share_may_exceed (const struct caller_share *share,
+                                  guint64 caller, gdouble capacity_milli,
+                                  gint64 now_us);
+
 /* The standing of CALLER when CAPACITY_MILLI is shared by all.  */
 struct caller_standing caller_share_get (const struct caller_share *share,
                                          guint64 caller,
--- a/t/t2190-caller-share.c
+++ b/t/t2190-caller-share.c
@@ -39,6 +39,9 @@
   struct caller_standing standing
       = caller_share_get (share, caller, CAPACITY_MILLI, now_us);
 
+  if (standing.demand_milli > standing.limit_milli)
+    g_assert_true (
+        caller_share_may_exceed (share, caller, CAPACITY_MILLI, now_us));
   return standing.demand_milli > standing.limit_milli;
 }
 
@@ -69,7 +72,7 @@
 }
 
 /* The only active caller is not refused, whatever it requests: nobody else
-   could use the slots.  */
+   could use the slots.  One that was never seen cannot exceed anything.  */
 static void
 test_only_caller (void)
 {
@@ -81,6 +84,7 @@
   g_assert_cmpfloat (standing.demand_milli, >, 2 * standing.limit_milli);
   for (guint64 seed = 0; seed < 100; seed++)
     g_assert_false (caller_standing_is_excess (&standing, seed));
+  g_assert_false (caller_share_may_exceed (share, 2, CAPACITY_MILLI, now_us));
   caller_share_free (share);
 }
 
--- a/transport/fleet_admission.c
+++ b/transport/fleet_admission.c
@@ -127,7 +127,9 @@
 
   /* Tasks that come back from owners were admitted before.  */
   if (!a->shares_by_caller || job->n_assignments > 1 || get_caller (job) == 0
-      || !queue_sum_has_queue (queue))
+      || !queue_sum_has_queue (queue)
+      || !caller_share_may_exceed (a->share, get_caller (job),
+                                   queue->capacity_milli, now_us))
     return FALSE;
   *standing = caller_share_get (a->share, get_caller (job),
                                 queue->capacity_milli, now_us);
