--- a/t/t5025-fleet-admission.c
+++ b/t/t5025-fleet-admission.c
@@ -219,6 +219,19 @@
   g_assert_cmpstr (json_string_value (json_object_get (
                        json_array_get (state, ROUTE_COUNTS_MAX), "route")),
                    ==, "other");
+  g_assert_cmpint (
+      json_integer_value (json_object_get (
+          json_object_get (json_array_get (state, ROUTE_COUNTS_MAX),
+                           "refused"),
+          "wait-too-long")),
+      ==, 2);
+  for (guint i = 1; i < ROUTE_COUNTS_MAX; i++)
+    {
+      g_snprintf (name, sizeof name, "r%u", i);
+      g_assert_cmpstr (json_string_value (json_object_get (
+                           json_array_get (state, i), "route")),
+                       ==, name);
+    }
   json_decref (state);
   bed_free (bed);
 }
