--- a/coordination/ownership.c
+++ b/coordination/ownership.c
@@ -356,6 +356,20 @@
     }
 }
 
+gboolean
+ownership_is_acquiring (struct ownership *ownership, gint64 now_us)
+{
+  guint64 wanted = ownership->assigned & ~ownership_get_held (ownership);
+
+  if (ownership->is_leaving)
+    return FALSE;
+  for (guint i = 0; i < OWNERSHIP_MAX_SHARDS; i++)
+    if ((wanted & shard_bit (i)) != 0
+        && find_holder (ownership, i, now_us) == NULL)
+      return TRUE;
+  return FALSE;
+}
+
 /* Releases a shard that a peer holds too, if it is not assigned to this VM.
    If it is assigned to neither VM, the one with the lower name waits twice as
    long, so that only one of them releases it.  */
--- a/coordination/ownership.h
+++ b/coordination/ownership.h
@@ -112,6 +112,10 @@
 /* The token for SHARD, or 0 when it is not held or is being released.  */
 guint64 ownership_get_token (const struct ownership *ownership, guint shard);
 
+/* Whether a shard is assigned to this VM that no live VM holds, so that this
+   VM will take it.  */
+gboolean ownership_is_acquiring (struct ownership *ownership, gint64 now_us);
+
 /* Does what is due at NOW_US.  To be called several times a second.  */
 void ownership_advance (struct ownership *ownership, gint64 now_us);
 
--- a/protocol/fleet_settings.c
+++ b/protocol/fleet_settings.c
@@ -11,6 +11,8 @@
 #define MAX_SHARDS 64
 #define MAX_DURATION_MS 600000
 #define MAX_CONNECTIONS 1000000
+#define MAX_WAITING_JOBS 1000000
+#define MAX_WAITING_KB 16777216
 
 #define DEFAULT_SHARDS 16
 #define DEFAULT_MEMBER_TTL_MS 1000
@@ -25,15 +27,26 @@
 #define DEFAULT_CONNECTIONS 3000
 #define MAX_FAR_FACTOR 100
 
-static const char *const keys[] = { "vm",         "availability_zone",
-                                    "ip",         "availability_zones",
-                                    "callers",    "readiness",
-                                    "peers",      "beacon_port",
-                                    "metrics",    "store",
-                                    "shards",     "member_ttl_ms",
-                                    "lease_ms",   "max_lease_ms",
-                                    "grace_s",    "max_connections",
-                                    "far_factor", "log_level",
+static const char *const keys[] = { "vm",
+                                    "availability_zone",
+                                    "ip",
+                                    "availability_zones",
+                                    "callers",
+                                    "readiness",
+                                    "peers",
+                                    "beacon_port",
+                                    "metrics",
+                                    "store",
+                                    "shards",
+                                    "member_ttl_ms",
+                                    "lease_ms",
+                                    "max_lease_ms",
+                                    "grace_s",
+                                    "max_connections",
+                                    "far_factor",
+                                    "log_level",
+                                    "max_waiting_jobs",
+                                    "max_waiting_kb",
                                     NULL };
 
 /* Reads a required string that must not be empty.  */
@@ -122,6 +135,10 @@
              &s->member_ttl_ms);
   read_uint (check, root, "max_connections", 1, MAX_CONNECTIONS,
              &s->max_connections);
+  read_uint (check, root, "max_waiting_jobs", 0, MAX_WAITING_JOBS,
+             &s->max_waiting_jobs);
+  read_uint (check, root, "max_waiting_kb", 0, MAX_WAITING_KB,
+             &s->max_waiting_kb);
   json_read_number (check, "", root, "far_factor", 1, MAX_FAR_FACTOR,
                     &s->far_factor);
   if (json_read_number (check, "", root, "grace_s", 0.001,
--- a/protocol/fleet_settings.h
+++ b/protocol/fleet_settings.h
@@ -23,14 +23,16 @@
                                     none */
   char *store;                   /* "IP:PORT" of the platform's store */
   guint n_shards;                /* of each availability zone */
-  guint member_ttl_ms;   /* after this time without a renewal, a VM loses its
-                            shards */
-  guint lease_ms;        /* length of the leases of runs */
-  guint max_lease_ms;    /* the longest lease that upstreams grant */
-  gdouble far_factor;    /* run time away from the rack with the task's data,
-                            relative to the one on it; 1 or more */
-  guint grace_ms;        /* from a stop signal to the end of the process */
-  guint max_connections; /* of callers */
+  guint member_ttl_ms;    /* after this time without a renewal, a VM loses its
+                             shards */
+  guint lease_ms;         /* length of the leases of runs */
+  guint max_lease_ms;     /* the longest lease that upstreams grant */
+  gdouble far_factor;     /* run time away from the rack with the task's data,
+                             relative to the one on it; 1 or more */
+  guint grace_ms;         /* from a stop signal to the end of the process */
+  guint max_connections;  /* of callers */
+  guint max_waiting_jobs; /* jobs that wait for slots; 0: none may wait */
+  guint max_waiting_kb;   /* memory of these jobs */
   enum log_level log_level;
 };
 
--- a/t/t1020-fleet-settings.c
+++ b/t/t1020-fleet-settings.c
@@ -91,6 +91,8 @@
   g_assert_cmpuint (s->n_shards, ==, 16);
   g_assert_cmpuint (s->max_lease_ms, ==, 1000);
   g_assert_cmpint (s->log_level, ==, LOG_LEVEL_INFO);
+  g_assert_cmpuint (s->max_waiting_jobs, ==, 1000);
+  g_assert_cmpuint (s->max_waiting_kb, ==, 8192);
   fleet_settings_free (s);
 }
 
@@ -117,6 +119,7 @@
   g_assert_cmpuint (s->lease_ms, ==, 900);
   g_assert_cmpuint (s->max_lease_ms, ==, 1000);
   g_assert_cmpuint (s->max_connections, ==, 3000);
+  g_assert_cmpuint (s->max_waiting_jobs, ==, 0);
   assert_endpoint (&s->metrics, NULL, 0);
   fleet_settings_free (s);
   s = parse ("{" REQUIRED ",\"metrics\":\"\"}");
