transport: jobs wait for slots at their home

Change: a job of which nothing was started waits while slots are expected and it could still end within three times its objective and its caller's timeout. It is assigned when beacons or own upstreams show slots, in the order of waiting_jobs, and refused as not run when its time is over, when no more slots are expected, when the VM leaves or when more jobs wait than may. With max_waiting_jobs 0 nothing changes.

--- a/transport/fleet.c
+++ b/transport/fleet.c
@@ -26,6 +26,13 @@
    notice it.  */
 #define MIN_DRAIN_US (1500 * USEC_PER_MSEC)
 
+/* From the expiry of a lost VM's membership until another VM has its
+   upstreams, with a margin: its shards are assigned, taken and polled in 1.0
+   to 1.6 s after the loss, the expiry included.  */
+#define TAKE_UPSTREAMS_US (2 * USEC_PER_SEC)
+
+#define BYTES_PER_KB 1024
+
 #define FETCH_ROUTES_TIMEOUT_US (1 * USEC_PER_SEC)
 
 /* The most by which an upstream's clock may run slow.  */
@@ -56,6 +63,7 @@
   struct settings hub_settings; /* what the hub needs of SETTINGS */
   guint64 incarnation;
   GMainLoop *loop;
+  struct fleet_requests *requests; /* NULL for none */
   struct peer_hub *hub;
   struct vm_directory *directory;
   struct fleet_owner *owner;
@@ -87,6 +95,23 @@
   return fleet->routes;
 }
 
+void
+fleet_set_requests (struct fleet *fleet, struct fleet_requests *requests)
+{
+  fleet->requests = requests;
+}
+
+/* The jobs that wait for slots, and the requests that wait for routes.  */
+static guint
+count_waiting (const struct fleet *fleet)
+{
+  guint n = fleet_home_count_waiting (fleet->home);
+
+  return fleet->requests == NULL
+             ? n
+             : n + fleet->requests->ops->count (fleet->requests);
+}
+
 /* The services of the routes in force, without duplicates.  */
 static GPtrArray *
 list_services (const struct fleet *fleet)
@@ -284,6 +309,17 @@
     }
 }
 
+/* No slots are expected in the evacuated zones.  */
+static void
+forget_evacuated (struct fleet *fleet)
+{
+  const GPtrArray *zones = fleet->settings->availability_zones;
+
+  for (guint i = 0; i < zones->len && zones->pdata[i] != NULL; i++)
+    if (evacuation_includes (&fleet->evacuation, zones->pdata[i]))
+      fleet_home_handle_evacuated (fleet->home, zones->pdata[i]);
+}
+
 /* Brings STATE, which the platform or a peer has told, into force if it is
    newer.  */
 static void
@@ -294,6 +330,7 @@
   if (!evacuation_update (&fleet->evacuation, state))
     return;
   log_evacuation (fleet, &before, &fleet->evacuation);
+  forget_evacuated (fleet);
   fleet_shards_allow_starts (
       fleet->shards,
       evacuation_allows_starts (&fleet->evacuation,
@@ -307,6 +344,7 @@
 
   apply_evacuation (fleet, &vm->evacuation);
   fleet_shards_handle_beacon (fleet->shards, vm);
+  fleet_home_handle_beacon (fleet->home, vm);
   fetch_routes (fleet, vm);
 }
 
@@ -337,6 +375,8 @@
   g_bytes_ref (text);
   g_clear_pointer (&fleet->routes_text, g_bytes_unref);
   fleet->routes_text = text;
+  if (fleet->requests != NULL)
+    fleet->requests->ops->state_changed (fleet->requests);
 }
 
 static void
@@ -461,6 +501,7 @@
   metrics_set (METRIC_ZONES_EVACUATED, fleet->evacuation.n_zones);
   metrics_set (METRIC_EVACUATION_POSITION, fleet->evacuation.position);
   metrics_set (METRIC_JOBS_ACTIVE, fleet_home_count_jobs (fleet->home));
+  metrics_set (METRIC_JOBS_WAITING, count_waiting (fleet));
   metrics_set (METRIC_TASKS_QUEUED, owner_room_count_queued (&room));
   metrics_set (METRIC_TASKS_RUNNING, room.n_running);
   metrics_set (METRIC_DRAINING, fleet->is_draining ? 1 : 0);
@@ -539,6 +580,9 @@
   fleet->platform->ops->leave (fleet->platform);
   fleet_shards_leave (fleet->shards);
   peer_hub_set_leaving (fleet->hub);
+  fleet_home_leave (fleet->home);
+  if (fleet->requests != NULL)
+    fleet->requests->ops->state_changed (fleet->requests);
   fleet_beacon_send (fleet->beacon);
   return G_SOURCE_CONTINUE;
 }
@@ -564,6 +608,21 @@
   s->keys = g_ptr_array_new ();
 }
 
+static void
+set_waiting (struct fleet *fleet)
+{
+  const struct fleet_settings *settings = fleet->settings;
+  struct fleet_waiting_options options = {
+    .max_jobs = settings->max_waiting_jobs,
+    .max_bytes = (gsize)settings->max_waiting_kb * BYTES_PER_KB,
+    .takeover_us = settings->member_ttl_ms * USEC_PER_MSEC + TAKE_UPSTREAMS_US,
+    .zones = settings->availability_zones,
+    .shards = fleet->shards,
+  };
+
+  fleet_home_set_waiting (fleet->home, &options);
+}
+
 static void
 create_components (struct fleet *fleet)
 {
@@ -585,6 +644,7 @@
       settings->vm, fleet->incarnation, settings->availability_zone,
       settings->far_factor, fleet->directory, fleet->hub, fleet->owner);
   fleet_home_set_evacuation (fleet->home, &fleet->evacuation);
+  set_waiting (fleet);
   peer_hub_serve (fleet->hub, PEER_FETCH_ROUTES, serve_fetch_routes, fleet);
 }
 
@@ -721,13 +781,14 @@
                            describe_vm (g_ptr_array_index (vms, i), now_us));
   owner_get_room (fleet_owner_get_owner (fleet->owner), NULL, &room, now_us);
   return json_pack (
-      "{s:s, s:b, s:b, s:I, s:I, s:i, s:i, s:i, s:i, s:i, s:I, s:o, s:o}",
+      "{s:s, s:b, s:b, s:I, s:I, s:i, s:i, s:i, s:i, s:i, s:i, s:I, s:o, s:o}",
       "vm", fleet->settings->vm, "is_draining", fleet->is_draining,
       "is_store_reached", fleet->is_store_reached, "routes_version",
       (json_int_t)(fleet->routes != NULL ? fleet->routes->version : 0), "held",
       (json_int_t)fleet_shards_get_held (fleet->shards), "jobs",
-      (int)fleet_home_count_jobs (fleet->home), "upstreams",
-      (int)room.n_upstreams, "free_slots",
+      (int)fleet_home_count_jobs (fleet->home), "waiting",
+      (int)count_waiting (fleet), "upstreams", (int)room.n_upstreams,
+      "free_slots",
       (int)free_slots_count (&room.free_slots, room.free_slots.unit_cpus),
       "queued", (int)owner_room_count_queued (&room), "running",
       (int)room.n_running, "evacuation_position",
--- a/transport/fleet.h
+++ b/transport/fleet.h
@@ -49,4 +49,25 @@
    reference.  */
 json_t *fleet_describe (struct fleet *fleet);
 
+struct fleet_requests;
+
+/* Requests of callers that wait for the desired state.  */
+struct fleet_requests_ops
+{
+  /* The desired state is known now, or this VM is leaving.  */
+  void (*state_changed) (struct fleet_requests *requests);
+
+  /* The number of requests that wait.  */
+  guint (*count) (const struct fleet_requests *requests);
+};
+
+/* The first member of the object that holds these requests.  */
+struct fleet_requests
+{
+  const struct fleet_requests_ops *ops;
+};
+
+/* Sets REQUESTS, or NULL for none.  */
+void fleet_set_requests (struct fleet *fleet, struct fleet_requests *requests);
+
 #endif
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -45,6 +45,7 @@
   home->hub = hub;
   home->owner = owner;
   home->jobs = g_hash_table_new (g_str_hash, g_str_equal);
+  waiting_jobs_init (&home->waiting.jobs, 0, 0);
   peer_hub_serve (hub, PEER_RETURN_TASKS, on_return_tasks, home);
   peer_hub_serve (hub, PEER_CLAIM_TASKS, on_claim_tasks, home);
   return home;
@@ -183,6 +184,8 @@
     answer.retry_after_ms
         = (guint)CLAMP (retry_after_ms, MIN_RETRY_MS, MAX_RETRY_MS);
   log_answer (job, &answer);
+  fleet_home_end_wait (job, outcomes[outcome].name,
+                       outcome == FLEET_NOT_RUN ? reason : NULL);
   job->handler = NULL;
   close_job (job);
   handler->answer (handler, &answer);
@@ -564,9 +567,24 @@
       is_sent ? owners->len : 0, job->home->directory);
 }
 
-/* Assigns N_TASKS of JOB to owners, and those that are wanted already.  Gives
-   the job up if there is no owner with slots, or the expected wait is too
-   long.  */
+/* Lets JOB wait for slots, if nothing of it was started and they are expected,
+   or gives it up.  OFFER says why its tasks cannot be assigned.  */
+static void
+wait_or_give_up (struct fleet_job *job, const struct spread_offer *offer)
+{
+  gboolean has_owner = offer->wait_ms >= 0;
+
+  if (!may_have_started (job) && fleet_home_wait (job, has_owner))
+    return;
+  if (has_owner)
+    give_up_job (job, "the queues are longer than its time", offer->wait_ms);
+  else
+    give_up_job (job, "no upstream is owned by a live VM", MIN_RETRY_MS);
+}
+
+/* Assigns N_TASKS of JOB to owners, and those that are wanted already.  If
+   there is no owner with slots, or the expected wait is too long, the job
+   waits or is given up.  */
 static void
 assign_tasks (struct fleet_job *job, const guint *indexes, guint n_tasks)
 {
@@ -589,17 +607,16 @@
   offer = spread_assign (
       (struct spread_owner *)(void *)owners->data, owners->len, &tasks,
       hash64_pair (hash64_string (s->job), job->n_assignments));
-  if (job->n_assignments == 1)
+  if (job->n_assignments == 1 && !job->has_waited)
     log_accepted (job, owners,
                   offer.wait_ms >= 0 && offer.wait_ms <= longest_ms);
   task_set_add (&job->wanted, indexes + (tasks.n - offer.n_tasks),
                 n_tasks - (tasks.n - offer.n_tasks));
-  if (offer.wait_ms < 0)
-    give_up_job (job, "no upstream is owned by a live VM", MIN_RETRY_MS);
-  else if (offer.wait_ms > longest_ms)
-    give_up_job (job, "the queues are longer than its time", offer.wait_ms);
+  if (offer.wait_ms < 0 || offer.wait_ms > longest_ms)
+    wait_or_give_up (job, &offer);
   else
     {
+      fleet_home_end_wait (job, "assigned", NULL);
       give_tasks (job, owners, indexes);
       if (offer.n_tasks > 0)
         offer_tasks (job, owners, &offer);
@@ -636,13 +653,29 @@
     answer_job (previous, FLEET_UNKNOWN, "the job was sent again", 0);
 }
 
+void
+fleet_home_assign_all (struct fleet_job *job)
+{
+  guint indexes[PEER_TASKS_MAX];
+
+  for (guint i = 0; i < job->submission->n_tasks; i++)
+    indexes[i] = i;
+  job->wanted.n = 0;
+  assign_tasks (job, indexes, job->submission->n_tasks);
+}
+
+void
+fleet_home_refuse (struct fleet_job *job, const char *reason)
+{
+  give_up_job (job, reason, MIN_RETRY_MS);
+}
+
 struct fleet_job *
 fleet_home_submit (struct fleet_home *home,
                    struct fleet_submission *submission,
                    struct fleet_answer_handler *handler)
 {
   struct fleet_job *job = g_new0 (struct fleet_job, 1);
-  guint indexes[PEER_TASKS_MAX];
   gboolean is_closed;
 
   close_previous_job (home, submission->job);
@@ -653,12 +686,13 @@
   job->trail = g_string_new (NULL);
   list_init (&job->parts);
   job->first_number = home->n_parts;
-  job->accepted_us = clock_now_us ();
+  job->accepted_us = submission->received_us > 0 ? submission->received_us
+                                                 : clock_now_us ();
   set_times (job);
+  fleet_home_init_waiting (job);
   g_hash_table_insert (home->jobs, submission->job, job);
-  for (guint i = 0; i < submission->n_tasks; i++)
-    indexes[i] = i;
-  assign_tasks (job, indexes, submission->n_tasks);
+  if (!fleet_home_wait_behind (job))
+    fleet_home_assign_all (job);
   is_closed = job->is_closed;
   fleet_job_unref (job);
   return is_closed ? NULL : job;
@@ -671,6 +705,7 @@
     return;
   fleet_home_log_caller_gone (job);
   metrics_count_label (METRIC_FLEET_JOBS, JOB_OUTCOME_CALLER_GONE);
+  fleet_home_end_wait (job, "caller-gone", NULL);
   job->handler = NULL;
   close_job (job);
 }
@@ -694,6 +729,7 @@
 {
   g_autoptr (GPtrArray) jobs = list_jobs (home);
 
+  fleet_home_advance_waiting (home, now_us);
   for (guint i = 0; i < jobs->len; i++)
     {
       struct fleet_job *job = g_ptr_array_index (jobs, i);
@@ -749,6 +785,7 @@
 {
   g_autoptr (GPtrArray) jobs = list_jobs (home);
 
+  fleet_home_note_loss (home, vm);
   for (guint i = 0; i < jobs->len; i++)
     {
       struct fleet_job *job = g_ptr_array_index (jobs, i);
--- a/transport/fleet_home.h
+++ b/transport/fleet_home.h
@@ -23,6 +23,7 @@
 
 struct fleet_home;
 struct fleet_job;
+struct fleet_shards;
 
 /* A job as its caller sent it.  The strings are freed with it.  */
 struct fleet_submission
@@ -40,6 +41,8 @@
   guint attempts;           /* most runs of one task that may fail */
   gint64 objective_us;      /* target time from acceptance to the answer */
   gint64 caller_timeout_us; /* how long the caller waits; 0 if not known */
+  gint64 received_us;       /* when the request arrived, from which its times
+                               count; 0: now */
 };
 
 void fleet_submission_free (struct fleet_submission *submission);
@@ -84,6 +87,34 @@
 void fleet_home_set_evacuation (struct fleet_home *home,
                                 const struct evacuation *evacuation);
 
+/* Which jobs may wait for slots.  */
+struct fleet_waiting_options
+{
+  guint max_jobs;              /* 0: none may wait */
+  gsize max_bytes;             /* memory of the jobs that wait */
+  gint64 takeover_us;          /* from the last news of an owner that is lost
+                                  until another has its upstreams */
+  const GPtrArray *zones;      /* names of all, NULL-ended */
+  struct fleet_shards *shards; /* of this VM */
+};
+
+/* Sets OPTIONS, whose pointers must outlive HOME.  No job waits before.  */
+void fleet_home_set_waiting (struct fleet_home *home,
+                             const struct fleet_waiting_options *options);
+
+/* A beacon of VM was received: jobs that wait for slots may be assigned.  */
+void fleet_home_handle_beacon (struct fleet_home *home, const struct vm *vm);
+
+/* The operator has evacuated ZONE.  */
+void fleet_home_handle_evacuated (struct fleet_home *home, const char *zone);
+
+/* This VM is leaving: refuses the jobs that wait for slots, and lets no more
+   wait.  */
+void fleet_home_leave (struct fleet_home *home);
+
+/* The number of jobs that wait for slots.  */
+guint fleet_home_count_waiting (const struct fleet_home *home);
+
 void fleet_home_free (struct fleet_home *home);
 
 /*
--- a/transport/fleet_home_private.h
+++ b/transport/fleet_home_private.h
@@ -4,13 +4,26 @@
 #ifndef TRANSPORT_FLEET_HOME_PRIVATE_H
 #define TRANSPORT_FLEET_HOME_PRIVATE_H
 
+#include "coordination/slot_outlook.h"
 #include "coordination/spread.h"
+#include "coordination/waiting_jobs.h"
 #include "transport/fleet_job.h"
 
 /* After this many assignments tasks stay in the queue of their owner: the free
    slots that other owners report evidently don't fit them.  */
 #define FLEET_MAX_MOVABLE_ASSIGNMENTS 6
 
+/* The jobs of a home that wait for slots.  */
+struct home_waiting
+{
+  struct waiting_jobs jobs; /* struct fleet_job by waiting */
+  struct slot_outlook outlook;
+  const GPtrArray *zones;      /* names of all, NULL-ended; NULL if not set */
+  struct fleet_shards *shards; /* NULL if not set */
+  gint64 assigned_us; /* when jobs were last assigned to announced slots */
+  guint n_rounds;     /* times that this was done */
+};
+
 struct fleet_home
 {
   char *vm;
@@ -23,9 +36,11 @@
   struct peer_hub *hub;
   struct fleet_owner *owner;
   const struct evacuation *evacuation; /* NULL: no zone is evacuated */
-  GHashTable *jobs; /* id -> struct fleet_job that is not answered */
-  guint n_parts;    /* of all jobs, which numbers them: batches of a job that
-                       was sent again must not be taken for its former ones */
+  GHashTable *jobs;    /* id -> struct fleet_job that is not answered */
+  gboolean is_leaving; /* this VM shuts down */
+  struct home_waiting waiting;
+  guint n_parts; /* of all jobs, which numbers them: batches of a job that
+                    was sent again must not be taken for its former ones */
 };
 
 /* fleet_home_rooms.c */
@@ -36,6 +51,40 @@
 GArray *fleet_home_list_owners (struct fleet_home *home, const char *service,
                                 gdouble cpus);
 
+/* fleet_home.c */
+
+/* Assigns all tasks of JOB, none of which was started or is offered, to
+   owners.  May give the job up or let it wait.  */
+void fleet_home_assign_all (struct fleet_job *job);
+
+/* Refuses JOB, of which nothing was started, for REASON, a static string.  */
+void fleet_home_refuse (struct fleet_job *job, const char *reason);
+
+/* fleet_home_waiting.c: the jobs that wait for slots.  */
+
+/* Prepares JOB, whose times are set, for waiting.  */
+void fleet_home_init_waiting (struct fleet_job *job);
+
+/* Whether JOB, a new one, has to wait because jobs that go before it do.  It
+   is then added to the jobs that wait, and assigned at once if possible.  */
+gboolean fleet_home_wait_behind (struct fleet_job *job);
+
+/* Lets JOB, of which nothing was started, wait for slots if they are expected.
+   HAS_OWNER: owners have slots for it, but too few.  Returns whether it waits
+   or was refused as the last in the order of more jobs than may wait.  */
+gboolean fleet_home_wait (struct fleet_job *job, gboolean has_owner);
+
+/* JOB no longer waits because of END.  REASON: why it is refused, or NULL.
+   Does nothing if it does not wait.  */
+void fleet_home_end_wait (struct fleet_job *job, const char *end,
+                          const char *reason);
+
+/* VM is lost: its upstreams are expected to get another owner.  */
+void fleet_home_note_loss (struct fleet_home *home, const char *vm);
+
+/* Refuses the jobs that have waited too long, and assigns others to slots.  */
+void fleet_home_advance_waiting (struct fleet_home *home, gint64 now_us);
+
 /* fleet_part.c: how parts of jobs reach their owners.  */
 
 /* Hands PART to its owner.  If that is another VM, ENDED is called with PART
--- a/transport/fleet_job.h
+++ b/transport/fleet_job.h
@@ -7,6 +7,7 @@
 #define TRANSPORT_FLEET_JOB_H
 
 #include "coordination/task_offer.h"
+#include "coordination/waiting_jobs.h"
 #include "transport/fleet_home.h"
 
 /* Tasks of a job that were sent to one owner in one batch, as the home tracks
@@ -46,9 +47,11 @@
                              acceptance contains */
   GString *trail;         /* steps for the log line of the answer */
   guint n_assignments;    /* times that tasks were assigned to owners */
-  struct task_set wanted; /* tasks that are offered and not granted yet */
-  guint n_done;           /* tasks that have succeeded */
-  gboolean is_closed;     /* answered or cancelled */
+  struct waiting_job waiting; /* for slots, if it is linked */
+  gboolean has_waited;        /* it was in the list of waiting jobs */
+  struct task_set wanted;     /* tasks that are offered and not granted yet */
+  guint n_done;               /* tasks that have succeeded */
+  gboolean is_closed;         /* answered or cancelled */
   const char *give_up_reason; /* static string; NULL unless given up.  The
                                  answer follows when all parts have ended */
   gint64 retry_after_ms;      /* for the answer if nothing was started */
--- a/transport/fleet_shards.c
+++ b/transport/fleet_shards.c
@@ -369,6 +369,12 @@
   return ownership_get_held (shards->ownership);
 }
 
+gboolean
+fleet_shards_is_acquiring (struct fleet_shards *shards)
+{
+  return ownership_is_acquiring (shards->ownership, clock_now_us ());
+}
+
 guint
 fleet_shards_count_upstreams (const struct fleet_shards *shards)
 {
--- a/transport/fleet_shards.h
+++ b/transport/fleet_shards.h
@@ -59,6 +59,9 @@
    N.  */
 guint64 fleet_shards_get_held (const struct fleet_shards *shards);
 
+/* Whether this VM is about to take a shard, see ownership_is_acquiring ().  */
+gboolean fleet_shards_is_acquiring (struct fleet_shards *shards);
+
 /* The number of known upstreams in this availability zone.  */
 guint fleet_shards_count_upstreams (const struct fleet_shards *shards);
 
