t: jobs wait for slots, by real processes

t9630: all VMs are killed under load and started again, and jobs that are sent as soon as they listen are done; a leaving VM refuses its waiting jobs at once; nothing is run of a waiting job whose caller disconnects; without any slot each job is refused as not run.

--- a/t/support/fleet_bed.c
+++ b/t/support/fleet_bed.c
@@ -167,6 +167,9 @@
       FLEET_BED_GRACE_S, "log_level",
       bed->plan.log_directory != NULL ? "debug" : "warning");
 
+  json_object_set_new (settings, "max_waiting_jobs",
+                       json_integer (bed->plan.max_waiting_jobs));
+  json_object_set_new (settings, "max_waiting_kb", json_integer (8192));
   if (bed->plan.n_zones > 1)
     json_array_append_new (json_object_get (settings, "availability_zones"),
                            json_string (zones[1]));
