coordination: a home assigns its share of the announced slots to waiting jobs

Cause: with the estimate that every home assigns as many tasks as this one, no job was assigned while few slots were known, unless by lot. Change: in each round of 50 ms a home assigns its share of the tasks that the slots start until the next round, and the job that exceeds it by lot.

--- a/coordination/waiting_jobs.c
+++ b/coordination/waiting_jobs.c
@@ -1,8 +1,14 @@
 #include "coordination/waiting_jobs.h"
 
-#include "base/clock.h"
 #include "base/hash64.h"
 
+/* The longest interval between two beacons of an owner is three rounds, so a
+   home may assign three times by the same announcement.  */
+#define ROUNDS_PER_NEWS 3
+
+/* So many tasks that the time in which they are started tells the rate.  */
+#define MANY_TASKS 1000
+
 void
 waiting_jobs_init (struct waiting_jobs *jobs, guint max_jobs, gsize max_bytes)
 {
@@ -149,32 +155,44 @@
   return list;
 }
 
-/* Whether JOB starts in time when N_TASKS, its own included, are assigned to
-   SLOTS now.  */
-static gboolean
-starts_in_time (const struct waiting_job *job,
-                const struct waiting_slots *slots, guint n_tasks,
-                gint64 now_us)
+/* How long N_TASKS, those of JOB and others that are assigned to SLOTS before,
+   wait until the last one starts.  */
+static gint64
+estimate_wait_us (const struct waiting_job *job,
+                  const struct waiting_slots *slots, guint n_tasks)
 {
   guint n_ahead = vm_room_count_ahead (&slots->pool, job->priority) + n_tasks;
-  gint64 wait_ms = 0;
 
-  if (n_ahead > slots->n_free)
-    wait_ms = vm_room_estimate_wait_ms (&slots->pool, n_ahead - slots->n_free,
-                                        job->priority, job->run_ms);
-  return wait_ms * USEC_PER_MSEC <= get_latest_start_us (job, now_us) - now_us;
+  if (n_ahead <= slots->n_free)
+    return 0;
+  return vm_room_estimate_wait_ms (&slots->pool, n_ahead - slots->n_free,
+                                   job->priority, job->run_ms)
+         * USEC_PER_MSEC;
 }
 
-/* Whether the lot falls on this home, to assign JOB.  Of all homes, as many
-   are drawn as there are free slots for their tasks, and at least one on
-   average.  */
-static gboolean
-draw_lot (const struct waiting_job *job, const struct waiting_slots *slots)
+/* How many tasks like those of JOB this home may assign in one round, so that
+   all homes together assign what SLOTS start.  */
+static gdouble
+compute_share (const struct waiting_job *job,
+               const struct waiting_slots *slots)
 {
-  guint64 drawn = hash64_pair (slots->seed, slots->seed + 1)
-                  % ((guint64)slots->n_homes * MAX (job->n_tasks, 1u));
+  gint64 many_us = vm_room_estimate_wait_ms (&slots->pool, MANY_TASKS,
+                                             job->priority, job->run_ms)
+                   * USEC_PER_MSEC;
+  gdouble n_started = (gdouble)MANY_TASKS * WAITING_ROUND_US
+                      / (gdouble)MAX (many_us, USEC_PER_MSEC);
+
+  if (slots->n_homes <= 1)
+    return G_MAXUINT;
+  return ((gdouble)slots->n_free / ROUNDS_PER_NEWS + n_started)
+         / slots->n_homes;
+}
 
-  return drawn < MAX (slots->n_free, job->n_tasks);
+/* A pseudo-random number, at least 0 and less than 1.  */
+static gdouble
+draw (guint64 seed)
+{
+  return (gdouble)(hash64_pair (seed, seed + 1) >> 11) * 0x1p-53;
 }
 
 GPtrArray *
@@ -183,26 +201,23 @@
 {
   g_autoptr (GPtrArray) list = waiting_jobs_list (jobs, service_hash, now_us);
   GPtrArray *selected = g_ptr_array_new ();
-  gboolean is_drawn = FALSE;
   guint n_assigned = 0;
 
   for (guint i = 0; i < list->len && slots->pool.n_slots > 0; i++)
     {
       struct waiting_job *job = g_ptr_array_index (list, i);
-      guint n_tasks = n_assigned + job->n_tasks;
-      gboolean is_selected = starts_in_time (
-          job, slots, n_tasks * MAX (slots->n_homes, 1u), now_us);
-
-      if (!is_selected && !is_drawn && n_assigned == 0
-          && starts_in_time (job, slots, n_tasks, now_us))
-        {
-          is_drawn = TRUE;
-          is_selected = draw_lot (job, slots);
-        }
-      if (!is_selected)
+      gint64 wait_us
+          = estimate_wait_us (job, slots, n_assigned + job->n_tasks);
+      gdouble n_left = compute_share (job, slots) - n_assigned;
+
+      if (wait_us > get_latest_start_us (job, now_us) - now_us)
         continue;
-      n_assigned = n_tasks;
+      if (n_left < job->n_tasks && draw (slots->seed) >= n_left / job->n_tasks)
+        break;
       g_ptr_array_add (selected, job);
+      n_assigned += job->n_tasks;
+      if (n_left < job->n_tasks)
+        break;
     }
   return selected;
 }
--- a/coordination/waiting_jobs.h
+++ b/coordination/waiting_jobs.h
@@ -6,11 +6,11 @@
  * their objectives go before those that can only be late.  Within each, the
  * more urgent priority goes first, then the earlier latest start.
  *
- * When slots become known, all homes learn of them at the same time.  So a
- * home assigns the jobs that would start in time if every other home assigned
- * as many tasks.  When not even one job fits under that assumption, one is
- * assigned by lot, with a probability at which all homes together fill the
- * slots.
+ * When slots become known, all homes learn of them at the same time.  So in
+ * one round a home assigns only its share of the tasks that the slots start
+ * until the next one.  The job that exceeds the share is assigned by lot, with
+ * a probability at which the homes together assign as many as are started.
+ * Jobs that would not start in time are left out.
  *
  * The jobs are bounded in number and bytes.  When a bound is exceeded, the
  * last jobs in the order have to be refused.
@@ -18,11 +18,16 @@
 #ifndef COORDINATION_WAITING_JOBS_H
 #define COORDINATION_WAITING_JOBS_H
 
+#include "base/clock.h"
 #include "base/list.h"
 #include "coordination/vm_room.h"
 
 #include <glib.h>
 
+/* The interval between two rounds, in which waiting jobs are assigned: the
+   shortest one between two beacons of an owner.  */
+#define WAITING_ROUND_US (50 * USEC_PER_MSEC)
+
 /* Embedded in a job that may wait.  Times are readings of clock_now_us ().  */
 struct waiting_job
 {
--- /dev/null
+++ b/t/t2180-waiting-jobs.c
@@ -0,0 +1,293 @@
+/*
+ * Jobs that wait for slots, without a network: homes with waiting jobs, and
+ * owners whose slots become known again one after the other.
+ */
+#include "base/hash64.h"
+#include "coordination/slot_outlook.h"
+#include "coordination/waiting_jobs.h"
+
+#define START_US (1000 * USEC_PER_SEC)
+#define SERVICE 7
+#define MAX_HOMES 16
+#define MAX_JOBS 64 /* of one home */
+#define RUN_MS 60
+#define ROUND_MS 50
+
+struct home
+{
+  struct waiting_jobs waiting;
+  struct waiting_job jobs[MAX_JOBS];
+};
+
+/* All homes, and the slots of all owners as one queue that is served in the
+   order of assignment.  */
+struct fleet
+{
+  struct home homes[MAX_HOMES];
+  guint n_homes;
+  guint n_slots; /* of the owners that are back */
+  gint64 now_us;
+  GArray *ends; /* gint64: when the assigned tasks end, ascending */
+  guint n_in_time;
+  guint n_late;
+  guint n_expired;
+  gint64 longest_queue_us;
+};
+
+/* Lets a job of N_TASKS wait that came AGO_MS before.  */
+static void
+add_job (struct waiting_jobs *jobs, struct waiting_job *job, guint n_tasks,
+         guint priority, gint64 now_us, gint64 objective_ms)
+{
+  waiting_job_init (job);
+  job->service_hash = SERVICE;
+  job->n_tasks = n_tasks;
+  job->run_ms = RUN_MS;
+  job->priority = priority;
+  job->start_by_us = now_us + (objective_ms - RUN_MS) * USEC_PER_MSEC;
+  job->end_by_us = now_us + (3 * objective_ms - RUN_MS) * USEC_PER_MSEC;
+  job->since_us = now_us;
+  job->n_bytes = 1000;
+  waiting_jobs_add (jobs, job);
+}
+
+static void
+fleet_init (struct fleet *fleet, guint n_homes, guint n_jobs,
+            gint64 objective_ms)
+{
+  *fleet = (struct fleet){ .n_homes = n_homes, .now_us = START_US };
+  fleet->ends = g_array_new (FALSE, FALSE, sizeof (gint64));
+  for (guint i = 0; i < n_homes; i++)
+    {
+      struct home *home = &fleet->homes[i];
+
+      waiting_jobs_init (&home->waiting, MAX_JOBS, 1000 * MAX_JOBS);
+      for (guint k = 0; k < n_jobs; k++)
+        add_job (&home->waiting, &home->jobs[k], 4, k % 3, START_US,
+                 objective_ms);
+    }
+}
+
+/* When the slot is free that the next assigned task gets.  */
+static gint64
+get_next_start_us (const struct fleet *fleet)
+{
+  guint n = fleet->ends->len;
+
+  if (n < fleet->n_slots)
+    return fleet->now_us;
+  return MAX (fleet->now_us,
+              g_array_index (fleet->ends, gint64, n - fleet->n_slots));
+}
+
+static void
+assign (struct fleet *fleet, struct home *home, struct waiting_job *job)
+{
+  gint64 start_us = fleet->now_us;
+
+  for (guint i = 0; i < job->n_tasks; i++)
+    {
+      gint64 end_us;
+
+      start_us = get_next_start_us (fleet);
+      end_us = start_us + RUN_MS * USEC_PER_MSEC;
+      g_array_append_val (fleet->ends, end_us);
+    }
+  fleet->longest_queue_us
+      = MAX (fleet->longest_queue_us, start_us - fleet->now_us);
+  if (start_us <= job->start_by_us)
+    fleet->n_in_time++;
+  else
+    fleet->n_late++;
+  waiting_jobs_remove (&home->waiting, job);
+}
+
+/* What the owners announce at present.  */
+static struct waiting_slots
+announce (const struct fleet *fleet)
+{
+  struct waiting_slots slots = { .n_homes = fleet->n_homes };
+  guint n_busy = 0;
+
+  for (guint i = 0; i < fleet->ends->len; i++)
+    if (g_array_index (fleet->ends, gint64, i) > fleet->now_us)
+      n_busy++;
+  slots.pool.n_slots = fleet->n_slots;
+  slots.n_free = n_busy < fleet->n_slots ? fleet->n_slots - n_busy : 0;
+  slots.pool.n_queued[0]
+      = n_busy > fleet->n_slots ? n_busy - fleet->n_slots : 0;
+  return slots;
+}
+
+/* Lets MS pass, in which all homes know only the first announcement.  */
+static void
+pass (struct fleet *fleet, guint ms)
+{
+  struct waiting_slots slots = announce (fleet);
+
+  for (guint t = 0; t < ms; t += ROUND_MS)
+    {
+      for (guint i = 0; i < fleet->n_homes; i++)
+        {
+          struct home *home = &fleet->homes[i];
+          struct waiting_job *expired;
+          g_autoptr (GPtrArray) list = NULL;
+
+          slots.seed = hash64_pair (i + 1, (guint64)fleet->now_us);
+          while ((expired
+                  = waiting_jobs_find_expired (&home->waiting, fleet->now_us))
+                 != NULL)
+            {
+              fleet->n_expired++;
+              waiting_jobs_remove (&home->waiting, expired);
+            }
+          list = waiting_jobs_select (&home->waiting, SERVICE, &slots,
+                                      fleet->now_us);
+          for (guint k = 0; k < list->len; k++)
+            assign (fleet, home, g_ptr_array_index (list, k));
+        }
+      fleet->now_us += ROUND_MS * USEC_PER_MSEC;
+    }
+}
+
+static void
+finish (struct fleet *fleet)
+{
+  g_test_message ("in time %u, late %u, expired %u, longest queue %d ms",
+                  fleet->n_in_time, fleet->n_late, fleet->n_expired,
+                  (int)(fleet->longest_queue_us / USEC_PER_MSEC));
+  g_array_unref (fleet->ends);
+}
+
+/* All VMs restart under load: owners return one after the other, and 16 homes
+   with 20 jobs of 4 tasks each have the same news of them for 150 ms.  If each
+   home gave the first owner all its jobs, the queue there would be 2.4 s.  */
+static void
+test_all_restart (void)
+{
+  struct fleet fleet;
+
+  fleet_init (&fleet, 16, 20, 1500);
+  for (guint i = 0; i < 20; i++)
+    {
+      fleet.n_slots = MIN (16 * i, 160);
+      pass (&fleet, 150);
+    }
+  g_assert_cmpuint (fleet.n_in_time + fleet.n_late, ==, 320);
+  g_assert_cmpuint (fleet.n_in_time, >=, 310);
+  g_assert_cmpint (fleet.longest_queue_us, <, 400 * USEC_PER_MSEC);
+  finish (&fleet);
+}
+
+/* Half of the owners are lost in a burst: the jobs for which the other slots
+   are too few wait, and are served once the owners are replaced.  Until then
+   one queue would serve 233 jobs in time, and none later.  */
+static void
+test_half_lost (void)
+{
+  struct fleet fleet;
+
+  fleet_init (&fleet, 16, 30, 700);
+  fleet.n_slots = 80;
+  for (guint i = 0; i < 6; i++)
+    pass (&fleet, 150);
+  fleet.n_slots = 160;
+  for (guint i = 0; i < 10; i++)
+    pass (&fleet, 150);
+  g_assert_cmpuint (fleet.n_in_time, >=, 200);
+  g_assert_cmpuint (fleet.n_in_time + fleet.n_late, >=, 470);
+  g_assert_cmpint (fleet.longest_queue_us, <, 700 * USEC_PER_MSEC);
+  finish (&fleet);
+}
+
+/* No owner returns: nothing is assigned, and every job is refused at its time
+   limit.  */
+static void
+test_no_owner (void)
+{
+  struct fleet fleet;
+
+  fleet_init (&fleet, 4, 5, 150);
+  pass (&fleet, 350);
+  g_assert_cmpuint (fleet.n_expired, ==, 0);
+  pass (&fleet, 150);
+  g_assert_cmpuint (fleet.n_expired, ==, 20);
+  g_assert_cmpuint (fleet.n_in_time + fleet.n_late, ==, 0);
+  finish (&fleet);
+}
+
+/* More jobs than the bound: the last in the order is refused, be it the new
+   one or not, and a job that can only be late goes behind all others.  */
+static void
+test_more_than_bound (void)
+{
+  gint64 late_us = START_US + 200 * USEC_PER_MSEC;
+  struct waiting_jobs jobs;
+  struct waiting_job urgent;
+  struct waiting_job idle;
+  struct waiting_job late;
+  struct waiting_job fresh;
+
+  waiting_jobs_init (&jobs, 2, 10000);
+  add_job (&jobs, &idle, 1, 2, START_US, 1000);
+  add_job (&jobs, &late, 1, 0, START_US, 150);
+  g_assert_null (waiting_jobs_find_excess (&jobs, START_US));
+  add_job (&jobs, &urgent, 1, 0, START_US, 1000);
+  g_assert_true (waiting_jobs_find_excess (&jobs, START_US) == &idle);
+  g_assert_true (waiting_jobs_find_excess (&jobs, late_us) == &late);
+  waiting_jobs_remove (&jobs, &late);
+  g_assert_null (waiting_jobs_find_excess (&jobs, late_us));
+  add_job (&jobs, &fresh, 1, 2, late_us, 1000);
+  g_assert_true (waiting_jobs_precede (&jobs, &fresh, late_us));
+  g_assert_true (waiting_jobs_find_excess (&jobs, late_us) == &fresh);
+  waiting_jobs_remove (&jobs, &fresh);
+  waiting_jobs_remove (&jobs, &fresh);
+  g_assert_cmpuint (jobs.n, ==, 2);
+  jobs.max_bytes = 1999;
+  g_assert_true (waiting_jobs_find_excess (&jobs, late_us) == &idle);
+}
+
+/* Slots are expected only for a while after a sign of them, and an evacuated
+   zone is none.  */
+static void
+test_outlook (void)
+{
+  struct slot_prospect none = { .is_any_zone_open = TRUE };
+  struct slot_prospect acquiring = { TRUE, TRUE };
+  struct slot_prospect closed = { FALSE, TRUE };
+  gint64 now_us = START_US + 10 * USEC_PER_SEC;
+  struct slot_outlook o;
+
+  slot_outlook_init (&o, 3 * USEC_PER_SEC, START_US);
+  g_assert_true (slot_outlook_expects_more (&o, &none, START_US));
+  g_assert_false (slot_outlook_expects_slots (&o, SERVICE, &none, now_us));
+  g_assert_true (slot_outlook_expects_slots (&o, SERVICE, &acquiring, now_us));
+  g_assert_false (slot_outlook_expects_slots (&o, SERVICE, &closed, now_us));
+  slot_outlook_note_slots (&o, SERVICE, "a", now_us);
+  g_assert_true (slot_outlook_expects_slots (&o, SERVICE, &none, now_us));
+  g_assert_false (slot_outlook_expects_slots (&o, 8, &none, now_us));
+  g_assert_false (slot_outlook_expects_more (&o, &none, now_us));
+  slot_outlook_note_loss (&o, "b", now_us);
+  slot_outlook_forget_zone (&o, "a");
+  g_assert_true (slot_outlook_expects_more (&o, &none, now_us));
+  g_assert_true (slot_outlook_expects_slots (&o, 8, &none, now_us));
+  g_assert_false (slot_outlook_expects_slots (&o, SERVICE, &none,
+                                              now_us + 3 * USEC_PER_SEC));
+  slot_outlook_forget_zone (&o, "b");
+  g_assert_false (slot_outlook_expects_more (&o, &none, now_us));
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/waiting-jobs/all-vms-restart-under-load",
+                   test_all_restart);
+  g_test_add_func ("/waiting-jobs/half-of-the-owners-lost-in-a-burst",
+                   test_half_lost);
+  g_test_add_func ("/waiting-jobs/no-owner-returns", test_no_owner);
+  g_test_add_func ("/waiting-jobs/more-jobs-than-the-bound",
+                   test_more_than_bound);
+  g_test_add_func ("/waiting-jobs/outlook", test_outlook);
+  return g_test_run ();
+}
--- a/transport/fleet_home_waiting.c
+++ b/transport/fleet_home_waiting.c
@@ -11,10 +11,6 @@
 
 #include <string.h>
 
-/* Waiting jobs are assigned at most this often: the shortest interval between
-   two beacons of an owner.  */
-#define ROUND_US (50 * USEC_PER_MSEC)
-
 /* Memory that a waiting job takes besides its text: its HTTP message, and the
    buffers of its connection.  */
 #define JOB_OVERHEAD_BYTES 4096
@@ -288,7 +284,7 @@
   g_autoptr (GPtrArray) examples = NULL;
 
   if (home->waiting.jobs.n == 0
-      || now_us - home->waiting.assigned_us < ROUND_US)
+      || now_us - home->waiting.assigned_us < WAITING_ROUND_US)
     return;
   home->waiting.assigned_us = now_us;
   examples = list_examples (home);
