transport, commands: a job that waited in vain is refused with its usual reason

Change: when the time of a waiting job is over, the reason is the one that it had without waiting, which explain knows. explain shows job-waited.

--- a/commands/explain_timeline.c
+++ b/commands/explain_timeline.c
@@ -63,7 +63,8 @@
 /* The events of a job that only its home logs.  */
 static const enum event home_events[]
     = { EVENT_JOB_ACCEPTED, EVENT_JOB_TURNED_AWAY, EVENT_JOB_ANSWERED,
-        EVENT_JOB_GIVEN_UP, EVENT_CALLER_GONE,     EVENT_BATCH_SENT };
+        EVENT_JOB_GIVEN_UP, EVENT_CALLER_GONE,     EVENT_JOB_WAITED,
+        EVENT_BATCH_SENT };
 
 static void
 free_event (gpointer data)
--- a/transport/fleet_home_waiting.c
+++ b/transport/fleet_home_waiting.c
@@ -355,6 +355,19 @@
                     "this VM is leaving; send the job again");
 }
 
+/* Refuses WAITING, whose time is over, with the reason that it had without
+   waiting.  */
+static void
+refuse_expired (struct fleet_home *home, struct waiting_job *waiting)
+{
+  const char *service = job_from_waiting (waiting)->submission->service;
+
+  refuse_waiting (home, waiting,
+                  fleet_home_has_slots (home, service)
+                      ? "the queues are longer than its time"
+                      : "no upstream is owned by a live VM");
+}
+
 void
 fleet_home_advance_waiting (struct fleet_home *home, gint64 now_us)
 {
@@ -362,6 +375,6 @@
   struct waiting_job *expired;
 
   while ((expired = waiting_jobs_find_expired (jobs, now_us)) != NULL)
-    refuse_waiting (home, expired, "no slots became available in time");
+    refuse_expired (home, expired);
   assign_if_due (home, now_us);
 }
