transport, platform: the connection is checked before a waiting job is assigned

Cause: a VM that was paused may hear of slots before it notices that the caller of a waiting job has closed its connection. Change: the handler of an answer tells whether its caller is connected, and a job whose caller is not is left to be cancelled.

--- a/t/t2180-waiting-jobs.c
+++ b/t/t2180-waiting-jobs.c
@@ -28,8 +28,8 @@
   guint n_slots; /* of the owners that are back */
   gint64 now_us;
   GArray *ends; /* gint64: when the assigned tasks end, ascending */
-  guint n_in_time;
-  guint n_late;
+  guint n_started;
+  guint n_in_time; /* of these */
   guint n_expired;
   gint64 longest_queue_us;
 };
@@ -46,7 +46,6 @@
   job->priority = priority;
   job->start_by_us = now_us + (objective_ms - RUN_MS) * USEC_PER_MSEC;
   job->end_by_us = now_us + (3 * objective_ms - RUN_MS) * USEC_PER_MSEC;
-  job->since_us = now_us;
   job->n_bytes = 1000;
   waiting_jobs_add (jobs, job);
 }
@@ -81,7 +80,8 @@
 }
 
 static void
-assign (struct fleet *fleet, struct home *home, struct waiting_job *job)
+assign (struct fleet *fleet, struct waiting_jobs *waiting,
+        struct waiting_job *job)
 {
   gint64 start_us = fleet->now_us;
 
@@ -95,11 +95,9 @@
     }
   fleet->longest_queue_us
       = MAX (fleet->longest_queue_us, start_us - fleet->now_us);
-  if (start_us <= job->start_by_us)
-    fleet->n_in_time++;
-  else
-    fleet->n_late++;
-  waiting_jobs_remove (&home->waiting, job);
+  fleet->n_started++;
+  fleet->n_in_time += start_us <= job->start_by_us ? 1 : 0;
+  waiting_jobs_remove (waiting, job);
 }
 
 /* What the owners announce at present.  */
@@ -113,9 +111,8 @@
     if (g_array_index (fleet->ends, gint64, i) > fleet->now_us)
       n_busy++;
   slots.pool.n_slots = fleet->n_slots;
-  slots.n_free = n_busy < fleet->n_slots ? fleet->n_slots - n_busy : 0;
-  slots.pool.n_queued[0]
-      = n_busy > fleet->n_slots ? n_busy - fleet->n_slots : 0;
+  slots.n_free = MAX (fleet->n_slots, n_busy) - n_busy;
+  slots.pool.n_queued[0] = MAX (fleet->n_slots, n_busy) - fleet->n_slots;
   return slots;
 }
 
@@ -129,22 +126,18 @@
     {
       for (guint i = 0; i < fleet->n_homes; i++)
         {
-          struct home *home = &fleet->homes[i];
+          struct waiting_jobs *waiting = &fleet->homes[i].waiting;
+          gint64 now_us = fleet->now_us;
           struct waiting_job *expired;
           g_autoptr (GPtrArray) list = NULL;
 
-          slots.seed = hash64_pair (i + 1, (guint64)fleet->now_us);
-          while ((expired
-                  = waiting_jobs_find_expired (&home->waiting, fleet->now_us))
-                 != NULL)
-            {
-              fleet->n_expired++;
-              waiting_jobs_remove (&home->waiting, expired);
-            }
-          list = waiting_jobs_select (&home->waiting, SERVICE, &slots,
-                                      fleet->now_us);
+          slots.seed = hash64_pair (i + 1, (guint64)now_us);
+          for (; (expired = waiting_jobs_find_expired (waiting, now_us));
+               fleet->n_expired++)
+            waiting_jobs_remove (waiting, expired);
+          list = waiting_jobs_select (waiting, SERVICE, &slots, now_us);
           for (guint k = 0; k < list->len; k++)
-            assign (fleet, home, g_ptr_array_index (list, k));
+            assign (fleet, waiting, g_ptr_array_index (list, k));
         }
       fleet->now_us += ROUND_MS * USEC_PER_MSEC;
     }
@@ -153,8 +146,8 @@
 static void
 finish (struct fleet *fleet)
 {
-  g_test_message ("in time %u, late %u, expired %u, longest queue %d ms",
-                  fleet->n_in_time, fleet->n_late, fleet->n_expired,
+  g_test_message ("started %u, in time %u, expired %u, longest queue %d ms",
+                  fleet->n_started, fleet->n_in_time, fleet->n_expired,
                   (int)(fleet->longest_queue_us / USEC_PER_MSEC));
   g_array_unref (fleet->ends);
 }
@@ -173,7 +166,7 @@
       fleet.n_slots = MIN (16 * i, 160);
       pass (&fleet, 150);
     }
-  g_assert_cmpuint (fleet.n_in_time + fleet.n_late, ==, 320);
+  g_assert_cmpuint (fleet.n_started, ==, 320);
   g_assert_cmpuint (fleet.n_in_time, >=, 310);
   g_assert_cmpint (fleet.longest_queue_us, <, 400 * USEC_PER_MSEC);
   finish (&fleet);
@@ -195,7 +188,7 @@
   for (guint i = 0; i < 10; i++)
     pass (&fleet, 150);
   g_assert_cmpuint (fleet.n_in_time, >=, 200);
-  g_assert_cmpuint (fleet.n_in_time + fleet.n_late, >=, 470);
+  g_assert_cmpuint (fleet.n_started, >=, 470);
   g_assert_cmpint (fleet.longest_queue_us, <, 700 * USEC_PER_MSEC);
   finish (&fleet);
 }
@@ -212,7 +205,7 @@
   g_assert_cmpuint (fleet.n_expired, ==, 0);
   pass (&fleet, 150);
   g_assert_cmpuint (fleet.n_expired, ==, 20);
-  g_assert_cmpuint (fleet.n_in_time + fleet.n_late, ==, 0);
+  g_assert_cmpuint (fleet.n_started, ==, 0);
   finish (&fleet);
 }
 
--- a/t/t9630-waiting-jobs.c
+++ b/t/t9630-waiting-jobs.c
@@ -48,38 +48,30 @@
     fleet_bed_kill_vm (bed, vm);
 }
 
-/* Starts VM alone and waits until it knows the desired state.  */
+/* Waits until the member NAME of what VM says of itself is N.  */
 static void
-start_one (struct fleet_bed *bed, guint vm)
+wait_dump (struct fleet_bed *bed, guint vm, const char *name, gint64 n)
 {
-  gint64 version = 0;
+  gint64 n_now = -1;
 
-  fleet_bed_start_vm (bed, vm);
-  while (!fleet_bed_is_listening (bed, vm))
-    fleet_bed_pass (5);
-  while (version == 0)
+  while (n_now != n)
     {
       json_t *dump = fleet_bed_dump (bed, vm);
 
-      version = json_get_int (dump, "routes_version");
+      n_now = json_get_int (dump, name);
       json_decref (dump);
-      fleet_bed_pass (5);
+      fleet_bed_pass (10);
     }
 }
 
+/* Starts VM alone and waits until it knows the desired state.  */
 static void
-wait_waiting (struct fleet_bed *bed, guint vm, gint64 n)
+start_one (struct fleet_bed *bed, guint vm)
 {
-  gint64 n_now = -1;
-
-  while (n_now != n)
-    {
-      json_t *dump = fleet_bed_dump (bed, vm);
-
-      n_now = json_get_int (dump, "waiting");
-      json_decref (dump);
-      fleet_bed_pass (10);
-    }
+  fleet_bed_start_vm (bed, vm);
+  while (!fleet_bed_is_listening (bed, vm))
+    fleet_bed_pass (5);
+  wait_dump (bed, vm, "routes_version", 1);
 }
 
 /* All VMs are killed under load and started again.  Jobs that are sent as soon
@@ -126,7 +118,7 @@
   call = fleet_bed_begin (bed, 0, FLEET_BED_PATIENT, 2, 50);
   closed = fleet_bed_begin (bed, 0, FLEET_BED_PATIENT, 2, 50);
   id = g_strdup (closed->id);
-  wait_waiting (bed, 0, 2);
+  wait_dump (bed, 0, "waiting", 2);
   fleet_call_free (closed);
   fleet_bed_put_state (bed);
   g_assert_cmpuint (fleet_call_wait (call), ==, 200);
@@ -146,7 +138,7 @@
   kill_all (bed);
   start_one (bed, 0);
   call = fleet_bed_begin (bed, 0, FLEET_BED_PATIENT, 2, 50);
-  wait_waiting (bed, 0, 1);
+  wait_dump (bed, 0, "waiting", 1);
   process_signal (bed->vms[0], SIGTERM);
   g_assert_cmpuint (fleet_call_wait (call), ==, 503);
   g_assert_nonnull (strstr (call->body, "this VM is leaving"));
@@ -157,9 +149,11 @@
 }
 
 /* A caller that closes its connection while its job waits may send the job to
-   another VM: nothing of it is run here later.  */
+   another VM: nothing of it is run here later.  With DATA, the VM stands still
+   meanwhile, and then hears at once of another VM's slots and of the end of
+   the connection.  */
 static void
-test_caller_leaves (void)
+test_caller_leaves (gconstpointer data)
 {
   struct fleet_bed *bed = start ();
   struct fleet_call *call;
@@ -169,9 +163,17 @@
   start_one (bed, 0);
   call = fleet_bed_begin (bed, 0, FLEET_BED_PATIENT, 2, 50);
   id = g_strdup (call->id);
-  wait_waiting (bed, 0, 1);
+  wait_dump (bed, 0, "waiting", 1);
+  if (data != NULL)
+    {
+      process_signal (bed->vms[0], SIGSTOP);
+      start_one (bed, 1);
+      while (!fleet_bed_run (bed, 1, 1, 30))
+        fleet_bed_pass (50);
+    }
   fleet_call_free (call);
-  wait_waiting (bed, 0, 0);
+  process_signal (bed->vms[0], SIGCONT);
+  wait_dump (bed, 0, "waiting", 0);
   while (!fleet_bed_run (bed, 0, 1, 30))
     fleet_bed_pass (50);
   g_assert_cmpuint (fleet_bed_count_starts (bed, id), ==, 0);
@@ -211,7 +213,10 @@
   g_test_add_func ("/waiting-jobs/all-restart", test_all_restart);
   g_test_add_func ("/waiting-jobs/before-state", test_before_state);
   g_test_add_func ("/waiting-jobs/leave", test_leave);
-  g_test_add_func ("/waiting-jobs/caller-leaves", test_caller_leaves);
+  g_test_add_data_func ("/waiting-jobs/caller-leaves", NULL,
+                        test_caller_leaves);
+  g_test_add_data_func ("/waiting-jobs/caller-leaves-unnoticed", "",
+                        test_caller_leaves);
   g_test_add_func ("/waiting-jobs/no-owner", test_no_owner);
   return g_test_run ();
 }
--- a/transport/fleet_home.h
+++ b/transport/fleet_home.h
@@ -70,6 +70,11 @@
 {
   void (*answer) (struct fleet_answer_handler *handler,
                   const struct fleet_answer *answer);
+
+  /* Whether the caller has not disconnected yet.  Called before a job that has
+     waited is assigned: a job whose caller has gone, and will be cancelled as
+     soon as that is noticed, is not.  May be NULL.  */
+  gboolean (*is_connected) (struct fleet_answer_handler *handler);
 };
 
 /* VM and INCARNATION identify this process.  FAR_FACTOR is the expected run
