transport: a job that owners return repeatedly waits while slots are expected

Cause: a home that has just started knows owners that have not received its beacons yet; they refuse its batches ("no beacons of its home are received here"). A job was assigned six times within 3 ms and refused with "no room in time". Change: such a job waits like one whose queues are too long. Waiting resets the number of assignments.

--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -252,6 +252,19 @@
                                 : FLEET_MAX_MOVABLE_ASSIGNMENTS;
 }
 
+/* Lets JOB wait, if nothing of it was started and more slots are expected.
+   Returns whether it does.  Owners may return its tasks within milliseconds,
+   as often as they are assigned, when they have not heard of this home
+   yet.  */
+static gboolean
+wait_for_more (struct fleet_job *job)
+{
+  if (may_have_started (job))
+    return FALSE;
+  withdraw_offers (job, NULL);
+  return fleet_home_wait (job, TRUE);
+}
+
 /* Assigns N_TASKS of JOB, which an owner has returned unstarted, to owners
    again, or gives the job up if that is no longer possible.  */
 static void
@@ -267,7 +280,7 @@
   if (job->n_assignments < get_max_assignments (job)
       && clock_now_us () < job->end_by_us)
     assign_tasks (job, indexes, n_tasks);
-  else
+  else if (!wait_for_more (job))
     give_up_job (job, "no room in time", MIN_RETRY_MS);
 }
 
--- a/transport/fleet_home_private.h
+++ b/transport/fleet_home_private.h
@@ -70,8 +70,9 @@
 gboolean fleet_home_wait_behind (struct fleet_job *job);
 
 /* Lets JOB, of which nothing was started, wait for slots if they are expected.
-   HAS_OWNER: owners have slots for it, but too few.  Returns whether it waits
-   or was refused as the last in the order of more jobs than may wait.  */
+   HAS_OWNER: owners have slots for it, but too few, or return it.  Returns
+   whether it waits or was refused as the last in the order of more jobs than
+   may wait.  */
 gboolean fleet_home_wait (struct fleet_job *job, gboolean has_owner);
 
 /* JOB no longer waits because of END.  REASON: why it is refused, or NULL.
--- a/transport/fleet_home_waiting.c
+++ b/transport/fleet_home_waiting.c
@@ -151,8 +151,8 @@
       || !expects_slots (home, job->waiting.service_hash, has_owner, now_us))
     return FALSE;
   job->wanted.n = 0;
-  /* The attempt to assign its tasks does not count.  */
-  job->n_assignments--;
+  /* What owners announced before tells nothing of the slots to come.  */
+  job->n_assignments = 0;
   if (!waiting_job_is_waiting (&job->waiting))
     add_waiting (job, now_us);
   return TRUE;
