--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -12,9 +12,6 @@
    included.  Further assignments follow when owners return tasks.  */
 #define MAX_ASSIGNMENTS 24
 
-/* How long a caller is assumed to wait if it does not say.  */
-#define DEFAULT_CALLER_TIMEOUT_US (30 * USEC_PER_SEC)
-
 /* How long the tasks of a job that was given up may take to stop, before the
    job is answered without waiting for them.  */
 #define STOP_GRACE_US (1 * USEC_PER_SEC)
@@ -284,28 +281,13 @@
     give_up_job (job, "no room in time", MIN_RETRY_MS);
 }
 
-/* Whether an open part of JOB may still claim tasks.  */
-static gboolean
-has_offers (const struct fleet_job *job)
-{
-  struct list_node *node;
-  struct list_node *after;
-
-  list_for_each (node, after, &job->parts)
-    if (task_set_intersects (
-            &job->wanted,
-            &list_entry (node, struct fleet_part, link)->offered))
-      return TRUE;
-  return FALSE;
-}
-
 /* Assigns the tasks that JOB still offers again if no owner is left that could
    claim them.  */
 static void
 renew_offers (struct fleet_job *job)
 {
   if (!job->is_closed && job->give_up_reason == NULL && job->wanted.n > 0
-      && !has_offers (job))
+      && !fleet_job_has_offers (job))
     reassign_tasks (job, NULL, 0);
 }
 
@@ -637,24 +619,6 @@
   fleet_job_unref (job);
 }
 
-/* Computes the times of JOB from its acceptance and its submission.  */
-static void
-set_times (struct fleet_job *job)
-{
-  const struct fleet_submission *s = job->submission;
-  gint64 now_us = job->accepted_us;
-
-  job->deadline_us = now_us
-                     + (s->caller_timeout_us > 0 ? s->caller_timeout_us
-                                                 : DEFAULT_CALLER_TIMEOUT_US);
-  job->start_by_us = now_us + s->objective_us - s->estimate_us;
-  job->end_by_us
-      = now_us + s->objective_us * FLEET_LATE_FACTOR - s->estimate_us;
-  if (s->caller_timeout_us > 0)
-    job->end_by_us = MIN (job->end_by_us,
-                          now_us + s->caller_timeout_us - s->estimate_us / 2);
-}
-
 /* A caller that did not receive the answer sends the job again with the same
    ID.  The previous job is answered and stopped first.  */
 static void
@@ -701,7 +665,7 @@
   job->first_number = home->n_parts;
   job->accepted_us = submission->received_us > 0 ? submission->received_us
                                                  : clock_now_us ();
-  set_times (job);
+  fleet_job_set_times (job);
   fleet_home_init_waiting (job);
   g_hash_table_insert (home->jobs, submission->job, job);
   if (!fleet_home_wait_behind (job))
--- a/transport/fleet_job.c
+++ b/transport/fleet_job.c
@@ -1,5 +1,8 @@
 #include "transport/fleet_job.h"
 
+/* How long a caller is assumed to wait if it does not say.  */
+#define DEFAULT_CALLER_TIMEOUT_US (30 * USEC_PER_SEC)
+
 void
 fleet_submission_free (struct fleet_submission *submission)
 {
@@ -82,3 +85,34 @@
     }
   return NULL;
 }
+
+void
+fleet_job_set_times (struct fleet_job *job)
+{
+  const struct fleet_submission *s = job->submission;
+  gint64 now_us = job->accepted_us;
+
+  job->deadline_us = now_us
+                     + (s->caller_timeout_us > 0 ? s->caller_timeout_us
+                                                 : DEFAULT_CALLER_TIMEOUT_US);
+  job->start_by_us = now_us + s->objective_us - s->estimate_us;
+  job->end_by_us
+      = now_us + s->objective_us * FLEET_LATE_FACTOR - s->estimate_us;
+  if (s->caller_timeout_us > 0)
+    job->end_by_us = MIN (job->end_by_us,
+                          now_us + s->caller_timeout_us - s->estimate_us / 2);
+}
+
+gboolean
+fleet_job_has_offers (const struct fleet_job *job)
+{
+  struct list_node *node;
+  struct list_node *after;
+
+  list_for_each (node, after, &job->parts)
+    if (task_set_intersects (
+            &job->wanted,
+            &list_entry (node, struct fleet_part, link)->offered))
+      return TRUE;
+  return FALSE;
+}
--- a/transport/fleet_job.h
+++ b/transport/fleet_job.h
@@ -1,6 +1,6 @@
 /*
  * The data of the jobs of a home, and of the parts into which a job is
- * divided: types, reference counts and lookups.  The decisions are in
+ * divided: types, reference counts, times and lookups.  The decisions are in
  * transport/fleet_home.c.
  */
 #ifndef TRANSPORT_FLEET_JOB_H
@@ -63,6 +63,12 @@
 struct fleet_job *fleet_job_ref (struct fleet_job *job);
 void fleet_job_unref (struct fleet_job *job);
 
+/* Computes the times of JOB from its acceptance and its submission.  */
+void fleet_job_set_times (struct fleet_job *job);
+
+/* Whether an open part of JOB may still claim tasks.  */
+gboolean fleet_job_has_offers (const struct fleet_job *job);
+
 /* The open part of JOB with NUMBER, or NULL.  */
 struct fleet_part *fleet_job_find_part (const struct fleet_job *job,
                                         guint number);
