--- a/t/t1020-fleet-settings.c
+++ b/t/t1020-fleet-settings.c
@@ -93,6 +93,8 @@
   g_assert_cmpint (s->log_level, ==, LOG_LEVEL_INFO);
   g_assert_true (s->share_by_caller);
   g_assert_true (s->spread_retries);
+  g_assert_cmpuint (s->max_waiting_jobs, ==, 1000);
+  g_assert_cmpuint (s->max_waiting_kb, ==, 8192);
   fleet_settings_free (s);
 }
 
@@ -121,6 +123,7 @@
   g_assert_cmpuint (s->max_connections, ==, 3000);
   g_assert_false (s->share_by_caller);
   g_assert_false (s->spread_retries);
+  g_assert_cmpuint (s->max_waiting_jobs, ==, 0);
   assert_endpoint (&s->metrics, NULL, 0);
   fleet_settings_free (s);
   s = parse ("{" REQUIRED ",\"metrics\":\"\"}");
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -13,9 +13,6 @@
    included.  Further assignments follow when owners return tasks.  */
 #define MAX_ASSIGNMENTS 24
 
-/* How long a caller is assumed to wait if it does not say.  */
-#define DEFAULT_CALLER_TIMEOUT_US (30 * USEC_PER_SEC)
-
 /* How long the tasks of a job that was given up may take to stop, before the
    job is answered without waiting for them.  */
 #define STOP_GRACE_US (1 * USEC_PER_SEC)
@@ -47,6 +44,7 @@
   home->owner = owner;
   home->admission = admission;
   home->jobs = g_hash_table_new (g_str_hash, g_str_equal);
+  waiting_jobs_init (&home->waiting.jobs, 0, 0);
   peer_hub_serve (hub, PEER_RETURN_TASKS, on_return_tasks, home);
   peer_hub_serve (hub, PEER_CLAIM_TASKS, on_claim_tasks, home);
   return home;
@@ -173,6 +171,8 @@
     answer.retry_after_ms
         = (guint)CLAMP (retry_after_ms, MIN_RETRY_MS, MAX_RETRY_MS);
   log_answer (job, &answer);
+  fleet_home_end_wait (job, outcomes[outcome].name,
+                       outcome == FLEET_NOT_RUN ? reason : NULL);
   job->handler = NULL;
   close_job (job);
   handler->answer (handler, &answer);
@@ -239,6 +239,19 @@
                                 : FLEET_MAX_MOVABLE_ASSIGNMENTS;
 }
 
+/* Lets JOB wait, if nothing of it was started and more slots are expected.
+   Returns whether it does.  Owners may return its tasks within milliseconds,
+   as often as they are assigned, when they have not heard of this home
+   yet.  */
+static gboolean
+wait_for_more (struct fleet_job *job)
+{
+  if (may_have_started (job))
+    return FALSE;
+  withdraw_offers (job, NULL);
+  return fleet_home_wait (job, TRUE);
+}
+
 /* Assigns N_TASKS of JOB, which an owner has returned unstarted, to owners
    again, or gives the job up if that is no longer possible.  */
 static void
@@ -254,33 +267,18 @@
   if (job->n_assignments < get_max_assignments (job)
       && clock_now_us () < job->end_by_us)
     assign_tasks (job, indexes, n_tasks);
-  else
+  else if (!wait_for_more (job))
     give_up_job (job, "no room in time",
                  fleet_home_get_retry_ms (job, MIN_RETRY_MS));
 }
 
-/* Whether an open part of JOB may still claim tasks.  */
-static gboolean
-has_offers (const struct fleet_job *job)
-{
-  struct list_node *node;
-  struct list_node *after;
-
-  list_for_each (node, after, &job->parts)
-    if (task_set_intersects (
-            &job->wanted,
-            &list_entry (node, struct fleet_part, link)->offered))
-      return TRUE;
-  return FALSE;
-}
-
 /* Assigns the tasks that JOB still offers again if no owner is left that could
    claim them.  */
 static void
 renew_offers (struct fleet_job *job)
 {
   if (!job->is_closed && job->give_up_reason == NULL && job->wanted.n > 0
-      && !has_offers (job))
+      && !fleet_job_has_offers (job))
     reassign_tasks (job, NULL, 0);
 }
 
@@ -555,9 +553,26 @@
       is_sent ? owners->len : 0, job->home->directory);
 }
 
-/* Assigns N_TASKS of JOB to owners, and those that are wanted already.  Gives
-   the job up if there is no owner with slots, or the expected wait is too
-   long.  */
+/* Lets JOB wait for slots, if nothing of it was started and they are expected,
+   or gives it up.  HAS_OWNER: owners have slots for it, but too few in time.
+   The excess of a caller over its share does not wait.  */
+static void
+wait_or_give_up (struct fleet_job *job, gboolean has_owner)
+{
+  const struct fleet_refusal *refusal = &job->refusal;
+
+  if (!may_have_started (job) && refusal->cause != REFUSAL_OVER_SHARE
+      && fleet_home_wait (job, has_owner))
+    return;
+  if (has_owner)
+    give_up_job (job, refusal->reason, refusal->retry_after_ms);
+  else
+    give_up_job (job, "no upstream is owned by a live VM", MIN_RETRY_MS);
+}
+
+/* Assigns N_TASKS of JOB to owners, and those that are wanted already.  If
+   there is no owner with slots, or the expected wait is too long, the job
+   waits or is given up.  */
 static void
 assign_tasks (struct fleet_job *job, const guint *indexes, guint n_tasks)
 {
@@ -582,17 +597,16 @@
       hash64_pair (hash64_string (s->job), job->n_assignments));
   job->refusal = fleet_admission_judge (job->home->admission, job, owners,
                                         &offer, longest_ms);
-  if (job->n_assignments == 1)
+  if (job->n_assignments == 1 && !job->has_waited)
     log_accepted (job, owners,
                   offer.wait_ms >= 0 && job->refusal.reason == NULL);
   task_set_add (&job->wanted, indexes + (tasks.n - offer.n_tasks),
                 n_tasks - (tasks.n - offer.n_tasks));
-  if (offer.wait_ms < 0)
-    give_up_job (job, "no upstream is owned by a live VM", MIN_RETRY_MS);
-  else if (job->refusal.reason != NULL)
-    give_up_job (job, job->refusal.reason, job->refusal.retry_after_ms);
+  if (offer.wait_ms < 0 || job->refusal.reason != NULL)
+    wait_or_give_up (job, offer.wait_ms >= 0);
   else
     {
+      fleet_home_end_wait (job, "assigned", NULL);
       give_tasks (job, owners, indexes);
       if (offer.n_tasks > 0)
         offer_tasks (job, owners, &offer);
@@ -600,24 +614,6 @@
   fleet_job_unref (job);
 }
 
-/* Computes the times of JOB from its acceptance and its submission.  */
-static void
-set_times (struct fleet_job *job)
-{
-  const struct fleet_submission *s = job->submission;
-  gint64 now_us = job->accepted_us;
-
-  job->deadline_us = now_us
-                     + (s->caller_timeout_us > 0 ? s->caller_timeout_us
-                                                 : DEFAULT_CALLER_TIMEOUT_US);
-  job->start_by_us = now_us + s->objective_us - s->estimate_us;
-  job->end_by_us
-      = now_us + s->objective_us * FLEET_LATE_FACTOR - s->estimate_us;
-  if (s->caller_timeout_us > 0)
-    job->end_by_us = MIN (job->end_by_us,
-                          now_us + s->caller_timeout_us - s->estimate_us / 2);
-}
-
 /* A caller that did not receive the answer sends the job again with the same
    ID.  The previous job is answered and stopped first.  */
 static void
@@ -629,13 +625,29 @@
     answer_job (previous, FLEET_UNKNOWN, "the job was sent again", 0);
 }
 
+void
+fleet_home_assign_all (struct fleet_job *job)
+{
+  guint indexes[PEER_TASKS_MAX];
+
+  for (guint i = 0; i < job->submission->n_tasks; i++)
+    indexes[i] = i;
+  job->wanted.n = 0;
+  assign_tasks (job, indexes, job->submission->n_tasks);
+}
+
+void
+fleet_home_refuse (struct fleet_job *job, const char *reason)
+{
+  give_up_job (job, reason, MIN_RETRY_MS);
+}
+
 struct fleet_job *
 fleet_home_submit (struct fleet_home *home,
                    struct fleet_submission *submission,
                    struct fleet_answer_handler *handler)
 {
   struct fleet_job *job = g_new0 (struct fleet_job, 1);
-  guint indexes[PEER_TASKS_MAX];
   gboolean is_closed;
 
   close_previous_job (home, submission->job);
@@ -646,13 +658,14 @@
   job->trail = g_string_new (NULL);
   list_init (&job->parts);
   job->first_number = home->n_parts;
-  job->accepted_us = clock_now_us ();
-  set_times (job);
+  job->accepted_us = submission->received_us > 0 ? submission->received_us
+                                                 : clock_now_us ();
+  fleet_job_set_times (job);
+  fleet_home_init_waiting (job);
   fleet_admission_note_job (home->admission, job);
   g_hash_table_insert (home->jobs, submission->job, job);
-  for (guint i = 0; i < submission->n_tasks; i++)
-    indexes[i] = i;
-  assign_tasks (job, indexes, submission->n_tasks);
+  if (!fleet_home_wait_behind (job))
+    fleet_home_assign_all (job);
   is_closed = job->is_closed;
   fleet_job_unref (job);
   return is_closed ? NULL : job;
@@ -665,6 +678,7 @@
     return;
   fleet_home_log_caller_gone (job);
   metrics_count_label (METRIC_FLEET_JOBS, JOB_OUTCOME_CALLER_GONE);
+  fleet_home_end_wait (job, "caller-gone", NULL);
   job->handler = NULL;
   close_job (job);
 }
@@ -688,6 +702,7 @@
 {
   g_autoptr (GPtrArray) jobs = list_jobs (home);
 
+  fleet_home_advance_waiting (home, now_us);
   for (guint i = 0; i < jobs->len; i++)
     {
       struct fleet_job *job = g_ptr_array_index (jobs, i);
@@ -743,6 +758,7 @@
 {
   g_autoptr (GPtrArray) jobs = list_jobs (home);
 
+  fleet_home_note_loss (home, vm);
   for (guint i = 0; i < jobs->len; i++)
     {
       struct fleet_job *job = g_ptr_array_index (jobs, i);
--- a/transport/fleet_job.h
+++ b/transport/fleet_job.h
@@ -1,12 +1,13 @@
 /*
  * The data of the jobs of a home, and of the parts into which a job is
- * divided: types, reference counts and lookups.  The decisions are in
+ * divided: types, reference counts, times and lookups.  The decisions are in
  * transport/fleet_home.c.
  */
 #ifndef TRANSPORT_FLEET_JOB_H
 #define TRANSPORT_FLEET_JOB_H
 
 #include "coordination/task_offer.h"
+#include "coordination/waiting_jobs.h"
 #include "transport/fleet_admission.h"
 #include "transport/fleet_home.h"
 
@@ -47,12 +48,14 @@
                              acceptance contains */
   GString *trail;         /* steps for the log line of the answer */
   guint n_assignments;    /* times that tasks were assigned to owners */
-  struct task_set wanted; /* tasks that are offered and not granted yet */
-  guint n_done;           /* tasks that have succeeded */
-  gboolean is_closed;     /* answered or cancelled */
-  const char *give_up_reason;   /* static string; NULL unless given up.  The
-                                   answer follows when all parts have ended */
-  gint64 retry_after_ms;        /* for the answer if nothing was started */
+  struct waiting_job waiting; /* for slots, if it is linked */
+  gboolean has_waited;        /* it was in the list of waiting jobs */
+  struct task_set wanted;     /* tasks that are offered and not granted yet */
+  guint n_done;               /* tasks that have succeeded */
+  gboolean is_closed;         /* answered or cancelled */
+  const char *give_up_reason; /* static string; NULL unless given up.  The
+                                 answer follows when all parts have ended */
+  gint64 retry_after_ms;      /* for the answer if nothing was started */
   struct fleet_refusal refusal; /* why the queues are too long for it */
   gboolean has_started;         /* a task may have been started */
 };
@@ -62,6 +65,12 @@
 struct fleet_job *fleet_job_ref (struct fleet_job *job);
 void fleet_job_unref (struct fleet_job *job);
 
+/* Computes the times of JOB from its acceptance and its submission.  */
+void fleet_job_set_times (struct fleet_job *job);
+
+/* Whether an open part of JOB may still claim tasks.  */
+gboolean fleet_job_has_offers (const struct fleet_job *job);
+
 /* The open part of JOB with NUMBER, or NULL.  */
 struct fleet_part *fleet_job_find_part (const struct fleet_job *job,
                                         guint number);
