--- /dev/null
+++ b/coordination/answer_time.c
@@ -0,0 +1,32 @@
+#include "coordination/answer_time.h"
+
+/* The inverses of the weights of the latest answer (RFC 6298, section 2).  */
+#define SMOOTHED_DIVISOR 8
+#define DEVIATION_DIVISOR 4
+
+#define N_DEVIATIONS 4
+
+void
+answer_time_note (struct answer_time *time, gint64 took_us)
+{
+  gint64 error_us = ABS (took_us - time->smoothed_us);
+
+  took_us = MAX (took_us, 1);
+  if (time->smoothed_us == 0)
+    {
+      time->smoothed_us = took_us;
+      time->deviation_us = took_us / 2;
+      return;
+    }
+  time->deviation_us += (error_us - time->deviation_us) / DEVIATION_DIVISOR;
+  time->smoothed_us += (took_us - time->smoothed_us) / SMOOTHED_DIVISOR;
+}
+
+gint64
+answer_time_get_timeout_us (const struct answer_time *time)
+{
+  if (time->smoothed_us == 0)
+    return ANSWER_TIMEOUT_MAX_US;
+  return CLAMP (time->smoothed_us + N_DEVIATIONS * time->deviation_us,
+                ANSWER_TIMEOUT_MIN_US, ANSWER_TIMEOUT_MAX_US);
+}
--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -24,6 +24,7 @@
 
 #include "base/clock.h"
 #include "base/list.h"
+#include "coordination/answer_time.h"
 #include "coordination/event_rate.h"
 #include "coordination/free_slots.h"
 #include "state/document.h"
@@ -136,15 +137,16 @@
   guint n_runs;           /* in runs */
   guint n_foreign;        /* of them, those that this owner did not start */
   guint64 n_polls;        /* polls sent so far; numbers them from 1 */
-  guint64 last_answered_poll;   /* number of the last answered poll */
-  gint64 answered_sent_us;      /* when that poll was sent */
-  guint64 last_ended_entry;     /* highest entry_number processed; see
-                                   struct listed_end */
-  guint64 reported_ended_entry; /* the value that the latest poll sent */
-  guint64 acked_ended_entry;    /* the value that the last answered poll
-                                   sent */
-  gint64 last_end_us;           /* when an ended run was last processed */
-  gint64 polled_us;             /* when the latest poll was sent */
+  guint64 last_answered_poll;       /* number of the last answered poll */
+  gint64 answered_sent_us;          /* when that poll was sent */
+  struct answer_time start_answers; /* to start orders */
+  guint64 last_ended_entry;         /* highest entry_number processed; see
+                                       struct listed_end */
+  guint64 reported_ended_entry;     /* the value that the latest poll sent */
+  guint64 acked_ended_entry;        /* the value that the last answered poll
+                                       sent */
+  gint64 last_end_us;               /* when an ended run was last processed */
+  gint64 polled_us;                 /* when the latest poll was sent */
   gboolean is_poll_held;   /* the upstream may hold back the answer to it */
   gboolean is_polling;     /* a poll is in flight */
   guint64 last_stale_poll; /* the answers to polls up to this number are too
--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -29,11 +29,6 @@
    answered at once: its answer may be lost.  */
 #define ANSWER_MARGIN_US (40 * USEC_PER_MSEC)
 
-/* A start order without an answer is checked by a poll after this.  Answers
-   take a few milliseconds, and the shortest tasks have some 100 ms to spare
-   for a second start.  */
-#define START_MARGIN_US (10 * USEC_PER_MSEC)
-
 /* The margin for the end of a run, as a fraction of its time up to then.  */
 #define END_MARGIN 0.1
 
@@ -391,6 +386,8 @@
   if (!process_answer (owner, upstream, end, clock_ms, now_us))
     return;
   run = owned_find_run (upstream, name, number);
+  if (run != NULL && (end == ORDER_ACCEPTED || end == ORDER_REJECTED))
+    answer_time_note (&upstream->start_answers, now_us - run->started_us);
   if (run != NULL)
     apply_start_result (owner, run, end, now_us);
   if (end == ORDER_OTHER_INSTANCE)
@@ -676,6 +673,15 @@
          + (gint64)((gdouble)MAX (total_us, spent_us) * (1 + END_MARGIN));
 }
 
+/* When the answer to the start order for RUN is overdue, so that a poll has to
+   tell whether the run exists.  */
+static gint64
+get_answer_due_us (const struct run *run)
+{
+  return run->started_us
+         + answer_time_get_timeout_us (&run->upstream->start_answers);
+}
+
 /* Whether news of RUN is overdue.  */
 static gboolean
 is_overdue (const struct run *run, gint64 now_us)
@@ -683,7 +689,7 @@
   switch (run->state)
     {
     case RUN_STARTING:
-      return run->started_us + START_MARGIN_US <= now_us;
+      return get_answer_due_us (run) <= now_us;
     case RUN_RUNNING:
       return run->task != NULL && compute_end_due_us (run) < now_us;
     case RUN_STOPPING:
@@ -709,7 +715,7 @@
 static gint64
 get_start_check_us (const struct run *run)
 {
-  gint64 due_us = run->started_us + START_MARGIN_US;
+  gint64 due_us = get_answer_due_us (run);
 
   return run->state == RUN_STARTING && run->last_listed_poll == 0
                  && run->upstream->polled_us < due_us
@@ -751,8 +757,7 @@
 {
   return run->state == RUN_STARTING && run->last_listed_poll == 0
          && run->upstream->last_answered_poll > run->sent_after_poll
-         && run->upstream->answered_sent_us
-                >= run->started_us + START_MARGIN_US;
+         && run->upstream->answered_sent_us >= get_answer_due_us (run);
 }
 
 /* Stops the runs whose start orders were lost, as the answer to a poll of
