coordination: the check of unanswered starts costs nothing while none is sent

Each upstream now knows when its next start is overdue. A VM stops looking for the end of its listening once that has come.

--- a/coordination/owned.c
+++ b/coordination/owned.c
@@ -36,6 +36,7 @@
   upstream->id = g_strdup (spec->id);
   upstream->token = token;
   upstream->slowness = 1.0;
+  upstream->start_check_us = DEADLINE_NEVER;
   upstream->labels = g_ptr_array_new_with_free_func (g_free);
   list_init (&upstream->runs);
   list_init (&upstream->holds);
--- a/coordination/owner.c
+++ b/coordination/owner.c
@@ -397,10 +397,9 @@
     {
       struct owned_upstream *upstream = value;
 
-      owner_supersede_poll (upstream, now_us);
+      owner_check_starts (upstream, now_us);
       poll_if_due (owner, upstream, now_us);
-      wake_us = MIN (wake_us,
-                     MAX (owner_get_start_check_us (upstream), now_us + 1));
+      wake_us = MIN (wake_us, upstream->start_check_us);
       /* One that is being polled is polled again after its answer.  */
       if (!upstream->is_polling)
         wake_us = MIN (wake_us, MAX (upstream->poll_due_us, now_us + 1));
--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -140,13 +140,15 @@
   guint64 last_answered_poll;       /* number of the last answered poll */
   gint64 answered_sent_us;          /* when that poll was sent */
   struct answer_time start_answers; /* to start orders */
-  guint64 last_ended_entry;         /* highest entry_number processed; see
-                                       struct listed_end */
-  guint64 reported_ended_entry;     /* the value that the latest poll sent */
-  guint64 acked_ended_entry;        /* the value that the last answered poll
-                                       sent */
-  gint64 last_end_us;               /* when an ended run was last processed */
-  gint64 polled_us;                 /* when the latest poll was sent */
+  gint64 start_check_us;    /* when a start order without an answer is overdue;
+                               DEADLINE_NEVER if none is sent */
+  guint64 last_ended_entry; /* highest entry_number processed; see
+                               struct listed_end */
+  guint64 reported_ended_entry; /* the value that the latest poll sent */
+  guint64 acked_ended_entry;    /* the value that the last answered poll
+                                   sent */
+  gint64 last_end_us;           /* when an ended run was last processed */
+  gint64 polled_us;             /* when the latest poll was sent */
   gboolean is_poll_held;   /* the upstream may hold back the answer to it */
   gboolean is_polling;     /* a poll is in flight */
   guint64 last_stale_poll; /* the answers to polls up to this number are too
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -492,6 +492,7 @@
   upstream->leased_until_ms = MAX (upstream->leased_until_ms, until_ms);
   upstream->poll_due_us
       = MIN (upstream->poll_due_us, now_us + START_POLL_DELAY_US);
+  owner_update_start_check (upstream, now_us);
   owner->driver->ops->start_run (owner->driver, run, until_ms);
 }
 
--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -130,14 +130,12 @@
 gboolean owner_expects_news (const struct owned_upstream *upstream,
                              gint64 now_us);
 
-/* When a poll that is answered at once should replace the one that UPSTREAM
-   holds back, because a start order got no answer; DEADLINE_NEVER if none
-   did.  */
-gint64 owner_get_start_check_us (const struct owned_upstream *upstream);
-
-/* Gives up waiting for the answer to a poll that UPSTREAM may hold back, if
-   that answer should have come: the next poll is answered at once.  */
-void owner_supersede_poll (struct owned_upstream *upstream, gint64 now_us);
+/* Sets when the next start order to UPSTREAM is overdue.  */
+void owner_update_start_check (struct owned_upstream *upstream, gint64 now_us);
+
+/* Asks UPSTREAM for an answer at once if the answer to a start order is
+   overdue.  */
+void owner_check_starts (struct owned_upstream *upstream, gint64 now_us);
 
 /* Ends all runs of UPSTREAM as lost, none of which can be running any more. */
 void owner_drop_runs (struct owner *owner, struct owned_upstream *upstream,
--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -390,6 +390,7 @@
     answer_time_note (&upstream->start_answers, now_us - run->started_us);
   if (run != NULL)
     apply_start_result (owner, run, end, now_us);
+  owner_update_start_check (upstream, now_us);
   if (end == ORDER_OTHER_INSTANCE)
     handle_other_instance (owner, upstream, now_us);
   owner_start_queued (owner, now_us);
@@ -710,44 +711,51 @@
   return FALSE;
 }
 
-/* When the poll that is in flight is too old to tell whether the start of RUN
-   was lost; DEADLINE_NEVER if it may tell.  */
-static gint64
-get_start_check_us (const struct run *run)
+void
+owner_update_start_check (struct owned_upstream *upstream, gint64 now_us)
 {
-  gint64 due_us = get_answer_due_us (run);
+  const struct list_node *node;
 
-  return run->state == RUN_STARTING && run->last_listed_poll == 0
-                 && run->upstream->polled_us < due_us
-             ? due_us
-             : DEADLINE_NEVER;
+  upstream->start_check_us = DEADLINE_NEVER;
+  for (node = upstream->runs.next; node != &upstream->runs; node = node->next)
+    {
+      const struct run *run = list_entry (node, struct run, link);
+      gint64 due_us = get_answer_due_us (run);
+
+      if (run->state == RUN_STARTING && run->last_listed_poll == 0
+          && due_us > now_us)
+        upstream->start_check_us = MIN (upstream->start_check_us, due_us);
+    }
 }
 
-gint64
-owner_get_start_check_us (const struct owned_upstream *upstream)
+/* Asks UPSTREAM for an answer at once.  */
+static void
+poll_now (struct owned_upstream *upstream, gint64 now_us)
 {
-  const struct list_node *node;
-  gint64 due_us = DEADLINE_NEVER;
-
-  if (!upstream->is_polling || !upstream->is_poll_held)
-    return DEADLINE_NEVER;
-  for (node = upstream->runs.next; node != &upstream->runs; node = node->next)
-    due_us = MIN (due_us,
-                  get_start_check_us (list_entry (node, struct run, link)));
-  return due_us;
+  if (upstream->is_polling && upstream->is_poll_held)
+    upstream->is_polling = FALSE;
+  upstream->poll_due_us = MIN (upstream->poll_due_us, now_us);
 }
 
 void
-owner_supersede_poll (struct owned_upstream *upstream, gint64 now_us)
+owner_check_starts (struct owned_upstream *upstream, gint64 now_us)
 {
-  if (!upstream->is_polling || !upstream->is_poll_held)
+  if (upstream->start_check_us > now_us)
     return;
-  if (owner_get_start_check_us (upstream) > now_us
-      && (upstream->polled_us + ANSWER_MARGIN_US > now_us
-          || !owner_expects_news (upstream, now_us)))
-    return;
-  upstream->is_polling = FALSE;
-  upstream->poll_due_us = now_us;
+  if (owner_expects_news (upstream, now_us))
+    poll_now (upstream, now_us);
+  owner_update_start_check (upstream, now_us);
+}
+
+/* Gives up waiting for the answer to a poll that the upstream may hold back,
+   if that answer should have come.  */
+static void
+supersede_poll (struct owned_upstream *upstream, gint64 now_us)
+{
+  if (upstream->is_polling && upstream->is_poll_held
+      && upstream->polled_us + ANSWER_MARGIN_US <= now_us
+      && owner_expects_news (upstream, now_us))
+    poll_now (upstream, now_us);
 }
 
 /* Whether the start order for RUN got no answer, and a later poll did not list
@@ -853,7 +861,7 @@
 
   list_for_each (node, after, &upstream->runs)
     check_run (owner, list_entry (node, struct run, link), now_us);
-  owner_supersede_poll (upstream, now_us);
+  supersede_poll (upstream, now_us);
   if (upstream->n_unanswered_polls < OWNED_MAX_UNANSWERED_POLLS
       || list_is_empty (&upstream->runs))
     return;
--- a/coordination/ownership.h
+++ b/coordination/ownership.h
@@ -88,8 +88,8 @@
                                      const char *peer, guint shard,
                                      guint n_held, gint64 now_us);
 
-/* Every VM of the zone that may hold a shard was heard since the start: this VM
-   need not listen any longer before it takes shards.  */
+/* Every VM of the zone that may hold a shard was heard since the start: this
+   VM need not listen any longer before it takes shards.  */
 void ownership_end_listening (struct ownership *ownership, gint64 now_us);
 
 /* Completes release_shard (): nothing runs in SHARD any more.  */
--- a/transport/fleet.c
+++ b/transport/fleet.c
@@ -76,6 +76,7 @@
   struct evacuation evacuation;
   gboolean is_fetching_routes;
   gboolean are_members_listed; /* the platform's list was read */
+  gboolean has_listened;       /* all VMs of the zone were heard */
   gboolean has_slots;          /* at the last tick */
   gboolean is_store_reached;
   gboolean is_draining;
@@ -346,10 +347,13 @@
 static void
 check_listening (struct fleet *fleet)
 {
-  if (fleet->are_members_listed
+  if (!fleet->has_listened && fleet->are_members_listed
       && vm_directory_has_heard_all (fleet->directory,
                                      fleet->settings->availability_zone))
-    fleet_shards_end_listening (fleet->shards);
+    {
+      fleet->has_listened = TRUE;
+      fleet_shards_end_listening (fleet->shards);
+    }
 }
 
 static void
