coordination: choose the upstream of a task by its estimated speed

Cause: a task on an upstream of speed 0.6 takes 1.67 times as long, while its objective is 1.6 times the work and 60 ms, and the owner chose by size first.

With the limit placement_by_speed, off by default, run_speed estimates how fast each upstream is from the ends and the progress of its runs, and slot_choice chooses the fastest one that fits, in one pass over the owned upstreams. A task that would be late on the slow ones goes back to its home. A task that has failed waits for an upstream that has completed a run since its last failure.

--- a/coordination/owned.c
+++ b/coordination/owned.c
@@ -205,11 +205,40 @@
   gdouble bounded = CLAMP (slowness, 1 / MAX_SLOWNESS, MAX_SLOWNESS);
 
   upstream->slowness += SLOWNESS_WEIGHT * (bounded - upstream->slowness);
+  owned_record_success (upstream);
+}
+
+void
+owned_record_success (struct owned_upstream *upstream)
+{
   upstream->failure_share *= 1 - FAILURE_WEIGHT;
   if (upstream->is_on_probation)
     end_probation (upstream);
 }
 
+void
+owned_add_run_speed (struct run *run, gint64 took_us)
+{
+  struct owned_upstream *upstream = run->upstream;
+  struct run_work *work = &run->task->batch->work;
+  struct run_speed former = upstream->speed;
+
+  if (run->is_speed_counted)
+    return;
+  run->is_speed_counted = TRUE;
+  run_speed_add (&upstream->speed, work, took_us, run->declared_us);
+  run_work_add (work, &former, took_us, run->declared_us);
+  upstream->slowness = run_speed_get_slowness (&upstream->speed);
+}
+
+void
+owned_reset_speed (struct owned_upstream *upstream)
+{
+  upstream->speed = (struct run_speed){ 0 };
+  upstream->slowness = 1;
+  upstream->succeeded_us = 0;
+}
+
 void
 owned_start_rest (struct owned_upstream *upstream, gint64 now_us)
 {
@@ -226,6 +255,7 @@
 void
 owned_record_failure (struct owned_upstream *upstream, gint64 now_us)
 {
+  upstream->succeeded_us = 0;
   upstream->failure_share += FAILURE_WEIGHT * (1 - upstream->failure_share);
   if (upstream->failure_share > REST_FAILURE_SHARE
       || upstream->is_on_probation)
--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -26,6 +26,7 @@
 #include "base/list.h"
 #include "coordination/event_rate.h"
 #include "coordination/free_slots.h"
+#include "coordination/run_speed.h"
 #include "state/document.h"
 
 #include <glib.h>
@@ -76,6 +77,7 @@
   struct shape need;
   gint64 started_us;
   gint64 expected_us;      /* run time expected on this upstream */
+  gint64 declared_us;      /* on an ordinary one at the same distance */
   gint64 start_expires_us; /* the start order has no effect after this
                               time; 0 when not known */
   gint64 stop_due_us;      /* when to repeat the stop order */
@@ -87,6 +89,7 @@
   gboolean is_confirmed; /* the upstream has reported it as running */
   gboolean is_foreign; /* listed by the upstream, not started by this owner */
   gboolean is_slowness_counted; /* counted in the upstream's slowness */
+  gboolean is_speed_counted;    /* counted in the upstream's run_speed */
   guint64 sent_after_poll;      /* the last poll before its start order */
   guint64 visible_after_poll;   /* if the upstream has the run, the answers to
                                    polls after this one list it */
@@ -157,7 +160,10 @@
   gint64 leased_until_ms; /* the latest lease end that any order has set, on
                              its clock */
   gdouble slowness; /* run time divided by expected run time, smoothed; 1 at
-                       first */
+                       first; that of SPEED with placement_by_speed */
+  struct run_speed speed;
+  gint64 succeeded_us; /* when a run last ended with success; 0 if
+none has since the last failure */
   struct event_rate starts[ROOM_PRIORITIES]; /* of runs here, by priority */
   gdouble failure_share;    /* of its runs, smoothed; 0 to 1 */
   gint64 rest_until_us;     /* gets no runs before this time */
@@ -214,17 +220,18 @@
   guint step;             /* the STEP in the names of its tasks */
   guint first_run_number; /* of each of its tasks */
   struct shape need;
-  gint64 estimate_us; /* run time of a task on a usual upstream */
-  gdouble far_factor; /* how many times longer a task runs off the preferred
-                         rack */
-  guint per_upstream; /* most tasks of the batch that may run on one upstream
-                         at once; 0 for no limit */
-  guint priority;     /* 0 goes first; late batches go after all others */
-  guint attempts;     /* failures of one task that end the batch */
-  gint64 start_by_us; /* latest start that meets the objective */
-  gint64 end_by_us;   /* dropped if nothing was started before; DEADLINE_NEVER
-                         for none */
-  gint64 queued_us;   /* when the owner received it */
+  gint64 estimate_us;   /* run time of a task on a usual upstream */
+  struct run_work work; /* what the runs that have ended here tell of it */
+  gdouble far_factor;   /* how many times longer a task runs off the preferred
+                           rack */
+  guint per_upstream;   /* most tasks of the batch that may run on one upstream
+                           at once; 0 for no limit */
+  guint priority;       /* 0 goes first; late batches go after all others */
+  guint attempts;       /* failures of one task that end the batch */
+  gint64 start_by_us;   /* latest start that meets the objective */
+  gint64 end_by_us; /* dropped if nothing was started before; DEADLINE_NEVER
+                       for none */
+  gint64 queued_us; /* when the owner received it */
   gint64 first_started_us; /* 0 before the first start */
   gboolean is_settled;     /* its queued tasks stay here unless no upstream can
                               take them */
@@ -327,8 +334,9 @@
 
 struct owner_limits
 {
-  guint lease_ms;        /* lease of a run, from its start or renewal */
-  guint max_lease_ms;    /* longest lease that an upstream grants */
+  gboolean placement_by_speed; /* see slot_choice.h */
+  guint lease_ms;              /* lease of a run, from its start or renewal */
+  guint max_lease_ms;          /* longest lease that an upstream grants */
   guint clock_drift_ppm; /* by how much an upstream's clock may run slow */
 };
 
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -1,4 +1,5 @@
 #include "coordination/owner_private.h"
+#include "coordination/slot_choice.h"
 
 #include <string.h>
 
@@ -428,6 +429,68 @@
   return cost;
 }
 
+/* Describes TASK to the choice of its slot.  One that was granted does not
+   wait for a faster upstream: it was claimed for a slot that is free, and no
+   other owner can start it any more.  */
+static struct slot_task
+describe_task (const struct batch_task *task, gint64 now_us)
+{
+  const struct batch *batch = task->batch;
+
+  return (struct slot_task){
+    .now_us = now_us,
+    .run_us = batch->estimate_us,
+    .start_by_us = batch->start_by_us,
+    .may_wait = task->state == BATCH_TASK_OFFERED || batch->needs_free_slots,
+    .has_failed = task->n_failed > 0,
+    .is_last_attempt = task->n_failed + 1 >= batch->attempts
+  };
+}
+
+/* Adds UPSTREAM, which runs tasks of its service, to CHOICE for TASK.  */
+static void
+add_candidate (struct slot_choice *choice, const struct batch_task *task,
+               struct owned_upstream *upstream, gint64 now_us)
+{
+  const struct batch *batch = task->batch;
+  gdouble far_factor = is_far (batch, upstream) ? batch->far_factor : 1;
+  const struct slot_candidate candidate = {
+    .upstream = upstream,
+    .slowness = upstream->slowness * far_factor,
+    .cpus = upstream->shape.cpus,
+    .free_cpus = upstream->shape.cpus - upstream->used.cpus,
+    .succeeded_us = upstream->succeeded_us,
+    .has_room = may_run_on (task, upstream, now_us),
+    .is_on_probation = upstream->is_on_probation,
+    .has_failed_task = g_strcmp0 (task->failed_on, upstream->id) == 0,
+  };
+
+  slot_choice_add (choice, &candidate);
+}
+
+/* Finds the slot with placement_by_speed.  */
+static struct owned_upstream *
+choose_slot (struct owner *owner, const struct batch_task *task, gint64 now_us)
+{
+  const struct slot_task description = describe_task (task, now_us);
+  struct slot_choice choice;
+  GHashTableIter iter;
+  gpointer value;
+
+  slot_choice_init (&choice, &description);
+  g_hash_table_iter_init (&iter, owner->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct owned_upstream *upstream = value;
+
+      if (owned_is_usable (upstream, now_us)
+          && g_str_equal (upstream->service, task->batch->service))
+        add_candidate (&choice, task, upstream, now_us);
+    }
+  owner->n_waits[slot_choice_get (&choice, &value)]++;
+  return value;
+}
+
 struct owned_upstream *
 owner_find_slot (struct owner *owner, const struct batch_task *task,
                  gint64 now_us)
@@ -437,6 +500,8 @@
   GHashTableIter iter;
   gpointer value;
 
+  if (owner->limits.placement_by_speed)
+    return choose_slot (owner, task, now_us);
   g_hash_table_iter_init (&iter, owner->upstreams);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -460,7 +525,7 @@
             struct owned_upstream *upstream, gint64 now_us)
 {
   struct batch *batch = task->batch;
-  gdouble slowness = upstream->slowness;
+  gdouble far_factor = is_far (batch, upstream) ? batch->far_factor : 1;
   gint64 until_ms
       = owned_estimate_clock_ms (upstream, now_us) + owner->limits.lease_ms;
   g_autofree char *name
@@ -476,8 +541,6 @@
   batch->n_started++;
   if (batch->first_started_us == 0)
     batch->first_started_us = now_us;
-  if (is_far (batch, upstream))
-    slowness *= batch->far_factor;
   run->state = RUN_STARTING;
   event_rate_count (&upstream->starts[owner_room_priority (batch->priority)],
                     now_us);
@@ -485,7 +548,9 @@
   run->progressed_us = now_us;
   run->listed_us = now_us;
   run->sent_after_poll = upstream->n_polls;
-  run->expected_us = (gint64)((gdouble)batch->estimate_us * slowness);
+  run->declared_us = (gint64)((gdouble)batch->estimate_us * far_factor);
+  run->expected_us = (gint64)((gdouble)batch->estimate_us * upstream->slowness
+                              * far_factor);
   run->start_expires_us
       = owned_latest_time_us (owner, upstream, until_ms, now_us);
   upstream->leased_until_ms = MAX (upstream->leased_until_ms, until_ms);
@@ -505,6 +570,9 @@
       if (task->state != BATCH_TASK_QUEUED)
         continue;
       upstream = owner_find_slot (owner, task, now_us);
+      /* A task that has failed may wait where the others need not.  */
+      if (upstream == NULL && task->n_failed > 0)
+        continue;
       if (upstream == NULL)
         return;
       start_task (owner, task, upstream, now_us);
--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "coordination/owner.h"
+#include "coordination/slot_choice.h"
 
 /* Sums of CPUs may exceed the shape by this much through rounding; needs are
    given in thousandths of a CPU.  */
@@ -22,7 +23,8 @@
   gdouble typical_cpus;     /* CPUs that a task needs, smoothed over batches */
   gint64 wake_us;           /* last time passed to wake_at */
   gint64 runs_checked_us;   /* when the runs were last checked */
-  gint64 last_call_us;      /* when the owner was last called; 0 for never */
+  guint64 n_waits[SLOT_WAIT_PROVEN + 1]; /* choices, by enum slot_wait */
+  gint64 last_call_us; /* when the owner was last called; 0 for never */
 };
 
 /* owner.c */
@@ -67,10 +69,20 @@
 gboolean owned_is_usable (const struct owned_upstream *upstream,
                           gint64 now_us);
 
+/* Adds RUN, which has taken TOOK_US or will do so by its progress, to the
+   estimates of its upstream and of its batch, once.  */
+void owned_add_run_speed (struct run *run, gint64 took_us);
+
+/* Forgets what the runs of a former instance tell of UPSTREAM.  */
+void owned_reset_speed (struct owned_upstream *upstream);
+
 /* Adds a run that takes SLOWNESS times its estimate to UPSTREAM's smoothed
    slowness.  Also lowers its failure share and ends its probation.  */
 void owned_record_speed (struct owned_upstream *upstream, gdouble slowness);
 
+/* Lowers the failure share of UPSTREAM and ends its probation.  */
+void owned_record_success (struct owned_upstream *upstream);
+
 /* Counts a failure of UPSTREAM.  Too many of them, or one on probation, start
    a rest.  */
 void owned_record_failure (struct owned_upstream *upstream, gint64 now_us);
--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -130,7 +130,7 @@
 
 /* Counts the end of RUN in the speed and the failures of its upstream.  */
 static void
-update_health (struct owner *owner, const struct run *run, enum run_end end,
+update_health (struct owner *owner, struct run *run, enum run_end end,
                gint64 now_us)
 {
   gboolean was_resting = run->upstream->rest_until_us > now_us;
@@ -141,6 +141,13 @@
     return;
   expected_us = run->task->batch->estimate_us + SPEED_NOISE_US;
   if (end == RUN_DONE)
+    run->upstream->succeeded_us = now_us;
+  if (end == RUN_DONE && owner->limits.placement_by_speed)
+    {
+      owned_add_run_speed (run, now_us - run->started_us);
+      owned_record_success (run->upstream);
+    }
+  else if (end == RUN_DONE)
     owned_record_speed (run->upstream,
                         (gdouble)took_us / (gdouble)expected_us);
   else if (end == RUN_FAILED)
@@ -285,6 +292,8 @@
   upstream->leased_until_ms = 0;
   upstream->state = OWNED_UNCONFIRMED;
   upstream->poll_due_us = now_us;
+  if (owner->limits.placement_by_speed)
+    owned_reset_speed (upstream);
   report_health (owner, upstream, HEALTH_EVENT_RESTARTED);
   drop_former_runs (owner, upstream, now_us);
 }
@@ -745,7 +754,7 @@
 /* Counts RUN in the slowness of its upstream, once, as soon as its progress
    shows that it takes far longer than estimated.  */
 static void
-record_slow_run (struct run *run)
+record_slow_run (const struct owner *owner, struct run *run)
 {
   gint64 estimate_us = run->task->batch->estimate_us + SPEED_NOISE_US;
   gint64 spent_us = run->listed_us - run->started_us;
@@ -756,6 +765,11 @@
     return;
   total_us = spent_us * 100 / run->percent;
   run->is_slowness_counted = TRUE;
+  if (owner->limits.placement_by_speed)
+    {
+      owned_add_run_speed (run, total_us);
+      return;
+    }
   owned_record_speed (run->upstream, (gdouble)total_us / (gdouble)estimate_us);
 }
 
@@ -782,7 +796,7 @@
   if (run->state != RUN_RUNNING || task == NULL
       || task->n_restarts >= MAX_RESTARTS)
     return;
-  record_slow_run (run);
+  record_slow_run (owner, run);
   if (!is_stalled (run) && !is_too_slow (run))
     return;
   task->n_restarts++;
