t: placement by speed on the load model

The load model gets speeds and sizes of upstreams, a tail of run times and upstreams that fail all they start, as members of struct load_config whose zero value means as before.

--- a/t/support/load_home.c
+++ b/t/support/load_home.c
@@ -8,6 +8,10 @@
 #define GOAL_MS 60
 #define LATE_FACTOR 3
 #define MAX_ASSIGNMENTS 24
+
+/* What a task needs in a configuration with sizes.  */
+#define SIZED_TASK_CPUS 8
+#define SIZED_TASK_PERCENT 20
 #define MAX_ASSIGNMENTS_BEFORE_START 6
 
 const struct load_kind *
@@ -111,9 +115,9 @@
            may_have_started (job) ? &result->n_failed : &result->n_refused);
 }
 
-/* The rooms that HOME knows.  */
+/* The rooms that HOME knows, with slots for tasks of CPUS each.  */
 static guint
-list_owners (struct model_vm *home, struct spread_owner *owners)
+list_owners (struct model_vm *home, gdouble cpus, struct spread_owner *owners)
 {
   struct load_model *model = home->model;
   guint n = 0;
@@ -127,10 +131,10 @@
       owner.is_self = i == home->index;
       owner.name = (const char *)&model->vms[i];
       owner.room = owner.is_self ? home->room : home->announced[i];
-      owner.free_slots = free_slots_count (&owner.room.free_slots, 1);
+      owner.free_slots = free_slots_count (&owner.room.free_slots, cpus);
       if (owner.is_self)
         owner.free_slots
-            = owner_count_free_slots (home->owner, "s", 1, model->now_us);
+            = owner_count_free_slots (home->owner, "s", cpus, model->now_us);
       if (owner.room.n_slots > 0)
         owners[n++] = owner;
     }
@@ -154,7 +158,7 @@
   struct model_vm *home = job->home;
 
   if (part->vm != home)
-    vm_room_take (&home->announced[part->vm->index], n_share, 1,
+    vm_room_take (&home->announced[part->vm->index], n_share, job->cpus,
                   load_job_get_kind (job)->priority);
   load_model_send (part, MESSAGE_BATCH);
 }
@@ -188,7 +192,7 @@
 
   withdraw_offers (job, NULL);
   load_home_refresh_room (job->home);
-  n_owners = list_owners (job->home, owners);
+  n_owners = list_owners (job->home, job->cpus, owners);
   job->n_assignments++;
   offer = spread_assign (
       owners, n_owners, &tasks,
@@ -361,6 +365,20 @@
   g_free (job);
 }
 
+/* The CPUs that each task of a job needs.  */
+static gdouble
+draw_cpus (struct load_model *model)
+{
+  const struct load_config *c = &model->config;
+
+  if (!c->is_sized)
+    return 1;
+  if (c->task_cpus > 0)
+    return c->task_cpus;
+  return load_model_vary (model, SIZED_TASK_CPUS * 1000, SIZED_TASK_PERCENT)
+         / 1000.0;
+}
+
 void
 load_home_submit (struct load_model *model, guint kind)
 {
@@ -379,6 +397,7 @@
       = load_model_vary (model, k->run_ms, model->config.spread_percent);
   job->estimate_ms
       = load_model_vary (model, job->run_ms, model->config.spread_percent);
+  job->cpus = draw_cpus (model);
   objective_us = get_objective_us (job->estimate_ms);
   run_us = job->estimate_ms * USEC_PER_MSEC;
   job->accepted_us = model->now_us;
--- a/t/support/load_model.c
+++ b/t/support/load_model.c
@@ -23,6 +23,19 @@
   return value * drawn / 100;
 }
 
+guint
+load_model_draw_run_ms (struct load_model *model, const struct model_job *job)
+{
+  const struct load_config *c = &model->config;
+  guint run_ms = load_model_vary (model, job->run_ms,
+                                  c->spread_percent / RUN_SPREAD_DIVISOR);
+
+  if (c->tail_percent > 0
+      && g_rand_int_range (model->rand, 0, 100) < (gint32)c->tail_percent)
+    run_ms *= c->tail_factor;
+  return run_ms;
+}
+
 struct message *
 load_model_send (struct model_part *part, enum message_kind kind)
 {
@@ -58,11 +71,9 @@
 
   if (part->n_offers > 0)
     g_assert_true (part->job->is_granted[run->task->index]);
-  load_upstreams_start (
-      vm->upstreams, run,
-      load_model_vary (vm->model, part->job->run_ms,
-                       vm->model->config.spread_percent / RUN_SPREAD_DIVISOR),
-      vm->model->now_us);
+  load_upstreams_start (vm->upstreams, run,
+                        load_model_draw_run_ms (vm->model, part->job),
+                        vm->model->now_us);
 }
 
 static void
@@ -142,6 +153,7 @@
 take_batch (struct model_part *part)
 {
   const struct model_job *job = part->job;
+  const struct load_config *c = &part->vm->model->config;
   const struct load_kind *kind = load_job_get_kind (job);
   struct batch *batch = batch_new (job->id, "home", part->offered.n);
 
@@ -150,9 +162,9 @@
   batch->number = part->number;
   batch->service = g_strdup ("s");
   batch->spec = g_strdup ("");
-  batch->need.cpus = 1;
+  batch->need.cpus = job->cpus;
   batch->estimate_us = job->estimate_ms * USEC_PER_MSEC;
-  batch->attempts = 3;
+  batch->attempts = c->attempts > 0 ? c->attempts : 3;
   batch->priority = kind->priority;
   batch->start_by_us = job->start_by_us;
   batch->end_by_us = job->end_by_us;
@@ -281,9 +293,13 @@
 static void
 vm_init (struct load_model *model, guint index, guint first, guint n)
 {
-  static const struct owner_limits limits
-      = { .lease_ms = 900, .max_lease_ms = 1000, .clock_drift_ppm = 20500 };
+  const struct owner_limits limits
+      = { .lease_ms = 900,
+          .max_lease_ms = 1000,
+          .clock_drift_ppm = 20500,
+          .placement_by_speed = model->config.placement_by_speed };
   struct model_vm *vm = &model->vms[index];
+  struct load_config *config = &model->config;
 
   vm->driver.ops = &ops;
   vm->model = model;
@@ -291,8 +307,8 @@
   vm->announced = g_new0 (struct vm_room, model->config.n_owners);
   vm->is_lost = g_new0 (gboolean, model->config.n_owners);
   vm->owner = owner_new (&vm->driver, &limits);
-  vm->upstreams
-      = load_upstreams_new (vm->owner, first, n, model->rand, model->now_us);
+  vm->upstreams = load_upstreams_new (vm->owner, config, first, n, model->rand,
+                                      model->now_us);
 }
 
 struct load_model *
--- a/t/support/load_model.h
+++ b/t/support/load_model.h
@@ -12,6 +12,7 @@
 #include <glib.h>
 
 #define LOAD_MAX_KINDS 3
+#define LOAD_MAX_SPEEDS 3
 
 /* Jobs of one kind.  */
 struct load_kind
@@ -36,8 +37,23 @@
   guint late_share;     /* one message in this many takes 40 ms more; 0 for
                            none */
   struct load_kind kinds[LOAD_MAX_KINDS];
+  gboolean placement_by_speed;     /* see struct owner_limits */
+  guint attempts;                  /* of a task; 0 for 3 */
+  gdouble speeds[LOAD_MAX_SPEEDS]; /* of the upstreams, dealt in turn; 0 ends
+                                      the list, and none means 1 */
+  gboolean is_sized;  /* tasks need 8 CPUs with a spread of 0.2, two upstreams
+                         in three have 16 CPUs, the third 24; otherwise tasks
+                         need 1 and upstreams have LOAD_SLOTS */
+  gdouble task_cpus;  /* if sized, what all tasks need instead; 0: as above */
+  guint tail_percent; /* of the tasks, which take TAIL_FACTOR times as long */
+  guint tail_factor;
+  guint failing_every; /* one upstream in this many fails all that it starts,
+                          after LOAD_FAIL_MS; 0 for none */
 };
 
+/* A failing upstream fails a run after this time.  */
+#define LOAD_FAIL_MS 20
+
 /* What became of the jobs of one kind.  */
 struct load_result
 {
--- a/t/support/load_model_private.h
+++ b/t/support/load_model_private.h
@@ -32,6 +32,7 @@
   struct model_vm *home;
   guint run_ms;      /* of its tasks */
   guint estimate_ms; /* that the home knows */
+  gdouble cpus;      /* of each of its tasks */
   gint64 accepted_us;
   gint64 start_by_us;
   gint64 end_by_us;
@@ -105,6 +106,10 @@
 /* VALUE, changed by up to PERCENT at random.  */
 guint load_model_vary (struct load_model *model, guint value, guint percent);
 
+/* How long a run of a task of JOB takes at speed 1.  */
+guint load_model_draw_run_ms (struct load_model *model,
+                              const struct model_job *job);
+
 /* load_home.c: the homes of jobs.  Their rules are those of
    transport/fleet_home.c.  */
 
--- a/t/support/load_upstream.c
+++ b/t/support/load_upstream.c
@@ -18,6 +18,7 @@
 {
   char *name;
   guint number;
+  gdouble cpus;
   gint64 began_us;
   gint64 ends_us;
 };
@@ -32,6 +33,8 @@
 struct sim_upstream
 {
   guint number;
+  gdouble speed;
+  gboolean is_failing;
   struct owned_upstream *owned; /* referenced */
   gboolean is_gone;
   GArray *runs; /* struct sim_run */
@@ -44,6 +47,7 @@
   struct sim_upstream *upstream;
   char *name; /* NULL for a poll */
   guint number;
+  gdouble cpus;
   guint run_ms;
   guint64 poll;
   guint64 last_ended; /* that the poll acknowledges */
@@ -54,6 +58,7 @@
 struct load_upstreams
 {
   struct owner *owner;
+  const struct load_config *config;
   GRand *rand;
   gdouble lost_share;
   gint64 now_us;
@@ -114,6 +119,26 @@
   return NULL;
 }
 
+/* The speed of the upstream NUMBER.  */
+static gdouble
+get_speed (const struct load_config *config, guint number)
+{
+  guint n = 0;
+
+  while (n < LOAD_MAX_SPEEDS && config->speeds[n] > 0)
+    n++;
+  return n > 0 ? config->speeds[number % n] : 1;
+}
+
+/* The CPUs of the upstream NUMBER.  Every third of one speed is wide.  */
+static gdouble
+get_cpus (const struct load_config *config, guint number)
+{
+  if (!config->is_sized)
+    return LOAD_SLOTS;
+  return number / LOAD_MAX_SPEEDS % 3 == 2 ? 24 : 16;
+}
+
 static void
 take_upstream (struct load_upstreams *all, guint number)
 {
@@ -121,17 +146,21 @@
       = { .clock_ms = get_clock_ms (all), .instance_start_ms = 1 };
   struct sim_upstream *upstream = g_new0 (struct sim_upstream, 1);
   g_autofree char *id = g_strdup_printf ("u%u", number);
-  const struct listed_upstream spec = { .id = id,
-                                        .address = "127.0.0.1:1",
-                                        .service = "s",
-                                        .rack = "",
-                                        .availability_zone = "z",
-                                        .shape = { .cpus = LOAD_SLOTS },
-                                        .instance_start_ms = 1 };
+  const struct listed_upstream spec
+      = { .id = id,
+          .address = "127.0.0.1:1",
+          .service = "s",
+          .rack = "",
+          .availability_zone = "z",
+          .shape = { .cpus = get_cpus (all->config, number) },
+          .instance_start_ms = 1 };
   struct owned_upstream *owned
       = owner_take_upstream (all->owner, &spec, 1, all->now_us);
 
   upstream->number = number;
+  upstream->speed = get_speed (all->config, number);
+  upstream->is_failing = all->config->failing_every > 0
+                         && number % all->config->failing_every == 0;
   upstream->runs = g_array_new (FALSE, FALSE, sizeof (struct sim_run));
   upstream->ends = g_array_new (FALSE, FALSE, sizeof (struct sim_end));
   g_array_set_clear_func (upstream->runs, clear_run);
@@ -145,12 +174,13 @@
 }
 
 struct load_upstreams *
-load_upstreams_new (struct owner *owner, guint first, guint n, GRand *rand,
-                    gint64 now_us)
+load_upstreams_new (struct owner *owner, const struct load_config *config,
+                    guint first, guint n, GRand *rand, gint64 now_us)
 {
   struct load_upstreams *all = g_new0 (struct load_upstreams, 1);
 
   all->owner = owner;
+  all->config = config;
   all->rand = rand;
   all->now_us = now_us;
   all->began_us = now_us;
@@ -204,6 +234,7 @@
   order->upstream = upstream;
   order->name = run != NULL ? g_strdup (run->name) : NULL;
   order->number = run != NULL ? run->number : 0;
+  order->cpus = run != NULL ? run->need.cpus : 0;
   order->is_lost = g_rand_double (all->rand) < all->lost_share;
   order->answer_us
       = all->now_us + (order->is_lost ? timeout_ms : ORDER_MS) * USEC_PER_MSEC;
@@ -269,7 +300,8 @@
       for (guint i = upstream->runs->len; i > 0; i--)
         if (g_array_index (upstream->runs, struct sim_run, i - 1).ends_us
             <= all->now_us)
-          end_run (upstream, i - 1, RUN_DONE);
+          end_run (upstream, i - 1,
+                   upstream->is_failing ? RUN_FAILED : RUN_DONE);
     }
 }
 
@@ -310,20 +342,34 @@
                     &report, all->now_us);
 }
 
+/* Adds RUN, which must fit.  */
+static void
+add_run (struct sim_upstream *upstream, const struct sim_run *run)
+{
+  gdouble cpus = run->cpus;
+
+  for (guint i = 0; i < upstream->runs->len; i++)
+    cpus += g_array_index (upstream->runs, struct sim_run, i).cpus;
+  g_assert_cmpfloat (cpus, <=, upstream->owned->shape.cpus + 0.01);
+  g_array_append_vals (upstream->runs, run, 1);
+}
+
 static void
 carry_out (struct load_upstreams *all, const struct sim_order *order)
 {
   struct sim_upstream *upstream = order->upstream;
-  struct sim_run run
-      = { .number = order->number,
-          .began_us = all->now_us,
-          .ends_us = all->now_us + order->run_ms * USEC_PER_MSEC };
+  guint run_ms = upstream->is_failing
+                     ? LOAD_FAIL_MS
+                     : (guint)(order->run_ms / upstream->speed);
+  struct sim_run run = { .number = order->number,
+                         .cpus = order->cpus,
+                         .began_us = all->now_us,
+                         .ends_us = all->now_us + run_ms * USEC_PER_MSEC };
 
   if (order->kind == START_ORDER)
     {
       run.name = g_strdup (order->name);
-      g_assert_cmpuint (upstream->runs->len, <, LOAD_SLOTS);
-      g_array_append_val (upstream->runs, run);
+      add_run (upstream, &run);
       return;
     }
   for (guint i = 0; i < upstream->runs->len; i++)
--- a/t/support/load_upstream.h
+++ b/t/support/load_upstream.h
@@ -6,16 +6,18 @@
 #define T_SUPPORT_LOAD_UPSTREAM_H
 
 #include "coordination/owner.h"
+#include "t/support/load_model.h"
 
 /* Slots of one upstream, of one CPU each.  */
 #define LOAD_SLOTS 2
 
 struct load_upstreams;
 
-/* Upstreams for OWNER, which takes N of them, numbered from FIRST on, at
-   NOW_US.  */
-struct load_upstreams *load_upstreams_new (struct owner *owner, guint first,
-                                           guint n, GRand *rand,
+/* Upstreams for OWNER as CONFIG has them, which takes N of them, numbered from
+   FIRST on, at NOW_US.  */
+struct load_upstreams *load_upstreams_new (struct owner *owner,
+                                           const struct load_config *config,
+                                           guint first, guint n, GRand *rand,
                                            gint64 now_us);
 
 /* From now on SHARE of the orders get no answer, and are not carried out.  */
@@ -28,7 +30,8 @@
 void load_upstreams_remove (struct load_upstreams *upstreams, guint number,
                             gint64 now_us);
 
-/* For the driver of the owner.  RUN_MS is how long the run takes.  */
+/* For the driver of the owner.  RUN_MS is how long the run takes at speed 1.
+ */
 void load_upstreams_start (struct load_upstreams *upstreams,
                            const struct run *run, guint run_ms, gint64 now_us);
 void load_upstreams_stop (struct load_upstreams *upstreams,
