fleet: setting placement_by_speed, with its log event and metrics

Event 4109 reports when the estimated slowness of an upstream has changed by a factor of 1.4; counters tell how often a task was left waiting for a better upstream, gauges how many owned upstreams are slow and fast.

The limit is the last member of struct owner_limits: as the first one, it took the value of lease_ms from positional initializers of the tests.

--- a/coordination/owned.c
+++ b/coordination/owned.c
@@ -36,6 +36,7 @@
   upstream->id = g_strdup (spec->id);
   upstream->token = token;
   upstream->slowness = 1.0;
+  upstream->reported_slowness = 1.0;
   upstream->labels = g_ptr_array_new_with_free_func (g_free);
   list_init (&upstream->runs);
   list_init (&upstream->holds);
@@ -236,6 +237,7 @@
 {
   upstream->speed = (struct run_speed){ 0 };
   upstream->slowness = 1;
+  upstream->reported_slowness = 1;
   upstream->succeeded_us = 0;
 }
 
--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -27,6 +27,7 @@
 #include "coordination/event_rate.h"
 #include "coordination/free_slots.h"
 #include "coordination/run_speed.h"
+#include "coordination/slot_choice.h"
 #include "state/document.h"
 
 #include <glib.h>
@@ -162,8 +163,9 @@
   gdouble slowness; /* run time divided by expected run time, smoothed; 1 at
                        first; that of SPEED with placement_by_speed */
   struct run_speed speed;
-  gint64 succeeded_us; /* when a run last ended with success; 0 if
-none has since the last failure */
+  gdouble reported_slowness; /* with the last HEALTH_EVENT_SPEED; 1 at first */
+  gint64 succeeded_us;       /* when a run last ended with success; 0 if
+      none has since the last failure */
   struct event_rate starts[ROOM_PRIORITIES]; /* of runs here, by priority */
   gdouble failure_share;    /* of its runs, smoothed; 0 to 1 */
   gint64 rest_until_us;     /* gets no runs before this time */
@@ -265,6 +267,7 @@
   HEALTH_EVENT_SLOW,         /* its runs stall or are too slow: as above */
   HEALTH_EVENT_UNRESPONSIVE, /* answers no polls: leases are not renewed */
   HEALTH_EVENT_RECOVERED,    /* answers polls again */
+  HEALTH_EVENT_SPEED,        /* its estimated speed has changed much */
   HEALTH_EVENT_RESTARTED,    /* another instance of it runs now */
 };
 
@@ -297,6 +300,10 @@
                           const struct owned_upstream *upstream,
                           enum owner_health_event event);
 
+  /* A task got none of the upstreams with room, for the reason WAIT.  May be
+     NULL.  */
+  void (*slot_declined) (struct owner_driver *driver, enum slot_wait wait);
+
   /* RUN has ended, or its start had no effect.  May be NULL.  */
   void (*run_ended) (struct owner_driver *driver, const struct run *run,
                      enum run_end end);
@@ -334,10 +341,10 @@
 
 struct owner_limits
 {
-  gboolean placement_by_speed; /* see slot_choice.h */
-  guint lease_ms;              /* lease of a run, from its start or renewal */
-  guint max_lease_ms;          /* longest lease that an upstream grants */
+  guint lease_ms;        /* lease of a run, from its start or renewal */
+  guint max_lease_ms;    /* longest lease that an upstream grants */
   guint clock_drift_ppm; /* by how much an upstream's clock may run slow */
+  gboolean placement_by_speed; /* see slot_choice.h */
 };
 
 /* DRIVER must outlive the owner.  LIMITS are copied.  */
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -474,6 +474,7 @@
 {
   const struct slot_task description = describe_task (task, now_us);
   struct slot_choice choice;
+  enum slot_wait wait;
   GHashTableIter iter;
   gpointer value;
 
@@ -487,7 +488,10 @@
           && g_str_equal (upstream->service, task->batch->service))
         add_candidate (&choice, task, upstream, now_us);
     }
-  owner->n_waits[slot_choice_get (&choice, &value)]++;
+  wait = slot_choice_get (&choice, &value);
+  if ((wait == SLOT_WAIT_FASTER || wait == SLOT_WAIT_PROVEN)
+      && owner->driver->ops->slot_declined != NULL)
+    owner->driver->ops->slot_declined (owner->driver, wait);
   return value;
 }
 
--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -6,7 +6,6 @@
 
 #include "base/clock.h"
 #include "coordination/owner.h"
-#include "coordination/slot_choice.h"
 
 /* Sums of CPUs may exceed the shape by this much through rounding; needs are
    given in thousandths of a CPU.  */
@@ -23,8 +22,7 @@
   gdouble typical_cpus;     /* CPUs that a task needs, smoothed over batches */
   gint64 wake_us;           /* last time passed to wake_at */
   gint64 runs_checked_us;   /* when the runs were last checked */
-  guint64 n_waits[SLOT_WAIT_PROVEN + 1]; /* choices, by enum slot_wait */
-  gint64 last_call_us; /* when the owner was last called; 0 for never */
+  gint64 last_call_us;      /* when the owner was last called; 0 for never */
 };
 
 /* owner.c */
--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -36,6 +36,10 @@
    end.  */
 #define MIN_PERCENT 10
 
+/* The slowness of an upstream is reported when it has changed by this factor,
+   which is more than the errors of estimates do.  */
+#define REPORTED_CHANGE 1.4
+
 /* Added to run times before they are compared, so that measuring noise counts
    little for short tasks.  */
 #define SPEED_NOISE_US (15 * USEC_PER_MSEC)
@@ -128,6 +132,22 @@
   owner_finish_batch_if_done (owner, batch);
 }
 
+/* Adds RUN, which takes TOOK_US, to what is known of the speed of its
+   upstream.  Reports a change from ordinary or from the last report.  */
+static void
+add_run_speed (struct owner *owner, struct run *run, gint64 took_us)
+{
+  struct owned_upstream *upstream = run->upstream;
+  gdouble ratio;
+
+  owned_add_run_speed (run, took_us);
+  ratio = upstream->slowness / upstream->reported_slowness;
+  if (ratio < REPORTED_CHANGE && ratio > 1 / REPORTED_CHANGE)
+    return;
+  upstream->reported_slowness = upstream->slowness;
+  report_health (owner, upstream, HEALTH_EVENT_SPEED);
+}
+
 /* Counts the end of RUN in the speed and the failures of its upstream.  */
 static void
 update_health (struct owner *owner, struct run *run, enum run_end end,
@@ -144,7 +164,7 @@
     run->upstream->succeeded_us = now_us;
   if (end == RUN_DONE && owner->limits.placement_by_speed)
     {
-      owned_add_run_speed (run, now_us - run->started_us);
+      add_run_speed (owner, run, now_us - run->started_us);
       owned_record_success (run->upstream);
     }
   else if (end == RUN_DONE)
@@ -754,7 +774,7 @@
 /* Counts RUN in the slowness of its upstream, once, as soon as its progress
    shows that it takes far longer than estimated.  */
 static void
-record_slow_run (const struct owner *owner, struct run *run)
+record_slow_run (struct owner *owner, struct run *run)
 {
   gint64 estimate_us = run->task->batch->estimate_us + SPEED_NOISE_US;
   gint64 spent_us = run->listed_us - run->started_us;
@@ -767,7 +787,7 @@
   run->is_slowness_counted = TRUE;
   if (owner->limits.placement_by_speed)
     {
-      owned_add_run_speed (run, total_us);
+      add_run_speed (owner, run, total_us);
       return;
     }
   owned_record_speed (run->upstream, (gdouble)total_us / (gdouble)estimate_us);
--- a/coordination/slot_choice.c
+++ b/coordination/slot_choice.c
@@ -8,10 +8,9 @@
    count as equally fast.  Estimates of equal ones differ by a few percent.  */
 #define SPEED_STEP 0.2
 
-/* From this slowness on an upstream is slow: the tasks there decide when their
-   job ends, and the longest of a job is this much longer than its average.
-   Without the margin, 0.03 to 0.05 less is served above full load.  */
-#define SLOW 1.15
+/* The tasks on slow upstreams decide when their job ends, and the longest of a
+   job is this much longer than its average.  Without the margin, 0.03 to 0.05
+   less is served at twice the mean load.  */
 #define JOB_MARGIN 0.2
 
 /* When less than this share of the CPUs of the owned upstreams is free, tasks
@@ -42,7 +41,7 @@
 {
   gdouble factor = slowness - 1;
 
-  if (slowness > SLOW)
+  if (slowness > SLOT_SLOW)
     factor += JOB_MARGIN;
   return task->now_us + (gint64)(factor * (gdouble)task->run_us)
          <= task->start_by_us;
--- a/coordination/slot_choice.h
+++ b/coordination/slot_choice.h
@@ -27,6 +27,10 @@
 
 #include <glib.h>
 
+/* From this slowness on an upstream counts as slow, and up to its inverse as
+   fast.  Estimates of ordinary ones differ from 1 by less.  */
+#define SLOT_SLOW 1.15
+
 /* The task.  */
 struct slot_task
 {
--- a/protocol/fleet_settings.c
+++ b/protocol/fleet_settings.c
@@ -33,8 +33,8 @@
                                     "shards",     "member_ttl_ms",
                                     "lease_ms",   "max_lease_ms",
                                     "grace_s",    "max_connections",
-                                    "far_factor", "log_level",
-                                    NULL };
+                                    "far_factor", "placement_by_speed",
+                                    "log_level",  NULL };
 
 /* Reads a required string that must not be empty.  */
 static void
@@ -166,6 +166,8 @@
   read_zones (check, root, settings);
   read_numbers (check, root, settings);
   read_leases (check, root, settings);
+  json_read_boolean (check, "", root, "placement_by_speed",
+                     &settings->placement_by_speed);
   settings_read_log_level (check, "log_level", root, "log_level",
                            &settings->log_level);
 }
--- a/protocol/fleet_settings.h
+++ b/protocol/fleet_settings.h
@@ -31,6 +31,7 @@
                             relative to the one on it; 1 or more */
   guint grace_ms;        /* from a stop signal to the end of the process */
   guint max_connections; /* of callers */
+  gboolean placement_by_speed; /* choose upstreams by their estimated speed */
   enum log_level log_level;
 };
 
--- a/t/t1020-fleet-settings.c
+++ b/t/t1020-fleet-settings.c
@@ -91,6 +91,10 @@
   g_assert_cmpuint (s->n_shards, ==, 16);
   g_assert_cmpuint (s->max_lease_ms, ==, 1000);
   g_assert_cmpint (s->log_level, ==, LOG_LEVEL_INFO);
+  g_assert_true (s->placement_by_speed);
+  fleet_settings_free (s);
+  s = parse ("{" REQUIRED "}");
+  g_assert_false (s->placement_by_speed);
   fleet_settings_free (s);
 }
 
--- a/transport/fleet.c
+++ b/transport/fleet.c
@@ -420,8 +420,8 @@
   .upstream_lost = on_upstream_lost,
 };
 
-/* Adds UPSTREAM to DATA, the three counts of owned, resting and unresponsive
-   upstreams.  */
+/* Adds UPSTREAM to DATA, the counts of owned, resting, unresponsive, slow and
+   fast upstreams.  */
 static void
 count_upstream (struct owned_upstream *upstream, gpointer data)
 {
@@ -430,6 +430,8 @@
   counts[0]++;
   counts[1] += upstream->rest_until_us > clock_now_us () ? 1 : 0;
   counts[2] += upstream->state == OWNED_UNRESPONSIVE ? 1 : 0;
+  counts[3] += upstream->slowness >= SLOT_SLOW ? 1 : 0;
+  counts[4] += upstream->slowness <= 1 / SLOT_SLOW ? 1 : 0;
 }
 
 static void
@@ -437,7 +439,7 @@
 {
   struct fleet *fleet = list_entry (source, struct fleet, metrics_source);
   const GPtrArray *vms = vm_directory_list (fleet->directory);
-  guint counts[3] = { 0 };
+  guint counts[5] = { 0 };
   struct owner_room room;
   guint n_lost = 0;
 
@@ -451,6 +453,8 @@
   metrics_set (METRIC_UPSTREAMS_OWNED, counts[0]);
   metrics_set (METRIC_UPSTREAMS_RESTING, counts[1]);
   metrics_set (METRIC_UPSTREAMS_MUTE, counts[2]);
+  metrics_set (METRIC_UPSTREAMS_SLOW, counts[3]);
+  metrics_set (METRIC_UPSTREAMS_FAST, counts[4]);
   metrics_set (
       METRIC_SHARDS_OWNED,
       (guint)__builtin_popcountll (fleet_shards_get_held (fleet->shards)));
@@ -572,6 +576,7 @@
     .lease_ms = settings->lease_ms,
     .max_lease_ms = settings->max_lease_ms,
     .clock_drift_ppm = CLOCK_DRIFT_PPM,
+    .placement_by_speed = settings->placement_by_speed,
   };
 
   fleet->shards
--- a/transport/fleet_owner.c
+++ b/transport/fleet_owner.c
@@ -94,6 +94,13 @@
   fleet_owner_log_run_unanswered (run);
 }
 
+static void
+driver_slot_declined (struct owner_driver *driver, enum slot_wait wait)
+{
+  metrics_count (wait == SLOT_WAIT_FASTER ? METRIC_WAITS_FASTER
+                                          : METRIC_WAITS_PROVEN);
+}
+
 static void
 driver_health_changed (struct owner_driver *driver,
                        const struct owned_upstream *upstream,
@@ -263,6 +270,7 @@
   .run_ended = driver_run_ended,
   .start_unanswered = driver_start_unanswered,
   .health_changed = driver_health_changed,
+  .slot_declined = driver_slot_declined,
   .claim_tasks = driver_claim_tasks,
   .return_tasks = driver_return_tasks,
   .finish_batch = driver_finish_batch,
--- a/transport/fleet_owner_log.c
+++ b/transport/fleet_owner_log.c
@@ -213,7 +213,7 @@
   } health_events[] = {
     { EVENT_UPSTREAM_RESTING, "failed" }, { EVENT_UPSTREAM_RESTING, "slow" },
     { EVENT_UPSTREAM_MUTE, "mute" },      { EVENT_UPSTREAM_BACK, "answered" },
-    { EVENT_UPSTREAM_BACK, "reborn" },
+    { EVENT_UPSTREAM_SPEED, "speed" },    { EVENT_UPSTREAM_BACK, "reborn" },
   };
 
   if (is_routine_restart (upstream, event))
