--- a/t/support/fleet_world.c
+++ b/t/support/fleet_world.c
@@ -310,8 +310,9 @@
 static void
 begin_owner (struct fleet_world *w, struct sim_owner *o)
 {
-  static const struct owner_limits limits
-      = { FLEET_LEASE_MS, FLEET_MAX_LEASE_MS, FLEET_DRIFT_PPM };
+  const struct owner_limits limits
+      = { FLEET_LEASE_MS, FLEET_MAX_LEASE_MS, FLEET_DRIFT_PPM,
+          w->placement_by_speed };
 
   o->driver.ops = &driver_ops;
   o->world = w;
@@ -349,10 +350,11 @@
 }
 
 struct fleet_world *
-fleet_world_new (guint32 seed)
+fleet_world_new (guint32 seed, gboolean placement_by_speed)
 {
   struct fleet_world *w = g_new0 (struct fleet_world, 1);
 
+  w->placement_by_speed = placement_by_speed;
   w->details = g_rand_new_with_seed (seed);
   w->now_us = 1000 * USEC_PER_SEC;
   w->orders = g_ptr_array_new_with_free_func (sim_order_free);
--- a/t/support/fleet_world.h
+++ b/t/support/fleet_world.h
@@ -13,7 +13,8 @@
 struct fleet_world;
 
 /* A world that draws its shapes from SEED.  */
-struct fleet_world *fleet_world_new (guint32 seed);
+struct fleet_world *fleet_world_new (guint32 seed,
+                                     gboolean placement_by_speed);
 void fleet_world_free (struct fleet_world *world);
 
 /* Makes the world tell what happens.  */
--- a/t/support/fleet_world_private.h
+++ b/t/support/fleet_world_private.h
@@ -173,7 +173,8 @@
 
 struct fleet_world
 {
-  GRand *details; /* reseeded by each step */
+  gboolean placement_by_speed; /* of the owners */
+  GRand *details;              /* reseeded by each step */
   gint64 now_us;
   struct sim_upstream upstreams[FLEET_UPSTREAMS];
   struct sim_owner owners[FLEET_OWNERS];
--- a/t/t2110-owner-random.c
+++ b/t/t2110-owner-random.c
@@ -12,6 +12,7 @@
 #include "t/support/sequence.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #define N_SEQUENCES 420
 
@@ -23,6 +24,9 @@
 
 static struct fleet_counts total;
 
+/* Of the owners in the present test.  */
+static gboolean placement_by_speed;
+
 static void
 add_counts (const struct fleet_world *world)
 {
@@ -36,7 +40,7 @@
 static gpointer
 create (guint32 seed)
 {
-  return fleet_world_new (seed);
+  return fleet_world_new (seed, placement_by_speed);
 }
 
 static const char *
@@ -106,12 +110,14 @@
 }
 
 static void
-test_random_sequences (void)
+test_random_sequences (gconstpointer by_speed)
 {
   const char *only = g_getenv ("OWNER_SEED");
   const char *more = g_getenv ("OWNER_SEQUENCES");
   guint32 n_sequences = more != NULL ? (guint32)atoi (more) : N_SEQUENCES;
 
+  placement_by_speed = by_speed != NULL;
+  memset (&total, 0, sizeof total);
   if (only != NULL)
     {
       run_seed ((guint32)atoi (only), g_getenv ("OWNER_TRACE") != NULL);
@@ -132,6 +138,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   event_log_set_level (LOG_LEVEL_ERROR);
-  g_test_add_func ("/owner/random", test_random_sequences);
+  g_test_add_data_func ("/owner/random", NULL, test_random_sequences);
+  g_test_add_data_func ("/owner/random-by-speed", "", test_random_sequences);
   return g_test_run ();
 }
