coordination: speed from the progress of long runs; failed tasks wait for proven upstreams

A run of 200 ms or more counts in the speed of its upstream as soon as its progress tells its time. A task that has failed waits, as long as a start is of use, while an upstream that works is only busy.

--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -441,6 +441,7 @@
     .now_us = now_us,
     .run_us = batch->estimate_us,
     .start_by_us = batch->start_by_us,
+    .end_by_us = batch->end_by_us,
     .may_wait = task->state == BATCH_TASK_OFFERED || batch->needs_free_slots,
     .has_failed = task->n_failed > 0,
     .is_last_attempt = task->n_failed + 1 >= batch->attempts
--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -40,6 +40,10 @@
    which is more than the errors of estimates do.  */
 #define REPORTED_CHANGE 1.4
 
+/* A run that is as long as an upstream may hold back the answer to a poll
+   tells its time by its progress, before it ends.  */
+#define MIN_SPEED_US (200 * USEC_PER_MSEC)
+
 /* Added to run times before they are compared, so that measuring noise counts
    little for short tasks.  */
 #define SPEED_NOISE_US (15 * USEC_PER_MSEC)
@@ -771,10 +775,22 @@
   return run->upstream->slowness > SLOW_FACTOR && left_us > 2 * estimate_us;
 }
 
+/* Adds RUN to the speed of its upstream, once, as soon as its progress tells
+   how long it takes.  */
+static void
+record_progress (struct owner *owner, struct run *run)
+{
+  gint64 spent_us = run->listed_us - run->started_us;
+
+  if (!run->is_speed_counted && run->percent >= MIN_PERCENT
+      && spent_us >= MIN_SPEED_US)
+    add_run_speed (owner, run, spent_us * 100 / run->percent);
+}
+
 /* Counts RUN in the slowness of its upstream, once, as soon as its progress
    shows that it takes far longer than estimated.  */
 static void
-record_slow_run (struct owner *owner, struct run *run)
+record_slow_run (struct run *run)
 {
   gint64 estimate_us = run->task->batch->estimate_us + SPEED_NOISE_US;
   gint64 spent_us = run->listed_us - run->started_us;
@@ -785,11 +801,6 @@
     return;
   total_us = spent_us * 100 / run->percent;
   run->is_slowness_counted = TRUE;
-  if (owner->limits.placement_by_speed)
-    {
-      add_run_speed (owner, run, total_us);
-      return;
-    }
   owned_record_speed (run->upstream, (gdouble)total_us / (gdouble)estimate_us);
 }
 
@@ -816,7 +827,10 @@
   if (run->state != RUN_RUNNING || task == NULL
       || task->n_restarts >= MAX_RESTARTS)
     return;
-  record_slow_run (owner, run);
+  if (owner->limits.placement_by_speed)
+    record_progress (owner, run);
+  else
+    record_slow_run (run);
   if (!is_stalled (run) && !is_too_slow (run))
     return;
   task->n_restarts++;
--- a/coordination/slot_choice.c
+++ b/coordination/slot_choice.c
@@ -98,6 +98,7 @@
   };
   gdouble cost = get_base_cost (&state, candidate) + candidate->free_cpus;
 
+  choice->has_proven |= state.is_proven;
   choice->cpus += candidate->cpus;
   choice->free_cpus += candidate->free_cpus;
   choice->has_faster |= !state.is_late && !candidate->is_on_probation;
@@ -109,15 +110,20 @@
   keep_better (&choice->slowest, &state);
 }
 
-/* Whether TASK, which has failed, waits for a better upstream than BEST.  */
+/* Whether the task, if it has failed, waits for a better upstream than
+   BEST.  */
 static gboolean
-has_to_avoid (const struct slot_task *task, const struct slot_best *best)
+has_to_avoid (const struct slot_choice *choice, const struct slot_best *best)
 {
-  if (!task->has_failed)
+  const struct slot_task *task = &choice->task;
+
+  if (!task->has_failed || best->is_proven)
     return FALSE;
+  if (choice->has_proven)
+    return task->now_us < task->end_by_us;
   if (best->is_on_probation)
     return task->now_us < task->start_by_us + task->run_us;
-  return !best->is_proven && task->now_us < task->start_by_us;
+  return task->now_us < task->start_by_us;
 }
 
 enum slot_wait
@@ -132,7 +138,7 @@
   *upstream = NULL;
   if (best->upstream == NULL)
     return SLOT_NONE_FREE;
-  if (has_to_avoid (task, best))
+  if (has_to_avoid (choice, best))
     return SLOT_WAIT_PROVEN;
   if (best->is_late && choice->has_faster && task->may_wait
       && task->now_us < task->start_by_us)
--- a/coordination/slot_choice.h
+++ b/coordination/slot_choice.h
@@ -14,10 +14,11 @@
  *
  * A task of which a run has failed goes to an upstream that has recently
  * completed runs and is not on probation, and not to the one where it failed.
- * It waits for one as long as it could still end within its objective, and for
- * one that is not on probation for the time of a run more.  Then it goes to
- * the best one that there is.  A task with a single attempt prefers such
- * upstreams as well, without waiting.
+ * While such an upstream is only busy, the task waits for it as long as a
+ * start is of use.  While there is none, it waits as long as it could still
+ * end within its objective, and avoids those on probation for the time of a
+ * run more.  Then it goes to the best one that there is.  A task with a single
+ * attempt prefers such upstreams as well, without waiting.
  *
  * The upstreams are passed in one by one, so that a choice takes one pass.
  * Does no I/O.
@@ -37,6 +38,7 @@
   gint64 now_us;
   gint64 run_us;            /* expected on an ordinary upstream */
   gint64 start_by_us;       /* latest start there that meets the objective */
+  gint64 end_by_us;         /* latest start that is of use */
   gboolean may_wait;        /* for a faster upstream, here or elsewhere */
   gboolean has_failed;      /* a run of it has failed */
   gboolean is_last_attempt; /* one more failure ends its job */
@@ -73,6 +75,7 @@
   struct slot_best slowest; /* of those on which the task is in time */
   gboolean has_faster;      /* the task would be in time on some upstream, busy
                                ones included */
+  gboolean has_proven;      /* some upstream is proven, busy ones included */
   gdouble cpus;             /* of all upstreams */
   gdouble free_cpus;
 };
