--- a/t/support/load_model.c
+++ b/t/support/load_model.c
@@ -375,6 +375,14 @@
       load_upstreams_remove (model->vms[k].upstreams, i, model->now_us);
 }
 
+void
+load_model_slow_upstreams (struct load_model *model, guint every,
+                           gdouble factor)
+{
+  for (guint i = 0; i < model->config.n_owners; i++)
+    load_upstreams_slow_down (model->vms[i].upstreams, every, factor);
+}
+
 void
 load_model_kill_owner (struct load_model *model, guint owner)
 {
--- a/t/support/load_model.h
+++ b/t/support/load_model.h
@@ -82,6 +82,10 @@
 void load_model_remove_upstreams (struct load_model *model, guint first,
                                   guint count);
 
+/* Of the upstreams, one in EVERY takes FACTOR times as long from now on.  */
+void load_model_slow_upstreams (struct load_model *model, guint every,
+                                gdouble factor);
+
 /* The VM of the owner is gone, with all that it holds.  Homes learn of it 600
    ms later, and its jobs are lost.  */
 void load_model_kill_owner (struct load_model *model, guint owner);
--- a/t/support/load_upstream.c
+++ b/t/support/load_upstream.c
@@ -222,6 +222,20 @@
     }
 }
 
+void
+load_upstreams_slow_down (struct load_upstreams *upstreams, guint every,
+                          gdouble factor)
+{
+  for (guint i = 0; i < upstreams->upstreams->len; i++)
+    {
+      struct sim_upstream *upstream
+          = g_ptr_array_index (upstreams->upstreams, i);
+
+      if (upstream->number % every == 0)
+        upstream->speed /= factor;
+    }
+}
+
 static struct sim_order *
 send_order (struct load_upstreams *all, enum order_kind kind,
             const struct owned_upstream *owned, const struct run *run,
--- a/t/support/load_upstream.h
+++ b/t/support/load_upstream.h
@@ -30,6 +30,10 @@
 void load_upstreams_remove (struct load_upstreams *upstreams, guint number,
                             gint64 now_us);
 
+/* From now on runs take FACTOR times as long on one upstream in EVERY.  */
+void load_upstreams_slow_down (struct load_upstreams *upstreams, guint every,
+                               gdouble factor);
+
 /* For the driver of the owner.  RUN_MS is how long the run takes at speed 1.
  */
 void load_upstreams_start (struct load_upstreams *upstreams,
--- a/t/t2161-slot-choice.c
+++ b/t/t2161-slot-choice.c
@@ -12,6 +12,7 @@
   return (struct slot_task){ .now_us = NOW_US,
                              .run_us = run_ms * USEC_PER_MSEC,
                              .start_by_us = NOW_US + slack_ms * USEC_PER_MSEC,
+                             .end_by_us = NOW_US + 5 * USEC_PER_SEC,
                              .may_wait = TRUE };
 }
 
@@ -106,7 +107,9 @@
   task.has_failed = TRUE;
   assert_choice (&task, upstreams, 4, "works", SLOT_FOUND);
   assert_choice (&task, upstreams, 3, NULL, SLOT_WAIT_PROVEN);
+  upstreams[3].has_room = FALSE;
   task.now_us += 130 * USEC_PER_MSEC;
+  assert_choice (&task, upstreams, 4, NULL, SLOT_WAIT_PROVEN);
   assert_choice (&task, upstreams, 3, "failing", SLOT_FOUND);
   assert_choice (&task, upstreams + 1, 1, NULL, SLOT_WAIT_PROVEN);
   task.now_us += 100 * USEC_PER_MSEC;
