--- a/t/t2111-owner-single.c
+++ b/t/t2111-owner-single.c
@@ -558,6 +558,40 @@
   finish (&bed, owner);
 }
 
+/* Another instance of an upstream may run on another machine: what was known
+   of the former one's speed and successes no longer counts.  */
+static void
+test_speed_of_instance (void)
+{
+  const struct owner_limits by_speed = { .lease_ms = LEASE_MS,
+                                         .max_lease_ms = 1000,
+                                         .placement_by_speed = TRUE };
+  const struct listed_end end = { 1, TASK, 1, RUN_DONE };
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &by_speed);
+  struct owned_upstream *upstream = take (owner);
+  struct upstream_report ended = report;
+  gint64 now_us = START_US;
+
+  owner_submit_batch (owner, make_batch (), now_us);
+  owner_start_ended (owner, upstream, TASK, 1, ORDER_ACCEPTED, 5000, now_us);
+  owner_advance (owner, now_us += 450 * USEC_PER_MSEC);
+  ended.ended = &end;
+  ended.n_ended = 1;
+  owner_poll_ended (owner, upstream, upstream->n_polls, ORDER_ACCEPTED, &ended,
+                    now_us);
+  g_assert_cmpfloat (upstream->slowness, <, 1);
+  g_assert_cmpint (upstream->succeeded_us, ==, now_us);
+  owner_advance (owner, now_us += 400 * USEC_PER_MSEC);
+  ended = report;
+  ended.instance_start_ms = report.instance_start_ms + 1;
+  owner_poll_ended (owner, upstream, upstream->n_polls, ORDER_ACCEPTED, &ended,
+                    now_us);
+  g_assert_cmpfloat (upstream->slowness, ==, 1);
+  g_assert_cmpint (upstream->succeeded_us, ==, 0);
+  finish (&bed, owner);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -576,5 +610,6 @@
   g_test_add_func ("/owner/foreign-run", test_foreign_run);
   g_test_add_func ("/owner/full-queue", test_full_queue);
   g_test_add_func ("/owner/hopeless", test_hopeless);
+  g_test_add_func ("/owner/speed-of-instance", test_speed_of_instance);
   return g_test_run ();
 }
