--- a/t/t2160-run-speed.c
+++ b/t/t2160-run-speed.c
@@ -5,14 +5,8 @@
 
 #define DECLARED_US (200 * USEC_PER_MSEC)
 
-/* The time of a run at SLOWNESS whose work is off by up to OFF.  */
-static gint64
-draw_us (GRand *rand, gdouble slowness, gdouble off)
-{
-  gdouble work = g_rand_double_range (rand, 1 - off, 1 + off);
-
-  return (gint64)(slowness * work * (gdouble)DECLARED_US);
-}
+/* Jobs of which no other run has ended.  */
+static const struct run_work unknown;
 
 /* Adds N runs of jobs of their own to SPEED, a share of TAIL of which take
    seven times as long.  */
@@ -20,14 +14,13 @@
 add_runs (struct run_speed *speed, GRand *rand, guint n, gdouble slowness,
           gdouble tail)
 {
-  const struct run_work unknown = { 0 };
-
   for (guint i = 0; i < n; i++)
     {
-      gint64 took_us = draw_us (rand, slowness, 0.4);
+      gdouble work = g_rand_double_range (rand, 0.6, 1.4)
+                     * (g_rand_double (rand) < tail ? 7 : 1);
 
-      took_us *= g_rand_double (rand) < tail ? 7 : 1;
-      run_speed_add (speed, &unknown, took_us, DECLARED_US);
+      run_speed_add (speed, &unknown, (gint64)(slowness * work * DECLARED_US),
+                     DECLARED_US);
     }
 }
 
@@ -59,7 +52,6 @@
 static void
 test_few_runs (void)
 {
-  const struct run_work unknown = { 0 };
   struct run_speed speed = { 0 };
 
   g_assert_cmpfloat (run_speed_get_slowness (&speed), ==, 1);
@@ -89,7 +81,6 @@
 {
   struct run_speed speeds[8] = { 0 };
   struct run_speed alone = { 0 };
-  const struct run_work unknown = { 0 };
   struct run_work work = { 0 };
 
   for (guint i = 0; i < G_N_ELEMENTS (speeds); i++)
--- a/t/t2162-speed-load.c
+++ b/t/t2162-speed-load.c
@@ -45,22 +45,8 @@
   guint n_failed;
 };
 
-static void
-play_period (struct load_model *model, const struct pattern *pattern)
-{
-  for (guint i = 0; i < 26; i++)
-    {
-      if (pattern->slow_every > 0 && (i == 7 || i == 19))
-        load_model_slow_upstreams (model, pattern->slow_every,
-                                   i == 7 ? SLOWDOWN : 1 / SLOWDOWN);
-      load_model_run (model, 500,
-                      pattern->factor
-                          * (1 - pattern->swing * cos (i * 2 * G_PI / 26)));
-    }
-}
-
 static struct outcome
-play (const struct load_config *config, const struct pattern *pattern)
+play (const struct load_config *config, const struct pattern *p)
 {
   struct outcome outcome = { 0 };
 
@@ -71,7 +57,14 @@
 
       seeded.seed = seed;
       model = load_model_new (&seeded);
-      play_period (model, pattern);
+      for (guint i = 0; i < 26; i++)
+        {
+          if (p->slow_every > 0 && (i == 7 || i == 19))
+            load_model_slow_upstreams (model, p->slow_every,
+                                       i == 7 ? SLOWDOWN : 1 / SLOWDOWN);
+          load_model_run (model, 500,
+                          p->factor * (1 - p->swing * cos (i * G_PI / 13)));
+        }
       outcome.worth += load_model_worth (model) / N_SEEDS;
       for (guint kind = 0; kind < LOAD_MAX_KINDS; kind++)
         outcome.n_failed += load_model_finish (model, kind).n_failed;
