--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -72,10 +72,20 @@
 gboolean owned_is_usable (const struct owned_upstream *upstream,
                           gint64 now_us);
 
+/* Adds RUN, which has taken TOOK_US or will do so by its progress, to the
+   estimates of its upstream and of its batch, once.  */
+void owned_add_run_speed (struct run *run, gint64 took_us);
+
+/* Forgets what the runs of a former instance tell of UPSTREAM.  */
+void owned_reset_speed (struct owned_upstream *upstream);
+
 /* Adds a run that takes SLOWNESS times its estimate to UPSTREAM's smoothed
    slowness.  Also lowers its failure share and ends its probation.  */
 void owned_record_speed (struct owned_upstream *upstream, gdouble slowness);
 
+/* Lowers the failure share of UPSTREAM and ends its probation.  */
+void owned_record_success (struct owned_upstream *upstream);
+
 /* Counts a failure of UPSTREAM.  Too many of them, or one on probation, start
    a rest.  */
 void owned_record_failure (struct owned_upstream *upstream, gint64 now_us);
--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -36,6 +36,14 @@
    end.  */
 #define MIN_PERCENT 10
 
+/* The slowness of an upstream is reported when it has changed by this factor,
+   which is more than the errors of estimates do.  */
+#define REPORTED_CHANGE 1.4
+
+/* A run that is as long as an upstream may hold back the answer to a poll
+   tells its time by its progress, before it ends.  */
+#define MIN_SPEED_US (200 * USEC_PER_MSEC)
+
 /* Added to run times before they are compared, so that measuring noise counts
    little for short tasks.  */
 #define SPEED_NOISE_US (15 * USEC_PER_MSEC)
@@ -132,9 +140,25 @@
   owner_finish_batch_if_done (owner, batch);
 }
 
+/* Adds RUN, which takes TOOK_US, to what is known of the speed of its
+   upstream.  Reports a change from ordinary or from the last report.  */
+static void
+add_run_speed (struct owner *owner, struct run *run, gint64 took_us)
+{
+  struct owned_upstream *upstream = run->upstream;
+  gdouble ratio;
+
+  owned_add_run_speed (run, took_us);
+  ratio = upstream->slowness / upstream->reported_slowness;
+  if (ratio < REPORTED_CHANGE && ratio > 1 / REPORTED_CHANGE)
+    return;
+  upstream->reported_slowness = upstream->slowness;
+  report_health (owner, upstream, HEALTH_EVENT_SPEED);
+}
+
 /* Counts the end of RUN in the speed and the failures of its upstream.  */
 static void
-update_health (struct owner *owner, const struct run *run, enum run_end end,
+update_health (struct owner *owner, struct run *run, enum run_end end,
                gint64 now_us)
 {
   gboolean was_resting = run->upstream->rest_until_us > now_us;
@@ -145,6 +169,13 @@
     return;
   expected_us = run->task->batch->estimate_us + SPEED_NOISE_US;
   if (end == RUN_DONE)
+    run->upstream->succeeded_us = now_us;
+  if (end == RUN_DONE && owner->limits.placement_by_speed)
+    {
+      add_run_speed (owner, run, now_us - run->started_us);
+      owned_record_success (run->upstream);
+    }
+  else if (end == RUN_DONE)
     owned_record_speed (run->upstream,
                         (gdouble)took_us / (gdouble)expected_us);
   else if (end == RUN_FAILED)
@@ -289,6 +320,8 @@
   upstream->leased_until_ms = 0;
   upstream->state = OWNED_UNCONFIRMED;
   upstream->poll_due_us = now_us;
+  if (owner->limits.placement_by_speed)
+    owned_reset_speed (upstream);
   report_health (owner, upstream, HEALTH_EVENT_RESTARTED);
   drop_former_runs (owner, upstream, now_us);
 }
@@ -807,6 +840,18 @@
   return run->upstream->slowness > SLOW_FACTOR && left_us > 2 * estimate_us;
 }
 
+/* Adds RUN to the speed of its upstream, once, as soon as its progress tells
+   how long it takes.  */
+static void
+record_progress (struct owner *owner, struct run *run)
+{
+  gint64 spent_us = run->listed_us - run->started_us;
+
+  if (!run->is_speed_counted && run->percent >= MIN_PERCENT
+      && spent_us >= MIN_SPEED_US)
+    add_run_speed (owner, run, spent_us * 100 / run->percent);
+}
+
 /* Counts RUN in the slowness of its upstream, once, as soon as its progress
    shows that it takes far longer than estimated.  */
 static void
@@ -842,7 +887,10 @@
   if (run->state != RUN_RUNNING || task == NULL
       || task->n_restarts >= MAX_RESTARTS)
     return;
-  record_slow_run (run);
+  if (owner->limits.placement_by_speed)
+    record_progress (owner, run);
+  else
+    record_slow_run (run);
   if (!is_stalled (run) && !is_too_slow (run))
     return;
   task->n_restarts++;
--- a/protocol/fleet_settings.c
+++ b/protocol/fleet_settings.c
@@ -49,6 +49,7 @@
                                     "spread_retries",
                                     "max_waiting_jobs",
                                     "max_waiting_kb",
+                                    "placement_by_speed",
                                     NULL };
 
 /* Reads a required string that must not be empty.  */
@@ -189,6 +190,8 @@
                      &settings->share_by_caller);
   json_read_boolean (check, "", root, "spread_retries",
                      &settings->spread_retries);
+  json_read_boolean (check, "", root, "placement_by_speed",
+                     &settings->placement_by_speed);
   settings_read_log_level (check, "log_level", root, "log_level",
                            &settings->log_level);
 }
--- a/protocol/fleet_settings.h
+++ b/protocol/fleet_settings.h
@@ -33,10 +33,11 @@
   guint max_connections;  /* of callers */
   guint max_waiting_jobs; /* jobs that wait for slots; 0: none may wait */
   guint max_waiting_kb;   /* memory of these jobs */
-  gboolean share_by_caller; /* while tasks wait for slots, the requests by
-                               which a caller clearly exceeds its share are
-                               refused first */
-  gboolean spread_retries;  /* refused callers are told different times */
+  gboolean share_by_caller;    /* while tasks wait for slots, the requests by
+                                  which a caller clearly exceeds its share are
+                                  refused first */
+  gboolean spread_retries;     /* refused callers are told different times */
+  gboolean placement_by_speed; /* choose upstreams by their estimated speed */
   enum log_level log_level;
 };
 
--- a/t/t1020-fleet-settings.c
+++ b/t/t1020-fleet-settings.c
@@ -95,6 +95,10 @@
   g_assert_true (s->spread_retries);
   g_assert_cmpuint (s->max_waiting_jobs, ==, 1000);
   g_assert_cmpuint (s->max_waiting_kb, ==, 8192);
+  g_assert_true (s->placement_by_speed);
+  fleet_settings_free (s);
+  s = parse ("{" REQUIRED "}");
+  g_assert_false (s->placement_by_speed);
   fleet_settings_free (s);
 }
 
