protocol: the settings share_by_capacity, cpu_share and cpu_cores

Shards are to be divided by the processor capacity of the VMs. The platform's template gives the share and the cores; the division is off by default.

cpu_share was a setting once, and t1020 demanded that it is refused like other former ones. It is a setting again, so grace_ms takes its place in that test, and the ranges of the new settings are checked.

--- a/protocol/fleet_settings.c
+++ b/protocol/fleet_settings.c
@@ -24,16 +24,29 @@
 #define DEFAULT_GRACE_MS 6000
 #define DEFAULT_CONNECTIONS 3000
 #define MAX_FAR_FACTOR 100
-
-static const char *const keys[] = { "vm",         "availability_zone",
-                                    "ip",         "availability_zones",
-                                    "callers",    "readiness",
-                                    "peers",      "beacon_port",
-                                    "metrics",    "store",
-                                    "shards",     "member_ttl_ms",
-                                    "lease_ms",   "max_lease_ms",
-                                    "grace_s",    "max_connections",
-                                    "far_factor", "log_level",
+#define MAX_CPU_CORES 1000
+
+static const char *const keys[] = { "vm",
+                                    "availability_zone",
+                                    "ip",
+                                    "availability_zones",
+                                    "callers",
+                                    "readiness",
+                                    "peers",
+                                    "beacon_port",
+                                    "metrics",
+                                    "store",
+                                    "shards",
+                                    "member_ttl_ms",
+                                    "lease_ms",
+                                    "max_lease_ms",
+                                    "grace_s",
+                                    "max_connections",
+                                    "far_factor",
+                                    "log_level",
+                                    "share_by_capacity",
+                                    "cpu_share",
+                                    "cpu_cores",
                                     NULL };
 
 /* Reads a required string that must not be empty.  */
@@ -124,6 +137,10 @@
              &s->max_connections);
   json_read_number (check, "", root, "far_factor", 1, MAX_FAR_FACTOR,
                     &s->far_factor);
+  json_read_number (check, "", root, "cpu_share", 0, MAX_CPU_CORES,
+                    &s->cpu_share);
+  json_read_number (check, "", root, "cpu_cores", 0, MAX_CPU_CORES,
+                    &s->cpu_cores);
   if (json_read_number (check, "", root, "grace_s", 0.001,
                         MAX_DURATION_MS / 1000.0, &grace_s))
     s->grace_ms = (guint)(grace_s * 1000);
@@ -140,6 +157,7 @@
   settings->max_lease_ms = DEFAULT_MAX_LEASE_MS;
   settings->grace_ms = DEFAULT_GRACE_MS;
   settings->far_factor = 1;
+  settings->cpu_cores = 1;
   settings->max_connections = DEFAULT_CONNECTIONS;
   settings->log_level = LOG_LEVEL_INFO;
   return settings;
@@ -163,6 +181,8 @@
                           &settings->peers);
   settings_read_endpoint (check, "metrics", root, "metrics", FALSE,
                           &settings->metrics);
+  json_read_boolean (check, "", root, "share_by_capacity",
+                     &settings->share_by_capacity);
   read_zones (check, root, settings);
   read_numbers (check, root, settings);
   read_leases (check, root, settings);
--- a/protocol/fleet_settings.h
+++ b/protocol/fleet_settings.h
@@ -31,6 +31,10 @@
                             relative to the one on it; 1 or more */
   guint grace_ms;        /* from a stop signal to the end of the process */
   guint max_connections; /* of callers */
+  gboolean share_by_capacity; /* shards are divided by the VMs' capacities */
+  gdouble cpu_share;          /* of cpu_cores, that this VM may use; 0: not
+                                 known */
+  gdouble cpu_cores;          /* of the machine */
   enum log_level log_level;
 };
 
--- a/t/t1020-fleet-settings.c
+++ b/t/t1020-fleet-settings.c
@@ -33,6 +33,10 @@
   { "{{bounds.graceS}}", "5.5" },
   { "{{#bounds.farFactor}}  \"far_factor\": {{.}},\n{{/bounds.farFactor}}",
     "  \"far_factor\": 1.5,\n" },
+  { "{{#limits.cpuShare}}  \"cpu_share\": {{.}},\n{{/limits.cpuShare}}",
+    "  \"cpu_share\": 0.25,\n" },
+  { "{{#limits.cores}}  \"cpu_cores\": {{.}},\n{{/limits.cores}}",
+    "  \"cpu_cores\": 2,\n" },
 };
 
 static char *
@@ -90,6 +94,8 @@
   g_assert_cmpuint (s->beacon_port, ==, 7735);
   g_assert_cmpuint (s->n_shards, ==, 16);
   g_assert_cmpuint (s->max_lease_ms, ==, 1000);
+  g_assert_cmpfloat (s->cpu_share, ==, 0.25);
+  g_assert_cmpfloat (s->cpu_cores, ==, 2);
   g_assert_cmpint (s->log_level, ==, LOG_LEVEL_INFO);
   fleet_settings_free (s);
 }
@@ -118,6 +124,11 @@
   g_assert_cmpuint (s->max_lease_ms, ==, 1000);
   g_assert_cmpuint (s->max_connections, ==, 3000);
   assert_endpoint (&s->metrics, NULL, 0);
+  g_assert_false (s->share_by_capacity);
+  g_assert_cmpfloat (s->cpu_share, ==, 0);
+  fleet_settings_free (s);
+  s = parse ("{" REQUIRED ",\"share_by_capacity\":true}");
+  g_assert_true (s->share_by_capacity);
   fleet_settings_free (s);
   s = parse ("{" REQUIRED ",\"metrics\":\"\"}");
   assert_endpoint (&s->metrics, NULL, 0);
@@ -213,6 +224,9 @@
   assert_problem ("{" REQUIRED ",\"grace_s\":0}", "must be a number from");
   assert_problem ("{" REQUIRED ",\"far_factor\":0.5}",
                   "must be a number from");
+  assert_problem ("{" REQUIRED ",\"cpu_share\":-1}", "must be a number from");
+  assert_problem ("{" REQUIRED ",\"share_by_capacity\":1}",
+                  "'share_by_capacity' must be");
   assert_problem ("{" REQUIRED ",\"lease_ms\":true}", "must be a number from");
   assert_problem ("{" REQUIRED ",\"log_level\":\"loud\"}", "must be one of");
   assert_problem ("{" REQUIRED ",\"lease_ms\":700,\"max_lease_ms\":600}",
@@ -223,7 +237,7 @@
 static void
 test_former (void)
 {
-  static const char *const former[] = { "stop_ms", "resend_ms", "cpu_share" };
+  static const char *const former[] = { "stop_ms", "resend_ms", "grace_ms" };
 
   for (gsize i = 0; i < G_N_ELEMENTS (former); i++)
     {
