--- a/coordination/vm_directory.c
+++ b/coordination/vm_directory.c
@@ -147,6 +147,7 @@
   vm->is_leaving = beacon->is_leaving;
   vm->heard_us = now_us;
   vm->held = beacon->held;
+  vm->capacity = beacon->capacity;
   vm->routes_version = beacon->routes_version;
   vm->evacuation = beacon->evacuation;
   vm->n_rooms = MIN (beacon->n_rooms, VM_ROOMS_MAX);
--- a/coordination/vm_directory.h
+++ b/coordination/vm_directory.h
@@ -39,6 +39,7 @@
   gboolean is_leaving;
   gint64 heard_us; /* time of its latest beacon, or when it became known */
   guint64 held;    /* shards that it holds in its zone, as bits */
+  guint capacity;  /* of its processor, in thousandths of a core; 0: unknown */
   guint64 routes_version;
   struct evacuation evacuation; /* as it knows it */
   struct vm_room rooms[VM_ROOMS_MAX];
@@ -54,7 +55,8 @@
   guint64 incarnation;
   guint32 sequence;
   gboolean is_leaving;
-  guint64 held; /* shards that the VM holds in its zone, as bits */
+  guint64 held;   /* shards that the VM holds in its zone, as bits */
+  guint capacity; /* of its processor, in thousandths of a core; 0: unknown */
   guint64 routes_version;
   struct evacuation evacuation; /* as the VM knows it */
   const struct vm_room *rooms;
--- a/transport/fleet_beacon.c
+++ b/transport/fleet_beacon.c
@@ -91,6 +91,7 @@
     .sequence = message->sequence,
     .is_leaving = message->is_leaving,
     .held = message->held,
+    .capacity = message->capacity,
     .routes_version = message->routes_version,
     .rooms = rooms,
     .n_rooms = MIN (message->rooms.rooms_len, VM_ROOMS_MAX),
@@ -188,6 +189,7 @@
   b->owner->ops->fill_beacon (b->owner, &own, rooms);
   message.is_leaving = own.is_leaving;
   message.held = own.held;
+  message.capacity = own.capacity;
   message.routes_version = own.routes_version;
   message.evacuation_position = own.evacuation.position;
   message.evacuated_zones.evacuated_zones_len = own.evacuation.n_zones;
