coordination: divide shards by capacity

A VM of 0.09 core owns as many upstreams as one of 0.5 core. With ownership_share_by_capacity (), a shard is yielded when that brings both VMs nearer to their shares by capacity, and a VM may ask for any shard of the peer that has the most for its capacity. The peer's reply grants it; it is taken when the peer no longer holds it, while the VM that it is assigned to waits. With equal capacities, and without the call, the rule is the former one.

--- a/coordination/ownership.c
+++ b/coordination/ownership.c
@@ -1,11 +1,11 @@
-#include "coordination/ownership.h"
+#include "coordination/ownership_private.h"
 
 #include "base/hash64.h"
 
 #include <string.h>
 
 /* Widths of the fields of a token, from the lowest bits on.  */
-#define NAME_BITS 20
+#define NAME_BITS OWNERSHIP_NAME_BITS
 #define RAISE_BITS 8
 #define GENERATION_BITS 35
 
@@ -24,55 +24,17 @@
    one of their tokens.  */
 #define CONFLICT_TIMEOUT_US OWNERSHIP_PEER_TIMEOUT_US
 
+/* A VM asks for no shard by capacity for this long after its start or a pause,
+   after a new assignment, and after it was fenced.  An upstream may refuse the
+   token of a VM that knows an older generation than the former holder, so
+   assignments, renewed every few hundred milliseconds, must have settled.  */
+#define BALANCE_SETTLE_US (2000 * G_GINT64_CONSTANT (1000))
+#define BALANCE_ASSIGNED_US (1000 * G_GINT64_CONSTANT (1000))
+#define BALANCE_FENCED_US (10000 * G_GINT64_CONSTANT (1000))
+
 /* A peer that was not heard for this long is removed.  */
 #define OWNERSHIP_PEER_FORGET_US (100 * OWNERSHIP_PEER_TIMEOUT_US)
 
-enum shard_state
-{
-  SHARD_FREE, /* not held by this VM */
-  SHARD_HELD,
-  SHARD_RELEASING,
-};
-
-struct shard
-{
-  enum shard_state state;
-  guint64 token;             /* of the last time it was taken; 0 before */
-  guint64 highest_token;     /* highest token ever issued for it; 0 before */
-  gint64 yield_requested_us; /* last request to a peer to yield it; 0: never */
-  gint64 retake_delay_us;    /* how long it must be free before a retake */
-  gint64 retake_from_us;     /* end of that time, while it is free */
-  gint64 conflict_since_us;  /* since when a peer holds it too; 0 while none
-                                does */
-};
-
-struct ownership_peer
-{
-  char *name;
-  guint64 held; /* shards that it holds, as bits */
-  gboolean is_leaving;
-  gint64 heard_us;
-  gboolean is_timeout_extended; /* its timeout was extended for a pause of this
-                                VM; cleared when it is heard */
-  guint n_yield_requests; /* recent requests to yield sent to it, which it may
-                             still grant */
-};
-
-struct ownership
-{
-  struct ownership_driver *driver;
-  char *vm;
-  guint64 name_bits;  /* hash of the VM's name, in tokens; never 0 */
-  guint64 generation; /* of the platform's latest assignment */
-  guint64 assigned;   /* shards assigned to this VM, as bits */
-  GHashTable *peers;  /* name -> struct ownership_peer */
-  gboolean has_started;
-  gboolean is_leaving;
-  gint64 listen_until_us; /* takes no shard before this time */
-  gint64 now_us;          /* time of the last call */
-  struct shard shards[OWNERSHIP_MAX_SHARDS];
-};
-
 static void
 peer_free (gpointer data)
 {
@@ -82,6 +44,12 @@
   g_free (peer);
 }
 
+guint64
+ownership_get_name_bits (guint64 name_hash)
+{
+  return MAX (name_hash >> (64 - NAME_BITS), 1);
+}
+
 struct ownership *
 ownership_new (struct ownership_driver *driver, const char *vm)
 {
@@ -89,9 +57,7 @@
 
   o->driver = driver;
   o->vm = g_strdup (vm);
-  o->name_bits = hash64_string (vm) >> (64 - NAME_BITS);
-  if (o->name_bits == 0)
-    o->name_bits = 1;
+  o->name_bits = ownership_get_name_bits (hash64_string (vm));
   o->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, peer_free);
   return o;
 }
@@ -104,14 +70,14 @@
   g_free (ownership);
 }
 
-static guint64
-shard_bit (guint shard)
+guint64
+ownership_shard_bit (guint shard)
 {
   return G_GUINT64_CONSTANT (1) << shard;
 }
 
-static guint
-count_bits (guint64 bits)
+guint
+ownership_count_bits (guint64 bits)
 {
   guint n = 0;
 
@@ -120,19 +86,20 @@
   return n;
 }
 
-static guint64
-get_shards_in_state (const struct ownership *o, enum shard_state state)
+guint64
+ownership_get_shards_in_state (const struct ownership *o,
+                               enum shard_state state)
 {
   guint64 bits = 0;
 
   for (guint i = 0; i < OWNERSHIP_MAX_SHARDS; i++)
     if (o->shards[i].state == state)
-      bits |= shard_bit (i);
+      bits |= ownership_shard_bit (i);
   return bits;
 }
 
-static gboolean
-peer_is_heard (const struct ownership_peer *peer, gint64 now_us)
+gboolean
+ownership_peer_is_heard (const struct ownership_peer *peer, gint64 now_us)
 {
   return peer->heard_us + OWNERSHIP_PEER_TIMEOUT_US > now_us;
 }
@@ -150,7 +117,8 @@
     {
       struct ownership_peer *peer = value;
 
-      if (peer->is_timeout_extended || !peer_is_heard (peer, o->now_us))
+      if (peer->is_timeout_extended
+          || !ownership_peer_is_heard (peer, o->now_us))
         continue;
       peer->is_timeout_extended = TRUE;
       peer->heard_us = MAX (peer->heard_us, now_us - OWNERSHIP_PEER_TIMEOUT_US
@@ -158,16 +126,20 @@
     }
 }
 
-static void
-update_time (struct ownership *o, gint64 now_us)
+void
+ownership_update_time (struct ownership *o, gint64 now_us)
 {
   if (!o->has_started)
     {
       o->has_started = TRUE;
       o->listen_until_us = now_us + STARTUP_LISTEN_US;
+      ownership_defer_balance (o, now_us + BALANCE_SETTLE_US);
     }
   else if (now_us - o->now_us > PAUSE_THRESHOLD_US)
-    extend_peer_timeouts (o, now_us);
+    {
+      extend_peer_timeouts (o, now_us);
+      ownership_defer_balance (o, now_us + BALANCE_SETTLE_US);
+    }
   o->now_us = MAX (o->now_us, now_us);
 }
 
@@ -187,10 +159,8 @@
     }
 }
 
-/* The live peer that holds SHARD, or NULL.  Of several, the one that holds the
-   most shards.  */
-static struct ownership_peer *
-find_holder (struct ownership *o, guint shard, gint64 now_us)
+struct ownership_peer *
+ownership_find_holder (struct ownership *o, guint shard, gint64 now_us)
 {
   struct ownership_peer *found = NULL;
   GHashTableIter iter;
@@ -201,10 +171,12 @@
     {
       struct ownership_peer *peer = value;
 
-      if ((peer->held & shard_bit (shard)) == 0
-          || !peer_is_heard (peer, now_us))
+      if ((peer->held & ownership_shard_bit (shard)) == 0
+          || !ownership_peer_is_heard (peer, now_us))
         continue;
-      if (found == NULL || count_bits (peer->held) > count_bits (found->held))
+      if (found == NULL
+          || ownership_count_bits (peer->held)
+                 > ownership_count_bits (found->held))
         found = peer;
     }
   return found;
@@ -219,41 +191,59 @@
   return generation << (RAISE_BITS + NAME_BITS) | o->name_bits;
 }
 
-/* A token of this VM that is higher than TOKEN, and not lower than one of the
-   present generation.  */
+/* A token of this VM that is N_RAISES raises higher than TOKEN, and not lower
+   than one of the present generation.  */
 static guint64
-raise_token (const struct ownership *o, guint64 token)
+raise_token (const struct ownership *o, guint64 token, guint n_raises)
 {
-  guint64 raised = ((token >> NAME_BITS) + 1) << NAME_BITS | o->name_bits;
+  guint64 raised
+      = ((token >> NAME_BITS) + n_raises) << NAME_BITS | o->name_bits;
 
   return MAX (raised, make_token (o));
 }
 
+/* Shards that move by capacity may have been raised often in one generation
+   by VMs that this one does not hear of, so the raises double.  Once a token
+   is high enough for one upstream, it is tried on the others.  */
+static guint64
+raise_quickly (const struct ownership *o, struct shard *shard, guint64 token)
+{
+  if (token < shard->highest_token)
+    return shard->highest_token;
+  shard->n_raises++;
+  return raise_token (o, token, 1u << MIN (shard->n_raises - 1, RAISE_BITS));
+}
+
 guint64
 ownership_raise (struct ownership *ownership, guint shard, guint64 token)
 {
-  guint64 raised = raise_token (ownership, token);
+  guint64 raised = raise_token (ownership, token, 1);
   struct shard *s;
 
   g_return_val_if_fail (shard < OWNERSHIP_MAX_SHARDS, raised);
   s = &ownership->shards[shard];
+  if (ownership->is_by_capacity)
+    raised = raise_quickly (ownership, s, token);
   s->highest_token = MAX (s->highest_token, raised);
   return raised;
 }
 
-static void
-take_shard (struct ownership *o, guint number)
+void
+ownership_take_shard (struct ownership *o, guint number)
 {
   struct shard *shard = &o->shards[number];
   guint64 token = make_token (o);
 
   if (token <= shard->highest_token)
-    token = raise_token (o, shard->highest_token);
+    token = raise_token (o, shard->highest_token, 1);
   shard->token = token;
   shard->highest_token = token;
   shard->state = SHARD_HELD;
   shard->retake_delay_us = 0;
   shard->conflict_since_us = 0;
+  shard->yielded_to = 0;
+  shard->granted_by = 0;
+  shard->n_raises = 0;
   o->driver->ops->take_shard (o->driver, number, token);
 }
 
@@ -265,12 +255,14 @@
   struct shard *shard = &o->shards[number];
 
   shard->retake_delay_us = retake_delay_us;
+  shard->yielded_to = 0;
   shard->state = SHARD_RELEASING;
   o->driver->ops->release_shard (o->driver, number);
 }
 
-static gboolean
-is_yield_requested (const struct ownership *o, guint number, gint64 now_us)
+gboolean
+ownership_is_yield_requested (const struct ownership *o, guint number,
+                              gint64 now_us)
 {
   gint64 yield_requested_us = o->shards[number].yield_requested_us;
 
@@ -285,11 +277,14 @@
 request_yield_if_due (struct ownership *o, struct ownership_peer *peer,
                       guint number, guint *n_held, gint64 now_us)
 {
-  guint n_peer_held = count_bits (peer->held);
+  guint n_peer_held = ownership_count_bits (peer->held);
+  guint n_left = n_peer_held - MIN (n_peer_held, peer->n_yield_requests);
 
-  if (is_yield_requested (o, number, now_us))
+  if (ownership_is_yield_requested (o, number, now_us))
     return;
-  if (!peer->is_leaving && n_peer_held < *n_held + 2 + peer->n_yield_requests)
+  if (!peer->is_leaving
+      && !ownership_is_fair_yield (o, n_left, peer->capacity, *n_held,
+                                   o->capacity))
     return;
   o->shards[number].yield_requested_us = now_us;
   peer->n_yield_requests++;
@@ -313,9 +308,10 @@
     {
       struct ownership_peer *peer;
 
-      if ((wanted & shard_bit (i)) == 0 || !is_yield_requested (o, i, now_us))
+      if ((wanted & ownership_shard_bit (i)) == 0
+          || !ownership_is_yield_requested (o, i, now_us))
         continue;
-      peer = find_holder (o, i, now_us);
+      peer = ownership_find_holder (o, i, now_us);
       if (peer != NULL)
         peer->n_yield_requests++;
       n++;
@@ -334,15 +330,17 @@
 
   if (wanted == 0)
     return;
-  n_held = count_bits (held) + count_yield_requests (o, wanted, now_us);
+  n_held = ownership_count_bits (held)
+           + count_yield_requests (o, wanted, now_us)
+           + ownership_count_grants (o);
   for (guint i = 0; i < OWNERSHIP_MAX_SHARDS; i++)
     {
       struct shard *shard = &o->shards[i];
       struct ownership_peer *holder;
 
-      if ((wanted & shard_bit (i)) == 0)
+      if ((wanted & ownership_shard_bit (i)) == 0)
         continue;
-      holder = find_holder (o, i, now_us);
+      holder = ownership_find_holder (o, i, now_us);
       if (holder != NULL)
         {
           shard->retake_from_us = now_us + shard->retake_delay_us;
@@ -350,7 +348,7 @@
         }
       else if (now_us >= MAX (o->listen_until_us, shard->retake_from_us))
         {
-          take_shard (o, i);
+          ownership_take_shard (o, i);
           n_held++;
         }
     }
@@ -363,7 +361,7 @@
 resolve_conflict (struct ownership *o, guint number, gint64 now_us)
 {
   struct shard *shard = &o->shards[number];
-  struct ownership_peer *other = find_holder (o, number, now_us);
+  struct ownership_peer *other = ownership_find_holder (o, number, now_us);
   gint64 timeout_us = CONFLICT_TIMEOUT_US;
 
   if (other == NULL || other->is_leaving)
@@ -375,7 +373,7 @@
     shard->conflict_since_us = now_us;
   if (strcmp (o->vm, other->name) < 0)
     timeout_us *= 2;
-  if ((o->assigned & shard_bit (number)) == 0
+  if ((o->assigned & ownership_shard_bit (number)) == 0
       && shard->conflict_since_us + timeout_us <= now_us)
     release_shard (o, number, RETAKE_DELAY_US);
 }
@@ -383,13 +381,15 @@
 void
 ownership_advance (struct ownership *ownership, gint64 now_us)
 {
-  guint64 held = get_shards_in_state (ownership, SHARD_HELD);
+  guint64 held = ownership_get_shards_in_state (ownership, SHARD_HELD);
 
-  update_time (ownership, now_us);
+  ownership_update_time (ownership, now_us);
   for (guint i = 0; i < OWNERSHIP_MAX_SHARDS; i++)
-    if ((held & shard_bit (i)) != 0)
+    if ((held & ownership_shard_bit (i)) != 0)
       resolve_conflict (ownership, i, now_us);
   claim_assigned_shards (ownership, now_us);
+  ownership_take_granted (ownership, now_us);
+  ownership_balance (ownership, now_us);
   forget_peers (ownership, now_us);
 }
 
@@ -397,19 +397,21 @@
 ownership_assign (struct ownership *ownership, guint64 generation,
                   const guint *shards, guint n_shards, gint64 now_us)
 {
-  update_time (ownership, now_us);
+  ownership_update_time (ownership, now_us);
   if (generation < ownership->generation)
     return;
+  if (generation != ownership->generation)
+    ownership_defer_balance (ownership, now_us + BALANCE_ASSIGNED_US);
   ownership->generation = generation;
   ownership->assigned = 0;
   for (guint i = 0; i < n_shards; i++)
     if (shards[i] < OWNERSHIP_MAX_SHARDS)
-      ownership->assigned |= shard_bit (shards[i]);
+      ownership->assigned |= ownership_shard_bit (shards[i]);
   claim_assigned_shards (ownership, now_us);
 }
 
-static struct ownership_peer *
-ensure_peer (struct ownership *o, const char *name)
+struct ownership_peer *
+ownership_ensure_peer (struct ownership *o, const char *name)
 {
   struct ownership_peer *peer = g_hash_table_lookup (o->peers, name);
 
@@ -417,6 +419,7 @@
     {
       peer = g_new0 (struct ownership_peer, 1);
       peer->name = g_strdup (name);
+      peer->name_hash = hash64_string (name);
       g_hash_table_insert (o->peers, peer->name, peer);
     }
   return peer;
@@ -427,33 +430,48 @@
                        guint64 held, gboolean is_leaving, gint64 now_us)
 {
   struct ownership_peer *sender;
+  guint64 dropped;
   gboolean has_changed;
 
-  update_time (ownership, now_us);
+  ownership_update_time (ownership, now_us);
   if (g_str_equal (peer, ownership->vm))
     return;
-  sender = ensure_peer (ownership, peer);
+  sender = ownership_ensure_peer (ownership, peer);
   has_changed = sender->held != held;
+  dropped = sender->held & ~held;
   sender->held = held;
   sender->is_leaving = is_leaving;
   sender->is_timeout_extended = FALSE;
   sender->heard_us = now_us;
-  if (has_changed)
-    claim_assigned_shards (ownership, now_us);
+  ownership_note_drops (ownership, sender, dropped, now_us);
+  if (!has_changed)
+    return;
+  claim_assigned_shards (ownership, now_us);
+  ownership_take_granted (ownership, now_us);
 }
 
-void
+gboolean
 ownership_handle_yield_request (struct ownership *ownership, const char *peer,
                                 guint shard, guint n_held, gint64 now_us)
 {
-  guint n_own = count_bits (get_shards_in_state (ownership, SHARD_HELD));
-
-  update_time (ownership, now_us);
-  if (shard >= OWNERSHIP_MAX_SHARDS || g_str_equal (peer, ownership->vm)
-      || ownership->shards[shard].state != SHARD_HELD)
-    return;
-  if (n_own >= (guint64)n_held + 2)
-    release_shard (ownership, shard, RETAKE_DELAY_US);
+  guint n_own = ownership_count_bits (
+      ownership_get_shards_in_state (ownership, SHARD_HELD));
+  const struct ownership_peer *asker
+      = g_hash_table_lookup (ownership->peers, peer);
+  guint64 name_hash = hash64_string (peer);
+
+  ownership_update_time (ownership, now_us);
+  if (shard >= OWNERSHIP_MAX_SHARDS || g_str_equal (peer, ownership->vm))
+    return FALSE;
+  if (ownership->shards[shard].state != SHARD_HELD)
+    return ownership->shards[shard].state == SHARD_RELEASING
+           && ownership->shards[shard].yielded_to == name_hash;
+  if (!ownership_is_fair_yield (ownership, n_own, ownership->capacity, n_held,
+                                asker != NULL ? asker->capacity : 0))
+    return FALSE;
+  release_shard (ownership, shard, RETAKE_DELAY_US);
+  ownership->shards[shard].yielded_to = name_hash;
+  return TRUE;
 }
 
 void
@@ -463,7 +481,7 @@
 
   g_return_if_fail (shard < OWNERSHIP_MAX_SHARDS);
   s = &ownership->shards[shard];
-  update_time (ownership, now_us);
+  ownership_update_time (ownership, now_us);
   if (s->state != SHARD_RELEASING)
     return;
   s->state = SHARD_FREE;
@@ -477,9 +495,10 @@
 
   g_return_if_fail (shard < OWNERSHIP_MAX_SHARDS);
   s = &ownership->shards[shard];
-  update_time (ownership, now_us);
+  ownership_update_time (ownership, now_us);
   s->retake_delay_us = RETAKE_DELAY_US;
   s->retake_from_us = now_us + RETAKE_DELAY_US;
+  ownership_defer_balance (ownership, now_us + BALANCE_FENCED_US);
   if (s->state == SHARD_HELD)
     release_shard (ownership, shard, RETAKE_DELAY_US);
 }
@@ -487,7 +506,7 @@
 void
 ownership_leave (struct ownership *ownership, gint64 now_us)
 {
-  update_time (ownership, now_us);
+  ownership_update_time (ownership, now_us);
   ownership->is_leaving = TRUE;
   for (guint i = 0; i < OWNERSHIP_MAX_SHARDS; i++)
     if (ownership->shards[i].state == SHARD_HELD)
@@ -497,8 +516,8 @@
 guint64
 ownership_get_held (const struct ownership *ownership)
 {
-  return get_shards_in_state (ownership, SHARD_HELD)
-         | get_shards_in_state (ownership, SHARD_RELEASING);
+  return ownership_get_shards_in_state (ownership, SHARD_HELD)
+         | ownership_get_shards_in_state (ownership, SHARD_RELEASING);
 }
 
 guint64
--- a/coordination/ownership.h
+++ b/coordination/ownership.h
@@ -15,6 +15,17 @@
  * shard that was yielded or fenced is taken again only after it was free for a
  * while.
  *
+ * When shards are divided by capacity, a VM with N shards and a processor
+ * capacity C yields one to a VM with M shards and a capacity D when
+ * (N - 1/2) / C > (M + 1/2) / D: both then are nearer to their shares.  If all
+ * have one capacity, that is the rule above.  A VM may then ask for any shard
+ * of a peer, not only for one that is assigned to it, and takes that shard
+ * when the peer has granted it and no longer reports it as held.  The VM that
+ * it is assigned to leaves a shard which a live peer has released alone for a
+ * moment.  The VM that needs a shard most asks first.  A VM whose capacity is
+ * not known counts with the average, and is not asked for shards that are not
+ * assigned to the one that asks.
+ *
  * Two VMs may for a while believe that they hold the same shard.  That is
  * harmless: upstreams accept only the highest token, and the VM whose token is
  * refused gives the shard up.  If no upstream refuses a token, a VM that hears
@@ -83,10 +94,35 @@
 
 /* Handles the request of PEER, which holds N_HELD shards, to yield SHARD to
    it.  Releases SHARD if this VM holds it and at least two more shards than
-   PEER.  */
-void ownership_handle_yield_request (struct ownership *ownership,
-                                     const char *peer, guint shard,
-                                     guint n_held, gint64 now_us);
+   PEER, or as the capacities of both demand.  Returns whether SHARD is
+   released for PEER.  */
+gboolean ownership_handle_yield_request (struct ownership *ownership,
+                                         const char *peer, guint shard,
+                                         guint n_held, gint64 now_us);
+
+/* Handles the reply of PEER to the request to yield SHARD.  */
+void ownership_handle_yield_reply (struct ownership *ownership,
+                                   const char *peer, guint shard,
+                                   gboolean is_granted, gint64 now_us);
+
+/* Divides the shards by capacity from now on, instead of evenly.  */
+void ownership_share_by_capacity (struct ownership *ownership);
+
+/* The capacity of this VM is MILLI_CORES thousandths of a core; 0 for not
+   known.  */
+void ownership_set_capacity (struct ownership *ownership, guint milli_cores,
+                             gint64 now_us);
+
+/* The incarnation and the capacity of PEER, as its beacon reports them; to be
+   called before ownership_update_peer () is, for the same beacon.  */
+void ownership_update_peer_capacity (struct ownership *ownership,
+                                     const char *peer, guint64 incarnation,
+                                     guint milli_cores, gint64 now_us);
+
+/* Whether the platform answers.  While it does not, the assignment may be
+   outdated, and no shard is requested by capacity.  */
+void ownership_set_platform_reached (struct ownership *ownership,
+                                     gboolean is_reached);
 
 /* Completes release_shard (): nothing runs in SHARD any more.  */
 void ownership_released (struct ownership *ownership, guint shard,
--- a/t/t2100-ownership.c
+++ b/t/t2100-ownership.c
@@ -1,6 +1,7 @@
 /*
  * Who owns which shards: single decisions, and many VMs that share one
- * assignment while VMs die, freeze, are cut off, come back and leave.
+ * assignment while VMs die, freeze, are cut off, come back and leave; the same
+ * with shards divided by the VMs' capacities.
  */
 #include "coordination/ownership.h"
 
@@ -8,14 +9,17 @@
 
 #include <stdlib.h>
 
-#define N_VMS 7
+#define N_VMS 9 /* at most */
 #define N_SHARDS 24
+#define RANDOM_VMS 7
 #define TICK_US (10 * USEC_PER_MSEC)
 #define BEAT_US (50 * USEC_PER_MSEC)
 #define POLL_US (400 * USEC_PER_MSEC)
 #define TTL_US (3 * USEC_PER_SEC)
 #define MAX_DELAY_US (30 * USEC_PER_MSEC)
 #define CALM_US (15 * USEC_PER_SEC)
+#define CAPACITY_CALM_US (40 * USEC_PER_SEC)
+#define MAX_RAISES 20
 #define N_SEEDS 60
 #define N_TICKS 6000
 
@@ -50,6 +54,7 @@
   guint64 generation;
   guint64 releasing;
   guint64 may_release; /* shards that it may give up in this call */
+  guint64 granted;     /* shards that peers have yielded to it */
   guint64 tokens[N_SHARDS];
   gint64 asked_us[N_SHARDS];
   gint64 released_due_us[N_SHARDS];
@@ -60,6 +65,7 @@
 {
   MESSAGE_BEAT,
   MESSAGE_ASK,
+  MESSAGE_REPLY, /* to an ask; only where shards are divided by capacity */
 };
 
 struct message
@@ -73,11 +79,19 @@
   guint64 held;
   guint shard;
   gboolean is_leaving;
+  guint capacity;
 };
 
 struct zone
 {
   struct vm vms[N_VMS];
+  guint n_vms;
+  guint n_shards;
+  gint64 max_run_us; /* how long a release takes at most */
+  gboolean is_by_capacity;
+  guint capacities[N_VMS]; /* 0: that VM divides the shards evenly */
+  gint64 news_from_us;     /* beacons tell no capacity before this time */
+  guint n_overlaps;        /* shards taken while another VM held them */
   GRand *random;
   GArray *messages;
   GHashTable *users; /* token -> name of the VM that used it */
@@ -151,6 +165,20 @@
   return NULL;
 }
 
+/* Whether a VM other than VM holds SHARD, dead or alive ones that an upstream
+   still obeys included.  */
+static gboolean
+is_held_elsewhere (const struct vm *vm, guint shard)
+{
+  const struct zone *z = vm->zone;
+
+  for (guint i = 0; i < N_VMS; i++)
+    if (i != vm->number && z->vms[i].is_up
+        && (ownership_get_held (z->vms[i].ownership) & bit (shard)) != 0)
+      return TRUE;
+  return FALSE;
+}
+
 static void
 note_token (struct vm *vm, guint shard, guint64 token)
 {
@@ -173,8 +201,10 @@
 
   g_assert_true (is_awake (vm));
   g_assert_false (vm->is_leaving);
-  g_assert_cmpuint (vm->assigned & bit (shard), !=, 0);
+  g_assert_cmpuint ((vm->assigned | vm->granted) & bit (shard), !=, 0);
   g_assert_null (find_heard_holder (vm, shard));
+  vm->granted &= ~bit (shard);
+  z->n_overlaps += is_held_elsewhere (vm, shard) ? 1 : 0;
   if (vm->generation > z->taken_generation[shard])
     g_assert_cmpuint (token, >, z->taken[shard]);
   if (vm->tokens[shard] != 0)
@@ -202,7 +232,7 @@
     }
   vm->releasing |= bit (shard);
   vm->released_due_us[shard]
-      = vm->zone->now_us + draw_us (vm->zone, 300 * USEC_PER_MSEC);
+      = vm->zone->now_us + draw_us (vm->zone, vm->zone->max_run_us);
 }
 
 static void
@@ -213,7 +243,8 @@
   struct message message = { MESSAGE_ASK, vm->number };
 
   g_assert_true (is_awake (vm));
-  g_assert_cmpuint (vm->assigned & bit (shard), !=, 0);
+  if (z->capacities[vm->number] == 0)
+    g_assert_cmpuint (vm->assigned & bit (shard), !=, 0);
   if (!is_just_woken (vm))
     g_assert_nonnull (find_heard_holder (vm, shard));
   if (vm->asked_us[shard] != 0)
@@ -236,6 +267,14 @@
 static const struct ownership_driver_ops zone_ops
     = { zone_take, zone_release, zone_ask };
 
+static void
+set_capacity (struct vm *vm, guint capacity)
+{
+  vm->zone->capacities[vm->number] = capacity;
+  if (vm->is_up)
+    ownership_set_capacity (vm->ownership, capacity, vm->zone->now_us);
+}
+
 /* Lets VM begin a new life, which peers hear under a new name.  */
 static void
 begin_life (struct vm *vm)
@@ -249,6 +288,11 @@
   vm->driver.ops = &zone_ops;
   vm->ownership = ownership_new (&vm->driver, vm->name);
   vm->is_up = TRUE;
+  if (z->capacities[number] != 0)
+    {
+      ownership_share_by_capacity (vm->ownership);
+      set_capacity (vm, z->capacities[number]);
+    }
   vm->beat_due_us = z->now_us + draw_us (z, BEAT_US);
   vm->poll_due_us = z->now_us + draw_us (z, POLL_US);
 }
@@ -261,8 +305,10 @@
   g_clear_pointer (&vm->ownership, ownership_free);
 }
 
+/* CAPACITIES has an element for each VM, or is NULL: shards are divided
+   evenly.  */
 static struct zone *
-zone_new (guint32 seed)
+zone_new (guint32 seed, guint n_vms, guint n_shards, const guint *capacities)
 {
   struct zone *z = g_new0 (struct zone, 1);
 
@@ -272,10 +318,15 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   z->now_us = 1000 * USEC_PER_SEC;
   z->generation = 1;
+  z->n_vms = n_vms;
+  z->n_shards = n_shards;
+  z->max_run_us = 300 * USEC_PER_MSEC;
+  z->is_by_capacity = capacities != NULL;
   for (guint i = 0; i < N_SHARDS; i++)
     z->owners[i] = N_VMS;
-  for (guint i = 0; i < N_VMS; i++)
+  for (guint i = 0; i < n_vms; i++)
     {
+      z->capacities[i] = capacities != NULL ? capacities[i] : 0;
       z->vms[i].zone = z;
       z->vms[i].number = i;
       begin_life (&z->vms[i]);
@@ -308,9 +359,9 @@
       members[n++] = i;
   z->generation++;
   first = n > 0 ? g_rand_int (z->random) % n : 0;
-  for (guint i = 0; i < N_SHARDS; i++)
+  for (guint i = 0; i < z->n_shards; i++)
     z->owners[i] = n > 0 ? members[(first + i) % n] : N_VMS;
-  for (guint i = N_SHARDS - 1; i > 0; i--)
+  for (guint i = z->n_shards - 1; i > 0; i--)
     {
       guint other = g_rand_int (z->random) % (i + 1);
       guint owner = z->owners[i];
@@ -347,6 +398,8 @@
   guint n = 0;
 
   vm->poll_due_us = z->now_us + POLL_US;
+  ownership_set_platform_reached (vm->ownership,
+                                  z->now_us >= vm->apart_until_us);
   if (z->now_us < vm->apart_until_us || vm->is_leaving)
     return;
   vm->joined_us = z->now_us;
@@ -375,9 +428,11 @@
   vm->beat_due_us = z->now_us + BEAT_US;
   message.held = ownership_get_held (vm->ownership);
   message.is_leaving = vm->is_leaving;
+  if (z->now_us >= z->news_from_us)
+    message.capacity = z->capacities[vm->number];
   message.life = vm->n_lives % 2;
   g_strlcpy (message.name, vm->name, sizeof message.name);
-  for (message.to = 0; message.to < N_VMS; message.to++)
+  for (message.to = 0; message.to < z->n_vms; message.to++)
     {
       message.due_us = z->now_us + draw_us (z, MAX_DELAY_US);
       if (message.to != vm->number)
@@ -385,6 +440,20 @@
     }
 }
 
+/* Replies to the request MESSAGE.  */
+static void
+reply (struct zone *z, const struct message *message, gboolean is_granted)
+{
+  struct message answer = { MESSAGE_REPLY, message->to, message->from };
+
+  if (!z->is_by_capacity || !is_granted)
+    return;
+  answer.shard = message->shard;
+  answer.due_us = z->now_us + draw_us (z, MAX_DELAY_US);
+  g_strlcpy (answer.name, z->vms[message->to].name, sizeof answer.name);
+  g_array_append_val (z->messages, answer);
+}
+
 static void
 deliver (struct zone *z, const struct message *message)
 {
@@ -399,15 +468,27 @@
     {
       to->heard[message->from][message->life]
           = (struct heard){ message->held, z->now_us };
+      ownership_update_peer_capacity (to->ownership, message->name,
+                                      message->life, message->capacity,
+                                      z->now_us);
       ownership_update_peer (to->ownership, message->name, message->held,
                              message->is_leaving, z->now_us);
       return;
     }
-  if (count_bits (ownership_get_held (to->ownership) & ~to->releasing)
-      >= n_held + 2)
+  if (message->kind == MESSAGE_REPLY)
+    {
+      to->granted |= bit (message->shard);
+      ownership_handle_yield_reply (to->ownership, message->name,
+                                    message->shard, TRUE, z->now_us);
+      return;
+    }
+  if (z->is_by_capacity
+      || count_bits (ownership_get_held (to->ownership) & ~to->releasing)
+             >= n_held + 2)
     to->may_release = bit (message->shard);
-  ownership_handle_yield_request (to->ownership, message->name, message->shard,
-                                  n_held, z->now_us);
+  reply (z, message,
+         ownership_handle_yield_request (to->ownership, message->name,
+                                         message->shard, n_held, z->now_us));
   to->may_release = 0;
 }
 
@@ -430,18 +511,13 @@
     }
 }
 
-/* Whether a VM other than VM holds SHARD, dead or alive ones that an upstream
-   still obeys included.  */
-static gboolean
-is_held_elsewhere (const struct vm *vm, guint shard)
+static void
+raise_token (struct vm *vm, guint shard)
 {
-  const struct zone *z = vm->zone;
+  guint64 raised = ownership_raise (vm->ownership, shard, vm->tokens[shard]);
 
-  for (guint i = 0; i < N_VMS; i++)
-    if (i != vm->number && z->vms[i].is_up
-        && (ownership_get_held (z->vms[i].ownership) & bit (shard)) != 0)
-      return TRUE;
-  return FALSE;
+  g_assert_cmpuint (raised, >, vm->tokens[shard]);
+  note_token (vm, shard, raised);
 }
 
 /* What an upstream of SHARD answers to an order of VM.  */
@@ -449,26 +525,20 @@
 order (struct vm *vm, guint shard)
 {
   struct zone *z = vm->zone;
+  guint n_raises = 0;
 
-  if (vm->tokens[shard] >= z->seen[shard])
-    {
-      z->seen[shard] = vm->tokens[shard];
-      return;
-    }
-  if (is_held_elsewhere (vm, shard))
+  /* Like the driver, a VM gives up after many raises.  */
+  for (; vm->tokens[shard] < z->seen[shard]; n_raises++)
     {
-      vm->may_release = bit (shard);
-      ownership_fenced (vm->ownership, shard, z->now_us);
-      vm->may_release = 0;
-      return;
-    }
-  while (vm->tokens[shard] < z->seen[shard])
-    {
-      guint64 raised
-          = ownership_raise (vm->ownership, shard, vm->tokens[shard]);
-
-      g_assert_cmpuint (raised, >, vm->tokens[shard]);
-      note_token (vm, shard, raised);
+      if (is_held_elsewhere (vm, shard)
+          || (z->is_by_capacity && n_raises == MAX_RAISES))
+        {
+          vm->may_release = bit (shard);
+          ownership_fenced (vm->ownership, shard, z->now_us);
+          vm->may_release = 0;
+          return;
+        }
+      raise_token (vm, shard);
     }
   z->seen[shard] = vm->tokens[shard];
 }
@@ -540,7 +610,7 @@
 static void
 disturb (struct zone *z)
 {
-  struct vm *vm = &z->vms[g_rand_int (z->random) % N_VMS];
+  struct vm *vm = &z->vms[g_rand_int (z->random) % z->n_vms];
   gint64 until_us = z->now_us + draw_us (z, 4 * USEC_PER_SEC);
 
   if (!vm->is_up)
@@ -567,11 +637,33 @@
       if (is_awake (vm) && !vm->is_leaving)
         begin_leaving (vm);
       break;
+    case 5:
+      if (z->capacities[vm->number] != 0)
+        {
+          set_capacity (vm, 90 << g_rand_int (z->random) % 4);
+          break;
+        }
+      /* fall through */
     default:
       deal (z);
     }
 }
 
+static void
+run_for (struct zone *z, gint64 us)
+{
+  for (gint64 end_us = z->now_us + us; z->now_us < end_us;)
+    tick (z);
+}
+
+static guint
+count_held (const struct zone *z, guint vm)
+{
+  if (!z->vms[vm].is_up)
+    return 0;
+  return count_bits (ownership_get_held (z->vms[vm].ownership));
+}
+
 /* Ends all faults.  */
 static void
 calm (struct zone *z)
@@ -586,8 +678,7 @@
       vm->cut_until_us = 0;
       vm->apart_until_us = 0;
     }
-  for (gint64 end_us = z->now_us + CALM_US; z->now_us < end_us;)
-    tick (z);
+  run_for (z, z->is_by_capacity ? CAPACITY_CALM_US : CALM_US);
 }
 
 static guint
@@ -608,6 +699,23 @@
   return holder;
 }
 
+/* No shard that moves would improve the balance by more than a tenth.  */
+static void
+check_balance (const struct zone *z)
+{
+  for (guint i = 0; i < z->n_vms; i++)
+    for (guint k = 0; k < z->n_vms; k++)
+      {
+        guint n = count_held (z, i);
+
+        if (n > 0 && z->vms[i].is_up && z->vms[k].is_up
+            && z->capacities[i] != 0 && z->capacities[k] != 0)
+          g_assert_cmpuint ((2 * n - 1) * z->capacities[k] * 10, <=,
+                            (2 * count_held (z, k) + 1) * z->capacities[i]
+                                * 11);
+      }
+}
+
 /* Each shard has one holder, which need not yield it.  */
 static void
 check_calm (struct zone *z)
@@ -623,20 +731,22 @@
         continue;
       if (holder == N_VMS)
         g_error ("nobody holds shard %u of %s", i, z->vms[owner].name);
-      if (holder != owner)
+      if (holder != owner && !z->is_by_capacity)
         g_assert_cmpuint (
             count_bits (ownership_get_held (z->vms[holder].ownership)), <,
             count_bits (ownership_get_held (z->vms[owner].ownership)) + 2);
     }
+  if (z->is_by_capacity)
+    check_balance (z);
   for (guint i = 0; i < 100; i++)
     tick (z);
   g_assert_cmpuint (z->n_asks, ==, n_asks);
 }
 
 static void
-run_seed (guint32 seed)
+run_seed (guint32 seed, const guint *capacities)
 {
-  struct zone *z = zone_new (seed);
+  struct zone *z = zone_new (seed, RANDOM_VMS, N_SHARDS, capacities);
 
   for (guint i = 0; i < N_TICKS; i++)
     {
@@ -654,7 +764,7 @@
 }
 
 static void
-test_random (void)
+run_seeds (const guint *capacities)
 {
   const char *only = g_getenv ("OWNERSHIP_SEED");
   const char *more = g_getenv ("OWNERSHIP_SEEDS");
@@ -662,14 +772,233 @@
 
   if (only != NULL)
     {
-      run_seed ((guint32)atoi (only));
+      run_seed ((guint32)atoi (only), capacities);
       return;
     }
   for (guint32 seed = 1; seed <= n_seeds; seed++)
     {
       /* The last line names the seed that fails.  */
       g_test_message ("seed %u", seed);
-      run_seed (seed);
+      run_seed (seed, capacities);
+    }
+}
+
+static void
+test_random (void)
+{
+  run_seeds (NULL);
+}
+
+static void
+test_random_capacity (void)
+{
+  static const guint capacities[] = { 500, 500, 300, 300, 90, 90, 90 };
+
+  run_seeds (capacities);
+}
+
+#define EXAMPLE_VMS 9
+#define EXAMPLE_SHARDS 16
+#define LONG_US (30 * USEC_PER_SEC)
+
+/* VMs of very unequal capacity.  */
+static const guint example[EXAMPLE_VMS]
+    = { 500, 500, 300, 300, 90, 90, 90, 90, 90 };
+
+/* The same without news of three of them.  */
+static const guint mixed[EXAMPLE_VMS] = { 500, 0, 300, 0, 90, 90, 90, 0, 90 };
+
+static gboolean
+is_held (const struct zone *z, guint shard)
+{
+  for (guint i = 0; i < z->n_vms; i++)
+    if (z->vms[i].is_up
+        && (ownership_get_held (z->vms[i].ownership) & bit (shard)) != 0)
+      return TRUE;
+  return FALSE;
+}
+
+/* Returns the time until all shards are held.  */
+static gint64
+start (struct zone *z)
+{
+  gint64 begin_us = z->now_us;
+
+  for (guint i = 0; i < z->n_shards;)
+    {
+      if (!is_held (z, i))
+        tick (z);
+      else
+        i++;
+    }
+  return z->now_us - begin_us;
+}
+
+/* A zone whose VMs have all joined before the platform assigns the shards. */
+static struct zone *
+zone_new_example (guint32 seed, guint n_vms, const guint *capacities)
+{
+  struct zone *z = zone_new (seed, n_vms, EXAMPLE_SHARDS, capacities);
+
+  for (guint i = 0; i < n_vms; i++)
+    z->vms[i].joined_us = z->now_us;
+  z->listed = bit (n_vms) - 1;
+  deal (z);
+  return z;
+}
+
+/* Shards go where the processors are, in few moves, without two VMs that hold
+   one, and start-up takes no longer than with shards divided evenly.  */
+static void
+test_unequal (void)
+{
+  for (guint32 seed = 1; seed <= 20; seed++)
+    {
+      struct zone *even = zone_new_example (seed, EXAMPLE_VMS, NULL);
+      struct zone *z = zone_new_example (seed, EXAMPLE_VMS, example);
+      guint n_takes;
+
+      g_assert_cmpint (start (z), ==, start (even));
+      run_for (z, LONG_US);
+      n_takes = z->n_takes;
+      g_assert_cmpuint (n_takes, <=, EXAMPLE_SHARDS + 8);
+      g_assert_cmpuint (z->n_overlaps, ==, 0);
+      for (guint i = 0; i < EXAMPLE_VMS; i++)
+        g_assert_cmpuint (ABS ((gint)count_held (z, i)
+                               - (gint)(example[i] * EXAMPLE_SHARDS / 2050)),
+                          <=, 1);
+      run_for (z, LONG_US);
+      g_assert_cmpuint (z->n_takes, ==, n_takes);
+      zone_free (z);
+      zone_free (even);
+    }
+}
+
+static void
+test_third_weak (void)
+{
+  static const guint capacities[]
+      = { 500, 500, 500, 500, 500, 500, 100, 100, 100 };
+  struct zone *z = zone_new_example (1, EXAMPLE_VMS, capacities);
+
+  run_for (z, LONG_US);
+  check_calm (z);
+  for (guint i = 6; i < EXAMPLE_VMS; i++)
+    g_assert_cmpuint (count_held (z, i), <=, 1);
+  zone_free (z);
+}
+
+/* Nothing moves among equal VMs, even when the platform deals anew.  */
+static void
+test_equal (void)
+{
+  static const guint capacities[]
+      = { 300, 300, 300, 310, 300, 300, 300, 300, 290 };
+  struct zone *z = zone_new_example (1, EXAMPLE_VMS, capacities);
+
+  start (z);
+  for (guint i = 0; i < 10; i++)
+    {
+      deal (z);
+      run_for (z, 3 * USEC_PER_SEC);
+    }
+  g_assert_cmpuint (z->n_takes, ==, EXAMPLE_SHARDS);
+  g_assert_cmpuint (z->n_asks, ==, 0);
+  zone_free (z);
+}
+
+/* After the detection (1.2 s) a slow VM has 0.8 s left to begin to give up
+   shards; it gets them back.  */
+static void
+test_turns_slow (void)
+{
+  static const guint capacities[] = { 300, 300, 300, 300 };
+  struct zone *z = zone_new_example (1, 4, capacities);
+
+  run_for (z, LONG_US);
+  g_assert_cmpuint (count_held (z, 0), ==, 4);
+  set_capacity (&z->vms[0], 75);
+  run_for (z, 800 * USEC_PER_MSEC);
+  g_assert_cmpuint (z->vms[0].releasing | (count_held (z, 0) < 4 ? 1 : 0), !=,
+                    0);
+  run_for (z, LONG_US);
+  g_assert_cmpuint (count_held (z, 0), <=, 2);
+  set_capacity (&z->vms[0], 300);
+  run_for (z, LONG_US);
+  g_assert_cmpuint (count_held (z, 0), >=, 3);
+  g_assert_cmpuint (z->n_overlaps, ==, 0);
+  zone_free (z);
+}
+
+static void
+test_most_dies (void)
+{
+  struct zone *z = zone_new_example (1, EXAMPLE_VMS, example);
+
+  run_for (z, LONG_US);
+  g_assert_cmpuint (count_held (z, 0), >=, 4);
+  end_life (&z->vms[0]);
+  g_assert_cmpint (start (z), <=,
+                   TTL_US + POLL_US + OWNERSHIP_PEER_TIMEOUT_US);
+  run_for (z, LONG_US);
+  check_calm (z);
+  zone_free (z);
+}
+
+/* Without news no VM asks for more than is assigned to it.  */
+static void
+test_late_news (void)
+{
+  struct zone *z = zone_new_example (1, EXAMPLE_VMS, example);
+
+  z->news_from_us = z->now_us + LONG_US;
+  run_for (z, LONG_US);
+  g_assert_cmpuint (z->n_asks, ==, 0);
+  run_for (z, LONG_US);
+  g_assert_cmpuint (z->n_takes, >, EXAMPLE_SHARDS);
+  check_calm (z);
+  zone_free (z);
+}
+
+/* A shard whose runs last stays with its VM until they have ended, and is free
+   for a moment only.  */
+static void
+test_runs_last (void)
+{
+  struct zone *z = zone_new_example (1, EXAMPLE_VMS, example);
+  guint n_free[EXAMPLE_SHARDS] = { 0 };
+
+  z->max_run_us = 8 * USEC_PER_SEC;
+  start (z);
+  for (guint n = 0; n < 4000; n++)
+    {
+      tick (z);
+      for (guint i = 0; i < EXAMPLE_SHARDS; i++)
+        {
+          n_free[i] = is_held (z, i) ? 0 : n_free[i] + 1;
+          g_assert_cmpint (n_free[i] * TICK_US, <, 200 * USEC_PER_MSEC);
+        }
+    }
+  check_calm (z);
+  g_assert_cmpuint (z->n_overlaps, ==, 0);
+  zone_free (z);
+}
+
+/* VMs with and without the setting come to rest, with one holder a shard.  */
+static void
+test_mixed (void)
+{
+  for (guint32 seed = 1; seed <= 20; seed++)
+    {
+      struct zone *z = zone_new_example (seed, EXAMPLE_VMS, mixed);
+      guint n_takes;
+
+      run_for (z, LONG_US);
+      n_takes = z->n_takes;
+      run_for (z, LONG_US);
+      g_assert_cmpuint (z->n_takes, ==, n_takes);
+      start (z);
+      zone_free (z);
     }
 }
 
@@ -980,5 +1309,18 @@
   g_test_add_func ("/ownership/leave", test_leave);
   g_test_add_func ("/ownership/tokens", test_tokens);
   g_test_add_func ("/ownership/random", test_random);
+  g_test_add_func ("/ownership/random-capacity", test_random_capacity);
+  g_test_add_func ("/ownership/VMs of unequal capacity", test_unequal);
+  g_test_add_func (
+      "/ownership/a third of the VMs have a fifth of the others' processor",
+      test_third_weak);
+  g_test_add_func ("/ownership/equal capacities", test_equal);
+  g_test_add_func ("/ownership/a VM turns slow within the wave",
+                   test_turns_slow);
+  g_test_add_func ("/ownership/the VM that holds most dies", test_most_dies);
+  g_test_add_func ("/ownership/capacity news is late", test_late_news);
+  g_test_add_func ("/ownership/a shard moves while its runs last",
+                   test_runs_last);
+  g_test_add_func ("/ownership/mixed settings", test_mixed);
   return g_test_run ();
 }
