transport: report the VM's capacity and divide shards by it

With share_by_capacity the capacity, lowered while the main loop runs late, is sent in the beacon and given to the ownership of shards. The reply to a request to yield tells whether the shard is released for the VM that asked; nothing read it before.

--- a/transport/fleet.c
+++ b/transport/fleet.c
@@ -2,6 +2,7 @@
 
 #include "base/event_log.h"
 #include "base/metrics.h"
+#include "coordination/vm_capacity.h"
 #include "transport/fleet_beacon.h"
 #include "transport/fleet_shards.h"
 #include "transport/loop_delay.h"
@@ -51,6 +52,7 @@
   struct metrics_source metrics_source;
   struct metrics_server *metrics_server; /* NULL for none */
   struct loop_delay *loop_delay;
+  struct vm_capacity capacity;
   const struct fleet_settings *settings;
   struct fleet_platform *platform;
   struct settings hub_settings; /* what the hub needs of SETTINGS */
@@ -192,6 +194,16 @@
   .vm_lost = on_vm_lost,
 };
 
+/* The usable capacity of this VM in thousandths of a core; 0 while it is not
+   known or shards are not divided by it.  */
+static guint
+get_capacity (const struct fleet *fleet)
+{
+  if (!fleet->settings->share_by_capacity)
+    return 0;
+  return vm_capacity_get (&fleet->capacity);
+}
+
 static void
 fill_beacon (struct fleet_beacon_owner *owner, struct vm_beacon *state,
              struct vm_room *rooms)
@@ -201,6 +213,7 @@
 
   state->is_leaving = fleet->is_draining;
   state->held = fleet_shards_get_held (fleet->shards);
+  state->capacity = get_capacity (fleet);
   state->routes_version = fleet->routes != NULL ? fleet->routes->version : 0;
   state->evacuation = fleet->evacuation;
   for (guint i = 0; i < services->len && state->n_rooms < VM_ROOMS_MAX; i++)
@@ -393,6 +406,7 @@
   struct fleet *fleet = fleet_from_events (events);
 
   fleet->is_store_reached = is_reached;
+  fleet_shards_set_store_reached (fleet->shards, is_reached);
   event_log_fields (is_reached ? EVENT_STORE_REACHED : EVENT_STORE_LOST,
                     FIELD_TEXT ("store", fleet->settings->store));
 }
@@ -454,6 +468,7 @@
   metrics_set (
       METRIC_SHARDS_OWNED,
       (guint)__builtin_popcountll (fleet_shards_get_held (fleet->shards)));
+  metrics_set (METRIC_CAPACITY, get_capacity (fleet));
   metrics_set (METRIC_VMS_LOST, n_lost);
   metrics_set (METRIC_STORE_REACHED, fleet->is_store_reached ? 1 : 0);
   metrics_set (METRIC_ROUTES_VERSION,
@@ -498,6 +513,25 @@
   return G_SOURCE_REMOVE;
 }
 
+/* Adapts the capacity to the delays of the main loop since the last call.  */
+static void
+update_capacity (struct fleet *fleet, gint64 now_us)
+{
+  guint before = vm_capacity_get (&fleet->capacity);
+  gint64 late_us = loop_delay_take_max_us (fleet->loop_delay);
+  guint capacity;
+
+  if (!vm_capacity_update (&fleet->capacity, late_us, now_us))
+    return;
+  capacity = vm_capacity_get (&fleet->capacity);
+  event_log_fields (capacity < before ? EVENT_CAPACITY_LOWERED
+                                      : EVENT_CAPACITY_RAISED,
+                    FIELD_INT ("milli_cores", capacity),
+                    FIELD_INT ("share_milli_cores", fleet->capacity.share),
+                    FIELD_INT ("late_us", late_us));
+  fleet_shards_set_capacity (fleet->shards, capacity);
+}
+
 static gboolean
 on_tick (gpointer data)
 {
@@ -508,6 +542,8 @@
     event_log_fields (EVENT_FLEET_PAUSED,
                       FIELD_INT ("late_us", now_us - fleet->last_tick_us));
   fleet->last_tick_us = now_us;
+  if (fleet->settings->share_by_capacity)
+    update_capacity (fleet, now_us);
   fleet_shards_advance (fleet->shards);
   fleet_home_advance (fleet->home, now_us);
   if (!fleet->is_draining || !is_drained (fleet, now_us))
@@ -564,6 +600,18 @@
   s->keys = g_ptr_array_new ();
 }
 
+static void
+share_by_capacity (struct fleet *fleet)
+{
+  const struct fleet_settings *settings = fleet->settings;
+
+  vm_capacity_init (&fleet->capacity,
+                    settings->cpu_share * settings->cpu_cores);
+  fleet_shards_share_by_capacity (fleet->shards);
+  fleet_shards_set_capacity (fleet->shards,
+                             vm_capacity_get (&fleet->capacity));
+}
+
 static void
 create_components (struct fleet *fleet)
 {
@@ -580,6 +628,8 @@
   fleet->owner = fleet_owner_new (&limits, fleet->platform, fleet->directory,
                                   &fleet->owner_listener);
   fleet_shards_set_owner (fleet->shards, fleet->owner);
+  if (settings->share_by_capacity)
+    share_by_capacity (fleet);
   fleet_owner_serve (fleet->owner, fleet->hub);
   fleet->home = fleet_home_new (
       settings->vm, fleet->incarnation, settings->availability_zone,
@@ -688,11 +738,11 @@
 static json_t *
 describe_vm (const struct vm *vm, gint64 now_us)
 {
-  return json_pack ("{s:s, s:s, s:b, s:b, s:I, s:I}", "name", vm->name, "zone",
-                    vm->availability_zone, "is_live", vm->is_live,
+  return json_pack ("{s:s, s:s, s:b, s:b, s:I, s:I, s:i}", "name", vm->name,
+                    "zone", vm->availability_zone, "is_live", vm->is_live,
                     "is_leaving", vm->is_leaving, "heard_us_ago",
                     (json_int_t)(now_us - vm->heard_us), "held",
-                    (json_int_t)vm->held);
+                    (json_int_t)vm->held, "capacity", (int)vm->capacity);
 }
 
 /* The names of the evacuated zones of this deployment.  */
@@ -721,11 +771,12 @@
                            describe_vm (g_ptr_array_index (vms, i), now_us));
   owner_get_room (fleet_owner_get_owner (fleet->owner), NULL, &room, now_us);
   return json_pack (
-      "{s:s, s:b, s:b, s:I, s:I, s:i, s:i, s:i, s:i, s:i, s:I, s:o, s:o}",
+      "{s:s, s:b, s:b, s:I, s:I, s:i, s:i, s:i, s:i, s:i, s:i, s:I, s:o, s:o}",
       "vm", fleet->settings->vm, "is_draining", fleet->is_draining,
       "is_store_reached", fleet->is_store_reached, "routes_version",
       (json_int_t)(fleet->routes != NULL ? fleet->routes->version : 0), "held",
-      (json_int_t)fleet_shards_get_held (fleet->shards), "jobs",
+      (json_int_t)fleet_shards_get_held (fleet->shards), "capacity",
+      (int)get_capacity (fleet), "jobs",
       (int)fleet_home_count_jobs (fleet->home), "upstreams",
       (int)room.n_upstreams, "free_slots",
       (int)free_slots_count (&room.free_slots, room.free_slots.unit_cpus),
--- a/transport/fleet_shards.c
+++ b/transport/fleet_shards.c
@@ -21,6 +21,7 @@
   char *availability_zone;
   guint n_shards;
   gboolean is_start_allowed;
+  gboolean is_by_capacity;
   GHashTable *upstreams; /* id -> struct known_upstream */
 };
 
@@ -125,9 +126,31 @@
     }
 }
 
+/* A request to yield that is not answered.  */
+struct yield_request
+{
+  struct fleet_shards *shards;
+  char *peer;
+  guint shard;
+};
+
 static void
 on_yield_answered (const void *result, const GError *error, gpointer data)
 {
+  struct yield_request *request = data;
+  struct fleet_shards *shards = request->shards;
+  const peer_yield_result *reply = result;
+
+  if (shards->is_by_capacity && reply != NULL && reply->is_acknowledged)
+    {
+      event_log_fields (EVENT_SHARD_GRANTED,
+                        FIELD_INT ("shard", request->shard),
+                        FIELD_TEXT ("peer", request->peer));
+      ownership_handle_yield_reply (shards->ownership, request->peer,
+                                    request->shard, TRUE, clock_now_us ());
+    }
+  g_free (request->peer);
+  g_free (request);
 }
 
 static void
@@ -138,9 +161,14 @@
   guint64 held = ownership_get_held (shards->ownership);
   peer_yield_args args
       = { .shard = shard, .n_held = (u_int)__builtin_popcountll (held) };
+  struct yield_request *request = g_new0 (struct yield_request, 1);
 
+  request->shards = shards;
+  request->peer = g_strdup (peer);
+  request->shard = shard;
   peer_hub_call (shards->hub, peer, PEER_YIELD, &args,
-                 clock_now_us () + YIELD_TIMEOUT_US, on_yield_answered, NULL);
+                 clock_now_us () + YIELD_TIMEOUT_US, on_yield_answered,
+                 request);
 }
 
 static const struct ownership_driver_ops driver_ops = {
@@ -155,15 +183,17 @@
   struct fleet_shards *shards = data;
   const peer_yield_args *args = arguments;
   const char *peer = peer_request_get_sender (request);
-  peer_yield_result result = { .is_acknowledged = TRUE };
+  peer_yield_result result = { .is_acknowledged = FALSE };
 
   if (args->shard < shards->n_shards)
     {
       event_log_fields (EVENT_SHARD_YIELDED, FIELD_INT ("shard", args->shard),
                         FIELD_TEXT ("to", peer),
                         FIELD_INT ("n_held", args->n_held));
-      ownership_handle_yield_request (shards->ownership, peer, args->shard,
-                                      args->n_held, clock_now_us ());
+      result.is_acknowledged = ownership_handle_yield_request (
+          shards->ownership, peer, args->shard, args->n_held, clock_now_us ());
+      if (result.is_acknowledged)
+        metrics_count (METRIC_SHARDS_YIELDED);
     }
   peer_request_reply (request, &result);
 }
@@ -202,6 +232,26 @@
   shards->owner = owner;
 }
 
+void
+fleet_shards_share_by_capacity (struct fleet_shards *shards)
+{
+  shards->is_by_capacity = TRUE;
+  ownership_share_by_capacity (shards->ownership);
+}
+
+void
+fleet_shards_set_capacity (struct fleet_shards *shards, guint milli_cores)
+{
+  ownership_set_capacity (shards->ownership, milli_cores, clock_now_us ());
+}
+
+void
+fleet_shards_set_store_reached (struct fleet_shards *shards,
+                                gboolean is_reached)
+{
+  ownership_set_platform_reached (shards->ownership, is_reached);
+}
+
 void
 fleet_shards_change_upstream (struct fleet_shards *shards,
                               const struct listed_upstream *spec)
@@ -351,9 +401,14 @@
 void
 fleet_shards_handle_beacon (struct fleet_shards *shards, const struct vm *vm)
 {
-  if (g_str_equal (vm->availability_zone, shards->availability_zone))
-    ownership_update_peer (shards->ownership, vm->name, vm->held,
-                           vm->is_leaving, clock_now_us ());
+  gint64 now_us = clock_now_us ();
+
+  if (!g_str_equal (vm->availability_zone, shards->availability_zone))
+    return;
+  ownership_update_peer_capacity (shards->ownership, vm->name, vm->incarnation,
+                                  vm->capacity, now_us);
+  ownership_update_peer (shards->ownership, vm->name, vm->held, vm->is_leaving,
+                         now_us);
 }
 
 void
--- a/transport/fleet_shards.h
+++ b/transport/fleet_shards.h
@@ -28,6 +28,17 @@
 void fleet_shards_set_owner (struct fleet_shards *shards,
                              struct fleet_owner *owner);
 
+/* Divides the shards by the capacities of the VMs.  */
+void fleet_shards_share_by_capacity (struct fleet_shards *shards);
+
+/* The capacity of this VM, in thousandths of a core; 0 for not known.  */
+void fleet_shards_set_capacity (struct fleet_shards *shards,
+                                guint milli_cores);
+
+/* Whether the platform's store answers.  */
+void fleet_shards_set_store_reached (struct fleet_shards *shards,
+                                     gboolean is_reached);
+
 /* Handle the events upstream_changed, upstream_gone and shards_assigned of
    struct fleet_events_ops.  */
 void fleet_shards_change_upstream (struct fleet_shards *shards,
