--- a/t/support/fleet_bed.c
+++ b/t/support/fleet_bed.c
@@ -170,6 +170,12 @@
   if (bed->plan.n_zones > 1)
     json_array_append_new (json_object_get (settings, "availability_zones"),
                            json_string (zones[1]));
+  if (bed->plan.cpu_shares != NULL)
+    {
+      json_object_set_new (settings, "share_by_capacity", json_true ());
+      json_object_set_new (settings, "cpu_share",
+                           json_real (bed->plan.cpu_shares[vm]));
+    }
   set_endpoint (bed, settings, "callers", vm, PORT_CALLERS);
   set_endpoint (bed, settings, "readiness", vm, PORT_READINESS);
   set_endpoint (bed, settings, "peers", vm, PORT_PEERS);
--- a/t/support/fleet_bed.h
+++ b/t/support/fleet_bed.h
@@ -40,6 +40,8 @@
   gint64 max_slow_ppm;       /* of the workers' clocks; the first are right */
   gboolean has_proxy;        /* before the store, the workers and the peers */
   const char *log_directory; /* of the VMs' logs, or NULL for none */
+  const gdouble *cpu_shares; /* of the VMs, in cores, by which shards are
+                                divided; NULL: evenly */
 };
 
 struct fleet_bed
