transport: tell a VM's capacity by the delay of its ticks

A process that is stopped for 80 ms of every 100 ms kept its capacity: the timer of loop_delay.h, of 100 ms, falls into step with the stops and is called on time. A processor quota has the same period. The ticks of 50 ms do not fall into step.

--- a/coordination/vm_capacity.c
+++ b/coordination/vm_capacity.c
@@ -6,7 +6,7 @@
 
 /* A window is late when its delays add up to this share of it, and on time
    below GOOD_SHARE.  A VM that uses up its processor quota is stopped for most
-   of each period of 100 ms, and its delays add up to about a third.  */
+   of each period of 100 ms, and a timer of 50 ms is late for half of it.  */
 #define LATE_SHARE 0.3
 #define GOOD_SHARE 0.1
 
--- a/transport/fleet.c
+++ b/transport/fleet.c
@@ -513,12 +513,16 @@
   return G_SOURCE_REMOVE;
 }
 
-/* Adapts the capacity to the delays of the main loop since the last call.  */
+/* Adapts the capacity to the delay of this tick.  Processes are held to a
+   processor quota in periods of 100 ms.  The timer of loop_delay.h, which has
+   the same period, falls into step with them and is on time although the loop
+   stands still for most of each.  */
 static void
 update_capacity (struct fleet *fleet, gint64 now_us)
 {
   guint before = vm_capacity_get (&fleet->capacity);
-  gint64 late_us = loop_delay_take_max_us (fleet->loop_delay);
+  gint64 late_us
+      = MAX (now_us - fleet->last_tick_us - TICK_MS * USEC_PER_MSEC, 0);
   guint capacity;
 
   if (!vm_capacity_update (&fleet->capacity, late_us, now_us))
@@ -541,9 +545,9 @@
   if (now_us - fleet->last_tick_us > MAX_TICK_GAP_US)
     event_log_fields (EVENT_FLEET_PAUSED,
                       FIELD_INT ("late_us", now_us - fleet->last_tick_us));
-  fleet->last_tick_us = now_us;
   if (fleet->settings->share_by_capacity)
     update_capacity (fleet, now_us);
+  fleet->last_tick_us = now_us;
   fleet_shards_advance (fleet->shards);
   fleet_home_advance (fleet->home, now_us);
   if (!fleet->is_draining || !is_drained (fleet, now_us))
