coordination: ask again for a granted shard that stays held

It asks again after 2 s, and the reply voids the grant. The time left is 40 s again, as it was at first: after a fault, 10 s pass before a VM that was fenced asks.

--- a/coordination/ownership.c
+++ b/coordination/ownership.c
@@ -464,8 +464,7 @@
   if (shard >= OWNERSHIP_MAX_SHARDS || g_str_equal (peer, ownership->vm))
     return FALSE;
   if (ownership->shards[shard].state != SHARD_HELD)
-    return ownership->shards[shard].state == SHARD_RELEASING
-           && ownership->shards[shard].yielded_to == name_hash;
+    return ownership->shards[shard].yielded_to == name_hash;
   if (!ownership_may_yield (ownership, shard, n_held,
                             asker != NULL ? asker->capacity : 0))
     return FALSE;
--- a/coordination/ownership.h
+++ b/coordination/ownership.h
@@ -95,15 +95,17 @@
 /* Handles the request of PEER, which holds N_HELD shards, to yield SHARD to
    it.  Releases SHARD if this VM holds it and at least two more shards than
    PEER, or as the capacities of both demand.  Returns whether SHARD is
-   released for PEER.  */
+   being released for PEER, or was released for it last.  */
 gboolean ownership_handle_yield_request (struct ownership *ownership,
                                          const char *peer, guint shard,
                                          guint n_held, gint64 now_us);
 
-/* Handles the reply of PEER to the request to yield SHARD.  */
-void ownership_handle_yield_reply (struct ownership *ownership,
-                                   const char *peer, guint shard,
-                                   gboolean is_granted, gint64 now_us);
+/* Handles the reply of PEER to the request to yield SHARD.  Returns whether it
+   is granted now and was not before; FALSE unless shards are divided by
+   capacity.  */
+gboolean ownership_handle_yield_reply (struct ownership *ownership,
+                                       const char *peer, guint shard,
+                                       gboolean is_granted, gint64 now_us);
 
 /* Divides the shards by capacity from now on, instead of evenly.  */
 void ownership_share_by_capacity (struct ownership *ownership);
--- a/coordination/ownership_capacity.c
+++ b/coordination/ownership_capacity.c
@@ -47,6 +47,10 @@
    seconds to end, but not this long.  */
 #define GRANT_TIMEOUT_US (30000 * G_GINT64_CONSTANT (1000))
 
+/* A VM asks again for a granted shard that is still held: the holder may have
+   taken it again while this VM was cut off.  */
+#define GRANT_CHECK_US (2000 * G_GINT64_CONSTANT (1000))
+
 /* Keeps products of capacities and numbers of shards within 64 bits.  */
 #define MAX_CAPACITY 1000000u
 
@@ -215,25 +219,29 @@
   return n;
 }
 
-void
+gboolean
 ownership_handle_yield_reply (struct ownership *ownership, const char *peer,
                               guint shard, gboolean is_granted, gint64 now_us)
 {
+  guint64 name_hash = hash64_string (peer);
   struct shard *s;
 
+  if (!ownership->is_by_capacity || shard >= OWNERSHIP_MAX_SHARDS)
+    return FALSE;
   ownership_update_time (ownership, now_us);
-  if (!ownership->is_by_capacity || shard >= OWNERSHIP_MAX_SHARDS
-      || !is_granted)
-    return;
   s = &ownership->shards[shard];
-  if (s->state != SHARD_FREE || ownership->is_leaving)
-    return;
-  s->granted_by = hash64_string (peer);
+  if (!is_granted && s->granted_by == name_hash)
+    s->granted_by = 0;
+  if (!is_granted || s->granted_by == name_hash || s->state != SHARD_FREE
+      || ownership->is_leaving)
+    return FALSE;
+  s->granted_by = name_hash;
   s->granted_us = now_us;
   s->free_from_us = 0;
   /* The VM that it is assigned to need not wait for anyone else.  */
   s->retake_delay_us = 0;
   s->retake_from_us = now_us;
+  return TRUE;
 }
 
 void
@@ -278,15 +286,32 @@
          && (holder == NULL || holder == peer);
 }
 
+/* Asks again for a granted shard that HOLDER has not released yet.  */
+static void
+check_grant (struct ownership *o, guint number,
+             const struct ownership_peer *holder, gint64 now_us)
+{
+  struct shard *shard = &o->shards[number];
+
+  if (now_us
+      < MAX (shard->granted_us, shard->yield_requested_us) + GRANT_CHECK_US)
+    return;
+  shard->yield_requested_us = now_us;
+  o->driver->ops->request_yield (o->driver, holder->name, number);
+}
+
 static void
 take_if_free (struct ownership *o, guint number, gint64 now_us)
 {
   struct shard *shard = &o->shards[number];
   gint64 wait_us = o->has_unknown_capacity ? UNKNOWN_CAPACITY_WAIT_US : 0;
+  const struct ownership_peer *holder
+      = ownership_find_holder (o, number, now_us);
 
+  if (holder != NULL)
+    check_grant (o, number, holder, now_us);
   /* The claim of an assigned shard is decided as ever.  */
-  if ((o->assigned & ownership_shard_bit (number)) != 0
-      || ownership_find_holder (o, number, now_us) != NULL)
+  if (holder != NULL || (o->assigned & ownership_shard_bit (number)) != 0)
     return;
   if (shard->free_from_us == 0)
     shard->free_from_us = now_us;
--- a/t/t2100-ownership.c
+++ b/t/t2100-ownership.c
@@ -18,9 +18,13 @@
 #define TTL_US (3 * USEC_PER_SEC)
 #define MAX_DELAY_US (30 * USEC_PER_MSEC)
 #define CALM_US (15 * USEC_PER_SEC)
-#define CAPACITY_CALM_US (25 * USEC_PER_SEC)
+#define CAPACITY_CALM_US (40 * USEC_PER_SEC)
 #define MAX_RAISES 20
 #define N_SEEDS 60
+
+/* Lives of a VM within OWNERSHIP_PEER_TIMEOUT_US, at most.  */
+#define N_LIVES 4
+
 #define N_TICKS 6000
 
 struct zone;
@@ -58,7 +62,7 @@
   guint64 tokens[N_SHARDS];
   gint64 asked_us[N_SHARDS];
   gint64 released_due_us[N_SHARDS];
-  struct heard heard[N_VMS][2]; /* by the parity of the life */
+  struct heard heard[N_VMS][N_LIVES]; /* by the number of the life */
 };
 
 enum message_kind
@@ -81,6 +85,7 @@
   guint shard;
   gboolean is_leaving;
   guint capacity;
+  gboolean is_granted;
 };
 
 struct zone
@@ -159,13 +164,13 @@
 {
   struct zone *z = vm->zone;
 
-  for (guint i = 0; i < 2 * N_VMS; i++)
+  for (guint i = 0; i < N_LIVES * N_VMS; i++)
     {
-      const struct heard *heard = &vm->heard[i / 2][i % 2];
+      const struct heard *heard = &vm->heard[i / N_LIVES][i % N_LIVES];
 
-      if (i / 2 != vm->number && (heard->held & bit (shard)) != 0
+      if (i / N_LIVES != vm->number && (heard->held & bit (shard)) != 0
           && heard->when_us + OWNERSHIP_PEER_TIMEOUT_US > z->now_us)
-        return &z->vms[i / 2];
+        return &z->vms[i / N_LIVES];
     }
   return NULL;
 }
@@ -426,7 +431,7 @@
   message.is_leaving = vm->is_leaving;
   if (z->now_us >= z->news_from_us)
     message.capacity = z->capacities[vm->number];
-  message.life = vm->n_lives % 2;
+  message.life = vm->n_lives % N_LIVES;
   g_strlcpy (message.name, vm->name, sizeof message.name);
   for (message.to = 0; message.to < z->n_vms; message.to++)
     {
@@ -442,8 +447,9 @@
 {
   struct message answer = { MESSAGE_REPLY, message->to, message->from };
 
-  if (!z->is_by_capacity || !is_granted)
+  if (!z->is_by_capacity)
     return;
+  answer.is_granted = is_granted;
   answer.shard = message->shard;
   answer.due_us = z->now_us + draw_us (z, MAX_DELAY_US);
   g_strlcpy (answer.name, z->vms[message->to].name, sizeof answer.name);
@@ -473,9 +479,11 @@
     }
   if (message->kind == MESSAGE_REPLY)
     {
-      to->granted |= bit (message->shard);
+      if (message->is_granted)
+        to->granted |= bit (message->shard);
       ownership_handle_yield_reply (to->ownership, message->name,
-                                    message->shard, TRUE, z->now_us);
+                                    message->shard, message->is_granted,
+                                    z->now_us);
       return;
     }
   if (z->is_by_capacity
@@ -1307,6 +1315,19 @@
   bed_expect (bed, "");
   bed_hear_larger (bed, 2, 0);
   bed_expect (bed, "take 3;");
+  /* A holder that has taken the shard again is asked again.  */
+  bed_hear_larger (bed, 2, bit (4));
+  ownership_handle_yield_reply (bed->ownership, "a", 4, TRUE, bed->now_us);
+  for (guint i = 0; i < 40; i++)
+    {
+      bed_hear_larger (bed, 2, bit (4));
+      bed_pass (bed, 50);
+    }
+  bed_expect (bed, "ask a 4;");
+  ownership_handle_yield_reply (bed->ownership, "a", 4, FALSE, bed->now_us);
+  bed_hear_larger (bed, 2, 0);
+  bed_pass (bed, 600);
+  bed_expect (bed, "");
   bed_free (bed);
 }
 
--- a/transport/fleet_shards.c
+++ b/transport/fleet_shards.c
@@ -21,7 +21,6 @@
   char *availability_zone;
   guint n_shards;
   gboolean is_start_allowed;
-  gboolean is_by_capacity;
   GHashTable *upstreams; /* id -> struct known_upstream */
 };
 
@@ -141,14 +140,12 @@
   struct fleet_shards *shards = request->shards;
   const peer_yield_result *reply = result;
 
-  if (shards->is_by_capacity && reply != NULL && reply->is_acknowledged)
-    {
-      event_log_fields (EVENT_SHARD_GRANTED,
-                        FIELD_INT ("shard", request->shard),
-                        FIELD_TEXT ("peer", request->peer));
-      ownership_handle_yield_reply (shards->ownership, request->peer,
-                                    request->shard, TRUE, clock_now_us ());
-    }
+  if (reply != NULL
+      && ownership_handle_yield_reply (
+          shards->ownership, request->peer, request->shard,
+          reply->is_acknowledged != 0, clock_now_us ()))
+    event_log_fields (EVENT_SHARD_GRANTED, FIELD_INT ("shard", request->shard),
+                      FIELD_TEXT ("peer", request->peer));
   g_free (request->peer);
   g_free (request);
 }
@@ -235,7 +232,6 @@
 void
 fleet_shards_share_by_capacity (struct fleet_shards *shards)
 {
-  shards->is_by_capacity = TRUE;
   ownership_share_by_capacity (shards->ownership);
 }
 
