--- a/protocol/fleet_settings.h
+++ b/protocol/fleet_settings.h
@@ -38,6 +38,10 @@
                                   refused first */
   gboolean spread_retries;     /* refused callers are told different times */
   gboolean placement_by_speed; /* choose upstreams by their estimated speed */
+  gboolean share_by_capacity;  /* shards are divided by the VMs' capacities */
+  gdouble cpu_share;           /* of cpu_cores, that this VM may use; 0: not
+                                  known */
+  gdouble cpu_cores;           /* of the machine */
   enum log_level log_level;
 };
 
--- a/t/support/fleet_bed.h
+++ b/t/support/fleet_bed.h
@@ -41,6 +41,8 @@
   gboolean has_proxy;        /* before the store, the workers and the peers */
   const char *log_directory; /* of the VMs' logs, or NULL for none */
   guint max_waiting_jobs;    /* see docs/SETTINGS.md */
+  const gdouble *cpu_shares; /* of the VMs, in cores, by which shards are
+                                divided; NULL: evenly */
 };
 
 struct fleet_bed
--- a/t/t2100-ownership.c
+++ b/t/t2100-ownership.c
@@ -1,6 +1,7 @@
 /*
  * Who owns which shards: single decisions, and many VMs that share one
- * assignment while VMs die, freeze, are cut off, come back and leave.
+ * assignment while VMs die, freeze, are cut off, come back and leave; the same
+ * with shards divided by the VMs' capacities.
  */
 #include "coordination/ownership.h"
 
@@ -8,15 +9,22 @@
 
 #include <stdlib.h>
 
-#define N_VMS 7
+#define N_VMS 9 /* at most */
 #define N_SHARDS 24
+#define RANDOM_VMS 7
 #define TICK_US (10 * USEC_PER_MSEC)
 #define BEAT_US (50 * USEC_PER_MSEC)
 #define POLL_US (400 * USEC_PER_MSEC)
 #define TTL_US (3 * USEC_PER_SEC)
 #define MAX_DELAY_US (30 * USEC_PER_MSEC)
 #define CALM_US (15 * USEC_PER_SEC)
+#define CAPACITY_CALM_US (40 * USEC_PER_SEC)
+#define MAX_RAISES 20
 #define N_SEEDS 60
+
+/* Lives of a VM within OWNERSHIP_PEER_TIMEOUT_US, at most.  */
+#define N_LIVES 4
+
 #define N_TICKS 6000
 
 struct zone;
@@ -50,16 +58,18 @@
   guint64 generation;
   guint64 releasing;
   guint64 may_release; /* shards that it may give up in this call */
+  guint64 granted;     /* shards that peers have yielded to it */
   guint64 tokens[N_SHARDS];
   gint64 asked_us[N_SHARDS];
   gint64 released_due_us[N_SHARDS];
-  struct heard heard[N_VMS][2]; /* by the parity of the life */
+  struct heard heard[N_VMS][N_LIVES]; /* by the number of the life */
 };
 
 enum message_kind
 {
   MESSAGE_BEAT,
   MESSAGE_ASK,
+  MESSAGE_REPLY, /* to an ask; only where shards are divided by capacity */
 };
 
 struct message
@@ -71,13 +81,27 @@
   char name[32];
   gint64 due_us;
   guint64 held;
+  guint n_held;
   guint shard;
   gboolean is_leaving;
+  guint capacity;
+  gboolean is_granted;
 };
 
 struct zone
 {
   struct vm vms[N_VMS];
+  guint n_vms;
+  guint n_shards;
+  gint64 max_run_us; /* how long a release takes at most */
+  gboolean is_by_capacity;
+  gboolean is_mixed;       /* VMs that divide evenly may ask in vain again and
+                              again */
+  guint capacities[N_VMS]; /* 0: that VM divides the shards evenly */
+  gint64 news_from_us;     /* beacons tell no capacity before this time */
+  guint n_overlaps;        /* shards taken while another VM held them */
+  gint64 max_free_us;      /* between a release and the next take */
+  gint64 released_us[N_SHARDS];
   GRand *random;
   GArray *messages;
   GHashTable *users; /* token -> name of the VM that used it */
@@ -140,17 +164,19 @@
 {
   struct zone *z = vm->zone;
 
-  for (guint i = 0; i < 2 * N_VMS; i++)
+  for (guint i = 0; i < N_LIVES * N_VMS; i++)
     {
-      const struct heard *heard = &vm->heard[i / 2][i % 2];
+      const struct heard *heard = &vm->heard[i / N_LIVES][i % N_LIVES];
 
-      if (i / 2 != vm->number && (heard->held & bit (shard)) != 0
+      if (i / N_LIVES != vm->number && (heard->held & bit (shard)) != 0
           && heard->when_us + OWNERSHIP_PEER_TIMEOUT_US > z->now_us)
-        return &z->vms[i / 2];
+        return &z->vms[i / N_LIVES];
     }
   return NULL;
 }
 
+static gboolean is_held_elsewhere (const struct vm *vm, guint shard);
+
 static void
 note_token (struct vm *vm, guint shard, guint64 token)
 {
@@ -173,8 +199,12 @@
 
   g_assert_true (is_awake (vm));
   g_assert_false (vm->is_leaving);
-  g_assert_cmpuint (vm->assigned & bit (shard), !=, 0);
+  g_assert_cmpuint ((vm->assigned | vm->granted) & bit (shard), !=, 0);
   g_assert_null (find_heard_holder (vm, shard));
+  vm->granted &= ~bit (shard);
+  z->n_overlaps += is_held_elsewhere (vm, shard) ? 1 : 0;
+  if (z->released_us[shard] != 0)
+    z->max_free_us = MAX (z->max_free_us, z->now_us - z->released_us[shard]);
   if (vm->generation > z->taken_generation[shard])
     g_assert_cmpuint (token, >, z->taken[shard]);
   if (vm->tokens[shard] != 0)
@@ -202,7 +232,7 @@
     }
   vm->releasing |= bit (shard);
   vm->released_due_us[shard]
-      = vm->zone->now_us + draw_us (vm->zone, 300 * USEC_PER_MSEC);
+      = vm->zone->now_us + draw_us (vm->zone, vm->zone->max_run_us);
 }
 
 static void
@@ -213,7 +243,8 @@
   struct message message = { MESSAGE_ASK, vm->number };
 
   g_assert_true (is_awake (vm));
-  g_assert_cmpuint (vm->assigned & bit (shard), !=, 0);
+  if (z->capacities[vm->number] == 0)
+    g_assert_cmpuint (vm->assigned & bit (shard), !=, 0);
   if (!is_just_woken (vm))
     g_assert_nonnull (find_heard_holder (vm, shard));
   if (vm->asked_us[shard] != 0)
@@ -226,7 +257,7 @@
       {
         message.to = i;
         message.shard = shard;
-        message.held = ownership_get_held (vm->ownership);
+        message.n_held = ownership_count_claimed (vm->ownership);
         message.due_us = z->now_us + draw_us (z, MAX_DELAY_US);
         g_strlcpy (message.name, vm->name, sizeof message.name);
         g_array_append_val (z->messages, message);
@@ -236,6 +267,14 @@
 static const struct ownership_driver_ops zone_ops
     = { zone_take, zone_release, zone_ask };
 
+static void
+set_capacity (struct vm *vm, guint capacity)
+{
+  vm->zone->capacities[vm->number] = capacity;
+  if (vm->is_up)
+    ownership_set_capacity (vm->ownership, capacity, vm->zone->now_us);
+}
+
 /* Lets VM begin a new life, which peers hear under a new name.  */
 static void
 begin_life (struct vm *vm)
@@ -249,6 +288,11 @@
   vm->driver.ops = &zone_ops;
   vm->ownership = ownership_new (&vm->driver, vm->name);
   vm->is_up = TRUE;
+  if (z->capacities[number] != 0)
+    {
+      ownership_share_by_capacity (vm->ownership);
+      set_capacity (vm, z->capacities[number]);
+    }
   vm->beat_due_us = z->now_us + draw_us (z, BEAT_US);
   vm->poll_due_us = z->now_us + draw_us (z, POLL_US);
 }
@@ -261,8 +305,10 @@
   g_clear_pointer (&vm->ownership, ownership_free);
 }
 
+/* CAPACITIES has an element for each VM, or is NULL: shards are divided
+   evenly.  */
 static struct zone *
-zone_new (guint32 seed)
+zone_new (guint32 seed, guint n_vms, guint n_shards, const guint *capacities)
 {
   struct zone *z = g_new0 (struct zone, 1);
 
@@ -272,10 +318,16 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   z->now_us = 1000 * USEC_PER_SEC;
   z->generation = 1;
+  z->n_vms = n_vms;
+  z->n_shards = n_shards;
+  z->max_run_us = 300 * USEC_PER_MSEC;
+  z->is_by_capacity = capacities != NULL;
   for (guint i = 0; i < N_SHARDS; i++)
     z->owners[i] = N_VMS;
-  for (guint i = 0; i < N_VMS; i++)
+  for (guint i = 0; i < n_vms; i++)
     {
+      z->capacities[i] = capacities != NULL ? capacities[i] : 0;
+      z->is_mixed |= z->is_by_capacity && z->capacities[i] == 0;
       z->vms[i].zone = z;
       z->vms[i].number = i;
       begin_life (&z->vms[i]);
@@ -308,9 +360,9 @@
       members[n++] = i;
   z->generation++;
   first = n > 0 ? g_rand_int (z->random) % n : 0;
-  for (guint i = 0; i < N_SHARDS; i++)
+  for (guint i = 0; i < z->n_shards; i++)
     z->owners[i] = n > 0 ? members[(first + i) % n] : N_VMS;
-  for (guint i = N_SHARDS - 1; i > 0; i--)
+  for (guint i = z->n_shards - 1; i > 0; i--)
     {
       guint other = g_rand_int (z->random) % (i + 1);
       guint owner = z->owners[i];
@@ -347,6 +399,8 @@
   guint n = 0;
 
   vm->poll_due_us = z->now_us + POLL_US;
+  ownership_set_platform_reached (vm->ownership,
+                                  z->now_us >= vm->apart_until_us);
   if (z->now_us < vm->apart_until_us || vm->is_leaving)
     return;
   vm->joined_us = z->now_us;
@@ -375,9 +429,11 @@
   vm->beat_due_us = z->now_us + BEAT_US;
   message.held = ownership_get_held (vm->ownership);
   message.is_leaving = vm->is_leaving;
-  message.life = vm->n_lives % 2;
+  if (z->now_us >= z->news_from_us)
+    message.capacity = z->capacities[vm->number];
+  message.life = vm->n_lives % N_LIVES;
   g_strlcpy (message.name, vm->name, sizeof message.name);
-  for (message.to = 0; message.to < N_VMS; message.to++)
+  for (message.to = 0; message.to < z->n_vms; message.to++)
     {
       message.due_us = z->now_us + draw_us (z, MAX_DELAY_US);
       if (message.to != vm->number)
@@ -385,12 +441,27 @@
     }
 }
 
+/* Replies to the request MESSAGE.  */
+static void
+reply (struct zone *z, const struct message *message, gboolean is_granted)
+{
+  struct message answer = { MESSAGE_REPLY, message->to, message->from };
+
+  if (!z->is_by_capacity)
+    return;
+  answer.is_granted = is_granted;
+  answer.shard = message->shard;
+  answer.due_us = z->now_us + draw_us (z, MAX_DELAY_US);
+  g_strlcpy (answer.name, z->vms[message->to].name, sizeof answer.name);
+  g_array_append_val (z->messages, answer);
+}
+
 static void
 deliver (struct zone *z, const struct message *message)
 {
   struct vm *to = &z->vms[message->to];
   const struct vm *from = &z->vms[message->from];
-  guint n_held = count_bits (message->held);
+  guint n_held = message->n_held;
 
   if (!to->is_up || z->now_us < to->cut_until_us
       || z->now_us < from->cut_until_us)
@@ -399,15 +470,29 @@
     {
       to->heard[message->from][message->life]
           = (struct heard){ message->held, z->now_us };
+      ownership_update_peer_capacity (to->ownership, message->name,
+                                      message->life, message->capacity,
+                                      z->now_us);
       ownership_update_peer (to->ownership, message->name, message->held,
                              message->is_leaving, z->now_us);
       return;
     }
-  if (count_bits (ownership_get_held (to->ownership) & ~to->releasing)
-      >= n_held + 2)
+  if (message->kind == MESSAGE_REPLY)
+    {
+      if (message->is_granted)
+        to->granted |= bit (message->shard);
+      ownership_handle_yield_reply (to->ownership, message->name,
+                                    message->shard, message->is_granted,
+                                    z->now_us);
+      return;
+    }
+  if (z->is_by_capacity
+      || count_bits (ownership_get_held (to->ownership) & ~to->releasing)
+             >= n_held + 2)
     to->may_release = bit (message->shard);
-  ownership_handle_yield_request (to->ownership, message->name, message->shard,
-                                  n_held, z->now_us);
+  reply (z, message,
+         ownership_handle_yield_request (to->ownership, message->name,
+                                         message->shard, n_held, z->now_us));
   to->may_release = 0;
 }
 
@@ -449,20 +534,15 @@
 order (struct vm *vm, guint shard)
 {
   struct zone *z = vm->zone;
+  guint n_raises = 0;
 
   if (vm->tokens[shard] >= z->seen[shard])
     {
       z->seen[shard] = vm->tokens[shard];
       return;
     }
-  if (is_held_elsewhere (vm, shard))
-    {
-      vm->may_release = bit (shard);
-      ownership_fenced (vm->ownership, shard, z->now_us);
-      vm->may_release = 0;
-      return;
-    }
-  while (vm->tokens[shard] < z->seen[shard])
+  while (vm->tokens[shard] < z->seen[shard] && !is_held_elsewhere (vm, shard)
+         && !(z->is_by_capacity && n_raises++ == MAX_RAISES))
     {
       guint64 raised
           = ownership_raise (vm->ownership, shard, vm->tokens[shard]);
@@ -470,6 +550,13 @@
       g_assert_cmpuint (raised, >, vm->tokens[shard]);
       note_token (vm, shard, raised);
     }
+  if (vm->tokens[shard] < z->seen[shard])
+    {
+      vm->may_release = bit (shard);
+      ownership_fenced (vm->ownership, shard, z->now_us);
+      vm->may_release = 0;
+      return;
+    }
   z->seen[shard] = vm->tokens[shard];
 }
 
@@ -484,6 +571,7 @@
           && vm->released_due_us[i] <= z->now_us)
         {
           vm->releasing &= ~bit (i);
+          z->released_us[i] = z->now_us;
           ownership_released (vm->ownership, i, z->now_us);
         }
       if (ownership_get_token (vm->ownership, i) != 0 && draw (z, 10))
@@ -540,7 +628,7 @@
 static void
 disturb (struct zone *z)
 {
-  struct vm *vm = &z->vms[g_rand_int (z->random) % N_VMS];
+  struct vm *vm = &z->vms[g_rand_int (z->random) % z->n_vms];
   gint64 until_us = z->now_us + draw_us (z, 4 * USEC_PER_SEC);
 
   if (!vm->is_up)
@@ -567,11 +655,33 @@
       if (is_awake (vm) && !vm->is_leaving)
         begin_leaving (vm);
       break;
+    case 5:
+      if (z->capacities[vm->number] != 0)
+        {
+          set_capacity (vm, 90 << g_rand_int (z->random) % 4);
+          break;
+        }
+      /* fall through */
     default:
       deal (z);
     }
 }
 
+static void
+run_for (struct zone *z, gint64 us)
+{
+  for (gint64 end_us = z->now_us + us; z->now_us < end_us;)
+    tick (z);
+}
+
+static guint
+count_held (const struct zone *z, guint vm)
+{
+  if (!z->vms[vm].is_up)
+    return 0;
+  return count_bits (ownership_get_held (z->vms[vm].ownership));
+}
+
 /* Ends all faults.  */
 static void
 calm (struct zone *z)
@@ -586,8 +696,7 @@
       vm->cut_until_us = 0;
       vm->apart_until_us = 0;
     }
-  for (gint64 end_us = z->now_us + CALM_US; z->now_us < end_us;)
-    tick (z);
+  run_for (z, z->is_by_capacity ? CAPACITY_CALM_US : CALM_US);
 }
 
 static guint
@@ -608,11 +717,43 @@
   return holder;
 }
 
+/* Whether both VMs divide by capacity and I should yield a shard to K: that
+   would improve the balance by 15%.  */
+static gboolean
+should_yield (const struct zone *z, guint i, guint k)
+{
+  guint n = count_held (z, i);
+
+  return n > 0 && z->vms[k].is_up
+         && (2 * n - 1) * z->capacities[k] * 100
+                > (2 * count_held (z, k) + 1) * z->capacities[i] * 115
+         && z->capacities[i] != 0;
+}
+
+/* The shards are divided by capacity, unless the VMs that do so are equal.  */
+static void
+check_balance (const struct zone *z)
+{
+  gboolean is_uniform = TRUE;
+  guint n_to_yield = 0;
+
+  for (guint i = 0; i < z->n_vms; i++)
+    for (guint k = 0; k < z->n_vms; k++)
+      {
+        n_to_yield += should_yield (z, i, k) ? 1 : 0;
+        is_uniform &= !z->vms[i].is_up || !z->vms[k].is_up
+                      || z->capacities[i] == 0 || z->capacities[k] == 0
+                      || z->capacities[i] == z->capacities[k];
+      }
+  g_assert_true (is_uniform || n_to_yield == 0);
+}
+
 /* Each shard has one holder, which need not yield it.  */
 static void
 check_calm (struct zone *z)
 {
   guint n_asks = z->n_asks;
+  guint n_takes = z->n_takes;
 
   for (guint i = 0; i < N_SHARDS; i++)
     {
@@ -623,20 +764,24 @@
         continue;
       if (holder == N_VMS)
         g_error ("nobody holds shard %u of %s", i, z->vms[owner].name);
-      if (holder != owner)
+      if (holder != owner && !z->is_by_capacity)
         g_assert_cmpuint (
             count_bits (ownership_get_held (z->vms[holder].ownership)), <,
             count_bits (ownership_get_held (z->vms[owner].ownership)) + 2);
     }
+  if (z->is_by_capacity)
+    check_balance (z);
   for (guint i = 0; i < 100; i++)
     tick (z);
-  g_assert_cmpuint (z->n_asks, ==, n_asks);
+  g_assert_cmpuint (z->n_takes, ==, n_takes);
+  if (!z->is_mixed)
+    g_assert_cmpuint (z->n_asks, ==, n_asks);
 }
 
 static void
-run_seed (guint32 seed)
+run_seed (guint32 seed, const guint *capacities)
 {
-  struct zone *z = zone_new (seed);
+  struct zone *z = zone_new (seed, RANDOM_VMS, N_SHARDS, capacities);
 
   for (guint i = 0; i < N_TICKS; i++)
     {
@@ -654,7 +799,7 @@
 }
 
 static void
-test_random (void)
+run_seeds (const guint *capacities)
 {
   const char *only = g_getenv ("OWNERSHIP_SEED");
   const char *more = g_getenv ("OWNERSHIP_SEEDS");
@@ -662,17 +807,162 @@
 
   if (only != NULL)
     {
-      run_seed ((guint32)atoi (only));
+      run_seed ((guint32)atoi (only), capacities);
       return;
     }
   for (guint32 seed = 1; seed <= n_seeds; seed++)
     {
       /* The last line names the seed that fails.  */
       g_test_message ("seed %u", seed);
-      run_seed (seed);
+      run_seed (seed, capacities);
     }
 }
 
+static void
+test_random (void)
+{
+  run_seeds (NULL);
+}
+
+static void
+test_random_capacity (void)
+{
+  static const guint capacities[] = { 500, 500, 300, 300, 90, 90, 90 };
+  static const guint mixed[] = { 500, 0, 300, 0, 90, 90, 90 };
+
+  run_seeds (capacities);
+  run_seeds (mixed);
+}
+
+/* A load by capacity.  Guards against shards that stay where the processors
+   are not, that move without need, or that nobody or two VMs hold meanwhile.
+ */
+struct load
+{
+  const char *name;
+  guint capacities[N_VMS]; /* 0: the VM divides the shards evenly */
+  guint n_moves;           /* at most, until the shards are divided */
+  gint64 max_run_ms;
+  gint64 late_ms;     /* no beacon tells a capacity before this */
+  gboolean is_slowed; /* the first VM loses 3/4 of its capacity */
+  gboolean is_killed; /* the first VM dies */
+};
+
+#define LOAD_SHARDS 16
+#define LONG_US (30 * USEC_PER_SEC)
+#define UNEQUAL                                                               \
+  {                                                                           \
+    500, 500, 300, 300, 90, 90, 90, 90, 90                                    \
+  }
+
+static const struct load loads[] = {
+  { "VMs of unequal capacity", UNEQUAL, 8, 300 },
+  { "a third of the VMs have a fifth of the others' processor",
+    { 500, 500, 500, 500, 500, 500, 100, 100, 100 },
+    6,
+    300 },
+  { "equal capacities",
+    { 300, 300, 300, 310, 300, 300, 290, 300, 300 },
+    0,
+    300 },
+  { "a VM turns slow within the wave", UNEQUAL, 8, 300, .is_slowed = TRUE },
+  { "the VM that holds most dies", UNEQUAL, 8, 300, .is_killed = TRUE },
+  { "capacity news is late", UNEQUAL, 8, 300, 20000 },
+  { "a shard moves while its runs last", UNEQUAL, 8, 8000 },
+  { "mixed settings", { 500, 0, 300, 0, 90, 90, 90, 0, 90 }, 16, 300 },
+};
+
+/* A zone whose VMs have all joined before the platform assigns the shards. */
+static struct zone *
+zone_new_load (guint32 seed, const guint *capacities)
+{
+  struct zone *z = zone_new (seed, N_VMS, LOAD_SHARDS, capacities);
+
+  for (guint i = 0; i < N_VMS; i++)
+    z->vms[i].joined_us = z->now_us;
+  z->listed = bit (N_VMS) - 1;
+  deal (z);
+  return z;
+}
+
+/* Returns the time until all shards are held.  */
+static gint64
+wait_held (struct zone *z)
+{
+  gint64 begin_us = z->now_us;
+
+  for (guint i = 0; i < LOAD_SHARDS;)
+    if (find_holder (z, i) == N_VMS)
+      tick (z);
+    else
+      i++;
+  return z->now_us - begin_us;
+}
+
+/* Lets the shards be divided.  Nothing moves once that is done.  */
+static void
+divide (struct zone *z)
+{
+  run_for (z, LONG_US);
+  check_calm (z);
+}
+
+/* After its detection (1.2 s) a slow VM has 0.8 s left to begin to give up
+   shards; it gets them back.  */
+static void
+slow_down (struct zone *z)
+{
+  guint capacity = z->capacities[0];
+  guint n_held = count_held (z, 0);
+
+  set_capacity (&z->vms[0], capacity / 4);
+  run_for (z, 800 * USEC_PER_MSEC);
+  g_assert_true (z->vms[0].releasing != 0 || count_held (z, 0) < n_held);
+  divide (z);
+  g_assert_cmpuint (count_held (z, 0), <=, n_held / 2);
+  set_capacity (&z->vms[0], capacity);
+  divide (z);
+  g_assert_cmpuint (count_held (z, 0), >=, n_held - 1);
+}
+
+static void
+run_load (const struct load *load, guint32 seed)
+{
+  struct zone *even = zone_new_load (seed, NULL);
+  struct zone *z = zone_new_load (seed, load->capacities);
+
+  z->max_run_us = load->max_run_ms * USEC_PER_MSEC;
+  z->news_from_us = z->now_us + load->late_ms * USEC_PER_MSEC;
+  g_assert_cmpint (wait_held (z), ==, wait_held (even));
+  run_for (z, z->news_from_us - z->now_us);
+  g_assert_cmpuint (z->n_takes, ==, LOAD_SHARDS);
+  divide (z);
+  deal (z);
+  divide (z);
+  g_assert_cmpuint (z->n_takes, <=, LOAD_SHARDS + load->n_moves);
+  if (load->is_slowed)
+    slow_down (z);
+  g_assert_true (z->is_mixed || z->n_overlaps == 0);
+  g_assert_cmpint (z->max_free_us, <,
+                   (z->is_mixed ? 500 : 200) * USEC_PER_MSEC);
+  if (load->is_killed)
+    {
+      end_life (&z->vms[0]);
+      g_assert_cmpint (wait_held (z), <=,
+                       TTL_US + POLL_US + OWNERSHIP_PEER_TIMEOUT_US);
+      divide (z);
+    }
+  zone_free (z);
+  zone_free (even);
+}
+
+static void
+test_load (gconstpointer data)
+{
+  for (guint32 seed = 1; seed <= 10; seed++)
+    run_load (data, seed);
+}
+
 /* One VM alone with a record of what it does.  */
 struct bed
 {
@@ -871,6 +1161,12 @@
   bed_expect (bed, "release 0;");
   ownership_handle_yield_request (bed->ownership, "a", 1, 1, bed->now_us);
   bed_expect (bed, "");
+  /* A repeated request gets the same reply.  */
+  g_assert_true (
+      ownership_handle_yield_request (bed->ownership, "a", 0, 1, bed->now_us));
+  g_assert_false (
+      ownership_handle_yield_request (bed->ownership, "c", 0, 1, bed->now_us));
+  bed_expect (bed, "");
   g_assert_cmpuint (ownership_get_held (bed->ownership), ==, 7);
   g_assert_cmpuint (ownership_get_token (bed->ownership, 0), ==, 0);
   ownership_released (bed->ownership, 0, bed->now_us);
@@ -986,6 +1282,92 @@
   bed_free (bed);
 }
 
+/* A beacon of "a", which has five times the capacity of this VM.  */
+static void
+bed_hear_larger (struct bed *bed, guint64 incarnation, guint64 held)
+{
+  ownership_share_by_capacity (bed->ownership);
+  ownership_set_capacity (bed->ownership, 100, bed->now_us);
+  ownership_update_peer_capacity (bed->ownership, "a", incarnation, 500,
+                                  bed->now_us);
+  bed_hear (bed, "a", held);
+}
+
+/* A shard that a live peer releases is left to another VM for a moment; one
+   that a restarted peer does not hold any more is not.  */
+static void
+test_handover (void)
+{
+  struct bed *bed = bed_new (0);
+
+  bed_hear_larger (bed, 1, bit (1) | bit (2));
+  bed_assign (bed, 6, bit (1) | bit (2));
+  bed_hear_larger (bed, 1, bit (2));
+  bed_pass (bed, 450);
+  bed_expect (bed, "");
+  bed_pass (bed, 50);
+  bed_expect (bed, "take 1;");
+  bed_hear_larger (bed, 2, 0);
+  bed_expect (bed, "");
+  bed_pass (bed, 50);
+  bed_expect (bed, "take 2;");
+  bed_free (bed);
+}
+
+/* A granted shard is taken when its holder has released it, and not when the
+   holder is lost, has restarted, or leaves.  */
+static void
+test_granted (void)
+{
+  struct bed *bed = bed_new (0);
+
+  for (guint64 i = 1; i <= 2; i++)
+    {
+      bed_hear_larger (bed, i, bit (3));
+      ownership_handle_yield_reply (bed->ownership, "a", 3, TRUE, bed->now_us);
+      bed_pass (bed, i == 1 ? 100 : 1000);
+      bed_hear_larger (bed, 2, 0);
+      bed_pass (bed, 1000);
+      bed_expect (bed, "");
+    }
+  bed_hear_larger (bed, 2, bit (3));
+  ownership_handle_yield_reply (bed->ownership, "a", 3, TRUE, bed->now_us);
+  bed_pass (bed, 500);
+  bed_expect (bed, "");
+  bed_hear_larger (bed, 2, 0);
+  bed_expect (bed, "take 3;");
+  /* A holder that has taken the shard again is asked again.  */
+  bed_hear_larger (bed, 2, bit (4));
+  ownership_handle_yield_reply (bed->ownership, "a", 4, TRUE, bed->now_us);
+  for (guint i = 0; i < 40; i++)
+    {
+      bed_hear_larger (bed, 2, bit (4));
+      bed_pass (bed, 50);
+    }
+  bed_expect (bed, "ask a 4;");
+  ownership_handle_yield_reply (bed->ownership, "a", 4, FALSE, bed->now_us);
+  bed_hear_larger (bed, 2, 0);
+  bed_pass (bed, 600);
+  bed_expect (bed, "");
+  bed_free (bed);
+}
+
+/* A shard that was raised often in one generation is reached in few steps. */
+static void
+test_many_raises (void)
+{
+  struct bed *bed = bed_new (bit (0));
+  guint64 first = ownership_get_token (bed->ownership, 0);
+  guint64 token = first;
+
+  bed_hear_larger (bed, 1, 0);
+  for (guint i = 0; i < MAX_RAISES; i++)
+    token = ownership_raise (bed->ownership, 0, token);
+  g_assert_cmpuint (token - first, >=, G_GUINT64_CONSTANT (1000) << 20);
+  g_assert_cmpuint (ownership_raise (bed->ownership, 0, first), ==, token);
+  bed_free (bed);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -1001,6 +1383,16 @@
   g_test_add_func ("/ownership/heard-all", test_heard_all);
   g_test_add_func ("/ownership/leave", test_leave);
   g_test_add_func ("/ownership/tokens", test_tokens);
+  g_test_add_func ("/ownership/handover", test_handover);
+  g_test_add_func ("/ownership/granted", test_granted);
+  g_test_add_func ("/ownership/many-raises", test_many_raises);
   g_test_add_func ("/ownership/random", test_random);
+  g_test_add_func ("/ownership/random-capacity", test_random_capacity);
+  for (gsize i = 0; i < G_N_ELEMENTS (loads); i++)
+    {
+      g_autofree char *path = g_strdup_printf ("/ownership/%s", loads[i].name);
+
+      g_test_add_data_func (path, &loads[i], test_load);
+    }
   return g_test_run ();
 }
