coordination: a failed task does not wait for an upstream that can never run it

With placement_by_speed, a task that has failed waits while an upstream with a recent success is only busy. Upstreams without the required label, or smaller than the task, were counted as busy, so the task waited until its latest useful start although a suitable upstream was free, and twelve such batches at the head of the queue kept all others from starting. Only upstreams that have the label and are large enough are passed to slot_choice now, so they do not count for its other rules either.

Without the setting, a batch that finds no slot is not tried task by task.

--- a/coordination/owned.c
+++ b/coordination/owned.c
@@ -182,6 +182,17 @@
          && upstream->rest_until_us <= now_us;
 }
 
+gboolean
+owned_is_large_enough (const struct owned_upstream *upstream,
+                       const struct shape *need)
+{
+  const struct shape *shape = &upstream->shape;
+
+  return need->cpus <= shape->cpus + CPU_EPSILON
+         && need->memory_mb <= shape->memory_mb
+         && need->accelerators <= shape->accelerators;
+}
+
 gboolean
 owned_can_start (const struct owned_upstream *upstream,
                  const struct shape *need, gint64 now_us)
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -449,7 +449,19 @@
   };
 }
 
-/* Adds UPSTREAM, which runs tasks of its service, to CHOICE for TASK.  */
+/* Whether UPSTREAM can run the tasks of BATCH, at once or when it has room.  A
+   task must not wait for one that never can.  */
+static gboolean
+is_suitable (const struct batch *batch, const struct owned_upstream *upstream,
+             gint64 now_us)
+{
+  return owned_is_usable (upstream, now_us)
+         && g_str_equal (upstream->service, batch->service)
+         && has_label (upstream, batch->required_label)
+         && owned_is_large_enough (upstream, &batch->need);
+}
+
+/* Adds UPSTREAM, which is suitable for TASK, to CHOICE.  */
 static void
 add_candidate (struct slot_choice *choice, const struct batch_task *task,
                struct owned_upstream *upstream, gint64 now_us)
@@ -487,8 +499,7 @@
     {
       struct owned_upstream *upstream = value;
 
-      if (owned_is_usable (upstream, now_us)
-          && g_str_equal (upstream->service, task->batch->service))
+      if (is_suitable (task->batch, upstream, now_us))
         add_candidate (&choice, task, upstream, now_us);
     }
   wait = slot_choice_get (&choice, &value);
@@ -578,8 +589,10 @@
       if (task->state != BATCH_TASK_QUEUED)
         continue;
       upstream = owner_find_slot (owner, task, now_us);
-      /* A task that has failed may wait where the others need not.  */
-      if (upstream == NULL && task->n_failed > 0)
+      /* With placement_by_speed, a task that has failed may wait where the
+         others need not.  */
+      if (upstream == NULL && owner->limits.placement_by_speed
+          && task->n_failed > 0)
         continue;
       if (upstream == NULL)
         return;
--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -72,6 +72,10 @@
 gboolean owned_is_usable (const struct owned_upstream *upstream,
                           gint64 now_us);
 
+/* Whether UPSTREAM can run a task with NEED when nothing else runs there.  */
+gboolean owned_is_large_enough (const struct owned_upstream *upstream,
+                                const struct shape *need);
+
 /* Adds RUN, which has taken TOOK_US or will do so by its progress, to the
    estimates of its upstream and of its batch, once.  */
 void owned_add_run_speed (struct run *run, gint64 took_us);
--- a/t/t2111-owner-single.c
+++ b/t/t2111-owner-single.c
@@ -592,6 +592,41 @@
   finish (&bed, owner);
 }
 
+/* A task that has failed waits for an upstream with a recent success.  Guards
+   against a wait for one that can never run it: it lacks the required label,
+   or is too small.  Twelve such batches would block the queue.  */
+static void
+test_unsuitable_proven (gconstpointer by_label)
+{
+  const struct owner_limits by_speed = { .lease_ms = LEASE_MS,
+                                         .max_lease_ms = 1000,
+                                         .placement_by_speed = TRUE };
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &by_speed);
+  struct owned_upstream *suitable = take_on (owner, "suitable", "");
+  struct owned_upstream *proven = take_on (owner, "proven", "");
+  struct batch *batch = make_batch ();
+
+  proven->succeeded_us = START_US;
+  if (by_label != NULL)
+    {
+      batch->required_label = g_strdup ("label");
+      g_ptr_array_add (suitable->labels, g_strdup ("label"));
+    }
+  else
+    {
+      batch->need.cpus = 2;
+      proven->shape.cpus = 1;
+    }
+  batch->attempts = 2;
+  batch->tasks[0].n_failed = 1;
+  batch->start_by_us = START_US;
+  batch->end_by_us = START_US + 60 * USEC_PER_SEC;
+  owner_submit_batch (owner, batch, START_US);
+  g_assert_cmpstr (bed.started_on, ==, "suitable");
+  finish (&bed, owner);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -611,5 +646,9 @@
   g_test_add_func ("/owner/full-queue", test_full_queue);
   g_test_add_func ("/owner/hopeless", test_hopeless);
   g_test_add_func ("/owner/speed-of-instance", test_speed_of_instance);
+  g_test_add_data_func ("/owner/unsuitable-proven/label", "",
+                        test_unsuitable_proven);
+  g_test_add_data_func ("/owner/unsuitable-proven/size", NULL,
+                        test_unsuitable_proven);
   return g_test_run ();
 }
