--- a/coordination/ownership.c
+++ b/coordination/ownership.c
@@ -470,7 +470,7 @@
 ownership_handle_yield_request (struct ownership *ownership, const char *peer,
                                 guint shard, guint n_held, gint64 now_us)
 {
-  const struct ownership_peer *asker
+  const struct ownership_peer *requester
       = g_hash_table_lookup (ownership->peers, peer);
   guint64 name_hash = hash64_string (peer);
 
@@ -480,7 +480,7 @@
   if (ownership->shards[shard].state != SHARD_HELD)
     return ownership->shards[shard].yielded_to == name_hash;
   if (!ownership_may_yield (ownership, shard, n_held,
-                            asker != NULL ? asker->capacity : 0))
+                            requester != NULL ? requester->capacity : 0))
     return FALSE;
   release_shard (ownership, shard, RETAKE_DELAY_US);
   ownership->shards[shard].yielded_to = name_hash;
--- a/coordination/ownership_capacity.c
+++ b/coordination/ownership_capacity.c
@@ -310,7 +310,7 @@
 
   if (holder != NULL)
     check_grant (o, number, holder, now_us);
-  /* The claim of an assigned shard is decided as ever.  */
+  /* Assigned shards are claimed by the assignment, not by the grant.  */
   if (holder != NULL || (o->assigned & ownership_shard_bit (number)) != 0)
     return;
   if (shard->free_from_us == 0)
@@ -348,7 +348,7 @@
 /* Whether a known peer has the same name bits in its tokens: in one
    generation, only the VM that a shard is assigned to may use them.  */
 static gboolean
-has_token_twin (struct ownership *o)
+has_name_bits_collision (struct ownership *o)
 {
   GHashTableIter iter;
   gpointer value;
@@ -371,7 +371,8 @@
          && o->is_platform_reached && now_us >= o->balance_from_us
          && now_us >= o->balance_requested_us + BALANCE_INTERVAL_US
          && ownership_get_shards_in_state (o, SHARD_RELEASING) == 0
-         && ownership_count_grants (o) < MAX_GRANTS && !has_token_twin (o);
+         && ownership_count_grants (o) < MAX_GRANTS
+         && !has_name_bits_collision (o);
 }
 
 /* The peer that has the most shards for its capacity, if it should yield one
--- a/t/t2161-slot-choice.c
+++ b/t/t2161-slot-choice.c
@@ -59,15 +59,15 @@
 static void
 test_scarce (void)
 {
-  const struct slot_task brief = make_task (50, 90);
-  const struct slot_task lengthy = make_task (760, 510);
+  const struct slot_task short_task = make_task (50, 90);
+  const struct slot_task long_task = make_task (760, 510);
   const struct slot_candidate upstreams[]
       = { make_upstream ("slow", 1.67, 8), make_upstream ("fast", 0.62, 8),
           make_upstream ("a", 1, 0),       make_upstream ("b", 1, 0),
           make_upstream ("c", 1, 0),       make_upstream ("d", 1, 0) };
 
-  assert_choice (&brief, upstreams, 6, "slow", SLOT_FOUND);
-  assert_choice (&lengthy, upstreams, 6, "fast", SLOT_FOUND);
+  assert_choice (&short_task, upstreams, 6, "slow", SLOT_FOUND);
+  assert_choice (&long_task, upstreams, 6, "fast", SLOT_FOUND);
 }
 
 /* A task that would be late on the slow one waits for a busy one, until it
