coordination: runs that span a pause of the VM are no evidence of speed

The end of a run is heard after the pause, so the pause was counted as run time: a run of 1 s that ended during a pause of 4 s gave its upstream a slowness of 1.16 at once, and three runs in a row replace what was known of it. Such runs are not counted now, with placement_by_speed only.

t2111 speed-after-pause fails without the change (a trial without the check).

--- a/coordination/owner.c
+++ b/coordination/owner.c
@@ -322,6 +322,16 @@
   owner->driver->ops->poll (owner->driver, upstream, until_ms, wait_ms);
 }
 
+gboolean
+owner_was_paused_since (const struct owner *owner, gint64 since_us,
+                        gint64 now_us)
+{
+  if (owner->last_call_us == 0)
+    return FALSE;
+  return owner->paused_us > since_us
+         || now_us - owner->last_call_us > PAUSE_THRESHOLD_US;
+}
+
 void
 owner_detect_pause (struct owner *owner, gint64 now_us)
 {
@@ -334,6 +344,7 @@
   owner->last_call_us = now_us;
   if (since_us <= PAUSE_THRESHOLD_US)
     return;
+  owner->paused_us = now_us;
   g_hash_table_iter_init (&iter, owner->upstreams);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     owned_mark_stale (value, now_us);
--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -23,6 +23,7 @@
   gint64 wake_us;           /* last time passed to wake_at */
   gint64 runs_checked_us;   /* when the runs were last checked */
   gint64 last_call_us;      /* when the owner was last called; 0 for never */
+  gint64 paused_us;         /* end of the last pause; 0 for none */
 };
 
 /* owner.c */
@@ -31,6 +32,10 @@
    paused, and all upstreams are marked stale.  */
 void owner_detect_pause (struct owner *owner, gint64 now_us);
 
+/* Whether a pause has ended since SINCE_US, or ends with the present call.  */
+gboolean owner_was_paused_since (const struct owner *owner, gint64 since_us,
+                                 gint64 now_us);
+
 /* owned.c: the state of one upstream.  */
 
 /* A new upstream with one reference, with nothing running.  */
--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -141,13 +141,18 @@
 }
 
 /* Adds RUN, which takes TOOK_US, to what is known of the speed of its
-   upstream.  Reports a change from ordinary or from the last report.  */
+   upstream.  Reports a change from ordinary or from the last report.  The time
+   of a run during which this VM was paused contains the pause, so it does not
+   count.  */
 static void
-add_run_speed (struct owner *owner, struct run *run, gint64 took_us)
+add_run_speed (struct owner *owner, struct run *run, gint64 took_us,
+               gint64 now_us)
 {
   struct owned_upstream *upstream = run->upstream;
   gdouble ratio;
 
+  if (owner_was_paused_since (owner, run->started_us, now_us))
+    return;
   owned_add_run_speed (run, took_us);
   ratio = upstream->slowness / upstream->reported_slowness;
   if (ratio < REPORTED_CHANGE && ratio > 1 / REPORTED_CHANGE)
@@ -172,7 +177,7 @@
     run->upstream->succeeded_us = now_us;
   if (end == RUN_DONE && owner->limits.placement_by_speed)
     {
-      add_run_speed (owner, run, now_us - run->started_us);
+      add_run_speed (owner, run, now_us - run->started_us, now_us);
       owned_record_success (run->upstream);
     }
   else if (end == RUN_DONE)
@@ -843,13 +848,13 @@
 /* Adds RUN to the speed of its upstream, once, as soon as its progress tells
    how long it takes.  */
 static void
-record_progress (struct owner *owner, struct run *run)
+record_progress (struct owner *owner, struct run *run, gint64 now_us)
 {
   gint64 spent_us = run->listed_us - run->started_us;
 
   if (!run->is_speed_counted && run->percent >= MIN_PERCENT
       && spent_us >= MIN_SPEED_US)
-    add_run_speed (owner, run, spent_us * 100 / run->percent);
+    add_run_speed (owner, run, spent_us * 100 / run->percent, now_us);
 }
 
 /* Counts RUN in the slowness of its upstream, once, as soon as its progress
@@ -888,7 +893,7 @@
       || task->n_restarts >= MAX_RESTARTS)
     return;
   if (owner->limits.placement_by_speed)
-    record_progress (owner, run);
+    record_progress (owner, run, now_us);
   else
     record_slow_run (run);
   if (!is_stalled (run) && !is_too_slow (run))
--- a/t/t2111-owner-single.c
+++ b/t/t2111-owner-single.c
@@ -592,6 +592,37 @@
   finish (&bed, owner);
 }
 
+/* Guards against upstreams that count as slow because this VM was paused while
+   their runs lasted: whether the end is heard first after the pause, or after
+   another call.  */
+static void
+test_speed_after_pause (gconstpointer by_other_call)
+{
+  const struct owner_limits by_speed = { .lease_ms = LEASE_MS,
+                                         .max_lease_ms = 1000,
+                                         .placement_by_speed = TRUE };
+  const struct listed_end end = { 1, TASK, 1, RUN_DONE };
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &by_speed);
+  struct owned_upstream *upstream = take (owner);
+  struct upstream_report ended = report;
+  gint64 now_us = START_US;
+
+  owner_submit_batch (owner, make_batch (), now_us);
+  owner_start_ended (owner, upstream, TASK, 1, ORDER_ACCEPTED, 5000, now_us);
+  owner_advance (owner, now_us += 30 * USEC_PER_MSEC);
+  now_us += 4 * USEC_PER_SEC;
+  if (by_other_call != NULL)
+    owner_advance (owner, now_us);
+  ended.ended = &end;
+  ended.n_ended = 1;
+  owner_poll_ended (owner, upstream, upstream->n_polls, ORDER_ACCEPTED, &ended,
+                    now_us);
+  g_assert_cmpint (upstream->succeeded_us, ==, now_us);
+  g_assert_cmpfloat (upstream->slowness, ==, 1);
+  finish (&bed, owner);
+}
+
 /* A task that has failed waits for an upstream with a recent success.  Guards
    against a wait for one that can never run it: it lacks the required label,
    or is too small.  Twelve such batches would block the queue.  */
@@ -646,6 +677,10 @@
   g_test_add_func ("/owner/full-queue", test_full_queue);
   g_test_add_func ("/owner/hopeless", test_hopeless);
   g_test_add_func ("/owner/speed-of-instance", test_speed_of_instance);
+  g_test_add_data_func ("/owner/speed-after-pause/at-once", NULL,
+                        test_speed_after_pause);
+  g_test_add_data_func ("/owner/speed-after-pause/later", "",
+                        test_speed_after_pause);
   g_test_add_data_func ("/owner/unsuitable-proven/label", "",
                         test_unsuitable_proven);
   g_test_add_data_func ("/owner/unsuitable-proven/size", NULL,
