--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -23,6 +23,7 @@
   gint64 wake_us;           /* last time passed to wake_at */
   gint64 runs_checked_us;   /* when the runs were last checked */
   gint64 last_call_us;      /* when the owner was last called; 0 for never */
+  gint64 paused_us;         /* end of the last pause; 0 for none */
 };
 
 /* owner.c */
@@ -31,6 +32,10 @@
    paused, and all upstreams are marked stale.  */
 void owner_detect_pause (struct owner *owner, gint64 now_us);
 
+/* Whether a pause has ended since SINCE_US, or ends with the present call.  */
+gboolean owner_was_paused_since (const struct owner *owner, gint64 since_us,
+                                 gint64 now_us);
+
 /* owned.c: the state of one upstream.  */
 
 /* A new upstream with one reference, with nothing running.  */
@@ -72,6 +77,10 @@
 gboolean owned_is_usable (const struct owned_upstream *upstream,
                           gint64 now_us);
 
+/* Whether UPSTREAM can run a task with NEED when nothing else runs there.  */
+gboolean owned_is_large_enough (const struct owned_upstream *upstream,
+                                const struct shape *need);
+
 /* Adds RUN, which has taken TOOK_US or will do so by its progress, to the
    estimates of its upstream and of its batch, once.  */
 void owned_add_run_speed (struct run *run, gint64 took_us);
