transport: a job that is held does not count as refused

Each time that a waiting job was assigned and found no room, the admission remembered it as refused, and added it to the jobs that are expected to return: Retry-After of the refused jobs grew with every round of 50 ms, and a repeated job did not count as demand. Now this is done once, when the job is refused. A job that is refused after it has waited while there are slots gets the spread Retry-After as well, where all were told the same minimum.

--- a/t/t5025-fleet-admission.c
+++ b/t/t5025-fleet-admission.c
@@ -83,8 +83,12 @@
 {
   const struct spread_offer offer = { .n_tasks = 10, .wait_ms = wait_ms };
 
-  return fleet_admission_judge (bed->admission, &bed->job, bed->owners, &offer,
-                                500);
+  struct fleet_refusal refusal = fleet_admission_judge (
+      bed->admission, &bed->job, bed->owners, &offer, 500);
+
+  fleet_admission_plan_retry (bed->admission, &bed->job, bed->owners,
+                              &refusal);
+  return refusal;
 }
 
 /* How many of a hundred jobs of caller NUMBER are over its share.  */
@@ -174,6 +178,33 @@
   bed_free (bed);
 }
 
+/* A job that is held because it was not admitted has not been refused:
+   otherwise each round in which it finds no room would put off the return of
+   the refused ones, and a second job of that ID would not count as demand.  */
+static void
+test_held (void)
+{
+  const struct spread_offer offer = { .n_tasks = 10, .wait_ms = 600 };
+  struct bed *bed = bed_new (TRUE, TRUE, 60);
+  struct caller_list before;
+  struct caller_list after;
+
+  arrive (bed, "j1", 1);
+  for (guint i = 0; i < 100; i++)
+    g_assert_cmpint (fleet_admission_judge (bed->admission, &bed->job,
+                                            bed->owners, &offer, 500)
+                         .cause,
+                     ==, REFUSAL_WAIT_TOO_LONG);
+  fleet_admission_list_callers (bed->admission, &before);
+  arrive (bed, "j1", 1);
+  fleet_admission_list_callers (bed->admission, &after);
+  g_assert_cmpuint (after.callers[0].demand_milli, >,
+                    before.callers[0].demand_milli);
+  /* An eighth of 300 starts a second takes 267 ms for its ten tasks.  */
+  g_assert_cmpint (judge (bed, 600).retry_after_ms, <=, 600 + 267);
+  bed_free (bed);
+}
+
 /* Refusals by cause, late and waiting jobs, by route; the names of routes are
    escaped, and those beyond the bound count together.  */
 static void
@@ -243,6 +274,7 @@
   g_test_add_func ("/fleet-admission/over-share", test_over_share);
   g_test_add_func ("/fleet-admission/off", test_off);
   g_test_add_func ("/fleet-admission/retry", test_retry);
+  g_test_add_func ("/fleet-admission/held", test_held);
   g_test_add_func ("/fleet-admission/counts", test_counts);
   return g_test_run ();
 }
--- a/transport/fleet_admission.c
+++ b/transport/fleet_admission.c
@@ -162,11 +162,22 @@
       drain_ms = MAX (queue_sum_get_drain_ms (&queue),
                       caller_standing_get_excess_ms (&refusal.standing));
     }
-  if (refusal.reason != NULL)
-    refusal.retry_after_ms = get_retry_ms (a, job, &queue, drain_ms);
+  refusal.retry_after_ms = drain_ms;
   return refusal;
 }
 
+void
+fleet_admission_plan_retry (struct fleet_admission *a,
+                            const struct fleet_job *job, const GArray *owners,
+                            struct fleet_refusal *refusal)
+{
+  const struct queue_sum queue = sum_queues (owners);
+
+  if (refusal->reason != NULL)
+    refusal->retry_after_ms
+        = get_retry_ms (a, job, &queue, refusal->retry_after_ms);
+}
+
 gint64
 fleet_admission_get_retry_ms (struct fleet_admission *a,
                               const struct fleet_job *job,
--- a/transport/fleet_admission.h
+++ b/transport/fleet_admission.h
@@ -26,7 +26,8 @@
 {
   const char *reason; /* static string; NULL if the job is admitted */
   enum refusal_cause cause;
-  gint64 retry_after_ms;
+  gint64 retry_after_ms;           /* without a spread until
+                                      fleet_admission_plan_retry () */
   struct caller_standing standing; /* of its caller, if that is the cause */
 };
 
@@ -44,13 +45,21 @@
 
 /* Decides on JOB, whose tasks would be spread over OWNERS, struct
    spread_owner, with OFFER.  LONGEST_MS is the longest wait with which they
-   are still assigned.  When OFFER has no owner, only the cause is set.  */
+   are still assigned.  When OFFER has no owner, only the cause is set.  A job
+   that is not admitted may be held and judged again.  */
 struct fleet_refusal fleet_admission_judge (struct fleet_admission *admission,
                                             const struct fleet_job *job,
                                             const GArray *owners,
                                             const struct spread_offer *offer,
                                             gint64 longest_ms);
 
+/* JOB is refused with REFUSAL, now and not held: spreads its Retry-After, and
+   remembers that the job may return.  To be called once for each job.  */
+void fleet_admission_plan_retry (struct fleet_admission *admission,
+                                 const struct fleet_job *job,
+                                 const GArray *owners,
+                                 struct fleet_refusal *refusal);
+
 /* Retry-After of JOB, which found no room among OWNERS in time, in
    milliseconds; FALLBACK_MS without the setting spread_retries.  */
 gint64 fleet_admission_get_retry_ms (struct fleet_admission *admission,
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -554,16 +554,19 @@
 }
 
 /* Lets JOB wait for slots, if nothing of it was started and they are expected,
-   or gives it up.  HAS_OWNER: owners have slots for it, but too few in time.
+   or gives it up.  HAS_OWNER: OWNERS have slots for it, but too few in time.
    The excess of a caller over its share does not wait.  */
 static void
-wait_or_give_up (struct fleet_job *job, gboolean has_owner)
+wait_or_give_up (struct fleet_job *job, const GArray *owners,
+                 gboolean has_owner)
 {
-  const struct fleet_refusal *refusal = &job->refusal;
+  struct fleet_refusal *refusal = &job->refusal;
 
   if (!may_have_started (job) && refusal->cause != REFUSAL_OVER_SHARE
       && fleet_home_wait (job, has_owner))
     return;
+  /* Only now: a job that waits is not refused, and has no time of return.  */
+  fleet_admission_plan_retry (job->home->admission, job, owners, refusal);
   if (has_owner)
     give_up_job (job, refusal->reason, refusal->retry_after_ms);
   else
@@ -603,7 +606,7 @@
   task_set_add (&job->wanted, indexes + (tasks.n - offer.n_tasks),
                 n_tasks - (tasks.n - offer.n_tasks));
   if (offer.wait_ms < 0 || job->refusal.reason != NULL)
-    wait_or_give_up (job, offer.wait_ms >= 0);
+    wait_or_give_up (job, owners, offer.wait_ms >= 0);
   else
     {
       fleet_home_end_wait (job, "assigned", NULL);
@@ -639,7 +642,15 @@
 void
 fleet_home_refuse (struct fleet_job *job, const char *reason)
 {
-  give_up_job (job, reason, MIN_RETRY_MS);
+  struct fleet_home *home = job->home;
+  gint64 retry_ms = MIN_RETRY_MS;
+
+  /* Without slots there is no queue to wait for; a VM that is leaving sends
+     its callers to the others at once.  */
+  if (!home->is_leaving
+      && fleet_home_has_slots (home, job->submission->service))
+    retry_ms = fleet_home_get_retry_ms (job, MIN_RETRY_MS);
+  give_up_job (job, reason, retry_ms);
 }
 
 struct fleet_job *
