transport: jobs do not wait for upstreams that cannot serve

An upstream that another instance has replaced stays unconfirmed until the platform lists the new one; one that leaves or is released does so while it does not answer. While a VM had such an upstream, it held every job that found no room up to the end of its time, instead of refusing it at once. A job whose end was put off while parts of it might have been started waits no longer than its own time.

--- a/transport/fleet_home_waiting.c
+++ b/transport/fleet_home_waiting.c
@@ -56,24 +56,37 @@
   waiting->n_bytes = JOB_OVERHEAD_BYTES + 2 * strlen (s->spec);
 }
 
+/* Whether tasks may be started on UPSTREAM once it has answered a poll.  An
+   upstream that another instance has replaced usually never does, and stays
+   unconfirmed until the platform lists the new one.  */
+static gboolean
+is_about_to_serve (const struct owned_upstream *upstream)
+{
+  gboolean is_replaced
+      = upstream->instance_start_ms == 0 && upstream->last_answered_poll > 0;
+
+  return upstream->state == OWNED_UNCONFIRMED && !is_replaced
+         && !upstream->is_leaving && !upstream->is_releasing;
+}
+
 static void
-note_unconfirmed (struct owned_upstream *upstream, gpointer data)
+note_about_to_serve (struct owned_upstream *upstream, gpointer data)
 {
-  *(gboolean *)data |= upstream->state == OWNED_UNCONFIRMED;
+  *(gboolean *)data |= is_about_to_serve (upstream);
 }
 
 /* Whether this VM is about to own upstreams on which it may start tasks.  */
 static gboolean
 is_acquiring (struct fleet_home *home)
 {
-  gboolean is_any_unconfirmed = FALSE;
+  gboolean is_any_about_to_serve = FALSE;
 
   if (home->evacuation != NULL
       && evacuation_includes (home->evacuation, home->availability_zone))
     return FALSE;
   owner_foreach_upstream (fleet_owner_get_owner (home->owner),
-                          note_unconfirmed, &is_any_unconfirmed);
-  return is_any_unconfirmed
+                          note_about_to_serve, &is_any_about_to_serve);
+  return is_any_about_to_serve
          || fleet_shards_is_acquiring (home->waiting.shards);
 }
 
@@ -147,7 +160,7 @@
   gint64 now_us = clock_now_us ();
 
   if (job->is_closed || job->give_up_reason != NULL || !may_wait (home)
-      || now_us >= job->end_by_us
+      || now_us >= job->waiting.end_by_us
       || !expects_slots (home, job->waiting.service_hash, has_owner, now_us))
     return FALSE;
   job->wanted.n = 0;
