--- a/coordination/answer_time.h
+++ b/coordination/answer_time.h
@@ -15,7 +15,7 @@
 #define ANSWER_TIMEOUT_MIN_US (10 * USEC_PER_MSEC)
 #define ANSWER_TIMEOUT_MAX_US (40 * USEC_PER_MSEC)
 
-/* Initialise to zero.  */
+/* Initialize to zero.  */
 struct answer_time
 {
   gint64 smoothed_us; /* 0 before the first answer */
--- a/coordination/waiting_jobs.h
+++ b/coordination/waiting_jobs.h
@@ -8,9 +8,9 @@
  *
  * When slots become known, all homes learn of them at the same time.  So in
  * one round a home assigns only its share of the tasks that the slots start
- * until the next one.  The job that exceeds the share is assigned by lot, with
- * a probability at which the homes together assign as many as are started.
- * Jobs that would not start in time are left out.
+ * until the next one.  The job that exceeds the share is assigned at random,
+ * with a probability at which the homes together assign as many as are
+ * started. Jobs that would not start in time are left out.
  *
  * The jobs are bounded in number and bytes.  When a bound is exceeded, the
  * last jobs in the order have to be refused.
@@ -58,7 +58,8 @@
   guint n_free;        /* tasks that would start at once */
   guint n_homes;       /* that assign tasks by the same announcements, this
                           one included; at least 1 */
-  guint64 seed;        /* of the lot; must differ for each call */
+  guint64 seed;        /* of the random choice; must differ for each
+                          call */
 };
 
 void waiting_jobs_init (struct waiting_jobs *jobs, guint max_jobs,
