--- a/commands/evacuate.c
+++ b/commands/evacuate.c
@@ -220,20 +220,39 @@
   return write_request (request, zone, state);
 }
 
+static void
+print_zones (const struct request *request, GHashTable *evacuated)
+{
+  g_autoptr (GList) names
+      = g_list_sort (g_hash_table_get_keys (evacuated), (GCompareFunc)strcmp);
+  g_autofree char *text = join_names (evacuated);
+  json_t *list;
+
+  if (!request->is_json)
+    {
+      printf ("evacuated: %s\n", text[0] != '\0' ? text : "none");
+      return;
+    }
+  list = json_array ();
+  for (const GList *name = names; name != NULL; name = name->next)
+    json_array_append_new (list, json_string (name->data));
+  list = json_pack ("{s:o}", "evacuated", list);
+  cli_print_json (list);
+  json_decref (list);
+}
+
 static int
 run (const struct request *request, const char *zone)
 {
   g_autoptr (GError) error = NULL;
   g_autoptr (GHashTable) evacuated
       = fetch_zones (request, OPERATOR_TOPIC, &error);
-  g_autofree char *names = NULL;
 
   if (evacuated == NULL)
     return cli_report_error (usage.name, error, request->is_json);
   if (zone != NULL)
     return change_zone (request, zone, evacuated);
-  names = join_names (evacuated);
-  printf ("evacuated: %s\n", names[0] != '\0' ? names : "none");
+  print_zones (request, evacuated);
   return EXIT_STATUS_OK;
 }
 
--- a/t/t9620-evacuation.c
+++ b/t/t9620-evacuation.c
@@ -214,6 +214,7 @@
                 "last zone in use");
   run_evacuate (bed, "--timeout=9000", NULL, EXIT_STATUS_OK,
                 "evacuated: hafnarfj-b");
+  run_evacuate (bed, "--json", NULL, EXIT_STATUS_OK, "\"hafnarfj-b\"");
   run_evacuate (bed, "--take-back", "hafnarfj-b", EXIT_STATUS_OK, "in use");
   wait_evacuated (bed, 0);
   fleet_bed_set_store_faults (bed, "{\"door\":0,\"mode\":\"refuses\"}");
