--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -144,6 +144,43 @@
                            struct owned_upstream *upstream,
                            gint64 instance_start_ms, gint64 now_us);
 
+/* Reports EVENT of UPSTREAM to the driver.  */
+void owner_report_health (struct owner *owner,
+                          const struct owned_upstream *upstream,
+                          enum owner_health_event event);
+
+/* Starts nothing more on UPSTREAM before a poll was answered, which tells that
+   it is alive and which instance it is.  */
+void owner_mark_unconfirmed (struct owned_upstream *upstream, gint64 now_us);
+
+/* Another instance has refused an order to UPSTREAM.  Most probably it will
+   not answer under this id any more, so it is polled rarely.  */
+void owner_handle_other_instance (struct owner *owner,
+                                  struct owned_upstream *upstream,
+                                  gint64 now_us);
+
+/* The start of RUN got no answer and may still be carried out: stops RUN.  */
+void owner_handle_unanswered_start (struct owner *owner, struct run *run,
+                                    gint64 now_us);
+
+/* Adds RUN, which takes TOOK_US, to what is known of the speed of its
+   upstream.  Reports a change from ordinary or from the last report.  The time
+   of a run during which this VM was paused contains the pause, so it does not
+   count.  */
+void owner_add_run_speed (struct owner *owner, struct run *run, gint64 took_us,
+                          gint64 now_us);
+
+/* Ends all runs of UPSTREAM as lost, none of which can be running any more. */
+void owner_drop_runs (struct owner *owner, struct owned_upstream *upstream,
+                      gint64 now_us);
+
+/* UPSTREAM has a higher token from another owner: gives it up at once.  */
+void owner_drop_fenced_upstream (struct owner *owner,
+                                 struct owned_upstream *upstream,
+                                 gint64 now_us);
+
+/* owner_checks.c: what is overdue.  */
+
 /* Whether UPSTREAM should have told by NOW_US of an end, or of the start of a
    run whose order is not answered.  */
 gboolean owner_expects_news (const struct owned_upstream *upstream,
@@ -156,14 +193,10 @@
    overdue.  */
 void owner_check_starts (struct owned_upstream *upstream, gint64 now_us);
 
-/* Ends all runs of UPSTREAM as lost, none of which can be running any more. */
-void owner_drop_runs (struct owner *owner, struct owned_upstream *upstream,
-                      gint64 now_us);
-
-/* UPSTREAM has a higher token from another owner: gives it up at once.  */
-void owner_drop_fenced_upstream (struct owner *owner,
-                                 struct owned_upstream *upstream,
-                                 gint64 now_us);
+/* Stops the runs whose start orders were lost, as the answer to a poll of
+   UPSTREAM has shown.  */
+void owner_handle_lost_starts (struct owner *owner,
+                               struct owned_upstream *upstream, gint64 now_us);
 
 /* Handles what is overdue at UPSTREAM: unanswered starts and polls,
    unacknowledged stops, stalled or slow tasks, expired leases.  */
