--- a/coordination/vm_capacity.h
+++ b/coordination/vm_capacity.h
@@ -2,12 +2,13 @@
  * The usable processor capacity of this VM, in thousandths of a core.  Does no
  * I/O.
  *
- * It starts at the VM's processor share.  Each time that the main loop has run
- * late for two windows in a row it is halved, down to an eighth of the share;
- * a pause of VM_CAPACITY_PAUSE_US halves it at once.  When the loop has run on
- * time for a few seconds it is doubled again.  A loss soon after such a raise
- * doubles the time that the next raise takes, so that a VM which is overloaded
- * by what it gets back does not swing between two states.
+ * It starts at the VM's processor share.  Once the main loop has run late for
+ * two windows in a row it is halved, and again with each further late window,
+ * down to an eighth of the share; a pause of VM_CAPACITY_PAUSE_US halves it at
+ * once.  When the loop has run on time for a few seconds it is doubled again.
+ * A loss soon after such a raise doubles the time that the next raise takes,
+ * so that a VM which is overloaded by what it gets back does not swing between
+ * two states.
  */
 #ifndef COORDINATION_VM_CAPACITY_H
 #define COORDINATION_VM_CAPACITY_H
