coordination: a start that is only answered late is no fault of its upstream

One of six workers stayed on probation: two starts that were answered late counted as failures since they are checked after 10 ms. They count as such only from 40 ms on, as before.

--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -320,7 +320,10 @@
 {
   if (run->state != RUN_STARTING)
     return;
-  owned_record_failure (run->upstream, now_us);
+  /* An answer that is only later than usual is no fault of the upstream: it
+     would rest when it or this VM is scheduled late.  */
+  if (now_us - run->started_us >= ANSWER_TIMEOUT_MAX_US)
+    owned_record_failure (run->upstream, now_us);
   if (owner->driver->ops->start_unanswered != NULL)
     owner->driver->ops->start_unanswered (owner->driver, run);
   run->state = RUN_UNCONFIRMED;
