transport: only a task that its owner names as done counts as done

When a batch ended as done, its home counted all tasks of its part as done that the owner had not named as returned, and it kept only their number. Whatever made the two sides disagree about a grant was shown as success, and a task counted twice could stand for one that was missing.

Now the result of a batch, of another VM or of this one, names the tasks that have ended with success. The home keeps them as a set, takes only those that it has granted to that part, and answers "done" when the set has all tasks of the job. What is named neither as done nor as returned was not run as far as its owner knows: it is assigned again like a returned task and logged as 3116 tasks-ignored. A batch that ends as not started is treated alike, so that a task that it names as done is not run again.

The reply to PEER_RUN_BATCH has one more list, of at most PEER_TASKS_MAX tasks. Replies of another version are refused as malformed, and such a job is answered as unknown, like after earlier changes of peer.x: run the same version on all VMs.

--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -412,9 +412,10 @@
    owner.  */
 guint batch_count_waiting (const struct batch *batch);
 
-/* Writes the indexes in the job of the tasks of BATCH that were given back to
-   its home to INDEXES, which has room for all.  Returns their number.  */
-guint batch_list_returned (const struct batch *batch, guint *indexes);
+/* Writes the indexes in the job of the tasks of BATCH that are in STATE to
+   INDEXES, which has room for all.  Returns their number.  */
+guint batch_list_tasks (const struct batch *batch, enum batch_task_state state,
+                        guint *indexes);
 
 /* Whether all tasks of BATCH were given back to its home.  */
 gboolean batch_is_returned (const struct batch *batch);
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -77,12 +77,13 @@
 }
 
 guint
-batch_list_returned (const struct batch *batch, guint *indexes)
+batch_list_tasks (const struct batch *batch, enum batch_task_state state,
+                  guint *indexes)
 {
   guint n = 0;
 
   for (guint i = 0; i < batch->n_tasks; i++)
-    if (batch->tasks[i].state == BATCH_TASK_RETURNED)
+    if (batch->tasks[i].state == state)
       indexes[n++] = batch->tasks[i].index;
   return n;
 }
--- a/coordination/task_offer.c
+++ b/coordination/task_offer.c
@@ -7,8 +7,8 @@
     set->indexes[set->n++] = indexes[i];
 }
 
-static gboolean
-contains (const struct task_set *set, guint index)
+gboolean
+task_set_contains (const struct task_set *set, guint index)
 {
   for (guint i = 0; i < set->n; i++)
     if (set->indexes[i] == index)
@@ -38,7 +38,7 @@
     {
       guint index = wanted->indexes[i];
 
-      if (!contains (offered, index))
+      if (!task_set_contains (offered, index))
         {
           i++;
           continue;
@@ -54,7 +54,7 @@
                      const struct task_set *offered)
 {
   for (guint i = 0; i < wanted->n; i++)
-    if (contains (offered, wanted->indexes[i]))
+    if (task_set_contains (offered, wanted->indexes[i]))
       return TRUE;
   return FALSE;
 }
--- a/coordination/task_offer.h
+++ b/coordination/task_offer.h
@@ -25,6 +25,8 @@
    for.  */
 void task_set_add (struct task_set *set, const guint *indexes, guint n);
 
+gboolean task_set_contains (const struct task_set *set, guint index);
+
 /* Removes those of the N tasks INDEXES that SET contains.  */
 void task_set_remove (struct task_set *set, const guint *indexes, guint n);
 
--- a/protocol/peer.x
+++ b/protocol/peer.x
@@ -127,6 +127,7 @@
   unsigned int end; /* enum batch_end */
   bool has_started; /* a task of the batch may have been started */
   string reason<PEER_SERVICE_MAX>;
+  unsigned int done<PEER_TASKS_MAX>;     /* tasks that ended with success */
   unsigned int returned<PEER_TASKS_MAX>; /* every task that was returned,
                                             RETURN_TASKS calls included */
 };
--- a/protocol/peer_xdr.c
+++ b/protocol/peer_xdr.c
@@ -344,6 +344,9 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->reason, PEER_SERVICE_MAX))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->done.done_val, (u_int *) &objp->done.done_len, PEER_TASKS_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->returned.returned_val, (u_int *) &objp->returned.returned_len, PEER_TASKS_MAX,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
--- a/protocol/peer_xdr.h
+++ b/protocol/peer_xdr.h
@@ -151,6 +151,10 @@
 	u_int end;
 	bool_t has_started;
 	char *reason;
+	struct {
+		u_int done_len;
+		u_int *done_val;
+	} done;
 	struct {
 		u_int returned_len;
 		u_int *returned_val;
--- a/t/support/fleet_world.c
+++ b/t/support/fleet_world.c
@@ -235,6 +235,27 @@
   return FALSE;
 }
 
+/* A home counts as done what is named so at the end of BATCH: tasks that were
+   given back or did not succeed must not be.  */
+static void
+check_named_done (struct fleet_world *w, const struct batch *batch,
+                  const struct sim_batch *model)
+{
+  g_autofree guint *indexes = g_new (guint, batch->n_tasks);
+  guint n = batch_list_tasks (batch, BATCH_TASK_DONE, indexes);
+
+  for (guint i = 0; i < n; i++)
+    {
+      const struct sim_task *task = &model->tasks[indexes[i] - batch->step];
+
+      fleet_expect (w, task->is_done && !task->is_returned,
+                    "a task is named as done that is not");
+    }
+  if (batch->end == BATCH_DONE)
+    fleet_expect (w, n + batch->n_returned == batch->n_tasks,
+                  "a task is named neither as done nor as returned");
+}
+
 static void
 check_finish (struct fleet_world *w, const struct batch *batch,
               const struct sim_batch *model)
@@ -258,6 +279,7 @@
                       "done without all tasks");
     }
   fleet_expect (w, batch->n_returned == n_returned, "the returns differ");
+  check_named_done (w, batch, model);
 }
 
 static void
--- a/t/support/load_home.c
+++ b/t/support/load_home.c
@@ -68,7 +68,7 @@
 static gboolean
 may_have_started (const struct model_job *job)
 {
-  if (job->has_started || job->n_done > 0)
+  if (job->has_started || job->done.n > 0)
     return TRUE;
   for (guint i = 0; i < job->parts->len; i++)
     {
@@ -390,9 +390,17 @@
   close_part (part);
   if (message->end == BATCH_DONE)
     {
-      /* A task that was not run must not count as done.  */
-      g_assert_cmpuint (part->tasks.n, ==, message->n_done);
-      job->n_done += part->tasks.n;
+      /* The owner must have run exactly the tasks of the part, and no other
+         owner any of them.  */
+      g_assert_cmpuint (part->tasks.n, ==, message->done.n);
+      for (guint i = 0; i < message->done.n; i++)
+        {
+          guint index = message->done.indexes[i];
+
+          g_assert_true (task_set_contains (&part->tasks, index));
+          g_assert_false (task_set_contains (&job->done, index));
+          task_set_add (&job->done, &index, 1);
+        }
     }
   else if (message->end == BATCH_NOT_STARTED)
     {
@@ -405,7 +413,7 @@
     }
   else
     end_job (job, offsetof (struct load_result, n_failed));
-  if (job->n_done == load_job_get_kind (job)->n_tasks)
+  if (job->done.n == load_job_get_kind (job)->n_tasks)
     end_job (job, took_us <= get_objective_us (job->run_ms)
                       ? offsetof (struct load_result, n_in_time)
                       : offsetof (struct load_result, n_late));
--- a/t/support/load_model.c
+++ b/t/support/load_model.c
@@ -118,9 +118,10 @@
   struct message *message = load_model_send (part, MESSAGE_END);
 
   message->end = batch->end;
-  message->n_done = batch->n_done;
+  message->done.n
+      = batch_list_tasks (batch, BATCH_TASK_DONE, message->done.indexes);
   message->flag = batch->n_started > 0;
-  message->n = batch_list_returned (batch, message->indexes);
+  message->n = batch_list_tasks (batch, BATCH_TASK_RETURNED, message->indexes);
   part->batch = NULL;
   batch_free (batch);
 }
--- a/t/support/load_model_private.h
+++ b/t/support/load_model_private.h
@@ -45,7 +45,7 @@
   gint64 start_by_us;
   gint64 end_by_us;
   guint n_assignments;
-  guint n_done;
+  struct task_set done;
   guint n_parts;
   guint n_open; /* parts that have not ended */
   gboolean has_started;
@@ -87,7 +87,7 @@
   guint indexes[TASK_OFFER_MAX];
   gboolean flag; /* GRANT: nothing is left; RETURN, END: something started */
   enum batch_end end;
-  guint n_done; /* END: tasks that the owner has run with success */
+  struct task_set done; /* END: tasks that the owner has run with success */
 };
 
 /* A refused job that is to return.  */
--- a/t/t3004-peer-codec.c
+++ b/t/t3004-peer-codec.c
@@ -190,6 +190,33 @@
   peer_mac_free (mac);
 }
 
+/* The tasks that an owner names as done and as returned reach the home as two
+   lists.  */
+static void
+check_batch_result (const peer_batch_result *result)
+{
+  const struct rpc_procedure *procedure = rpc_procedure_find (PEER_RUN_BATCH);
+  struct peer_mac *mac = no_keys ();
+  g_autoptr (GBytes) record = rpc_build_reply (mac, 5, procedure, result);
+  gsize length = g_bytes_get_size (record) - RPC_MARK_LENGTH;
+  g_autofree guint8 *copy = g_memdup2 (
+      (const guint8 *)g_bytes_get_data (record, NULL) + RPC_MARK_LENGTH,
+      length);
+  peer_batch_result *read
+      = rpc_parse_reply (mac, copy, length, procedure, NULL);
+
+  g_assert_nonnull (read);
+  g_assert_cmpmem (read->done.done_val, read->done.done_len * sizeof (u_int),
+                   result->done.done_val,
+                   result->done.done_len * sizeof (u_int));
+  g_assert_cmpmem (read->returned.returned_val,
+                   read->returned.returned_len * sizeof (u_int),
+                   result->returned.returned_val,
+                   result->returned.returned_len * sizeof (u_int));
+  rpc_result_free (procedure, read);
+  peer_mac_free (mac);
+}
+
 static void
 test_replies (void)
 {
@@ -206,7 +233,15 @@
   peer_claim_result grant = { .granted = { 3, granted },
                               .is_exhausted = TRUE,
                               .spec = (char *)"spec" };
+  guint done[] = { 0, 4 };
+  guint returned[] = { 129, 7, 1 };
+  peer_batch_result batch = { .has_started = TRUE,
+                              .reason = (char *)"",
+                              .done = { 2, done },
+                              .returned = { 3, returned } };
 
+  check_batch_result (&batch);
+  check_bent_replies (rpc_procedure_find (PEER_RUN_BATCH), &batch);
   check_bent_replies (rpc_procedure_find (PEER_FETCH_DOCUMENTS), &result);
   check_bent_replies (rpc_procedure_find (PEER_CLAIM_TASKS), &grant);
 }
--- /dev/null
+++ b/t/t5026-fleet-home.c
@@ -0,0 +1,408 @@
+/* What a home makes of the results of its batches, without a network: the test
+   stands in for the peer hub and for the owner of this VM.  */
+#include "base/event_log.h"
+#include "base/hash64.h"
+#include "transport/fleet_home.h"
+#include "transport/fleet_job.h"
+#include "transport/peer_hub.h"
+
+#include <glib/gstdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define JOB "0123456789abcdef"
+#define INCARNATION 5
+#define N_TASKS 2
+#define MAX_BATCHES 8
+
+/* A batch that the home has sent and that has not ended.  */
+struct sent_batch
+{
+  guint number;
+  guint n_tasks;
+  guint indexes[PEER_TASKS_MAX];
+  struct batch *batch; /* on this VM; NULL for one of vm-b */
+  peer_call_done_func *ended;
+  gpointer data;
+};
+
+/* The home's own VM has one upstream with two slots.  */
+struct fleet_owner
+{
+  struct owner_driver driver;
+  struct owner *owner;
+};
+
+static struct sent_batch sent[MAX_BATCHES];
+static guint n_sent;
+static peer_handler_func *claim_handler;
+static gpointer claim_data;
+static guint n_granted; /* by the last reply to a claim */
+
+static struct sent_batch *
+add_sent (guint number)
+{
+  struct sent_batch *added = &sent[n_sent++];
+
+  g_assert_cmpuint (n_sent, <=, MAX_BATCHES);
+  *added = (struct sent_batch){ .number = number };
+  return added;
+}
+
+void
+peer_hub_serve (struct peer_hub *hub, guint procedure,
+                peer_handler_func *handler, gpointer data)
+{
+  if (procedure != PEER_CLAIM_TASKS)
+    return;
+  claim_handler = handler;
+  claim_data = data;
+}
+
+void
+peer_hub_call (struct peer_hub *hub, const char *vm, guint procedure,
+               const void *arguments, gint64 deadline_us,
+               peer_call_done_func *ended, gpointer data)
+{
+  const peer_batch_args *args = arguments;
+  struct sent_batch *added;
+
+  if (procedure != PEER_RUN_BATCH)
+    return;
+  added = add_sent (args->number);
+  added->n_tasks = args->indexes.indexes_len;
+  memcpy (added->indexes, args->indexes.indexes_val,
+          added->n_tasks * sizeof *added->indexes);
+  added->ended = ended;
+  added->data = data;
+}
+
+const char *
+peer_request_get_sender (const struct peer_request *request)
+{
+  return "vm-b";
+}
+
+void
+peer_request_reply (struct peer_request *request, const void *result)
+{
+  n_granted = ((const peer_claim_result *)result)->granted.granted_len;
+}
+
+struct owner *
+fleet_owner_get_owner (struct fleet_owner *owner)
+{
+  return owner->owner;
+}
+
+void
+fleet_owner_run (struct fleet_owner *owner, struct batch *batch,
+                 struct batch_sink *sink)
+{
+  struct sent_batch *added = add_sent (batch->number);
+
+  batch->user_data = sink;
+  added->batch = batch;
+  for (guint i = 0; i < batch->n_tasks; i++)
+    added->indexes[added->n_tasks++] = batch->tasks[i].index;
+}
+
+char *
+fleet_format_home (const char *vm, guint64 incarnation)
+{
+  return g_strdup (vm);
+}
+
+static void
+on_poll (struct owner_driver *driver, struct owned_upstream *upstream,
+         gint64 until_ms, guint wait_ms)
+{
+}
+
+static void
+on_wake_at (struct owner_driver *driver, gint64 when_us)
+{
+}
+
+static const struct owner_driver_ops driver_ops
+    = { .poll = on_poll, .wake_at = on_wake_at };
+
+static void
+on_vm_live (struct vm_directory_listener *listener, const struct vm *vm)
+{
+}
+
+static const struct vm_directory_listener_ops directory_ops
+    = { .vm_became_live = on_vm_live };
+
+struct bed
+{
+  struct fleet_answer_handler handler;
+  struct vm_directory_listener directory_listener;
+  struct fleet_settings settings;
+  struct vm_directory *directory;
+  struct fleet_owner owner;
+  struct fleet_admission *admission;
+  struct fleet_home *home;
+  guint n_answers;
+  enum fleet_outcome outcome;
+  int log_fd;
+  char *log_path;
+};
+
+static void
+on_answer (struct fleet_answer_handler *handler,
+           const struct fleet_answer *answer)
+{
+  struct bed *bed = (struct bed *)handler;
+
+  bed->n_answers++;
+  bed->outcome = answer->outcome;
+}
+
+/* A beacon of vm-b: slots for four tasks, none of them free right now.  */
+static void
+announce (struct bed *bed)
+{
+  struct vm_room room = { .service_hash = hash64_string ("s"), .n_slots = 4 };
+  struct vm_beacon news = { .name = "vm-b",
+                            .ip = "127.0.0.1",
+                            .availability_zone = "z",
+                            .incarnation = 7,
+                            .sequence = 1,
+                            .rooms = &room,
+                            .n_rooms = 1 };
+
+  free_slots_init (&room.free_slots, 1);
+  g_assert_nonnull (
+      vm_directory_handle_beacon (bed->directory, &news, clock_now_us ()));
+}
+
+/* This VM takes an upstream, which has answered a poll.  */
+static void
+take_upstream (struct bed *bed)
+{
+  static const struct listed_upstream spec = { .id = "u",
+                                               .address = "127.0.0.1:1",
+                                               .service = "s",
+                                               .rack = "",
+                                               .availability_zone = "z",
+                                               .shape = { .cpus = N_TASKS },
+                                               .instance_start_ms = 1 };
+  static const struct upstream_report report
+      = { .clock_ms = 5000, .instance_start_ms = 1 };
+  gint64 now_us = clock_now_us ();
+  struct owned_upstream *upstream
+      = owner_take_upstream (bed->owner.owner, &spec, 1, now_us);
+
+  owner_poll_ended (bed->owner.owner, upstream, upstream->n_polls,
+                    ORDER_ACCEPTED, &report, now_us);
+}
+
+static struct fleet_submission *
+make_submission (void)
+{
+  struct fleet_submission *submission = g_new0 (struct fleet_submission, 1);
+
+  submission->job = g_strdup (JOB);
+  submission->spec = g_strdup ("");
+  submission->service = g_strdup ("s");
+  submission->need.cpus = 1;
+  submission->n_tasks = N_TASKS;
+  submission->estimate_us = 10 * USEC_PER_MSEC;
+  submission->objective_us = 60 * USEC_PER_SEC;
+  submission->attempts = 3;
+  return submission;
+}
+
+/* A home at vm-a that has sent a job of two tasks to itself if IS_LOCAL, or to
+   vm-b.  */
+static struct bed *
+bed_new (gboolean is_local)
+{
+  static const struct owner_limits limits
+      = { .lease_ms = 900, .max_lease_ms = 1000 };
+  struct bed *bed = g_new0 (struct bed, 1);
+
+  n_sent = 0;
+  bed->handler.answer = on_answer;
+  bed->log_fd = g_file_open_tmp (NULL, &bed->log_path, NULL);
+  event_log_set_output (bed->log_fd, "vm-a");
+  bed->directory_listener.ops = &directory_ops;
+  bed->directory = vm_directory_new (&bed->directory_listener, "vm-a");
+  bed->owner.driver.ops = &driver_ops;
+  bed->owner.owner = owner_new (&bed->owner.driver, &limits);
+  if (is_local)
+    take_upstream (bed);
+  else
+    announce (bed);
+  bed->admission
+      = fleet_admission_new (&bed->settings, bed->directory, &bed->owner);
+  bed->home = fleet_home_new ("vm-a", INCARNATION, "z", 1.5, bed->directory,
+                              NULL, &bed->owner, bed->admission);
+  g_assert_nonnull (
+      fleet_home_submit (bed->home, make_submission (), &bed->handler));
+  g_assert_cmpuint (n_sent, ==, 1);
+  g_assert_cmpuint (sent[0].n_tasks, ==, N_TASKS);
+  return bed;
+}
+
+static void
+bed_free (struct bed *bed)
+{
+  fleet_home_free (bed->home);
+  fleet_admission_free (bed->admission);
+  owner_free (bed->owner.owner);
+  vm_directory_free (bed->directory);
+  event_log_set_output (-1, NULL);
+  close (bed->log_fd);
+  g_unlink (bed->log_path);
+  g_free (bed->log_path);
+  g_free (bed);
+}
+
+/* The owner of the batch INDEX, if that is an offer, claims N_TASKS of it and
+   gets them.  That of this VM takes no notice of the grant.  */
+static void
+claim (guint index, guint n_tasks)
+{
+  struct batch *batch = sent[index].batch;
+  peer_claim_args args = { .incarnation = INCARNATION,
+                           .job = (char *)JOB,
+                           .number = sent[index].number,
+                           .n_tasks = n_tasks };
+
+  if (batch == NULL)
+    {
+      claim_handler (NULL, &args, claim_data);
+      g_assert_cmpuint (n_granted, ==, n_tasks);
+    }
+  else if (batch->n_offers > 0)
+    {
+      struct batch_sink *sink = batch->user_data;
+
+      batch->is_ending = TRUE;
+      sink->tasks_claimed (sink, batch, n_tasks);
+    }
+}
+
+static void
+finish_local (struct batch *batch, const guint *done, guint n_done)
+{
+  struct batch_sink *sink = batch->user_data;
+
+  for (guint i = 0; i < batch->n_tasks; i++)
+    for (guint k = 0; k < n_done; k++)
+      if (batch->tasks[i].index == done[k])
+        batch->tasks[i].state = BATCH_TASK_DONE;
+  batch->end = BATCH_DONE;
+  batch->n_started = n_done;
+  sink->batch_ended (sink, batch);
+  batch_free (batch);
+}
+
+/* The batch INDEX ends as done, with the N_DONE tasks DONE.  */
+static void
+finish (guint index, const guint *done, guint n_done)
+{
+  peer_batch_result result = { .end = BATCH_DONE,
+                               .has_started = TRUE,
+                               .reason = (char *)"",
+                               .done = { n_done, (guint *)done } };
+
+  if (sent[index].batch != NULL)
+    finish_local (sent[index].batch, done, n_done);
+  else
+    sent[index].ended (&result, NULL, sent[index].data);
+}
+
+static gboolean
+is_logged (struct bed *bed, const char *name)
+{
+  g_autofree char *word = g_strdup_printf ("\"%s\"", name);
+  g_autofree char *text = NULL;
+
+  g_assert_true (event_log_flush ());
+  g_assert_true (g_file_get_contents (bed->log_path, &text, NULL, NULL));
+  return strstr (text, word) != NULL;
+}
+
+static void
+expect_done (struct bed *bed, guint n_batches)
+{
+  g_assert_cmpuint (n_sent, ==, n_batches);
+  g_assert_cmpuint (bed->n_answers, ==, 1);
+  g_assert_cmpint (bed->outcome, ==, FLEET_DONE);
+}
+
+/* The rest of a job, task 1, is reported, sent again and run.  */
+static void
+run_rest (struct bed *bed)
+{
+  static const guint rest = 1;
+
+  g_assert_cmpuint (bed->n_answers, ==, 0);
+  g_assert_true (is_logged (bed, "tasks-ignored"));
+  g_assert_cmpuint (n_sent, ==, 2);
+  g_assert_cmpuint (sent[1].n_tasks, ==, 1);
+  g_assert_cmpuint (sent[1].indexes[0], ==, rest);
+  claim (1, 1);
+  finish (1, &rest, 1);
+  expect_done (bed, 2);
+}
+
+/* A grant that its owner ignored is run, not counted as done.  */
+static void
+test_ignored_grant (gconstpointer is_local)
+{
+  static const guint done = 0;
+  struct bed *bed = bed_new (GPOINTER_TO_INT (is_local));
+
+  claim (0, 2);
+  finish (0, &done, 1);
+  run_rest (bed);
+  bed_free (bed);
+}
+
+/* A task counted twice must not hide one that never ran.  */
+static void
+test_named_twice (void)
+{
+  static const guint done[] = { 0, 0 };
+  struct bed *bed = bed_new (FALSE);
+
+  claim (0, 2);
+  finish (0, done, 2);
+  run_rest (bed);
+  bed_free (bed);
+}
+
+/* A job whose tasks are all named must not wait for more, or be reported.  */
+static void
+test_all_named (gconstpointer is_local)
+{
+  static const guint done[] = { 1, 0 };
+  struct bed *bed = bed_new (GPOINTER_TO_INT (is_local));
+
+  claim (0, 2);
+  finish (0, done, 2);
+  expect_done (bed, 1);
+  g_assert_false (is_logged (bed, "tasks-ignored"));
+  bed_free (bed);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_data_func ("/fleet-home/ignored-grant", GINT_TO_POINTER (FALSE),
+                        test_ignored_grant);
+  g_test_add_data_func ("/fleet-home/ignored-grant-local",
+                        GINT_TO_POINTER (TRUE), test_ignored_grant);
+  g_test_add_func ("/fleet-home/named-twice", test_named_twice);
+  g_test_add_data_func ("/fleet-home/all-named", GINT_TO_POINTER (FALSE),
+                        test_all_named);
+  g_test_add_data_func ("/fleet-home/all-named-local", GINT_TO_POINTER (TRUE),
+                        test_all_named);
+  return g_test_run ();
+}
--- a/transport/fleet_admission.c
+++ b/transport/fleet_admission.c
@@ -111,7 +111,7 @@
   };
 
   /* A job of which something may run is not answered with Retry-After.  */
-  if (!a->spreads_retries || job->has_started || job->n_done > 0
+  if (!a->spreads_retries || job->has_started || job->done.n > 0
       || !list_is_empty (&job->parts))
     return drain_ms;
   return retry_spread_refuse (a->retries, &request, now_us);
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -220,7 +220,7 @@
   struct list_node *node;
   struct list_node *after;
 
-  if (job->n_done > 0 || job->has_started)
+  if (job->done.n > 0 || job->has_started)
     return TRUE;
   list_for_each (node, after, &job->parts)
     {
@@ -282,11 +282,22 @@
     reassign_tasks (job, NULL, 0);
 }
 
-/* PART has ended with END.  REASON, a static string, explains
-   BATCH_STOPPED.  */
+/* PART has ended with BATCH_DONE or BATCH_NOT_STARTED.  Whatever its owner has
+   not named as done is assigned again.  */
+static void
+handle_tasks_left (struct fleet_part *part)
+{
+  if (fleet_job_is_done (part->job))
+    answer_job (part->job, FLEET_DONE, "done", 0);
+  else if (part->n_tasks > 0)
+    reassign_tasks (part->job, part->indexes, part->n_tasks);
+}
+
+/* PART has ended with END, and its owner names the N_DONE tasks DONE.  REASON,
+   a static string, explains BATCH_STOPPED.  */
 static void
 handle_part_end (struct fleet_part *part, enum batch_end end,
-                 const char *reason)
+                 const guint *done, guint n_done, const char *reason)
 {
   struct fleet_job *job = part->job;
 
@@ -300,20 +311,20 @@
       answer_if_given_up (job);
       return;
     }
+  fleet_part_take_done (part, done, n_done);
   switch (end)
     {
     case BATCH_DONE:
-      job->n_done += part->n_tasks;
-      if (job->n_done == job->submission->n_tasks)
-        answer_job (job, FLEET_DONE, "done", 0);
+      if (part->n_tasks > 0)
+        fleet_home_log_tasks_ignored (part, job->home->vm);
+      handle_tasks_left (part);
       break;
     case BATCH_FAILED:
       job->has_started = TRUE;
       answer_job (job, FLEET_FAILED, "a task used up its attempts", 0);
       break;
     case BATCH_NOT_STARTED:
-      if (part->n_tasks > 0)
-        reassign_tasks (job, part->indexes, part->n_tasks);
+      handle_tasks_left (part);
       break;
     case BATCH_STOPPED:
       job->has_started = TRUE;
@@ -374,6 +385,22 @@
   return TRUE;
 }
 
+/* The batch of PART has ended with RESULT.  REASON, a static string, explains
+   BATCH_STOPPED.  */
+static void
+handle_result (struct fleet_part *part, const peer_batch_result *result,
+               const char *reason)
+{
+  if (result->has_started)
+    part->job->has_started = TRUE;
+  if (part->is_open)
+    handle_returned (part, result->has_started, result->returned.returned_val,
+                     result->returned.returned_len);
+  if (part->is_open)
+    handle_part_end (part, (enum batch_end)MIN (result->end, BATCH_STOPPED),
+                     result->done.done_val, result->done.done_len, reason);
+}
+
 static void
 on_local_claimed (struct batch_sink *sink, struct batch *batch, guint n_tasks)
 {
@@ -398,18 +425,18 @@
 on_local_ended (struct batch_sink *sink, const struct batch *batch)
 {
   struct fleet_part *part = list_entry (sink, struct fleet_part, sink);
+  guint done[PEER_TASKS_MAX];
   guint returned[PEER_TASKS_MAX];
-  guint n_returned = batch_list_returned (batch, returned);
+  const peer_batch_result result = {
+    .end = batch->end,
+    .has_started = batch->n_started > 0,
+    .done = { batch_list_tasks (batch, BATCH_TASK_DONE, done), done },
+    .returned
+    = { batch_list_tasks (batch, BATCH_TASK_RETURNED, returned), returned },
+  };
 
   part->batch = NULL;
-  if (batch->n_started > 0)
-    part->job->has_started = TRUE;
-  /* Only the batch tells for certain which tasks are done.  */
-  if (part->is_open)
-    handle_returned (part, batch->n_started > 0, returned, n_returned);
-  if (part->is_open)
-    handle_part_end (part, batch->end,
-                     batch->reason != NULL ? batch->reason : "");
+  handle_result (part, &result, batch->reason != NULL ? batch->reason : "");
   fleet_part_free (part);
 }
 
@@ -422,23 +449,17 @@
   if (reply != NULL)
     vm_directory_note_message (part->job->home->directory, part->owner,
                                clock_now_us ());
-  if (reply != NULL && reply->has_started)
-    part->job->has_started = TRUE;
-  if (part->is_open && reply != NULL)
-    handle_returned (part, reply->has_started, reply->returned.returned_val,
-                     reply->returned.returned_len);
-  if (part->is_open && reply != NULL)
-    handle_part_end (part, (enum batch_end)MIN (reply->end, BATCH_STOPPED),
-                     "its owner has stopped it");
+  if (reply != NULL)
+    handle_result (part, reply, "its owner has stopped it");
   else if (part->is_open
            && (error_get_kind (error) == ERROR_NOT_RUN || part->n_tasks == 0))
-    handle_part_end (part, BATCH_NOT_STARTED, NULL);
+    handle_part_end (part, BATCH_NOT_STARTED, NULL, 0, NULL);
   else if (part->is_open)
     {
       /* Only the connection may have failed: the owner may still run the
          part, so it is told to stop.  */
       fleet_part_stop (part);
-      handle_part_end (part, BATCH_STOPPED,
+      handle_part_end (part, BATCH_STOPPED, NULL, 0,
                        "the connection to its owner broke");
     }
   fleet_part_free (part);
--- a/transport/fleet_home_log.c
+++ b/transport/fleet_home_log.c
@@ -146,6 +146,16 @@
                     FIELD_TEXT ("owner", owner), FIELD_INT ("tasks", n_tasks));
 }
 
+void
+fleet_home_log_tasks_ignored (const struct fleet_part *part, const char *self)
+{
+  event_log_fields (
+      EVENT_TASKS_IGNORED, FIELD_TEXT ("job", part->job->submission->job),
+      FIELD_INT ("batch", part->number),
+      FIELD_TEXT ("owner", part->owner != NULL ? part->owner : self),
+      FIELD_INT ("tasks", part->n_tasks));
+}
+
 /* The log field of the steps since the acceptance was logged; left out if
    there are none.  */
 static struct event_field
@@ -190,7 +200,7 @@
       FIELD_INT ("status", status), FIELD_TEXT ("reason", answer->reason),
       FIELD_INT ("ms", took_us / USEC_PER_MSEC),
       FIELD_INT ("objective_ms", s->objective_us / USEC_PER_MSEC),
-      FIELD_INT ("tasks", s->n_tasks), FIELD_INT ("done", job->n_done),
+      FIELD_INT ("tasks", s->n_tasks), FIELD_INT ("done", job->done.n),
       FIELD_INT ("batches", job->n_parts),
       FIELD_IF (answer->outcome == FLEET_NOT_RUN,
                 FIELD_TEXT ("cause", refusal_cause_name (refusal->cause))),
@@ -211,6 +221,6 @@
 {
   event_log_fields (
       EVENT_CALLER_GONE, FIELD_TEXT ("job", job->submission->job),
-      FIELD_INT ("done", job->n_done), FIELD_INT ("ms", get_elapsed_ms (job)),
+      FIELD_INT ("done", job->done.n), FIELD_INT ("ms", get_elapsed_ms (job)),
       make_trail_field (job));
 }
--- a/transport/fleet_home_log.h
+++ b/transport/fleet_home_log.h
@@ -36,6 +36,11 @@
 void fleet_home_log_tasks_returned (const struct fleet_part *part,
                                     guint n_tasks, const char *self);
 
+/* PART has ended as done, and its owner has named the tasks that are left in
+   PART neither as done nor as returned.  SELF is the name of this VM.  */
+void fleet_home_log_tasks_ignored (const struct fleet_part *part,
+                                   const char *self);
+
 /* JOB is answered with ANSWER, TOOK_US after its acceptance.  OUTCOME is the
    name of the answer's outcome, STATUS the HTTP status.  */
 void fleet_home_log_job_answered (const struct fleet_job *job,
--- a/transport/fleet_job.c
+++ b/transport/fleet_job.c
@@ -72,6 +72,42 @@
   return n_out;
 }
 
+static gboolean
+is_named (guint index, const guint *indexes, guint n_indexes)
+{
+  for (guint i = 0; i < n_indexes; i++)
+    if (indexes[i] == index)
+      return TRUE;
+  return FALSE;
+}
+
+void
+fleet_part_take_done (struct fleet_part *part, const guint *indexes,
+                      guint n_indexes)
+{
+  struct task_set *done = &part->job->done;
+  guint n_left = 0;
+
+  for (guint i = 0; i < part->n_tasks; i++)
+    {
+      guint index = part->indexes[i];
+
+      if (task_set_contains (done, index))
+        continue;
+      if (is_named (index, indexes, n_indexes))
+        task_set_add (done, &index, 1);
+      else
+        part->indexes[n_left++] = index;
+    }
+  part->n_tasks = n_left;
+}
+
+gboolean
+fleet_job_is_done (const struct fleet_job *job)
+{
+  return job->done.n == job->submission->n_tasks;
+}
+
 struct fleet_part *
 fleet_job_find_part (const struct fleet_job *job, guint number)
 {
--- a/transport/fleet_job.h
+++ b/transport/fleet_job.h
@@ -51,7 +51,7 @@
   struct waiting_job waiting; /* for slots, if it is linked */
   gboolean has_waited;        /* it was in the list of waiting jobs */
   struct task_set wanted;     /* tasks that are offered and not granted yet */
-  guint n_done;               /* tasks that have succeeded */
+  struct task_set done;       /* tasks that an owner has named as done */
   gboolean is_closed;         /* answered or cancelled */
   const char *give_up_reason; /* static string; NULL unless given up.  The
                                  answer follows when all parts have ended */
@@ -75,6 +75,9 @@
 struct fleet_part *fleet_job_find_part (const struct fleet_job *job,
                                         guint number);
 
+/* Whether each task of JOB was named as done.  */
+gboolean fleet_job_is_done (const struct fleet_job *job);
+
 /* Unlinks and frees PART, and drops its reference to the job.  */
 void fleet_part_free (struct fleet_part *part);
 
@@ -89,4 +92,10 @@
 guint fleet_part_remove_tasks (struct fleet_part *part, const guint *indexes,
                                guint n_indexes, guint *out);
 
+/* PART has ended, and its owner names the tasks INDEXES as done: adds those
+   that were in PART to the done tasks of its job.  What is left in PART is not
+   done, neither here nor elsewhere.  */
+void fleet_part_take_done (struct fleet_part *part, const guint *indexes,
+                           guint n_indexes);
+
 #endif
--- a/transport/fleet_owner_peers.c
+++ b/transport/fleet_owner_peers.c
@@ -53,12 +53,15 @@
 on_remote_ended (struct batch_sink *sink, const struct batch *batch)
 {
   struct remote_batch *remote = list_entry (sink, struct remote_batch, sink);
-  guint indexes[PEER_TASKS_MAX];
+  guint done[PEER_TASKS_MAX];
+  guint returned[PEER_TASKS_MAX];
   peer_batch_result result = {
     .end = batch->end,
     .has_started = batch->n_started > 0,
     .reason = (char *)(batch->reason != NULL ? batch->reason : ""),
-    .returned = { batch_list_returned (batch, indexes), indexes },
+    .done = { batch_list_tasks (batch, BATCH_TASK_DONE, done), done },
+    .returned
+    = { batch_list_tasks (batch, BATCH_TASK_RETURNED, returned), returned },
   };
 
   if (g_hash_table_lookup (remote->owner->remote_batches, remote->key)
