coordination: an outage counts as one fault of its upstream

While an upstream did not answer, each poll after the end of its rest began another rest of twice the length. Now the rest begins with the outage and is not renewed by it; after it the upstream is on probation as before, until a run succeeds.

t2111 /owner/one-rest-an-outage failed before.

--- a/coordination/owner_polls.c
+++ b/coordination/owner_polls.c
@@ -207,9 +207,11 @@
   if (++upstream->n_unanswered_polls < OWNED_MAX_UNANSWERED_POLLS)
     return;
   upstream->poll_due_us = now_us + OWNED_UNRESPONSIVE_POLL_US;
-  if (upstream->state != OWNED_UNRESPONSIVE)
-    owner_report_health (owner, upstream, HEALTH_EVENT_UNRESPONSIVE);
+  if (upstream->state == OWNED_UNRESPONSIVE)
+    return;
   upstream->state = OWNED_UNRESPONSIVE;
+  owner_report_health (owner, upstream, HEALTH_EVENT_UNRESPONSIVE);
+  /* One outage is one fault, however many polls it leaves unanswered.  */
   owned_start_rest (upstream, now_us);
 }
 
--- a/t/t2111-owner-single.c
+++ b/t/t2111-owner-single.c
@@ -197,6 +197,31 @@
   finish (&bed, owner);
 }
 
+/* An upstream that was away for seconds gets runs again as soon as it answers:
+   its rest must not grow with each poll of the outage.  */
+static void
+test_one_rest_an_outage (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned_upstream *upstream = take (owner);
+  gint64 now_us = START_US;
+
+  for (guint i = 0; i < 20; i++)
+    {
+      owner_advance (owner, now_us += 160 * USEC_PER_MSEC);
+      owner_poll_ended (owner, upstream, upstream->n_polls, ORDER_UNANSWERED,
+                        NULL, now_us);
+    }
+  g_assert_cmpint (upstream->state, ==, OWNED_UNRESPONSIVE);
+  owner_advance (owner, now_us += 160 * USEC_PER_MSEC);
+  owner_poll_ended (owner, upstream, upstream->n_polls, ORDER_ACCEPTED,
+                    &report, now_us);
+  owner_submit_batch (owner, make_batch (), now_us);
+  g_assert_cmpstr (bed.started_on, ==, "u");
+  finish (&bed, owner);
+}
+
 /* Queues a batch that has to start within START_S seconds.  */
 static struct batch *
 queue (struct owner *owner, guint priority, guint start_s)
@@ -664,6 +689,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/owner/asking", test_asking);
   g_test_add_func ("/owner/all-on-trial", test_all_on_trial);
+  g_test_add_func ("/owner/one-rest-an-outage", test_one_rest_an_outage);
   g_test_add_func ("/owner/queue-order", test_queue_order);
   g_test_add_func ("/owner/rack", test_rack);
   g_test_add_func ("/owner/replaced", test_replaced);
