coordination: a task that crashes upstreams runs alone, and is given up

An owner now counts the crashes under each task. Suspects (those that started last, or at a second crash) run again alone, one at a time, on an upstream that has answered since, behind what is in time. The batch ends as crashed, and the job is answered as failed, when that upstream crashes too. The loss of most of a rack or zone at once proves nothing, nor does an upstream that was leaving.

t2113 has the cases; before, /owner-crashes/given-up crashes an upstream every four seconds without end.

--- a/coordination/owned.c
+++ b/coordination/owned.c
@@ -200,7 +200,7 @@
   const struct shape *used = &upstream->used;
   const struct shape *shape = &upstream->shape;
 
-  if (!owned_is_usable (upstream, now_us))
+  if (!owned_is_usable (upstream, now_us) || upstream->is_isolated)
     return FALSE;
   if ((upstream->is_on_probation || owned_is_warming_up (upstream, now_us))
       && (!list_is_empty (&upstream->runs)
@@ -309,6 +309,7 @@
   memset (&upstream->used, 0, sizeof upstream->used);
   upstream->n_foreign = 0;
   upstream->n_runs = 0;
+  upstream->is_isolated = FALSE;
   for (node = upstream->runs.next; node != &upstream->runs; node = node->next)
     {
       const struct run *run = list_entry (node, struct run, link);
@@ -317,6 +318,7 @@
       upstream->used.memory_mb += run->need.memory_mb;
       upstream->used.accelerators += run->need.accelerators;
       upstream->n_foreign += run->is_foreign ? 1 : 0;
+      upstream->is_isolated |= run->is_isolated;
       upstream->n_runs++;
     }
   for (node = upstream->holds.next; node != &upstream->holds;
@@ -366,7 +368,10 @@
   run->number = number;
   run->is_foreign = task == NULL;
   if (task != NULL)
-    run->need = task->batch->need;
+    {
+      run->need = task->batch->need;
+      run->is_isolated = batch_task_is_suspect (task);
+    }
   list_append (&upstream->runs, &run->link);
   recompute_usage (upstream);
   return run;
--- a/coordination/owner.c
+++ b/coordination/owner.c
@@ -114,6 +114,8 @@
 
   if (upstream == NULL)
     return;
+  if (upstream->state == OWNED_UNRESPONSIVE)
+    owner_note_crash (owner, upstream);
   upstream->is_removed = TRUE;
   g_hash_table_steal (owner->upstreams, id);
   owner_drop_runs (owner, upstream, now_us);
@@ -197,7 +199,8 @@
 add_room (const struct owner *owner, const struct owned_upstream *upstream,
           struct owner_room *room, gint64 now_us)
 {
-  gdouble free_cpus = upstream->shape.cpus - upstream->used.cpus;
+  gdouble free_cpus
+      = upstream->is_isolated ? 0 : upstream->shape.cpus - upstream->used.cpus;
   guint n_slots = (guint)(upstream->shape.cpus / owner->typical_cpus);
   gboolean is_warming_up = owned_is_warming_up (upstream, now_us);
 
--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -12,6 +12,10 @@
  * again, on another upstream if possible, until its attempts are used up.  No
  * new run of a task begins while an earlier one may still be running.
  *
+ * A task may crash the upstreams that run it.  A task under which an upstream
+ * has crashed is run again isolated, on an upstream where nothing else runs,
+ * and its batch fails when that one crashes too.
+ *
  * An upstream may restart under the same id.  Its start time,
  * instance_start_ms, tells its instances apart.
  *
@@ -89,7 +93,9 @@
                        before the first one */
   gboolean is_stop_acknowledged;
   gboolean is_confirmed; /* the upstream has reported it as running */
-  gboolean is_foreign; /* listed by the upstream, not started by this owner */
+  gboolean is_foreign;  /* listed by the upstream, not started by this owner */
+  gboolean is_isolated; /* nothing else may run on the upstream meanwhile */
+  gboolean is_crash_counted;    /* counted in the task's n_crashes */
   gboolean is_slowness_counted; /* counted in the upstream's slowness */
   gboolean is_speed_counted;    /* counted in the upstream's run_speed */
   guint64 sent_after_poll;      /* the last poll before its start order */
@@ -138,6 +144,7 @@
   guint ref_count;
   struct list_node runs;  /* struct run by link */
   struct list_node holds; /* struct slot_hold by link */
+  gboolean is_isolated;   /* a run there is isolated */
   guint n_runs;           /* in runs */
   guint n_foreign;        /* of them, those that this owner did not start */
   guint64 n_polls;        /* polls sent so far; numbers them from 1 */
@@ -161,6 +168,8 @@
   gint64 clock_ms;         /* the upstream's clock, as last reported */
   gint64 clock_read_us;    /* this VM's time of that report; 0 before the first
                               one */
+  gint64 lost_us; /* when it last became unresponsive or was found to be
+                     another instance; 0 for never */
   gint64 unanswered_since_us; /* 0 while it answers polls */
   guint n_unanswered_polls;   /* in a row */
   gint64 leased_until_ms; /* the latest lease end that any order has set, on
@@ -195,12 +204,16 @@
   struct batch *batch;
   guint index; /* in the job */
   enum batch_task_state state;
-  struct run *run;  /* the current one; NULL for none */
-  guint n_runs;     /* run numbers used, skipped ones included */
-  guint n_failed;   /* failed runs */
-  guint n_restarts; /* because of slow or hanging upstreams */
-  char *failed_on;  /* the upstream where it failed last, or that left its
-                       start unanswered; NULL for none */
+  struct run *run;     /* the current one; NULL for none */
+  guint n_runs;        /* run numbers used, skipped ones included */
+  guint n_failed;      /* failed runs */
+  guint n_crashes;     /* upstreams that crashed while they ran it */
+  gboolean is_suspect; /* of crashing upstreams: runs isolated */
+  gint64 crashed_us;   /* when the last of them was lost */
+  gint64 crash_age_us; /* how long it had run by then */
+  guint n_restarts;    /* because of slow or hanging upstreams */
+  char *failed_on;     /* the upstream where it failed last, or that left its
+                          start unanswered; NULL for none */
 };
 
 enum batch_end
@@ -209,6 +222,7 @@
   BATCH_FAILED,      /* a task used up its attempts */
   BATCH_NOT_STARTED, /* stopped before anything of it was started */
   BATCH_STOPPED,     /* stopped after something was started; nothing runs */
+  BATCH_CRASHED,     /* upstreams crashed again and again under a task */
 };
 
 /* Tasks of one job that need the same resources.  Those of an offer are
@@ -251,7 +265,8 @@
   guint n_offers;  /* owners that the tasks are offered to; 0: no offer */
   guint n_offered; /* tasks that are not granted */
   guint n_queued;
-  guint n_active; /* may be running */
+  guint n_suspects; /* of these, tasks under which an upstream crashed */
+  guint n_active;   /* may be running */
   guint n_done;
   guint n_returned;
   guint n_started;      /* start orders sent, less those that had no effect */
@@ -313,6 +328,11 @@
   void (*run_ended) (struct owner_driver *driver, const struct run *run,
                      enum run_end end);
 
+  /* The upstream of RUN has crashed, and the task of RUN may be the cause. May
+     be NULL.  */
+  void (*upstream_crashed) (struct owner_driver *driver,
+                            const struct run *run);
+
   /* Gives the N_TASKS tasks of BATCH whose indexes in the job are INDEXES back
      to its home.  None of them is running.  */
   void (*return_tasks) (struct owner_driver *driver, struct batch *batch,
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -70,10 +70,27 @@
 guint
 batch_count_waiting (const struct batch *batch)
 {
+  guint n_queued = batch->n_queued - batch->n_suspects;
+
   if (batch->n_offered == 0)
-    return batch->n_queued;
-  return batch->n_queued
-         + (batch->n_offered + batch->n_offers - 1) / batch->n_offers;
+    return n_queued;
+  return n_queued + (batch->n_offered + batch->n_offers - 1) / batch->n_offers;
+}
+
+void
+batch_task_queue (struct batch_task *task)
+{
+  task->state = BATCH_TASK_QUEUED;
+  task->batch->n_queued++;
+  task->batch->n_suspects += batch_task_is_suspect (task) ? 1 : 0;
+}
+
+void
+batch_task_unqueue (struct batch_task *task, enum batch_task_state state)
+{
+  task->state = state;
+  task->batch->n_queued--;
+  task->batch->n_suspects -= batch_task_is_suspect (task) ? 1 : 0;
 }
 
 guint
@@ -170,6 +187,7 @@
         owner_stop_run (owner, task->run, now_us);
     }
   batch->n_queued = 0;
+  batch->n_suspects = 0;
   batch->n_offered = 0;
   owner_release_holds (batch);
   owner_relink_batch (owner, batch);
@@ -186,6 +204,15 @@
   owner_finish_batch_if_done (owner, batch);
 }
 
+/* Whether TASK is queued and may be one of N_TASKS that are given back.
+   Suspects stay unless WITH_ALL: another owner would run them no sooner.  */
+static gboolean
+may_return (const struct batch_task *task, guint n_tasks, gboolean with_all)
+{
+  return task->state == BATCH_TASK_QUEUED && n_tasks > 0
+         && (with_all || !batch_task_is_suspect (task));
+}
+
 guint
 owner_return_tasks (struct owner *owner, struct batch *batch, guint n_tasks,
                     gboolean with_offered)
@@ -197,16 +224,18 @@
     {
       struct batch_task *task = &batch->tasks[i];
 
-      if (task->state == BATCH_TASK_QUEUED && n_tasks > 0)
+      if (may_return (task, n_tasks, with_offered))
         {
           n_tasks--;
-          batch->n_queued--;
+          batch_task_unqueue (task, BATCH_TASK_RETURNED);
         }
       else if (task->state == BATCH_TASK_OFFERED && with_offered)
-        batch->n_offered--;
+        {
+          batch->n_offered--;
+          task->state = BATCH_TASK_RETURNED;
+        }
       else
         continue;
-      task->state = BATCH_TASK_RETURNED;
       indexes[n++] = task->index;
     }
   if (n > 0)
@@ -238,9 +267,16 @@
 const struct batch *
 owner_get_first_queued (const struct owner *owner)
 {
-  if (list_is_empty (&owner->queue))
-    return NULL;
-  return list_entry (owner->queue.next, struct batch, link);
+  const struct list_node *node;
+
+  for (node = owner->queue.next; node != &owner->queue; node = node->next)
+    {
+      const struct batch *batch = list_entry (node, struct batch, link);
+
+      if (batch_count_waiting (batch) > 0)
+        return batch;
+    }
+  return NULL;
 }
 
 /* The queued batches for SERVICE; settled ones only if WITH_SETTLED.  */
@@ -346,8 +382,7 @@
 
       if (task == NULL)
         continue;
-      task->state = BATCH_TASK_DONE;
-      batch->n_queued--;
+      batch_task_unqueue (task, BATCH_TASK_DONE);
       batch->n_done++;
       if (!owner_finish_batch_if_done (owner, batch))
         owner_relink_batch (owner, batch);
@@ -385,9 +420,9 @@
   return n;
 }
 
-static gboolean
-may_run_on (const struct batch_task *task,
-            const struct owned_upstream *upstream, gint64 now_us)
+gboolean
+owner_may_run_on (const struct batch_task *task,
+                  const struct owned_upstream *upstream, gint64 now_us)
 {
   const struct batch *batch = task->batch;
 
@@ -474,7 +509,7 @@
     .cpus = upstream->shape.cpus,
     .free_cpus = upstream->shape.cpus - upstream->used.cpus,
     .succeeded_us = upstream->succeeded_us,
-    .has_room = may_run_on (task, upstream, now_us),
+    .has_room = owner_may_run_on (task, upstream, now_us),
     .is_on_probation
     = upstream->is_on_probation || owned_is_warming_up (upstream, now_us),
     .has_failed_task = g_strcmp0 (task->failed_on, upstream->id) == 0,
@@ -526,7 +561,7 @@
       struct owned_upstream *upstream = value;
       gdouble cost;
 
-      if (!may_run_on (task, upstream, now_us))
+      if (!owner_may_run_on (task, upstream, now_us))
         continue;
       cost = compute_cost (task, upstream, now_us);
       if (best != NULL && cost >= best_cost)
@@ -537,10 +572,9 @@
   return best;
 }
 
-/* Starts TASK on UPSTREAM, which has room for it.  */
-static void
-start_task (struct owner *owner, struct batch_task *task,
-            struct owned_upstream *upstream, gint64 now_us)
+void
+owner_start_task (struct owner *owner, struct batch_task *task,
+                  struct owned_upstream *upstream, gint64 now_us)
 {
   struct batch *batch = task->batch;
   gdouble far_factor = is_far (batch, upstream) ? batch->far_factor : 1;
@@ -552,9 +586,9 @@
 
   run = run_new (upstream, task, name, batch->first_run_number + task->n_runs);
   task->n_runs++;
-  task->state = BATCH_TASK_RUNNING;
+  owner->n_isolated += run->is_isolated ? 1 : 0;
+  batch_task_unqueue (task, BATCH_TASK_RUNNING);
   task->run = run;
-  batch->n_queued--;
   batch->n_active++;
   batch->n_started++;
   if (batch->first_started_us == 0)
@@ -581,12 +615,13 @@
 void
 owner_start_batch (struct owner *owner, struct batch *batch, gint64 now_us)
 {
-  for (guint i = 0; batch->n_queued > 0 && i < batch->n_tasks; i++)
+  for (guint i = 0; batch->n_queued > batch->n_suspects && i < batch->n_tasks;
+       i++)
     {
       struct batch_task *task = &batch->tasks[i];
       struct owned_upstream *upstream;
 
-      if (task->state != BATCH_TASK_QUEUED)
+      if (task->state != BATCH_TASK_QUEUED || batch_task_is_suspect (task))
         continue;
       upstream = owner_find_slot (owner, task, now_us);
       /* With placement_by_speed, a task that has failed may wait where the
@@ -596,7 +631,7 @@
         continue;
       if (upstream == NULL)
         return;
-      start_task (owner, task, upstream, now_us);
+      owner_start_task (owner, task, upstream, now_us);
     }
 }
 
@@ -613,13 +648,15 @@
       struct batch *batch = list_entry (node, struct batch, link);
 
       owner_start_batch (owner, batch, now_us);
-      if (batch->n_queued == 0)
+      if (batch->n_queued == batch->n_suspects)
         owner_claim_slots (owner, batch, now_us);
       if (batch->n_queued + batch->n_offered == 0)
         owner_relink_batch (owner, batch);
-      else if (++n_skipped >= MAX_SKIPPED_BATCHES)
+      else if (batch_count_waiting (batch) > 0
+               && ++n_skipped >= MAX_SKIPPED_BATCHES)
         break;
     }
+  owner_start_suspect (owner, now_us);
 }
 
 /* Moves batches of jobs that have missed their objective before anything of
--- a/coordination/owner_checks.c
+++ b/coordination/owner_checks.c
@@ -254,5 +254,8 @@
     return;
   if (owned_latest_time_us (owner, upstream, upstream->leased_until_ms, now_us)
       < now_us)
-    owner_drop_runs (owner, upstream, now_us);
+    {
+      owner_note_crash (owner, upstream);
+      owner_drop_runs (owner, upstream, now_us);
+    }
 }
--- a/coordination/owner_claims.c
+++ b/coordination/owner_claims.c
@@ -62,9 +62,8 @@
 
       if (task == NULL)
         continue;
-      task->state = BATCH_TASK_QUEUED;
       batch->n_offered--;
-      batch->n_queued++;
+      batch_task_queue (task);
     }
 }
 
--- /dev/null
+++ b/coordination/owner_crashes.c
@@ -0,0 +1,236 @@
+#include "coordination/owner_private.h"
+
+/* A task that has run for longer than the latest start on its upstream by more
+   than this is no suspect at the first crash: what crashes upstreams mostly
+   does so at its start.  */
+#define START_WINDOW_US (100 * USEC_PER_MSEC)
+
+/* A task becomes a suspect at this crash, whoever else ran.  */
+#define SUSPICIOUS_CRASHES 2
+
+/* Upstreams that are lost within this time of each other are lost together.
+   Where connections hang, two polls have to time out, one of which may be held
+   back, before the others are asked.  */
+#define COMMON_LOSS_US (700 * USEC_PER_MSEC)
+
+/* At least so many upstreams that are lost together, and this share of those
+   owned in their rack or availability zone, have a common cause: a loss of
+   power or a network partition.  */
+#define MIN_COMMON_LOSSES 3
+#define MIN_COMMON_SHARE 0.75
+
+gboolean
+batch_task_is_suspect (const struct batch_task *task)
+{
+  return task->is_suspect;
+}
+
+/* Upstreams of one rack or availability zone.  */
+struct domain_losses
+{
+  guint n_lost;  /* together with the one that is judged */
+  guint n_owned; /* by this owner */
+};
+
+static void
+add_to_domain (struct domain_losses *losses, gboolean is_lost)
+{
+  losses->n_owned++;
+  losses->n_lost += is_lost ? 1 : 0;
+}
+
+static gboolean
+is_common (const struct domain_losses *losses)
+{
+  return losses->n_lost >= MIN_COMMON_LOSSES
+         && losses->n_lost >= MIN_COMMON_SHARE * losses->n_owned;
+}
+
+/* Whether UPSTREAM was lost together with most others of its rack or
+   availability zone.  */
+static gboolean
+has_common_cause (const struct owner *owner,
+                  const struct owned_upstream *upstream)
+{
+  struct domain_losses rack = { 0 };
+  struct domain_losses zone = { 0 };
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, owner->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct owned_upstream *other = value;
+      gboolean is_lost
+          = other->lost_us != 0
+            && ABS (other->lost_us - upstream->lost_us) <= COMMON_LOSS_US;
+
+      if (g_strcmp0 (other->availability_zone, upstream->availability_zone))
+        continue;
+      add_to_domain (&zone, is_lost);
+      if (g_strcmp0 (other->rack, upstream->rack) == 0)
+        add_to_domain (&rack, is_lost);
+    }
+  return is_common (&rack) || is_common (&zone);
+}
+
+/* When the latest of the runs of UPSTREAM was started.  */
+static gint64
+get_latest_start_us (const struct owned_upstream *upstream)
+{
+  const struct list_node *node;
+  gint64 latest_us = 0;
+
+  for (node = upstream->runs.next; node != &upstream->runs; node = node->next)
+    {
+      const struct run *run = list_entry (node, struct run, link);
+
+      if (run->task != NULL)
+        latest_us = MAX (latest_us, run->started_us);
+    }
+  return latest_us;
+}
+
+/* Counts the crash of its upstream in the task of RUN.  */
+static void
+count_crash (struct run *run, gint64 latest_start_us)
+{
+  struct batch_task *task = run->task;
+
+  run->is_crash_counted = TRUE;
+  task->n_crashes++;
+  task->crashed_us = run->upstream->lost_us;
+  task->crash_age_us = run->upstream->lost_us - run->started_us;
+  task->is_suspect |= task->n_crashes >= SUSPICIOUS_CRASHES
+                      || run->started_us + START_WINDOW_US >= latest_start_us;
+}
+
+void
+owner_poll_domain (struct owner *owner, const struct owned_upstream *upstream,
+                   gint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, owner->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct owned_upstream *other = value;
+
+      if (other->state == OWNED_HELD
+          && g_strcmp0 (other->availability_zone, upstream->availability_zone)
+                 == 0)
+        other->poll_due_us = MIN (other->poll_due_us, now_us);
+    }
+}
+
+void
+owner_note_crash (struct owner *owner, struct owned_upstream *upstream)
+{
+  gint64 latest_start_us = get_latest_start_us (upstream);
+  struct list_node *node;
+  struct list_node *after;
+
+  if (upstream->is_leaving || has_common_cause (owner, upstream))
+    return;
+  list_for_each (node, after, &upstream->runs)
+    {
+      struct run *run = list_entry (node, struct run, link);
+
+      if (run->task == NULL || run->is_crash_counted)
+        continue;
+      count_crash (run, latest_start_us);
+      if (owner->driver->ops->upstream_crashed != NULL)
+        owner->driver->ops->upstream_crashed (owner->driver, run);
+    }
+}
+
+/* The queued suspect of OWNER that most probably did not crash its upstream:
+   the one that had run longest.  NULL for none.  */
+static struct batch_task *
+find_suspect (struct owner *owner)
+{
+  struct batch_task *found = NULL;
+  struct list_node *node;
+  struct list_node *after;
+
+  list_for_each (node, after, &owner->queue)
+    {
+      struct batch *batch = list_entry (node, struct batch, link);
+
+      for (guint i = 0; batch->n_suspects > 0 && i < batch->n_tasks; i++)
+        {
+          struct batch_task *task = &batch->tasks[i];
+
+          if (task->state == BATCH_TASK_QUEUED && batch_task_is_suspect (task)
+              && (found == NULL || task->crash_age_us > found->crash_age_us))
+            found = task;
+        }
+    }
+  return found;
+}
+
+/* Whether a task that is no suspect waits in time for a slot.  */
+static gboolean
+has_others_in_time (const struct owner *owner)
+{
+  const struct batch *first = owner_get_first_queued (owner);
+
+  return first != NULL && !first->is_late;
+}
+
+/* Whether UPSTREAM has answered a poll since TASK was lost.  Otherwise it may
+   have been lost unnoticed, which would count against TASK.  */
+static gboolean
+has_answered_since (const struct owned_upstream *upstream,
+                    const struct batch_task *task)
+{
+  return upstream->answered_sent_us > task->crashed_us;
+}
+
+/* The upstream on which TASK can run alone, or NULL.  Polls the idle ones that
+   have not answered since TASK was lost.  */
+static struct owned_upstream *
+find_empty_upstream (struct owner *owner, const struct batch_task *task,
+                     gint64 now_us)
+{
+  struct owned_upstream *best = NULL;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, owner->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct owned_upstream *upstream = value;
+
+      if (!list_is_empty (&upstream->runs) || !list_is_empty (&upstream->holds)
+          || !owner_may_run_on (task, upstream, now_us))
+        continue;
+      if (!has_answered_since (upstream, task))
+        {
+          upstream->poll_due_us = MIN (upstream->poll_due_us, now_us);
+          continue;
+        }
+      if (best == NULL || upstream->shape.cpus < best->shape.cpus)
+        best = upstream;
+    }
+  return best;
+}
+
+void
+owner_start_suspect (struct owner *owner, gint64 now_us)
+{
+  struct batch_task *task;
+  struct owned_upstream *upstream;
+
+  if (owner->n_isolated > 0 || has_others_in_time (owner))
+    return;
+  task = find_suspect (owner);
+  if (task == NULL)
+    return;
+  upstream = find_empty_upstream (owner, task, now_us);
+  if (upstream == NULL)
+    return;
+  owner_start_task (owner, task, upstream, now_us);
+  owner_relink_batch (owner, task->batch);
+}
--- a/coordination/owner_polls.c
+++ b/coordination/owner_polls.c
@@ -210,7 +210,9 @@
   if (upstream->state == OWNED_UNRESPONSIVE)
     return;
   upstream->state = OWNED_UNRESPONSIVE;
+  upstream->lost_us = upstream->unanswered_since_us;
   owner_report_health (owner, upstream, HEALTH_EVENT_UNRESPONSIVE);
+  owner_poll_domain (owner, upstream, now_us);
   /* One outage is one fault, however many polls it leaves unanswered.  */
   owned_start_rest (upstream, now_us);
 }
--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -24,6 +24,7 @@
   gint64 runs_checked_us;   /* when the runs were last checked */
   gint64 last_call_us;      /* when the owner was last called; 0 for never */
   gint64 paused_us;         /* end of the last pause; 0 for none */
+  guint n_isolated;         /* isolated runs */
 };
 
 /* owner.c */
@@ -250,6 +251,40 @@
 void owner_finish_release (struct owner *owner,
                            struct owned_upstream *upstream);
 
+/* Counts TASK, which is queued now, in its batch.  */
+void batch_task_queue (struct batch_task *task);
+
+/* TASK, which was queued, changes to STATE.  */
+void batch_task_unqueue (struct batch_task *task, enum batch_task_state state);
+
+/* Starts TASK on UPSTREAM, which has room for it.  */
+void owner_start_task (struct owner *owner, struct batch_task *task,
+                       struct owned_upstream *upstream, gint64 now_us);
+
+/* Whether TASK may run on UPSTREAM, which has room for it now.  */
+gboolean owner_may_run_on (const struct batch_task *task,
+                           const struct owned_upstream *upstream,
+                           gint64 now_us);
+
+/* owner_crashes.c: tasks that crash upstreams.  */
+
+/* Whether an upstream has crashed under TASK.  */
+gboolean batch_task_is_suspect (const struct batch_task *task);
+
+/* UPSTREAM, on which its runs have ended without a result, has crashed, as far
+   as is known.  Counts that in their tasks, unless so many upstreams of its
+   rack or availability zone were lost with it that the cause is another.  */
+void owner_note_crash (struct owner *owner, struct owned_upstream *upstream);
+
+/* UPSTREAM does not answer: polls those of its availability zone that are
+   idle, which tells whether they were lost with it.  */
+void owner_poll_domain (struct owner *owner,
+                        const struct owned_upstream *upstream, gint64 now_us);
+
+/* Starts a suspect task alone on an upstream, if no other task waits and no
+   other suspect is running.  */
+void owner_start_suspect (struct owner *owner, gint64 now_us);
+
 /* owner_claims.c: offers.  */
 
 /* Claims as many offered tasks of BATCH as fit now, unless a claim is under
--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -42,8 +42,7 @@
 {
   struct batch *batch = task->batch;
 
-  task->state = BATCH_TASK_QUEUED;
-  batch->n_queued++;
+  batch_task_queue (task);
   owner_relink_batch (owner, batch);
 }
 
@@ -75,12 +74,21 @@
                    now_us);
 }
 
+/* Upstreams crash under TASK: ends its batch.  */
+static void
+give_up_crashing (struct owner *owner, struct batch_task *task, gint64 now_us)
+{
+  task->state = BATCH_TASK_FAILED;
+  owner_end_batch (owner, task->batch, BATCH_CRASHED,
+                   "upstreams crash under a task", now_us);
+}
+
 /* Moves TASK on after its run on UPSTREAM has ended.  A run that did not fail
    by itself does not count as an attempt.  */
 static void
 end_task (struct owner *owner, struct batch_task *task,
           const struct owned_upstream *upstream, enum run_end end,
-          gint64 now_us)
+          gboolean has_crashed_alone, gint64 now_us)
 {
   struct batch *batch = task->batch;
 
@@ -95,6 +103,8 @@
     task->state = BATCH_TASK_DROPPED;
   else if (end == RUN_FAILED)
     note_failed (owner, task, upstream, now_us);
+  else if (has_crashed_alone)
+    give_up_crashing (owner, task, now_us);
   else
     requeue (owner, task);
   owner_finish_batch_if_done (owner, batch);
@@ -155,13 +165,16 @@
 {
   struct batch_task *task = run->task;
   struct owned_upstream *upstream = run->upstream;
+  gboolean has_crashed_alone
+      = end == RUN_LOST && run->is_isolated && run->is_crash_counted;
 
   update_health (owner, run, end, now_us);
   if (owner->driver->ops->run_ended != NULL)
     owner->driver->ops->run_ended (owner->driver, run, end);
+  owner->n_isolated -= run->is_isolated ? 1 : 0;
   run_free (run);
   if (task != NULL)
-    end_task (owner, task, upstream, end, now_us);
+    end_task (owner, task, upstream, end, has_crashed_alone, now_us);
 }
 
 /* The start of RUN had no effect: queues its task again.  Skips
@@ -274,10 +287,21 @@
     }
 }
 
+/* Another instance of UPSTREAM runs now: the former one was lost, at the
+   latest now.  */
+static void
+note_loss (struct owner *owner, struct owned_upstream *upstream, gint64 now_us)
+{
+  if (upstream->state != OWNED_UNRESPONSIVE)
+    upstream->lost_us = now_us;
+  owner_note_crash (owner, upstream);
+}
+
 void
 owner_begin_instance (struct owner *owner, struct owned_upstream *upstream,
                       gint64 instance_start_ms, gint64 now_us)
 {
+  note_loss (owner, upstream, now_us);
   upstream->instance_start_ms = instance_start_ms;
   upstream->last_ended_entry = 0;
   upstream->acked_ended_entry = 0;
@@ -297,6 +321,7 @@
 owner_handle_other_instance (struct owner *owner,
                              struct owned_upstream *upstream, gint64 now_us)
 {
+  note_loss (owner, upstream, now_us);
   owner_drop_runs (owner, upstream, now_us);
   if (upstream->instance_start_ms != 0)
     owner_begin_instance (owner, upstream, 0, now_us);
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -296,7 +296,7 @@
     return;
   if (job->give_up_reason != NULL)
     {
-      job->has_started |= end == BATCH_STOPPED || end == BATCH_FAILED;
+      job->has_started |= end != BATCH_DONE && end != BATCH_NOT_STARTED;
       answer_if_given_up (job);
       return;
     }
@@ -311,6 +311,10 @@
       job->has_started = TRUE;
       answer_job (job, FLEET_FAILED, "a task used up its attempts", 0);
       break;
+    case BATCH_CRASHED:
+      job->has_started = TRUE;
+      answer_job (job, FLEET_FAILED, "upstreams crash under a task", 0);
+      break;
     case BATCH_NOT_STARTED:
       if (part->n_tasks > 0)
         reassign_tasks (job, part->indexes, part->n_tasks);
@@ -413,6 +417,15 @@
   fleet_part_free (part);
 }
 
+/* How a batch at a remote owner ended.  An end that this version does not know
+   counts as stopped.  */
+static enum batch_end
+get_batch_end (const peer_batch_result *result)
+{
+  return result->end <= BATCH_CRASHED ? (enum batch_end)result->end
+                                      : BATCH_STOPPED;
+}
+
 static void
 on_remote_ended (const void *result, const GError *error, gpointer data)
 {
@@ -428,8 +441,7 @@
     handle_returned (part, reply->has_started, reply->returned.returned_val,
                      reply->returned.returned_len);
   if (part->is_open && reply != NULL)
-    handle_part_end (part, (enum batch_end)MIN (reply->end, BATCH_STOPPED),
-                     "its owner has stopped it");
+    handle_part_end (part, get_batch_end (reply), "its owner has stopped it");
   else if (part->is_open
            && (error_get_kind (error) == ERROR_NOT_RUN || part->n_tasks == 0))
     handle_part_end (part, BATCH_NOT_STARTED, NULL);
--- a/transport/fleet_owner.c
+++ b/transport/fleet_owner.c
@@ -94,6 +94,14 @@
   fleet_owner_log_run_unanswered (run);
 }
 
+static void
+driver_upstream_crashed (struct owner_driver *driver, const struct run *run)
+{
+  if (run->task->is_suspect)
+    metrics_count (METRIC_TASKS_SUSPECTED);
+  fleet_owner_log_upstream_crashed (run);
+}
+
 static void
 driver_slot_declined (struct owner_driver *driver, enum slot_wait wait)
 {
@@ -269,6 +277,7 @@
   .poll = driver_poll,
   .run_ended = driver_run_ended,
   .start_unanswered = driver_start_unanswered,
+  .upstream_crashed = driver_upstream_crashed,
   .health_changed = driver_health_changed,
   .slot_declined = driver_slot_declined,
   .claim_tasks = driver_claim_tasks,
--- a/transport/fleet_owner_log.c
+++ b/transport/fleet_owner_log.c
@@ -18,7 +18,7 @@
 get_batch_end_name (enum batch_end end)
 {
   static const char *const names[]
-      = { "done", "failed", "no-room", "stopped" };
+      = { "done", "failed", "no-room", "stopped", "crashed" };
 
   return names[end];
 }
@@ -128,6 +128,20 @@
       FIELD_INT ("ms", (clock_now_us () - run->started_us) / USEC_PER_MSEC));
 }
 
+void
+fleet_owner_log_upstream_crashed (const struct run *run)
+{
+  const struct batch_task *task = run->task;
+
+  event_log_fields (
+      EVENT_UPSTREAM_CRASHED, FIELD_TEXT ("job", task->batch->job),
+      FIELD_INT ("task", task->index), FIELD_INT ("run", run->number),
+      FIELD_TEXT ("upstream", run->upstream->id),
+      FIELD_INT ("crashes", task->n_crashes),
+      FIELD_INT ("ms", task->crash_age_us / USEC_PER_MSEC),
+      FIELD_BOOL ("is_suspect", task->is_suspect));
+}
+
 /* Why a run did not succeed, for its log line.  */
 static const char *
 get_retry_reason (const struct run *run, enum run_end end)
--- a/transport/fleet_owner_log.h
+++ b/transport/fleet_owner_log.h
@@ -39,6 +39,9 @@
 void fleet_owner_log_run_starting (const struct run *run);
 void fleet_owner_log_run_stopping (const struct run *run);
 
+/* The upstream of RUN has crashed, and the task of RUN may be the cause.  */
+void fleet_owner_log_upstream_crashed (const struct run *run);
+
 /* The order to start RUN was not answered.  */
 void fleet_owner_log_run_unanswered (const struct run *run);
 
