--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -307,7 +307,7 @@
     return;
   if (job->give_up_reason != NULL)
     {
-      job->has_started |= end == BATCH_STOPPED || end == BATCH_FAILED;
+      job->has_started |= end != BATCH_DONE && end != BATCH_NOT_STARTED;
       answer_if_given_up (job);
       return;
     }
@@ -323,6 +323,10 @@
       job->has_started = TRUE;
       answer_job (job, FLEET_FAILED, "a task used up its attempts", 0);
       break;
+    case BATCH_CRASHED:
+      job->has_started = TRUE;
+      answer_job (job, FLEET_FAILED, "upstreams crash under a task", 0);
+      break;
     case BATCH_NOT_STARTED:
       handle_tasks_left (part);
       break;
@@ -385,6 +389,15 @@
   return TRUE;
 }
 
+/* How the batch with RESULT ended.  An end that this version does not know
+   counts as stopped.  */
+static enum batch_end
+get_batch_end (const peer_batch_result *result)
+{
+  return result->end <= BATCH_CRASHED ? (enum batch_end)result->end
+                                      : BATCH_STOPPED;
+}
+
 /* The batch of PART has ended with RESULT.  REASON, a static string, explains
    BATCH_STOPPED.  */
 static void
@@ -397,8 +410,8 @@
     handle_returned (part, result->has_started, result->returned.returned_val,
                      result->returned.returned_len);
   if (part->is_open)
-    handle_part_end (part, (enum batch_end)MIN (result->end, BATCH_STOPPED),
-                     result->done.done_val, result->done.done_len, reason);
+    handle_part_end (part, get_batch_end (result), result->done.done_val,
+                     result->done.done_len, reason);
 }
 
 static void
