transport: tasks that return ungranted are offered again at once

An owner whose claim was lost returns all tasks of its offer that it was not granted. When no other owner still had them on offer, nobody could claim them until the owner's other tasks had ended: the job waited for no reason.

--- a/t/t5026-fleet-home.c
+++ b/t/t5026-fleet-home.c
@@ -36,8 +36,11 @@
 static struct sent_batch sent[MAX_BATCHES];
 static guint n_sent;
 static peer_handler_func *claim_handler;
-static gpointer claim_data;
-static guint n_granted; /* by the last reply to a claim */
+static peer_handler_func *return_handler;
+static gpointer handler_data;
+static const char *sender = "vm-b"; /* of the calls to the home */
+static guint n_granted;             /* by the last reply to a claim */
+static gboolean is_returning;
 
 static struct sent_batch *
 add_sent (guint number)
@@ -53,10 +56,11 @@
 peer_hub_serve (struct peer_hub *hub, guint procedure,
                 peer_handler_func *handler, gpointer data)
 {
-  if (procedure != PEER_CLAIM_TASKS)
-    return;
-  claim_handler = handler;
-  claim_data = data;
+  if (procedure == PEER_CLAIM_TASKS)
+    claim_handler = handler;
+  else if (procedure == PEER_RETURN_TASKS)
+    return_handler = handler;
+  handler_data = data;
 }
 
 void
@@ -80,13 +84,14 @@
 const char *
 peer_request_get_sender (const struct peer_request *request)
 {
-  return "vm-b";
+  return sender;
 }
 
 void
 peer_request_reply (struct peer_request *request, const void *result)
 {
-  n_granted = ((const peer_claim_result *)result)->granted.granted_len;
+  if (!is_returning)
+    n_granted = ((const peer_claim_result *)result)->granted.granted_len;
 }
 
 struct owner *
@@ -274,7 +279,7 @@
 
   if (batch == NULL)
     {
-      claim_handler (NULL, &args, claim_data);
+      claim_handler (NULL, &args, handler_data);
       g_assert_cmpuint (n_granted, ==, n_tasks);
     }
   else if (batch->n_offers > 0)
@@ -286,6 +291,22 @@
     }
 }
 
+/* SENDER_VM returns the task INDEX of the first batch.  */
+static void
+return_task (const char *sender_vm, guint index)
+{
+  peer_return_args args = { .incarnation = INCARNATION,
+                            .job = (char *)JOB,
+                            .number = sent[0].number,
+                            .indexes = { 1, &index } };
+
+  sender = sender_vm;
+  is_returning = TRUE;
+  return_handler (NULL, &args, handler_data);
+  is_returning = FALSE;
+  sender = "vm-b";
+}
+
 static void
 finish_local (struct batch *batch, const guint *done, guint n_done)
 {
@@ -391,6 +412,21 @@
   bed_free (bed);
 }
 
+/* A task that an owner returns without having been granted it, since its claim
+   was lost, must not wait for the end of the owner's other tasks.  */
+static void
+test_ungranted_returned (void)
+{
+  struct bed *bed = bed_new (FALSE);
+
+  claim (0, 1);
+  return_task ("vm-b", 1);
+  g_assert_cmpuint (n_sent, ==, 2);
+  g_assert_cmpuint (sent[1].n_tasks, ==, 1);
+  g_assert_cmpuint (sent[1].indexes[0], ==, 1);
+  bed_free (bed);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -404,5 +440,6 @@
                         test_all_named);
   g_test_add_data_func ("/fleet-home/all-named-local", GINT_TO_POINTER (TRUE),
                         test_all_named);
+  g_test_add_func ("/fleet-home/ungranted-returned", test_ungranted_returned);
   return g_test_run ();
 }
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -359,6 +359,8 @@
   fleet_home_log_tasks_returned (part, n_out, part->job->home->vm);
   if (n_out > 0)
     reassign_tasks (part->job, out, n_out);
+  else if (n_indexes > 0)
+    renew_offers (part->job);
 }
 
 /* The owner of PART, an open offer, has slots for N_TASKS.  Writes the indexes
