transport: only the owner of a batch returns its tasks

A home checked the sender of a claim, but not of a return: a peer with a wrong batch number could have tasks started a second time that were running.

--- a/t/t5026-fleet-home.c
+++ b/t/t5026-fleet-home.c
@@ -427,6 +427,19 @@
   bed_free (bed);
 }
 
+/* A VM that does not own a batch must not return its tasks: they would run
+   twice.  */
+static void
+test_returned_by_other (void)
+{
+  struct bed *bed = bed_new (FALSE);
+
+  claim (0, 2);
+  return_task ("vm-c", 1);
+  g_assert_cmpuint (n_sent, ==, 1);
+  bed_free (bed);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -441,5 +454,6 @@
   g_test_add_data_func ("/fleet-home/all-named-local", GINT_TO_POINTER (TRUE),
                         test_all_named);
   g_test_add_func ("/fleet-home/ungranted-returned", test_ungranted_returned);
+  g_test_add_func ("/fleet-home/returned-by-other", test_returned_by_other);
   return g_test_run ();
 }
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -829,21 +829,37 @@
     answer_job (g_ptr_array_index (jobs, i), FLEET_UNKNOWN, reason, 0);
 }
 
+/* The open part NUMBER of JOB that INCARNATION of HOME sent to the sender of
+   REQUEST, or NULL.  */
+static struct fleet_part *
+find_sent_part (const struct fleet_home *home,
+                const struct peer_request *request, const char *job_id,
+                guint64 incarnation, guint number)
+{
+  const struct fleet_job *job = g_hash_table_lookup (home->jobs, job_id);
+  struct fleet_part *part;
+
+  if (job == NULL || incarnation != home->incarnation)
+    return NULL;
+  part = fleet_job_find_part (job, number);
+  if (part == NULL
+      || g_strcmp0 (part->owner, peer_request_get_sender (request)) != 0)
+    return NULL;
+  return part;
+}
+
 static void
 on_return_tasks (struct peer_request *request, const void *arguments,
                  gpointer data)
 {
   struct fleet_home *home = data;
   const peer_return_args *args = arguments;
-  struct fleet_job *job = g_hash_table_lookup (home->jobs, args->job);
-  struct fleet_part *part = NULL;
-  peer_return_result result;
+  struct fleet_part *part = find_sent_part (home, request, args->job,
+                                            args->incarnation, args->number);
+  peer_return_result result = { .is_known = part != NULL };
 
   vm_directory_note_message (
       home->directory, peer_request_get_sender (request), clock_now_us ());
-  if (job != NULL && args->incarnation == home->incarnation)
-    part = fleet_job_find_part (job, args->number);
-  result.is_known = part != NULL;
   if (part != NULL)
     handle_returned (part, args->has_started, args->indexes.indexes_val,
                      args->indexes.indexes_len);
@@ -856,8 +872,8 @@
 {
   struct fleet_home *home = data;
   const peer_claim_args *args = arguments;
-  struct fleet_job *job = g_hash_table_lookup (home->jobs, args->job);
-  struct fleet_part *part = NULL;
+  struct fleet_part *part = find_sent_part (home, request, args->job,
+                                            args->incarnation, args->number);
   guint granted[PEER_TASKS_MAX];
   peer_claim_result result = { .granted = { 0, granted },
                                .is_exhausted = TRUE,
@@ -865,16 +881,13 @@
 
   vm_directory_note_message (
       home->directory, peer_request_get_sender (request), clock_now_us ());
-  if (job != NULL && args->incarnation == home->incarnation)
-    part = fleet_job_find_part (job, args->number);
-  if (part != NULL
-      && g_strcmp0 (part->owner, peer_request_get_sender (request)) == 0)
+  if (part != NULL)
     {
       result.granted.granted_len = grant_tasks (part, args->n_tasks, granted);
       result.is_exhausted
           = end_offer_if_exhausted (part, result.granted.granted_len);
       if (result.granted.granted_len > 0)
-        result.spec = job->submission->spec;
+        result.spec = part->job->submission->spec;
     }
   peer_request_reply (request, &result);
 }
