coordination: tasks that crash a whole zone at once are not excused for ever

When at least three upstreams, three quarters of a zone, were lost together, no task counted the crash. With few upstreams, tasks that crash upstreams do just that: they were all started again together, as soon as the upstreams were back, and excused again. A loss with a common cause is now excused once for each task. A task that another loss of power hits counts that as a crash, and is a suspect at most.

--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -96,6 +96,7 @@
   gboolean is_foreign;  /* listed by the upstream, not started by this owner */
   gboolean is_isolated; /* nothing else may run on the upstream meanwhile */
   gboolean is_crash_counted;    /* counted in the task's n_crashes */
+  gboolean is_loss_excused;     /* not counted: a common cause was assumed */
   gboolean is_slowness_counted; /* counted in the upstream's slowness */
   gboolean is_speed_counted;    /* counted in the upstream's run_speed */
   guint64 sent_after_poll;      /* the last poll before its start order */
@@ -204,16 +205,18 @@
   struct batch *batch;
   guint index; /* in the job */
   enum batch_task_state state;
-  struct run *run;     /* the current one; NULL for none */
-  guint n_runs;        /* run numbers used, skipped ones included */
-  guint n_failed;      /* failed runs */
-  guint n_crashes;     /* upstreams that crashed while they ran it */
-  gboolean is_suspect; /* of crashing upstreams: runs isolated */
-  gint64 crashed_us;   /* when the last of them was lost */
-  gint64 crash_age_us; /* how long it had run by then */
-  guint n_restarts;    /* because of slow or hanging upstreams */
-  char *failed_on;     /* the upstream where it failed last, or that left its
-                          start unanswered; NULL for none */
+  struct run *run;          /* the current one; NULL for none */
+  guint n_runs;             /* run numbers used, skipped ones included */
+  guint n_failed;           /* failed runs */
+  guint n_crashes;          /* upstreams that crashed while they ran it */
+  gboolean is_suspect;      /* of crashing upstreams: runs isolated */
+  gboolean is_loss_excused; /* a loss with most of a rack or zone was not
+                               counted; the next one is */
+  gint64 crashed_us;        /* when the last of them was lost */
+  gint64 crash_age_us;      /* how long it had run by then */
+  guint n_restarts;         /* because of slow or hanging upstreams */
+  char *failed_on; /* the upstream where it failed last, or that left its
+                      start unanswered; NULL for none */
 };
 
 enum batch_end
--- a/coordination/owner_crashes.c
+++ b/coordination/owner_crashes.c
@@ -91,6 +91,19 @@
   return latest_us;
 }
 
+/* The upstream of RUN was lost with most others of its rack or availability
+   zone.  Excuses the task of RUN, but only once: several tasks that crash
+   upstreams look the same.  Returns whether it is excused.  */
+static gboolean
+excuse_loss (struct run *run)
+{
+  if (run->task->is_loss_excused)
+    return run->is_loss_excused;
+  run->task->is_loss_excused = TRUE;
+  run->is_loss_excused = TRUE;
+  return TRUE;
+}
+
 /* Counts the crash of its upstream in the task of RUN.  */
 static void
 count_crash (struct run *run, gint64 latest_start_us)
@@ -128,10 +141,11 @@
 owner_note_crash (struct owner *owner, struct owned_upstream *upstream)
 {
   gint64 latest_start_us = get_latest_start_us (upstream);
+  gboolean is_common_loss = has_common_cause (owner, upstream);
   struct list_node *node;
   struct list_node *after;
 
-  if (upstream->is_leaving || has_common_cause (owner, upstream))
+  if (upstream->is_leaving)
     return;
   list_for_each (node, after, &upstream->runs)
     {
@@ -139,6 +153,8 @@
 
       if (run->task == NULL || run->is_crash_counted)
         continue;
+      if (is_common_loss && excuse_loss (run))
+        continue;
       count_crash (run, latest_start_us);
       if (owner->driver->ops->upstream_crashed != NULL)
         owner->driver->ops->upstream_crashed (owner->driver, run);
--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -273,7 +273,8 @@
 
 /* UPSTREAM, on which its runs have ended without a result, has crashed, as far
    as is known.  Counts that in their tasks, unless so many upstreams of its
-   rack or availability zone were lost with it that the cause is another.  */
+   rack or availability zone were lost with it that the cause is another, which
+   is assumed once for each task.  */
 void owner_note_crash (struct owner *owner, struct owned_upstream *upstream);
 
 /* UPSTREAM does not answer: polls those of its availability zone that are
--- a/t/t2113-owner-crashes.c
+++ b/t/t2113-owner-crashes.c
@@ -296,16 +296,17 @@
     clear_runs (&bed->upstreams[i]);
 }
 
-/* Hands in a job of N tasks, whose id is PREFIX and NUMBER.  */
+/* Hands in a job of N tasks for SERVICE, whose id is PREFIX and NUMBER.  */
 static struct batch *
-submit (struct crash_bed *bed, const char *prefix, guint number, guint n)
+submit_to (struct crash_bed *bed, const char *service, const char *prefix,
+           guint number, guint n)
 {
   g_autofree char *id = g_strdup_printf ("%s%u", prefix, number);
   struct batch *batch = batch_new (id, "home", n);
 
   for (guint i = 0; i < n; i++)
     batch->tasks[i].index = i;
-  batch->service = g_strdup ("s");
+  batch->service = g_strdup (service);
   batch->spec = g_strdup ("");
   batch->need.cpus = 2;
   batch->estimate_us = RUN_US;
@@ -315,6 +316,12 @@
   return batch;
 }
 
+static struct batch *
+submit (struct crash_bed *bed, const char *prefix, guint number, guint n)
+{
+  return submit_to (bed, "s", prefix, number, n);
+}
+
 /* A task under which two upstreams have crashed is given up, and its job is
    shown as failed: it must not crash one upstream after the other.  */
 static void
@@ -483,6 +490,22 @@
   bed_clear (&bed);
 }
 
+/* Tasks that crash most upstreams of a zone together are not taken for a loss
+   of power each time.  */
+static void
+test_all_crashed_together (void)
+{
+  struct crash_bed bed;
+
+  bed_init (&bed, 3, NULL);
+  submit (&bed, DEADLY, 1, 6);
+  pass (&bed, 40 * USEC_PER_SEC);
+  /* Three that are excused, one for each task, and the first suspect's.  */
+  g_assert_cmpuint (bed.n_crashes, <=, 3 + 6 + 1);
+  g_assert_cmpuint (bed.n_crashed, ==, 1);
+  bed_clear (&bed);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -495,5 +518,7 @@
   g_test_add_func ("/owner-crashes/rack-lost", test_rack_lost);
   g_test_add_func ("/owner-crashes/idle-rack-lost", test_idle_rack_lost);
   g_test_add_func ("/owner-crashes/leaving", test_leaving);
+  g_test_add_func ("/owner-crashes/all-crashed-together",
+                   test_all_crashed_together);
   return g_test_run ();
 }
