coordination: a suspect waits only for what competes with it

A task that waited for slots of one service kept the suspects of all services from running, also those whose upstreams stood idle. And of the suspects only the one that had run longest was tried: where no upstream could take it, as after its own was removed, no other suspect of that owner ran again.

t2113 /owner-crashes/other-service-waits and suspect-without-upstream failed before.

--- a/coordination/owner_crashes.c
+++ b/coordination/owner_crashes.c
@@ -161,38 +161,21 @@
     }
 }
 
-/* The queued suspect of OWNER that most probably did not crash its upstream:
-   the one that had run longest.  NULL for none.  */
-static struct batch_task *
-find_suspect (struct owner *owner)
+/* Whether a task for SERVICE that is no suspect waits in time for a slot.  */
+static gboolean
+has_others_in_time (const struct owner *owner, const char *service)
 {
-  struct batch_task *found = NULL;
-  struct list_node *node;
-  struct list_node *after;
+  const struct list_node *node;
 
-  list_for_each (node, after, &owner->queue)
+  for (node = owner->queue.next; node != &owner->queue; node = node->next)
     {
-      struct batch *batch = list_entry (node, struct batch, link);
-
-      for (guint i = 0; batch->n_suspects > 0 && i < batch->n_tasks; i++)
-        {
-          struct batch_task *task = &batch->tasks[i];
+      const struct batch *batch = list_entry (node, struct batch, link);
 
-          if (task->state == BATCH_TASK_QUEUED && batch_task_is_suspect (task)
-              && (found == NULL || task->crash_age_us > found->crash_age_us))
-            found = task;
-        }
+      if (!batch->is_late && batch_count_waiting (batch) > 0
+          && g_str_equal (batch->service, service))
+        return TRUE;
     }
-  return found;
-}
-
-/* Whether a task that is no suspect waits in time for a slot.  */
-static gboolean
-has_others_in_time (const struct owner *owner)
-{
-  const struct batch *first = owner_get_first_queued (owner);
-
-  return first != NULL && !first->is_late;
+  return FALSE;
 }
 
 /* Whether UPSTREAM has answered a poll since TASK was lost.  Otherwise it may
@@ -233,20 +216,53 @@
   return best;
 }
 
+/* What runs next of the suspects.  */
+struct suspect_choice
+{
+  struct batch_task *task; /* NULL for none */
+  struct owned_upstream *upstream;
+};
+
+/* Adds the suspects of BATCH that are queued and have an upstream to CHOICE.
+   Keeps the one that most probably did not crash its upstream: that had run
+   longest.  */
+static void
+add_suspects (struct owner *owner, struct batch *batch,
+              struct suspect_choice *choice, gint64 now_us)
+{
+  for (guint i = 0; i < batch->n_tasks; i++)
+    {
+      struct batch_task *task = &batch->tasks[i];
+      struct owned_upstream *upstream;
+
+      if (task->state != BATCH_TASK_QUEUED || !batch_task_is_suspect (task)
+          || (choice->task != NULL
+              && task->crash_age_us <= choice->task->crash_age_us))
+        continue;
+      upstream = find_empty_upstream (owner, task, now_us);
+      if (upstream != NULL)
+        *choice = (struct suspect_choice){ task, upstream };
+    }
+}
+
 void
 owner_start_suspect (struct owner *owner, gint64 now_us)
 {
-  struct batch_task *task;
-  struct owned_upstream *upstream;
+  struct suspect_choice choice = { 0 };
+  struct list_node *node;
+  struct list_node *after;
 
-  if (owner->n_isolated > 0 || has_others_in_time (owner))
+  if (owner->n_isolated > 0)
     return;
-  task = find_suspect (owner);
-  if (task == NULL)
-    return;
-  upstream = find_empty_upstream (owner, task, now_us);
-  if (upstream == NULL)
+  list_for_each (node, after, &owner->queue)
+    {
+      struct batch *batch = list_entry (node, struct batch, link);
+
+      if (batch->n_suspects > 0 && !has_others_in_time (owner, batch->service))
+        add_suspects (owner, batch, &choice, now_us);
+    }
+  if (choice.task == NULL)
     return;
-  owner_start_task (owner, task, upstream, now_us);
-  owner_relink_batch (owner, task->batch);
+  owner_start_task (owner, choice.task, choice.upstream, now_us);
+  owner_relink_batch (owner, choice.task->batch);
 }
--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -282,8 +282,8 @@
 void owner_poll_domain (struct owner *owner,
                         const struct owned_upstream *upstream, gint64 now_us);
 
-/* Starts a suspect task alone on an upstream, if no other task waits and no
-   other suspect is running.  */
+/* Starts a suspect task alone on an upstream, if no other task of its service
+   waits in time and no other suspect is running.  */
 void owner_start_suspect (struct owner *owner, gint64 now_us);
 
 /* owner_claims.c: offers.  */
--- a/t/t2113-owner-crashes.c
+++ b/t/t2113-owner-crashes.c
@@ -506,6 +506,45 @@
   bed_clear (&bed);
 }
 
+/* A suspect does not wait for tasks of another service, which do not compete
+   for its upstreams.  */
+static void
+test_other_service_waits (void)
+{
+  struct crash_bed bed;
+
+  bed_init (&bed, 1, NULL);
+  submit (&bed, "suspect", 1, 1);
+  crash (&bed, &bed.upstreams[0]);
+  pass (&bed, RESTART_US - 100 * USEC_PER_MSEC);
+  g_assert_cmpuint (bed.n_suspects, ==, 1);
+  submit_to (&bed, "other", "job", 1, 1);
+  pass (&bed, 3 * USEC_PER_SEC);
+  g_assert_cmpuint (bed.n_done, ==, 1);
+  bed_clear (&bed);
+}
+
+/* A suspect that no upstream can run does not keep the others from theirs.  */
+static void
+test_suspect_without_upstream (void)
+{
+  struct crash_bed bed;
+
+  bed_init (&bed, 2, NULL);
+  g_free (bed.upstreams[0].owned->service);
+  bed.upstreams[0].owned->service = g_strdup ("other");
+  submit_to (&bed, "other", "suspect", 1, 1);
+  pass (&bed, 100 * USEC_PER_MSEC);
+  submit (&bed, "suspect", 2, 1);
+  crash (&bed, &bed.upstreams[0]);
+  crash (&bed, &bed.upstreams[1]);
+  bed.upstreams[0].back_us += 60 * USEC_PER_SEC;
+  pass (&bed, RESTART_US + 1 * USEC_PER_SEC);
+  g_assert_cmpuint (bed.n_suspects, ==, 2);
+  g_assert_cmpuint (bed.n_done, ==, 1);
+  bed_clear (&bed);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -520,5 +559,9 @@
   g_test_add_func ("/owner-crashes/leaving", test_leaving);
   g_test_add_func ("/owner-crashes/all-crashed-together",
                    test_all_crashed_together);
+  g_test_add_func ("/owner-crashes/other-service-waits",
+                   test_other_service_waits);
+  g_test_add_func ("/owner-crashes/suspect-without-upstream",
+                   test_suspect_without_upstream);
   return g_test_run ();
 }
