transport: a task that crashed upstreams is known as such to its next owner

The counts were at the owner only.

An owner now names the returned tasks that were lost in a crash, and those that are suspects, in PEER_RETURN_TASKS and in the reply to PEER_RUN_BATCH. The home keeps both sets with the job, and names them to the next owner in PEER_RUN_BATCH or in the batch of its own VM. Two lists without repetition stay within PEER_TASKS_MAX, where one entry for each crash would not. A loss that was excused counts as a crash at the next owner.

Messages of another version are refused as malformed, as after earlier changes of peer.x: run the same version on all VMs.

t2113 returned-suspects and suspect-elsewhere, t5026 crashes-carried for a remote and for a local owner, and t3004 guard this; the last two t5026 cases and suspect-elsewhere fail when the home does not keep, or the owner does not take, the marks.

--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -440,6 +440,18 @@
 guint batch_list_tasks (const struct batch *batch, enum batch_task_state state,
                         guint *indexes);
 
+/* Writes the indexes of the tasks that were given back and that were lost in a
+   crash before to INDEXES, which has room for all: the suspects of crashing
+   upstreams if ONLY_SUSPECTS, otherwise those that are none.  Returns their
+   number.  */
+guint batch_list_crashed (const struct batch *batch, gboolean only_suspects,
+                          guint *indexes);
+
+/* Marks those of the N tasks INDEXES that BATCH, which is new, has as lost in
+   a crash at another owner; as suspects if ARE_SUSPECTS.  */
+void batch_mark_crashed (struct batch *batch, const guint *indexes, guint n,
+                         gboolean are_suspects, gint64 now_us);
+
 /* Whether all tasks of BATCH were given back to its home.  */
 gboolean batch_is_returned (const struct batch *batch);
 
--- a/coordination/owner_crashes.c
+++ b/coordination/owner_crashes.c
@@ -25,6 +25,48 @@
   return task->is_suspect;
 }
 
+guint
+batch_list_crashed (const struct batch *batch, gboolean only_suspects,
+                    guint *indexes)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < batch->n_tasks; i++)
+    {
+      const struct batch_task *task = &batch->tasks[i];
+
+      if (task->state == BATCH_TASK_RETURNED
+          && (task->n_crashes > 0 || task->is_loss_excused)
+          && task->is_suspect == only_suspects)
+        indexes[n++] = task->index;
+    }
+  return n;
+}
+
+/* A task that crashes upstreams must not start anew with each owner, so what
+   was excused elsewhere counts.  */
+static void
+mark_crashed (struct batch_task *task, gboolean is_suspect, gint64 now_us)
+{
+  task->n_crashes = is_suspect ? SUSPICIOUS_CRASHES : 1;
+  task->is_loss_excused = TRUE;
+  task->crashed_us = now_us;
+  if (!is_suspect || task->is_suspect)
+    return;
+  task->is_suspect = TRUE;
+  task->batch->n_suspects += task->state == BATCH_TASK_QUEUED ? 1 : 0;
+}
+
+void
+batch_mark_crashed (struct batch *batch, const guint *indexes, guint n,
+                    gboolean are_suspects, gint64 now_us)
+{
+  for (guint i = 0; i < n; i++)
+    for (guint k = 0; k < batch->n_tasks; k++)
+      if (batch->tasks[k].index == indexes[i])
+        mark_crashed (&batch->tasks[k], are_suspects, now_us);
+}
+
 /* Upstreams of one rack or availability zone.  */
 struct domain_losses
 {
--- a/protocol/peer.x
+++ b/protocol/peer.x
@@ -121,6 +121,10 @@
                             number of owners that the tasks are offered to: it
                             may start only those that CLAIM_TASKS grants */
   unsigned int indexes<PEER_TASKS_MAX>; /* of the tasks, in the job */
+  unsigned int crashed<PEER_TASKS_MAX>; /* those of them that were lost in a
+                                           crash and are no suspects */
+  unsigned int suspects<PEER_TASKS_MAX>; /* those that probably crash
+                                            upstreams: they run alone */
 };
 
 struct peer_batch_result {
@@ -130,6 +134,8 @@
   unsigned int done<PEER_TASKS_MAX>;     /* tasks that ended with success */
   unsigned int returned<PEER_TASKS_MAX>; /* every task that was returned,
                                             RETURN_TASKS calls included */
+  unsigned int crashed<PEER_TASKS_MAX>;  /* of these, as in RUN_BATCH */
+  unsigned int suspects<PEER_TASKS_MAX>; /* of these, as in RUN_BATCH */
 };
 
 /* RETURN_TASKS: an owner returns tasks to the home.  None of them runs. */
@@ -139,6 +145,9 @@
   unsigned int number; /* of the batch */
   bool has_started; /* another task of the batch may have been started */
   unsigned int indexes<PEER_TASKS_MAX>;
+  unsigned int crashed<PEER_TASKS_MAX>;  /* of all tasks returned so far, as in
+                                            RUN_BATCH */
+  unsigned int suspects<PEER_TASKS_MAX>; /* likewise */
 };
 
 struct peer_return_result {
--- a/protocol/peer_xdr.c
+++ b/protocol/peer_xdr.c
@@ -210,6 +210,12 @@
 		 if (!xdr_array (xdrs, (char **)&objp->indexes.indexes_val, (u_int *) &objp->indexes.indexes_len, PEER_TASKS_MAX,
 			sizeof (u_int), (xdrproc_t) xdr_u_int))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->crashed.crashed_val, (u_int *) &objp->crashed.crashed_len, PEER_TASKS_MAX,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->suspects.suspects_val, (u_int *) &objp->suspects.suspects_len, PEER_TASKS_MAX,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
@@ -280,6 +286,12 @@
 		 if (!xdr_array (xdrs, (char **)&objp->indexes.indexes_val, (u_int *) &objp->indexes.indexes_len, PEER_TASKS_MAX,
 			sizeof (u_int), (xdrproc_t) xdr_u_int))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->crashed.crashed_val, (u_int *) &objp->crashed.crashed_len, PEER_TASKS_MAX,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->suspects.suspects_val, (u_int *) &objp->suspects.suspects_len, PEER_TASKS_MAX,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -330,6 +342,12 @@
 	 if (!xdr_array (xdrs, (char **)&objp->indexes.indexes_val, (u_int *) &objp->indexes.indexes_len, PEER_TASKS_MAX,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->crashed.crashed_val, (u_int *) &objp->crashed.crashed_len, PEER_TASKS_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->suspects.suspects_val, (u_int *) &objp->suspects.suspects_len, PEER_TASKS_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -350,6 +368,12 @@
 	 if (!xdr_array (xdrs, (char **)&objp->returned.returned_val, (u_int *) &objp->returned.returned_len, PEER_TASKS_MAX,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->crashed.crashed_val, (u_int *) &objp->crashed.crashed_len, PEER_TASKS_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->suspects.suspects_val, (u_int *) &objp->suspects.suspects_len, PEER_TASKS_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -369,6 +393,12 @@
 	 if (!xdr_array (xdrs, (char **)&objp->indexes.indexes_val, (u_int *) &objp->indexes.indexes_len, PEER_TASKS_MAX,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->crashed.crashed_val, (u_int *) &objp->crashed.crashed_len, PEER_TASKS_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->suspects.suspects_val, (u_int *) &objp->suspects.suspects_len, PEER_TASKS_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/protocol/peer_xdr.h
+++ b/protocol/peer_xdr.h
@@ -144,6 +144,14 @@
 		u_int indexes_len;
 		u_int *indexes_val;
 	} indexes;
+	struct {
+		u_int crashed_len;
+		u_int *crashed_val;
+	} crashed;
+	struct {
+		u_int suspects_len;
+		u_int *suspects_val;
+	} suspects;
 };
 typedef struct peer_batch_args peer_batch_args;
 
@@ -159,6 +167,14 @@
 		u_int returned_len;
 		u_int *returned_val;
 	} returned;
+	struct {
+		u_int crashed_len;
+		u_int *crashed_val;
+	} crashed;
+	struct {
+		u_int suspects_len;
+		u_int *suspects_val;
+	} suspects;
 };
 typedef struct peer_batch_result peer_batch_result;
 
@@ -171,6 +187,14 @@
 		u_int indexes_len;
 		u_int *indexes_val;
 	} indexes;
+	struct {
+		u_int crashed_len;
+		u_int *crashed_val;
+	} crashed;
+	struct {
+		u_int suspects_len;
+		u_int *suspects_val;
+	} suspects;
 };
 typedef struct peer_return_args peer_return_args;
 
--- a/t/t2113-owner-crashes.c
+++ b/t/t2113-owner-crashes.c
@@ -51,6 +51,9 @@
   guint n_crashed;
   guint n_other_ends;
   guint n_suspects; /* reported by upstream_crashed () */
+  guint n_returned; /* tasks, as the two below */
+  guint n_returned_crashed;
+  guint n_returned_suspects;
 };
 
 static struct fake_upstream *
@@ -102,6 +105,12 @@
 on_return (struct owner_driver *driver, struct batch *batch,
            const guint *indexes, guint n_tasks)
 {
+  struct crash_bed *bed = (struct crash_bed *)driver;
+  guint crashed[MAX_RUNS];
+
+  bed->n_returned += n_tasks;
+  bed->n_returned_crashed += batch_list_crashed (batch, FALSE, crashed);
+  bed->n_returned_suspects += batch_list_crashed (batch, TRUE, crashed);
 }
 
 static void
@@ -296,10 +305,10 @@
     clear_runs (&bed->upstreams[i]);
 }
 
-/* Hands in a job of N tasks for SERVICE, whose id is PREFIX and NUMBER.  */
+/* A job of N tasks for SERVICE, whose id is PREFIX and NUMBER.  */
 static struct batch *
-submit_to (struct crash_bed *bed, const char *service, const char *prefix,
-           guint number, guint n)
+make_batch (struct crash_bed *bed, const char *service, const char *prefix,
+            guint number, guint n)
 {
   g_autofree char *id = g_strdup_printf ("%s%u", prefix, number);
   struct batch *batch = batch_new (id, "home", n);
@@ -312,6 +321,15 @@
   batch->estimate_us = RUN_US;
   batch->attempts = 3;
   batch->start_by_us = bed->now_us + 5 * USEC_PER_SEC;
+  return batch;
+}
+
+static struct batch *
+submit_to (struct crash_bed *bed, const char *service, const char *prefix,
+           guint number, guint n)
+{
+  struct batch *batch = make_batch (bed, service, prefix, number, n);
+
   owner_submit_batch (bed->owner, batch, bed->now_us);
   return batch;
 }
@@ -545,6 +563,51 @@
   bed_clear (&bed);
 }
 
+/* A task that goes back to its home after a crash is named as a suspect, so
+   that it is none the less one at the next owner.  */
+static void
+test_returned_suspects (void)
+{
+  struct crash_bed bed;
+
+  bed_init (&bed, 2, NULL);
+  submit (&bed, "first", 1, 1);
+  pass (&bed, 150 * USEC_PER_MSEC);
+  submit (&bed, "second", 1, 1);
+  crash (&bed, &bed.upstreams[0]);
+  crash (&bed, &bed.upstreams[1]);
+  pass (&bed, RESTART_US - 100 * USEC_PER_MSEC);
+  g_assert_cmpuint (bed.n_suspects, >, 0);
+  owner_return_all_queued (bed.owner, "s", bed.now_us);
+  g_assert_cmpuint (bed.n_returned, ==, 2);
+  g_assert_cmpuint (bed.n_returned_suspects, ==, bed.n_suspects);
+  g_assert_cmpuint (bed.n_returned_crashed + bed.n_returned_suspects, ==, 2);
+  bed_clear (&bed);
+}
+
+/* A task that was a suspect at another owner runs alone here, and is given up
+   when one more upstream crashes under it.  */
+static void
+test_suspect_elsewhere (void)
+{
+  static const guint suspect = 1;
+  struct crash_bed bed;
+  struct batch *batch;
+
+  bed_init (&bed, 2, NULL);
+  batch = make_batch (&bed, "s", DEADLY, 1, 2);
+  batch_mark_crashed (batch, &suspect, 1, TRUE, bed.now_us);
+  g_assert_cmpuint (batch->n_suspects, ==, 1);
+  g_assert_true (batch->tasks[1].is_suspect);
+  bed.deadly_after_us = RUN_US;
+  owner_submit_batch (bed.owner, batch, bed.now_us);
+  pass (&bed, 20 * USEC_PER_SEC);
+  g_assert_cmpuint (bed.n_shared_starts, ==, 0);
+  g_assert_cmpuint (bed.n_crashes, <=, 2);
+  g_assert_cmpuint (bed.n_crashed, ==, 1);
+  bed_clear (&bed);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -563,5 +626,7 @@
                    test_other_service_waits);
   g_test_add_func ("/owner-crashes/suspect-without-upstream",
                    test_suspect_without_upstream);
+  g_test_add_func ("/owner-crashes/returned-suspects", test_returned_suspects);
+  g_test_add_func ("/owner-crashes/suspect-elsewhere", test_suspect_elsewhere);
   return g_test_run ();
 }
--- a/t/t3004-peer-codec.c
+++ b/t/t3004-peer-codec.c
@@ -120,6 +120,25 @@
                          &credential, &arguments);
 }
 
+/* A return of tasks, one of which is a suspect, as a record.  */
+static GBytes *
+build_return (struct peer_mac *mac)
+{
+  guint indexes[] = { 0, 4, 129 };
+  peer_return_args arguments = { .incarnation = 7,
+                                 .job = (char *)"0123456789abcdef",
+                                 .number = 3,
+                                 .has_started = TRUE,
+                                 .indexes = { 3, indexes },
+                                 .crashed = { 1, indexes + 1 },
+                                 .suspects = { 1, indexes + 2 } };
+  peer_credential credential
+      = { (char *)"entry-1", (char *)"entry-2", 1, 2, (guint64)NOW_MS };
+
+  return rpc_build_call (mac, 5, rpc_procedure_find (PEER_RETURN_TASKS),
+                         &credential, &arguments);
+}
+
 /* Calls made from RECORD with some bytes changed or missing are read or
    refused.  */
 static void
@@ -154,9 +173,11 @@
   struct peer_mac *mac = no_keys ();
   g_autoptr (GBytes) record = build_call (mac);
   g_autoptr (GBytes) claim = build_claim (mac);
+  g_autoptr (GBytes) returned = build_return (mac);
 
   check_bent_calls (mac, record);
   check_bent_calls (mac, claim);
+  check_bent_calls (mac, returned);
   peer_mac_free (mac);
 }
 
@@ -190,8 +211,8 @@
   peer_mac_free (mac);
 }
 
-/* The tasks that an owner names as done and as returned reach the home as two
-   lists.  */
+/* What an owner names as done, as returned, as lost in a crash and as suspects
+   reaches the home as four lists.  */
 static void
 check_batch_result (const peer_batch_result *result)
 {
@@ -213,6 +234,14 @@
                    read->returned.returned_len * sizeof (u_int),
                    result->returned.returned_val,
                    result->returned.returned_len * sizeof (u_int));
+  g_assert_cmpmem (read->crashed.crashed_val,
+                   read->crashed.crashed_len * sizeof (u_int),
+                   result->crashed.crashed_val,
+                   result->crashed.crashed_len * sizeof (u_int));
+  g_assert_cmpmem (read->suspects.suspects_val,
+                   read->suspects.suspects_len * sizeof (u_int),
+                   result->suspects.suspects_val,
+                   result->suspects.suspects_len * sizeof (u_int));
   rpc_result_free (procedure, read);
   peer_mac_free (mac);
 }
@@ -235,10 +264,14 @@
                               .spec = (char *)"spec" };
   guint done[] = { 0, 4 };
   guint returned[] = { 129, 7, 1 };
+  guint crashed[] = { 1 };
+  guint suspects[] = { 7, 129 };
   peer_batch_result batch = { .has_started = TRUE,
                               .reason = (char *)"",
                               .done = { 2, done },
-                              .returned = { 3, returned } };
+                              .returned = { 3, returned },
+                              .crashed = { 1, crashed },
+                              .suspects = { 2, suspects } };
 
   check_batch_result (&batch);
   check_bent_replies (rpc_procedure_find (PEER_RUN_BATCH), &batch);
--- a/t/t5026-fleet-home.c
+++ b/t/t5026-fleet-home.c
@@ -21,6 +21,8 @@
   guint number;
   guint n_tasks;
   guint indexes[PEER_TASKS_MAX];
+  struct task_set crashed;
+  struct task_set suspects;
   struct batch *batch; /* on this VM; NULL for one of vm-b */
   peer_call_done_func *ended;
   gpointer data;
@@ -73,6 +75,10 @@
   added->n_tasks = args->indexes.indexes_len;
   memcpy (added->indexes, args->indexes.indexes_val,
           added->n_tasks * sizeof *added->indexes);
+  task_set_add (&added->crashed, args->crashed.crashed_val,
+                args->crashed.crashed_len);
+  task_set_add (&added->suspects, args->suspects.suspects_val,
+                args->suspects.suspects_len);
   added->ended = ended;
   added->data = data;
 }
@@ -104,7 +110,15 @@
   batch->user_data = sink;
   added->batch = batch;
   for (guint i = 0; i < batch->n_tasks; i++)
-    added->indexes[added->n_tasks++] = batch->tasks[i].index;
+    {
+      const struct batch_task *task = &batch->tasks[i];
+
+      added->indexes[added->n_tasks++] = task->index;
+      if (task->is_suspect)
+        task_set_add (&added->suspects, &task->index, 1);
+      else if (task->n_crashes > 0)
+        task_set_add (&added->crashed, &task->index, 1);
+    }
 }
 
 char *
@@ -377,6 +391,57 @@
   bed_free (bed);
 }
 
+/* The owner of the batch INDEX returns both tasks: 0 was lost in a crash, and
+   1 is a suspect.  */
+static void
+return_crashed (guint index)
+{
+  static guint both[] = { 0, 1 };
+  struct batch *batch = sent[index].batch;
+  peer_batch_result result = { .end = BATCH_DONE,
+                               .has_started = TRUE,
+                               .reason = (char *)"",
+                               .returned = { 2, both },
+                               .crashed = { 1, both },
+                               .suspects = { 1, both + 1 } };
+
+  if (batch == NULL)
+    {
+      sent[index].ended (&result, NULL, sent[index].data);
+      return;
+    }
+  for (guint i = 0; i < 2; i++)
+    {
+      batch->tasks[i].state = BATCH_TASK_RETURNED;
+      batch->tasks[i].n_crashes = 1;
+      batch->tasks[i].is_suspect = batch->tasks[i].index == 1;
+    }
+  batch->n_queued = batch->n_offered = 0;
+  finish_local (batch, NULL, 0);
+}
+
+/* What one owner has seen to crash upstreams must not start anew at the next:
+   it would crash that one's upstreams too.  */
+static void
+test_crashes_carried (gconstpointer is_local)
+{
+  struct bed *bed = bed_new (GPOINTER_TO_INT (is_local));
+
+  g_assert_cmpuint (sent[0].crashed.n + sent[0].suspects.n, ==, 0);
+  claim (0, 2);
+  return_crashed (0);
+  g_assert_cmpuint (n_sent, ==, 2);
+  g_assert_cmpuint (sent[1].n_tasks, ==, 2);
+  g_assert_cmpuint (sent[1].crashed.n, ==, 1);
+  g_assert_cmpuint (sent[1].crashed.indexes[0], ==, 0);
+  g_assert_cmpuint (sent[1].suspects.n, ==, 1);
+  g_assert_cmpuint (sent[1].suspects.indexes[0], ==, 1);
+  claim (1, 2);
+  finish (1, (const guint[]){ 0, 1 }, 2);
+  expect_done (bed, 2);
+  bed_free (bed);
+}
+
 /* A job whose tasks are all named must not wait for more, or be reported.  */
 static void
 test_all_named (gconstpointer is_local)
@@ -404,5 +469,9 @@
                         test_all_named);
   g_test_add_data_func ("/fleet-home/all-named-local", GINT_TO_POINTER (TRUE),
                         test_all_named);
+  g_test_add_data_func ("/fleet-home/crashes-carried", GINT_TO_POINTER (FALSE),
+                        test_crashes_carried);
+  g_test_add_data_func ("/fleet-home/crashes-carried-local",
+                        GINT_TO_POINTER (TRUE), test_crashes_carried);
   return g_test_run ();
 }
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -338,24 +338,27 @@
   renew_offers (job);
 }
 
-/* The owner of PART has returned the tasks with INDEXES unstarted.
-   HAS_STARTED: other tasks of PART may have been started.  */
+/* The owner of PART has returned the tasks in ARGS unstarted.  */
 static void
-handle_returned (struct fleet_part *part, gboolean has_started,
-                 const guint *indexes, guint n_indexes)
+handle_returned (struct fleet_part *part, const peer_return_args *args)
 {
+  guint n_indexes = args->indexes.indexes_len;
   guint out[PEER_TASKS_MAX];
   guint n_out;
 
   if (!part->is_open)
     return;
-  part->job->has_started |= has_started;
+  part->job->has_started |= args->has_started;
   if (part->owner != NULL && part->n_offers == 0 && n_indexes > 0)
     vm_directory_mark_full (part->job->home->directory, part->owner,
                             hash64_string (part->job->submission->service),
                             part->job->submission->need.cpus);
-  n_out = fleet_part_remove_tasks (part, indexes,
+  n_out = fleet_part_remove_tasks (part, args->indexes.indexes_val,
                                    MIN (n_indexes, PEER_TASKS_MAX), out);
+  fleet_job_note_crashed (part->job, out, n_out, args->crashed.crashed_val,
+                          args->crashed.crashed_len, FALSE);
+  fleet_job_note_crashed (part->job, out, n_out, args->suspects.suspects_val,
+                          args->suspects.suspects_len, TRUE);
   fleet_home_log_tasks_returned (part, n_out, part->job->home->vm);
   if (n_out > 0)
     reassign_tasks (part->job, out, n_out);
@@ -404,11 +407,19 @@
 handle_result (struct fleet_part *part, const peer_batch_result *result,
                const char *reason)
 {
+  const peer_return_args returned = {
+    .has_started = result->has_started,
+    .indexes
+    = { result->returned.returned_len, result->returned.returned_val },
+    .crashed = { result->crashed.crashed_len, result->crashed.crashed_val },
+    .suspects
+    = { result->suspects.suspects_len, result->suspects.suspects_val },
+  };
+
   if (result->has_started)
     part->job->has_started = TRUE;
   if (part->is_open)
-    handle_returned (part, result->has_started, result->returned.returned_val,
-                     result->returned.returned_len);
+    handle_returned (part, &returned);
   if (part->is_open)
     handle_part_end (part, get_batch_end (result), result->done.done_val,
                      result->done.done_len, reason);
@@ -430,8 +441,16 @@
 on_local_returned (struct batch_sink *sink, const struct batch *batch,
                    const guint *indexes, guint n_tasks)
 {
-  handle_returned (list_entry (sink, struct fleet_part, sink),
-                   batch->n_started > 0, indexes, n_tasks);
+  guint crashed[PEER_TASKS_MAX];
+  guint suspects[PEER_TASKS_MAX];
+  const peer_return_args args = {
+    .has_started = batch->n_started > 0,
+    .indexes = { n_tasks, (guint *)indexes },
+    .crashed = { batch_list_crashed (batch, FALSE, crashed), crashed },
+    .suspects = { batch_list_crashed (batch, TRUE, suspects), suspects },
+  };
+
+  handle_returned (list_entry (sink, struct fleet_part, sink), &args);
 }
 
 static void
@@ -440,12 +459,16 @@
   struct fleet_part *part = list_entry (sink, struct fleet_part, sink);
   guint done[PEER_TASKS_MAX];
   guint returned[PEER_TASKS_MAX];
+  guint crashed[PEER_TASKS_MAX];
+  guint suspects[PEER_TASKS_MAX];
   const peer_batch_result result = {
     .end = batch->end,
     .has_started = batch->n_started > 0,
     .done = { batch_list_tasks (batch, BATCH_TASK_DONE, done), done },
     .returned
     = { batch_list_tasks (batch, BATCH_TASK_RETURNED, returned), returned },
+    .crashed = { batch_list_crashed (batch, FALSE, crashed), crashed },
+    .suspects = { batch_list_crashed (batch, TRUE, suspects), suspects },
   };
 
   part->batch = NULL;
@@ -843,8 +866,7 @@
     part = fleet_job_find_part (job, args->number);
   result.is_known = part != NULL;
   if (part != NULL)
-    handle_returned (part, args->has_started, args->indexes.indexes_val,
-                     args->indexes.indexes_len);
+    handle_returned (part, args);
   peer_request_reply (request, &result);
 }
 
--- a/transport/fleet_job.c
+++ b/transport/fleet_job.c
@@ -81,6 +81,23 @@
   return FALSE;
 }
 
+void
+fleet_job_note_crashed (struct fleet_job *job, const guint *returned, guint n,
+                        const guint *crashed, guint n_crashed,
+                        gboolean are_suspects)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      guint index = returned[i];
+
+      if (!is_named (index, crashed, n_crashed)
+          || task_set_contains (&job->suspects, index))
+        continue;
+      task_set_remove (&job->crashed, &index, 1);
+      task_set_add (are_suspects ? &job->suspects : &job->crashed, &index, 1);
+    }
+}
+
 void
 fleet_part_take_done (struct fleet_part *part, const guint *indexes,
                       guint n_indexes)
--- a/transport/fleet_job.h
+++ b/transport/fleet_job.h
@@ -52,10 +52,14 @@
   gboolean has_waited;        /* it was in the list of waiting jobs */
   struct task_set wanted;     /* tasks that are offered and not granted yet */
   struct task_set done;       /* tasks that an owner has named as done */
-  gboolean is_closed;         /* answered or cancelled */
-  const char *give_up_reason; /* static string; NULL unless given up.  The
-                                 answer follows when all parts have ended */
-  gint64 retry_after_ms;      /* for the answer if nothing was started */
+  struct task_set crashed;  /* tasks that an owner has returned after a crash,
+                               and that are no suspects */
+  struct task_set suspects; /* of crashing upstreams, as the owners that have
+                               returned them say */
+  gboolean is_closed;       /* answered or cancelled */
+  const char *give_up_reason;   /* static string; NULL unless given up.  The
+                                   answer follows when all parts have ended */
+  gint64 retry_after_ms;        /* for the answer if nothing was started */
   struct fleet_refusal refusal; /* why the queues are too long for it */
   gboolean has_started;         /* a task may have been started */
 };
@@ -92,6 +96,13 @@
 guint fleet_part_remove_tasks (struct fleet_part *part, const guint *indexes,
                                guint n_indexes, guint *out);
 
+/* The owner of the N tasks RETURNED of JOB has named the tasks CRASHED, of
+   which others than those do not count, as lost in a crash, and as suspects if
+   ARE_SUSPECTS.  */
+void fleet_job_note_crashed (struct fleet_job *job, const guint *returned,
+                             guint n, const guint *crashed, guint n_crashed,
+                             gboolean are_suspects);
+
 /* PART has ended, and its owner names the tasks INDEXES as done: adds those
    that were in PART to the done tasks of its job.  What is left in PART is not
    done, neither here nor elsewhere.  */
--- a/transport/fleet_owner_peers.c
+++ b/transport/fleet_owner_peers.c
@@ -55,6 +55,8 @@
   struct remote_batch *remote = list_entry (sink, struct remote_batch, sink);
   guint done[PEER_TASKS_MAX];
   guint returned[PEER_TASKS_MAX];
+  guint crashed[PEER_TASKS_MAX];
+  guint suspects[PEER_TASKS_MAX];
   peer_batch_result result = {
     .end = batch->end,
     .has_started = batch->n_started > 0,
@@ -62,6 +64,8 @@
     .done = { batch_list_tasks (batch, BATCH_TASK_DONE, done), done },
     .returned
     = { batch_list_tasks (batch, BATCH_TASK_RETURNED, returned), returned },
+    .crashed = { batch_list_crashed (batch, FALSE, crashed), crashed },
+    .suspects = { batch_list_crashed (batch, TRUE, suspects), suspects },
   };
 
   if (g_hash_table_lookup (remote->owner->remote_batches, remote->key)
@@ -142,12 +146,16 @@
                     const guint *indexes, guint n_tasks)
 {
   struct remote_batch *remote = list_entry (sink, struct remote_batch, sink);
+  guint crashed[PEER_TASKS_MAX];
+  guint suspects[PEER_TASKS_MAX];
   peer_return_args args = {
     .incarnation = remote->incarnation,
     .job = batch->job,
     .number = batch->number,
     .has_started = batch->n_started > 0,
     .indexes = { n_tasks, (guint *)indexes },
+    .crashed = { batch_list_crashed (batch, FALSE, crashed), crashed },
+    .suspects = { batch_list_crashed (batch, TRUE, suspects), suspects },
   };
 
   if (batch_is_returned (batch))
@@ -184,6 +192,10 @@
   batch->needs_free_slots = args->needs_free_slots;
   if (args->n_offers > 0)
     batch_set_offered (batch, args->n_offers);
+  batch_mark_crashed (batch, args->crashed.crashed_val,
+                      args->crashed.crashed_len, FALSE, now_us);
+  batch_mark_crashed (batch, args->suspects.suspects_val,
+                      args->suspects.suspects_len, TRUE, now_us);
   batch->start_by_us = now_us + args->start_in_us;
   batch->end_by_us = now_us + args->end_in_us;
   return batch;
--- a/transport/fleet_part.c
+++ b/transport/fleet_part.c
@@ -61,6 +61,20 @@
   return part->n_offers == 0;
 }
 
+/* Writes those of the N tasks INDEXES that SET contains to OUT, which has room
+   for all.  Returns their number.  */
+static guint
+list_common (const struct task_set *set, const guint *indexes, guint n,
+             guint *out)
+{
+  guint n_out = 0;
+
+  for (guint i = 0; i < n; i++)
+    if (task_set_contains (set, indexes[i]))
+      out[n_out++] = indexes[i];
+  return n_out;
+}
+
 /* The batch for PART, which runs on this VM.  */
 static struct batch *
 build_batch (const struct fleet_part *part)
@@ -75,6 +89,10 @@
     batch->tasks[i].index = indexes[i];
   if (part->n_offers > 0)
     batch_set_offered (batch, part->n_offers);
+  batch_mark_crashed (batch, job->crashed.indexes, job->crashed.n, FALSE,
+                      clock_now_us ());
+  batch_mark_crashed (batch, job->suspects.indexes, job->suspects.n, TRUE,
+                      clock_now_us ());
   batch->number = part->number;
   batch->service = g_strdup (s->service);
   batch->spec = g_strdup (s->spec);
@@ -103,6 +121,8 @@
   gint64 now_us = clock_now_us ();
   guint n_tasks;
   const guint *indexes = get_sent_tasks (part, &n_tasks);
+  guint crashed[PEER_TASKS_MAX];
+  guint suspects[PEER_TASKS_MAX];
   peer_batch_args args = {
     .incarnation = job->home->incarnation,
     .job = s->job,
@@ -127,6 +147,10 @@
     .end_in_us = job->end_by_us - now_us,
     .n_offers = part->n_offers,
     .indexes = { n_tasks, (guint *)indexes },
+    .crashed
+    = { list_common (&job->crashed, indexes, n_tasks, crashed), crashed },
+    .suspects
+    = { list_common (&job->suspects, indexes, n_tasks, suspects), suspects },
   };
 
   peer_hub_call (job->home->hub, part->owner, PEER_RUN_BATCH, &args,
