coordination: an owner without upstreams gives its suspects back

Suspects do not count as queued, so that an owner which had given up all its upstreams of a service kept those that waited there, if nothing else did: they could never start, and their callers left without an answer. It now gives them back to their homes. An owner whose upstreams are only down keeps them.

t2113 /owner-crashes/stranded tests the decision; that the daemon acts on it has no test of its own.

--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -485,6 +485,10 @@
 void owner_return_queued (struct owner *owner, const char *service,
                           guint n_tasks, gint64 now_us);
 
+/* A queued batch with suspects for a service of which no upstream is left
+   here, or NULL.  */
+const struct batch *owner_get_stranded_suspects (const struct owner *owner);
+
 /* Gives all queued tasks for SERVICE back, those of settled batches included.
    To be called when no upstream here can take them any more.  */
 void owner_return_all_queued (struct owner *owner, const char *service,
--- a/coordination/owner_crashes.c
+++ b/coordination/owner_crashes.c
@@ -258,6 +258,40 @@
   return best;
 }
 
+/* Whether OWNER keeps an upstream of SERVICE.  */
+static gboolean
+has_upstream (const struct owner *owner, const char *service)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, owner->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct owned_upstream *upstream = value;
+
+      if (!upstream->is_leaving && !upstream->is_releasing
+          && g_str_equal (upstream->service, service))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+const struct batch *
+owner_get_stranded_suspects (const struct owner *owner)
+{
+  const struct list_node *node;
+
+  for (node = owner->queue.next; node != &owner->queue; node = node->next)
+    {
+      const struct batch *batch = list_entry (node, struct batch, link);
+
+      if (batch->n_suspects > 0 && !has_upstream (owner, batch->service))
+        return batch;
+    }
+  return NULL;
+}
+
 /* What runs next of the suspects.  */
 struct suspect_choice
 {
--- a/t/t2113-owner-crashes.c
+++ b/t/t2113-owner-crashes.c
@@ -608,6 +608,26 @@
   bed_clear (&bed);
 }
 
+/* Where all tasks of an owner wait as suspects, they are found when it has
+   given up its upstreams: they could never start.  */
+static void
+test_stranded (void)
+{
+  struct crash_bed bed;
+
+  bed_init (&bed, 1, NULL);
+  submit (&bed, "job", 1, 1);
+  crash (&bed, &bed.upstreams[0]);
+  pass (&bed, RESTART_US - 100 * USEC_PER_MSEC);
+  g_assert_cmpuint (bed.n_suspects, ==, 1);
+  g_assert_null (owner_get_stranded_suspects (bed.owner));
+  bed.upstreams[0].owned->is_leaving = TRUE;
+  g_assert_nonnull (owner_get_stranded_suspects (bed.owner));
+  owner_return_all_queued (bed.owner, "s", bed.now_us);
+  g_assert_null (owner_get_stranded_suspects (bed.owner));
+  bed_clear (&bed);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -628,5 +648,6 @@
                    test_suspect_without_upstream);
   g_test_add_func ("/owner-crashes/returned-suspects", test_returned_suspects);
   g_test_add_func ("/owner-crashes/suspect-elsewhere", test_suspect_elsewhere);
+  g_test_add_func ("/owner-crashes/stranded", test_stranded);
   return g_test_run ();
 }
--- a/transport/fleet_owner.c
+++ b/transport/fleet_owner.c
@@ -340,6 +340,20 @@
     owner_return_queued (owner->owner, service, n_movable, now_us);
 }
 
+/* Returns the queued tasks of a service that has suspects here and no upstream
+   any longer.  */
+static void
+return_stranded (struct fleet_owner *owner, gint64 now_us)
+{
+  const struct batch *stranded = owner_get_stranded_suspects (owner->owner);
+  g_autofree char *service = NULL;
+
+  if (stranded == NULL)
+    return;
+  service = g_strdup (stranded->service);
+  owner_return_all_queued (owner->owner, service, now_us);
+}
+
 /* Returns queued tasks of the service whose batch is first in the queue, if
    that batch has waited long enough.  */
 static void
@@ -361,6 +375,7 @@
   fleet_owner_stop_unreachable (owner, now_us);
   owner_advance (owner->owner, now_us);
   rebalance (owner, now_us);
+  return_stranded (owner, now_us);
 }
 
 struct fleet_owner *
