--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -96,6 +96,7 @@
   gboolean is_foreign;  /* listed by the upstream, not started by this owner */
   gboolean is_isolated; /* nothing else may run on the upstream meanwhile */
   gboolean is_crash_counted;    /* counted in the task's n_crashes */
+  gboolean is_loss_excused;     /* not counted: a common cause was assumed */
   gboolean is_slowness_counted; /* counted in the upstream's slowness */
   gboolean is_speed_counted;    /* counted in the upstream's run_speed */
   guint64 sent_after_poll;      /* the last poll before its start order */
@@ -204,16 +205,18 @@
   struct batch *batch;
   guint index; /* in the job */
   enum batch_task_state state;
-  struct run *run;     /* the current one; NULL for none */
-  guint n_runs;        /* run numbers used, skipped ones included */
-  guint n_failed;      /* failed runs */
-  guint n_crashes;     /* upstreams that crashed while they ran it */
-  gboolean is_suspect; /* of crashing upstreams: runs isolated */
-  gint64 crashed_us;   /* when the last of them was lost */
-  gint64 crash_age_us; /* how long it had run by then */
-  guint n_restarts;    /* because of slow or hanging upstreams */
-  char *failed_on;     /* the upstream where it failed last, or that left its
-                          start unanswered; NULL for none */
+  struct run *run;          /* the current one; NULL for none */
+  guint n_runs;             /* run numbers used, skipped ones included */
+  guint n_failed;           /* failed runs */
+  guint n_crashes;          /* upstreams that crashed while they ran it */
+  gboolean is_suspect;      /* of crashing upstreams: runs isolated */
+  gboolean is_loss_excused; /* a loss with most of a rack or zone was not
+                               counted; the next one is */
+  gint64 crashed_us;        /* when the last of them was lost */
+  gint64 crash_age_us;      /* how long it had run by then */
+  guint n_restarts;         /* because of slow or hanging upstreams */
+  char *failed_on; /* the upstream where it failed last, or that left its
+                      start unanswered; NULL for none */
 };
 
 enum batch_end
@@ -437,6 +440,18 @@
 guint batch_list_tasks (const struct batch *batch, enum batch_task_state state,
                         guint *indexes);
 
+/* Writes the indexes of the tasks that were given back and that were lost in a
+   crash before to INDEXES, which has room for all: the suspects of crashing
+   upstreams if ONLY_SUSPECTS, otherwise those that are none.  Returns their
+   number.  */
+guint batch_list_crashed (const struct batch *batch, gboolean only_suspects,
+                          guint *indexes);
+
+/* Marks those of the N tasks INDEXES that BATCH, which is new, has as lost in
+   a crash at another owner; as suspects if ARE_SUSPECTS.  */
+void batch_mark_crashed (struct batch *batch, const guint *indexes, guint n,
+                         gboolean are_suspects, gint64 now_us);
+
 /* Whether all tasks of BATCH were given back to its home.  */
 gboolean batch_is_returned (const struct batch *batch);
 
@@ -470,6 +485,10 @@
 void owner_return_queued (struct owner *owner, const char *service,
                           guint n_tasks, gint64 now_us);
 
+/* A queued batch with suspects for a service of which no upstream is left
+   here, or NULL.  */
+const struct batch *owner_get_stranded_suspects (const struct owner *owner);
+
 /* Gives all queued tasks for SERVICE back, those of settled batches included.
    To be called when no upstream here can take them any more.  */
 void owner_return_all_queued (struct owner *owner, const char *service,
--- a/coordination/owner_crashes.c
+++ b/coordination/owner_crashes.c
@@ -25,6 +25,48 @@
   return task->is_suspect;
 }
 
+guint
+batch_list_crashed (const struct batch *batch, gboolean only_suspects,
+                    guint *indexes)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < batch->n_tasks; i++)
+    {
+      const struct batch_task *task = &batch->tasks[i];
+
+      if (task->state == BATCH_TASK_RETURNED
+          && (task->n_crashes > 0 || task->is_loss_excused)
+          && task->is_suspect == only_suspects)
+        indexes[n++] = task->index;
+    }
+  return n;
+}
+
+/* A task that crashes upstreams must not start anew with each owner, so what
+   was excused elsewhere counts.  */
+static void
+mark_crashed (struct batch_task *task, gboolean is_suspect, gint64 now_us)
+{
+  task->n_crashes = is_suspect ? SUSPICIOUS_CRASHES : 1;
+  task->is_loss_excused = TRUE;
+  task->crashed_us = now_us;
+  if (!is_suspect || task->is_suspect)
+    return;
+  task->is_suspect = TRUE;
+  task->batch->n_suspects += task->state == BATCH_TASK_QUEUED ? 1 : 0;
+}
+
+void
+batch_mark_crashed (struct batch *batch, const guint *indexes, guint n,
+                    gboolean are_suspects, gint64 now_us)
+{
+  for (guint i = 0; i < n; i++)
+    for (guint k = 0; k < batch->n_tasks; k++)
+      if (batch->tasks[k].index == indexes[i])
+        mark_crashed (&batch->tasks[k], are_suspects, now_us);
+}
+
 /* Upstreams of one rack or availability zone.  */
 struct domain_losses
 {
@@ -91,6 +133,19 @@
   return latest_us;
 }
 
+/* The upstream of RUN was lost with most others of its rack or availability
+   zone.  Excuses the task of RUN, but only once: several tasks that crash
+   upstreams look the same.  Returns whether it is excused.  */
+static gboolean
+excuse_loss (struct run *run)
+{
+  if (run->task->is_loss_excused)
+    return run->is_loss_excused;
+  run->task->is_loss_excused = TRUE;
+  run->is_loss_excused = TRUE;
+  return TRUE;
+}
+
 /* Counts the crash of its upstream in the task of RUN.  */
 static void
 count_crash (struct run *run, gint64 latest_start_us)
@@ -128,10 +183,11 @@
 owner_note_crash (struct owner *owner, struct owned_upstream *upstream)
 {
   gint64 latest_start_us = get_latest_start_us (upstream);
+  gboolean is_common_loss = has_common_cause (owner, upstream);
   struct list_node *node;
   struct list_node *after;
 
-  if (upstream->is_leaving || has_common_cause (owner, upstream))
+  if (upstream->is_leaving)
     return;
   list_for_each (node, after, &upstream->runs)
     {
@@ -139,44 +195,29 @@
 
       if (run->task == NULL || run->is_crash_counted)
         continue;
+      if (is_common_loss && excuse_loss (run))
+        continue;
       count_crash (run, latest_start_us);
       if (owner->driver->ops->upstream_crashed != NULL)
         owner->driver->ops->upstream_crashed (owner->driver, run);
     }
 }
 
-/* The queued suspect of OWNER that most probably did not crash its upstream:
-   the one that had run longest.  NULL for none.  */
-static struct batch_task *
-find_suspect (struct owner *owner)
+/* Whether a task for SERVICE that is no suspect waits in time for a slot.  */
+static gboolean
+has_others_in_time (const struct owner *owner, const char *service)
 {
-  struct batch_task *found = NULL;
-  struct list_node *node;
-  struct list_node *after;
+  const struct list_node *node;
 
-  list_for_each (node, after, &owner->queue)
+  for (node = owner->queue.next; node != &owner->queue; node = node->next)
     {
-      struct batch *batch = list_entry (node, struct batch, link);
-
-      for (guint i = 0; batch->n_suspects > 0 && i < batch->n_tasks; i++)
-        {
-          struct batch_task *task = &batch->tasks[i];
+      const struct batch *batch = list_entry (node, struct batch, link);
 
-          if (task->state == BATCH_TASK_QUEUED && batch_task_is_suspect (task)
-              && (found == NULL || task->crash_age_us > found->crash_age_us))
-            found = task;
-        }
+      if (!batch->is_late && batch_count_waiting (batch) > 0
+          && g_str_equal (batch->service, service))
+        return TRUE;
     }
-  return found;
-}
-
-/* Whether a task that is no suspect waits in time for a slot.  */
-static gboolean
-has_others_in_time (const struct owner *owner)
-{
-  const struct batch *first = owner_get_first_queued (owner);
-
-  return first != NULL && !first->is_late;
+  return FALSE;
 }
 
 /* Whether UPSTREAM has answered a poll since TASK was lost.  Otherwise it may
@@ -217,20 +258,87 @@
   return best;
 }
 
+/* Whether OWNER keeps an upstream of SERVICE.  */
+static gboolean
+has_upstream (const struct owner *owner, const char *service)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, owner->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct owned_upstream *upstream = value;
+
+      if (!upstream->is_leaving && !upstream->is_releasing
+          && g_str_equal (upstream->service, service))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+const struct batch *
+owner_get_stranded_suspects (const struct owner *owner)
+{
+  const struct list_node *node;
+
+  for (node = owner->queue.next; node != &owner->queue; node = node->next)
+    {
+      const struct batch *batch = list_entry (node, struct batch, link);
+
+      if (batch->n_suspects > 0 && !has_upstream (owner, batch->service))
+        return batch;
+    }
+  return NULL;
+}
+
+/* What runs next of the suspects.  */
+struct suspect_choice
+{
+  struct batch_task *task; /* NULL for none */
+  struct owned_upstream *upstream;
+};
+
+/* Adds the suspects of BATCH that are queued and have an upstream to CHOICE.
+   Keeps the one that most probably did not crash its upstream: that had run
+   longest.  */
+static void
+add_suspects (struct owner *owner, struct batch *batch,
+              struct suspect_choice *choice, gint64 now_us)
+{
+  for (guint i = 0; i < batch->n_tasks; i++)
+    {
+      struct batch_task *task = &batch->tasks[i];
+      struct owned_upstream *upstream;
+
+      if (task->state != BATCH_TASK_QUEUED || !batch_task_is_suspect (task)
+          || (choice->task != NULL
+              && task->crash_age_us <= choice->task->crash_age_us))
+        continue;
+      upstream = find_empty_upstream (owner, task, now_us);
+      if (upstream != NULL)
+        *choice = (struct suspect_choice){ task, upstream };
+    }
+}
+
 void
 owner_start_suspect (struct owner *owner, gint64 now_us)
 {
-  struct batch_task *task;
-  struct owned_upstream *upstream;
+  struct suspect_choice choice = { 0 };
+  struct list_node *node;
+  struct list_node *after;
 
-  if (owner->n_isolated > 0 || has_others_in_time (owner))
+  if (owner->n_isolated > 0)
     return;
-  task = find_suspect (owner);
-  if (task == NULL)
-    return;
-  upstream = find_empty_upstream (owner, task, now_us);
-  if (upstream == NULL)
+  list_for_each (node, after, &owner->queue)
+    {
+      struct batch *batch = list_entry (node, struct batch, link);
+
+      if (batch->n_suspects > 0 && !has_others_in_time (owner, batch->service))
+        add_suspects (owner, batch, &choice, now_us);
+    }
+  if (choice.task == NULL)
     return;
-  owner_start_task (owner, task, upstream, now_us);
-  owner_relink_batch (owner, task->batch);
+  owner_start_task (owner, choice.task, choice.upstream, now_us);
+  owner_relink_batch (owner, choice.task->batch);
 }
--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -273,7 +273,8 @@
 
 /* UPSTREAM, on which its runs have ended without a result, has crashed, as far
    as is known.  Counts that in their tasks, unless so many upstreams of its
-   rack or availability zone were lost with it that the cause is another.  */
+   rack or availability zone were lost with it that the cause is another, which
+   is assumed once for each task.  */
 void owner_note_crash (struct owner *owner, struct owned_upstream *upstream);
 
 /* UPSTREAM does not answer: polls those of its availability zone that are
@@ -281,8 +282,8 @@
 void owner_poll_domain (struct owner *owner,
                         const struct owned_upstream *upstream, gint64 now_us);
 
-/* Starts a suspect task alone on an upstream, if no other task waits and no
-   other suspect is running.  */
+/* Starts a suspect task alone on an upstream, if no other task of its service
+   waits in time and no other suspect is running.  */
 void owner_start_suspect (struct owner *owner, gint64 now_us);
 
 /* owner_claims.c: offers.  */
--- a/t/t2113-owner-crashes.c
+++ b/t/t2113-owner-crashes.c
@@ -51,6 +51,9 @@
   guint n_crashed;
   guint n_other_ends;
   guint n_suspects; /* reported by upstream_crashed () */
+  guint n_returned; /* tasks, as the two below */
+  guint n_returned_crashed;
+  guint n_returned_suspects;
 };
 
 static struct fake_upstream *
@@ -102,6 +105,12 @@
 on_return (struct owner_driver *driver, struct batch *batch,
            const guint *indexes, guint n_tasks)
 {
+  struct crash_bed *bed = (struct crash_bed *)driver;
+  guint crashed[MAX_RUNS];
+
+  bed->n_returned += n_tasks;
+  bed->n_returned_crashed += batch_list_crashed (batch, FALSE, crashed);
+  bed->n_returned_suspects += batch_list_crashed (batch, TRUE, crashed);
 }
 
 static void
@@ -296,25 +305,41 @@
     clear_runs (&bed->upstreams[i]);
 }
 
-/* Hands in a job of N tasks, whose id is PREFIX and NUMBER.  */
+/* A job of N tasks for SERVICE, whose id is PREFIX and NUMBER.  */
 static struct batch *
-submit (struct crash_bed *bed, const char *prefix, guint number, guint n)
+make_batch (struct crash_bed *bed, const char *service, const char *prefix,
+            guint number, guint n)
 {
   g_autofree char *id = g_strdup_printf ("%s%u", prefix, number);
   struct batch *batch = batch_new (id, "home", n);
 
   for (guint i = 0; i < n; i++)
     batch->tasks[i].index = i;
-  batch->service = g_strdup ("s");
+  batch->service = g_strdup (service);
   batch->spec = g_strdup ("");
   batch->need.cpus = 2;
   batch->estimate_us = RUN_US;
   batch->attempts = 3;
   batch->start_by_us = bed->now_us + 5 * USEC_PER_SEC;
+  return batch;
+}
+
+static struct batch *
+submit_to (struct crash_bed *bed, const char *service, const char *prefix,
+           guint number, guint n)
+{
+  struct batch *batch = make_batch (bed, service, prefix, number, n);
+
   owner_submit_batch (bed->owner, batch, bed->now_us);
   return batch;
 }
 
+static struct batch *
+submit (struct crash_bed *bed, const char *prefix, guint number, guint n)
+{
+  return submit_to (bed, "s", prefix, number, n);
+}
+
 /* A task under which two upstreams have crashed is given up, and its job is
    shown as failed: it must not crash one upstream after the other.  */
 static void
@@ -483,6 +508,126 @@
   bed_clear (&bed);
 }
 
+/* Tasks that crash most upstreams of a zone together are not taken for a loss
+   of power each time.  */
+static void
+test_all_crashed_together (void)
+{
+  struct crash_bed bed;
+
+  bed_init (&bed, 3, NULL);
+  submit (&bed, DEADLY, 1, 6);
+  pass (&bed, 40 * USEC_PER_SEC);
+  /* Three that are excused, one for each task, and the first suspect's.  */
+  g_assert_cmpuint (bed.n_crashes, <=, 3 + 6 + 1);
+  g_assert_cmpuint (bed.n_crashed, ==, 1);
+  bed_clear (&bed);
+}
+
+/* A suspect does not wait for tasks of another service, which do not compete
+   for its upstreams.  */
+static void
+test_other_service_waits (void)
+{
+  struct crash_bed bed;
+
+  bed_init (&bed, 1, NULL);
+  submit (&bed, "suspect", 1, 1);
+  crash (&bed, &bed.upstreams[0]);
+  pass (&bed, RESTART_US - 100 * USEC_PER_MSEC);
+  g_assert_cmpuint (bed.n_suspects, ==, 1);
+  submit_to (&bed, "other", "job", 1, 1);
+  pass (&bed, 3 * USEC_PER_SEC);
+  g_assert_cmpuint (bed.n_done, ==, 1);
+  bed_clear (&bed);
+}
+
+/* A suspect that no upstream can run does not keep the others from theirs.  */
+static void
+test_suspect_without_upstream (void)
+{
+  struct crash_bed bed;
+
+  bed_init (&bed, 2, NULL);
+  g_free (bed.upstreams[0].owned->service);
+  bed.upstreams[0].owned->service = g_strdup ("other");
+  submit_to (&bed, "other", "suspect", 1, 1);
+  pass (&bed, 100 * USEC_PER_MSEC);
+  submit (&bed, "suspect", 2, 1);
+  crash (&bed, &bed.upstreams[0]);
+  crash (&bed, &bed.upstreams[1]);
+  bed.upstreams[0].back_us += 60 * USEC_PER_SEC;
+  pass (&bed, RESTART_US + 1 * USEC_PER_SEC);
+  g_assert_cmpuint (bed.n_suspects, ==, 2);
+  g_assert_cmpuint (bed.n_done, ==, 1);
+  bed_clear (&bed);
+}
+
+/* A task that goes back to its home after a crash is named as a suspect, so
+   that it is none the less one at the next owner.  */
+static void
+test_returned_suspects (void)
+{
+  struct crash_bed bed;
+
+  bed_init (&bed, 2, NULL);
+  submit (&bed, "first", 1, 1);
+  pass (&bed, 150 * USEC_PER_MSEC);
+  submit (&bed, "second", 1, 1);
+  crash (&bed, &bed.upstreams[0]);
+  crash (&bed, &bed.upstreams[1]);
+  pass (&bed, RESTART_US - 100 * USEC_PER_MSEC);
+  g_assert_cmpuint (bed.n_suspects, >, 0);
+  owner_return_all_queued (bed.owner, "s", bed.now_us);
+  g_assert_cmpuint (bed.n_returned, ==, 2);
+  g_assert_cmpuint (bed.n_returned_suspects, ==, bed.n_suspects);
+  g_assert_cmpuint (bed.n_returned_crashed + bed.n_returned_suspects, ==, 2);
+  bed_clear (&bed);
+}
+
+/* A task that was a suspect at another owner runs alone here, and is given up
+   when one more upstream crashes under it.  */
+static void
+test_suspect_elsewhere (void)
+{
+  static const guint suspect = 1;
+  struct crash_bed bed;
+  struct batch *batch;
+
+  bed_init (&bed, 2, NULL);
+  batch = make_batch (&bed, "s", DEADLY, 1, 2);
+  batch_mark_crashed (batch, &suspect, 1, TRUE, bed.now_us);
+  g_assert_cmpuint (batch->n_suspects, ==, 1);
+  g_assert_true (batch->tasks[1].is_suspect);
+  bed.deadly_after_us = RUN_US;
+  owner_submit_batch (bed.owner, batch, bed.now_us);
+  pass (&bed, 20 * USEC_PER_SEC);
+  g_assert_cmpuint (bed.n_shared_starts, ==, 0);
+  g_assert_cmpuint (bed.n_crashes, <=, 2);
+  g_assert_cmpuint (bed.n_crashed, ==, 1);
+  bed_clear (&bed);
+}
+
+/* Where all tasks of an owner wait as suspects, they are found when it has
+   given up its upstreams: they could never start.  */
+static void
+test_stranded (void)
+{
+  struct crash_bed bed;
+
+  bed_init (&bed, 1, NULL);
+  submit (&bed, "job", 1, 1);
+  crash (&bed, &bed.upstreams[0]);
+  pass (&bed, RESTART_US - 100 * USEC_PER_MSEC);
+  g_assert_cmpuint (bed.n_suspects, ==, 1);
+  g_assert_null (owner_get_stranded_suspects (bed.owner));
+  bed.upstreams[0].owned->is_leaving = TRUE;
+  g_assert_nonnull (owner_get_stranded_suspects (bed.owner));
+  owner_return_all_queued (bed.owner, "s", bed.now_us);
+  g_assert_null (owner_get_stranded_suspects (bed.owner));
+  bed_clear (&bed);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -495,5 +640,14 @@
   g_test_add_func ("/owner-crashes/rack-lost", test_rack_lost);
   g_test_add_func ("/owner-crashes/idle-rack-lost", test_idle_rack_lost);
   g_test_add_func ("/owner-crashes/leaving", test_leaving);
+  g_test_add_func ("/owner-crashes/all-crashed-together",
+                   test_all_crashed_together);
+  g_test_add_func ("/owner-crashes/other-service-waits",
+                   test_other_service_waits);
+  g_test_add_func ("/owner-crashes/suspect-without-upstream",
+                   test_suspect_without_upstream);
+  g_test_add_func ("/owner-crashes/returned-suspects", test_returned_suspects);
+  g_test_add_func ("/owner-crashes/suspect-elsewhere", test_suspect_elsewhere);
+  g_test_add_func ("/owner-crashes/stranded", test_stranded);
   return g_test_run ();
 }
