--- a/t/t5011-service-entry.c
+++ b/t/t5011-service-entry.c
@@ -189,6 +189,22 @@
   expect_equal ("capacity", "{'cpu':16501,'memMb':32768,'gpu':2}", FALSE);
 }
 
+/* Guards against starts that exceed a capacity that has shrunk by one thousandth
+   of a CPU.  */
+static void
+test_small_shrink (void)
+{
+  for (guint milli_cpus = 1; milli_cpus < 20000; milli_cpus++)
+    {
+      struct service_entry a = { .spec.shape.cpus = milli_cpus / 1000.0 };
+      struct service_entry b = { .spec.shape.cpus = (milli_cpus - 1) / 1000.0 };
+
+      a.strings = b.strings = a.labels = b.labels = (char *[]){ NULL };
+      g_assert_false (service_entry_equals (&a, &b));
+      g_assert_true (service_entry_equals (&a, &a));
+    }
+}
+
 /* How long an upstream is still slower is told once, not with each
    heartbeat.  */
 static void
@@ -213,6 +229,7 @@
   g_test_add_func ("/service-entry/foreign", test_foreign_entries);
   g_test_add_func ("/service-entry/unreadable", test_unreadable_bytes);
   g_test_add_func ("/service-entry/equality", test_equality);
+  g_test_add_func ("/service-entry/small-shrink", test_small_shrink);
   g_test_add_func ("/service-entry/warm-up", test_warm_up);
   return g_test_run ();
 }
