--- a/t/t5011-service-entry.c
+++ b/t/t5011-service-entry.c
@@ -134,6 +134,14 @@
     { "capacity", "{'cpu':'16','memMb':1,'gpu':0}" },
     { "capacity", "{'cpu':-1,'memMb':1,'gpu':0}" },
     { "capacity", "{'cpu':1,'memMb':1,'gpu':'0'}" },
+    { "capacity", "{'cpu':1,'memMb':1,'gpu':null}" },
+    { "capacity", "{'cpu':-0.5,'memMb':1,'gpu':0}" },
+    { "capacity", "{'cpu':1e300,'memMb':1,'gpu':0}" },
+    { "capacity", "{'cpu':1000000001,'memMb':1,'gpu':0}" },
+    { "capacity", "{'cpu':1,'memMb':4294967297,'gpu':0}" },
+    { "capacity", "{'cpu':true,'memMb':1,'gpu':0}" },
+    { "capacity", "{'memMb':1,'gpu':0}" },
+    { "capacity", "{'cpu':1,'gpu':0}" },
     { "labels", NULL },
     { "labels", "'r1-3'" },
     { "labels", "[1]" },
@@ -189,15 +197,46 @@
   expect_equal ("capacity", "{'cpu':16501,'memMb':32768,'gpu':2}", FALSE);
 }
 
-/* Guards against starts that exceed a capacity that has shrunk by one thousandth
-   of a CPU.  */
+/* Guards against starts on a capacity that no longer holds because the entry
+   that shows less of it gives a fraction: parts of a unit don't count.  */
+static void
+test_fractions (void)
+{
+  struct service_entry *entry
+      = parse_changed ("capacity", "{'cpu':1999.9,'memMb':511.5,'gpu':0.5}");
+
+  g_assert_nonnull (entry);
+  g_assert_cmpfloat_with_epsilon (entry->spec.shape.cpus, 1.999, 1e-9);
+  g_assert_cmpuint (entry->spec.shape.memory_mb, ==, 511);
+  g_assert_cmpuint (entry->spec.shape.accelerators, ==, 0);
+  service_entry_free (entry);
+}
+
+/* Guards against an upstream that keeps its former capacity when it has none
+   left in one dimension.  */
+static void
+test_no_capacity (void)
+{
+  struct service_entry *entry
+      = parse_changed ("capacity", "{'cpu':0,'memMb':0}");
+
+  g_assert_nonnull (entry);
+  g_assert_cmpfloat (entry->spec.shape.cpus, ==, 0);
+  g_assert_cmpuint (entry->spec.shape.memory_mb, ==, 0);
+  g_assert_cmpuint (entry->spec.shape.accelerators, ==, 0);
+  service_entry_free (entry);
+}
+
+/* Guards against starts that exceed a capacity that has shrunk by one
+   thousandth of a CPU.  */
 static void
 test_small_shrink (void)
 {
   for (guint milli_cpus = 1; milli_cpus < 20000; milli_cpus++)
     {
       struct service_entry a = { .spec.shape.cpus = milli_cpus / 1000.0 };
-      struct service_entry b = { .spec.shape.cpus = (milli_cpus - 1) / 1000.0 };
+      struct service_entry b
+          = { .spec.shape.cpus = (milli_cpus - 1) / 1000.0 };
 
       a.strings = b.strings = a.labels = b.labels = (char *[]){ NULL };
       g_assert_false (service_entry_equals (&a, &b));
@@ -229,6 +268,8 @@
   g_test_add_func ("/service-entry/foreign", test_foreign_entries);
   g_test_add_func ("/service-entry/unreadable", test_unreadable_bytes);
   g_test_add_func ("/service-entry/equality", test_equality);
+  g_test_add_func ("/service-entry/fractions", test_fractions);
+  g_test_add_func ("/service-entry/no-capacity", test_no_capacity);
   g_test_add_func ("/service-entry/small-shrink", test_small_shrink);
   g_test_add_func ("/service-entry/warm-up", test_warm_up);
   return g_test_run ();
