--- a/t/t5014-follower.c
+++ b/t/t5014-follower.c
@@ -10,6 +10,8 @@
 
 #include <string.h>
 
+#define MILLI 1000
+
 struct bed
 {
   struct fleet_events events;
@@ -18,6 +20,7 @@
   struct follower *follower;
   GString *told; /* words with a space before each */
   struct evacuation evacuation;
+  gdouble cpus; /* of the upstream that was told last */
 };
 
 static void
@@ -48,6 +51,7 @@
 
   g_string_append_printf (bed->told, " +%s%s", spec->id,
                           spec->is_leaving ? "~" : "");
+  bed->cpus = spec->shape.cpus;
 }
 
 static void
@@ -88,6 +92,20 @@
   fake_store_put (bed->store, "keyed.servers", id, text);
 }
 
+/* Writes the entry of i-1, of the service s, with CPUS.  */
+static void
+put_capacity (struct bed *bed, guint cpus, guint seq, guint64 born)
+{
+  g_autofree char *text = g_strdup_printf (
+      "{'service':'s','addr':'10.0.0.9:80','zone':'z','version':'v1',"
+      "'slots':8,'state':'ready','warmupLeftMs':0,'capacity':{'cpu':%u,"
+      "'memMb':1,'gpu':0},'labels':['a','r1-3'],'seq':%u,"
+      "'born':%" G_GUINT64_FORMAT "}",
+      cpus * MILLI, seq, born);
+
+  fake_store_put (bed->store, "keyed.servers", "i-1", text);
+}
+
 static void
 drop_upstream (struct bed *bed, const char *id)
 {
@@ -355,6 +373,95 @@
   close_bed (bed);
 }
 
+static void
+expect_cpus (struct bed *bed, const char *words, guint cpus)
+{
+  fake_store_expect (bed->told, words);
+  g_assert_cmpfloat_with_epsilon (bed->cpus, cpus, 1e-9);
+}
+
+/* A capacity that shrinks and grows is told each time.  */
+static void
+test_capacity (void)
+{
+  struct bed *bed = open_bed ();
+
+  put_state (bed, 3, "s");
+  put_capacity (bed, 16, 1, 1);
+  follow (bed);
+  expect_cpus (bed, " v3 +i-1", 16);
+  put_capacity (bed, 2, 2, 1);
+  expect_cpus (bed, " +i-1", 2);
+  put_capacity (bed, 0, 3, 1);
+  expect_cpus (bed, " +i-1", 0);
+  put_capacity (bed, 16, 4, 1);
+  expect_cpus (bed, " +i-1", 16);
+  close_bed (bed);
+}
+
+/* Guards against starts on the capacity from before an outage, whether the
+   store still has the records that were written during it or only the newest
+   ones, which are listed.  */
+static void
+test_capacity_after_outage (gconstpointer is_forgotten)
+{
+  struct bed *bed = open_bed ();
+
+  put_state (bed, 3, "s");
+  put_capacity (bed, 16, 1, 1);
+  follow (bed);
+  expect_cpus (bed, " v3 +i-1", 16);
+  fake_store_set_fault (bed->store, 503);
+  fake_store_wait (bed->store, "log-read", 3);
+  put_capacity (bed, 2, 2, 1);
+  if (is_forgotten != NULL)
+    fake_store_forget (bed->store, "keyed.servers");
+  fake_store_set_fault (bed->store, 0);
+  expect_cpus (bed, " +i-1", 2);
+  close_bed (bed);
+}
+
+/* Guards against starts on a former capacity once the desired state names the
+   service again, and meanwhile by what is still queued for it.  */
+static void
+test_capacity_of_dropped_service (void)
+{
+  struct bed *bed = open_bed ();
+
+  put_state (bed, 3, "s");
+  put_capacity (bed, 16, 1, 1);
+  follow (bed);
+  expect_cpus (bed, " v3 +i-1", 16);
+  put_state (bed, 4, "t");
+  fake_store_expect (bed->told, " v4");
+  put_capacity (bed, 2, 2, 1);
+  expect_cpus (bed, " +i-1", 2);
+  put_state (bed, 5, "s");
+  fake_store_expect (bed->told, " v5");
+  close_bed (bed);
+}
+
+/* Guards against the same when an upstream belongs to a service that no
+   desired state has named for a while.  */
+static void
+test_capacity_after_other_service (void)
+{
+  struct bed *bed = open_bed ();
+
+  put_state (bed, 3, "s");
+  put_capacity (bed, 16, 1, 1);
+  put_upstream (bed, "i-2", "s", "ready", 1);
+  follow (bed);
+  pass (100);
+  g_string_truncate (bed->told, 0);
+  put_upstream (bed, "i-1", "t", "ready", 2);
+  drop_upstream (bed, "i-2");
+  fake_store_expect (bed->told, " -i-2");
+  put_state (bed, 4, "t");
+  fake_store_expect (bed->told, " v4 +i-1");
+  close_bed (bed);
+}
+
 /* An entry that ran out during an outage and comes back was never gone.  */
 static void
 test_entry_that_comes_back (void)
@@ -437,6 +544,15 @@
   g_test_add_func ("/follower/offers", test_offers_of_peers);
   g_test_add_func ("/follower/upstreams", test_upstreams);
   g_test_add_func ("/follower/pages", test_pages);
+  g_test_add_func ("/follower/capacity", test_capacity);
+  g_test_add_data_func ("/follower/capacity-after-outage/read", NULL,
+                        test_capacity_after_outage);
+  g_test_add_data_func ("/follower/capacity-after-outage/listed", "",
+                        test_capacity_after_outage);
+  g_test_add_func ("/follower/capacity-of-dropped-service",
+                   test_capacity_of_dropped_service);
+  g_test_add_func ("/follower/capacity-after-other-service",
+                   test_capacity_after_other_service);
   g_test_add_func ("/follower/comes-back", test_entry_that_comes_back);
   g_test_add_func ("/follower/forgotten", test_entry_that_was_forgotten);
   g_test_add_func ("/follower/calls-when-quiet", test_calls_when_quiet);
