--- a/t/t5014-follower.c
+++ b/t/t5014-follower.c
@@ -462,6 +462,26 @@
   close_bed (bed);
 }
 
+/* Guards against starts on a former capacity for as long as records that were
+   read with a list before are read again, or when a delayed write comes after
+   newer ones.  A new instance counts its writes anew.  */
+static void
+test_superseded_entry (void)
+{
+  struct bed *bed = open_bed ();
+
+  put_state (bed, 3, "s");
+  put_capacity (bed, 2, 5, 1);
+  follow (bed);
+  expect_cpus (bed, " v3 +i-1", 2);
+  put_capacity (bed, 16, 4, 1);
+  put_upstream (bed, "i-2", "s", "ready", 1);
+  fake_store_expect (bed->told, " +i-2");
+  put_capacity (bed, 4, 1, 2);
+  expect_cpus (bed, " +i-1", 4);
+  close_bed (bed);
+}
+
 /* An entry that ran out during an outage and comes back was never gone.  */
 static void
 test_entry_that_comes_back (void)
@@ -553,6 +573,7 @@
                    test_capacity_of_dropped_service);
   g_test_add_func ("/follower/capacity-after-other-service",
                    test_capacity_after_other_service);
+  g_test_add_func ("/follower/superseded-entry", test_superseded_entry);
   g_test_add_func ("/follower/comes-back", test_entry_that_comes_back);
   g_test_add_func ("/follower/forgotten", test_entry_that_was_forgotten);
   g_test_add_func ("/follower/calls-when-quiet", test_calls_when_quiet);
