t: starts on an upstream that has shrunk and grown

Cases for what the code already does, all of which passed on the code before: no start brings an upstream over less CPUs, memory or accelerators beside what runs or is being stopped there, and what runs stays; slots kept free for a claim that are gone when the grant arrives are not used; the shape of a former instance is never used; a capacity that grows again is used at once.

--- a/t/t2111-owner-single.c
+++ b/t/t2111-owner-single.c
@@ -683,6 +683,145 @@
   finish (&bed, owner);
 }
 
+/* UPSTREAM says that it has SHAPE now.  */
+static void
+reshape (struct owner *owner, const struct owned_upstream *upstream,
+         struct shape shape, gint64 now_us)
+{
+  const struct listed_upstream spec = { .id = upstream->id,
+                                        .address = "127.0.0.1:1",
+                                        .service = "s",
+                                        .rack = "",
+                                        .availability_zone = "z",
+                                        .shape = shape,
+                                        .instance_start_ms = 1 };
+
+  owner_take_upstream (owner, &spec, 1, now_us);
+}
+
+/* Queues a batch with one task that needs NEED.  */
+static struct batch *
+queue_need (struct owner *owner, const char *job, struct shape need)
+{
+  struct batch *batch = make_batch ();
+
+  g_free (batch->job);
+  batch->job = g_strdup (job);
+  batch->need = need;
+  owner_submit_batch (owner, batch, START_US);
+  return batch;
+}
+
+static gboolean
+has_started (struct single_bed *bed)
+{
+  gboolean has_started = bed->started_on != NULL;
+
+  g_clear_pointer (&bed->started_on, g_free);
+  return has_started;
+}
+
+/* A shape, and what no longer starts beside a run of NEED when it has shrunk
+   to SHRUNK.  */
+struct shrink_case
+{
+  struct shape shape;
+  struct shape shrunk;
+  struct shape need;
+};
+
+static const struct shrink_case shrink_cases[] = {
+  { { 4, 400, 4 }, { 2, 400, 4 }, { 1.5, 100, 1 } },
+  { { 4, 400, 4 }, { 1, 400, 4 }, { 1.5, 100, 1 } },
+  { { 4, 400, 4 }, { 2.999, 400, 4 }, { 1.5, 100, 1 } },
+  { { 4, 400, 4 }, { 4, 199, 4 }, { 1.5, 100, 1 } },
+  { { 4, 400, 4 }, { 4, 0, 4 }, { 1.5, 100, 1 } },
+  { { 4, 400, 4 }, { 4, 400, 1 }, { 1.5, 100, 1 } },
+  { { 4, 400, 4 }, { 4, 400, 0 }, { 1.5, 100, 1 } },
+};
+
+/* Guards against starts that bring an upstream over a capacity that has
+   shrunk, in any dimension, and against stops of what runs there.  When the
+   capacity has grown again it is used at once.  */
+static void
+test_shrink_with_run (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (shrink_cases); i++)
+    {
+      const struct shrink_case *c = &shrink_cases[i];
+      struct single_bed bed = { .driver.ops = &ops };
+      struct owner *owner = owner_new (&bed.driver, &limits);
+      struct owned_upstream *upstream = take (owner);
+      gint64 now_us = START_US;
+
+      reshape (owner, upstream, c->shape, now_us);
+      queue_need (owner, "0123456789abcdef", c->need);
+      g_assert_true (has_started (&bed));
+      reshape (owner, upstream, c->shrunk, now_us);
+      queue_need (owner, "fedcba9876543210", c->need);
+      g_assert_false (has_started (&bed));
+      g_assert_cmpuint (upstream->n_runs, ==, 1);
+      g_assert_cmpuint (bed.n_stops, ==, 0);
+      reshape (owner, upstream, c->shape, now_us);
+      g_assert_true (has_started (&bed));
+      g_assert_cmpuint (upstream->n_runs, ==, 2);
+      finish (&bed, owner);
+    }
+}
+
+/* Guards against starts in the place of a run that is being stopped: it still
+   counts after the capacity has shrunk.  */
+static void
+test_shrink_with_stop (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned_upstream *upstream = take (owner);
+  struct batch *first
+      = queue_need (owner, "0123456789abcdef", (struct shape){ 1 });
+
+  g_assert_true (has_started (&bed));
+  owner_stop_batch (owner, first, "test", START_US);
+  reshape (owner, upstream, (struct shape){ 1 }, START_US);
+  queue_need (owner, "fedcba9876543210", (struct shape){ 1 });
+  g_assert_false (has_started (&bed));
+  owner_stop_ended (owner, upstream, TASK, 1, ORDER_REJECTED, 0, START_US);
+  answer_ask (owner, upstream, -1, START_US);
+  g_assert_true (has_started (&bed));
+  finish (&bed, owner);
+}
+
+/* Guards against starts on the shape that a former instance had: its entry may
+   come after that of the present one.  */
+static void
+test_shape_of_former_instance (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned_upstream *upstream = take (owner);
+  struct upstream_report answer = report;
+  struct listed_upstream spec = { .id = "u",
+                                  .address = "127.0.0.1:1",
+                                  .service = "s",
+                                  .rack = "",
+                                  .availability_zone = "z",
+                                  .shape = { .cpus = 1 },
+                                  .instance_start_ms = 2 };
+
+  answer.instance_start_ms = 2;
+  owner_take_upstream (owner, &spec, 1, START_US);
+  owner_poll_ended (owner, upstream, upstream->n_polls, ORDER_ACCEPTED,
+                    &answer, START_US);
+  reshape (owner, upstream, (struct shape){ 4 }, START_US);
+  queue_need (owner, "0123456789abcdef", (struct shape){ 1 });
+  g_assert_false (has_started (&bed));
+  owner_take_upstream (owner, &spec, 1, START_US);
+  g_assert_true (has_started (&bed));
+  queue_need (owner, "fedcba9876543210", (struct shape){ 1 });
+  g_assert_false (has_started (&bed));
+  finish (&bed, owner);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -711,5 +850,9 @@
                         test_unsuitable_proven);
   g_test_add_data_func ("/owner/unsuitable-proven/size", NULL,
                         test_unsuitable_proven);
+  g_test_add_func ("/owner/shrink-with-run", test_shrink_with_run);
+  g_test_add_func ("/owner/shrink-with-stop", test_shrink_with_stop);
+  g_test_add_func ("/owner/shape-of-former-instance",
+                   test_shape_of_former_instance);
   return g_test_run ();
 }
--- a/t/t2112-owner-claims.c
+++ b/t/t2112-owner-claims.c
@@ -124,6 +124,21 @@
   owner_submit_batch (fixture->owner, fixture->batch, START_US);
 }
 
+/* The upstream says that it has CPUS now.  */
+static void
+reshape (struct claims_fixture *fixture, gdouble cpus)
+{
+  const struct listed_upstream spec = { .id = "u",
+                                        .address = "127.0.0.1:1",
+                                        .service = "s",
+                                        .rack = "",
+                                        .availability_zone = "z",
+                                        .shape = { .cpus = cpus },
+                                        .instance_start_ms = 1 };
+
+  owner_take_upstream (fixture->owner, &spec, 1, fixture->now_us);
+}
+
 static void
 grant (struct claims_fixture *fixture, const guint *indexes, guint n,
        gboolean is_exhausted)
@@ -234,6 +249,45 @@
   owner_free (fixture.owner);
 }
 
+/* Guards against starts in slots that were kept free but are gone when the
+   grant arrives, because the upstream has shrunk.  The tasks that don't fit
+   wait for it to grow.  */
+static void
+test_shrink_before_grant (void)
+{
+  static const guint granted[] = { 11, 12 };
+  struct claims_fixture fixture;
+
+  fixture_init (&fixture);
+  reshape (&fixture, 1);
+  g_assert_cmpuint (fixture.n_started, ==, 0);
+  grant (&fixture, granted, 2, TRUE);
+  g_assert_cmpuint (fixture.n_started, ==, 1);
+  g_assert_cmpuint (fixture.batch->n_queued, ==, 1);
+  reshape (&fixture, 2);
+  g_assert_cmpuint (fixture.n_started, ==, 2);
+  owner_free (fixture.owner);
+}
+
+/* Guards against other starts in the place of slots that are still kept free,
+   and against claims for slots that are gone, when the upstream has shrunk.  */
+static void
+test_shrink_with_holds (void)
+{
+  struct claims_fixture fixture;
+
+  fixture_init (&fixture);
+  reshape (&fixture, 1);
+  owner_submit_batch (fixture.owner, make_batch ("fedcba9876543210", 1),
+                      START_US);
+  g_assert_cmpuint (fixture.n_started, ==, 0);
+  g_assert_cmpuint (fixture.n_claims, ==, 1);
+  grant (&fixture, NULL, 0, FALSE);
+  g_assert_cmpuint (fixture.n_started, ==, 1);
+  g_assert_cmpuint (fixture.n_claims, ==, 1);
+  owner_free (fixture.owner);
+}
+
 /* The process is paused between claim and grant: what it knew of the upstream
    is old, and nothing starts before the upstream has answered a poll.  */
 static void
@@ -281,6 +335,9 @@
   g_test_add_func ("/owner-claims/wrong-grant", test_wrong_grant);
   g_test_add_func ("/owner-claims/lost-reply", test_lost_reply);
   g_test_add_func ("/owner-claims/withdrawn", test_withdrawn);
+  g_test_add_func ("/owner-claims/shrink-before-grant",
+                   test_shrink_before_grant);
+  g_test_add_func ("/owner-claims/shrink-with-holds", test_shrink_with_holds);
   g_test_add_func ("/owner-claims/paused", test_paused);
   g_test_add_func ("/owner-claims/slot-lost", test_slot_lost);
   return g_test_run ();
