coordination: runs beyond a capacity that has shrunk leave no CPUs free

After a shrink the runs on an upstream may exceed its capacity. Its free CPUs were then negative, in the sums of the room and of the choice of a slot: they hid free CPUs of other upstreams, and tasks in time left fast upstreams to others as if CPUs were scarce. Where only memory or accelerators were exceeded, the remaining CPUs were announced in beacons as free slots, which no task can use.

Free CPUs now come from one function, which gives none in these cases.

t2111 /owner/room-after-shrink and /owner/scarcity-after-shrink failed before: -0.5 CPUs free in place of 0, 1 CPU in place of 0, and a start on the slow upstream in place of the fast one.

--- a/coordination/owned.c
+++ b/coordination/owned.c
@@ -193,6 +193,18 @@
          && need->accelerators <= shape->accelerators;
 }
 
+gdouble
+owned_get_free_cpus (const struct owned_upstream *upstream)
+{
+  const struct shape *used = &upstream->used;
+  const struct shape *shape = &upstream->shape;
+
+  if (upstream->is_isolated || used->memory_mb > shape->memory_mb
+      || used->accelerators > shape->accelerators)
+    return 0;
+  return MAX (shape->cpus - used->cpus, 0);
+}
+
 gboolean
 owned_can_start (const struct owned_upstream *upstream,
                  const struct shape *need, gint64 now_us)
--- a/coordination/owner.c
+++ b/coordination/owner.c
@@ -199,8 +199,7 @@
 add_room (const struct owner *owner, const struct owned_upstream *upstream,
           struct owner_room *room, gint64 now_us)
 {
-  gdouble free_cpus
-      = upstream->is_isolated ? 0 : upstream->shape.cpus - upstream->used.cpus;
+  gdouble free_cpus = owned_get_free_cpus (upstream);
   guint n_slots = (guint)(upstream->shape.cpus / owner->typical_cpus);
   gboolean is_warming_up = owned_is_warming_up (upstream, now_us);
 
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -508,7 +508,7 @@
     .upstream = upstream,
     .slowness = upstream->slowness * far_factor,
     .cpus = upstream->shape.cpus,
-    .free_cpus = upstream->shape.cpus - upstream->used.cpus,
+    .free_cpus = owned_get_free_cpus (upstream),
     .succeeded_us = upstream->succeeded_us,
     .has_room = owner_may_run_on (task, upstream, now_us),
     .is_on_probation
--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -69,6 +69,10 @@
 gboolean owned_can_start (const struct owned_upstream *upstream,
                           const struct shape *need, gint64 now_us);
 
+/* The CPUs of UPSTREAM that are free for further runs.  None are while its
+   runs exceed its capacity, which has shrunk since they were started.  */
+gdouble owned_get_free_cpus (const struct owned_upstream *upstream);
+
 /* Whether UPSTREAM runs slower than it will.  It gets one run at a time, so
    that few tasks are late while it warms up.  */
 gboolean owned_is_warming_up (const struct owned_upstream *upstream,
--- a/t/t2111-owner-single.c
+++ b/t/t2111-owner-single.c
@@ -822,6 +822,57 @@
   finish (&bed, owner);
 }
 
+/* Guards against announcing slots that are gone, when the runs on one upstream
+   exceed its capacity: in CPUs, in memory, and beside an upstream with free
+   CPUs, which they must not hide.  */
+static void
+test_room_after_shrink (gconstpointer is_memory_short)
+{
+  const struct shape shrunk
+      = { is_memory_short != NULL ? 2 : 0.5, is_memory_short != NULL ? 5 : 10 };
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned_upstream *upstream = take (owner);
+  struct owner_room room;
+
+  reshape (owner, upstream, (struct shape){ 2, 10 }, START_US);
+  queue_need (owner, "0123456789abcdef", (struct shape){ 1, 10 });
+  g_assert_true (has_started (&bed));
+  reshape (owner, upstream, shrunk, START_US);
+  owner_get_room (owner, "s", &room, START_US);
+  g_assert_cmpfloat (room.free_cpus, ==, 0);
+  g_assert_cmpuint (free_slots_count (&room.free_slots, 0.1), ==, 0);
+  g_assert_cmpuint (owner_count_free_slots (owner, "s", 0.1, START_US), ==, 0);
+  take_on (owner, "u2", "");
+  owner_get_room (owner, "s", &room, START_US);
+  g_assert_cmpfloat (room.free_cpus, ==, 2);
+  finish (&bed, owner);
+}
+
+/* Guards against leaving fast upstreams to others, as if CPUs were scarce,
+   because the runs on another upstream exceed its capacity.  */
+static void
+test_scarcity_after_shrink (void)
+{
+  const struct owner_limits by_speed = { .lease_ms = LEASE_MS,
+                                         .max_lease_ms = 1000,
+                                         .placement_by_speed = TRUE };
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &by_speed);
+  struct owned_upstream *upstream = take (owner);
+  struct batch *batch = make_batch ();
+
+  reshape (owner, upstream, (struct shape){ 10 }, START_US);
+  queue_need (owner, "fedcba9876543210", (struct shape){ 10 });
+  reshape (owner, upstream, (struct shape){ 4 }, START_US);
+  take_on (owner, "fast", "")->slowness = 0.7;
+  take_on (owner, "slow", "")->slowness = 1.4;
+  batch->start_by_us = START_US + 10 * USEC_PER_SEC;
+  owner_submit_batch (owner, batch, START_US);
+  g_assert_cmpstr (bed.started_on, ==, "fast");
+  finish (&bed, owner);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -854,5 +905,10 @@
   g_test_add_func ("/owner/shrink-with-stop", test_shrink_with_stop);
   g_test_add_func ("/owner/shape-of-former-instance",
                    test_shape_of_former_instance);
+  g_test_add_data_func ("/owner/room-after-shrink/cpus", NULL,
+                        test_room_after_shrink);
+  g_test_add_data_func ("/owner/room-after-shrink/memory", "",
+                        test_room_after_shrink);
+  g_test_add_func ("/owner/scarcity-after-shrink", test_scarcity_after_shrink);
   return g_test_run ();
 }
