coordination: an upstream without a CPU has no slot

An upstream whose capacity has shrunk to no CPU at all counted as one slot, since every upstream that accepts runs counts as one at least. Homes went on offering tasks to its owner, and what was queued there was not returned, as long as it had no other upstream. The same held on probation and while it warmed up, with a free slot of any size.

Such upstreams no longer count in the room. t2111 /owner/room-without-cpus failed before: one slot in place of none.

--- a/coordination/owner.c
+++ b/coordination/owner.c
@@ -232,7 +232,7 @@
     {
       const struct owned_upstream *upstream = value;
 
-      if (!owned_is_usable (upstream, now_us)
+      if (!owned_is_usable (upstream, now_us) || upstream->shape.cpus <= 0
           || (service != NULL && !g_str_equal (upstream->service, service)))
         continue;
       if (!upstream->is_on_probation)
--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -545,7 +545,8 @@
 /* The capacity of the owned upstreams.  */
 struct owner_room
 {
-  guint n_upstreams;  /* that accept runs now and are not on probation */
+  guint n_upstreams;  /* that accept runs now, have CPUs and are not on
+                         probation */
   gdouble free_cpus;  /* of those */
   gdouble total_cpus; /* of those */
   struct free_slots free_slots;    /* tasks that would start at once */
--- a/t/t2111-owner-single.c
+++ b/t/t2111-owner-single.c
@@ -873,6 +873,31 @@
   finish (&bed, owner);
 }
 
+/* Guards against tasks that are sent to an upstream without a CPU, be it warm,
+   warming up or on probation: it has no slot until it grows again.  */
+static void
+test_room_without_cpus (void)
+{
+  for (guint i = 0; i < 3; i++)
+    {
+      struct single_bed bed = { .driver.ops = &ops };
+      struct owner *owner = owner_new (&bed.driver, &limits);
+      struct owned_upstream *upstream = take (owner);
+      struct owner_room room;
+
+      reshape (owner, upstream, (struct shape){ 0 }, START_US);
+      upstream->warm_at_us = START_US + (i == 1 ? USEC_PER_SEC : 0);
+      upstream->is_on_probation = i == 2;
+      owner_get_room (owner, "s", &room, START_US);
+      g_assert_cmpuint (room.n_slots, ==, 0);
+      g_assert_cmpuint (free_slots_count (&room.free_slots, 0.1), ==, 0);
+      reshape (owner, upstream, (struct shape){ 2 }, START_US);
+      owner_get_room (owner, "s", &room, START_US);
+      g_assert_cmpuint (room.n_slots, ==, 1);
+      finish (&bed, owner);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -910,5 +935,6 @@
   g_test_add_data_func ("/owner/room-after-shrink/memory", "",
                         test_room_after_shrink);
   g_test_add_func ("/owner/scarcity-after-shrink", test_scarcity_after_shrink);
+  g_test_add_func ("/owner/room-without-cpus", test_room_without_cpus);
   return g_test_run ();
 }
