coordination: one run at a time is announced only for sizes that fit

An upstream that gets one run at a time, as it warms up or is on probation, was announced as a free slot for tasks of any size. When it has shrunk below that size, homes sent it tasks that came back, for as long as the state lasts: probation ends with a success only, so it may be for ever.

free_slots_add_single () now takes the CPUs of the upstream. The smallest size is counted in any case, since smaller tasks may fit, and are needed to end the probation of the only upstream.

The calls in t2120 and t2131 state a size now and check the same as before.

--- a/coordination/free_slots.c
+++ b/coordination/free_slots.c
@@ -31,10 +31,12 @@
 }
 
 void
-free_slots_add_single (struct free_slots *slots)
+free_slots_add_single (struct free_slots *slots, gdouble cpus)
 {
-  for (guint i = 0; i < FREE_SLOTS_SIZES; i++)
-    add (slots, i, 1);
+  add (slots, 0, 1);
+  for (guint i = 1; i < FREE_SLOTS_SIZES; i++)
+    if (sizes[i] * slots->unit_cpus <= cpus + CPU_EPSILON)
+      add (slots, i, 1);
 }
 
 /* The index of the smallest size that is not below CPUS, or FREE_SLOTS_SIZES
--- a/coordination/free_slots.h
+++ b/coordination/free_slots.h
@@ -28,8 +28,9 @@
 /* Adds an upstream with FREE_CPUS.  */
 void free_slots_add_upstream (struct free_slots *slots, gdouble free_cpus);
 
-/* Adds an upstream that takes just one task, of any size.  */
-void free_slots_add_single (struct free_slots *slots);
+/* Adds an upstream with CPUS, more than 0, that takes just one task.  Counts
+   it for the smallest size in any case, since smaller tasks may fit.  */
+void free_slots_add_single (struct free_slots *slots, gdouble cpus);
 
 /* The number of tasks of CPUS each that fit.  */
 guint free_slots_count (const struct free_slots *slots, gdouble cpus);
--- a/coordination/owner.c
+++ b/coordination/owner.c
@@ -208,8 +208,8 @@
   room->total_cpus += upstream->shape.cpus;
   if (!is_warming_up)
     free_slots_add_upstream (&room->free_slots, free_cpus);
-  else if (upstream->n_runs == 0)
-    free_slots_add_single (&room->free_slots);
+  else if (upstream->n_runs == 0 && free_cpus > 0)
+    free_slots_add_single (&room->free_slots, free_cpus);
   room->n_slots += is_warming_up ? 1 : MAX (n_slots, 1u);
   for (guint i = 0; i < ROOM_PRIORITIES; i++)
     room->starts_per_s[i] += event_rate_get (&upstream->starts[i], now_us);
@@ -222,11 +222,12 @@
 {
   GHashTableIter iter;
   gpointer value;
+  struct free_slots trial_slots; /* of those on probation */
   guint n_on_probation = 0;
-  guint n_probing = 0;
 
   *room = (struct owner_room){ 0 };
   free_slots_init (&room->free_slots, owner->typical_cpus);
+  free_slots_init (&trial_slots, owner->typical_cpus);
   g_hash_table_iter_init (&iter, owner->upstreams);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -238,14 +239,14 @@
       if (!upstream->is_on_probation)
         add_room (owner, upstream, room, now_us);
       n_on_probation += upstream->is_on_probation ? 1 : 0;
-      n_probing += upstream->is_on_probation && upstream->n_runs > 0 ? 1 : 0;
+      if (upstream->is_on_probation && upstream->n_runs == 0)
+        free_slots_add_single (&trial_slots, upstream->shape.cpus);
     }
   /* If all are on probation, each has room for the one run that may end it. */
   if (room->n_slots == 0)
     {
       room->n_slots = n_on_probation;
-      for (guint i = n_probing; i < n_on_probation; i++)
-        free_slots_add_single (&room->free_slots);
+      room->free_slots = trial_slots;
     }
   add_batches (&owner->queue, service, room);
   add_batches (&owner->batches, service, room);
--- a/t/t2111-owner-single.c
+++ b/t/t2111-owner-single.c
@@ -898,6 +898,29 @@
     }
 }
 
+/* Guards against announcing a slot for tasks that are larger than an upstream
+   which gets one run at a time, warming up or on probation.  */
+static void
+test_single_slot_after_shrink (void)
+{
+  for (guint i = 0; i < 2; i++)
+    {
+      struct single_bed bed = { .driver.ops = &ops };
+      struct owner *owner = owner_new (&bed.driver, &limits);
+      struct owned_upstream *upstream = take (owner);
+      struct owner_room room;
+
+      reshape (owner, upstream, (struct shape){ 4 }, START_US);
+      upstream->warm_at_us = START_US + (i == 0 ? USEC_PER_SEC : 0);
+      upstream->is_on_probation = i == 1;
+      owner_get_room (owner, "s", &room, START_US);
+      g_assert_cmpuint (free_slots_count (&room.free_slots, 1), ==, 1);
+      g_assert_cmpuint (free_slots_count (&room.free_slots, 3.8), ==, 1);
+      g_assert_cmpuint (free_slots_count (&room.free_slots, 4.9), ==, 0);
+      finish (&bed, owner);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -936,5 +959,7 @@
                         test_room_after_shrink);
   g_test_add_func ("/owner/scarcity-after-shrink", test_scarcity_after_shrink);
   g_test_add_func ("/owner/room-without-cpus", test_room_without_cpus);
+  g_test_add_func ("/owner/single-slot-after-shrink",
+                   test_single_slot_after_shrink);
   return g_test_run ();
 }
--- a/t/t2120-vm-directory.c
+++ b/t/t2120-vm-directory.c
@@ -172,7 +172,7 @@
 
   free_slots_init (&room.free_slots, 1);
   for (guint i = 0; i < n_free; i++)
-    free_slots_add_single (&room.free_slots);
+    free_slots_add_single (&room.free_slots, 1000);
   return room;
 }
 
@@ -317,7 +317,7 @@
   struct vm_room room;
 
   free_slots_init (&own.free_slots, 2);
-  free_slots_add_single (&own.free_slots);
+  free_slots_add_single (&own.free_slots, 1000);
   vm_room_init (&room, "s", &own);
   g_assert_cmpuint (room.service_hash, ==, hash64_string ("s"));
   g_assert_cmpuint (room.n_slots, ==, 3);
--- a/t/t2131-free-slots.c
+++ b/t/t2131-free-slots.c
@@ -54,6 +54,39 @@
   g_assert_cmpuint (free_slots_count (&slots, 4.8), ==, 0);
 }
 
+/* Guards against announcing room for a task that is larger than the upstream,
+   and against announcing none for small ones.  */
+static void
+test_single (void)
+{
+  struct free_slots slots;
+
+  free_slots_init (&slots, 8);
+  free_slots_add_single (&slots, 8.4);
+  g_assert_cmpuint (free_slots_count (&slots, 0.1), ==, 1);
+  g_assert_cmpuint (free_slots_count (&slots, 8), ==, 1);
+  g_assert_cmpuint (free_slots_count (&slots, 8.4), ==, 1);
+  g_assert_cmpuint (free_slots_count (&slots, 9.6), ==, 0);
+  free_slots_init (&slots, 8);
+  free_slots_add_single (&slots, 0.5);
+  g_assert_cmpuint (free_slots_count (&slots, 0.1), ==, 1);
+  g_assert_cmpuint (free_slots_count (&slots, 6), ==, 0);
+}
+
+/* Guards against announcing room where runs exceed a capacity that has shrunk,
+   as an unsigned count of negative CPUs would.  */
+static void
+test_negative (void)
+{
+  struct free_slots slots;
+
+  free_slots_init (&slots, 8);
+  free_slots_add_upstream (&slots, -4);
+  free_slots_add_upstream (&slots, 0);
+  g_assert_cmpuint (free_slots_count (&slots, 0.1), ==, 0);
+  g_assert_cmpuint (free_slots_count (&slots, 8), ==, 0);
+}
+
 /* Where a large task did not fit, a smaller one may.  */
 static void
 test_mark_full (void)
@@ -75,7 +108,7 @@
   free_slots_init (&slots, 1);
   free_slots_add_upstream (&slots, 100000);
   g_assert_cmpuint (free_slots_count (&slots, 1), ==, FREE_SLOTS_MAX);
-  free_slots_add_single (&slots);
+  free_slots_add_single (&slots, 100000);
   g_assert_cmpuint (free_slots_count (&slots, 1), ==, FREE_SLOTS_MAX);
 }
 
@@ -86,6 +119,8 @@
   g_test_add_func ("/free-slots/sizes", test_sizes);
   g_test_add_func ("/free-slots/between", test_between);
   g_test_add_func ("/free-slots/take", test_take);
+  g_test_add_func ("/free-slots/single", test_single);
+  g_test_add_func ("/free-slots/negative", test_negative);
   g_test_add_func ("/free-slots/mark-full", test_mark_full);
   g_test_add_func ("/free-slots/limit", test_limit);
   return g_test_run ();
