coordination: tasks that fit no upstream of their owner go back at once

Queued and offered tasks went back when no upstream of the service accepted runs. When the upstreams of an owner had only become too small for them, as after a shrink, they waited there until their deadline, settled ones even beside free slots elsewhere.

Every 20 ms an owner now returns the tasks for which no upstream of the service that stays is large enough and has the label. Upstreams that rest or do not answer count, since they may recover.

t2111 /owner/misfits-return and /owner/fitting-stay (its last step) and t2112 /owner-claims/shrink-to-nothing failed before: nothing was returned.

--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -497,6 +497,52 @@
          && owned_is_large_enough (upstream, &batch->need);
 }
 
+/* Whether no upstream of the service of BATCH can take its tasks any longer,
+   but some are owned.  One that gets no runs for a while may take them when it
+   recovers.  */
+static gboolean
+is_misfit (const struct owner *owner, const struct batch *batch)
+{
+  gboolean has_upstream = FALSE;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, owner->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct owned_upstream *upstream = value;
+
+      if (!g_str_equal (upstream->service, batch->service))
+        continue;
+      has_upstream = TRUE;
+      if (!upstream->is_leaving && !upstream->is_releasing
+          && has_label (upstream, batch->required_label)
+          && owned_is_large_enough (upstream, &batch->need))
+        return FALSE;
+    }
+  return has_upstream;
+}
+
+/* Returns the queued tasks that fit no upstream here any longer.  While a
+   claim is not answered, it is not known which tasks were granted.  */
+static void
+return_misfits (struct owner *owner)
+{
+  g_autoptr (GPtrArray) found = g_ptr_array_new ();
+  struct list_node *node;
+  struct list_node *after;
+
+  list_for_each (node, after, &owner->queue)
+    {
+      struct batch *batch = list_entry (node, struct batch, link);
+
+      if (!batch->is_claiming && is_misfit (owner, batch))
+        g_ptr_array_add (found, batch);
+    }
+  for (guint i = 0; i < found->len; i++)
+    owner_return_tasks (owner, g_ptr_array_index (found, i), G_MAXUINT, TRUE);
+}
+
 /* Adds UPSTREAM, which is suitable for TASK, to CHOICE.  */
 static void
 add_candidate (struct slot_choice *choice, const struct batch_task *task,
@@ -720,6 +766,7 @@
   struct list_node *after;
 
   demote_late (owner, now_us);
+  return_misfits (owner);
   list_for_each (node, after, &owner->queue)
     {
       struct batch *batch = list_entry (node, struct batch, link);
--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -246,8 +246,9 @@
 /* Starts the queued tasks that fit, in the order of the queue.  */
 void owner_start_queued (struct owner *owner, gint64 now_us);
 
-/* Moves late batches behind the others, and stops those that have passed
-   end_by_us before anything of them was started.  */
+/* Moves late batches behind the others, returns tasks that no upstream here
+   can take any longer, and stops batches that have passed end_by_us before
+   anything of them was started.  */
 void owner_expire_batches (struct owner *owner, gint64 now_us);
 
 /* Gives up UPSTREAM if it is being released, nothing runs there and it knows
--- a/t/t2111-owner-single.c
+++ b/t/t2111-owner-single.c
@@ -828,8 +828,8 @@
 static void
 test_room_after_shrink (gconstpointer is_memory_short)
 {
-  const struct shape shrunk
-      = { is_memory_short != NULL ? 2 : 0.5, is_memory_short != NULL ? 5 : 10 };
+  const struct shape shrunk = { is_memory_short != NULL ? 2 : 0.5,
+                                is_memory_short != NULL ? 5 : 10 };
   struct single_bed bed = { .driver.ops = &ops };
   struct owner *owner = owner_new (&bed.driver, &limits);
   struct owned_upstream *upstream = take (owner);
@@ -921,6 +921,55 @@
     }
 }
 
+/* Guards against tasks that wait at an owner until their deadline although
+   none of its upstreams can run them any more.  What fits stays.  */
+static void
+test_misfits_return (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned_upstream *upstream = take (owner);
+  struct batch *wide;
+  struct batch *narrow;
+
+  queue_need (owner, "0123456789abcdef", (struct shape){ 2 });
+  wide = queue_need (owner, "0123456789abcde0", (struct shape){ 2 });
+  narrow = queue_need (owner, "0123456789abcde1", (struct shape){ 1 });
+  wide->is_settled = TRUE;
+  owner_advance (owner, START_US + 20 * USEC_PER_MSEC);
+  g_assert_cmpuint (bed.n_returned, ==, 0);
+  reshape (owner, upstream, (struct shape){ 1 }, START_US);
+  owner_advance (owner, START_US + 40 * USEC_PER_MSEC);
+  g_assert_cmpuint (bed.n_returned, ==, 1);
+  g_assert_cmpuint (bed.n_ended, ==, 1);
+  g_assert_true (owner_get_first_queued (owner) == narrow);
+  finish (&bed, owner);
+}
+
+/* Guards against returning tasks for which an upstream is large enough, though
+   it can't take them now: it does not answer, rests, or is busy.  */
+static void
+test_fitting_stay (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned_upstream *upstream = take (owner);
+
+  take_on (owner, "small", "")->shape.cpus = 1;
+  upstream->rest_until_us = START_US + USEC_PER_SEC;
+  queue_need (owner, "0123456789abcdef", (struct shape){ 2 });
+  owner_advance (owner, START_US + 20 * USEC_PER_MSEC);
+  upstream->rest_until_us = 0;
+  upstream->state = OWNED_UNRESPONSIVE;
+  owner_advance (owner, START_US + 40 * USEC_PER_MSEC);
+  g_assert_false (has_started (&bed));
+  g_assert_cmpuint (bed.n_returned, ==, 0);
+  upstream->is_leaving = TRUE;
+  owner_advance (owner, START_US + 60 * USEC_PER_MSEC);
+  g_assert_cmpuint (bed.n_returned, ==, 1);
+  finish (&bed, owner);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -961,5 +1010,7 @@
   g_test_add_func ("/owner/room-without-cpus", test_room_without_cpus);
   g_test_add_func ("/owner/single-slot-after-shrink",
                    test_single_slot_after_shrink);
+  g_test_add_func ("/owner/misfits-return", test_misfits_return);
+  g_test_add_func ("/owner/fitting-stay", test_fitting_stay);
   return g_test_run ();
 }
--- a/t/t2112-owner-claims.c
+++ b/t/t2112-owner-claims.c
@@ -270,7 +270,7 @@
 }
 
 /* Guards against other starts in the place of slots that are still kept free,
-   and against claims for slots that are gone, when the upstream has shrunk.  */
+   and against claims for slots that are gone, when the upstream has shrunk. */
 static void
 test_shrink_with_holds (void)
 {
@@ -288,6 +288,27 @@
   owner_free (fixture.owner);
 }
 
+/* Guards against granted tasks that wait until their deadline at an owner
+   whose upstreams have become too small for them.  While the claim is not
+   answered, it is not known which tasks these are.  */
+static void
+test_shrink_to_nothing (void)
+{
+  static const guint granted[] = { 11, 12 };
+  struct claims_fixture fixture;
+
+  fixture_init (&fixture);
+  reshape (&fixture, 0.5);
+  owner_advance (fixture.owner, fixture.now_us += 30 * USEC_PER_MSEC);
+  g_assert_cmpuint (fixture.n_returned, ==, 0);
+  grant (&fixture, granted, 2, FALSE);
+  owner_advance (fixture.owner, fixture.now_us += 30 * USEC_PER_MSEC);
+  g_assert_cmpuint (fixture.n_started, ==, 0);
+  g_assert_cmpuint (fixture.n_returned, ==, N_TASKS);
+  g_assert_true (fixture.has_ended);
+  owner_free (fixture.owner);
+}
+
 /* The process is paused between claim and grant: what it knew of the upstream
    is old, and nothing starts before the upstream has answered a poll.  */
 static void
@@ -338,6 +359,7 @@
   g_test_add_func ("/owner-claims/shrink-before-grant",
                    test_shrink_before_grant);
   g_test_add_func ("/owner-claims/shrink-with-holds", test_shrink_with_holds);
+  g_test_add_func ("/owner-claims/shrink-to-nothing", test_shrink_to_nothing);
   g_test_add_func ("/owner-claims/paused", test_paused);
   g_test_add_func ("/owner-claims/slot-lost", test_slot_lost);
   return g_test_run ();
