coordination: the typical size of a task does not fall to 0

The typical CPUs of a task, by which slots are counted, are smoothed over batches. Tasks may need no CPU; after some hundred such batches the value is so small that the number of slots no longer fits the unsigned integer to which it is converted, which is undefined.

--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -19,6 +19,10 @@
 /* Weight of the latest batch in the smoothed typical CPUs of a task.  */
 #define TYPICAL_CPUS_WEIGHT 0.05
 
+/* The typical CPUs of a task are at least this, even if tasks need none, so
+   that the slots of the largest capacity, 1e6 CPUs, can be counted.  */
+#define MIN_TYPICAL_CPUS 0.01
+
 struct batch *
 batch_new (const char *job, const char *home, guint n_tasks)
 {
@@ -256,7 +260,8 @@
 {
   gdouble more = batch->need.cpus - owner->typical_cpus;
 
-  owner->typical_cpus += TYPICAL_CPUS_WEIGHT * more;
+  owner->typical_cpus = MAX (owner->typical_cpus + TYPICAL_CPUS_WEIGHT * more,
+                             MIN_TYPICAL_CPUS);
   batch->queued_us = now_us;
   owner_relink_batch (owner, batch);
   owner_start_queued (owner, now_us);
--- a/t/t2111-owner-single.c
+++ b/t/t2111-owner-single.c
@@ -970,6 +970,30 @@
   finish (&bed, owner);
 }
 
+/* Guards against counts of slots that overflow because the typical size of a
+   task has become nearly 0, as tasks may need no CPU.  */
+static void
+test_tiny_tasks (void)
+{
+  for (guint n = 100; n <= 1500; n += 100)
+    {
+      struct single_bed bed = { .driver.ops = &ops };
+      struct owner *owner = owner_new (&bed.driver, &limits);
+      struct owner_room room;
+
+      take (owner);
+      for (guint i = 0; i < n; i++)
+        owner_stop_batch (
+            owner, queue_need (owner, "0123456789abcdef", (struct shape){ 0 }),
+            "test", START_US);
+      owner_get_room (owner, "s", &room, START_US);
+      g_assert_cmpuint (room.n_slots, >=, 2);
+      g_assert_cmpuint (room.n_slots, <=, 1000000);
+      g_assert_cmpuint (free_slots_count (&room.free_slots, 0.001), >, 0);
+      finish (&bed, owner);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -1012,5 +1036,6 @@
                    test_single_slot_after_shrink);
   g_test_add_func ("/owner/misfits-return", test_misfits_return);
   g_test_add_func ("/owner/fitting-stay", test_fitting_stay);
+  g_test_add_func ("/owner/tiny-tasks", test_tiny_tasks);
   return g_test_run ();
 }
