--- a/coordination/owner.c
+++ b/coordination/owner.c
@@ -199,8 +199,7 @@
 add_room (const struct owner *owner, const struct owned_upstream *upstream,
           struct owner_room *room, gint64 now_us)
 {
-  gdouble free_cpus
-      = upstream->is_isolated ? 0 : upstream->shape.cpus - upstream->used.cpus;
+  gdouble free_cpus = owned_get_free_cpus (upstream);
   guint n_slots = (guint)(upstream->shape.cpus / owner->typical_cpus);
   gboolean is_warming_up = owned_is_warming_up (upstream, now_us);
 
@@ -209,8 +208,8 @@
   room->total_cpus += upstream->shape.cpus;
   if (!is_warming_up)
     free_slots_add_upstream (&room->free_slots, free_cpus);
-  else if (upstream->n_runs == 0)
-    free_slots_add_single (&room->free_slots);
+  else if (upstream->n_runs == 0 && free_cpus > 0)
+    free_slots_add_single (&room->free_slots, free_cpus);
   room->n_slots += is_warming_up ? 1 : MAX (n_slots, 1u);
   for (guint i = 0; i < ROOM_PRIORITIES; i++)
     room->starts_per_s[i] += event_rate_get (&upstream->starts[i], now_us);
@@ -223,30 +222,31 @@
 {
   GHashTableIter iter;
   gpointer value;
+  struct free_slots trial_slots; /* of those on probation */
   guint n_on_probation = 0;
-  guint n_probing = 0;
 
   *room = (struct owner_room){ 0 };
   free_slots_init (&room->free_slots, owner->typical_cpus);
+  free_slots_init (&trial_slots, owner->typical_cpus);
   g_hash_table_iter_init (&iter, owner->upstreams);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct owned_upstream *upstream = value;
 
-      if (!owned_is_usable (upstream, now_us)
+      if (!owned_is_usable (upstream, now_us) || upstream->shape.cpus <= 0
           || (service != NULL && !g_str_equal (upstream->service, service)))
         continue;
       if (!upstream->is_on_probation)
         add_room (owner, upstream, room, now_us);
       n_on_probation += upstream->is_on_probation ? 1 : 0;
-      n_probing += upstream->is_on_probation && upstream->n_runs > 0 ? 1 : 0;
+      if (upstream->is_on_probation && upstream->n_runs == 0)
+        free_slots_add_single (&trial_slots, upstream->shape.cpus);
     }
   /* If all are on probation, each has room for the one run that may end it. */
   if (room->n_slots == 0)
     {
       room->n_slots = n_on_probation;
-      for (guint i = n_probing; i < n_on_probation; i++)
-        free_slots_add_single (&room->free_slots);
+      room->free_slots = trial_slots;
     }
   add_batches (&owner->queue, service, room);
   add_batches (&owner->batches, service, room);
--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -69,6 +69,10 @@
 gboolean owned_can_start (const struct owned_upstream *upstream,
                           const struct shape *need, gint64 now_us);
 
+/* The CPUs of UPSTREAM that are free for further runs.  None are while its
+   runs exceed its capacity, which has shrunk since they were started.  */
+gdouble owned_get_free_cpus (const struct owned_upstream *upstream);
+
 /* Whether UPSTREAM runs slower than it will.  It gets one run at a time, so
    that few tasks are late while it warms up.  */
 gboolean owned_is_warming_up (const struct owned_upstream *upstream,
@@ -242,8 +246,9 @@
 /* Starts the queued tasks that fit, in the order of the queue.  */
 void owner_start_queued (struct owner *owner, gint64 now_us);
 
-/* Moves late batches behind the others, and stops those that have passed
-   end_by_us before anything of them was started.  */
+/* Moves late batches behind the others, returns tasks that no upstream here
+   can take any longer, and stops batches that have passed end_by_us before
+   anything of them was started.  */
 void owner_expire_batches (struct owner *owner, gint64 now_us);
 
 /* Gives up UPSTREAM if it is being released, nothing runs there and it knows
--- a/t/t2111-owner-single.c
+++ b/t/t2111-owner-single.c
@@ -683,6 +683,317 @@
   finish (&bed, owner);
 }
 
+/* UPSTREAM says that it has SHAPE now.  */
+static void
+reshape (struct owner *owner, const struct owned_upstream *upstream,
+         struct shape shape, gint64 now_us)
+{
+  const struct listed_upstream spec = { .id = upstream->id,
+                                        .address = "127.0.0.1:1",
+                                        .service = "s",
+                                        .rack = "",
+                                        .availability_zone = "z",
+                                        .shape = shape,
+                                        .instance_start_ms = 1 };
+
+  owner_take_upstream (owner, &spec, 1, now_us);
+}
+
+/* Queues a batch with one task that needs NEED.  */
+static struct batch *
+queue_need (struct owner *owner, const char *job, struct shape need)
+{
+  struct batch *batch = make_batch ();
+
+  g_free (batch->job);
+  batch->job = g_strdup (job);
+  batch->need = need;
+  owner_submit_batch (owner, batch, START_US);
+  return batch;
+}
+
+static gboolean
+has_started (struct single_bed *bed)
+{
+  gboolean has_started = bed->started_on != NULL;
+
+  g_clear_pointer (&bed->started_on, g_free);
+  return has_started;
+}
+
+/* A shape, and what no longer starts beside a run of NEED when it has shrunk
+   to SHRUNK.  */
+struct shrink_case
+{
+  struct shape shape;
+  struct shape shrunk;
+  struct shape need;
+};
+
+static const struct shrink_case shrink_cases[] = {
+  { { 4, 400, 4 }, { 2, 400, 4 }, { 1.5, 100, 1 } },
+  { { 4, 400, 4 }, { 1, 400, 4 }, { 1.5, 100, 1 } },
+  { { 4, 400, 4 }, { 2.999, 400, 4 }, { 1.5, 100, 1 } },
+  { { 4, 400, 4 }, { 4, 199, 4 }, { 1.5, 100, 1 } },
+  { { 4, 400, 4 }, { 4, 0, 4 }, { 1.5, 100, 1 } },
+  { { 4, 400, 4 }, { 4, 400, 1 }, { 1.5, 100, 1 } },
+  { { 4, 400, 4 }, { 4, 400, 0 }, { 1.5, 100, 1 } },
+};
+
+/* Guards against starts that bring an upstream over a capacity that has
+   shrunk, in any dimension, and against stops of what runs there.  When the
+   capacity has grown again it is used at once.  */
+static void
+test_shrink_with_run (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (shrink_cases); i++)
+    {
+      const struct shrink_case *c = &shrink_cases[i];
+      struct single_bed bed = { .driver.ops = &ops };
+      struct owner *owner = owner_new (&bed.driver, &limits);
+      struct owned_upstream *upstream = take (owner);
+      gint64 now_us = START_US;
+
+      reshape (owner, upstream, c->shape, now_us);
+      queue_need (owner, "0123456789abcdef", c->need);
+      g_assert_true (has_started (&bed));
+      reshape (owner, upstream, c->shrunk, now_us);
+      queue_need (owner, "fedcba9876543210", c->need);
+      g_assert_false (has_started (&bed));
+      g_assert_cmpuint (upstream->n_runs, ==, 1);
+      g_assert_cmpuint (bed.n_stops, ==, 0);
+      reshape (owner, upstream, c->shape, now_us);
+      g_assert_true (has_started (&bed));
+      g_assert_cmpuint (upstream->n_runs, ==, 2);
+      finish (&bed, owner);
+    }
+}
+
+/* Guards against starts in the place of a run that is being stopped: it still
+   counts after the capacity has shrunk.  */
+static void
+test_shrink_with_stop (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned_upstream *upstream = take (owner);
+  struct batch *first
+      = queue_need (owner, "0123456789abcdef", (struct shape){ 1 });
+
+  g_assert_true (has_started (&bed));
+  owner_stop_batch (owner, first, "test", START_US);
+  reshape (owner, upstream, (struct shape){ 1 }, START_US);
+  queue_need (owner, "fedcba9876543210", (struct shape){ 1 });
+  g_assert_false (has_started (&bed));
+  owner_stop_ended (owner, upstream, TASK, 1, ORDER_REJECTED, 0, START_US);
+  answer_ask (owner, upstream, -1, START_US);
+  g_assert_true (has_started (&bed));
+  finish (&bed, owner);
+}
+
+/* Guards against starts on the shape that a former instance had: its entry may
+   come after that of the present one.  */
+static void
+test_shape_of_former_instance (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned_upstream *upstream = take (owner);
+  struct upstream_report answer = report;
+  struct listed_upstream spec = { .id = "u",
+                                  .address = "127.0.0.1:1",
+                                  .service = "s",
+                                  .rack = "",
+                                  .availability_zone = "z",
+                                  .shape = { .cpus = 1 },
+                                  .instance_start_ms = 2 };
+
+  answer.instance_start_ms = 2;
+  owner_take_upstream (owner, &spec, 1, START_US);
+  owner_poll_ended (owner, upstream, upstream->n_polls, ORDER_ACCEPTED,
+                    &answer, START_US);
+  reshape (owner, upstream, (struct shape){ 4 }, START_US);
+  queue_need (owner, "0123456789abcdef", (struct shape){ 1 });
+  g_assert_false (has_started (&bed));
+  owner_take_upstream (owner, &spec, 1, START_US);
+  g_assert_true (has_started (&bed));
+  queue_need (owner, "fedcba9876543210", (struct shape){ 1 });
+  g_assert_false (has_started (&bed));
+  finish (&bed, owner);
+}
+
+/* Guards against announcing slots that are gone, when the runs on one upstream
+   exceed its capacity: in CPUs, in memory, and beside an upstream with free
+   CPUs, which they must not hide.  */
+static void
+test_room_after_shrink (gconstpointer is_memory_short)
+{
+  const struct shape shrunk = { is_memory_short != NULL ? 2 : 0.5,
+                                is_memory_short != NULL ? 5 : 10 };
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned_upstream *upstream = take (owner);
+  struct owner_room room;
+
+  reshape (owner, upstream, (struct shape){ 2, 10 }, START_US);
+  queue_need (owner, "0123456789abcdef", (struct shape){ 1, 10 });
+  g_assert_true (has_started (&bed));
+  reshape (owner, upstream, shrunk, START_US);
+  owner_get_room (owner, "s", &room, START_US);
+  g_assert_cmpfloat (room.free_cpus, ==, 0);
+  g_assert_cmpuint (free_slots_count (&room.free_slots, 0.1), ==, 0);
+  g_assert_cmpuint (owner_count_free_slots (owner, "s", 0.1, START_US), ==, 0);
+  take_on (owner, "u2", "");
+  owner_get_room (owner, "s", &room, START_US);
+  g_assert_cmpfloat (room.free_cpus, ==, 2);
+  finish (&bed, owner);
+}
+
+/* Guards against leaving fast upstreams to others, as if CPUs were scarce,
+   because the runs on another upstream exceed its capacity.  */
+static void
+test_scarcity_after_shrink (void)
+{
+  const struct owner_limits by_speed = { .lease_ms = LEASE_MS,
+                                         .max_lease_ms = 1000,
+                                         .placement_by_speed = TRUE };
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &by_speed);
+  struct owned_upstream *upstream = take (owner);
+  struct batch *batch = make_batch ();
+
+  reshape (owner, upstream, (struct shape){ 10 }, START_US);
+  queue_need (owner, "fedcba9876543210", (struct shape){ 10 });
+  reshape (owner, upstream, (struct shape){ 4 }, START_US);
+  take_on (owner, "fast", "")->slowness = 0.7;
+  take_on (owner, "slow", "")->slowness = 1.4;
+  batch->start_by_us = START_US + 10 * USEC_PER_SEC;
+  owner_submit_batch (owner, batch, START_US);
+  g_assert_cmpstr (bed.started_on, ==, "fast");
+  finish (&bed, owner);
+}
+
+/* Guards against tasks that are sent to an upstream without a CPU, be it warm,
+   warming up or on probation: it has no slot until it grows again.  */
+static void
+test_room_without_cpus (void)
+{
+  for (guint i = 0; i < 3; i++)
+    {
+      struct single_bed bed = { .driver.ops = &ops };
+      struct owner *owner = owner_new (&bed.driver, &limits);
+      struct owned_upstream *upstream = take (owner);
+      struct owner_room room;
+
+      reshape (owner, upstream, (struct shape){ 0 }, START_US);
+      upstream->warm_at_us = START_US + (i == 1 ? USEC_PER_SEC : 0);
+      upstream->is_on_probation = i == 2;
+      owner_get_room (owner, "s", &room, START_US);
+      g_assert_cmpuint (room.n_slots, ==, 0);
+      g_assert_cmpuint (free_slots_count (&room.free_slots, 0.1), ==, 0);
+      reshape (owner, upstream, (struct shape){ 2 }, START_US);
+      owner_get_room (owner, "s", &room, START_US);
+      g_assert_cmpuint (room.n_slots, ==, 1);
+      finish (&bed, owner);
+    }
+}
+
+/* Guards against announcing a slot for tasks that are larger than an upstream
+   which gets one run at a time, warming up or on probation.  */
+static void
+test_single_slot_after_shrink (void)
+{
+  for (guint i = 0; i < 2; i++)
+    {
+      struct single_bed bed = { .driver.ops = &ops };
+      struct owner *owner = owner_new (&bed.driver, &limits);
+      struct owned_upstream *upstream = take (owner);
+      struct owner_room room;
+
+      reshape (owner, upstream, (struct shape){ 4 }, START_US);
+      upstream->warm_at_us = START_US + (i == 0 ? USEC_PER_SEC : 0);
+      upstream->is_on_probation = i == 1;
+      owner_get_room (owner, "s", &room, START_US);
+      g_assert_cmpuint (free_slots_count (&room.free_slots, 1), ==, 1);
+      g_assert_cmpuint (free_slots_count (&room.free_slots, 3.8), ==, 1);
+      g_assert_cmpuint (free_slots_count (&room.free_slots, 4.9), ==, 0);
+      finish (&bed, owner);
+    }
+}
+
+/* Guards against tasks that wait at an owner until their deadline although
+   none of its upstreams can run them any more.  What fits stays.  */
+static void
+test_misfits_return (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned_upstream *upstream = take (owner);
+  struct batch *wide;
+  struct batch *narrow;
+
+  queue_need (owner, "0123456789abcdef", (struct shape){ 2 });
+  wide = queue_need (owner, "0123456789abcde0", (struct shape){ 2 });
+  narrow = queue_need (owner, "0123456789abcde1", (struct shape){ 1 });
+  wide->is_settled = TRUE;
+  owner_advance (owner, START_US + 20 * USEC_PER_MSEC);
+  g_assert_cmpuint (bed.n_returned, ==, 0);
+  reshape (owner, upstream, (struct shape){ 1 }, START_US);
+  owner_advance (owner, START_US + 40 * USEC_PER_MSEC);
+  g_assert_cmpuint (bed.n_returned, ==, 1);
+  g_assert_cmpuint (bed.n_ended, ==, 1);
+  g_assert_true (owner_get_first_queued (owner) == narrow);
+  finish (&bed, owner);
+}
+
+/* Guards against returning tasks for which an upstream is large enough, though
+   it can't take them now: it does not answer, rests, or is busy.  */
+static void
+test_fitting_stay (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned_upstream *upstream = take (owner);
+
+  take_on (owner, "small", "")->shape.cpus = 1;
+  upstream->rest_until_us = START_US + USEC_PER_SEC;
+  queue_need (owner, "0123456789abcdef", (struct shape){ 2 });
+  owner_advance (owner, START_US + 20 * USEC_PER_MSEC);
+  upstream->rest_until_us = 0;
+  upstream->state = OWNED_UNRESPONSIVE;
+  owner_advance (owner, START_US + 40 * USEC_PER_MSEC);
+  g_assert_false (has_started (&bed));
+  g_assert_cmpuint (bed.n_returned, ==, 0);
+  upstream->is_leaving = TRUE;
+  owner_advance (owner, START_US + 60 * USEC_PER_MSEC);
+  g_assert_cmpuint (bed.n_returned, ==, 1);
+  finish (&bed, owner);
+}
+
+/* Guards against counts of slots that overflow because the typical size of a
+   task has become nearly 0, as tasks may need no CPU.  */
+static void
+test_tiny_tasks (void)
+{
+  for (guint n = 100; n <= 1500; n += 100)
+    {
+      struct single_bed bed = { .driver.ops = &ops };
+      struct owner *owner = owner_new (&bed.driver, &limits);
+      struct owner_room room;
+
+      take (owner);
+      for (guint i = 0; i < n; i++)
+        owner_stop_batch (
+            owner, queue_need (owner, "0123456789abcdef", (struct shape){ 0 }),
+            "test", START_US);
+      owner_get_room (owner, "s", &room, START_US);
+      g_assert_cmpuint (room.n_slots, >=, 2);
+      g_assert_cmpuint (room.n_slots, <=, 1000000);
+      g_assert_cmpuint (free_slots_count (&room.free_slots, 0.001), >, 0);
+      finish (&bed, owner);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -711,5 +1022,20 @@
                         test_unsuitable_proven);
   g_test_add_data_func ("/owner/unsuitable-proven/size", NULL,
                         test_unsuitable_proven);
+  g_test_add_func ("/owner/shrink-with-run", test_shrink_with_run);
+  g_test_add_func ("/owner/shrink-with-stop", test_shrink_with_stop);
+  g_test_add_func ("/owner/shape-of-former-instance",
+                   test_shape_of_former_instance);
+  g_test_add_data_func ("/owner/room-after-shrink/cpus", NULL,
+                        test_room_after_shrink);
+  g_test_add_data_func ("/owner/room-after-shrink/memory", "",
+                        test_room_after_shrink);
+  g_test_add_func ("/owner/scarcity-after-shrink", test_scarcity_after_shrink);
+  g_test_add_func ("/owner/room-without-cpus", test_room_without_cpus);
+  g_test_add_func ("/owner/single-slot-after-shrink",
+                   test_single_slot_after_shrink);
+  g_test_add_func ("/owner/misfits-return", test_misfits_return);
+  g_test_add_func ("/owner/fitting-stay", test_fitting_stay);
+  g_test_add_func ("/owner/tiny-tasks", test_tiny_tasks);
   return g_test_run ();
 }
