coordination: late tasks just sent are no queue ahead of others

A home subtracts what it has just sent from the room that an owner has announced, until the owner's next beacon. Tasks without a free slot were added to the queue, also those of jobs that can only be late, though the owner puts them behind all others: a job that comes now was refused for a queue that it does not have to wait for.

Such tasks now take announced free slots only. Beacons were right before: owners count late tasks apart and do not announce them. fleet_admission adds up these rooms, so it needs no change.

t2120 /take-late guards it.

--- a/coordination/vm_directory.c
+++ b/coordination/vm_directory.c
@@ -191,8 +191,8 @@
 
 void
 vm_directory_reserve_room (struct vm_directory *directory, const char *name,
-                           guint64 service_hash, guint n_tasks, gdouble cpus,
-                           guint priority)
+                           guint64 service_hash,
+                           const struct room_tasks *tasks)
 {
   struct vm *vm = find_vm (directory, name);
 
@@ -201,7 +201,7 @@
       struct vm_room *room = &vm->rooms[i];
 
       if (room->service_hash == service_hash)
-        vm_room_take (room, n_tasks, cpus, priority);
+        vm_room_take (room, tasks);
     }
 }
 
--- a/coordination/vm_directory.h
+++ b/coordination/vm_directory.h
@@ -123,12 +123,11 @@
    it.  */
 const GPtrArray *vm_directory_list (const struct vm_directory *directory);
 
-/* Subtracts N_TASKS of PRIORITY that need CPUS each and were just handed to
-   the VM NAME from its announced room, as its next beacon is still to come.
-   Tasks without a free slot are added to its queue.  */
+/* Subtracts TASKS, which were just handed to the VM NAME, from its announced
+   room, as its next beacon is still to come.  */
 void vm_directory_reserve_room (struct vm_directory *directory,
                                 const char *name, guint64 service_hash,
-                                guint n_tasks, gdouble cpus, guint priority);
+                                const struct room_tasks *tasks);
 
 /* The VM NAME has given tasks for SERVICE that need CPUS each back: it has no
    free slots of that size until its next beacon.  */
--- a/coordination/vm_room.c
+++ b/coordination/vm_room.c
@@ -62,11 +62,12 @@
 }
 
 void
-vm_room_take (struct vm_room *room, guint n_tasks, gdouble cpus,
-              guint priority)
+vm_room_take (struct vm_room *room, const struct room_tasks *tasks)
 {
-  guint n_now = MIN (n_tasks, free_slots_count (&room->free_slots, cpus));
+  guint n_now
+      = MIN (tasks->n, free_slots_count (&room->free_slots, tasks->cpus));
 
   free_slots_take (&room->free_slots, n_now);
-  room->n_queued[owner_room_priority (priority)] += n_tasks - n_now;
+  if (!tasks->is_late)
+    room->n_queued[owner_room_priority (tasks->priority)] += tasks->n - n_now;
 }
--- a/coordination/vm_room.h
+++ b/coordination/vm_room.h
@@ -32,9 +32,17 @@
 gint64 vm_room_estimate_wait_ms (const struct vm_room *room, guint n_ahead,
                                  guint priority, guint run_ms);
 
-/* Subtracts N_TASKS of PRIORITY that need CPUS each and were just handed to
-   the owner.  Tasks without a free slot are added to its queue.  */
-void vm_room_take (struct vm_room *room, guint n_tasks, gdouble cpus,
-                   guint priority);
+/* Tasks that were just handed to an owner.  */
+struct room_tasks
+{
+  guint n;
+  gdouble cpus; /* that each needs */
+  guint priority;
+  gboolean is_late; /* they go after all others */
+};
+
+/* Subtracts TASKS from ROOM.  Those without a free slot are added to its
+   queue, unless they are late.  */
+void vm_room_take (struct vm_room *room, const struct room_tasks *tasks);
 
 #endif
--- a/t/support/load_home.c
+++ b/t/support/load_home.c
@@ -166,16 +166,28 @@
   vm_room_init (&vm->room, "s", &room);
 }
 
+/* Whether JOB can only be late, and nothing of it has begun.  */
+static gboolean
+is_late (const struct model_job *job)
+{
+  return job->home->model->now_us > job->start_by_us
+         && !may_have_started (job);
+}
+
 /* Sends PART to its owner.  */
 static void
 send_part (struct model_part *part, guint n_share)
 {
   struct model_job *job = part->job;
   struct model_vm *home = job->home;
+  const struct room_tasks tasks
+      = { .n = n_share,
+          .cpus = job->cpus,
+          .priority = load_job_get_kind (job)->priority,
+          .is_late = is_late (job) };
 
   if (part->vm != home)
-    vm_room_take (&home->announced[part->vm->index], n_share, job->cpus,
-                  load_job_get_kind (job)->priority);
+    vm_room_take (&home->announced[part->vm->index], &tasks);
   load_model_send (part, MESSAGE_BATCH);
 }
 
--- a/t/t2120-vm-directory.c
+++ b/t/t2120-vm-directory.c
@@ -182,6 +182,15 @@
   return free_slots_count (&room->free_slots, 1);
 }
 
+/* N tasks of PRIORITY that need a CPU each are handed to NAME.  */
+static void
+reserve (struct bed *bed, const char *name, guint n, guint priority)
+{
+  const struct room_tasks tasks = { .n = n, .cpus = 1, .priority = priority };
+
+  vm_directory_reserve_room (bed->directory, name, SERVICE, &tasks);
+}
+
 static void
 test_take_room (void)
 {
@@ -194,17 +203,17 @@
 
   rooms[0].n_queued[2] = 1;
   vm = hear_room (bed, 10, 1, rooms, G_N_ELEMENTS (rooms));
-  vm_directory_reserve_room (bed->directory, PEER, SERVICE, 3, 1, 1);
+  reserve (bed, PEER, 3, 1);
   g_assert_cmpuint (count_free (&vm->rooms[0]), ==, 2);
   g_assert_cmpuint (vm_room_count_ahead (&vm->rooms[0], 1), ==, 0);
-  vm_directory_reserve_room (bed->directory, PEER, SERVICE, 6, 1, 1);
+  reserve (bed, PEER, 6, 1);
   g_assert_cmpuint (count_free (&vm->rooms[0]), ==, 0);
   /* Only less urgent tasks wait behind them.  */
   g_assert_cmpuint (vm_room_count_ahead (&vm->rooms[0], 0), ==, 0);
   g_assert_cmpuint (vm_room_count_ahead (&vm->rooms[0], 1), ==, 4);
   g_assert_cmpuint (vm_room_count_ahead (&vm->rooms[0], 2), ==, 5);
   g_assert_cmpuint (count_free (&vm->rooms[1]), ==, 5);
-  vm_directory_reserve_room (bed->directory, "nobody", SERVICE, 1, 1, 1);
+  reserve (bed, "nobody", 1, 1);
   /* What the VM says itself replaces the guess.  */
   hear_room (bed, 10, 2, rooms, G_N_ELEMENTS (rooms));
   g_assert_cmpuint (count_free (&vm->rooms[0]), ==, 5);
@@ -212,6 +221,23 @@
   bed_free (bed);
 }
 
+/* Tasks that can only be late take free slots, but do not count as a queue
+   ahead of others: they would go after them.  */
+static void
+test_take_late (void)
+{
+  const struct vm_room room = make_room (SERVICE, 8, 2);
+  const struct room_tasks late = { .n = 5, .cpus = 1, .is_late = TRUE };
+  struct bed *bed = bed_new ();
+  const struct vm *vm = hear_room (bed, 10, 1, &room, 1);
+
+  vm_directory_reserve_room (bed->directory, PEER, SERVICE, &late);
+  g_assert_cmpuint (count_free (&vm->rooms[0]), ==, 0);
+  g_assert_cmpuint (vm_room_count_ahead (&vm->rooms[0], ROOM_PRIORITIES), ==,
+                    0);
+  bed_free (bed);
+}
+
 /* A long queue does not look short because a number has wrapped.  */
 static void
 test_long_queue (void)
@@ -226,7 +252,7 @@
       guint n_ahead;
       gint64 wait_ms;
 
-      vm_directory_reserve_room (bed->directory, PEER, SERVICE, 130, 1, 0);
+      reserve (bed, PEER, 130, 0);
       n_ahead = vm_room_count_ahead (&vm->rooms[0], 0);
       wait_ms = vm_room_estimate_wait_ms (&vm->rooms[0], n_ahead, 0, 3600000);
       g_assert_cmpint (wait_ms, >, before_ms);
@@ -395,6 +421,7 @@
   g_test_add_func ("/vm-directory/newer-incarnation", test_newer_incarnation);
   g_test_add_func ("/vm-directory/old-sequence", test_old_sequence);
   g_test_add_func ("/vm-directory/take-room", test_take_room);
+  g_test_add_func ("/vm-directory/take-late", test_take_late);
   g_test_add_func ("/vm-directory/long-queue", test_long_queue);
   g_test_add_func ("/vm-directory/own-room", test_own_room);
   g_test_add_func ("/vm-directory/forgotten", test_forgotten);
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -476,6 +476,30 @@
   return part;
 }
 
+/* Whether JOB can only be late, and nothing of it has begun.  */
+static gboolean
+is_late (const struct fleet_job *job)
+{
+  return clock_now_us () > job->start_by_us && !may_have_started (job);
+}
+
+/* Subtracts N_TASKS of JOB from the room of OWNER that this home knows.  */
+static void
+reserve_room (const struct fleet_job *job, const struct spread_owner *owner,
+              guint n_tasks, gboolean is_job_late)
+{
+  const struct fleet_submission *s = job->submission;
+  const struct room_tasks tasks = { .n = n_tasks,
+                                    .cpus = s->need.cpus,
+                                    .priority = s->priority,
+                                    .is_late = is_job_late };
+
+  /* Its own is read from the owner.  */
+  if (!owner->is_self)
+    vm_directory_reserve_room (job->home->directory, owner->name,
+                               hash64_string (s->service), &tasks);
+}
+
 /* Hands PART to OWNER, to which it belongs.  */
 static void
 send_part (struct fleet_part *part, const struct spread_owner *owner)
@@ -492,8 +516,7 @@
 static void
 give_tasks (struct fleet_job *job, const GArray *owners, const guint *indexes)
 {
-  const struct fleet_submission *s = job->submission;
-  guint64 hash = hash64_string (s->service);
+  gboolean is_job_late = is_late (job);
   guint offset = 0;
 
   for (guint i = 0; i < owners->len && !job->is_closed; i++)
@@ -504,9 +527,7 @@
 
       if (owner->n_given == 0)
         continue;
-      if (!owner->is_self)
-        vm_directory_reserve_room (job->home->directory, owner->name, hash,
-                                   owner->n_given, s->need.cpus, s->priority);
+      reserve_room (job, owner, owner->n_given, is_job_late);
       part = part_new (job, owner);
       part->n_tasks = owner->n_given;
       memcpy (part->indexes, indexes + offset,
@@ -521,7 +542,7 @@
 offer_tasks (struct fleet_job *job, const GArray *owners,
              const struct spread_offer *offer)
 {
-  const struct fleet_submission *s = job->submission;
+  gboolean is_job_late = is_late (job);
   const struct task_set offered = job->wanted;
   guint n_share = (offered.n + offer->n_offers - 1) / offer->n_offers;
 
@@ -533,10 +554,7 @@
 
       if (!owner->is_offered)
         continue;
-      if (!owner->is_self)
-        vm_directory_reserve_room (job->home->directory, owner->name,
-                                   hash64_string (s->service), n_share,
-                                   s->need.cpus, s->priority);
+      reserve_room (job, owner, n_share, is_job_late);
       part = part_new (job, owner);
       part->n_offers = offer->n_offers;
       part->offered = offered;
