coordination: starts of late batches count for the least urgent priority

Owners announce how many tasks of each priority were started lately, and a job is taken to get what more urgent ones leave. A late batch goes after all others, but its starts counted for its own priority, so less urgent jobs in time seemed to be left fewer and could be refused. They count for the last priority now.

A batch that is late when it arrives is late from then on, not only from the next check, so that it is not tried before jobs in time. Once it has begun it is moved in the queue like any other batch that has begun, which until now happened only to those that had become late before.

t2111 /owner/late-start guards it; /owner/late-begun caught the missing move.

--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -221,6 +221,13 @@
   return n;
 }
 
+/* Whether BATCH, if it is queued, is late.  */
+static gboolean
+has_become_late (const struct batch *batch, gint64 now_us)
+{
+  return batch->start_by_us <= now_us && !may_have_begun (batch);
+}
+
 void
 owner_submit_batch (struct owner *owner, struct batch *batch, gint64 now_us)
 {
@@ -228,6 +235,7 @@
 
   owner->typical_cpus += TYPICAL_CPUS_WEIGHT * more;
   batch->queued_us = now_us;
+  batch->is_late = has_become_late (batch, now_us);
   owner_relink_batch (owner, batch);
   owner_start_queued (owner, now_us);
   if (batch->n_queued > 0 && batch->needs_free_slots)
@@ -537,6 +545,15 @@
   return best;
 }
 
+/* The priority for which a start of BATCH counts.  Late batches take only what
+   those of all priorities leave over.  */
+static guint
+get_start_class (const struct batch *batch)
+{
+  return owner_room_priority (batch->is_late ? ROOM_PRIORITIES
+                                             : batch->priority);
+}
+
 /* Starts TASK on UPSTREAM, which has room for it.  */
 static void
 start_task (struct owner *owner, struct batch_task *task,
@@ -560,8 +577,7 @@
   if (batch->first_started_us == 0)
     batch->first_started_us = now_us;
   run->state = RUN_STARTING;
-  event_rate_count (&upstream->starts[owner_room_priority (batch->priority)],
-                    now_us);
+  event_rate_count (&upstream->starts[get_start_class (batch)], now_us);
   run->started_us = now_us;
   run->progressed_us = now_us;
   run->listed_us = now_us;
@@ -615,7 +631,8 @@
       owner_start_batch (owner, batch, now_us);
       if (batch->n_queued == 0)
         owner_claim_slots (owner, batch, now_us);
-      if (batch->n_queued + batch->n_offered == 0)
+      if (batch->n_queued + batch->n_offered == 0
+          || (batch->is_late && may_have_begun (batch)))
         owner_relink_batch (owner, batch);
       else if (++n_skipped >= MAX_SKIPPED_BATCHES)
         break;
@@ -637,7 +654,7 @@
 
       if (batch->is_late)
         break;
-      if (batch->start_by_us <= now_us && !may_have_begun (batch))
+      if (has_become_late (batch, now_us))
         g_ptr_array_add (late, batch);
     }
   for (guint i = 0; i < late->len; i++)
--- a/t/t2111-owner-single.c
+++ b/t/t2111-owner-single.c
@@ -303,6 +303,25 @@
   finish (&bed, owner);
 }
 
+/* Starts of a job that is late when it arrives count for the least urgent
+   priority: less urgent jobs in time would seem to be left fewer otherwise,
+   and be refused.  */
+static void
+test_late_start (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owner_room room;
+
+  take (owner);
+  owner_submit_batch (owner, make_wide (0, 0), START_US);
+  owner_get_room (owner, "s", &room, START_US + 200 * USEC_PER_MSEC);
+  g_assert_cmpuint (room.n_running, ==, 1);
+  g_assert_cmpfloat (room.starts_per_s[0], ==, 0);
+  g_assert_cmpfloat (room.starts_per_s[ROOM_PRIORITIES - 1], >, 0);
+  finish (&bed, owner);
+}
+
 /* A task runs on the rack that it names, unless there is no room.  */
 static void
 test_rack (void)
@@ -669,6 +688,7 @@
   g_test_add_func ("/owner/replaced", test_replaced);
   g_test_add_func ("/owner/late-part", test_late_part);
   g_test_add_func ("/owner/late-begun", test_late_begun);
+  g_test_add_func ("/owner/late-start", test_late_start);
   g_test_add_func ("/owner/silence", test_silence);
   g_test_add_func ("/owner/stall", test_stall);
   g_test_add_func ("/owner/overdue-end", test_overdue_end);
