coordination: a late job gets free slots as a whole or not at all

The tasks of a job that has begun go before jobs in time, since the work is lost if the rest finds no slot. So a job of eight tasks that could only be late took one free slot, and its other seven went ahead of all jobs in time of its priority.

spread_assign () now gives a late job to free slots only if all of it fits, and otherwise offers all of it, with a wait behind the queues of all priorities. The home lets it wait in the second case while slots are expected.

t2130 /late-whole guards it.

--- a/coordination/spread.c
+++ b/coordination/spread.c
@@ -213,21 +213,33 @@
   return n_left;
 }
 
+static void
+clear_results (struct spread_owner *owners, guint n_owners)
+{
+  for (guint i = 0; i < n_owners; i++)
+    {
+      owners[i].n_given = 0;
+      owners[i].is_offered = FALSE;
+    }
+}
+
 struct spread_offer
 spread_assign (struct spread_owner *owners, guint n_owners,
                const struct spread_tasks *tasks, guint64 seed)
 {
   struct spread_offer none = { 0 };
+  struct spread_tasks late = *tasks;
   guint n_left = tasks->n;
 
-  for (guint i = 0; i < n_owners; i++)
-    {
-      owners[i].n_given = 0;
-      owners[i].is_offered = FALSE;
-    }
+  clear_results (owners, n_owners);
   if (!tasks->is_offer_only)
     n_left = fill_free_slots (owners, n_owners, tasks, &seed);
   if (n_left == 0)
     return none;
-  return offer_tasks (owners, n_owners, n_left, tasks, &seed);
+  if (!tasks->is_late)
+    return offer_tasks (owners, n_owners, n_left, tasks, &seed);
+  /* All that are in time go before them.  */
+  late.priority = ROOM_PRIORITIES;
+  clear_results (owners, n_owners);
+  return offer_tasks (owners, n_owners, tasks->n, &late, &seed);
 }
--- a/coordination/spread.h
+++ b/coordination/spread.h
@@ -7,6 +7,10 @@
  * free slot are offered to several owners, those where the expected wait is
  * shortest.  Each claims tasks when their turn has come in its queue and it
  * has a free slot; see task_offer.h.
+ *
+ * A job that can only be late is given to free slots only as a whole.  The
+ * rest of a job that has begun goes before jobs in time, since the work would
+ * be wasted otherwise.
  */
 #ifndef COORDINATION_SPREAD_H
 #define COORDINATION_SPREAD_H
@@ -31,6 +35,8 @@
   guint n;
   guint run_ms;           /* estimate for each */
   guint priority;         /* 0 is the most urgent */
+  gboolean is_late;       /* none has begun, and the job can only be late: they
+                             go after all others */
   gboolean is_offer_only; /* not given to announced free slots: announcements
                              were wrong for them before */
   guint max_offers; /* owners that tasks are offered to at most; at least 1 */
--- a/t/support/load_home.c
+++ b/t/support/load_home.c
@@ -274,6 +274,7 @@
   struct spread_tasks tasks = { .n = n_tasks + job->wanted.n,
                                 .run_ms = job->estimate_ms,
                                 .priority = kind->priority,
+                                .is_late = is_late (job),
                                 .is_offer_only = job->n_assignments > 0,
                                 .max_offers = model->config.max_offers };
   struct spread_offer offer;
--- a/t/t2130-spread.c
+++ b/t/t2130-spread.c
@@ -92,6 +92,32 @@
   assert_given (owners, 4, 4, 2);
 }
 
+/* A job that can only be late gets free slots for all its tasks or for none:
+   the rest of one that has begun would go before jobs in time.  */
+static void
+test_late_whole (void)
+{
+  struct spread_tasks late = {
+    .n = 12, .run_ms = 100, .is_late = TRUE, .max_offers = SPREAD_OFFERS_MAX
+  };
+  struct spread_owner owners[N_OWNERS];
+  struct spread_offer offer;
+
+  fill (owners, 4, 4);
+  assert_all_given (spread_assign (owners, N_OWNERS, &late, 1));
+  assert_given (owners, 4, 4, 4);
+  late.n = 13;
+  offer = spread_assign (owners, N_OWNERS, &late, 1);
+  assert_given (owners, 0, 0, 0);
+  g_assert_cmpuint (offer.n_tasks, ==, 13);
+  g_assert_cmpuint (offer.n_offers, ==, N_OWNERS);
+  g_assert_cmpint (offer.wait_ms, ==, 13 * 100 / 12);
+  /* All that are in time go before it, whatever its priority.  */
+  owners[FAR].room.n_queued[2] = 12;
+  offer = spread_assign (owners, N_OWNERS, &late, 1);
+  g_assert_cmpint (offer.wait_ms, ==, 25 * 100 / 12);
+}
+
 /* Of equally near owners each gets its share of what is free, by the seed. */
 static void
 test_drawn (void)
@@ -331,6 +357,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/spread/late-whole", test_late_whole);
   g_test_add_func ("/spread/nearest-first", test_nearest_first);
   g_test_add_func ("/spread/split", test_split);
   g_test_add_func ("/spread/drawn", test_drawn);
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -593,7 +593,8 @@
 
 /* Assigns N_TASKS of JOB to owners, and those that are wanted already.  If
    there is no owner with slots, or the expected wait is too long, the job
-   waits or is given up.  */
+   waits or is given up.  One that can only be late waits, if slots are
+   expected, until all of it can start.  */
 static void
 assign_tasks (struct fleet_job *job, const guint *indexes, guint n_tasks)
 {
@@ -604,6 +605,7 @@
     .n = n_tasks + job->wanted.n,
     .run_ms = (guint)(s->estimate_us / USEC_PER_MSEC),
     .priority = s->priority,
+    .is_late = is_late (job),
     .is_offer_only = job->n_assignments > 0,
     .max_offers = SPREAD_OFFERS_MAX,
   };
@@ -625,7 +627,8 @@
                 n_tasks - (tasks.n - offer.n_tasks));
   if (offer.wait_ms < 0 || job->refusal.reason != NULL)
     wait_or_give_up (job, owners, offer.wait_ms >= 0);
-  else
+  else if (!tasks.is_late || offer.n_tasks == 0
+           || !fleet_home_wait (job, TRUE))
     {
       fleet_home_end_wait (job, "assigned", NULL);
       give_tasks (job, owners, indexes);
