coordination, transport: late jobs get the slots that jobs in time leave over

After an outage of more than three objectives the jobs that have waited can only be late. When the owners returned, each round assigned them as many tasks as all slots start, and when no more slots were expected all of them at once.

- A round assigns late jobs to announced free slots only, and no more than keeps those slots busy that the demand of the last two seconds leaves over.
- They are no longer all assigned when no more slots are expected, but go on waiting for what is left over.
- Those that cannot be served that way in their time are refused at once, as not run, with Retry-After, instead of at the end of their time.
- A job that is late when it arrives waits while slots are expected.

Jobs that can be in time are treated as before.

--- a/coordination/waiting_jobs.c
+++ b/coordination/waiting_jobs.c
@@ -9,6 +9,27 @@
 /* So many tasks that the time in which they are started tells the rate.  */
 #define MANY_TASKS 1000
 
+void
+waiting_slots_set_demand (struct waiting_slots *slots,
+                          const struct slot_demand *demand,
+                          guint64 service_hash, guint n_owners,
+                          gboolean is_complete, gint64 now_us)
+{
+  gint64 run_us;
+  gdouble n_own = slot_demand_get (demand, service_hash, now_us, &run_us);
+  gdouble n_busy
+      = slots->pool.ends_per_s * (gdouble)run_us / (gdouble)USEC_PER_SEC;
+
+  slots->n_needed = slots->n_homes * n_own;
+  /* The number of slots that an owner announces is for tasks of typical size
+     and rounded down: of upstreams for not quite two it is half.  */
+  slots->n_expected = MAX (slots->pool.n_slots, slots->n_free + n_busy);
+  slots->is_complete = is_complete;
+  /* The VMs that announce none yet are expected to own as many upstreams.  */
+  if (!is_complete && n_owners > 0 && n_owners < slots->n_homes)
+    slots->n_expected *= (gdouble)slots->n_homes / n_owners;
+}
+
 void
 waiting_jobs_init (struct waiting_jobs *jobs, guint max_jobs, gsize max_bytes)
 {
@@ -49,12 +70,18 @@
   jobs->n_bytes -= job->n_bytes;
 }
 
+gboolean
+waiting_job_is_late (const struct waiting_job *job, gint64 now_us)
+{
+  return now_us > job->start_by_us;
+}
+
 /* The latest time at which JOB must start: to meet its objective or, if that
    is no longer possible, to be of use.  */
 static gint64
 get_latest_start_us (const struct waiting_job *job, gint64 now_us)
 {
-  return now_us <= job->start_by_us ? job->start_by_us : job->end_by_us;
+  return waiting_job_is_late (job, now_us) ? job->end_by_us : job->start_by_us;
 }
 
 /* Negative if A goes before B, positive if it goes behind B.  */
@@ -62,8 +89,8 @@
 compare_jobs (const struct waiting_job *a, const struct waiting_job *b,
               gint64 now_us)
 {
-  gboolean is_a_late = now_us > a->start_by_us;
-  gboolean is_b_late = now_us > b->start_by_us;
+  gboolean is_a_late = waiting_job_is_late (a, now_us);
+  gboolean is_b_late = waiting_job_is_late (b, now_us);
   gint64 a_us = get_latest_start_us (a, now_us);
   gint64 b_us = get_latest_start_us (b, now_us);
 
@@ -170,8 +197,8 @@
          * USEC_PER_MSEC;
 }
 
-/* How many tasks like those of JOB this home may assign in one round, so that
-   all homes together assign what SLOTS start.  */
+/* How many tasks like those of JOB, which can be in time, this home may assign
+   in one round, so that all homes together assign what SLOTS start.  */
 static gdouble
 compute_share (const struct waiting_job *job,
                const struct waiting_slots *slots)
@@ -188,6 +215,27 @@
          / slots->n_homes;
 }
 
+/* The same for JOB, which can only be late: all homes together assign what
+   keeps the slots busy that jobs in time do not need, and only as long as
+   slots are free.  */
+static gdouble
+compute_late_share (const struct waiting_job *job,
+                    const struct waiting_slots *slots)
+{
+  guint n_queued = vm_room_count_ahead (&slots->pool, ROOM_PRIORITIES);
+  gdouble n_free = (gdouble)slots->n_free - n_queued;
+  gdouble n_spare = slots->n_expected - slots->n_needed;
+  /* Tasks that one slot starts in a round.  */
+  gdouble n_starts = (gdouble)WAITING_ROUND_US
+                     / ((gdouble)MAX (job->run_ms, 1u) * USEC_PER_MSEC);
+  /* The same for the slots that were announced as free: one that is taken
+     stays so until the next announcement, or until the run ends.  */
+  gdouble n_free_starts = CLAMP (n_starts, 1.0 / ROUNDS_PER_NEWS, 1);
+
+  return MAX (0, MIN (n_free * n_free_starts, n_spare * n_starts))
+         / slots->n_homes;
+}
+
 /* A pseudo-random number, at least 0 and less than 1.  */
 static gdouble
 draw (guint64 seed)
@@ -195,6 +243,14 @@
   return (gdouble)(hash64_pair (seed, seed + 1) >> 11) * 0x1p-53;
 }
 
+/* Whether JOB is assigned to SLOTS when N_LEFT tasks are left of the share. */
+static gboolean
+fits_share (const struct waiting_job *job, const struct waiting_slots *slots,
+            gdouble n_left)
+{
+  return n_left >= job->n_tasks || draw (slots->seed) < n_left / job->n_tasks;
+}
+
 GPtrArray *
 waiting_jobs_select (const struct waiting_jobs *jobs, guint64 service_hash,
                      const struct waiting_slots *slots, gint64 now_us)
@@ -206,18 +262,50 @@
   for (guint i = 0; i < list->len && slots->pool.n_slots > 0; i++)
     {
       struct waiting_job *job = g_ptr_array_index (list, i);
+      gboolean is_late = waiting_job_is_late (job, now_us);
+      gboolean is_due = !is_late && slots->is_complete;
+      gdouble n_left = (is_late ? compute_late_share (job, slots)
+                                : compute_share (job, slots))
+                       - n_assigned;
       gint64 wait_us
           = estimate_wait_us (job, slots, n_assigned + job->n_tasks);
-      gdouble n_left = compute_share (job, slots) - n_assigned;
 
-      if (wait_us > get_latest_start_us (job, now_us) - now_us)
+      if (!is_due && wait_us > get_latest_start_us (job, now_us) - now_us)
         continue;
-      if (n_left < job->n_tasks && draw (slots->seed) >= n_left / job->n_tasks)
+      if (!is_due && !fits_share (job, slots, n_left))
         break;
       g_ptr_array_add (selected, job);
       n_assigned += job->n_tasks;
-      if (n_left < job->n_tasks)
+      if (!is_due && n_left < job->n_tasks)
         break;
     }
   return selected;
 }
+
+GPtrArray *
+waiting_jobs_list_hopeless (const struct waiting_jobs *jobs,
+                            guint64 service_hash,
+                            const struct waiting_slots *slots, gint64 now_us)
+{
+  g_autoptr (GPtrArray) list = waiting_jobs_list (jobs, service_hash, now_us);
+  GPtrArray *hopeless = g_ptr_array_new ();
+  /* Of this home.  */
+  gdouble n_spare
+      = (slots->n_expected - (slots->is_complete ? slots->n_needed : 0))
+        / slots->n_homes;
+  gdouble work_us = 0;
+
+  for (guint i = 0; i < list->len && slots->pool.n_slots > 0; i++)
+    {
+      struct waiting_job *job = g_ptr_array_index (list, i);
+      gint64 left_us = job->end_by_us - now_us;
+
+      if (!waiting_job_is_late (job, now_us))
+        continue;
+      if (n_spare <= 0 || work_us > n_spare * (gdouble)left_us)
+        g_ptr_array_add (hopeless, job);
+      else
+        work_us += (gdouble)job->n_tasks * job->run_ms * USEC_PER_MSEC;
+    }
+  return hopeless;
+}
--- a/coordination/waiting_jobs.h
+++ b/coordination/waiting_jobs.h
@@ -12,6 +12,11 @@
  * with a probability at which the homes together assign as many as are
  * started. Jobs that would not start in time are left out.
  *
+ * Jobs that can only be late get slots that jobs in time leave over: free
+ * ones, and no more than keep those slots busy that the jobs in time which
+ * arrived lately do not need.  Those for which that is too little are
+ * hopeless.
+ *
  * The jobs are bounded in number and bytes.  When a bound is exceeded, the
  * last jobs in the order have to be refused.
  */
@@ -20,6 +25,7 @@
 
 #include "base/clock.h"
 #include "base/list.h"
+#include "coordination/slot_demand.h"
 #include "coordination/vm_room.h"
 
 #include <glib.h>
@@ -54,14 +60,27 @@
 /* What the owners have announced for one service, to assign jobs by.  */
 struct waiting_slots
 {
-  struct vm_room pool; /* sum over the owners */
-  guint n_free;        /* tasks that would start at once */
-  guint n_homes;       /* that assign tasks by the same announcements, this
-                          one included; at least 1 */
-  guint64 seed;        /* of the random choice; must differ for each
-                          call */
+  struct vm_room pool;  /* sum over the owners */
+  guint n_free;         /* tasks that would start at once */
+  guint n_homes;        /* that assign tasks by the same announcements, this
+                           one included; at least 1 */
+  gdouble n_needed;     /* slots that jobs in time keep busy, of all homes */
+  gdouble n_expected;   /* slots once those that are expected have become
+                           available */
+  gboolean is_complete; /* no more are expected: jobs that can be in time wait
+                           no longer */
+  guint64 seed;         /* of the random choice; must differ for each
+                           call */
 };
 
+/* Fills in n_needed, n_expected and is_complete of SLOTS, of which the rest is
+   set.  DEMAND is that of this home for the service with SERVICE_HASH;
+   N_OWNERS have announced slots for it.  */
+void waiting_slots_set_demand (struct waiting_slots *slots,
+                               const struct slot_demand *demand,
+                               guint64 service_hash, guint n_owners,
+                               gboolean is_complete, gint64 now_us);
+
 void waiting_jobs_init (struct waiting_jobs *jobs, guint max_jobs,
                         gsize max_bytes);
 
@@ -92,6 +111,17 @@
 gboolean waiting_jobs_precede (const struct waiting_jobs *jobs,
                                const struct waiting_job *job, gint64 now_us);
 
+/* Whether JOB can only be late.  */
+gboolean waiting_job_is_late (const struct waiting_job *job, gint64 now_us);
+
+/* The jobs for the service with SERVICE_HASH, struct waiting_job, that can
+   only be late and would not be started in time to be of use, as SLOTS are.
+   None without any slots.  */
+GPtrArray *waiting_jobs_list_hopeless (const struct waiting_jobs *jobs,
+                                       guint64 service_hash,
+                                       const struct waiting_slots *slots,
+                                       gint64 now_us);
+
 /* The jobs for the service with SERVICE_HASH, struct waiting_job, in their
    order.  */
 GPtrArray *waiting_jobs_list (const struct waiting_jobs *jobs,
--- a/t/support/load_home.c
+++ b/t/support/load_home.c
@@ -1,7 +1,6 @@
 #include "t/support/load_model_private.h"
 
 #include "base/hash64.h"
-#include "coordination/spread.h"
 
 /* The home's rules; see transport/fleet_home.c.  */
 #define STRETCH_PERCENT 160
@@ -90,6 +89,8 @@
   struct load_result *group
       = &model->groups[job->caller == 0 ? GROUP_FIRST : GROUP_OTHERS];
 
+  if (job->accepted_us < model->counted_from_us)
+    return;
   G_STRUCT_MEMBER (guint, &model->results[job->kind], offset)++;
   G_STRUCT_MEMBER (guint, group, offset)++;
   group->n_jobs++;
@@ -110,6 +111,7 @@
   if (job->is_over)
     return;
   count_end (job, offset);
+  load_waiting_end (job);
   job->is_over = TRUE;
   job->wanted.n = 0;
   list_remove (&job->link);
@@ -131,9 +133,9 @@
                     : offsetof (struct load_result, n_refused));
 }
 
-/* The rooms that HOME knows, with slots for tasks of CPUS each.  */
-static guint
-list_owners (struct model_vm *home, gdouble cpus, struct spread_owner *owners)
+guint
+load_home_list_owners (struct model_vm *home, gdouble cpus,
+                       struct spread_owner *owners)
 {
   struct load_model *model = home->model;
   guint n = 0;
@@ -285,7 +287,7 @@
 
   withdraw_offers (job, NULL);
   load_home_refresh_room (job->home);
-  n_owners = list_owners (job->home, job->cpus, owners);
+  n_owners = load_home_list_owners (job->home, job->cpus, owners);
   job->n_assignments++;
   offer = spread_assign (
       owners, n_owners, &tasks,
@@ -295,10 +297,18 @@
   if (offer.wait_ms < 0 || offer.wait_ms > get_longest_wait_ms (job)
       || is_excess (job, &queue, &retry_ms))
     {
+      if (!may_have_started (job)
+          && load_waiting_add (job, offer.wait_ms >= 0))
+        return;
       plan_return (job, &queue, retry_ms);
       give_up_job (job);
       return;
     }
+  /* One that can only be late waits until there are free slots for all of
+     it.  */
+  if (tasks.is_late && offer.n_tasks > 0 && load_waiting_add (job, TRUE))
+    return;
+  load_waiting_end (job);
   n_given = tasks.n - offer.n_tasks;
   task_set_add (&job->wanted, indexes + n_given, n_tasks - n_given);
   for (guint i = 0; i < n_owners; i++)
@@ -327,6 +337,24 @@
     }
 }
 
+void
+load_home_assign_all (struct model_job *job)
+{
+  guint indexes[TASK_OFFER_MAX];
+  guint n_tasks = load_job_get_kind (job)->n_tasks;
+
+  for (guint i = 0; i < n_tasks; i++)
+    indexes[i] = i;
+  job->wanted.n = 0;
+  assign_tasks (job, indexes, n_tasks);
+}
+
+void
+load_home_refuse (struct model_job *job)
+{
+  give_up_job (job);
+}
+
 static void
 reassign_tasks (struct model_job *job, const guint *indexes, guint n_tasks)
 {
@@ -338,7 +366,7 @@
           < (has_started ? MAX_ASSIGNMENTS : MAX_ASSIGNMENTS_BEFORE_START)
       && (has_started || job->home->model->now_us < job->end_by_us))
     assign_tasks (job, indexes, n_tasks);
-  else
+  else if (has_started || !load_waiting_add (job, TRUE))
     give_up_job (job);
 }
 
@@ -542,7 +570,6 @@
   guint n_tasks = load_job_get_kind (job)->n_tasks;
   gint64 objective_us = get_objective_us (job->estimate_ms);
   gint64 run_us = job->estimate_ms * USEC_PER_MSEC;
-  guint indexes[TASK_OFFER_MAX];
   gboolean is_known;
 
   job->accepted_us = model->now_us;
@@ -559,9 +586,10 @@
   if (job->is_retry)
     model->groups[GROUP_RETRIES].n_jobs++;
   list_append (&model->jobs, &job->link);
-  for (guint i = 0; i < n_tasks; i++)
-    indexes[i] = i;
-  assign_tasks (job, indexes, n_tasks);
+  load_waiting_note_arrival (job);
+  load_waiting_init (job);
+  if (!load_waiting_is_behind (job))
+    load_home_assign_all (job);
 }
 
 static char *
--- a/t/support/load_model.c
+++ b/t/support/load_model.c
@@ -11,6 +11,13 @@
 /* How long load_model_finish () waits for the jobs to end.  */
 #define FINISH_US (20 * USEC_PER_SEC)
 
+/* How long more slots are expected after some have come; see
+   coordination/slot_outlook.h.  */
+#define TAKEOVER_US (2600 * USEC_PER_MSEC)
+
+/* Jobs that may wait at one home.  */
+#define MAX_WAITING_JOBS 1000
+
 /* Runs of one job differ by this part of the configured spread.  */
 #define RUN_SPREAD_DIVISOR 4
 
@@ -304,6 +311,7 @@
         continue;
       load_upstreams_advance (vm->upstreams, model->now_us);
       owner_advance (vm->owner, model->now_us);
+      load_waiting_advance (vm);
     }
   deliver_due (model);
 }
@@ -382,6 +390,11 @@
   vm->is_lost = g_new0 (gboolean, model->config.n_owners);
   vm->share = caller_share_new ();
   vm->retries = retry_spread_new ();
+  if (config->waits)
+    waiting_jobs_init (&vm->waiting, MAX_WAITING_JOBS,
+                       (gsize)MAX_WAITING_JOBS * LOAD_JOB_BYTES);
+  else
+    waiting_jobs_init (&vm->waiting, 0, 0);
   vm->owner = owner_new (&vm->driver, &limits);
   vm->upstreams = load_upstreams_new (vm->owner, config, first, n, model->rand,
                                       model->now_us);
@@ -435,6 +448,15 @@
   g_free (model);
 }
 
+void
+load_model_count_from_now (struct load_model *model)
+{
+  model->counted_from_us = model->now_us;
+  model->n_messages = 0;
+  for (guint i = 0; i < LOAD_MAX_KINDS; i++)
+    model->results[i] = (struct load_result){ 0 };
+}
+
 void
 load_model_set_kind_factor (struct load_model *model, guint kind,
                             gdouble factor)
@@ -524,6 +546,7 @@
                       guint warm_up_ms)
 {
   set_leaving (model, first, count, FALSE, warm_up_ms);
+  model->slots_expected_until_us = model->now_us + TAKEOVER_US;
 }
 
 void
--- a/t/support/load_model.h
+++ b/t/support/load_model.h
@@ -1,8 +1,8 @@
 /*
  * A model of the load of a fleet: homes that spread jobs, and owners that run
  * them on simulated upstreams.  The decisions are those of the real modules
- * (owner.h, spread.h, task_offer.h, vm_room.h); messages take time, and rooms
- * are announced at intervals.
+ * (owner.h, spread.h, task_offer.h, vm_room.h, waiting_jobs.h); messages take
+ * time, and rooms are announced at intervals.
  */
 #ifndef T_SUPPORT_LOAD_MODEL_H
 #define T_SUPPORT_LOAD_MODEL_H
@@ -55,6 +55,7 @@
   gdouble task_cpus;  /* if sized, what all tasks need instead; 0: as above */
   guint tail_percent; /* of the tasks, which take TAIL_FACTOR times as long */
   guint tail_factor;
+  gboolean waits;      /* jobs without slots wait, see waiting_jobs.h */
   guint failing_every; /* one upstream in this many fails all that it starts,
                           after LOAD_FAIL_MS; 0 for none */
 };
@@ -80,6 +81,10 @@
 /* Lets MS pass with FACTOR times the configured load.  */
 void load_model_run (struct load_model *model, guint ms, gdouble factor);
 
+/* Only jobs that arrive and messages that are sent from now on count in the
+   results.  */
+void load_model_count_from_now (struct load_model *model);
+
 /* From now on jobs of KIND arrive FACTOR times as often.  */
 void load_model_set_kind_factor (struct load_model *model, guint kind,
                                  gdouble factor);
--- a/t/support/load_model_private.h
+++ b/t/support/load_model_private.h
@@ -9,11 +9,17 @@
 #include "coordination/owner.h"
 #include "coordination/queue_sum.h"
 #include "coordination/retry_spread.h"
+#include "coordination/slot_demand.h"
+#include "coordination/spread.h"
 #include "coordination/task_offer.h"
 #include "coordination/vm_room.h"
+#include "coordination/waiting_jobs.h"
 #include "t/support/load_model.h"
 #include "t/support/load_upstream.h"
 
+/* Memory of a waiting job.  */
+#define LOAD_JOB_BYTES 1000
+
 struct model_vm
 {
   struct owner_driver driver;
@@ -27,7 +33,11 @@
   gboolean *is_lost;         /* of each other VM, likewise */
   struct caller_share *share;
   struct retry_spread *retries;
-  struct caller_list largest; /* as it was last reported */
+  struct caller_list largest;  /* as it was last reported */
+  struct waiting_jobs waiting; /* struct model_job by waiting */
+  struct slot_demand demand;
+  gint64 assigned_us; /* when waiting jobs were last assigned */
+  guint n_rounds;
 };
 
 struct model_job
@@ -44,6 +54,7 @@
   gint64 accepted_us;
   gint64 start_by_us;
   gint64 end_by_us;
+  struct waiting_job waiting;
   guint n_assignments;
   guint n_done;
   guint n_parts;
@@ -115,13 +126,15 @@
   struct load_config config;
   GRand *rand;
   gint64 now_us;
-  gint64 announce_us; /* when the next beacons are due */
+  gint64 announce_us;             /* when the next beacons are due */
+  gint64 slots_expected_until_us; /* more than are announced */
   struct model_vm *vms;
   struct list_node jobs; /* struct model_job that is not over */
   GPtrArray *all_jobs;   /* struct model_job */
   GPtrArray *messages;   /* struct message on the way */
   guint n_messages;
   gdouble due[LOAD_MAX_KINDS]; /* jobs that are to arrive, with fractions */
+  gint64 counted_from_us;      /* jobs that arrived before are not counted */
   struct load_result results[LOAD_MAX_KINDS];
   gdouble kind_factors[LOAD_MAX_KINDS];
   guint flood_kind;
@@ -168,6 +181,17 @@
 /* Computes the room of VM as it is now.  */
 void load_home_refresh_room (struct model_vm *vm);
 
+/* Assigns all tasks of JOB, of which none was started.  */
+void load_home_assign_all (struct model_job *job);
+
+/* Refuses JOB, of which nothing was started.  */
+void load_home_refuse (struct model_job *job);
+
+/* Writes the owners with slots for tasks of CPUS each that HOME knows to
+   OWNERS, which has room for all.  Returns their number.  */
+guint load_home_list_owners (struct model_vm *home, gdouble cpus,
+                             struct spread_owner *owners);
+
 /* Handle what an owner has sent.  */
 void load_home_handle_claim (const struct message *message);
 void load_home_handle_returned (const struct message *message);
@@ -177,4 +201,26 @@
    its offers count as withdrawn.  */
 void load_home_lose_vm (struct load_model *model, struct model_vm *vm);
 
+/* load_waiting.c: jobs that wait for slots.  Their rules are those of
+   transport/fleet_home_waiting.c.  */
+
+/* Counts JOB, which has arrived, in the demand of its home.  */
+void load_waiting_note_arrival (struct model_job *job);
+
+/* Prepares JOB, whose times are set, for waiting.  */
+void load_waiting_init (struct model_job *job);
+
+/* Whether JOB, a new one, waits since others do that go before it.  */
+gboolean load_waiting_is_behind (struct model_job *job);
+
+/* Lets JOB, of which nothing was started, wait if slots are expected.  Returns
+   whether it does.  */
+gboolean load_waiting_add (struct model_job *job, gboolean has_owner);
+
+/* JOB waits no longer, if it did.  */
+void load_waiting_end (struct model_job *job);
+
+/* Refuses jobs that have waited too long at VM, and assigns others.  */
+void load_waiting_advance (struct model_vm *vm);
+
 #endif
--- a/t/t2141-load.c
+++ b/t/t2141-load.c
@@ -31,6 +31,10 @@
 };
 #define FULL 1.06
 
+/* Longer than three objectives of a SHORT job, 1.14 s, and than the wait that
+   is left to a LONG one, 3.6 s.  */
+#define OUTAGE_MS 4000
+
 /* A load, as the pattern of a test.  */
 typedef void load_pattern (struct load_model *model);
 
@@ -75,6 +79,8 @@
   one_queue.n_owners = 1;
   one_queue.max_offers = 1;
   one_queue.late_share = 0;
+  /* Otherwise jobs that can only be late would take slots from the others.  */
+  one_queue.waits = FALSE;
   for (guint32 seed = 1; seed <= N_SEEDS; seed++)
     {
       struct outcome bound = play (&one_queue, pattern, seed);
@@ -150,6 +156,23 @@
   load_model_run (model, 4000, 0.75 * FULL);
 }
 
+/* No VM owns upstreams for longer than three objectives of the short kinds,
+   then all return within a second.  */
+static void
+play_outage (struct load_model *model)
+{
+  load_model_run (model, 500, 0.8 * FULL);
+  load_model_evacuate (model, 0, N_UPSTREAMS);
+  load_model_run (model, OUTAGE_MS, 0.8 * FULL);
+  load_model_count_from_now (model);
+  for (guint i = 0; i < N_UPSTREAMS; i += N_UPSTREAMS / 8)
+    {
+      load_model_take_back (model, i, N_UPSTREAMS / 8, 0);
+      load_model_run (model, 100, 0.8 * FULL);
+    }
+  load_model_run (model, 2000, 0.8 * FULL);
+}
+
 /* "A wave that peaks at 95% of the slots".  */
 static void
 test_wave (void)
@@ -239,6 +262,18 @@
   check_against_one_queue (&base, play_returned_cold, 0.93);
 }
 
+/* "All VMs return after an outage longer than three objectives, under 0.8 of
+   the load": jobs that have waited and can only be late must not take the
+   slots of those that could be in time.  */
+static void
+test_long_outage (void)
+{
+  struct load_config config = base;
+
+  config.waits = TRUE;
+  check_against_one_queue (&config, play_outage, 0.95);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -252,5 +287,6 @@
   g_test_add_func ("/load/owner-dies", test_owner_dies);
   g_test_add_func ("/load/evacuated", test_evacuated);
   g_test_add_func ("/load/returned-cold", test_returned_cold);
+  g_test_add_func ("/load/long-outage", test_long_outage);
   return g_test_run ();
 }
--- a/t/t2180-waiting-jobs.c
+++ b/t/t2180-waiting-jobs.c
@@ -25,7 +25,8 @@
 {
   struct home homes[MAX_HOMES];
   guint n_homes;
-  guint n_slots; /* of the owners that are back */
+  guint n_slots;    /* of the owners that are back */
+  gdouble n_needed; /* of these, by jobs in time that arrive */
   gint64 now_us;
   GArray *ends; /* gint64: when the assigned tasks end, ascending */
   guint n_started;
@@ -111,11 +112,34 @@
     if (g_array_index (fleet->ends, gint64, i) > fleet->now_us)
       n_busy++;
   slots.pool.n_slots = fleet->n_slots;
+  slots.n_expected = fleet->n_slots;
+  slots.n_needed = fleet->n_needed;
   slots.n_free = MAX (fleet->n_slots, n_busy) - n_busy;
   slots.pool.n_queued[0] = MAX (fleet->n_slots, n_busy) - fleet->n_slots;
   return slots;
 }
 
+/* Does one round of all homes, which know SLOTS.  */
+static void
+do_round (struct fleet *fleet, struct waiting_slots slots)
+{
+  for (guint i = 0; i < fleet->n_homes; i++)
+    {
+      struct waiting_jobs *waiting = &fleet->homes[i].waiting;
+      gint64 now_us = fleet->now_us;
+      struct waiting_job *expired;
+      g_autoptr (GPtrArray) list = NULL;
+
+      slots.seed = hash64_pair (i + 1, (guint64)now_us);
+      for (; (expired = waiting_jobs_find_expired (waiting, now_us));
+           fleet->n_expired++)
+        waiting_jobs_remove (waiting, expired);
+      list = waiting_jobs_select (waiting, SERVICE, &slots, now_us);
+      for (guint k = 0; k < list->len; k++)
+        assign (fleet, waiting, g_ptr_array_index (list, k));
+    }
+}
+
 /* Lets MS pass, in which all homes know only the first announcement.  */
 static void
 pass (struct fleet *fleet, guint ms)
@@ -124,21 +148,7 @@
 
   for (guint t = 0; t < ms; t += ROUND_MS)
     {
-      for (guint i = 0; i < fleet->n_homes; i++)
-        {
-          struct waiting_jobs *waiting = &fleet->homes[i].waiting;
-          gint64 now_us = fleet->now_us;
-          struct waiting_job *expired;
-          g_autoptr (GPtrArray) list = NULL;
-
-          slots.seed = hash64_pair (i + 1, (guint64)now_us);
-          for (; (expired = waiting_jobs_find_expired (waiting, now_us));
-               fleet->n_expired++)
-            waiting_jobs_remove (waiting, expired);
-          list = waiting_jobs_select (waiting, SERVICE, &slots, now_us);
-          for (guint k = 0; k < list->len; k++)
-            assign (fleet, waiting, g_ptr_array_index (list, k));
-        }
+      do_round (fleet, slots);
       fleet->now_us += ROUND_MS * USEC_PER_MSEC;
     }
 }
@@ -193,6 +203,128 @@
   finish (&fleet);
 }
 
+#define ARRIVALS_PER_ROUND 10
+
+/* Lets a round pass, in which tasks of jobs that can be in time arrive,
+   N_TASKS at a time.  They are refused if the queue is longer than 100 ms.
+   Returns how many are not.  */
+static guint
+arrive (struct fleet *fleet, guint n_tasks)
+{
+  guint n_in_time = 0;
+
+  for (guint i = 0; i < n_tasks * ARRIVALS_PER_ROUND; i++)
+    {
+      gint64 start_us = get_next_start_us (fleet);
+      gint64 end_us = start_us + RUN_MS * USEC_PER_MSEC;
+
+      if (i % n_tasks == 0)
+        fleet->now_us += ROUND_MS * USEC_PER_MSEC / ARRIVALS_PER_ROUND;
+      if (start_us - fleet->now_us > 100 * USEC_PER_MSEC)
+        continue;
+      g_array_append_val (fleet->ends, end_us);
+      n_in_time++;
+    }
+  return n_in_time;
+}
+
+/* All VMs return after an outage longer than three objectives, under 0.8 of
+   the load: each of 16 homes has 60 jobs of 4 tasks that can only be late,
+   1.4 s of all slots.  One queue that serves those in time first starts all of
+   these and, in the 1.4 s that are left, 170 of the late jobs.  */
+static void
+test_long_outage (void)
+{
+  const guint n_arriving
+      = 160 * 8 / 10 * ROUND_MS / RUN_MS / ARRIVALS_PER_ROUND;
+  const guint n_rounds = 40;
+  const guint n_tasks = n_arriving * ARRIVALS_PER_ROUND * n_rounds;
+  guint n_in_time = 0;
+  struct fleet fleet;
+
+  fleet_init (&fleet, 16, 60, 1000);
+  fleet.n_slots = 160;
+  fleet.n_needed = 0.8 * fleet.n_slots;
+  /* Their objective has passed, and 1.4 s are left.  */
+  fleet.now_us += 1500 * USEC_PER_MSEC;
+  for (guint i = 0; i < n_rounds; i++)
+    {
+      do_round (&fleet, announce (&fleet));
+      n_in_time += arrive (&fleet, n_arriving);
+    }
+  g_test_message ("%u of %u tasks in time", n_in_time, n_tasks);
+  g_assert_cmpuint (n_in_time * 100, >=, n_tasks * 95);
+  g_assert_cmpuint (fleet.n_started, >=, 100);
+  g_assert_cmpuint (fleet.n_in_time, ==, 0);
+  finish (&fleet);
+}
+
+/* Jobs that can only be late and that the slots which jobs in time leave over
+   cannot start are refused at once, the last in the order first; without any
+   announced slot none are.  */
+static void
+test_hopeless (void)
+{
+  gint64 late_us = START_US + 200 * USEC_PER_MSEC;
+  struct waiting_slots slots = { .n_homes = 2,
+                                 .pool.n_slots = 10,
+                                 .n_expected = 10,
+                                 .n_needed = 8,
+                                 .is_complete = TRUE };
+  struct waiting_job late[4];
+  struct waiting_job fresh;
+  struct waiting_jobs jobs;
+  g_autoptr (GPtrArray) some = NULL;
+  g_autoptr (GPtrArray) all = NULL;
+  g_autoptr (GPtrArray) none = NULL;
+  g_autoptr (GPtrArray) unknown = NULL;
+
+  waiting_jobs_init (&jobs, 10, 10000);
+  /* 190 ms are left to each, and one of the slots to this home.  */
+  for (guint i = 0; i < G_N_ELEMENTS (late); i++)
+    add_job (&jobs, &late[i], 2, i, START_US, 150);
+  add_job (&jobs, &fresh, 2, 0, late_us, 150);
+  some = waiting_jobs_list_hopeless (&jobs, SERVICE, &slots, late_us);
+  g_assert_cmpuint (some->len, ==, 2);
+  g_assert_true (some->pdata[0] == &late[2] && some->pdata[1] == &late[3]);
+  slots.n_needed = 10;
+  all = waiting_jobs_list_hopeless (&jobs, SERVICE, &slots, late_us);
+  g_assert_cmpuint (all->len, ==, 4);
+  /* What jobs in time will leave over of slots to come is not known yet.  */
+  slots.n_expected = 40;
+  slots.is_complete = FALSE;
+  none = waiting_jobs_list_hopeless (&jobs, SERVICE, &slots, late_us);
+  g_assert_cmpuint (none->len, ==, 0);
+  slots = (struct waiting_slots){ .n_homes = 2, .is_complete = TRUE };
+  unknown = waiting_jobs_list_hopeless (&jobs, SERVICE, &slots, late_us);
+  g_assert_cmpuint (unknown->len, ==, 0);
+}
+
+/* No more slots are expected: jobs that can be in time wait no longer, and
+   others still wait for what those leave over.  */
+static void
+test_complete (void)
+{
+  gint64 late_us = START_US + 200 * USEC_PER_MSEC;
+  struct waiting_slots slots = { .n_homes = 2,
+                                 .pool.n_slots = 10,
+                                 .n_expected = 10,
+                                 .n_needed = 8,
+                                 .is_complete = TRUE };
+  struct waiting_job late;
+  struct waiting_job fresh[2];
+  struct waiting_jobs jobs;
+  g_autoptr (GPtrArray) list = NULL;
+
+  waiting_jobs_init (&jobs, 10, 10000);
+  add_job (&jobs, &late, 2, 0, START_US, 150);
+  for (guint i = 0; i < G_N_ELEMENTS (fresh); i++)
+    add_job (&jobs, &fresh[i], 50, i, late_us, 150);
+  list = waiting_jobs_select (&jobs, SERVICE, &slots, late_us);
+  g_assert_cmpuint (list->len, ==, 2);
+  g_assert_true (list->pdata[0] == &fresh[0] && list->pdata[1] == &fresh[1]);
+}
+
 /* No owner returns: nothing is assigned, and every job is refused at its time
    limit.  */
 static void
@@ -278,6 +410,10 @@
                    test_all_restart);
   g_test_add_func ("/waiting-jobs/half-of-the-owners-lost-in-a-burst",
                    test_half_lost);
+  g_test_add_func ("/waiting-jobs/all-vms-return-after-a-long-outage",
+                   test_long_outage);
+  g_test_add_func ("/waiting-jobs/hopeless", test_hopeless);
+  g_test_add_func ("/waiting-jobs/complete", test_complete);
   g_test_add_func ("/waiting-jobs/no-owner-returns", test_no_owner);
   g_test_add_func ("/waiting-jobs/more-jobs-than-the-bound",
                    test_more_than_bound);
--- a/transport/fleet_home_private.h
+++ b/transport/fleet_home_private.h
@@ -4,6 +4,7 @@
 #ifndef TRANSPORT_FLEET_HOME_PRIVATE_H
 #define TRANSPORT_FLEET_HOME_PRIVATE_H
 
+#include "coordination/slot_demand.h"
 #include "coordination/slot_outlook.h"
 #include "coordination/spread.h"
 #include "coordination/waiting_jobs.h"
@@ -18,6 +19,7 @@
 {
   struct waiting_jobs jobs; /* struct fleet_job by waiting */
   struct slot_outlook outlook;
+  struct slot_demand demand;   /* of the jobs that can be in time */
   const GPtrArray *zones;      /* names of all, NULL-ended; NULL if not set */
   struct fleet_shards *shards; /* NULL if not set */
   gint64 assigned_us; /* when jobs were last assigned to announced slots */
@@ -66,11 +68,13 @@
 
 /* fleet_home_waiting.c: the jobs that wait for slots.  */
 
-/* Prepares JOB, whose times are set, for waiting.  */
+/* Prepares JOB, a new one whose times are set, for waiting, and counts it in
+   the demand.  */
 void fleet_home_init_waiting (struct fleet_job *job);
 
-/* Whether JOB, a new one, has to wait because jobs that go before it do.  It
-   is then added to the jobs that wait, and assigned at once if possible.  */
+/* Whether JOB, a new one, has to wait because jobs that go before it do, or
+   since it can only be late and slots are expected.  It is then added to the
+   jobs that wait, and assigned at once if possible.  */
 gboolean fleet_home_wait_behind (struct fleet_job *job);
 
 /* Lets JOB, of which nothing was started, wait for slots if they are expected.
--- a/transport/fleet_home_waiting.c
+++ b/transport/fleet_home_waiting.c
@@ -39,11 +39,18 @@
   return home->waiting.jobs.n;
 }
 
+static gboolean
+may_wait (const struct fleet_home *home)
+{
+  return home->waiting.jobs.max_jobs > 0 && !home->is_leaving;
+}
+
 void
 fleet_home_init_waiting (struct fleet_job *job)
 {
   const struct fleet_submission *s = job->submission;
   struct waiting_job *waiting = &job->waiting;
+  gint64 now_us = clock_now_us ();
 
   waiting_job_init (waiting);
   waiting->service_hash = hash64_string (s->service);
@@ -54,6 +61,9 @@
   waiting->end_by_us = job->end_by_us;
   /* The HTTP message contains the text of the job, too.  */
   waiting->n_bytes = JOB_OVERHEAD_BYTES + 2 * strlen (s->spec);
+  if (may_wait (job->home) && !waiting_job_is_late (waiting, now_us))
+    slot_demand_count (&job->home->waiting.demand, waiting->service_hash,
+                       s->n_tasks, s->estimate_us, now_us);
 }
 
 /* Whether tasks may be started on UPSTREAM once it has answered a poll.  An
@@ -118,12 +128,6 @@
   return slot_outlook_expects_slots (outlook, service_hash, &prospect, now_us);
 }
 
-static gboolean
-may_wait (const struct fleet_home *home)
-{
-  return home->waiting.jobs.max_jobs > 0 && !home->is_leaving;
-}
-
 /* Refuses WAITING for REASON, a static string.  */
 static void
 refuse_waiting (struct fleet_home *home, struct waiting_job *waiting,
@@ -199,9 +203,10 @@
   return n;
 }
 
-/* Adds up what OWNERS announce.  */
+/* Adds up what OWNERS announce for the service with SERVICE_HASH.  */
 static struct waiting_slots
-sum_slots (struct fleet_home *home, const GArray *owners)
+sum_slots (struct fleet_home *home, guint64 service_hash, const GArray *owners,
+           gint64 now_us)
 {
   struct waiting_slots slots
       = { .n_homes = count_homes (home),
@@ -222,6 +227,9 @@
           slots.pool.starts_per_s[k] += owner->room.starts_per_s[k];
         }
     }
+  waiting_slots_set_demand (
+      &slots, &home->waiting.demand, service_hash, owners->len,
+      !expects_slots (home, service_hash, TRUE, now_us), now_us);
   return slots;
 }
 
@@ -256,9 +264,26 @@
     }
 }
 
+/* Refuses the jobs of LIST, struct waiting_job, for REASON, a static
+   string.  */
+static void
+refuse_listed (struct fleet_home *home, GPtrArray *list, const char *reason)
+{
+  g_ptr_array_foreach (list, hold_reference, NULL);
+  for (guint i = 0; i < list->len; i++)
+    {
+      struct waiting_job *waiting = g_ptr_array_index (list, i);
+
+      if (waiting_job_is_waiting (waiting))
+        refuse_waiting (home, waiting, reason);
+      fleet_job_unref (job_from_waiting (waiting));
+    }
+}
+
 /* Assigns waiting jobs for the service of EXAMPLE, which is one of them, as
    many as the announced slots can serve in time.  When no more slots are
-   expected, assigns or refuses all of them.  */
+   expected, assigns or refuses all that can be in time, and if no owner has
+   any, all others, too.  */
 static void
 assign_service (struct fleet_home *home, const struct fleet_job *example,
                 gint64 now_us)
@@ -268,10 +293,13 @@
   const struct waiting_jobs *jobs = &home->waiting.jobs;
   g_autoptr (GArray) owners
       = fleet_home_list_owners (home, s->service, s->need.cpus);
-  struct waiting_slots slots = sum_slots (home, owners);
+  struct waiting_slots slots = sum_slots (home, service_hash, owners, now_us);
+  g_autoptr (GPtrArray) hopeless
+      = waiting_jobs_list_hopeless (jobs, service_hash, &slots, now_us);
   g_autoptr (GPtrArray) list = NULL;
 
-  if (expects_slots (home, service_hash, owners->len > 0, now_us))
+  refuse_listed (home, hopeless, "jobs in time need the slots");
+  if (owners->len > 0 || expects_slots (home, service_hash, FALSE, now_us))
     list = waiting_jobs_select (jobs, service_hash, &slots, now_us);
   else
     list = waiting_jobs_list (jobs, service_hash, now_us);
@@ -315,6 +343,16 @@
     assign_service (home, g_ptr_array_index (examples, i), now_us);
 }
 
+/* Whether JOB, a new one, can only be late while slots are expected: jobs in
+   time may need those that are known.  At other times it is assigned like any
+   job, since its objective may be shorter than its run time.  */
+static gboolean
+must_wait_late (struct fleet_job *job, gint64 now_us)
+{
+  return waiting_job_is_late (&job->waiting, now_us)
+         && expects_slots (job->home, job->waiting.service_hash, TRUE, now_us);
+}
+
 gboolean
 fleet_home_wait_behind (struct fleet_job *job)
 {
@@ -322,7 +360,9 @@
   gint64 now_us = clock_now_us ();
 
   if (!may_wait (home) || now_us >= job->end_by_us
-      || !waiting_jobs_precede (&home->waiting.jobs, &job->waiting, now_us))
+      || !(must_wait_late (job, now_us)
+           || waiting_jobs_precede (&home->waiting.jobs, &job->waiting,
+                                    now_us)))
     return FALSE;
   fleet_home_log_job_accepted (job, NULL, 0, home->directory);
   add_waiting (job, now_us);
