--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -535,6 +535,30 @@
   return part;
 }
 
+/* Whether JOB can only be late, and nothing of it has begun.  */
+static gboolean
+is_late (const struct fleet_job *job)
+{
+  return clock_now_us () > job->start_by_us && !may_have_started (job);
+}
+
+/* Subtracts N_TASKS of JOB from the room of OWNER that this home knows.  */
+static void
+reserve_room (const struct fleet_job *job, const struct spread_owner *owner,
+              guint n_tasks, gboolean is_job_late)
+{
+  const struct fleet_submission *s = job->submission;
+  const struct room_tasks tasks = { .n = n_tasks,
+                                    .cpus = s->need.cpus,
+                                    .priority = s->priority,
+                                    .is_late = is_job_late };
+
+  /* Its own is read from the owner.  */
+  if (!owner->is_self)
+    vm_directory_reserve_room (job->home->directory, owner->name,
+                               hash64_string (s->service), &tasks);
+}
+
 /* Hands PART to OWNER, to which it belongs.  */
 static void
 send_part (struct fleet_part *part, const struct spread_owner *owner)
@@ -551,8 +575,7 @@
 static void
 give_tasks (struct fleet_job *job, const GArray *owners, const guint *indexes)
 {
-  const struct fleet_submission *s = job->submission;
-  guint64 hash = hash64_string (s->service);
+  gboolean is_job_late = is_late (job);
   guint offset = 0;
 
   for (guint i = 0; i < owners->len && !job->is_closed; i++)
@@ -563,9 +586,7 @@
 
       if (owner->n_given == 0)
         continue;
-      if (!owner->is_self)
-        vm_directory_reserve_room (job->home->directory, owner->name, hash,
-                                   owner->n_given, s->need.cpus, s->priority);
+      reserve_room (job, owner, owner->n_given, is_job_late);
       part = part_new (job, owner);
       part->n_tasks = owner->n_given;
       memcpy (part->indexes, indexes + offset,
@@ -580,7 +601,7 @@
 offer_tasks (struct fleet_job *job, const GArray *owners,
              const struct spread_offer *offer)
 {
-  const struct fleet_submission *s = job->submission;
+  gboolean is_job_late = is_late (job);
   const struct task_set offered = job->wanted;
   guint n_share = (offered.n + offer->n_offers - 1) / offer->n_offers;
 
@@ -592,10 +613,7 @@
 
       if (!owner->is_offered)
         continue;
-      if (!owner->is_self)
-        vm_directory_reserve_room (job->home->directory, owner->name,
-                                   hash64_string (s->service), n_share,
-                                   s->need.cpus, s->priority);
+      reserve_room (job, owner, n_share, is_job_late);
       part = part_new (job, owner);
       part->n_offers = offer->n_offers;
       part->offered = offered;
@@ -634,7 +652,8 @@
 
 /* Assigns N_TASKS of JOB to owners, and those that are wanted already.  If
    there is no owner with slots, or the expected wait is too long, the job
-   waits or is given up.  */
+   waits or is given up.  One that can only be late waits, if slots are
+   expected, until all of it can start.  */
 static void
 assign_tasks (struct fleet_job *job, const guint *indexes, guint n_tasks)
 {
@@ -645,6 +664,7 @@
     .n = n_tasks + job->wanted.n,
     .run_ms = (guint)(s->estimate_us / USEC_PER_MSEC),
     .priority = s->priority,
+    .is_late = is_late (job),
     .is_offer_only = job->n_assignments > 0,
     .max_offers = SPREAD_OFFERS_MAX,
   };
@@ -666,7 +686,8 @@
                 n_tasks - (tasks.n - offer.n_tasks));
   if (offer.wait_ms < 0 || job->refusal.reason != NULL)
     wait_or_give_up (job, owners, offer.wait_ms >= 0);
-  else
+  else if (!tasks.is_late || offer.n_tasks == 0
+           || !fleet_home_wait (job, TRUE))
     {
       fleet_home_end_wait (job, "assigned", NULL);
       give_tasks (job, owners, indexes);
