t: random sequences in which capacities shrink and grow

The world of t2110 can change the capacity of an upstream, to any quarter of the full one, down to none. Its owner is told later, at a random time, as news go through the store. A start that was sent after that must fit the capacity beside all that really runs there; the other invariants hold as before.

--- a/t/support/fleet_upstream.c
+++ b/t/support/fleet_upstream.c
@@ -65,6 +65,8 @@
   u->token = 0;
   u->last_end = 0;
   u->shape = (struct shape){ 4.0 + fleet_draw (world, 3) * 4.0, 64000, 0 };
+  u->full_cpus = u->shape.cpus;
+  u->shape_version++;
   fleet_tell (world, "%s begins, %.0f cpus", u->id, u->shape.cpus);
 }
 
@@ -270,6 +272,14 @@
   return order->number <= highest || has_no_room;
 }
 
+/* The CPUs that ORDER may make UPSTREAM use: as many as its sender knew of. */
+static gdouble
+get_limit (const struct sim_upstream *upstream, const struct sim_order *order)
+{
+  return order->told_version == upstream->shape_version ? upstream->shape.cpus
+                                                        : upstream->full_cpus;
+}
+
 static void
 check_begin (struct fleet_world *world, const struct sim_upstream *upstream,
              const struct sim_order *order)
@@ -281,7 +291,7 @@
   for (guint i = 0; i < upstream->runs->len; i++)
     cpus += ((struct sim_run *)g_ptr_array_index (upstream->runs, i))
                 ->need.cpus;
-  fleet_expect (world, cpus <= upstream->shape.cpus + 0.001,
+  fleet_expect (world, cpus <= get_limit (upstream, order) + 0.001,
                 "an upstream gets more than it has");
   for (guint i = 0; i < FLEET_UPSTREAMS; i++)
     fleet_expect (world,
--- a/t/support/fleet_world.c
+++ b/t/support/fleet_world.c
@@ -126,6 +126,15 @@
                 "a leaving upstream gets a run");
 }
 
+/* Which version of the shape of the upstream ID O was told last.  */
+static guint
+get_told_version (const struct sim_owner *o, const char *id)
+{
+  const struct sim_upstream *u = fleet_find_upstream (o->world, id);
+
+  return u != NULL ? u->told_version[o->slot] : 0;
+}
+
 static void
 driver_start_run (struct owner_driver *driver, struct run *run,
                   gint64 until_ms)
@@ -145,6 +154,7 @@
   order->need = run->need;
   order->estimate_us = run->task->batch->estimate_us;
   order->until_ms = until_ms;
+  order->told_version = get_told_version (o, run->upstream->id);
   sim_order_send (w, order, 300);
 }
 
@@ -370,6 +380,7 @@
   fleet_tell (w, "owner %u gets %s with token %u%s", o->slot, u->id,
               (guint)u->next_token, u->is_leaving ? ", leaving" : "");
   u->is_told_leaving[o->slot] = u->is_leaving;
+  u->told_version[o->slot] = u->shape_version;
   owner_take_upstream (o->owner, &spec, u->next_token, w->now_us);
 }
 
@@ -730,9 +741,28 @@
     }
 }
 
+/* Changes the capacity of U to CPUS.  Its owner is told later, as the news go
+   through the store.  */
+static void
+reshape (struct fleet_world *w, struct sim_upstream *u, gdouble cpus)
+{
+  gdouble used = 0;
+
+  if (!u->is_up || u->shape.cpus == cpus)
+    return;
+  fleet_tell (w, "%s has %.1f cpus now", u->id, cpus);
+  for (guint i = 0; i < u->runs->len; i++)
+    used += ((const struct sim_run *)u->runs->pdata[i])->need.cpus;
+  w->counts.n_exceeded += used > cpus ? 1 : 0;
+  u->shape.cpus = cpus;
+  u->shape_version++;
+  u->is_news = TRUE;
+}
+
 static void
 cure (struct fleet_world *w, struct sim_upstream *u)
 {
+  reshape (w, u, u->full_cpus);
   u->net = NET_SOUND;
   u->work = WORK_SOUND;
   u->is_unhealthy = FALSE;
@@ -765,6 +795,14 @@
     freeze_owner (w);
   else if (kind < 153)
     crash_owner (w);
+  else if (kind < 165 && w->has_shrinks)
+    reshape (w, u, u->full_cpus * fleet_draw (w, 5) / 4);
+}
+
+void
+fleet_world_allow_shrinks (struct fleet_world *world)
+{
+  world->has_shrinks = TRUE;
 }
 
 const char *
--- a/t/support/fleet_world.h
+++ b/t/support/fleet_world.h
@@ -15,6 +15,10 @@
 /* A world that draws its shapes from SEED.  */
 struct fleet_world *fleet_world_new (guint32 seed,
                                      gboolean placement_by_speed);
+
+/* Makes capacities shrink and grow.  */
+void fleet_world_allow_shrinks (struct fleet_world *world);
+
 void fleet_world_free (struct fleet_world *world);
 
 /* Makes the world tell what happens.  */
@@ -38,6 +42,7 @@
   guint n_fenced;
   guint n_crashes;
   guint n_returned;
+  guint n_exceeded; /* capacities that have shrunk below what runs there */
 };
 
 void fleet_world_count (const struct fleet_world *world,
--- a/t/support/fleet_world_private.h
+++ b/t/support/fleet_world_private.h
@@ -78,6 +78,9 @@
   enum fleet_net net;
   enum fleet_work work;
   struct shape shape;
+  gdouble full_cpus;   /* of this life; shape has as many at most */
+  guint shape_version; /* rises when shape changes */
+  guint told_version[FLEET_OWNERS];
   gint64 born_us;
   gint64 born_ms;
   gint64 rebirth_us;
@@ -120,9 +123,10 @@
   gint64 until_ms;
   guint wait_ms;
   gint64 sent_us;
-  gint64 carry_us;  /* when it reaches the upstream */
-  gint64 wait_us;   /* the end of its wait there; 0 for not waiting */
-  gint64 answer_us; /* when the answer arrives */
+  guint told_version; /* of the upstream's shape, when it was sent */
+  gint64 carry_us;    /* when it reaches the upstream */
+  gint64 wait_us;     /* the end of its wait there; 0 for not waiting */
+  gint64 answer_us;   /* when the answer arrives */
   gint64 give_up_us;
   gboolean is_carried;
   gboolean is_told;
@@ -174,7 +178,8 @@
 struct fleet_world
 {
   gboolean placement_by_speed; /* of the owners */
-  GRand *details;              /* reseeded by each step */
+  gboolean has_shrinks;
+  GRand *details; /* reseeded by each step */
   gint64 now_us;
   struct sim_upstream upstreams[FLEET_UPSTREAMS];
   struct sim_owner owners[FLEET_OWNERS];
--- a/t/t2110-owner-random.c
+++ b/t/t2110-owner-random.c
@@ -15,6 +15,7 @@
 #include <string.h>
 
 #define N_SEQUENCES 420
+#define N_SHRINK_SEQUENCES 140
 
 /* Sequences that once broke a promise, beyond the first N_SEQUENCES.  */
 static const guint32 known_seeds[]
@@ -27,6 +28,9 @@
 /* Of the owners in the present test.  */
 static gboolean placement_by_speed;
 
+/* Whether capacities change in it.  */
+static gboolean has_shrinks;
+
 static void
 add_counts (const struct fleet_world *world)
 {
@@ -40,7 +44,11 @@
 static gpointer
 create (guint32 seed)
 {
-  return fleet_world_new (seed, placement_by_speed);
+  struct fleet_world *world = fleet_world_new (seed, placement_by_speed);
+
+  if (has_shrinks)
+    fleet_world_allow_shrinks (world);
+  return world;
 }
 
 static const char *
@@ -110,13 +118,13 @@
 }
 
 static void
-test_random_sequences (gconstpointer by_speed)
+run_sequences (gboolean by_speed, guint32 n_usual)
 {
   const char *only = g_getenv ("OWNER_SEED");
   const char *more = g_getenv ("OWNER_SEQUENCES");
-  guint32 n_sequences = more != NULL ? (guint32)atoi (more) : N_SEQUENCES;
+  guint32 n_sequences = more != NULL ? (guint32)atoi (more) : n_usual;
 
-  placement_by_speed = by_speed != NULL;
+  placement_by_speed = by_speed;
   memset (&total, 0, sizeof total);
   if (only != NULL)
     {
@@ -129,10 +137,29 @@
   for (gsize i = 0; i < G_N_ELEMENTS (known_seeds); i++)
     if (!run_seed (known_seeds[i], FALSE))
       return;
-  if (n_sequences >= N_SEQUENCES)
+  if (n_sequences >= n_usual)
     check_counts ();
 }
 
+static void
+test_random_sequences (gconstpointer by_speed)
+{
+  has_shrinks = FALSE;
+  run_sequences (by_speed != NULL, N_SEQUENCES);
+}
+
+/* Guards against starts that bring an upstream over a capacity of which the
+   owner was told, beside all other faults.  */
+static void
+test_random_shrinks (void)
+{
+  has_shrinks = TRUE;
+  run_sequences (TRUE, N_SHRINK_SEQUENCES);
+  g_test_message ("%u capacities fell below what ran", total.n_exceeded);
+  if (g_getenv ("OWNER_SEED") == NULL)
+    g_assert_cmpuint (total.n_exceeded, >, 0);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -140,5 +167,6 @@
   event_log_set_level (LOG_LEVEL_ERROR);
   g_test_add_data_func ("/owner/random", NULL, test_random_sequences);
   g_test_add_data_func ("/owner/random-by-speed", "", test_random_sequences);
+  g_test_add_func ("/owner/random-shrinks", test_random_shrinks);
   return g_test_run ();
 }
