coordination: a start is lost when two polls do not list it, not one

Callers saw their job end late: each run that was taken for lost is stopped and its task starts anew.

Cause, from traces of the orders beside load: one answered poll that did not list a run proved its start lost. It did not, for two reasons.

- Starts and polls use different connections.
A worker that is scheduled late finds both and may serve the poll first.
In one run starts were written at 7.0 ms and a poll sent at 25.7 ms; the worker carried the starts out at 48.8 ms, the poll's answer was read at 50.96 ms without them, the answers to the starts at 51.2 ms, after the stops were sent.
- The order may not even be written: over a new connection the instance is checked first.
Starts that the owner sent at 0 ms were written at 43.5 ms, 0.05 ms before the poll that judged them.

A start counts as lost now when two polls do not list it, the second sent after the answer to the first: by then the upstream has been scheduled since the start was there, and this VM has read the answer to the start if there is one. Times and polls count from when the order was written, and a start whose run was stopped while it waited is not written.

To keep the detection as quick, the first poll goes out after 5 ms where answers are quicker than that, the second at 10 ms as before.

--- a/coordination/answer_time.c
+++ b/coordination/answer_time.c
@@ -22,11 +22,23 @@
   time->smoothed_us += (took_us - time->smoothed_us) / SMOOTHED_DIVISOR;
 }
 
-gint64
-answer_time_get_timeout_us (const struct answer_time *time)
+static gint64
+get_bounded_us (const struct answer_time *time, gint64 min_us)
 {
   if (time->smoothed_us == 0)
     return ANSWER_TIMEOUT_MAX_US;
-  return CLAMP (time->smoothed_us + N_DEVIATIONS * time->deviation_us,
-                ANSWER_TIMEOUT_MIN_US, ANSWER_TIMEOUT_MAX_US);
+  return CLAMP (time->smoothed_us + N_DEVIATIONS * time->deviation_us, min_us,
+                ANSWER_TIMEOUT_MAX_US);
+}
+
+gint64
+answer_time_get_timeout_us (const struct answer_time *time)
+{
+  return get_bounded_us (time, ANSWER_TIMEOUT_MIN_US);
+}
+
+gint64
+answer_time_get_check_us (const struct answer_time *time)
+{
+  return get_bounded_us (time, ANSWER_CHECK_MIN_US);
 }
--- a/coordination/answer_time.h
+++ b/coordination/answer_time.h
@@ -15,6 +15,11 @@
 #define ANSWER_TIMEOUT_MIN_US (10 * USEC_PER_MSEC)
 #define ANSWER_TIMEOUT_MAX_US (40 * USEC_PER_MSEC)
 
+/* Lower bound of the time after which the first of the two polls that tell
+   whether an order was lost is sent.  On a calm machine it is answered, or
+   overdue itself, when the timeout ends and the second is sent.  */
+#define ANSWER_CHECK_MIN_US (ANSWER_TIMEOUT_MIN_US / 2)
+
 /* Initialize to zero.  */
 struct answer_time
 {
@@ -28,4 +33,9 @@
 /* After this time an answer is overdue.  */
 gint64 answer_time_get_timeout_us (const struct answer_time *time);
 
+/* After this time the first of these polls is sent: before the answer is
+   overdue only where answers are quicker than the lower bound of the
+   timeout.  */
+gint64 answer_time_get_check_us (const struct answer_time *time);
+
 #endif
--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -78,6 +78,8 @@
   enum run_state state;
   struct shape need;
   gint64 started_us;
+  gint64 sent_us;          /* when its start order was written, as far as the
+                              driver has told; started_us before that */
   gint64 expected_us;      /* run time expected on this upstream */
   gint64 declared_us;      /* on an ordinary one at the same distance */
   gint64 start_expires_us; /* the start order has no effect after this
@@ -93,9 +95,11 @@
   gboolean is_slowness_counted; /* counted in the upstream's slowness */
   gboolean is_speed_counted;    /* counted in the upstream's run_speed */
   guint64 sent_after_poll;      /* the last poll before its start order */
-  guint64 visible_after_poll;   /* if the upstream has the run, the answers to
-                                   polls after this one list it */
-  guint64 last_listed_poll;     /* last poll whose answer listed it; 0: none */
+  guint n_unlisted_polls; /* sent after its start order and answered, without
+                             listing it */
+  guint64 visible_after_poll; /* if the upstream has the run, the answers to
+                                 polls after this one list it */
+  guint64 last_listed_poll;   /* last poll whose answer listed it; 0: none */
 };
 
 enum owned_state
@@ -153,14 +157,15 @@
                                    sent */
   gint64 last_end_us;           /* when an ended run was last processed */
   gint64 polled_us;             /* when the latest poll was sent */
-  gboolean is_poll_held;   /* the upstream may hold back the answer to it */
-  gboolean is_polling;     /* a poll is in flight */
-  guint64 last_stale_poll; /* the answers to polls up to this number are too
-                              old to confirm ownership; 0 for none */
-  gint64 poll_due_us;      /* when to poll next */
-  gint64 clock_ms;         /* the upstream's clock, as last reported */
-  gint64 clock_read_us;    /* this VM's time of that report; 0 before the first
-                              one */
+  gboolean is_poll_held;     /* the upstream may hold back the answer to it */
+  gboolean is_polling;       /* a poll is in flight */
+  gboolean is_poll_repeated; /* it replaces one that was not held back */
+  guint64 last_stale_poll;   /* the answers to polls up to this number are too
+                                old to confirm ownership; 0 for none */
+  gint64 poll_due_us;        /* when to poll next */
+  gint64 clock_ms;           /* the upstream's clock, as last reported */
+  gint64 clock_read_us; /* this VM's time of that report; 0 before the first
+                           one */
   gint64 unanswered_since_us; /* 0 while it answers polls */
   guint n_unanswered_polls;   /* in a row */
   gint64 leased_until_ms; /* the latest lease end that any order has set, on
@@ -279,7 +284,8 @@
 struct owner_driver_ops
 {
   /* Sends the order to start RUN, with a lease until UNTIL_MS on the
-     upstream's clock.  Ends with owner_start_ended ().  */
+     upstream's clock.  Calls owner_start_sending () before if it can't write
+     the order at once.  Ends with owner_start_ended ().  */
   void (*start_run) (struct owner_driver *driver, struct run *run,
                      gint64 until_ms);
 
@@ -473,6 +479,14 @@
   ORDER_UNANSWERED,     /* no answer; may be carried out now or later */
 };
 
+/* The driver is about to write the order of start_run () for the run NUMBER of
+   the task NAME on UPSTREAM, which had to wait.  Returns FALSE if the run is
+   not wanted any more: the order must not be written then, and ends as
+   ORDER_REJECTED.  */
+gboolean owner_start_sending (struct owner *owner,
+                              struct owned_upstream *upstream,
+                              const char *name, guint number, gint64 now_us);
+
 /* Reports the outcome END of start_run () for the run NUMBER of the task NAME
    on UPSTREAM.  CLOCK_MS is the upstream's clock, 0 when the answer did not
    carry it.  */
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -563,6 +563,7 @@
   event_rate_count (&upstream->starts[owner_room_priority (batch->priority)],
                     now_us);
   run->started_us = now_us;
+  run->sent_us = now_us;
   run->progressed_us = now_us;
   run->listed_us = now_us;
   run->sent_after_poll = upstream->n_polls;
--- a/coordination/owner_checks.c
+++ b/coordination/owner_checks.c
@@ -17,6 +17,12 @@
    answered at once: its answer may be lost.  */
 #define ANSWER_MARGIN_US (40 * USEC_PER_MSEC)
 
+/* A start without an answer counts as lost when this number of polls, each
+   sent after the answer to the one before, did not list the run.  The first
+   may have overtaken the start: an upstream that is scheduled late finds both
+   at once, on different connections.  */
+#define LOST_START_POLLS 2
+
 /* The margin for the end of a run, as a fraction of its time up to then.  */
 #define END_MARGIN 0.1
 
@@ -46,15 +52,25 @@
          + (gint64)((gdouble)MAX (total_us, spent_us) * (1 + END_MARGIN));
 }
 
-/* When the answer to the start order for RUN is overdue, so that a poll has to
-   tell whether the run exists.  */
+/* When the answer to the start order for RUN is overdue.  */
 static gint64
 get_answer_due_us (const struct run *run)
 {
-  return run->started_us
+  return run->sent_us
          + answer_time_get_timeout_us (&run->upstream->start_answers);
 }
 
+/* When a poll has to tell whether RUN, whose start order has no answer yet,
+   exists.  */
+static gint64
+get_check_due_us (const struct run *run)
+{
+  if (run->n_unlisted_polls > 0)
+    return get_answer_due_us (run);
+  return run->sent_us
+         + answer_time_get_check_us (&run->upstream->start_answers);
+}
+
 /* Whether news of RUN is overdue.  */
 static gboolean
 is_overdue (const struct run *run, gint64 now_us)
@@ -62,7 +78,7 @@
   switch (run->state)
     {
     case RUN_STARTING:
-      return get_answer_due_us (run) <= now_us;
+      return get_check_due_us (run) <= now_us;
     case RUN_RUNNING:
       return run->task != NULL && compute_end_due_us (run) < now_us;
     case RUN_STOPPING:
@@ -92,8 +108,10 @@
   for (node = upstream->runs.next; node != &upstream->runs; node = node->next)
     {
       const struct run *run = list_entry (node, struct run, link);
-      gint64 due_us = get_answer_due_us (run);
+      gint64 due_us = get_check_due_us (run);
 
+      if (due_us <= now_us)
+        due_us = get_answer_due_us (run);
       if (run->state == RUN_STARTING && run->last_listed_poll == 0
           && due_us > now_us)
         upstream->start_check_us = MIN (upstream->start_check_us, due_us);
@@ -109,13 +127,31 @@
   upstream->poll_due_us = MIN (upstream->poll_due_us, now_us);
 }
 
+/* Gives up waiting for a poll of UPSTREAM that should have been answered at
+   once, if that takes longer than usual.  Does so once until one is answered
+   or has timed out, so that silence is noticed.  */
+static void
+repeat_poll (struct owned_upstream *upstream, gint64 now_us)
+{
+  gint64 usual_us = answer_time_get_check_us (&upstream->start_answers);
+
+  if (!upstream->is_polling || upstream->is_poll_held
+      || upstream->is_poll_repeated || upstream->polled_us + usual_us > now_us)
+    return;
+  upstream->is_polling = FALSE;
+  upstream->is_poll_repeated = TRUE;
+}
+
 void
 owner_check_starts (struct owned_upstream *upstream, gint64 now_us)
 {
   if (upstream->start_check_us > now_us)
     return;
   if (owner_expects_news (upstream, now_us))
-    poll_now (upstream, now_us);
+    {
+      repeat_poll (upstream, now_us);
+      poll_now (upstream, now_us);
+    }
   owner_update_start_check (upstream, now_us);
 }
 
@@ -130,16 +166,42 @@
     poll_now (upstream, now_us);
 }
 
-/* Whether the start order for RUN got no answer, and a later poll did not list
-   the run.  */
+/* Whether the start order for RUN got no answer, and enough later polls did
+   not list the run.  */
 static gboolean
 is_start_lost (const struct run *run)
 {
-  return run->state == RUN_STARTING && run->last_listed_poll == 0
-         && run->upstream->last_answered_poll > run->sent_after_poll
+  return run->n_unlisted_polls >= LOST_START_POLLS
          && run->upstream->answered_sent_us >= get_answer_due_us (run);
 }
 
+/* Counts the answer to the latest poll for RUN, if it should have listed
+   it.  */
+static gboolean
+note_unlisted (struct run *run)
+{
+  if (run->state != RUN_STARTING || run->last_listed_poll != 0
+      || run->upstream->last_answered_poll <= run->sent_after_poll)
+    return FALSE;
+  run->n_unlisted_polls++;
+  return TRUE;
+}
+
+/* Delays the next poll of UPSTREAM to the next check of a start order, if that
+   is soon, instead of having a poll held there that is replaced a moment
+   later.  */
+static void
+delay_poll (struct owned_upstream *upstream, gint64 now_us)
+{
+  gint64 delay_us = upstream->start_check_us - now_us;
+
+  if (upstream->state == OWNED_HELD
+      && delay_us <= ANSWER_TIMEOUT_MIN_US - ANSWER_CHECK_MIN_US
+      && !owner_expects_news (upstream, now_us))
+    upstream->poll_due_us
+        = MAX (upstream->poll_due_us, upstream->start_check_us);
+}
+
 /* Stops the runs whose start orders were lost, as the answer to a poll of
    UPSTREAM has shown.  */
 void
@@ -150,9 +212,14 @@
   struct list_node *after;
 
   list_for_each (node, after, &upstream->runs)
-    if (is_start_lost (list_entry (node, struct run, link)))
-      owner_handle_unanswered_start (
-          owner, list_entry (node, struct run, link), now_us);
+    {
+      struct run *run = list_entry (node, struct run, link);
+
+      if (note_unlisted (run) && is_start_lost (run))
+        owner_handle_unanswered_start (owner, run, now_us);
+    }
+  owner_update_start_check (upstream, now_us);
+  delay_poll (upstream, now_us);
 }
 
 /* Whether the answers of the upstream show that RUN makes no progress.  The
--- a/coordination/owner_polls.c
+++ b/coordination/owner_polls.c
@@ -227,6 +227,7 @@
       return;
     }
   upstream->is_polling = FALSE;
+  upstream->is_poll_repeated = FALSE;
   upstream->poll_due_us = DEADLINE_NEVER;
   if (end == ORDER_FENCED)
     {
--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -247,6 +247,7 @@
 reset_run (struct run *run, gint64 now_us)
 {
   run->is_stop_acknowledged = FALSE;
+  run->n_unlisted_polls = 0;
   run->stop_due_us = now_us;
   run->start_expires_us = 0;
 }
@@ -322,7 +323,7 @@
     return;
   /* An answer that is only later than usual is no fault of the upstream: it
      would rest when it or this VM is scheduled late.  */
-  if (now_us - run->started_us >= ANSWER_TIMEOUT_MAX_US)
+  if (now_us - run->sent_us >= ANSWER_TIMEOUT_MAX_US)
     owned_record_failure (run->upstream, now_us);
   if (owner->driver->ops->start_unanswered != NULL)
     owner->driver->ops->start_unanswered (owner->driver, run);
@@ -378,6 +379,26 @@
   return end != ORDER_FENCED;
 }
 
+gboolean
+owner_start_sending (struct owner *owner, struct owned_upstream *upstream,
+                     const char *name, guint number, gint64 now_us)
+{
+  struct run *run = owned_find_run (upstream, name, number);
+
+  if (upstream->is_removed || run == NULL || run->state == RUN_STOPPING)
+    return FALSE;
+  run->sent_us = now_us;
+  run->sent_after_poll = upstream->n_polls;
+  run->n_unlisted_polls = 0;
+  owner_update_start_check (upstream, now_us);
+  if (upstream->start_check_us < owner->wake_us)
+    {
+      owner->wake_us = upstream->start_check_us;
+      owner->driver->ops->wake_at (owner->driver, owner->wake_us);
+    }
+  return TRUE;
+}
+
 void
 owner_start_ended (struct owner *owner, struct owned_upstream *upstream,
                    const char *name, guint number, enum order_end end,
@@ -389,7 +410,7 @@
     return;
   run = owned_find_run (upstream, name, number);
   if (run != NULL && (end == ORDER_ACCEPTED || end == ORDER_REJECTED))
-    answer_time_note (&upstream->start_answers, now_us - run->started_us);
+    answer_time_note (&upstream->start_answers, now_us - run->sent_us);
   if (run != NULL)
     apply_start_result (owner, run, end, now_us);
   owner_update_start_check (upstream, now_us);
--- a/t/t2111-owner-single.c
+++ b/t/t2111-owner-single.c
@@ -18,6 +18,7 @@
   guint n_returned;   /* tasks */
   enum batch_end end; /* of the latest batch that has ended */
   guint n_ended;
+  guint n_starts;
   char *started_on; /* id of the upstream of the latest start */
 };
 
@@ -26,6 +27,7 @@
 {
   struct single_bed *bed = (struct single_bed *)driver;
 
+  bed->n_starts++;
   g_free (bed->started_on);
   bed->started_on = g_strdup (run->upstream->id);
 }
@@ -492,6 +494,156 @@
   finish (&bed, owner);
 }
 
+#define ANSWER_MS 3
+
+/* Guards against a lost start that is noticed later since it takes two polls:
+   where answers are quick, it is known as soon as a poll is answered that was
+   sent when the answer was overdue.  Two polls are sent before it is stopped,
+   and one after it.  */
+static void
+test_lost_start_early (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned_upstream *upstream = take (owner);
+  gint64 now_us = START_US;
+  guint n_asks;
+
+  n_asks = bed.n_asks;
+  for (guint i = 0; i < 10; i++)
+    answer_time_note (&upstream->start_answers, ANSWER_MS * USEC_PER_MSEC);
+  owner_submit_batch (owner, make_batch (), now_us);
+  for (guint i = 0; i < 50 && bed.n_stops == 0; i++)
+    {
+      now_us += USEC_PER_MSEC;
+      if (upstream->is_polling && bed.wait_ms == 0
+          && upstream->polled_us + ANSWER_MS * USEC_PER_MSEC <= now_us)
+        answer_ask (owner, upstream, -1, now_us);
+      else if (bed.wake_us <= now_us)
+        owner_advance (owner, now_us);
+    }
+  g_assert_cmpuint (bed.n_stops, ==, 1);
+  g_assert_cmpint (now_us, ==,
+                   START_US + ANSWER_TIMEOUT_MIN_US
+                       + ANSWER_MS * USEC_PER_MSEC);
+  g_assert_cmpuint (bed.n_asks, ==, n_asks + 3);
+  finish (&bed, owner);
+}
+
+/* Guards against a lost start that is noticed only after the time-out of a
+   poll, since the first poll that checked on it was lost too: it is sent again
+   when the answer to the start is overdue.  Also guards against polls that are
+   replaced again and again, so that a silent upstream never counts as
+   unresponsive.  */
+static void
+test_lost_check (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned_upstream *upstream = take (owner);
+  gint64 now_us = START_US;
+  guint n_asks = bed.n_asks;
+
+  for (guint i = 0; i < 10; i++)
+    answer_time_note (&upstream->start_answers, ANSWER_MS * USEC_PER_MSEC);
+  owner_submit_batch (owner, make_batch (), now_us);
+  owner_advance (owner, now_us + ANSWER_CHECK_MIN_US);
+  g_assert_cmpuint (bed.n_asks, ==, n_asks + 1);
+  owner_advance (owner, now_us += ANSWER_TIMEOUT_MIN_US);
+  g_assert_cmpuint (bed.n_asks, ==, n_asks + 2);
+  owner_submit_batch (owner, make_other_batch (), now_us);
+  owner_advance (owner, now_us += ANSWER_CHECK_MIN_US);
+  owner_advance (owner, now_us += ANSWER_CHECK_MIN_US);
+  g_assert_cmpuint (bed.n_asks, ==, n_asks + 2);
+  answer_ask (owner, upstream, -1, now_us += USEC_PER_MSEC);
+  g_assert_cmpuint (bed.n_asks, ==, n_asks + 3);
+  answer_ask (owner, upstream, -1, now_us + ANSWER_MS * USEC_PER_MSEC);
+  g_assert_cmpuint (bed.n_stops, ==, 1);
+  finish (&bed, owner);
+}
+
+/* Guards against a task that is run twice since a worker that was scheduled
+   late has answered a poll before a start that was sent earlier, on another
+   connection: the next poll, which is answered at once too, lists the run.  */
+static void
+test_overtaken_start (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned_upstream *upstream = take (owner);
+  gint64 now_us = START_US;
+
+  owner_submit_batch (owner, make_batch (), now_us);
+  owner_advance (owner, now_us += 40 * USEC_PER_MSEC);
+  g_assert_true (upstream->is_polling);
+  g_assert_cmpuint (bed.wait_ms, ==, 0);
+  answer_ask (owner, upstream, -1, now_us += 60 * USEC_PER_MSEC);
+  g_assert_cmpuint (bed.n_stops, ==, 0);
+  g_assert_true (upstream->is_polling);
+  g_assert_cmpuint (bed.wait_ms, ==, 0);
+  answer_ask (owner, upstream, 0, now_us += USEC_PER_MSEC);
+  owner_start_ended (owner, upstream, TASK, 1, ORDER_ACCEPTED, 5100, now_us);
+  owner_advance (owner, now_us + 20 * USEC_PER_MSEC);
+  g_assert_cmpuint (bed.n_stops, ==, 0);
+  g_assert_cmpuint (upstream->n_runs, ==, 1);
+  finish (&bed, owner);
+}
+
+/* Guards against a task that is run twice since its start order had to wait
+   for its connection: polls that were sent before the order was written tell
+   nothing of it.  */
+static void
+test_delayed_start (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned_upstream *upstream = take (owner);
+  gint64 now_us = START_US;
+
+  owner_submit_batch (owner, make_batch (), now_us);
+  owner_advance (owner, now_us += 40 * USEC_PER_MSEC);
+  answer_ask (owner, upstream, -1, now_us += 60 * USEC_PER_MSEC);
+  g_assert_true (upstream->is_polling);
+  g_assert_true (owner_start_sending (owner, upstream, TASK, 1, now_us));
+  answer_ask (owner, upstream, -1, now_us += USEC_PER_MSEC);
+  g_assert_cmpuint (bed.wait_ms, >, 0);
+  owner_advance (owner, now_us += 45 * USEC_PER_MSEC);
+  g_assert_true (upstream->is_polling);
+  g_assert_cmpuint (bed.wait_ms, ==, 0);
+  answer_ask (owner, upstream, -1, now_us += USEC_PER_MSEC);
+  g_assert_cmpuint (bed.n_stops, ==, 0);
+  answer_ask (owner, upstream, 1, now_us += USEC_PER_MSEC);
+  owner_start_ended (owner, upstream, TASK, 1, ORDER_ACCEPTED, 5100, now_us);
+  g_assert_cmpuint (bed.n_stops, ==, 0);
+  g_assert_cmpuint (upstream->n_runs, ==, 1);
+  finish (&bed, owner);
+}
+
+/* Guards against a start order that is written after its run was stopped: it
+   had to wait for its connection until the run counted as lost.  */
+static void
+test_start_not_wanted (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned_upstream *upstream = take (owner);
+  gint64 now_us = START_US;
+
+  owner_submit_batch (owner, make_batch (), now_us);
+  for (guint i = 0; i < 10 && bed.n_stops == 0; i++)
+    {
+      owner_advance (owner, now_us += 20 * USEC_PER_MSEC);
+      if (upstream->is_polling && bed.wait_ms == 0)
+        answer_ask (owner, upstream, -1, now_us);
+    }
+  g_assert_cmpuint (bed.n_stops, ==, 1);
+  g_assert_false (owner_start_sending (owner, upstream, TASK, 1, now_us));
+  owner_start_ended (owner, upstream, TASK, 1, ORDER_REJECTED, 0, now_us);
+  g_assert_cmpuint (upstream->n_runs, ==, 1);
+  g_assert_cmpuint (bed.n_starts, ==, 2);
+  finish (&bed, owner);
+}
+
 /* A new owner does not prolong what runs on an upstream for the former one. */
 static void
 test_foreign_run (void)
@@ -673,6 +825,11 @@
   g_test_add_func ("/owner/stall", test_stall);
   g_test_add_func ("/owner/overdue-end", test_overdue_end);
   g_test_add_func ("/owner/lost-start", test_lost_start);
+  g_test_add_func ("/owner/lost-start-early", test_lost_start_early);
+  g_test_add_func ("/owner/lost-check", test_lost_check);
+  g_test_add_func ("/owner/overtaken-start", test_overtaken_start);
+  g_test_add_func ("/owner/delayed-start", test_delayed_start);
+  g_test_add_func ("/owner/start-not-wanted", test_start_not_wanted);
   g_test_add_func ("/owner/foreign-run", test_foreign_run);
   g_test_add_func ("/owner/full-queue", test_full_queue);
   g_test_add_func ("/owner/hopeless", test_hopeless);
--- a/t/t5012-orders.c
+++ b/t/t5012-orders.c
@@ -31,7 +31,9 @@
   guint n_told;
   enum order_end end;
   gint64 clock_ms;
-  char *told; /* what was told, in words */
+  char *told;           /* what was told, in words */
+  guint n_sending;      /* starts that had to wait and were about to be sent */
+  gboolean is_unwanted; /* the answer to these */
 };
 
 /* The callbacks have no data of their own.  */
@@ -61,6 +63,14 @@
   bed->told = told;
 }
 
+static gboolean
+on_start_sending (struct owner *owner, struct owned_upstream *upstream,
+                  const char *name, guint number, gint64 now_us)
+{
+  bed->n_sending++;
+  return !bed->is_unwanted;
+}
+
 static void
 on_start_ended (struct owner *owner, struct owned_upstream *upstream,
                 const char *name, guint number, enum order_end end,
@@ -105,6 +115,7 @@
 static const struct orders_listener_ops ops = {
   .ref = ref_upstream,
   .unref = unref_upstream,
+  .start_sending = on_start_sending,
   .start_ended = on_start_ended,
   .stop_ended = on_stop_ended,
   .poll_ended = on_ask_ended,
@@ -564,6 +575,30 @@
   close_bed ();
 }
 
+/* Guards against a start that is written after its run has been stopped: the
+   owner is asked once the check of the connection is answered, and not for a
+   start that did not have to wait.  */
+static void
+test_unwanted_start (void)
+{
+  open_bed ();
+  bed->answer = "{'clockMs':7,'born':1700,'running':[],'ended':[]}";
+  bed->upstream.instance_start_ms = 1700;
+  bed->is_unwanted = TRUE;
+  start ();
+  wait_told (1);
+  g_assert_cmpint (bed->end, ==, ORDER_REJECTED);
+  g_assert_cmpuint (bed->n_sending, ==, 1);
+  g_assert_cmpuint (bed->n_requests, ==, 1);
+  g_assert_cmpstr (bed->path, ==, "/radishchute/hold");
+  start ();
+  wait_told (2);
+  g_assert_cmpint (bed->end, ==, ORDER_ACCEPTED);
+  g_assert_cmpuint (bed->n_sending, ==, 1);
+  g_assert_cmpuint (bed->n_requests, ==, 2);
+  close_bed ();
+}
+
 /* An upstream that has restarted under its name gets neither starts nor stops
    that were meant for the former instance.  */
 static void
@@ -681,6 +716,7 @@
   g_test_add_func ("/orders/moved-upstream", test_moved_upstream);
   g_test_add_func ("/orders/forget", test_forget);
   g_test_add_func ("/orders/checked-instance", test_checked_instance);
+  g_test_add_func ("/orders/unwanted-start", test_unwanted_start);
   g_test_add_func ("/orders/restarted-instance", test_restarted_instance);
   g_test_add_func ("/orders/own-fence", test_own_fence);
   g_test_add_func ("/orders/known-restart", test_known_restart);
--- a/t/t5016-platform.c
+++ b/t/t5016-platform.c
@@ -40,6 +40,13 @@
   upstream->ref_count--;
 }
 
+gboolean
+owner_start_sending (struct owner *owner, struct owned_upstream *upstream,
+                     const char *name, guint number, gint64 now_us)
+{
+  return TRUE;
+}
+
 void
 owner_start_ended (struct owner *owner, struct owned_upstream *upstream,
                    const char *name, guint number, enum order_end end,
