--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -665,6 +665,7 @@
   run->state = RUN_STARTING;
   event_rate_count (&upstream->starts[get_start_class (batch)], now_us);
   run->started_us = now_us;
+  run->sent_us = now_us;
   run->progressed_us = now_us;
   run->listed_us = now_us;
   run->sent_after_poll = upstream->n_polls;
