coordination: a job is failed for crashes only when they are proved

Upstreams that go down and up by turns were silent until the leases had ended, and went on as the same instance; the owner took each such loss for a crash.

The crash of an upstream under a run that it had accepted is now proved when another instance of it answers, and refuted when the same one does. Two proved crashes fail the job; until the second is judged its task is not started again. After three crashes that are not all proved the outcome is answered as unknown.

t2113 /owner-crashes/silent-upstreams failed before (n_crashed 1). Three bounds of t2113 follow: all-crashed-together allows for the time until the first proof, and suspect-elsewhere for crashes that another owner has seen.

--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -205,15 +205,31 @@
   BATCH_TASK_DROPPED,  /* its batch is ending; its run may still be stopping */
 };
 
+/* A crash of an upstream under a run that it had accepted.  It is proved when
+   another instance of the upstream answers, and refuted when the same one
+   does.  */
+struct crash_report
+{
+  char *upstream;           /* id; NULL for none, or once it is judged */
+  gint64 instance_start_ms; /* of the instance that was lost */
+  gint64 expires_us;        /* not waited for after this */
+};
+
+/* The crashes of a task that may wait to be judged.  */
+#define MAX_CRASH_REPORTS 2
+
 struct batch_task
 {
   struct batch *batch;
   guint index; /* in the job */
   enum batch_task_state state;
-  struct run *run;          /* the current one; NULL for none */
-  guint n_runs;             /* run numbers used, skipped ones included */
-  guint n_failed;           /* failed runs */
-  guint n_crashes;          /* upstreams that crashed while they ran it */
+  struct run *run;        /* the current one; NULL for none */
+  guint n_runs;           /* run numbers used, skipped ones included */
+  guint n_failed;         /* failed runs */
+  guint n_crashes;        /* upstreams that crashed while they ran it, as
+                             far as is known */
+  guint n_proved_crashes; /* of these */
+  struct crash_report reports[MAX_CRASH_REPORTS];
   gboolean is_suspect;      /* of crashing upstreams: runs isolated */
   gboolean is_loss_excused; /* a loss with most of a rack or zone was not
                                counted; the next one is */
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -50,7 +50,10 @@
   list_remove (&batch->link);
   owner_release_holds (batch);
   for (guint i = 0; i < batch->n_tasks; i++)
-    g_free (batch->tasks[i].failed_on);
+    {
+      batch_task_clear_crashes (&batch->tasks[i]);
+      g_free (batch->tasks[i].failed_on);
+    }
   g_free (batch->tasks);
   g_free (batch->job);
   g_free (batch->home);
--- a/coordination/owner_crashes.c
+++ b/coordination/owner_crashes.c
@@ -8,6 +8,16 @@
 /* A task becomes a suspect at this crash, whoever else ran.  */
 #define SUSPICIOUS_CRASHES 2
 
+/* A task is given up when so many crashes under it are proved.  */
+#define MAX_PROVED_CRASHES 2
+
+/* How long the upstream is waited for whose answer judges a crash.  */
+#define JUDGEMENT_TIMEOUT_US (10 * USEC_PER_SEC)
+
+/* After so many crashes a task is not started again, even if they are not
+   proved.  */
+#define MAX_CRASHES 3
+
 /* Upstreams that are lost within this time of each other are lost together.
    Where connections hang, two polls have to time out, one of which may be held
    back, before the others are asked.  */
@@ -146,6 +156,28 @@
   return TRUE;
 }
 
+/* Lets the crash of its upstream under RUN be judged when that answers again.
+   A run that the upstream never confirmed may not have begun there.  */
+static void
+report_crash (const struct run *run)
+{
+  const struct owned_upstream *upstream = run->upstream;
+
+  if (!run->is_confirmed || upstream->instance_start_ms == 0)
+    return;
+  for (guint i = 0; i < MAX_CRASH_REPORTS; i++)
+    {
+      struct crash_report *report = &run->task->reports[i];
+
+      if (report->upstream != NULL)
+        continue;
+      report->upstream = g_strdup (upstream->id);
+      report->instance_start_ms = upstream->instance_start_ms;
+      report->expires_us = upstream->lost_us + JUDGEMENT_TIMEOUT_US;
+      return;
+    }
+}
+
 /* Counts the crash of its upstream in the task of RUN.  */
 static void
 count_crash (struct run *run, gint64 latest_start_us)
@@ -154,6 +186,7 @@
 
   run->is_crash_counted = TRUE;
   task->n_crashes++;
+  report_crash (run);
   task->crashed_us = run->upstream->lost_us;
   task->crash_age_us = run->upstream->lost_us - run->started_us;
   task->is_suspect |= task->n_crashes >= SUSPICIOUS_CRASHES
@@ -203,6 +236,122 @@
     }
 }
 
+void
+batch_task_clear_crashes (struct batch_task *task)
+{
+  for (guint i = 0; i < MAX_CRASH_REPORTS; i++)
+    g_clear_pointer (&task->reports[i].upstream, g_free);
+}
+
+/* Judges REPORT of TASK, which is about UPSTREAM.  */
+static void
+judge_report (struct batch_task *task, struct crash_report *report,
+              const struct owned_upstream *upstream)
+{
+  gboolean is_other_instance
+      = upstream->instance_start_ms != report->instance_start_ms;
+
+  g_clear_pointer (&report->upstream, g_free);
+  if (upstream->is_removed)
+    return;
+  if (is_other_instance)
+    task->n_proved_crashes++;
+  else
+    task->n_crashes--;
+}
+
+static void
+judge_task (struct batch_task *task, const struct owned_upstream *upstream)
+{
+  for (guint i = 0; i < MAX_CRASH_REPORTS; i++)
+    if (g_strcmp0 (task->reports[i].upstream, upstream->id) == 0)
+      judge_report (task, &task->reports[i], upstream);
+}
+
+/* Whether a crash of TASK waits to be judged.  */
+static gboolean
+has_report (const struct batch_task *task, gint64 now_us)
+{
+  for (guint i = 0; i < MAX_CRASH_REPORTS; i++)
+    if (task->reports[i].upstream != NULL
+        && task->reports[i].expires_us > now_us)
+      return TRUE;
+  return FALSE;
+}
+
+/* Whether TASK is not started again before its crashes are judged.  */
+static gboolean
+is_waiting_for_judgement (const struct batch_task *task, gint64 now_us)
+{
+  return task->n_crashes >= MAX_PROVED_CRASHES && has_report (task, now_us);
+}
+
+void
+owner_settle_task (struct owner *owner, struct batch_task *task, gint64 now_us)
+{
+  if (task->state != BATCH_TASK_QUEUED)
+    return;
+  if (task->n_proved_crashes >= MAX_PROVED_CRASHES)
+    owner_end_batch (owner, task->batch, BATCH_CRASHED,
+                     "upstreams crash under a task", now_us);
+  else if (task->n_crashes >= MAX_CRASHES && !has_report (task, now_us))
+    owner_end_batch (owner, task->batch, BATCH_STOPPED,
+                     "its upstreams were lost again and again", now_us);
+}
+
+/* All batches of OWNER; only those with queued suspects if ONLY_SUSPECTS.  */
+static GPtrArray *
+list_batches (struct owner *owner, gboolean only_suspects)
+{
+  struct list_node *const lists[] = { &owner->queue, &owner->batches };
+  GPtrArray *batches = g_ptr_array_new ();
+  struct list_node *node;
+  struct list_node *after;
+
+  for (guint i = 0; i < G_N_ELEMENTS (lists); i++)
+    list_for_each (node, after, lists[i])
+      {
+        struct batch *batch = list_entry (node, struct batch, link);
+
+        if (!only_suspects || batch->n_suspects > 0)
+          g_ptr_array_add (batches, batch);
+      }
+  return batches;
+}
+
+static void
+settle_batch (struct owner *owner, struct batch *batch, gint64 now_us)
+{
+  for (guint i = 0; i < batch->n_tasks; i++)
+    owner_settle_task (owner, &batch->tasks[i], now_us);
+  owner_finish_batch_if_done (owner, batch);
+}
+
+void
+owner_settle_suspects (struct owner *owner, gint64 now_us)
+{
+  g_autoptr (GPtrArray) batches = list_batches (owner, TRUE);
+
+  for (guint i = 0; i < batches->len; i++)
+    settle_batch (owner, g_ptr_array_index (batches, i), now_us);
+}
+
+void
+owner_judge_crashes (struct owner *owner,
+                     const struct owned_upstream *upstream, gint64 now_us)
+{
+  g_autoptr (GPtrArray) batches = list_batches (owner, FALSE);
+
+  for (guint i = 0; i < batches->len; i++)
+    {
+      struct batch *batch = g_ptr_array_index (batches, i);
+
+      for (guint k = 0; k < batch->n_tasks; k++)
+        judge_task (&batch->tasks[k], upstream);
+      settle_batch (owner, batch, now_us);
+    }
+}
+
 /* Whether a task for SERVICE that is no suspect waits in time for a slot.  */
 static gboolean
 has_others_in_time (const struct owner *owner, const char *service)
@@ -312,6 +461,7 @@
       struct owned_upstream *upstream;
 
       if (task->state != BATCH_TASK_QUEUED || !batch_task_is_suspect (task)
+          || is_waiting_for_judgement (task, now_us)
           || (choice->task != NULL
               && task->crash_age_us <= choice->task->crash_age_us))
         continue;
--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -74,21 +74,12 @@
                    now_us);
 }
 
-/* Upstreams crash under TASK: ends its batch.  */
-static void
-give_up_crashing (struct owner *owner, struct batch_task *task, gint64 now_us)
-{
-  task->state = BATCH_TASK_FAILED;
-  owner_end_batch (owner, task->batch, BATCH_CRASHED,
-                   "upstreams crash under a task", now_us);
-}
-
 /* Moves TASK on after its run on UPSTREAM has ended.  A run that did not fail
    by itself does not count as an attempt.  */
 static void
 end_task (struct owner *owner, struct batch_task *task,
           const struct owned_upstream *upstream, enum run_end end,
-          gboolean has_crashed_alone, gint64 now_us)
+          gint64 now_us)
 {
   struct batch *batch = task->batch;
 
@@ -103,10 +94,11 @@
     task->state = BATCH_TASK_DROPPED;
   else if (end == RUN_FAILED)
     note_failed (owner, task, upstream, now_us);
-  else if (has_crashed_alone)
-    give_up_crashing (owner, task, now_us);
   else
-    requeue (owner, task);
+    {
+      requeue (owner, task);
+      owner_settle_task (owner, task, now_us);
+    }
   owner_finish_batch_if_done (owner, batch);
 }
 
@@ -165,8 +157,6 @@
 {
   struct batch_task *task = run->task;
   struct owned_upstream *upstream = run->upstream;
-  gboolean has_crashed_alone
-      = end == RUN_LOST && run->is_isolated && run->is_crash_counted;
 
   update_health (owner, run, end, now_us);
   if (owner->driver->ops->run_ended != NULL)
@@ -174,7 +164,7 @@
   owner->n_isolated -= run->is_isolated ? 1 : 0;
   run_free (run);
   if (task != NULL)
-    end_task (owner, task, upstream, end, has_crashed_alone, now_us);
+    end_task (owner, task, upstream, end, now_us);
 }
 
 /* The start of RUN had no effect: queues its task again.  Skips
@@ -228,6 +218,7 @@
   upstream->is_removed = TRUE;
   g_hash_table_steal (owner->upstreams, upstream->id);
   abandon_runs (owner, upstream, now_us);
+  owner_judge_crashes (owner, upstream, now_us);
   owner->driver->ops->ownership_ended (owner->driver, upstream, TRUE);
   owned_unref (upstream);
   owner_start_queued (owner, now_us);
@@ -242,6 +233,7 @@
     return;
   upstream->is_removed = TRUE;
   g_hash_table_steal (owner->upstreams, upstream->id);
+  owner_judge_crashes (owner, upstream, owner->last_call_us);
   owner->driver->ops->ownership_ended (owner->driver, upstream, FALSE);
   owned_unref (upstream);
 }
@@ -314,6 +306,8 @@
     owned_reset_speed (upstream);
   owner_report_health (owner, upstream, HEALTH_EVENT_RESTARTED);
   drop_former_runs (owner, upstream, now_us);
+  if (instance_start_ms != 0)
+    owner_judge_crashes (owner, upstream, now_us);
 }
 
 /* Another instance has refused an order to UPSTREAM.  Most probably it will
--- a/t/t2113-owner-crashes.c
+++ b/t/t2113-owner-crashes.c
@@ -21,6 +21,7 @@
   guint number;
   gint64 end_us;
   guint64 ended_entry; /* 0 while it runs */
+  gboolean is_answered;
 };
 
 /* An upstream that answers each poll at the next step while it is up.  */
@@ -28,7 +29,8 @@
 {
   struct owned_upstream *owned;
   char id[8];
-  gint64 back_us; /* when it is up again; 0 while it is up */
+  gint64 back_us;          /* when it is up again; 0 while it is up */
+  gboolean keeps_instance; /* it was only silent, and its leases lapsed */
   gint64 instance_start_ms;
   struct fake_run runs[MAX_RUNS]; /* of this instance */
   guint n_runs;
@@ -171,6 +173,23 @@
   fake->back_us = bed->now_us + RESTART_US;
 }
 
+/* Answers the start orders that FAKE has received.  */
+static void
+answer_starts (struct crash_bed *bed, struct fake_upstream *fake)
+{
+  for (guint i = 0; i < fake->n_runs; i++)
+    {
+      struct fake_run *run = &fake->runs[i];
+
+      if (run->is_answered)
+        continue;
+      run->is_answered = TRUE;
+      owner_start_ended (bed->owner, fake->owned, run->name, run->number,
+                         ORDER_ACCEPTED, bed->now_us / USEC_PER_MSEC,
+                         bed->now_us);
+    }
+}
+
 /* Ends the runs of FAKE that are over, and crashes it if one was deadly.  */
 static void
 end_runs (struct crash_bed *bed, struct fake_upstream *fake)
@@ -242,11 +261,13 @@
 {
   guint64 poll;
 
+  answer_starts (bed, fake);
   end_runs (bed, fake);
   if (fake->back_us != 0 && fake->back_us <= bed->now_us)
     {
       fake->back_us = 0;
-      fake->instance_start_ms++;
+      fake->instance_start_ms += fake->keeps_instance ? 0 : 1;
+      fake->keeps_instance = FALSE;
       take (bed, fake, fake->owned->rack);
     }
   poll = fake->poll;
@@ -491,6 +512,33 @@
   bed_clear (&bed);
 }
 
+/* Upstreams that are silent for seconds and go on as the same instance have
+   not crashed: a job whose task is lost with them twice must not be shown as
+   failed for that.  */
+static void
+test_silent_upstreams (void)
+{
+  struct crash_bed bed;
+
+  bed_init (&bed, 4, NULL);
+  submit (&bed, "job", 1, 1);
+  for (guint i = 0; i < 12; i++)
+    {
+      for (guint k = 0; k < 4 && i < 8; k++)
+        if (bed.upstreams[k].n_runs > 0 && bed.upstreams[k].back_us == 0)
+          {
+            bed.upstreams[k].keeps_instance = TRUE;
+            crash (&bed, &bed.upstreams[k]);
+          }
+      pass (&bed, 250 * USEC_PER_MSEC);
+    }
+  g_assert_cmpuint (bed.n_suspects, >=, 2);
+  pass (&bed, 20 * USEC_PER_SEC);
+  g_assert_cmpuint (bed.n_crashed, ==, 0);
+  g_assert_cmpuint (bed.n_done, ==, 1);
+  bed_clear (&bed);
+}
+
 /* An upstream that leaves as planned has not crashed.  */
 static void
 test_leaving (void)
@@ -518,8 +566,9 @@
   bed_init (&bed, 3, NULL);
   submit (&bed, DEADLY, 1, 6);
   pass (&bed, 40 * USEC_PER_SEC);
-  /* Three that are excused, one for each task, and the first suspect's.  */
-  g_assert_cmpuint (bed.n_crashes, <=, 3 + 6 + 1);
+  /* Three that are excused, one for each task, and second ones on all three
+     upstreams before the first of these is proved.  */
+  g_assert_cmpuint (bed.n_crashes, <=, 3 + 6 + 3);
   g_assert_cmpuint (bed.n_crashed, ==, 1);
   bed_clear (&bed);
 }
@@ -585,8 +634,9 @@
   bed_clear (&bed);
 }
 
-/* A task that was a suspect at another owner runs alone here, and is given up
-   when one more upstream crashes under it.  */
+/* A task that was a suspect at another owner runs alone here, and is not
+   started after three crashes: its job fails, or its outcome is unknown where
+   the crashes are not proved here.  */
 static void
 test_suspect_elsewhere (void)
 {
@@ -603,8 +653,8 @@
   owner_submit_batch (bed.owner, batch, bed.now_us);
   pass (&bed, 20 * USEC_PER_SEC);
   g_assert_cmpuint (bed.n_shared_starts, ==, 0);
-  g_assert_cmpuint (bed.n_crashes, <=, 2);
-  g_assert_cmpuint (bed.n_crashed, ==, 1);
+  g_assert_cmpuint (bed.n_crashes, <=, 3);
+  g_assert_cmpuint (bed.n_crashed + bed.n_other_ends, ==, 1);
   bed_clear (&bed);
 }
 
@@ -639,6 +689,7 @@
   g_test_add_func ("/owner-crashes/behind-others", test_behind_others);
   g_test_add_func ("/owner-crashes/rack-lost", test_rack_lost);
   g_test_add_func ("/owner-crashes/idle-rack-lost", test_idle_rack_lost);
+  g_test_add_func ("/owner-crashes/silent-upstreams", test_silent_upstreams);
   g_test_add_func ("/owner-crashes/leaving", test_leaving);
   g_test_add_func ("/owner-crashes/all-crashed-together",
                    test_all_crashed_together);
