--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -13,8 +13,8 @@
  * new run of a task begins while an earlier one may still be running.
  *
  * A task may crash the upstreams that run it.  A task under which an upstream
- * has crashed is run again isolated, on an upstream where nothing else runs,
- * and its batch fails when that one crashes too.
+ * has crashed is run again isolated, on an upstream where nothing else runs.
+ * Its batch fails when two crashes are proved: other instances answer.
  *
  * An upstream may restart under the same id.  Its start time,
  * instance_start_ms, tells its instances apart.
