--- a/t/support/fleet_world.h
+++ b/t/support/fleet_world.h
@@ -35,7 +35,7 @@
 {
   guint n_batches;
   guint n_finished;
-  guint n_ends[4];     /* by enum batch_end */
+  guint n_ends[5];     /* by enum batch_end */
   guint n_begun;       /* runs */
   guint n_run_ends[5]; /* by enum run_end */
   guint n_late;        /* starts carried out after their sender gave up */
