--- a/t/t5026-fleet-home.c
+++ b/t/t5026-fleet-home.c
@@ -482,6 +482,8 @@
 static void
 test_ungranted_returned (void)
 {
+  static const guint first = 0;
+  static const guint second = 1;
   struct bed *bed = bed_new (FALSE);
 
   claim (0, 1);
@@ -489,6 +491,10 @@
   g_assert_cmpuint (n_sent, ==, 2);
   g_assert_cmpuint (sent[1].n_tasks, ==, 1);
   g_assert_cmpuint (sent[1].indexes[0], ==, 1);
+  finish (0, &first, 1);
+  claim (1, 1);
+  finish (1, &second, 1);
+  expect_done (bed, 2);
   bed_free (bed);
 }
 
@@ -497,11 +503,14 @@
 static void
 test_returned_by_other (void)
 {
+  static const guint done[] = { 0, 1 };
   struct bed *bed = bed_new (FALSE);
 
   claim (0, 2);
   return_task ("vm-c", 1);
   g_assert_cmpuint (n_sent, ==, 1);
+  finish (0, done, 2);
+  expect_done (bed, 1);
   bed_free (bed);
 }
 
