--- a/coordination/owner.c
+++ b/coordination/owner.c
@@ -119,7 +119,7 @@
   upstream->is_removed = TRUE;
   g_hash_table_steal (owner->upstreams, id);
   owner_drop_runs (owner, upstream, now_us);
-  owner_judge_crashes (owner, upstream, now_us);
+  owner_verify_crashes (owner, upstream, now_us);
   owner->driver->ops->ownership_ended (owner->driver, upstream, FALSE);
   owned_unref (upstream);
   owner_start_queued (owner, now_us);
@@ -382,7 +382,7 @@
       if (!upstream->is_removed)
         owner_finish_release (owner, upstream);
     }
-  owner_settle_suspects (owner, now_us);
+  owner_apply_crash_limits (owner, now_us);
   owner_expire_batches (owner, now_us);
   owner_start_queued (owner, now_us);
 }
--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -14,7 +14,7 @@
  *
  * A task may crash the upstreams that run it.  A task under which an upstream
  * has crashed is run again isolated, on an upstream where nothing else runs.
- * Its batch fails when two crashes are proved: other instances answer.
+ * Its batch fails when two crashes are confirmed: other instances answer.
  *
  * An upstream may restart under the same id.  Its start time,
  * instance_start_ms, tells its instances apart.
@@ -98,7 +98,7 @@
   gboolean is_foreign;  /* listed by the upstream, not started by this owner */
   gboolean is_isolated; /* nothing else may run on the upstream meanwhile */
   gboolean is_crash_counted;    /* counted in the task's n_crashes */
-  gboolean is_loss_excused;     /* not counted: a common cause was assumed */
+  gboolean is_loss_ignored;     /* not counted: a common cause was assumed */
   gboolean is_slowness_counted; /* counted in the upstream's slowness */
   gboolean is_speed_counted;    /* counted in the upstream's run_speed */
   guint64 sent_after_poll;      /* the last poll before its start order */
@@ -205,17 +205,17 @@
   BATCH_TASK_DROPPED,  /* its batch is ending; its run may still be stopping */
 };
 
-/* A crash of an upstream under a run that it had accepted.  It is proved when
-   another instance of the upstream answers, and refuted when the same one
-   does.  */
+/* A crash of an upstream under a run that it had accepted.  It is confirmed
+   when another instance of the upstream answers, and discarded when the same
+   one does.  */
 struct crash_report
 {
-  char *upstream;           /* id; NULL for none, or once it is judged */
+  char *upstream;           /* id; NULL for none, or once it is verified */
   gint64 instance_start_ms; /* of the instance that was lost */
   gint64 expires_us;        /* not waited for after this */
 };
 
-/* The crashes of a task that may wait to be judged.  */
+/* The crashes of a task that may wait to be verified.  */
 #define MAX_CRASH_REPORTS 2
 
 struct batch_task
@@ -223,15 +223,15 @@
   struct batch *batch;
   guint index; /* in the job */
   enum batch_task_state state;
-  struct run *run;        /* the current one; NULL for none */
-  guint n_runs;           /* run numbers used, skipped ones included */
-  guint n_failed;         /* failed runs */
-  guint n_crashes;        /* upstreams that crashed while they ran it, as
-                             far as is known */
-  guint n_proved_crashes; /* of these */
+  struct run *run;           /* the current one; NULL for none */
+  guint n_runs;              /* run numbers used, skipped ones included */
+  guint n_failed;            /* failed runs */
+  guint n_crashes;           /* upstreams that crashed while they ran it, as
+                                far as is known */
+  guint n_confirmed_crashes; /* of these */
   struct crash_report reports[MAX_CRASH_REPORTS];
   gboolean is_suspect;      /* of crashing upstreams: runs isolated */
-  gboolean is_loss_excused; /* a loss with most of a rack or zone was not
+  gboolean is_loss_ignored; /* a loss with most of a rack or zone was not
                                counted; the next one is */
   gint64 crashed_us;        /* when the last of them was lost */
   gint64 crash_age_us;      /* how long it had run by then */
--- a/coordination/owner_crashes.c
+++ b/coordination/owner_crashes.c
@@ -8,14 +8,14 @@
 /* A task becomes a suspect at this crash, whoever else ran.  */
 #define SUSPICIOUS_CRASHES 2
 
-/* A task is given up when so many crashes under it are proved.  */
-#define MAX_PROVED_CRASHES 2
+/* A task is given up when so many crashes under it are confirmed.  */
+#define MAX_CONFIRMED_CRASHES 2
 
-/* How long the upstream is waited for whose answer judges a crash.  */
-#define JUDGEMENT_TIMEOUT_US (10 * USEC_PER_SEC)
+/* How long an upstream is waited for whose answer verifies a crash.  */
+#define VERIFICATION_TIMEOUT_US (10 * USEC_PER_SEC)
 
 /* After so many crashes a task is not started again, even if they are not
-   proved.  */
+   confirmed.  */
 #define MAX_CRASHES 3
 
 /* Upstreams that are lost within this time of each other are lost together.
@@ -46,7 +46,7 @@
       const struct batch_task *task = &batch->tasks[i];
 
       if (task->state == BATCH_TASK_RETURNED
-          && (task->n_crashes > 0 || task->is_loss_excused)
+          && (task->n_crashes > 0 || task->is_loss_ignored)
           && task->is_suspect == only_suspects)
         indexes[n++] = task->index;
     }
@@ -54,12 +54,12 @@
 }
 
 /* A task that crashes upstreams must not start anew with each owner, so what
-   was excused elsewhere counts.  */
+   was ignored elsewhere counts.  */
 static void
 mark_crashed (struct batch_task *task, gboolean is_suspect, gint64 now_us)
 {
   task->n_crashes = is_suspect ? SUSPICIOUS_CRASHES : 1;
-  task->is_loss_excused = TRUE;
+  task->is_loss_ignored = TRUE;
   task->crashed_us = now_us;
   if (!is_suspect || task->is_suspect)
     return;
@@ -80,7 +80,7 @@
 /* Upstreams of one rack or availability zone.  */
 struct domain_losses
 {
-  guint n_lost;  /* together with the one that is judged */
+  guint n_lost;  /* together with the one in question */
   guint n_owned; /* by this owner */
 };
 
@@ -144,19 +144,19 @@
 }
 
 /* The upstream of RUN was lost with most others of its rack or availability
-   zone.  Excuses the task of RUN, but only once: several tasks that crash
-   upstreams look the same.  Returns whether it is excused.  */
+   zone.  Does not count it for the task of RUN, but only once: several tasks
+   that crash upstreams look the same.  Returns whether it is ignored.  */
 static gboolean
-excuse_loss (struct run *run)
+ignore_loss (struct run *run)
 {
-  if (run->task->is_loss_excused)
-    return run->is_loss_excused;
-  run->task->is_loss_excused = TRUE;
-  run->is_loss_excused = TRUE;
+  if (run->task->is_loss_ignored)
+    return run->is_loss_ignored;
+  run->task->is_loss_ignored = TRUE;
+  run->is_loss_ignored = TRUE;
   return TRUE;
 }
 
-/* Lets the crash of its upstream under RUN be judged when that answers again.
+/* Has the crash of its upstream under RUN verified when that answers again.
    A run that the upstream never confirmed may not have begun there.  */
 static void
 report_crash (const struct run *run)
@@ -173,7 +173,7 @@
         continue;
       report->upstream = g_strdup (upstream->id);
       report->instance_start_ms = upstream->instance_start_ms;
-      report->expires_us = upstream->lost_us + JUDGEMENT_TIMEOUT_US;
+      report->expires_us = upstream->lost_us + VERIFICATION_TIMEOUT_US;
       return;
     }
 }
@@ -228,7 +228,7 @@
 
       if (run->task == NULL || run->is_crash_counted)
         continue;
-      if (is_common_loss && excuse_loss (run))
+      if (is_common_loss && ignore_loss (run))
         continue;
       count_crash (run, latest_start_us);
       if (owner->driver->ops->upstream_crashed != NULL)
@@ -243,10 +243,10 @@
     g_clear_pointer (&task->reports[i].upstream, g_free);
 }
 
-/* Judges REPORT of TASK, which is about UPSTREAM.  */
+/* Verifies REPORT of TASK, which is about UPSTREAM.  */
 static void
-judge_report (struct batch_task *task, struct crash_report *report,
-              const struct owned_upstream *upstream)
+verify_report (struct batch_task *task, struct crash_report *report,
+               const struct owned_upstream *upstream)
 {
   gboolean is_other_instance
       = upstream->instance_start_ms != report->instance_start_ms;
@@ -255,20 +255,20 @@
   if (upstream->is_removed)
     return;
   if (is_other_instance)
-    task->n_proved_crashes++;
+    task->n_confirmed_crashes++;
   else
     task->n_crashes--;
 }
 
 static void
-judge_task (struct batch_task *task, const struct owned_upstream *upstream)
+verify_task (struct batch_task *task, const struct owned_upstream *upstream)
 {
   for (guint i = 0; i < MAX_CRASH_REPORTS; i++)
     if (g_strcmp0 (task->reports[i].upstream, upstream->id) == 0)
-      judge_report (task, &task->reports[i], upstream);
+      verify_report (task, &task->reports[i], upstream);
 }
 
-/* Whether a crash of TASK waits to be judged.  */
+/* Whether a crash of TASK is still to be verified.  */
 static gboolean
 has_report (const struct batch_task *task, gint64 now_us)
 {
@@ -279,19 +279,20 @@
   return FALSE;
 }
 
-/* Whether TASK is not started again before its crashes are judged.  */
+/* Whether TASK is not started again before its crashes are verified.  */
 static gboolean
-is_waiting_for_judgement (const struct batch_task *task, gint64 now_us)
+is_awaiting_verification (const struct batch_task *task, gint64 now_us)
 {
-  return task->n_crashes >= MAX_PROVED_CRASHES && has_report (task, now_us);
+  return task->n_crashes >= MAX_CONFIRMED_CRASHES && has_report (task, now_us);
 }
 
 void
-owner_settle_task (struct owner *owner, struct batch_task *task, gint64 now_us)
+owner_apply_crash_limit (struct owner *owner, struct batch_task *task,
+                         gint64 now_us)
 {
   if (task->state != BATCH_TASK_QUEUED)
     return;
-  if (task->n_proved_crashes >= MAX_PROVED_CRASHES)
+  if (task->n_confirmed_crashes >= MAX_CONFIRMED_CRASHES)
     owner_end_batch (owner, task->batch, BATCH_CRASHED,
                      "upstreams crash under a task", now_us);
   else if (task->n_crashes >= MAX_CRASHES && !has_report (task, now_us))
@@ -320,25 +321,25 @@
 }
 
 static void
-settle_batch (struct owner *owner, struct batch *batch, gint64 now_us)
+apply_crash_limits (struct owner *owner, struct batch *batch, gint64 now_us)
 {
   for (guint i = 0; i < batch->n_tasks; i++)
-    owner_settle_task (owner, &batch->tasks[i], now_us);
+    owner_apply_crash_limit (owner, &batch->tasks[i], now_us);
   owner_finish_batch_if_done (owner, batch);
 }
 
 void
-owner_settle_suspects (struct owner *owner, gint64 now_us)
+owner_apply_crash_limits (struct owner *owner, gint64 now_us)
 {
   g_autoptr (GPtrArray) batches = list_batches (owner, TRUE);
 
   for (guint i = 0; i < batches->len; i++)
-    settle_batch (owner, g_ptr_array_index (batches, i), now_us);
+    apply_crash_limits (owner, g_ptr_array_index (batches, i), now_us);
 }
 
 void
-owner_judge_crashes (struct owner *owner,
-                     const struct owned_upstream *upstream, gint64 now_us)
+owner_verify_crashes (struct owner *owner,
+                      const struct owned_upstream *upstream, gint64 now_us)
 {
   g_autoptr (GPtrArray) batches = list_batches (owner, FALSE);
 
@@ -347,8 +348,8 @@
       struct batch *batch = g_ptr_array_index (batches, i);
 
       for (guint k = 0; k < batch->n_tasks; k++)
-        judge_task (&batch->tasks[k], upstream);
-      settle_batch (owner, batch, now_us);
+        verify_task (&batch->tasks[k], upstream);
+      apply_crash_limits (owner, batch, now_us);
     }
 }
 
@@ -461,7 +462,7 @@
       struct owned_upstream *upstream;
 
       if (task->state != BATCH_TASK_QUEUED || !batch_task_is_suspect (task)
-          || is_waiting_for_judgement (task, now_us)
+          || is_awaiting_verification (task, now_us)
           || (choice->task != NULL
               && task->crash_age_us <= choice->task->crash_age_us))
         continue;
--- a/coordination/owner_polls.c
+++ b/coordination/owner_polls.c
@@ -144,14 +144,14 @@
   if (upstream->instance_start_ms == 0)
     {
       upstream->instance_start_ms = report->instance_start_ms;
-      owner_judge_crashes (owner, upstream, now_us);
+      owner_verify_crashes (owner, upstream, now_us);
     }
   owned_set_clock (upstream, report->clock_ms, now_us);
   note_unknown_leases (owner, upstream);
   if (upstream->state == OWNED_UNRESPONSIVE)
     owner_report_health (owner, upstream, HEALTH_EVENT_RECOVERED);
   if (upstream->state == OWNED_UNRESPONSIVE)
-    owner_judge_crashes (owner, upstream, now_us);
+    owner_verify_crashes (owner, upstream, now_us);
   upstream->state = owned_is_stale (upstream) ? OWNED_UNCONFIRMED : OWNED_HELD;
   process_ended_runs (owner, upstream, report, now_us);
   process_running_runs (owner, upstream, report, now_us);
--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -284,18 +284,18 @@
 
 /* Ends the batch of TASK if that is queued and, after its crashes, must not be
    started again.  */
-void owner_settle_task (struct owner *owner, struct batch_task *task,
-                        gint64 now_us);
+void owner_apply_crash_limit (struct owner *owner, struct batch_task *task,
+                              gint64 now_us);
 
-/* Settles all queued suspects, whose upstreams may have been waited for long
-   enough.  */
-void owner_settle_suspects (struct owner *owner, gint64 now_us);
+/* The same for all queued suspects, whose upstreams may have been waited for
+   long enough.  */
+void owner_apply_crash_limits (struct owner *owner, gint64 now_us);
 
-/* UPSTREAM answers again, or is gone: judges the crashes that wait for that,
-   and settles their tasks.  */
-void owner_judge_crashes (struct owner *owner,
-                          const struct owned_upstream *upstream,
-                          gint64 now_us);
+/* UPSTREAM answers again, or is gone: verifies the crashes that wait for that,
+   and applies the limits to their tasks.  */
+void owner_verify_crashes (struct owner *owner,
+                           const struct owned_upstream *upstream,
+                           gint64 now_us);
 
 /* Frees what TASK keeps about crashes.  */
 void batch_task_clear_crashes (struct batch_task *task);
--- a/coordination/owner_runs.c
+++ b/coordination/owner_runs.c
@@ -97,7 +97,7 @@
   else
     {
       requeue (owner, task);
-      owner_settle_task (owner, task, now_us);
+      owner_apply_crash_limit (owner, task, now_us);
     }
   owner_finish_batch_if_done (owner, batch);
 }
@@ -218,7 +218,7 @@
   upstream->is_removed = TRUE;
   g_hash_table_steal (owner->upstreams, upstream->id);
   abandon_runs (owner, upstream, now_us);
-  owner_judge_crashes (owner, upstream, now_us);
+  owner_verify_crashes (owner, upstream, now_us);
   owner->driver->ops->ownership_ended (owner->driver, upstream, TRUE);
   owned_unref (upstream);
   owner_start_queued (owner, now_us);
@@ -233,7 +233,7 @@
     return;
   upstream->is_removed = TRUE;
   g_hash_table_steal (owner->upstreams, upstream->id);
-  owner_judge_crashes (owner, upstream, owner->last_call_us);
+  owner_verify_crashes (owner, upstream, owner->last_call_us);
   owner->driver->ops->ownership_ended (owner->driver, upstream, FALSE);
   owned_unref (upstream);
 }
@@ -307,7 +307,7 @@
   owner_report_health (owner, upstream, HEALTH_EVENT_RESTARTED);
   drop_former_runs (owner, upstream, now_us);
   if (instance_start_ms != 0)
-    owner_judge_crashes (owner, upstream, now_us);
+    owner_verify_crashes (owner, upstream, now_us);
 }
 
 /* Another instance has refused an order to UPSTREAM.  Most probably it will
--- a/t/t2113-owner-crashes.c
+++ b/t/t2113-owner-crashes.c
@@ -566,8 +566,8 @@
   bed_init (&bed, 3, NULL);
   submit (&bed, DEADLY, 1, 6);
   pass (&bed, 40 * USEC_PER_SEC);
-  /* Three that are excused, one for each task, and second ones on all three
-     upstreams before the first of these is proved.  */
+  /* Three that are ignored, one for each task, and second ones on all three
+     upstreams before the first of these is confirmed.  */
   g_assert_cmpuint (bed.n_crashes, <=, 3 + 6 + 3);
   g_assert_cmpuint (bed.n_crashed, ==, 1);
   bed_clear (&bed);
@@ -636,7 +636,7 @@
 
 /* A task that was a suspect at another owner runs alone here, and is not
    started after three crashes: its job fails, or its outcome is unknown where
-   the crashes are not proved here.  */
+   the crashes are not confirmed here.  */
 static void
 test_suspect_elsewhere (void)
 {
