fleet: one VM of each zone reads the list of upstreams

Cause: each VM read every upstream's entry, each rewritten every 1.5 s. At 300 VMs and 2,468 upstreams the store's reads were full for good: long polls of the desired state passed their timeout, and no VM, so no peer either, had a newer version 10 s after its acknowledgement. A log of one VM shows version 4 in force at -13 s and nothing after it. Ruled out: order of versions, and peers that do not pass them on.

Change: coordination/listing_source decides who reads. The largest live VM of a zone does; the others take over its position from its beacon while nothing has changed and fetch what has from it; a first list comes from any VM that has one. Pages of a list get more time with each retry.

--- a/coordination/vm_directory.c
+++ b/coordination/vm_directory.c
@@ -170,6 +170,7 @@
   vm->capacity = beacon->capacity;
   vm->routes_version = beacon->routes_version;
   vm->evacuation = beacon->evacuation;
+  vm->listing = beacon->listing;
   vm->callers = beacon->callers;
   vm->n_rooms = MIN (beacon->n_rooms, VM_ROOMS_MAX);
   for (guint i = 0; i < vm->n_rooms; i++)
--- a/coordination/vm_directory.h
+++ b/coordination/vm_directory.h
@@ -11,6 +11,7 @@
 #include "base/clock.h"
 #include "coordination/caller_share.h"
 #include "coordination/evacuation.h"
+#include "coordination/listing_source.h"
 #include "coordination/vm_room.h"
 
 #include <glib.h>
@@ -43,6 +44,7 @@
   guint capacity;  /* of its processor, in thousandths of a core; 0: unknown */
   guint64 routes_version;
   struct evacuation evacuation; /* as it knows it */
+  struct listing_state listing; /* likewise */
   struct caller_list callers;   /* with the largest demand there; empty unless
                                    it is live */
   struct vm_room rooms[VM_ROOMS_MAX];
@@ -62,6 +64,7 @@
   guint capacity; /* of its processor, in thousandths of a core; 0: unknown */
   guint64 routes_version;
   struct evacuation evacuation; /* as the VM knows it */
+  struct listing_state listing; /* likewise */
   struct caller_list callers;   /* with the largest demand there */
   const struct vm_room *rooms;
   guint n_rooms;
--- a/protocol/beacon.c
+++ b/protocol/beacon.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-/* Identifies a beacon and its version: "RcB4" in ASCII.  */
-#define BEACON_MAGIC 0x52634234u
+/* Identifies a beacon and its version: "RcB5" in ASCII.  */
+#define BEACON_MAGIC 0x52634235u
 
 /* Encodes MESSAGE with only the first N_KNOWN of its known VMs.  Returns the
    length in bytes, or 0 when it does not fit.  */
--- a/protocol/peer.x
+++ b/protocol/peer.x
@@ -19,6 +19,7 @@
 const HEARTBEAT_SECTIONS_MAX = 4;
 const PEER_SPEC_MAX = 65536;
 const PEER_TASKS_MAX = 130;
+const PEER_LISTING_MAX = 16777216;
 const BEACON_ROOMS_MAX = 8;
 const BEACON_PRIORITIES = 4;
 const BEACON_SIZES = 8;
@@ -201,6 +202,17 @@
   opaque text<PEER_DOCUMENT_MAX>; /* empty when there is nothing newer */
 };
 
+/* FETCH_LISTING: returns what the called VM knows of the platform's list of
+   upstreams beyond a position. */
+struct peer_listing_args {
+  unsigned hyper position; /* up to which the caller knows it; 0 for nothing */
+};
+
+struct peer_listing_result {
+  opaque text<PEER_LISTING_MAX>; /* empty: ask again later, or another VM */
+  unsigned int age_ms; /* since the list ended at the position of the text */
+};
+
 /* The capacity that a VM's upstreams have for one service, in tasks of usual
    size. */
 struct beacon_room {
@@ -242,6 +254,11 @@
   unsigned hyper evacuated_zones<BEACON_ZONES_MAX>; /* hashes of names */
   unsigned int capacity; /* of its processor, in thousandths of a core; 0: not
                             known */
+  unsigned hyper listing_position; /* it knows the platform's list of upstreams
+                                      up to there; 0: not at all */
+  unsigned hyper listing_changed; /* the last change in its zone is before it */
+  unsigned int listing_age_ms; /* since the list ended at listing_position */
+  bool is_listing_read;        /* by the sender, from the store */
   beacon_caller callers<BEACON_CALLERS_MAX>;
   beacon_room rooms<BEACON_ROOMS_MAX>;
   beacon_vm known<BEACON_VMS_MAX>; /* gossip: some live VMs that it knows */
@@ -315,5 +332,6 @@
     peer_routes_result PEER_FETCH_ROUTES (peer_routes_args) = 7;
     peer_return_result PEER_RETURN_TASKS (peer_return_args) = 8;
     peer_claim_result PEER_CLAIM_TASKS (peer_claim_args) = 9;
+    peer_listing_result PEER_FETCH_LISTING (peer_listing_args) = 10;
   } = 1;
 } = 0x20526368;
--- a/protocol/peer_xdr.c
+++ b/protocol/peer_xdr.c
@@ -509,6 +509,28 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_listing_args (XDR *xdrs, peer_listing_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->position))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_listing_result (XDR *xdrs, peer_listing_result *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, PEER_LISTING_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_beacon_room (XDR *xdrs, beacon_room *objp)
 {
@@ -667,6 +689,14 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->capacity))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->listing_position))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->listing_changed))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->listing_age_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_listing_read))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->callers.callers_val, (u_int *) &objp->callers.callers_len, BEACON_CALLERS_MAX,
 		sizeof (beacon_caller), (xdrproc_t) xdr_beacon_caller))
 		 return FALSE;
--- a/protocol/peer_xdr.h
+++ b/protocol/peer_xdr.h
@@ -27,6 +27,7 @@
 #define HEARTBEAT_SECTIONS_MAX 4
 #define PEER_SPEC_MAX 65536
 #define PEER_TASKS_MAX 130
+#define PEER_LISTING_MAX 16777216
 #define BEACON_ROOMS_MAX 8
 #define BEACON_PRIORITIES 4
 #define BEACON_SIZES 8
@@ -257,6 +258,20 @@
 };
 typedef struct peer_routes_result peer_routes_result;
 
+struct peer_listing_args {
+	u_quad_t position;
+};
+typedef struct peer_listing_args peer_listing_args;
+
+struct peer_listing_result {
+	struct {
+		u_int text_len;
+		char *text_val;
+	} text;
+	u_int age_ms;
+};
+typedef struct peer_listing_result peer_listing_result;
+
 struct beacon_room {
 	u_quad_t service;
 	u_int n_slots;
@@ -295,6 +310,10 @@
 		u_quad_t *evacuated_zones_val;
 	} evacuated_zones;
 	u_int capacity;
+	u_quad_t listing_position;
+	u_quad_t listing_changed;
+	u_int listing_age_ms;
+	bool_t is_listing_read;
 	struct {
 		u_int callers_len;
 		beacon_caller *callers_val;
@@ -410,6 +429,9 @@
 #define PEER_CLAIM_TASKS 9
 extern  peer_claim_result * peer_claim_tasks_1(peer_claim_args *, CLIENT *);
 extern  peer_claim_result * peer_claim_tasks_1_svc(peer_claim_args *, struct svc_req *);
+#define PEER_FETCH_LISTING 10
+extern  peer_listing_result * peer_fetch_listing_1(peer_listing_args *, CLIENT *);
+extern  peer_listing_result * peer_fetch_listing_1_svc(peer_listing_args *, struct svc_req *);
 extern int radishchute_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -440,6 +462,9 @@
 #define PEER_CLAIM_TASKS 9
 extern  peer_claim_result * peer_claim_tasks_1();
 extern  peer_claim_result * peer_claim_tasks_1_svc();
+#define PEER_FETCH_LISTING 10
+extern  peer_listing_result * peer_fetch_listing_1();
+extern  peer_listing_result * peer_fetch_listing_1_svc();
 extern int radishchute_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -468,6 +493,8 @@
 extern  bool_t xdr_peer_yield_result (XDR *, peer_yield_result*);
 extern  bool_t xdr_peer_routes_args (XDR *, peer_routes_args*);
 extern  bool_t xdr_peer_routes_result (XDR *, peer_routes_result*);
+extern  bool_t xdr_peer_listing_args (XDR *, peer_listing_args*);
+extern  bool_t xdr_peer_listing_result (XDR *, peer_listing_result*);
 extern  bool_t xdr_beacon_room (XDR *, beacon_room*);
 extern  bool_t xdr_beacon_vm (XDR *, beacon_vm*);
 extern  bool_t xdr_beacon_caller (XDR *, beacon_caller*);
@@ -504,6 +531,8 @@
 extern bool_t xdr_peer_yield_result ();
 extern bool_t xdr_peer_routes_args ();
 extern bool_t xdr_peer_routes_result ();
+extern bool_t xdr_peer_listing_args ();
+extern bool_t xdr_peer_listing_result ();
 extern bool_t xdr_beacon_room ();
 extern bool_t xdr_beacon_vm ();
 extern bool_t xdr_beacon_caller ();
--- a/protocol/rpc_message.c
+++ b/protocol/rpc_message.c
@@ -27,6 +27,7 @@
   PROCEDURE (PEER_STOP_BATCH, stop),
   PROCEDURE (PEER_YIELD, yield),
   PROCEDURE (PEER_FETCH_ROUTES, routes),
+  PROCEDURE (PEER_FETCH_LISTING, listing),
   PROCEDURE (PEER_RETURN_TASKS, return ),
   PROCEDURE (PEER_CLAIM_TASKS, claim),
 };
--- a/t/t5014-follower.c
+++ b/t/t5014-follower.c
@@ -127,7 +127,7 @@
 follow (struct bed *bed)
 {
   bed->client = store_client_new (fake_store_address (bed->store));
-  bed->follower = follower_new (bed->client, &bed->events);
+  bed->follower = follower_new (bed->client, "z", &bed->events);
 }
 
 static void
@@ -550,6 +550,129 @@
   close_bed (bed);
 }
 
+/* Hands what FROM knows beyond the position of TO, of whose own store nothing
+   is read, to TO.  */
+static void
+pass_listing (struct bed *from, struct bed *to)
+{
+  struct listing_state sent;
+  struct listing_state known;
+  g_autoptr (GBytes) text = NULL;
+
+  follower_get_listing (from->follower, &sent);
+  follower_get_listing (to->follower, &known);
+  text = follower_format_listing (from->follower, known.position);
+  g_assert_nonnull (text);
+  follower_apply_listing (to->follower, text, sent.as_of_us);
+  pass (5);
+  follower_get_listing (to->follower, &known);
+  g_assert_cmpuint (known.position, >=, sent.position);
+  g_assert_cmpint (known.as_of_us, ==, sent.as_of_us);
+  g_assert_false (known.is_read);
+}
+
+static struct listing_state
+get_listing (struct bed *bed)
+{
+  struct listing_state state;
+
+  follower_get_listing (bed->follower, &state);
+  return state;
+}
+
+/* A VM that reads nothing itself learns of every change and every deletion
+   from one that does, and of nothing else; then it reads on from there.  */
+static void
+test_list_from_peer (void)
+{
+  struct bed *reader = open_bed ();
+  struct bed *other = open_bed ();
+  guint64 changed;
+
+  put_state (reader, 3, "s");
+  put_state (other, 3, "s");
+  put_upstream (reader, "i-1", "s", "ready", 1);
+  put_upstream (reader, "i-2", "s", "ready", 1);
+  follow (reader);
+  follow (other);
+  follower_set_reading (other->follower, FALSE);
+  g_assert_null (follower_format_listing (other->follower, 0));
+  pass (600);
+  g_assert_cmpuint (get_listing (reader).position, ==, 2);
+  pass_listing (reader, other);
+  pass (50);
+  g_assert_cmpuint (strlen (other->told->str), ==, strlen (" v3 +i-1 +i-2"));
+  g_string_truncate (other->told, 0);
+
+  /* Only "seq" is new: the position moves, and nothing has changed.  */
+  changed = get_listing (reader).changed;
+  put_upstream (reader, "i-1", "s", "ready", 2);
+  pass (500);
+  g_assert_cmpuint (get_listing (reader).position, ==, 3);
+  g_assert_cmpuint (get_listing (reader).changed, ==, changed);
+
+  put_upstream (reader, "i-1", "s", "draining", 3);
+  drop_upstream (reader, "i-2");
+  put_upstream (reader, "i-3", "s", "ready", 1);
+  pass (500);
+  g_assert_cmpuint (get_listing (reader).changed, ==, 6);
+  pass_listing (reader, other);
+  g_assert_nonnull (strstr (other->told->str, " +i-1~"));
+  g_assert_nonnull (strstr (other->told->str, " -i-2"));
+  g_assert_nonnull (strstr (other->told->str, " +i-3"));
+  g_assert_cmpuint (strlen (other->told->str), ==,
+                    strlen (" +i-1~ -i-2 +i-3"));
+  g_assert_cmpuint (get_listing (other).changed, ==, 6);
+  /* What comes twice changes nothing.  */
+  g_string_truncate (other->told, 0);
+  pass_listing (reader, other);
+  g_assert_cmpstr (other->told->str, ==, "");
+  close_bed (reader);
+  close_bed (other);
+}
+
+/* Changes from a later position than is known here would leave a gap: they are
+   not taken.  */
+static void
+test_gap_from_peer (void)
+{
+  struct bed *reader = open_bed ();
+  struct bed *other = open_bed ();
+  g_autoptr (GBytes) text = NULL;
+
+  put_state (reader, 3, "s");
+  put_upstream (reader, "i-1", "s", "ready", 1);
+  follow (reader);
+  follow (other);
+  follower_set_reading (other->follower, FALSE);
+  pass (600);
+  text = follower_format_listing (reader->follower, 1);
+  follower_apply_listing (other->follower, text, clock_now_us ());
+  pass (20);
+  g_assert_cmpuint (get_listing (other).position, ==, 0);
+  close_bed (reader);
+  close_bed (other);
+}
+
+/* A page of the list that does not come in time is given more of it with each
+   retry: otherwise a page that is too large for a busy link never ends.  */
+static void
+test_slow_pages (void)
+{
+  struct bed *bed = open_bed ();
+  guint n_tails = 2;
+
+  put_state (bed, 3, "s");
+  put_upstream (bed, "i-1", "s", "ready", 1);
+  fake_store_set_fault (bed->store, FAKE_STORE_SILENT);
+  follow (bed);
+  pass (3600);
+  /* After 0, 1.1 and 3.3 s.  */
+  g_assert_cmpuint (fake_store_count (bed->store, "log-newest"), ==,
+                    3 * n_tails);
+  close_bed (bed);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -577,5 +700,8 @@
   g_test_add_func ("/follower/comes-back", test_entry_that_comes_back);
   g_test_add_func ("/follower/forgotten", test_entry_that_was_forgotten);
   g_test_add_func ("/follower/calls-when-quiet", test_calls_when_quiet);
+  g_test_add_func ("/follower/list-from-peer", test_list_from_peer);
+  g_test_add_func ("/follower/gap-from-peer", test_gap_from_peer);
+  g_test_add_func ("/follower/slow-pages", test_slow_pages);
   return g_test_run ();
 }
--- a/transport/fleet.c
+++ b/transport/fleet.c
@@ -180,6 +180,7 @@
   state->capacity = fleet_get_capacity (fleet);
   state->routes_version = fleet->routes != NULL ? fleet->routes->version : 0;
   state->evacuation = fleet->evacuation;
+  fleet->platform->ops->get_listing (fleet->platform, &state->listing);
   fleet_admission_list_callers (fleet->admission, &state->callers);
   for (guint i = 0; i < services->len && state->n_rooms < VM_ROOMS_MAX; i++)
     {
@@ -501,6 +502,7 @@
   if (fleet->settings->share_by_capacity)
     update_capacity (fleet, now_us);
   fleet->last_tick_us = now_us;
+  fleet_listing_advance (fleet->listing, fleet_get_capacity (fleet));
   fleet_shards_advance (fleet->shards);
   fleet_admission_advance (fleet->admission, now_us);
   fleet_home_advance (fleet->home, now_us);
@@ -532,6 +534,7 @@
   fleet->drain_deadline_us
       = now_us + (gint64)((gdouble)grace_us * DRAIN_ANSWER_FRACTION);
   fleet->platform->ops->leave (fleet->platform);
+  fleet_listing_leave (fleet->listing);
   fleet_shards_leave (fleet->shards);
   peer_hub_set_leaving (fleet->hub);
   fleet_home_leave (fleet->home);
@@ -617,6 +620,8 @@
                                 fleet->hub, fleet->owner, fleet->admission);
   fleet_home_set_evacuation (fleet->home, &fleet->evacuation);
   set_waiting (fleet);
+  fleet->listing = fleet_listing_new (settings, fleet->platform,
+                                      fleet->directory, fleet->hub);
   peer_hub_serve (fleet->hub, PEER_FETCH_ROUTES, serve_fetch_routes, fleet);
 }
 
@@ -686,6 +691,7 @@
   g_clear_pointer (&fleet->home, fleet_home_free);
   g_clear_pointer (&fleet->admission, fleet_admission_free);
   g_clear_pointer (&fleet->owner, fleet_owner_free);
+  g_clear_pointer (&fleet->listing, fleet_listing_free);
   g_clear_pointer (&fleet->shards, fleet_shards_free);
   vm_directory_free (fleet->directory);
   g_clear_pointer (&fleet->routes, route_table_unref);
--- a/transport/fleet_beacon.c
+++ b/transport/fleet_beacon.c
@@ -80,6 +80,17 @@
     to->zones[i] = from->evacuated_zones.evacuated_zones_val[i];
 }
 
+static void
+encode_listing (const struct listing_state *from, struct beacon *to)
+{
+  gint64 age_us = clock_now_us () - from->as_of_us;
+
+  to->listing_position = from->position;
+  to->listing_changed = from->changed;
+  to->listing_age_ms = (guint)MIN (age_us / USEC_PER_MSEC, G_MAXINT32);
+  to->is_listing_read = from->is_read;
+}
+
 static void
 decode_callers (const struct beacon *from, struct caller_list *to)
 {
@@ -123,6 +134,12 @@
   const struct vm *vm;
 
   decode_evacuation (message, &received.evacuation);
+  received.listing = (struct listing_state){
+    .position = message->listing_position,
+    .changed = message->listing_changed,
+    .as_of_us = now_us - message->listing_age_ms * USEC_PER_MSEC,
+    .is_read = message->is_listing_read,
+  };
   decode_callers (message, &received.callers);
   for (guint i = 0; i < received.n_rooms; i++)
     decode_room (&message->rooms.rooms_val[i], &rooms[i]);
@@ -220,6 +237,7 @@
   message.evacuated_zones.evacuated_zones_len = own.evacuation.n_zones;
   message.evacuated_zones.evacuated_zones_val = evacuated;
   memcpy (evacuated, own.evacuation.zones, sizeof evacuated);
+  encode_listing (&own.listing, &message);
   encode_callers (&own.callers, callers);
   message.callers.callers_len = own.callers.n;
   message.callers.callers_val = callers;
--- a/transport/fleet_platform.h
+++ b/transport/fleet_platform.h
@@ -14,6 +14,7 @@
 #define TRANSPORT_FLEET_PLATFORM_H
 
 #include "coordination/evacuation.h"
+#include "coordination/listing_source.h"
 #include "coordination/owner.h"
 #include "state/route.h"
 
@@ -82,6 +83,24 @@
      force.  */
   void (*offer_routes) (struct fleet_platform *platform, GBytes *text);
 
+  /* The platform's list of upstreams, as coordination/listing_source.h has it:
+     what is known of it here, whether it is read from the store, and what
+     another VM of the zone knows.  */
+  void (*get_listing) (struct fleet_platform *platform,
+                       struct listing_state *state);
+  void (*set_listing_read) (struct fleet_platform *platform,
+                            gboolean is_reading);
+  void (*adopt_listing) (struct fleet_platform *platform, guint64 position,
+                         gint64 as_of_us);
+
+  /* The changes of the list from the position FROM on, as text for
+     apply_listing () of another VM of the zone; all of the list if not all of
+     these changes are known, and MAY_BE_ALL.  Else NULL.  */
+  GBytes *(*format_listing) (struct fleet_platform *platform, guint64 from,
+                             gboolean may_be_all);
+  void (*apply_listing) (struct fleet_platform *platform, GBytes *text,
+                         gint64 as_of_us);
+
   /* Requests a list of the members, which members_listed () reports later.  */
   void (*list_members) (struct fleet_platform *platform);
 
--- a/transport/fleet_private.h
+++ b/transport/fleet_private.h
@@ -8,6 +8,7 @@
 #include "transport/fleet.h"
 #include "transport/fleet_admission.h"
 #include "transport/fleet_beacon.h"
+#include "transport/fleet_listing.h"
 #include "transport/fleet_shards.h"
 #include "transport/loop_delay.h"
 #include "transport/metrics_server.h"
@@ -34,6 +35,7 @@
   struct fleet_admission *admission;
   struct fleet_home *home;
   struct fleet_shards *shards;
+  struct fleet_listing *listing;
   struct fleet_beacon *beacon;
   struct route_table *routes; /* NULL before any are known */
   GBytes *routes_text;
