fleet: beacons at the full rate only where each one is acted on

Cause: all VMs sent 6.7 beacons a second to all others, 2,000 in and 2,000 out at 300 VMs, on links of 25 Mbit/s and 0.12 of a core.

Change: coordination/beacon_rate. The full rate goes to VMs with calls in common, to the own zone from owners of upstreams and from the reader, and to VMs that were not heard yet; others get a beacon every 5 ms times their number, up to 1 s. A beacon says when the next comes; a VM counts as lost after three, but 600 ms after work in common has begun, as before. Up to 30 VMs in the other zones nothing changes.

--- a/coordination/vm_directory.c
+++ b/coordination/vm_directory.c
@@ -166,6 +166,10 @@
   vm->is_live = TRUE;
   vm->is_leaving = beacon->is_leaving;
   vm->heard_us = now_us;
+  vm->lost_at_us
+      = now_us
+        + MAX (VM_LOST_AFTER_US,
+               VM_MISSED_BEACONS * beacon->interval_ms * USEC_PER_MSEC);
   vm->held = beacon->held;
   vm->capacity = beacon->capacity;
   vm->routes_version = beacon->routes_version;
@@ -186,8 +190,55 @@
 {
   struct vm *vm = find_vm (directory, name);
 
-  if (vm != NULL && vm->is_live)
-    vm->heard_us = MAX (vm->heard_us, now_us);
+  if (vm == NULL || !vm->is_live)
+    return;
+  vm->heard_us = MAX (vm->heard_us, now_us);
+  vm->lost_at_us = MAX (vm->lost_at_us, now_us + VM_LOST_AFTER_US);
+}
+
+void
+vm_directory_begin_work (struct vm_directory *directory, const char *name,
+                         gint64 now_us)
+{
+  struct vm *vm = find_vm (directory, name);
+
+  if (vm == NULL)
+    return;
+  vm->n_works++;
+  vm->lost_at_us = MIN (vm->lost_at_us, now_us + VM_LOST_AFTER_US);
+  vm->beacon_due_us = MIN (vm->beacon_due_us, now_us);
+}
+
+void
+vm_directory_end_work (struct vm_directory *directory, const char *name)
+{
+  struct vm *vm = find_vm (directory, name);
+
+  /* The VM may have been forgotten and have become known again meanwhile.  */
+  if (vm != NULL && vm->n_works > 0)
+    vm->n_works--;
+}
+
+guint
+vm_directory_count_zone (const struct vm_directory *directory,
+                         const char *availability_zone)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < directory->vms->len; i++)
+    {
+      const struct vm *vm = g_ptr_array_index (directory->vms, i);
+
+      n += g_str_equal (vm->availability_zone, availability_zone);
+    }
+  return n;
+}
+
+void
+vm_directory_set_beacon_due (struct vm_directory *directory,
+                             const struct vm *vm, gint64 due_us)
+{
+  find_vm (directory, vm->name)->beacon_due_us = due_us;
 }
 
 void
@@ -230,7 +281,7 @@
     {
       struct vm *vm = g_ptr_array_index (directory->vms, i - 1);
 
-      if (vm->is_live && now_us - vm->heard_us > VM_LOST_AFTER_US)
+      if (vm->is_live && now_us > vm->lost_at_us)
         mark_lost (directory, vm);
       if (!is_forgettable (vm, now_us))
         continue;
--- a/coordination/vm_directory.h
+++ b/coordination/vm_directory.h
@@ -16,10 +16,13 @@
 
 #include <glib.h>
 
-/* A VM counts as lost when it was not heard for this long.  The loss of a home
-   must be noticed, and the runs of its jobs stopped, before the caller sends
-   the job again.  */
+/* A VM with which this one has work in common counts as lost when it was not
+   heard for this long.  The loss of a home must be noticed, and the runs of
+   its jobs stopped, before the caller sends the job again.  Others may
+   announce that their beacons come less often: they count as lost when
+   VM_MISSED_BEACONS of them are missing.  */
 #define VM_LOST_AFTER_US (600 * USEC_PER_MSEC)
+#define VM_MISSED_BEACONS 3
 
 /* A VM that is not live is removed when it was not heard for this long.  */
 #define VM_FORGET_AFTER_US (30 * USEC_PER_SEC)
@@ -39,9 +42,12 @@
   guint32 sequence;    /* of its latest beacon */
   gboolean is_live;
   gboolean is_leaving;
-  gint64 heard_us; /* time of its latest beacon, or when it became known */
-  guint64 held;    /* shards that it holds in its zone, as bits */
-  guint capacity;  /* of its processor, in thousandths of a core; 0: unknown */
+  gint64 heard_us;   /* time of its latest beacon, or when it became known */
+  gint64 lost_at_us; /* counts as lost then, unless it is heard before */
+  gint64 beacon_due_us; /* when the next beacon is to be sent to it */
+  guint n_works;        /* calls with work in common that are in flight */
+  guint64 held;         /* shards that it holds in its zone, as bits */
+  guint capacity; /* of its processor, in thousandths of a core; 0: unknown */
   guint64 routes_version;
   struct evacuation evacuation; /* as it knows it */
   struct listing_state listing; /* likewise */
@@ -60,7 +66,8 @@
   guint64 incarnation;
   guint32 sequence;
   gboolean is_leaving;
-  guint64 held;   /* shards that the VM holds in its zone, as bits */
+  guint interval_ms; /* until its next beacon to this VM */
+  guint64 held;      /* shards that the VM holds in its zone, as bits */
   guint capacity; /* of its processor, in thousandths of a core; 0: unknown */
   guint64 routes_version;
   struct evacuation evacuation; /* as the VM knows it */
@@ -113,6 +120,22 @@
 void vm_directory_note_message (struct vm_directory *directory,
                                 const char *name, gint64 now_us);
 
+/* Work in common with the VM NAME begins or ends: a call between the two that
+   one of them has to know the loss of the other for.  Both send each other
+   beacons at the full rate meanwhile.  Begins are counted, and each needs its
+   end.  */
+void vm_directory_begin_work (struct vm_directory *directory, const char *name,
+                              gint64 now_us);
+void vm_directory_end_work (struct vm_directory *directory, const char *name);
+
+/* The VMs, but for this one, of AVAILABILITY_ZONE.  */
+guint vm_directory_count_zone (const struct vm_directory *directory,
+                               const char *availability_zone);
+
+/* The next beacon to VM is due at DUE_US.  */
+void vm_directory_set_beacon_due (struct vm_directory *directory,
+                                  const struct vm *vm, gint64 due_us);
+
 /* Whether other VMs of AVAILABILITY_ZONE are known, and each of them was heard
    since the start.  */
 gboolean vm_directory_has_heard_all (const struct vm_directory *directory,
--- a/protocol/peer.x
+++ b/protocol/peer.x
@@ -245,6 +245,7 @@
   beacon_vm sender;
   unsigned hyper incarnation;
   unsigned int sequence; /* older beacons are ignored */
+  unsigned int interval_ms; /* until the next beacon to this receiver */
   bool is_leaving;
   unsigned hyper held; /* bit mask of the shards of its zone that it owns: bit N
                           for shard N */
--- a/protocol/peer_xdr.c
+++ b/protocol/peer_xdr.c
@@ -668,6 +668,109 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_int (xdrs, &objp->magic))
+			 return FALSE;
+		 if (!xdr_beacon_vm (xdrs, &objp->sender))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->sequence))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->interval_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_leaving))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->sequence);
+		IXDR_PUT_U_LONG(buf, objp->interval_ms);
+		IXDR_PUT_BOOL(buf, objp->is_leaving);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->held))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->routes_version))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->evacuation_position))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->evacuated_zones.evacuated_zones_val, (u_int *) &objp->evacuated_zones.evacuated_zones_len, BEACON_ZONES_MAX,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->capacity))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->listing_position))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->listing_changed))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->listing_age_ms))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->is_listing_read))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->callers.callers_val, (u_int *) &objp->callers.callers_len, BEACON_CALLERS_MAX,
+			sizeof (beacon_caller), (xdrproc_t) xdr_beacon_caller))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->rooms.rooms_val, (u_int *) &objp->rooms.rooms_len, BEACON_ROOMS_MAX,
+			sizeof (beacon_room), (xdrproc_t) xdr_beacon_room))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->known.known_val, (u_int *) &objp->known.known_len, BEACON_VMS_MAX,
+			sizeof (beacon_vm), (xdrproc_t) xdr_beacon_vm))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_int (xdrs, &objp->magic))
+			 return FALSE;
+		 if (!xdr_beacon_vm (xdrs, &objp->sender))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->sequence))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->interval_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_leaving))
+				 return FALSE;
+
+		} else {
+		objp->sequence = IXDR_GET_U_LONG(buf);
+		objp->interval_ms = IXDR_GET_U_LONG(buf);
+		objp->is_leaving = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->held))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->routes_version))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->evacuation_position))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->evacuated_zones.evacuated_zones_val, (u_int *) &objp->evacuated_zones.evacuated_zones_len, BEACON_ZONES_MAX,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->capacity))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->listing_position))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->listing_changed))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->listing_age_ms))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->is_listing_read))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->callers.callers_val, (u_int *) &objp->callers.callers_len, BEACON_CALLERS_MAX,
+			sizeof (beacon_caller), (xdrproc_t) xdr_beacon_caller))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->rooms.rooms_val, (u_int *) &objp->rooms.rooms_len, BEACON_ROOMS_MAX,
+			sizeof (beacon_room), (xdrproc_t) xdr_beacon_room))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->known.known_val, (u_int *) &objp->known.known_len, BEACON_VMS_MAX,
+			sizeof (beacon_vm), (xdrproc_t) xdr_beacon_vm))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_int (xdrs, &objp->magic))
 		 return FALSE;
 	 if (!xdr_beacon_vm (xdrs, &objp->sender))
@@ -676,6 +779,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->sequence))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->interval_ms))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_leaving))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->held))
--- a/protocol/peer_xdr.h
+++ b/protocol/peer_xdr.h
@@ -301,6 +301,7 @@
 	beacon_vm sender;
 	u_quad_t incarnation;
 	u_int sequence;
+	u_int interval_ms;
 	bool_t is_leaving;
 	u_quad_t held;
 	u_quad_t routes_version;
--- a/t/t2120-vm-directory.c
+++ b/t/t2120-vm-directory.c
@@ -413,6 +413,41 @@
   bed_free (bed);
 }
 
+/* A VM whose beacons come once a second is lost after three of them, but 600
+   ms after work with it has begun, as long as that lasts.  */
+static void
+test_rare_beacons (void)
+{
+  struct bed *bed = bed_new ();
+  struct vm_beacon news = { .name = PEER,
+                            .ip = "127.0.0.2",
+                            .availability_zone = "b",
+                            .incarnation = 10,
+                            .sequence = 1,
+                            .interval_ms = 1000 };
+
+  vm_directory_handle_beacon (bed->directory, &news, bed->now_us);
+  pass (bed, 3 * USEC_PER_SEC);
+  g_assert_true (find (bed)->is_live);
+  pass (bed, 1);
+  g_assert_false (find (bed)->is_live);
+  news.sequence++;
+  vm_directory_handle_beacon (bed->directory, &news, bed->now_us);
+  vm_directory_begin_work (bed->directory, PEER, bed->now_us);
+  pass (bed, VM_LOST_AFTER_US / 2);
+  vm_directory_begin_work (bed->directory, PEER, bed->now_us);
+  vm_directory_end_work (bed->directory, PEER);
+  g_assert_cmpuint (find (bed)->n_works, ==, 1);
+  pass (bed, VM_LOST_AFTER_US / 2);
+  g_assert_true (find (bed)->is_live);
+  pass (bed, 1);
+  g_assert_false (find (bed)->is_live);
+  vm_directory_end_work (bed->directory, PEER);
+  vm_directory_end_work (bed->directory, PEER);
+  g_assert_cmpuint (find (bed)->n_works, ==, 0);
+  bed_free (bed);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -432,5 +467,6 @@
   g_test_add_func ("/vm-directory/wait", test_wait);
   g_test_add_func ("/vm-directory/heard-by-call", test_heard_by_call);
   g_test_add_func ("/vm-directory/heard-all", test_heard_all);
+  g_test_add_func ("/vm-directory/rare-beacons", test_rare_beacons);
   return g_test_run ();
 }
--- a/transport/fleet_beacon.c
+++ b/transport/fleet_beacon.c
@@ -1,20 +1,18 @@
 #include "transport/fleet_beacon.h"
 
 #include "base/list.h"
+#include "coordination/beacon_rate.h"
 #include "protocol/beacon.h"
 #include "transport/peer_socket.h"
 
 #include <string.h>
 
-/* The interval between beacons grows with the number of VMs, which limits the
-   number of beacons that a VM sends and receives per second.  */
-#define INTERVAL_PER_VM_MS 5
-#define MIN_INTERVAL_MS 50
-#define MAX_INTERVAL_MS 150
-
 /* One of this many beacons names other VMs.  */
 #define GOSSIP_INTERVAL_BEACONS 8
 
+/* Before the first beacon.  */
+#define START_DELAY_MS 50
+
 /* Received beacons are read at this interval, several at a time.  */
 #define READ_INTERVAL_US (20 * USEC_PER_MSEC)
 
@@ -123,6 +121,7 @@
     .availability_zone = message->sender.availability_zone,
     .incarnation = message->incarnation,
     .sequence = message->sequence,
+    .interval_ms = message->interval_ms,
     .is_leaving = message->is_leaving,
     .held = message->held,
     .capacity = message->capacity,
@@ -198,8 +197,6 @@
   const GPtrArray *vms = vm_directory_list (b->directory);
   guint n = 0;
 
-  if (b->sequence % GOSSIP_INTERVAL_BEACONS != 0)
-    return 0;
   for (guint i = 0; i < vms->len && n < BEACON_VMS_MAX; i++)
     {
       const struct vm *vm
@@ -212,74 +209,138 @@
   return n;
 }
 
+/* Encodes OWN, the state of this VM, for receivers that get a beacon every
+   INTERVAL_MS.  At the full rate only some name other VMs.  */
 static gsize
-encode_beacon (struct fleet_beacon *b, guint8 data[BEACON_MAX_LENGTH])
+encode_beacon (struct fleet_beacon *b, const struct vm_beacon *own,
+               guint interval_ms, gboolean is_full_rate,
+               guint8 data[BEACON_MAX_LENGTH])
 {
-  struct vm_room rooms[VM_ROOMS_MAX];
   struct beacon_room sent[VM_ROOMS_MAX];
   struct beacon_vm known[BEACON_VMS_MAX];
   struct beacon_caller callers[CALLER_LIST_MAX];
   guint64 evacuated[EVACUATION_MAX_ZONES];
-  struct vm_beacon own = { .rooms = rooms };
   struct beacon message = {
     .sender
     = { b->settings->vm, b->settings->ip, b->settings->availability_zone },
     .incarnation = b->incarnation,
-    .sequence = ++b->sequence,
+    .sequence = b->sequence,
+    .interval_ms = interval_ms,
   };
 
-  b->owner->ops->fill_beacon (b->owner, &own, rooms);
-  message.is_leaving = own.is_leaving;
-  message.held = own.held;
-  message.capacity = own.capacity;
-  message.routes_version = own.routes_version;
-  message.evacuation_position = own.evacuation.position;
-  message.evacuated_zones.evacuated_zones_len = own.evacuation.n_zones;
+  message.is_leaving = own->is_leaving;
+  message.held = own->held;
+  message.capacity = own->capacity;
+  message.routes_version = own->routes_version;
+  message.evacuation_position = own->evacuation.position;
+  message.evacuated_zones.evacuated_zones_len = own->evacuation.n_zones;
   message.evacuated_zones.evacuated_zones_val = evacuated;
-  memcpy (evacuated, own.evacuation.zones, sizeof evacuated);
-  encode_listing (&own.listing, &message);
-  encode_callers (&own.callers, callers);
-  message.callers.callers_len = own.callers.n;
+  memcpy (evacuated, own->evacuation.zones, sizeof evacuated);
+  encode_listing (&own->listing, &message);
+  encode_callers (&own->callers, callers);
+  message.callers.callers_len = own->callers.n;
   message.callers.callers_val = callers;
-  for (guint i = 0; i < own.n_rooms; i++)
-    encode_room (&rooms[i], &sent[i]);
-  message.rooms.rooms_len = own.n_rooms;
+  for (guint i = 0; i < own->n_rooms; i++)
+    encode_room (&own->rooms[i], &sent[i]);
+  message.rooms.rooms_len = own->n_rooms;
   message.rooms.rooms_val = sent;
   message.known.known_len = fill_gossip (b, known);
   message.known.known_val = known;
   return beacon_encode (&message, data);
 }
 
-void
-fleet_beacon_send (struct fleet_beacon *b)
+static enum beacon_class
+classify (const struct fleet_beacon *b, const struct beacon_rate *rate,
+          const struct vm *vm)
+{
+  const struct beacon_receiver receiver = {
+    .is_local
+    = g_str_equal (vm->availability_zone, b->settings->availability_zone),
+    .is_live = vm->is_live,
+    .has_work = vm->n_works > 0,
+  };
+
+  return beacon_rate_classify (rate, &receiver);
+}
+
+/* Sends the beacon of OWN to the VMs of CLASS to which it is due, or to all of
+   these if IS_FORCED.  */
+static void
+send_to_class (struct fleet_beacon *b, const struct beacon_rate *rate,
+               const struct vm_beacon *own, enum beacon_class class,
+               gboolean is_forced)
 {
   const GPtrArray *vms = vm_directory_list (b->directory);
   g_autoptr (GPtrArray) to = g_ptr_array_sized_new (vms->len);
+  guint interval_ms = beacon_rate_get_ms (rate, class);
+  gint64 now_us = clock_now_us ();
+  gint64 due_us
+      = now_us + beacon_rate_get_ms (rate, BEACON_FULL) * USEC_PER_MSEC / 2;
   guint8 data[BEACON_MAX_LENGTH];
-  gsize length = encode_beacon (b, data);
+  gsize length;
 
-  for (guint i = 0; length > 0 && i < vms->len; i++)
+  for (guint i = 0; i < vms->len; i++)
     {
       const struct vm *vm = g_ptr_array_index (vms, i);
       GSocketAddress *address = get_address (b, vm->ip);
 
-      if (address != NULL)
-        g_ptr_array_add (to, address);
+      if (address == NULL || classify (b, rate, vm) != class
+          || (!is_forced && vm->beacon_due_us > due_us))
+        continue;
+      vm_directory_set_beacon_due (b->directory, vm,
+                                   now_us + interval_ms * USEC_PER_MSEC);
+      g_ptr_array_add (to, address);
     }
-  peer_socket_send_all (b->socket, to, data, length);
+  if (to->len == 0)
+    return;
+  length = encode_beacon (b, own, interval_ms, class == BEACON_FULL, data);
+  if (length > 0)
+    peer_socket_send_all (b->socket, to, data, length);
+}
+
+static struct beacon_rate
+get_rate (const struct fleet_beacon *b, const struct vm_beacon *own)
+{
+  const char *zone = b->settings->availability_zone;
+
+  return (struct beacon_rate){
+    .n_vms = vm_directory_list (b->directory)->len,
+    .n_zone_vms = vm_directory_count_zone (b->directory, zone),
+    .is_awaited = own->held != 0 || own->n_rooms > 0 || own->listing.is_read,
+  };
+}
+
+/* Sends beacons to the VMs to which one is due, or to all if IS_FORCED.  */
+static void
+send_beacons (struct fleet_beacon *b, gboolean is_forced)
+{
+  struct vm_room rooms[VM_ROOMS_MAX];
+  struct vm_beacon own = { .rooms = rooms };
+  struct beacon_rate rate;
+
+  b->sequence++;
+  b->owner->ops->fill_beacon (b->owner, &own, rooms);
+  rate = get_rate (b, &own);
+  for (guint class = 0; class < N_BEACON_CLASSES; class ++)
+    send_to_class (b, &rate, &own, class, is_forced);
+}
+
+void
+fleet_beacon_send (struct fleet_beacon *b)
+{
+  send_beacons (b, TRUE);
 }
 
 static gboolean
 on_timer (gpointer data)
 {
   struct fleet_beacon *b = data;
-  guint n_vms = vm_directory_list (b->directory)->len;
+  struct beacon_rate rate = { .n_vms = vm_directory_list (b->directory)->len };
 
   vm_directory_advance (b->directory, clock_now_us ());
-  fleet_beacon_send (b);
-  b->timer = g_timeout_add (
-      CLAMP (n_vms * INTERVAL_PER_VM_MS, MIN_INTERVAL_MS, MAX_INTERVAL_MS),
-      on_timer, b);
+  send_beacons (b, FALSE);
+  b->timer
+      = g_timeout_add (beacon_rate_get_ms (&rate, BEACON_FULL), on_timer, b);
   return G_SOURCE_REMOVE;
 }
 
@@ -305,7 +366,7 @@
   peer_socket_set_read_interval (b->socket, READ_INTERVAL_US);
   b->addresses = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                         g_object_unref);
-  b->timer = g_timeout_add (MIN_INTERVAL_MS, on_timer, b);
+  b->timer = g_timeout_add (START_DELAY_MS, on_timer, b);
   return b;
 }
 
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -484,6 +484,7 @@
   const peer_batch_result *reply = result;
   struct fleet_part *part = data;
 
+  vm_directory_end_work (part->job->home->directory, part->owner);
   if (reply != NULL)
     vm_directory_note_message (part->job->home->directory, part->owner,
                                clock_now_us ());
--- a/transport/fleet_owner_peers.c
+++ b/transport/fleet_owner_peers.c
@@ -71,6 +71,7 @@
   if (g_hash_table_lookup (remote->owner->remote_batches, remote->key)
       == remote)
     g_hash_table_remove (remote->owner->remote_batches, remote->key);
+  vm_directory_end_work (remote->owner->directory, remote->vm);
   peer_request_reply (remote->request, &result);
   remote_batch_free (remote);
 }
@@ -242,6 +243,7 @@
   remote->request = request;
   remote->key = format_key (home, args->job, args->number);
   remote->batch = build_batch (args, home);
+  vm_directory_begin_work (owner->directory, vm, clock_now_us ());
   g_hash_table_replace (owner->remote_batches, remote->key, remote);
   fleet_owner_run (owner, remote->batch, &remote->sink);
 }
--- a/transport/fleet_part.c
+++ b/transport/fleet_part.c
@@ -153,6 +153,7 @@
     = { list_common (&job->suspects, indexes, n_tasks, suspects), suspects },
   };
 
+  vm_directory_begin_work (job->home->directory, part->owner, now_us);
   peer_hub_call (job->home->hub, part->owner, PEER_RUN_BATCH, &args,
                  job->end_by_us + s->estimate_us * FLEET_LATE_FACTOR
                      + CALL_MARGIN_US,
