coordination: shards are taken once their assignment has settled

A shard that a live peer holds is asked for as before, and a VM that runs for longer takes at once.

t2100 heard-all expected the shard 50 ms after the last peer was heard. That was the cause of the hand-over; it now must come 250 ms after the assignment and not before.

--- a/coordination/ownership.c
+++ b/coordination/ownership.c
@@ -12,6 +12,14 @@
 /* A VM that has just started listens for this long before it takes a shard. */
 #define STARTUP_LISTEN_US (OWNERSHIP_PEER_TIMEOUT_US / 2)
 
+/* After the start, shards are taken when the assignment has not changed for
+   ASSIGNMENT_SETTLE_US, or MAX_SETTLE_US after the start.  When all VMs of a
+   zone start at once, the first to join is assigned all shards, and would have
+   to hand most of them over again, with nothing started on them until all runs
+   there have ended.  */
+#define ASSIGNMENT_SETTLE_US (250 * G_GINT64_CONSTANT (1000))
+#define MAX_SETTLE_US (500 * G_GINT64_CONSTANT (1000))
+
 /* A longer time between two calls means that this VM was paused: its peers
    could not be heard meanwhile.  */
 #define PAUSE_THRESHOLD_US (400 * G_GINT64_CONSTANT (1000))
@@ -133,6 +141,7 @@
     {
       o->has_started = TRUE;
       o->listen_until_us = now_us + STARTUP_LISTEN_US;
+      o->settle_end_us = now_us + MAX_SETTLE_US;
       ownership_defer_balance (o, now_us + BALANCE_SETTLE_US);
     }
   else if (now_us - o->now_us > PAUSE_THRESHOLD_US)
@@ -347,7 +356,8 @@
           shard->retake_from_us = now_us + shard->retake_delay_us;
           request_yield_if_due (o, holder, i, &n_held, now_us);
         }
-      else if (now_us >= MAX (o->listen_until_us, shard->retake_from_us))
+      else if (now_us >= MAX (o->listen_until_us, shard->retake_from_us)
+               && now_us >= o->settled_from_us)
         {
           ownership_take_shard (o, i);
           n_held++;
@@ -412,16 +422,21 @@
 ownership_assign (struct ownership *ownership, guint64 generation,
                   const guint *shards, guint n_shards, gint64 now_us)
 {
+  guint64 assigned = 0;
+
   ownership_update_time (ownership, now_us);
   if (generation < ownership->generation)
     return;
   if (generation != ownership->generation)
     ownership_defer_balance (ownership, now_us + BALANCE_ASSIGNED_US);
   ownership->generation = generation;
-  ownership->assigned = 0;
   for (guint i = 0; i < n_shards; i++)
     if (shards[i] < OWNERSHIP_MAX_SHARDS)
-      ownership->assigned |= ownership_shard_bit (shards[i]);
+      assigned |= ownership_shard_bit (shards[i]);
+  if (assigned != ownership->assigned)
+    ownership->settled_from_us
+        = MIN (now_us + ASSIGNMENT_SETTLE_US, ownership->settle_end_us);
+  ownership->assigned = assigned;
   claim_assigned_shards (ownership, now_us);
 }
 
--- a/coordination/ownership_private.h
+++ b/coordination/ownership_private.h
@@ -64,6 +64,8 @@
   gboolean has_started;
   gboolean is_leaving;
   gint64 listen_until_us; /* takes no shard before this time */
+  gint64 settled_from_us; /* takes no assigned shard before this time */
+  gint64 settle_end_us;   /* settled_from_us is not after this time */
   gint64 now_us;          /* time of the last call */
   gboolean is_by_capacity;
   gboolean is_platform_reached;
--- a/t/t2100-ownership.c
+++ b/t/t2100-ownership.c
@@ -1094,11 +1094,40 @@
   bed_hear (bed, "a", bit (1));
   bed_expect (bed, "");
   ownership_end_listening (bed->ownership, bed->now_us);
+  bed_pass (bed, 150);
+  bed_expect (bed, "");
   bed_pass (bed, 50);
   g_assert_cmpuint (ownership_get_held (bed->ownership), ==, bit (0));
   bed_free (bed);
 }
 
+/* All VMs of a zone start at once: the first to join is assigned all shards,
+   and a moment later its part.  It must not take the others meanwhile, which
+   it could hand over only after all runs there have ended.  While assignments
+   go on changing, it takes what is assigned to it 500 ms after its start.  */
+static void
+test_return_of_all (void)
+{
+  struct bed *bed = g_new0 (struct bed, 1);
+
+  bed->driver.ops = &bed_ops;
+  bed->ownership = ownership_new (&bed->driver, "b");
+  bed->log = g_string_new (NULL);
+  bed->now_us = USEC_PER_SEC;
+  bed_assign (bed, 5, bit (0) | bit (1) | bit (2) | bit (3));
+  bed_hear (bed, "a", 0);
+  ownership_end_listening (bed->ownership, bed->now_us);
+  bed_pass (bed, 200);
+  bed_assign (bed, 6, bit (0) | bit (1));
+  bed_pass (bed, 200);
+  bed_assign (bed, 7, bit (0));
+  bed_pass (bed, 50);
+  bed_expect (bed, "");
+  bed_pass (bed, 50);
+  bed_expect (bed, "take 0;");
+  bed_free (bed);
+}
+
 /* A new assignment takes nothing away.  */
 static void
 test_keeps (void)
@@ -1381,6 +1410,7 @@
   g_test_add_func ("/ownership/shared", test_shared);
   g_test_add_func ("/ownership/pause", test_pause);
   g_test_add_func ("/ownership/heard-all", test_heard_all);
+  g_test_add_func ("/ownership/return-of-all", test_return_of_all);
   g_test_add_func ("/ownership/leave", test_leave);
   g_test_add_func ("/ownership/tokens", test_tokens);
   g_test_add_func ("/ownership/handover", test_handover);
