--- a/transport/fleet_report.c
+++ b/transport/fleet_report.c
@@ -40,6 +40,7 @@
   struct fleet *fleet = list_entry (source, struct fleet, metrics_source);
   const GPtrArray *vms = vm_directory_list (fleet->directory);
   guint counts[5] = { 0 };
+  struct listing_state listing;
   struct owner_room room;
   guint n_lost = 0;
 
@@ -65,6 +66,9 @@
                fleet->routes != NULL ? fleet->routes->version : 0);
   metrics_set (METRIC_ZONES_EVACUATED, fleet->evacuation.n_zones);
   metrics_set (METRIC_EVACUATION_POSITION, fleet->evacuation.position);
+  fleet->platform->ops->get_listing (fleet->platform, &listing);
+  metrics_set (METRIC_LISTING_READ, listing.is_read ? 1 : 0);
+  metrics_set (METRIC_LISTING_POSITION, listing.position);
   metrics_set (METRIC_JOBS_ACTIVE, fleet_home_count_jobs (fleet->home));
   metrics_set (METRIC_JOBS_WAITING, count_waiting (fleet));
   metrics_set (METRIC_TASKS_QUEUED, owner_room_count_queued (&room));
@@ -122,6 +126,19 @@
   return names;
 }
 
+/* What this VM knows of the list of upstreams.  */
+static json_t *
+describe_listing (struct fleet *fleet, gint64 now_us)
+{
+  struct listing_state state;
+
+  fleet->platform->ops->get_listing (fleet->platform, &state);
+  return json_pack ("{s:b, s:I, s:I, s:I}", "is_read", state.is_read,
+                    "position", (json_int_t)state.position, "changed",
+                    (json_int_t)state.changed, "as_of_us_ago",
+                    (json_int_t)(now_us - state.as_of_us));
+}
+
 json_t *
 fleet_describe (struct fleet *fleet)
 {
@@ -136,7 +153,7 @@
   owner_get_room (fleet_owner_get_owner (fleet->owner), NULL, &room, now_us);
   return json_pack (
       "{s:s, s:b, s:b, s:I, s:I, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:I, s:o, "
-      "s:o, s:o}",
+      "s:o, s:o, s:o}",
       "vm", fleet->settings->vm, "is_draining", fleet->is_draining,
       "is_store_reached", fleet->is_store_reached, "routes_version",
       (json_int_t)(fleet->routes != NULL ? fleet->routes->version : 0), "held",
@@ -150,5 +167,6 @@
       (int)room.n_running, "evacuation_position",
       (json_int_t)fleet->evacuation.position, "evacuated_zones",
       describe_evacuation (fleet), "routes",
-      route_counts_describe (count_routes (fleet)), "peers", peers);
+      route_counts_describe (count_routes (fleet)), "listing",
+      describe_listing (fleet, now_us), "peers", peers);
 }
