fleet: malformed intervals of beacons, and fetches that bring nothing

A VM whose fetch of the list has brought nothing asks again 150 ms later, not at each tick of 50 ms, which 100 VMs would send to one that is listing anew. t2120 rare-beacons; found by reading.

--- a/coordination/vm_directory.c
+++ b/coordination/vm_directory.c
@@ -145,6 +145,16 @@
   return (gint32)(beacon->sequence - vm->sequence) <= 0;
 }
 
+/* How long after BEACON its sender counts as live.  */
+static gint64
+get_patience_us (const struct vm_beacon *beacon)
+{
+  guint interval_ms = MIN (beacon->interval_ms, VM_MAX_INTERVAL_MS);
+
+  return MAX (VM_LOST_AFTER_US,
+              VM_MISSED_BEACONS * interval_ms * USEC_PER_MSEC);
+}
+
 const struct vm *
 vm_directory_handle_beacon (struct vm_directory *directory,
                             const struct vm_beacon *beacon, gint64 now_us)
@@ -166,10 +176,7 @@
   vm->is_live = TRUE;
   vm->is_leaving = beacon->is_leaving;
   vm->heard_us = now_us;
-  vm->lost_at_us
-      = now_us
-        + MAX (VM_LOST_AFTER_US,
-               VM_MISSED_BEACONS * beacon->interval_ms * USEC_PER_MSEC);
+  vm->lost_at_us = now_us + get_patience_us (beacon);
   vm->held = beacon->held;
   vm->capacity = beacon->capacity;
   vm->routes_version = beacon->routes_version;
--- a/coordination/vm_directory.h
+++ b/coordination/vm_directory.h
@@ -24,6 +24,9 @@
 #define VM_LOST_AFTER_US (600 * USEC_PER_MSEC)
 #define VM_MISSED_BEACONS 3
 
+/* The longest interval between beacons that is believed.  */
+#define VM_MAX_INTERVAL_MS 1000
+
 /* A VM that is not live is removed when it was not heard for this long.  */
 #define VM_FORGET_AFTER_US (30 * USEC_PER_SEC)
 
--- a/t/t2120-vm-directory.c
+++ b/t/t2120-vm-directory.c
@@ -432,6 +432,11 @@
   pass (bed, 1);
   g_assert_false (find (bed)->is_live);
   news.sequence++;
+  news.interval_ms = G_MAXUINT32;
+  vm_directory_handle_beacon (bed->directory, &news, bed->now_us);
+  pass (bed, 3 * USEC_PER_SEC + 1);
+  g_assert_false (find (bed)->is_live);
+  news.sequence++;
   vm_directory_handle_beacon (bed->directory, &news, bed->now_us);
   vm_directory_begin_work (bed->directory, PEER, bed->now_us);
   pass (bed, VM_LOST_AFTER_US / 2);
--- a/transport/fleet_listing.c
+++ b/transport/fleet_listing.c
@@ -6,6 +6,9 @@
 #define FETCH_TIMEOUT_US (500 * USEC_PER_MSEC)
 #define WHOLE_TIMEOUT_US (2 * USEC_PER_SEC)
 
+/* After a fetch that has brought nothing, the next is sent this much later. */
+#define FETCH_RETRY_US (150 * USEC_PER_MSEC)
+
 /* A whole list is given to one peer in this time: the link of a VM carries few
    at once, and who has one can pass it on.  */
 #define WHOLE_INTERVAL_US (150 * USEC_PER_MSEC)
@@ -18,6 +21,7 @@
   struct peer_hub *hub;
   gint64 started_us;
   gint64 whole_again_us; /* no whole list is given before */
+  gint64 fetch_again_us; /* nothing is fetched before */
   gboolean is_fetching;
   gboolean is_leaving;
   guint n_fetches;
@@ -54,7 +58,10 @@
 
   listing->is_fetching = FALSE;
   if (reply == NULL || reply->text.text_len == 0)
-    return;
+    {
+      listing->fetch_again_us = clock_now_us () + FETCH_RETRY_US;
+      return;
+    }
   text = g_bytes_new (reply->text.text_val, reply->text.text_len);
   listing->platform->ops->apply_listing (listing->platform, text,
                                          clock_now_us ()
@@ -140,18 +147,20 @@
       = hash64_pair (hash64_string (self.name), listing->n_fetches + 1);
   const struct listing_peer *peers;
   struct listing_choice choice;
+  gint64 now_us = clock_now_us ();
 
   listing->platform->ops->get_listing (listing->platform, &self.state);
   list_peers (listing);
   peers = (const struct listing_peer *)(const void *)listing->peers->data;
   choice = listing_source_choose (&self, peers, listing->peers->len, seed,
-                                  clock_now_us ());
+                                  now_us);
   listing->platform->ops->set_listing_read (listing->platform,
                                             choice.is_reading);
   if (choice.action == LISTING_ADOPT)
     listing->platform->ops->adopt_listing (listing->platform,
                                            peers[choice.peer].state.position,
                                            peers[choice.peer].state.as_of_us);
-  else if (choice.action == LISTING_FETCH && !listing->is_fetching)
+  else if (choice.action == LISTING_FETCH && !listing->is_fetching
+           && now_us >= listing->fetch_again_us)
     fetch (listing, peers[choice.peer].name, self.state.position);
 }
