--- a/review/common/bed.c
+++ b/review/common/bed.c
@@ -460,6 +460,12 @@
                                        "--settings", path, NULL);
 }
 
+void
+bed_restart_vm (struct bed *bed, guint vm)
+{
+  start_vm (bed, vm);
+}
+
 static json_t *
 try_dump (struct bed *bed, guint vm)
 {
--- a/review/common/bed.h
+++ b/review/common/bed.h
@@ -53,6 +53,9 @@
 struct bed *bed_start (const char *record_path, guint n_workers);
 void bed_free (struct bed *bed);
 
+/* Starts VM, which has ended.  */
+void bed_restart_vm (struct bed *bed, guint vm);
+
 /* Writes a line to the record, with the time since the start.  */
 void bed_note (struct bed *bed, const char *format, ...)
     G_GNUC_PRINTF (2, 3);
--- a/review/common/silent.c
+++ b/review/common/silent.c
@@ -7,7 +7,7 @@
 #include "review/common/bed.h"
 
 #define N_WORKERS 18
-#define MORE_TASKS 6 /* than the first VM has room for */
+#define MORE_TASKS 6 /* than its VM has room for */
 #define BUDGET_MS 1500
 #define RESEND_MS 1300
 #define SILENCE_AFTER_MS 300
@@ -39,6 +39,19 @@
   http_answer_free (answer);
 }
 
+/* The VM that owns the most minions, or the fewest.  */
+static guint
+find_vm (struct bed *bed, gboolean is_most)
+{
+  guint found = 0;
+
+  for (guint vm = 1; vm < BED_VMS; vm++)
+    if (is_most ? bed->owned[vm] > bed->owned[found]
+                : bed->owned[vm] < bed->owned[found])
+      found = vm;
+  return found;
+}
+
 int
 main (int argc, char **argv)
 {
@@ -49,13 +62,15 @@
   g_autofree char *body = NULL;
   json_t *record;
   gint64 n_double;
+  guint first;
 
   if (bed == NULL)
     return 2;
-  body = bed_format_job (bed, 0, MORE_TASKS, 3600, 900);
-  call = bed_send (bed, 0, ID, body, BUDGET_MS);
+  first = find_vm (bed, FALSE);
+  body = bed_format_job (bed, first, MORE_TASKS, 3600, 900);
+  call = bed_send (bed, first, ID, body, BUDGET_MS);
   bed_pass (OTHER_AFTER_MS);
-  other = bed_send (bed, 0, OTHER_ID, other_body, BUDGET_MS);
+  other = bed_send (bed, first, OTHER_ID, other_body, BUDGET_MS);
   bed_pass (SILENCE_AFTER_MS - OTHER_AFTER_MS);
   if (has_trouble)
     bed_silence_peers (bed);
@@ -63,7 +78,7 @@
   end_attempt (bed, other);
   end_attempt (bed, call);
   bed_pass (RESEND_MS);
-  call = bed_send (bed, 1, ID, body, BUDGET_MS);
+  call = bed_send (bed, find_vm (bed, TRUE), ID, body, BUDGET_MS);
   bed_pass (BUDGET_MS);
   end_attempt (bed, call);
   bed_pass (2000);
