--- a/review/common/bed.c
+++ b/review/common/bed.c
@@ -138,9 +138,9 @@
   struct bed *bed;
   guint caller; /* VM; BED_VMS before it has said so */
   guint called;
-  GSocket *ends[2]; /* the caller's, the called VM's */
+  GSocket *ends[2];       /* the caller's, the called VM's */
   GByteArray *buffers[2]; /* received from that end, not delivered yet */
-  gint64 lost_ms[2]; /* when the first of them was sent into the cut; 0 */
+  gint64 lost_ms[2];      /* when the first of them was sent into the cut; 0 */
   gboolean has_ended[2];  /* that end has closed */
   gboolean has_passed_end[2];
   gboolean is_silent;
@@ -172,10 +172,9 @@
     {
       g_autoptr (GError) error = NULL;
 
-      n = g_socket_receive (link->ends[end], (char *)bytes, sizeof bytes,
-                            NULL, &error);
-      if (n < 0
-          && g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+      n = g_socket_receive (link->ends[end], (char *)bytes, sizeof bytes, NULL,
+                            &error);
+      if (n < 0 && g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
         return;
       if (n > 0)
         g_byte_array_append (link->buffers[end], bytes, (guint)n);
@@ -394,10 +393,9 @@
       for (guint from = 0; from < BED_VMS; from++)
         if (from != vm)
           start_relay (&bed->beacons[from][vm], bed, from, vm,
-                       bed->beacon_ports[from], FALSE,
-                       bed->beacon_ports[vm]);
-      bed->listeners[vm] = bind_socket (near, bed->ports[PORT_PEERS],
-                                        G_SOCKET_TYPE_STREAM);
+                       bed->beacon_ports[from], FALSE, bed->beacon_ports[vm]);
+      bed->listeners[vm]
+          = bind_socket (near, bed->ports[PORT_PEERS], G_SOCKET_TYPE_STREAM);
       g_assert_true (g_socket_listen (bed->listeners[vm], NULL));
       bed->listener_sources[vm]
           = watch_socket (bed->listeners[vm], on_channel, bed);
@@ -436,12 +434,12 @@
       "sb ss}",
       "vm", name, "availability_zone", ZONE, "ip", ip, "availability_zones",
       ZONE, "callers", callers, "readiness", ready, "peers", peers,
-      "beacon_port", bed->beacon_ports[vm], "metrics", metrics, "store",
-      store, "shards", 16, "member_ttl_ms", 1000, "max_lease_ms", 1000,
-      "grace_s", 6, "share_by_caller", TRUE, "spread_retries", TRUE,
-      "far_factor", 1.5, "cpu_share", 0.25, "cpu_cores", 1,
-      "share_by_capacity", TRUE, "max_waiting_jobs", 1000, "max_waiting_kb",
-      8192, "placement_by_speed", TRUE, "log_level", "info");
+      "beacon_port", bed->beacon_ports[vm], "metrics", metrics, "store", store,
+      "shards", 16, "member_ttl_ms", 1000, "max_lease_ms", 1000, "grace_s", 6,
+      "share_by_caller", TRUE, "spread_retries", TRUE, "far_factor", 1.5,
+      "cpu_share", 0.25, "cpu_cores", 1, "share_by_capacity", TRUE,
+      "max_waiting_jobs", 1000, "max_waiting_kb", 8192, "placement_by_speed",
+      TRUE, "log_level", "info");
 }
 
 static void
@@ -496,11 +494,10 @@
           bed->owned[vm] = (guint)json_integer_value (
               json_object_get (dump, "upstreams"));
           n += bed->owned[vm];
-          n_ready
-              += bed->owned[vm] >= min
-                 && json_integer_value (
-                        json_object_get (dump, "routes_version"))
-                        == 1;
+          n_ready += bed->owned[vm] >= min
+                     && json_integer_value (
+                            json_object_get (dump, "routes_version"))
+                            == 1;
           json_decref (dump);
         }
       if (n == bed->n_workers && n_ready == BED_VMS)
@@ -676,8 +673,7 @@
 
     if (offset_ms < 0)
       offset_ms = start_ms;
-    fprintf (bed->record,
-             "  %s run %lld on %s: %lld to %lld ms, %s%s%s\n",
+    fprintf (bed->record, "  %s run %lld on %s: %lld to %lld ms, %s%s%s\n",
              json_string_value (json_get (run, "task")),
              (long long)json_get_int (run, "run"),
              json_string_value (json_get (run, "worker")),
@@ -686,8 +682,7 @@
              json_string_value (json_get (run, "end")),
              json_is_true (json_get (run, "double")) ? ", BESIDE ANOTHER RUN"
                                                      : "",
-             json_is_true (json_get (run, "over_capacity"))
-                 ? ", OVER CAPACITY"
-                 : "");
+             json_is_true (json_get (run, "over_capacity")) ? ", OVER CAPACITY"
+                                                            : "");
   }
 }
--- a/review/common/bed.h
+++ b/review/common/bed.h
@@ -3,8 +3,8 @@
  * stand-ins for the store, the minions and a proxy, and entry VMs that are
  * started with the command of the deploy file.
  *
- * Every VM has an address of its own.  Its port for peers is behind a proxy, so
- * that a case can disturb the channels between VMs.
+ * Every VM has an address of its own.  Its port for peers is behind a proxy,
+ * so that a case can disturb the channels between VMs.
  */
 #ifndef REVIEW_BED_H
 #define REVIEW_BED_H
@@ -37,7 +37,7 @@
   guint16 ports[6];
   struct process *store;
   struct process *workers;
-  struct relay heartbeats[BED_VMS];      /* to the peers' port */
+  struct relay heartbeats[BED_VMS];       /* to the peers' port */
   struct relay beacons[BED_VMS][BED_VMS]; /* from VM to VM */
   GPtrArray *links; /* struct link: channels between VMs */
   GSocket *listeners[BED_VMS];
@@ -57,8 +57,7 @@
 void bed_restart_vm (struct bed *bed, guint vm);
 
 /* Writes a line to the record, with the time since the start.  */
-void bed_note (struct bed *bed, const char *format, ...)
-    G_GNUC_PRINTF (2, 3);
+void bed_note (struct bed *bed, const char *format, ...) G_GNUC_PRINTF (2, 3);
 gint64 bed_now_ms (struct bed *bed);
 void bed_pass (guint ms);
 
--- a/review/common/silent.c
+++ b/review/common/silent.c
@@ -85,8 +85,9 @@
   record = bed_get_record (bed);
   n_double = json_get_int (record, "double_runs");
   bed_note_runs (bed, json_get (record, "list"));
-  bed_note (bed, "%lld runs began while another run of their task was under "
-                 "way",
+  bed_note (bed,
+            "%lld runs began while another run of their task was under "
+            "way",
             (long long)n_double);
   if (json_get_int (record, "starts") < MORE_TASKS)
     {
--- a/review/common/stale.c
+++ b/review/common/stale.c
@@ -2,8 +2,8 @@
  * A VM is cut off from the others just before a job comes to it.  It hands
  * tasks of the job to them, which the cut holds up, hears nothing of them, and
  * answers 502.  The client sends the job again 1,300 ms later, to another VM,
- * as the pages allow.  The cut ends, TCP delivers what it has held up.  No task
- * may then run twice at the same time.
+ * as the pages allow.  The cut ends, TCP delivers what it has held up.  No
+ * task may then run twice at the same time.
  */
 #include "review/common/bed.h"
 
