--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 #
 #   make                 build the binary
 #   make check           build and run the numbered tests
+#                        (FORMER=COMMIT: the build that runs before an upgrade)
 #   make sanitize        the same under ASan and UBSan
 #   make soak SEED=N     a fleet under faults, judged; see docs/SOAK.md
 #   make format-check lint
@@ -94,7 +95,17 @@
 	  | sed 's|^#include ".*peer.h"|#include "protocol/peer_xdr.h"|' \
 	  >protocol/peer_xdr.c
 
-check: all $(TESTS) $(BUILD)/fleet-soak
+# The build that serves before an upgrade, from the history.
+FORMER ?= bcea9bc
+$(BUILD)/former/radishchute:
+	rm -rf $(@D)
+	mkdir -p $(@D)/tree
+	git archive $(FORMER) | tar -xf - -C $(@D)/tree
+	$(MAKE) -s -C $(@D)/tree BUILD=out out/radishchute
+	cp $(@D)/tree/out/radishchute $@
+	rm -rf $(@D)/tree
+
+check: all $(TESTS) $(BUILD)/fleet-soak $(BUILD)/former/radishchute
 	t/run $(BUILD) $(sort $(TESTS))
 
 # A fleet under faults that are drawn from SEED; see docs/SOAK.md.
--- a/coordination/owned.c
+++ b/coordination/owned.c
@@ -123,6 +123,18 @@
   return upstream->clock_read_us + ahead_us + CLOCK_MARGIN_US;
 }
 
+gint64
+owned_latest_lease_end_ms (const struct owner *owner,
+                           const struct owned_upstream *upstream,
+                           gint64 until_us)
+{
+  gint64 ahead_us = until_us - CLOCK_MARGIN_US - upstream->clock_read_us;
+
+  if (ahead_us > 0)
+    ahead_us -= ahead_us * owner->limits.clock_drift_ppm / PPM;
+  return upstream->clock_ms + ahead_us / USEC_PER_MSEC;
+}
+
 void
 owned_set_clock (struct owned_upstream *upstream, gint64 clock_ms,
                  gint64 now_us)
--- a/coordination/owner.c
+++ b/coordination/owner.c
@@ -311,8 +311,9 @@
   if (has_runs && upstream->n_foreign == 0 && upstream->clock_read_us != 0
       && !owned_is_stale (upstream)
       && upstream->n_unanswered_polls < OWNED_MAX_UNANSWERED_POLLS)
-    until_ms
-        = owned_estimate_clock_ms (upstream, now_us) + owner->limits.lease_ms;
+    until_ms = owner_get_lease_end_ms (owner, upstream, NULL, now_us);
+  if (until_ms <= upstream->leased_until_ms)
+    until_ms = 0;
   if (has_runs && upstream->state == OWNED_HELD && upstream->n_foreign == 0
       && !owner_expects_news (upstream, now_us))
     wait_ms = POLL_WAIT_MS;
@@ -383,6 +384,7 @@
         owner_finish_release (owner, upstream);
     }
   owner_apply_crash_limits (owner, now_us);
+  owner_stop_unconfirmed (owner, now_us);
   owner_expire_batches (owner, now_us);
   owner_start_queued (owner, now_us);
 }
--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -274,9 +274,12 @@
   guint priority;       /* 0 goes first; late batches go after all others */
   guint attempts;       /* failures of one task that end the batch */
   gint64 start_by_us;   /* latest start that meets the objective */
-  gint64 end_by_us; /* dropped if nothing was started before; DEADLINE_NEVER
-                       for none */
-  gint64 queued_us; /* when the owner received it */
+  gint64 end_by_us;    /* dropped if nothing was started before; DEADLINE_NEVER
+                          for none */
+  gint64 confirmed_us; /* its home wanted it at this time or later, on the
+                          clock of this VM; see owner_confirm_batch () */
+  gboolean is_local;   /* its home is this VM */
+  gint64 queued_us;    /* when the owner received it */
   gint64 first_started_us; /* 0 before the first start */
   gboolean is_settled;     /* its queued tasks stay here unless no upstream can
                               take them */
@@ -395,6 +398,9 @@
   guint max_lease_ms;    /* longest lease that an upstream grants */
   guint clock_drift_ppm; /* by how much an upstream's clock may run slow */
   gboolean placement_by_speed; /* see slot_choice.h */
+  guint resend_ms; /* a caller that has no answer sends its job again after
+                      this time at the earliest; 0 for never.  See
+                      owner_confirm_batch () */
 };
 
 /* DRIVER must outlive the owner.  LIMITS are copied.  */
@@ -482,6 +488,34 @@
 void owner_submit_batch (struct owner *owner, struct batch *batch,
                          gint64 now_us);
 
+/*
+ * The home of BATCH, another VM, wanted it at CONFIRMED_US or later, a reading
+ * of this VM's clock.  To be called again and again, as a home that has given
+ * a job up may be unable to tell.
+ *
+ * No lease on an upstream ends later than resend_ms after the last
+ * confirmation of each batch that runs there, by an order that is carried out
+ * late either.  No run can therefore outlive the answer of its home by as much
+ * as the caller waits before it sends the job again.  The bound rests on the
+ * clock of this VM, between the confirmation and the order, and on the drift
+ * of the upstream's clock, clock_drift_ppm.
+ *
+ * A batch that is not confirmed in time is stopped before its leases end, and
+ * cannot be confirmed any more.
+ */
+void owner_confirm_batch (struct owner *owner, struct batch *batch,
+                          gint64 confirmed_us, gint64 now_us);
+
+/* The same for all batches whose home is this VM.  */
+void owner_confirm_local (struct owner *owner, gint64 confirmed_us);
+
+/* When BATCH was last confirmed.  */
+gint64 owner_get_confirmed_us (const struct owner *owner,
+                               const struct batch *batch);
+
+/* Why a batch that was not confirmed is stopped.  */
+extern const char owner_reason_unconfirmed[];
+
 /* Stops BATCH for REASON, a static string.  finish_batch is called once
    nothing of it runs.  */
 void owner_stop_batch (struct owner *owner, struct batch *batch,
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -181,6 +181,7 @@
 {
   if (batch->is_ending)
     return;
+  batch->confirmed_us = owner_get_confirmed_us (owner, batch);
   batch->is_ending = TRUE;
   batch->end = end;
   batch->reason = reason;
@@ -208,6 +209,9 @@
   enum batch_end end
       = batch->n_started == 0 ? BATCH_NOT_STARTED : BATCH_STOPPED;
 
+  /* Its end is on its way to the home.  */
+  if (batch->is_finished)
+    return;
   owner_end_batch (owner, batch, end, reason, now_us);
   owner_finish_batch_if_done (owner, batch);
 }
@@ -438,7 +442,7 @@
 }
 
 gboolean
-owner_may_run_on (const struct batch_task *task,
+owner_may_run_on (const struct owner *owner, const struct batch_task *task,
                   const struct owned_upstream *upstream, gint64 now_us)
 {
   const struct batch *batch = task->batch;
@@ -447,6 +451,10 @@
       || !owned_can_start (upstream, &batch->need, now_us)
       || !has_label (upstream, batch->required_label))
     return FALSE;
+  /* A grant confirms the batch, so a slot may be claimed before.  */
+  if (task->state != BATCH_TASK_OFFERED
+      && !owner_can_lease (owner, upstream, batch, now_us))
+    return FALSE;
   return batch->per_upstream == 0
          || count_runs_of (upstream, batch) < batch->per_upstream;
 }
@@ -561,8 +569,9 @@
 
 /* Adds UPSTREAM, which is suitable for TASK, to CHOICE.  */
 static void
-add_candidate (struct slot_choice *choice, const struct batch_task *task,
-               struct owned_upstream *upstream, gint64 now_us)
+add_candidate (const struct owner *owner, struct slot_choice *choice,
+               const struct batch_task *task, struct owned_upstream *upstream,
+               gint64 now_us)
 {
   const struct batch *batch = task->batch;
   gdouble far_factor = is_far (batch, upstream) ? batch->far_factor : 1;
@@ -572,7 +581,7 @@
     .cpus = upstream->shape.cpus,
     .free_cpus = owned_get_free_cpus (upstream),
     .succeeded_us = upstream->succeeded_us,
-    .has_room = owner_may_run_on (task, upstream, now_us),
+    .has_room = owner_may_run_on (owner, task, upstream, now_us),
     .is_on_probation
     = upstream->is_on_probation || owned_is_warming_up (upstream, now_us),
     .has_failed_task = g_strcmp0 (task->failed_on, upstream->id) == 0,
@@ -598,7 +607,7 @@
       struct owned_upstream *upstream = value;
 
       if (is_suitable (task->batch, upstream, now_us))
-        add_candidate (&choice, task, upstream, now_us);
+        add_candidate (owner, &choice, task, upstream, now_us);
     }
   wait = slot_choice_get (&choice, &value);
   if ((wait == SLOT_WAIT_FASTER || wait == SLOT_WAIT_PROVEN)
@@ -624,7 +633,7 @@
       struct owned_upstream *upstream = value;
       gdouble cost;
 
-      if (!owner_may_run_on (task, upstream, now_us))
+      if (!owner_may_run_on (owner, task, upstream, now_us))
         continue;
       cost = compute_cost (task, upstream, now_us);
       if (best != NULL && cost >= best_cost)
@@ -650,8 +659,7 @@
 {
   struct batch *batch = task->batch;
   gdouble far_factor = is_far (batch, upstream) ? batch->far_factor : 1;
-  gint64 until_ms
-      = owned_estimate_clock_ms (upstream, now_us) + owner->limits.lease_ms;
+  gint64 until_ms = owner_get_lease_end_ms (owner, upstream, batch, now_us);
   g_autofree char *name
       = g_strdup_printf ("%s.0.%u.%u", batch->job, batch->step, task->index);
   struct run *run;
--- a/coordination/owner_crashes.c
+++ b/coordination/owner_crashes.c
@@ -395,7 +395,7 @@
       struct owned_upstream *upstream = value;
 
       if (!list_is_empty (&upstream->runs) || !list_is_empty (&upstream->holds)
-          || !owner_may_run_on (task, upstream, now_us))
+          || !owner_may_run_on (owner, task, upstream, now_us))
         continue;
       if (!has_answered_since (upstream, task))
         {
--- a/coordination/owner_private.h
+++ b/coordination/owner_private.h
@@ -24,7 +24,8 @@
   gint64 runs_checked_us;   /* when the runs were last checked */
   gint64 last_call_us;      /* when the owner was last called; 0 for never */
   gint64 paused_us;         /* end of the last pause; 0 for none */
-  guint n_isolated;         /* isolated runs */
+  gint64 local_confirmed_us; /* see owner_confirm_local () */
+  guint n_isolated;          /* isolated runs */
 };
 
 /* owner.c */
@@ -58,6 +59,12 @@
                              const struct owned_upstream *upstream,
                              gint64 until_ms, gint64 now_us);
 
+/* The latest lease end on the clock of UPSTREAM, which was read, that has
+   certainly passed when the clock of this VM shows UNTIL_US.  */
+gint64 owned_latest_lease_end_ms (const struct owner *owner,
+                                  const struct owned_upstream *upstream,
+                                  gint64 until_us);
+
 /* Stores CLOCK_MS, a reading of UPSTREAM's clock; ignores 0.  */
 void owned_set_clock (struct owned_upstream *upstream, gint64 clock_ms,
                       gint64 now_us);
@@ -267,7 +274,8 @@
                        struct owned_upstream *upstream, gint64 now_us);
 
 /* Whether TASK may run on UPSTREAM, which has room for it now.  */
-gboolean owner_may_run_on (const struct batch_task *task,
+gboolean owner_may_run_on (const struct owner *owner,
+                           const struct batch_task *task,
                            const struct owned_upstream *upstream,
                            gint64 now_us);
 
@@ -309,6 +317,25 @@
    waits in time and no other suspect is running.  */
 void owner_start_suspect (struct owner *owner, gint64 now_us);
 
+/* owner_confirm.c: whether homes still want their batches.  */
+
+/* The end of a lease that an order to UPSTREAM, whose clock was read, may set
+   now, on that clock: for its runs and, unless that is NULL, for a further run
+   of BATCH.  */
+gint64 owner_get_lease_end_ms (const struct owner *owner,
+                               const struct owned_upstream *upstream,
+                               const struct batch *batch, gint64 now_us);
+
+/* Whether a run of BATCH that starts on UPSTREAM now gets a useful lease, and
+   no order that was sent there can prolong it beyond the time for which BATCH
+   is confirmed.  */
+gboolean owner_can_lease (const struct owner *owner,
+                          const struct owned_upstream *upstream,
+                          const struct batch *batch, gint64 now_us);
+
+/* Stops the batches that were not confirmed in time.  */
+void owner_stop_unconfirmed (struct owner *owner, gint64 now_us);
+
 /* owner_claims.c: offers.  */
 
 /* Claims as many offered tasks of BATCH as fit now, unless a claim is under
--- a/coordination/vm_directory.c
+++ b/coordination/vm_directory.c
@@ -155,6 +155,26 @@
               VM_MISSED_BEACONS * interval_ms * USEC_PER_MSEC);
 }
 
+static void
+note_sequence (struct vm *vm, const struct vm_beacon *beacon, gint64 now_us)
+{
+  gboolean is_same = vm->incarnation == beacon->incarnation;
+
+  vm->former_sequence = is_same ? vm->sequence : 0;
+  vm->former_us = vm->received_us;
+  vm->incarnation = beacon->incarnation;
+  vm->sequence = beacon->sequence;
+  vm->received_us = now_us;
+}
+
+guint32
+vm_get_settled_sequence (const struct vm *vm, gint64 settled_us)
+{
+  if (vm->received_us <= settled_us)
+    return vm->sequence;
+  return vm->former_us <= settled_us ? vm->former_sequence : 0;
+}
+
 const struct vm *
 vm_directory_handle_beacon (struct vm_directory *directory,
                             const struct vm_beacon *beacon, gint64 now_us)
@@ -171,8 +191,7 @@
     mark_lost (directory, vm);
   was_live = vm->is_live;
   set_address (vm, beacon->ip, beacon->availability_zone);
-  vm->incarnation = beacon->incarnation;
-  vm->sequence = beacon->sequence;
+  note_sequence (vm, beacon, now_us);
   vm->is_live = TRUE;
   vm->is_leaving = beacon->is_leaving;
   vm->heard_us = now_us;
--- a/coordination/vm_directory.h
+++ b/coordination/vm_directory.h
@@ -41,8 +41,11 @@
   char *name;
   char *ip;
   char *availability_zone;
-  guint64 incarnation; /* 0 before its first beacon */
-  guint32 sequence;    /* of its latest beacon */
+  guint64 incarnation;     /* 0 before its first beacon */
+  guint32 sequence;        /* of its latest beacon */
+  gint64 received_us;      /* when that was read */
+  guint32 former_sequence; /* of the beacon before it; 0 for none */
+  gint64 former_us;        /* when that was read */
   gboolean is_live;
   gboolean is_leaving;
   gint64 heard_us;   /* time of its latest beacon, or when it became known */
@@ -144,6 +147,10 @@
 gboolean vm_directory_has_heard_all (const struct vm_directory *directory,
                                      const char *availability_zone);
 
+/* The latest beacon of VM that was read by SETTLED_US; 0 if it is not known.
+   See loop_turn.h.  */
+guint32 vm_get_settled_sequence (const struct vm *vm, gint64 settled_us);
+
 /* The VM of that name, or NULL.  */
 const struct vm *vm_directory_find (const struct vm_directory *directory,
                                     const char *name);
--- a/protocol/beacon.h
+++ b/protocol/beacon.h
@@ -19,10 +19,20 @@
 gsize beacon_encode (const struct beacon *message,
                      guint8 out[BEACON_MAX_LENGTH]);
 
+/* Appends a section with LIST, less entries from its end that do not fit, to
+   the beacon of LENGTH bytes in OUT.  Returns the new length in bytes.  */
+gsize beacon_append_confirmations (const struct beacon_confirmations *list,
+                                   guint8 out[BEACON_MAX_LENGTH],
+                                   gsize length);
+
 /* Decodes the LENGTH bytes at DATA.  Returns FALSE when they are not a valid
-   beacon.  On success, free the members of MESSAGE with beacon_clear ().  */
+   beacon.  CONFIRMATIONS, which may be NULL, is left empty if the sections
+   have none or are malformed.  On success, free the members of MESSAGE with
+   beacon_clear () and of CONFIRMATIONS with beacon_clear_confirmations ().  */
 gboolean beacon_decode (const guint8 *data, gsize length,
-                        struct beacon *message);
+                        struct beacon *message,
+                        struct beacon_confirmations *confirmations);
 void beacon_clear (struct beacon *message);
+void beacon_clear_confirmations (struct beacon_confirmations *confirmations);
 
 #endif
--- a/protocol/fleet_settings.c
+++ b/protocol/fleet_settings.c
@@ -23,6 +23,10 @@
 #define DEFAULT_LEASE_SHARE 0.9
 
 #define DEFAULT_MAX_LEASE_MS 1000
+#define DEFAULT_CALLER_RETRY_MS 1300
+
+/* A shorter time would be over before a lost VM is noticed.  */
+#define MIN_CALLER_RETRY_MS 1000
 #define DEFAULT_GRACE_MS 6000
 #define DEFAULT_CONNECTIONS 3000
 #define MAX_FAR_FACTOR 100
@@ -42,6 +46,7 @@
                                     "member_ttl_ms",
                                     "lease_ms",
                                     "max_lease_ms",
+                                    "caller_retry_ms",
                                     "grace_s",
                                     "max_connections",
                                     "far_factor",
@@ -140,6 +145,8 @@
   read_uint (check, root, "shards", 1, MAX_SHARDS, &s->n_shards);
   read_uint (check, root, "member_ttl_ms", 100, MAX_DURATION_MS,
              &s->member_ttl_ms);
+  read_uint (check, root, "caller_retry_ms", MIN_CALLER_RETRY_MS,
+             MAX_DURATION_MS, &s->caller_retry_ms);
   read_uint (check, root, "max_connections", 1, MAX_CONNECTIONS,
              &s->max_connections);
   read_uint (check, root, "max_waiting_jobs", 0, MAX_WAITING_JOBS,
@@ -166,6 +173,7 @@
   settings->n_shards = DEFAULT_SHARDS;
   settings->member_ttl_ms = DEFAULT_MEMBER_TTL_MS;
   settings->max_lease_ms = DEFAULT_MAX_LEASE_MS;
+  settings->caller_retry_ms = DEFAULT_CALLER_RETRY_MS;
   settings->grace_ms = DEFAULT_GRACE_MS;
   settings->far_factor = 1;
   settings->cpu_cores = 1;
--- a/protocol/fleet_settings.h
+++ b/protocol/fleet_settings.h
@@ -27,6 +27,8 @@
                              shards */
   guint lease_ms;         /* length of the leases of runs */
   guint max_lease_ms;     /* the longest lease that upstreams grant */
+  guint caller_retry_ms;  /* a caller that has no answer sends its job again
+                             after this time at the earliest */
   gdouble far_factor;     /* run time away from the rack with the task's data,
                              relative to the one on it; 1 or more */
   guint grace_ms;         /* from a stop signal to the end of the process */
--- a/protocol/peer.x
+++ b/protocol/peer.x
@@ -26,6 +26,9 @@
 const BEACON_VMS_MAX = 3;
 const BEACON_ZONES_MAX = 32;
 const BEACON_CALLERS_MAX = 8;
+const BEACON_SECTION_MAX = 1200;
+const BEACON_CONFIRMATIONS_MAX = 64;
+const BEACON_REVOKED_MAX = 32;
 
 /* PING: checks that the called peer is alive, or asks it to check another peer
    that the caller suspects to be dead. */
@@ -265,6 +268,31 @@
   beacon_vm known<BEACON_VMS_MAX>; /* gossip: some live VMs that it knows */
 };
 
+/* Sections follow the beacon in its datagram.  A receiver skips the kinds that
+   it does not know, and reads a beacon without sections as one in which each
+   section is empty. */
+enum beacon_section_kind {
+  BEACON_CONFIRMATIONS = 1 /* struct beacon_confirmations */
+};
+
+struct beacon_section {
+  unsigned int kind; /* enum beacon_section_kind */
+  opaque data<BEACON_SECTION_MAX>;
+};
+
+/* What the sender, a home, tells an owner of its batches there: it wants all
+   of them but those that are named, and has heard the owner's beacon SEQUENCE
+   before. */
+struct beacon_confirmation {
+  unsigned hyper receiver; /* hash of its name and incarnation */
+  unsigned int sequence;   /* 0: nothing is confirmed */
+  unsigned int revoked<BEACON_REVOKED_MAX>; /* numbers of batches */
+};
+
+struct beacon_confirmations {
+  beacon_confirmation list<BEACON_CONFIRMATIONS_MAX>;
+};
+
 /* The credential of every RPC call. */
 struct peer_credential {
   string sender<PEER_NAME_MAX>;
@@ -274,6 +302,14 @@
   unsigned hyper sent_unix_ms;
 };
 
+/* Follows the credential.  A receiver reads a call without it as one with
+   zeros. */
+struct peer_credential_heard {
+  unsigned hyper incarnation; /* of the receiver, as the sender knows it */
+  unsigned int sequence;      /* of the receiver's latest beacon that the
+                                 sender has heard; 0: none */
+};
+
 /* The kinds of sections of a heartbeat.  Each section is optional. */
 enum heartbeat_section_kind {
   HEARTBEAT_INTRODUCTION = 1, /* name and address of the sender */
--- a/protocol/peer_xdr.c
+++ b/protocol/peer_xdr.c
@@ -814,6 +814,54 @@
 	return TRUE;
 }
 
+bool_t
+xdr_beacon_section_kind (XDR *xdrs, beacon_section_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_beacon_section (XDR *xdrs, beacon_section *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, BEACON_SECTION_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_beacon_confirmation (XDR *xdrs, beacon_confirmation *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->receiver))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->revoked.revoked_val, (u_int *) &objp->revoked.revoked_len, BEACON_REVOKED_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_beacon_confirmations (XDR *xdrs, beacon_confirmations *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, BEACON_CONFIRMATIONS_MAX,
+		sizeof (beacon_confirmation), (xdrproc_t) xdr_beacon_confirmation))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_credential (XDR *xdrs, peer_credential *objp)
 {
@@ -832,6 +880,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_credential_heard (XDR *xdrs, peer_credential_heard *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sequence))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_heartbeat_section_kind (XDR *xdrs, heartbeat_section_kind *objp)
 {
--- a/protocol/peer_xdr.h
+++ b/protocol/peer_xdr.h
@@ -34,6 +34,9 @@
 #define BEACON_VMS_MAX 3
 #define BEACON_ZONES_MAX 32
 #define BEACON_CALLERS_MAX 8
+#define BEACON_SECTION_MAX 1200
+#define BEACON_CONFIRMATIONS_MAX 64
+#define BEACON_REVOKED_MAX 32
 
 struct peer_ping_args {
 	char *suspect;
@@ -330,6 +333,38 @@
 };
 typedef struct beacon beacon;
 
+enum beacon_section_kind {
+	BEACON_CONFIRMATIONS = 1,
+};
+typedef enum beacon_section_kind beacon_section_kind;
+
+struct beacon_section {
+	u_int kind;
+	struct {
+		u_int data_len;
+		char *data_val;
+	} data;
+};
+typedef struct beacon_section beacon_section;
+
+struct beacon_confirmation {
+	u_quad_t receiver;
+	u_int sequence;
+	struct {
+		u_int revoked_len;
+		u_int *revoked_val;
+	} revoked;
+};
+typedef struct beacon_confirmation beacon_confirmation;
+
+struct beacon_confirmations {
+	struct {
+		u_int list_len;
+		beacon_confirmation *list_val;
+	} list;
+};
+typedef struct beacon_confirmations beacon_confirmations;
+
 struct peer_credential {
 	char *sender;
 	char *receiver;
@@ -339,6 +374,12 @@
 };
 typedef struct peer_credential peer_credential;
 
+struct peer_credential_heard {
+	u_quad_t incarnation;
+	u_int sequence;
+};
+typedef struct peer_credential_heard peer_credential_heard;
+
 enum heartbeat_section_kind {
 	HEARTBEAT_INTRODUCTION = 1,
 	HEARTBEAT_DIGEST = 2,
@@ -500,7 +541,12 @@
 extern  bool_t xdr_beacon_vm (XDR *, beacon_vm*);
 extern  bool_t xdr_beacon_caller (XDR *, beacon_caller*);
 extern  bool_t xdr_beacon (XDR *, beacon*);
+extern  bool_t xdr_beacon_section_kind (XDR *, beacon_section_kind*);
+extern  bool_t xdr_beacon_section (XDR *, beacon_section*);
+extern  bool_t xdr_beacon_confirmation (XDR *, beacon_confirmation*);
+extern  bool_t xdr_beacon_confirmations (XDR *, beacon_confirmations*);
 extern  bool_t xdr_peer_credential (XDR *, peer_credential*);
+extern  bool_t xdr_peer_credential_heard (XDR *, peer_credential_heard*);
 extern  bool_t xdr_heartbeat_section_kind (XDR *, heartbeat_section_kind*);
 extern  bool_t xdr_heartbeat_introduction (XDR *, heartbeat_introduction*);
 extern  bool_t xdr_heartbeat_digest (XDR *, heartbeat_digest*);
@@ -538,7 +584,12 @@
 extern bool_t xdr_beacon_vm ();
 extern bool_t xdr_beacon_caller ();
 extern bool_t xdr_beacon ();
+extern bool_t xdr_beacon_section_kind ();
+extern bool_t xdr_beacon_section ();
+extern bool_t xdr_beacon_confirmation ();
+extern bool_t xdr_beacon_confirmations ();
 extern bool_t xdr_peer_credential ();
+extern bool_t xdr_peer_credential_heard ();
 extern bool_t xdr_heartbeat_section_kind ();
 extern bool_t xdr_heartbeat_introduction ();
 extern bool_t xdr_heartbeat_digest ();
--- a/protocol/rpc_message.c
+++ b/protocol/rpc_message.c
@@ -58,13 +58,16 @@
 }
 
 static gsize
-encode_credential (const peer_credential *credential, char *bytes)
+encode_credential (const peer_credential *credential,
+                   const peer_credential_heard *heard, char *bytes)
 {
   gsize length = 0;
   XDR xdr;
 
   xdrmem_create (&xdr, bytes, MAX_AUTH_BYTES, XDR_ENCODE);
-  if (xdr_peer_credential (&xdr, (peer_credential *)credential))
+  if (xdr_peer_credential (&xdr, (peer_credential *)credential)
+      && (heard == NULL
+          || xdr_peer_credential_heard (&xdr, (peer_credential_heard *)heard)))
     length = xdr_getpos (&xdr);
   xdr_destroy (&xdr);
   return length;
@@ -99,7 +102,8 @@
 GBytes *
 rpc_build_call (const struct peer_mac *mac, guint32 xid,
                 const struct rpc_procedure *procedure,
-                const peer_credential *credential, const void *arguments)
+                const peer_credential *credential,
+                const peer_credential_heard *heard, const void *arguments)
 {
   char credential_bytes[MAX_AUTH_BYTES];
   guint8 mac_bytes[PEER_MAC_LENGTH];
@@ -119,7 +123,7 @@
   body->cb_cred.oa_flavor = AUTH_FLAVOUR;
   body->cb_cred.oa_base = credential_bytes;
   body->cb_cred.oa_length
-      = (u_int)encode_credential (credential, credential_bytes);
+      = (u_int)encode_credential (credential, heard, credential_bytes);
   body->cb_verf = make_verifier (mac, mac_bytes);
   record = allocate_record (
       xdr_sizeof (AS_XDRPROC (xdr_callmsg), &header) + size, &xdr);
@@ -178,8 +182,11 @@
   return peer_mac_verify (mac, data, length, given, sizeof given);
 }
 
+/* An earlier build sends the credential alone.  What a later one adds behind
+   HEARD is skipped.  */
 static gboolean
-decode_credential (const struct opaque_auth *auth, peer_credential *credential)
+decode_credential (const struct opaque_auth *auth, peer_credential *credential,
+                   peer_credential_heard *heard)
 {
   gboolean is_valid;
   XDR xdr;
@@ -188,6 +195,8 @@
     return FALSE;
   xdrmem_create (&xdr, auth->oa_base, auth->oa_length, XDR_DECODE);
   is_valid = xdr_peer_credential (&xdr, credential);
+  if (!is_valid || !xdr_peer_credential_heard (&xdr, heard))
+    *heard = (peer_credential_heard){ 0 };
   xdr_destroy (&xdr);
   return is_valid;
 }
@@ -224,7 +233,8 @@
   if (xdr_callmsg (&xdr, &header)
       && check_mac (mac, data, length, &header.rm_call.cb_verf,
                     xdr_getpos (&xdr))
-      && decode_credential (&header.rm_call.cb_cred, &call->credential))
+      && decode_credential (&header.rm_call.cb_cred, &call->credential,
+                            &call->heard))
     {
       call->xid = header.rm_xid;
       status = decode_arguments (&xdr, length, &header, call)
--- a/protocol/rpc_message.h
+++ b/protocol/rpc_message.h
@@ -2,7 +2,8 @@
  * Encodes and decodes the ONC RPC messages between entry VMs, as records of a
  * byte stream (RFC 5531).
  *
- * Every call carries a struct peer_credential.  When the deployment has keys,
+ * Every call carries a struct peer_credential, followed by a struct
+ * peer_credential_heard.  When the deployment has keys,
  * calls and replies also carry a verifier: the MAC of the whole message, xid
  * included, in which the bytes of the MAC itself are zero.
  */
@@ -37,10 +38,11 @@
 const struct rpc_procedure *rpc_procedure_find (guint number);
 
 /* A record with a call of PROCEDURE, or NULL when ARGUMENTS exceed a limit of
-   peer.x.  A new reference.  */
+   peer.x.  HEARD may be NULL for none.  A new reference.  */
 GBytes *rpc_build_call (const struct peer_mac *mac, guint32 xid,
                         const struct rpc_procedure *procedure,
                         const peer_credential *credential,
+                        const peer_credential_heard *heard,
                         const void *arguments);
 
 /* A record with the reply to the call XID of PROCEDURE.  When RESULT is NULL,
@@ -55,7 +57,8 @@
   guint32 xid;
   const struct rpc_procedure *procedure;
   peer_credential credential;
-  void *arguments; /* owned; of the type that PROCEDURE has */
+  peer_credential_heard heard; /* zeros if the call carries none */
+  void *arguments;             /* owned; of the type that PROCEDURE has */
 };
 
 enum rpc_call_status
--- a/t/support/fleet_bed.c
+++ b/t/support/fleet_bed.c
@@ -198,8 +198,11 @@
   if (bed->plan.log_directory != NULL)
     log = g_strdup_printf ("%s/vm-%u.%u.log", bed->plan.log_directory, vm + 1,
                            ++bed->n_starts);
-  bed->vms[vm] = process_start_logged (log, "radishchute", "fleet",
-                                       "--settings", path, NULL);
+  bed->vms[vm] = process_start_logged (log,
+                                       (bed->plan.former_vms & 1u << vm) != 0
+                                           ? "former/radishchute"
+                                           : "radishchute",
+                                       "fleet", "--settings", path, NULL);
 }
 
 guint
--- a/t/support/fleet_bed.h
+++ b/t/support/fleet_bed.h
@@ -41,6 +41,7 @@
   gboolean has_proxy;        /* before the store, the workers and the peers */
   const char *log_directory; /* of the VMs' logs, or NULL for none */
   guint max_waiting_jobs;    /* see docs/SETTINGS.md */
+  guint former_vms;          /* those that run the former build, as bits */
   const gdouble *cpu_shares; /* of the VMs, in cores, by which shards are
                                 divided; NULL: evenly */
 };
--- a/t/t1020-fleet-settings.c
+++ b/t/t1020-fleet-settings.c
@@ -31,6 +31,9 @@
   { "{{platform.ttlMinMs}}", "1000.0" },
   { "{{bounds.holdMaxMs}}", "1000.5" },
   { "{{bounds.graceS}}", "5.5" },
+  { "{{#bounds.retransmitMs}}  \"caller_retry_ms\": "
+    "{{.}},\n{{/bounds.retransmitMs}}",
+    "  \"caller_retry_ms\": 1250.0,\n" },
   { "{{#bounds.farFactor}}  \"far_factor\": {{.}},\n{{/bounds.farFactor}}",
     "  \"far_factor\": 1.5,\n" },
   { "{{#limits.cpuShare}}  \"cpu_share\": {{.}},\n{{/limits.cpuShare}}",
@@ -94,6 +97,7 @@
   g_assert_cmpuint (s->beacon_port, ==, 7735);
   g_assert_cmpuint (s->n_shards, ==, 16);
   g_assert_cmpuint (s->max_lease_ms, ==, 1000);
+  g_assert_cmpuint (s->caller_retry_ms, ==, 1250);
   g_assert_cmpfloat (s->cpu_share, ==, 0.25);
   g_assert_cmpfloat (s->cpu_cores, ==, 2);
   g_assert_cmpint (s->log_level, ==, LOG_LEVEL_INFO);
@@ -130,6 +134,7 @@
   g_assert_cmpuint (s->n_shards, ==, 16);
   g_assert_cmpuint (s->lease_ms, ==, 900);
   g_assert_cmpuint (s->max_lease_ms, ==, 1000);
+  g_assert_cmpuint (s->caller_retry_ms, ==, 1300);
   g_assert_cmpuint (s->max_connections, ==, 3000);
   g_assert_false (s->share_by_caller);
   g_assert_false (s->spread_retries);
@@ -238,6 +243,8 @@
   assert_problem ("{" REQUIRED ",\"cpu_share\":-1}", "must be a number from");
   assert_problem ("{" REQUIRED ",\"share_by_capacity\":1}",
                   "'share_by_capacity' must be");
+  assert_problem ("{" REQUIRED ",\"caller_retry_ms\":999}",
+                  "must be a number from");
   assert_problem ("{" REQUIRED ",\"lease_ms\":true}", "must be a number from");
   assert_problem ("{" REQUIRED ",\"log_level\":\"loud\"}", "must be one of");
   assert_problem ("{" REQUIRED ",\"share_by_caller\":1}", "'share_by_caller'");
--- a/t/t2120-vm-directory.c
+++ b/t/t2120-vm-directory.c
@@ -1,5 +1,6 @@
 /* The VMs of a fleet: who is found, lost, replaced and forgotten.  */
 #include "base/hash64.h"
+#include "coordination/sent_beacons.h"
 #include "coordination/vm_directory.h"
 
 #define OWN "entry-0"
@@ -453,6 +454,47 @@
   bed_free (bed);
 }
 
+/* A VM that was paused finds beacons before it has noticed that a caller has
+   left meanwhile: it must not tell of them yet.  */
+static void
+test_settled (void)
+{
+  struct bed *bed = bed_new ();
+  gint64 first_us = bed->now_us;
+
+  hear (bed, 10, 4);
+  g_assert_cmpuint (vm_get_settled_sequence (find (bed), first_us - 1), ==, 0);
+  g_assert_cmpuint (vm_get_settled_sequence (find (bed), first_us), ==, 4);
+  bed->now_us += 100;
+  hear (bed, 10, 5);
+  g_assert_cmpuint (vm_get_settled_sequence (find (bed), first_us), ==, 4);
+  g_assert_cmpuint (vm_get_settled_sequence (find (bed), bed->now_us), ==, 5);
+  bed->now_us += 100;
+  hear (bed, 11, 1);
+  g_assert_cmpuint (vm_get_settled_sequence (find (bed), bed->now_us - 1), ==,
+                    0);
+  g_assert_cmpuint (vm_get_settled_sequence (find (bed), bed->now_us), ==, 1);
+  bed_free (bed);
+}
+
+/* The age of a message is told by the beacon that its sender had heard.  One
+   that is too old to be known tells nothing.  */
+static void
+test_sent_beacons (void)
+{
+  struct sent_beacons sent = { { 0 }, { 0 } };
+
+  g_assert_cmpint (sent_beacons_get_us (&sent, 0), ==, 0);
+  g_assert_cmpint (sent_beacons_get_us (&sent, 1), ==, 0);
+  for (guint32 i = 1; i <= SENT_BEACONS_MAX + 1; i++)
+    sent_beacons_add (&sent, i, i * 100);
+  g_assert_cmpint (sent_beacons_get_us (&sent, 1), ==, 0);
+  g_assert_cmpint (sent_beacons_get_us (&sent, 2), ==, 200);
+  g_assert_cmpint (sent_beacons_get_us (&sent, SENT_BEACONS_MAX + 1), ==,
+                   (SENT_BEACONS_MAX + 1) * 100);
+  g_assert_cmpint (sent_beacons_get_us (&sent, SENT_BEACONS_MAX + 2), ==, 0);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -473,5 +515,7 @@
   g_test_add_func ("/vm-directory/heard-by-call", test_heard_by_call);
   g_test_add_func ("/vm-directory/heard-all", test_heard_all);
   g_test_add_func ("/vm-directory/rare-beacons", test_rare_beacons);
+  g_test_add_func ("/vm-directory/settled", test_settled);
+  g_test_add_func ("/vm-directory/sent-beacons", test_sent_beacons);
   return g_test_run ();
 }
--- a/t/t3003-peer-rpc.c
+++ b/t/t3003-peer-rpc.c
@@ -51,7 +51,7 @@
     .sent_unix_ms = (guint64)clock_unix_ms (),
   };
 
-  return rpc_build_call (f->mac, xid, procedure, &credential, arguments);
+  return rpc_build_call (f->mac, xid, procedure, &credential, NULL, arguments);
 }
 
 static void
--- a/t/t3004-peer-codec.c
+++ b/t/t3004-peer-codec.c
@@ -4,6 +4,7 @@
  */
 #include "protocol/heartbeat.h"
 #include "protocol/rpc_message.h"
+#include "t/support/message.h"
 
 #include <string.h>
 
@@ -102,7 +103,7 @@
       = { (char *)"entry-1", (char *)"entry-2", 1, 2, (guint64)NOW_MS };
 
   return rpc_build_call (mac, 5, rpc_procedure_find (PEER_FETCH_DOCUMENTS),
-                         &credential, &arguments);
+                         &credential, NULL, &arguments);
 }
 
 /* A claim of offered tasks, as a record.  */
@@ -117,7 +118,7 @@
       = { (char *)"entry-1", (char *)"entry-2", 1, 2, (guint64)NOW_MS };
 
   return rpc_build_call (mac, 5, rpc_procedure_find (PEER_CLAIM_TASKS),
-                         &credential, &arguments);
+                         &credential, NULL, &arguments);
 }
 
 /* A return of tasks, one of which is a suspect, as a record.  */
@@ -136,7 +137,7 @@
       = { (char *)"entry-1", (char *)"entry-2", 1, 2, (guint64)NOW_MS };
 
   return rpc_build_call (mac, 5, rpc_procedure_find (PEER_RETURN_TASKS),
-                         &credential, &arguments);
+                         &credential, NULL, &arguments);
 }
 
 /* Calls made from RECORD with some bytes changed or missing are read or
@@ -279,6 +280,41 @@
   check_bent_replies (rpc_procedure_find (PEER_CLAIM_TASKS), &grant);
 }
 
+/* Calls of the build that serves while VMs are replaced tell of no beacon; a
+   call of this build does, and of a later one what more it tells is
+   skipped.  */
+static void
+test_heard (void)
+{
+  struct peer_mac *mac = no_keys ();
+  g_autoptr (GBytes) recorded = message_read ("bcea9bc-call");
+  gsize length;
+  const guint8 *data = g_bytes_get_data (recorded, &length);
+  g_autofree guint8 *copy = g_memdup2 (data, length);
+  const peer_credential_heard heard = { 11, 12 };
+  peer_ping_args arguments = { .suspect = (char *)"" };
+  struct rpc_call call;
+  g_autoptr (GBytes) record = NULL;
+
+  g_assert_cmpint (rpc_parse_call (mac, copy, length, &call), ==,
+                   RPC_CALL_VALID);
+  g_assert_cmpstr (call.credential.sender, ==, "edge-2");
+  g_assert_cmpuint (call.heard.sequence, ==, 0);
+  record = rpc_build_call (mac, 5, rpc_procedure_find (PEER_PING),
+                           &call.credential, &heard, &arguments);
+  rpc_call_clear (&call);
+  g_free (copy);
+  copy = g_memdup2 ((const guint8 *)g_bytes_get_data (record, &length)
+                        + RPC_MARK_LENGTH,
+                    g_bytes_get_size (record) - RPC_MARK_LENGTH);
+  g_assert_cmpint (rpc_parse_call (mac, copy, length - RPC_MARK_LENGTH, &call),
+                   ==, RPC_CALL_VALID);
+  g_assert_cmpuint (call.heard.incarnation, ==, 11);
+  g_assert_cmpuint (call.heard.sequence, ==, 12);
+  rpc_call_clear (&call);
+  peer_mac_free (mac);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -286,5 +322,6 @@
   g_test_add_func ("/peer-codec/heartbeats", test_heartbeats);
   g_test_add_func ("/peer-codec/calls", test_calls);
   g_test_add_func ("/peer-codec/replies", test_replies);
+  g_test_add_func ("/peer-codec/heard", test_heard);
   return g_test_run ();
 }
--- a/t/t3010-beacon.c
+++ b/t/t3010-beacon.c
@@ -1,5 +1,6 @@
 /* Beacons: what goes out comes in, and nothing else does.  */
 #include "protocol/beacon.h"
+#include "t/support/message.h"
 
 #include <string.h>
 
@@ -74,8 +75,12 @@
 decode (const guint8 *data, gsize length, struct beacon *message)
 {
   g_autofree guint8 *copy = g_memdup2 (data, length);
+  struct beacon_confirmations confirmations;
 
-  return beacon_decode (copy, length, message);
+  if (!beacon_decode (copy, length, message, &confirmations))
+    return FALSE;
+  beacon_clear_confirmations (&confirmations);
+  return TRUE;
 }
 
 static guint
@@ -274,6 +279,103 @@
   g_rand_free (random);
 }
 
+/* Appends N confirmations to the beacon of LENGTH bytes in DATA, and
+   reads them back.  Returns how many arrive.  */
+static guint
+pass_confirmations (guint8 *data, gsize length, guint n)
+{
+  struct beacon_confirmation entries[BEACON_CONFIRMATIONS_MAX];
+  guint revoked[] = { 3, 9 };
+  const struct beacon_confirmations list = { { n, entries } };
+  struct beacon_confirmations got;
+  struct beacon message;
+  guint n_got;
+
+  for (guint i = 0; i < n; i++)
+    entries[i] = (struct beacon_confirmation){ i + 1, i + 2, { 2, revoked } };
+  length = beacon_append_confirmations (&list, data, length);
+  g_assert_cmpuint (length, <=, BEACON_MAX_LENGTH);
+  g_assert_true (beacon_decode (data, length, &message, &got));
+  n_got = got.list.list_len;
+  for (guint i = 0; i < n_got; i++)
+    {
+      g_assert_cmpuint (got.list.list_val[i].receiver, ==, i + 1);
+      g_assert_cmpuint (got.list.list_val[i].sequence, ==, i + 2);
+      g_assert_cmpmem (got.list.list_val[i].revoked.revoked_val,
+                       got.list.list_val[i].revoked.revoked_len
+                           * sizeof *revoked,
+                       revoked, sizeof revoked);
+    }
+  beacon_clear (&message);
+  beacon_clear_confirmations (&got);
+  return n_got;
+}
+
+/* Confirmations follow the beacon, as many as the datagram has room for.  */
+static void
+test_confirmations (void)
+{
+  struct beacon small = { .sender = make_vm ("a") };
+  guint8 data[BEACON_MAX_LENGTH];
+  struct sample sample;
+  guint n;
+
+  g_assert_cmpuint (pass_confirmations (data, beacon_encode (&small, data), 0),
+                    ==, 0);
+  g_assert_cmpuint (pass_confirmations (data, beacon_encode (&small, data), 7),
+                    ==, 7);
+  fill (&sample);
+  n = pass_confirmations (data, beacon_encode (&sample.message, data),
+                          BEACON_CONFIRMATIONS_MAX);
+  g_assert_cmpuint (n, <, BEACON_CONFIRMATIONS_MAX);
+}
+
+/* A VM of another build must go on being heard: what follows its beacon is
+   read as far as it is known, and skipped otherwise.  */
+static void
+test_sections (void)
+{
+  struct beacon sent = { .sender = make_vm ("a"), .sequence = 8 };
+  struct beacon_section other = { .kind = 77, .data = { 5, (char *)"later" } };
+  guint8 data[BEACON_MAX_LENGTH];
+  gsize length = beacon_encode (&sent, data);
+  struct beacon_confirmations got;
+  struct beacon message;
+  XDR xdr;
+
+  xdrmem_create (&xdr, (char *)data + length, (u_int)(sizeof data - length),
+                 XDR_ENCODE);
+  g_assert_true (xdr_beacon_section (&xdr, &other));
+  g_assert_cmpuint (pass_confirmations (data, length + xdr_getpos (&xdr), 3),
+                    ==, 3);
+  memset (data + length, 0xff, 16);
+  g_assert_true (beacon_decode (data, length + 16, &message, &got));
+  g_assert_cmpuint (message.sequence, ==, 8);
+  g_assert_cmpuint (got.list.list_len, ==, 0);
+  beacon_clear (&message);
+}
+
+/* The beacons of the build that serves while VMs are replaced.  */
+static void
+test_former_build (void)
+{
+  g_autoptr (GBytes) recorded = message_read ("bcea9bc-beacon");
+  gsize length;
+  const guint8 *data = g_bytes_get_data (recorded, &length);
+  struct beacon_confirmations got;
+  struct beacon message;
+  guint8 again[BEACON_MAX_LENGTH];
+
+  g_assert_true (beacon_decode (data, length, &message, &got));
+  g_assert_cmpstr (message.sender.name, ==, "edge-2");
+  g_assert_cmpuint (message.sequence, ==, 9);
+  g_assert_cmpuint (message.rooms.rooms_val[0].ends_per_s, ==, 5);
+  g_assert_cmpuint (got.list.list_len, ==, 0);
+  g_assert_cmpuint (beacon_encode (&message, again), ==, length);
+  g_assert_cmpmem (again, length, data, length);
+  beacon_clear (&message);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -284,5 +386,8 @@
   g_test_add_func ("/beacon/cannot-encode", test_cannot_encode);
   g_test_add_func ("/beacon/truncated", test_truncated);
   g_test_add_func ("/beacon/mutated", test_mutated);
+  g_test_add_func ("/beacon/confirmations", test_confirmations);
+  g_test_add_func ("/beacon/sections", test_sections);
+  g_test_add_func ("/beacon/former-build", test_former_build);
   return g_test_run ();
 }
--- a/t/t3011-fleet-beacon.c
+++ b/t/t3011-fleet-beacon.c
@@ -1,4 +1,6 @@
 /* Beacons on the loopback: what a VM sends and what it learns from others.  */
+#include "base/hash64.h"
+#include "base/loop_turn.h"
 #include "protocol/beacon.h"
 #include "transport/fleet_beacon.h"
 
@@ -21,6 +23,8 @@
   struct fleet_beacon *beacon;
   GSocket *peer;
   guint n_heard;
+  gint64 confirmed_us; /* as the last confirmation told */
+  guint n_revoked;
 };
 
 static void
@@ -68,7 +72,31 @@
   bed->n_heard++;
 }
 
+/* This VM has batches at the peer, and has stopped one of them.  */
+static guint
+on_list_confirmed (struct fleet_beacon_owner *owner,
+                   struct owner_confirmation *list)
+{
+  list[0] = (struct owner_confirmation){
+    .vm = "peer", .revoked = { 6 }, .n_revoked = 1, .is_complete = TRUE
+  };
+  return 1;
+}
+
+static void
+on_confirmed (struct fleet_beacon_owner *owner, const struct vm *vm,
+              gint64 confirmed_us, const guint *revoked, guint n_revoked)
+{
+  struct bed *bed
+      = (struct bed *)((char *)owner - offsetof (struct bed, beacon_owner));
+
+  bed->confirmed_us = confirmed_us;
+  bed->n_revoked = n_revoked;
+}
+
 static const struct fleet_beacon_owner_ops beacon_ops = {
+  .list_confirmed = on_list_confirmed,
+  .confirmed = on_confirmed,
   .fill_beacon = on_fill,
   .beacon_received = on_heard,
 };
@@ -124,9 +152,11 @@
   g_free (bed);
 }
 
-/* The next beacon that the peer gets.  */
+/* The next beacon that the peer gets, and its confirmations, unless that is
+   NULL.  */
 static void
-receive (struct bed *bed, struct beacon *message)
+receive_all (struct bed *bed, struct beacon *message,
+             struct beacon_confirmations *confirmations)
 {
   char data[BEACON_MAX_LENGTH];
   gssize length;
@@ -134,29 +164,47 @@
   while ((length = g_socket_receive (bed->peer, data, sizeof data, NULL, NULL))
          < 0)
     g_main_context_iteration (NULL, TRUE);
-  g_assert_true (beacon_decode ((const guint8 *)data, (gsize)length, message));
+  g_assert_true (beacon_decode ((const guint8 *)data, (gsize)length, message,
+                                confirmations));
 }
 
-/* Sends a beacon of VM NAME, at IP, from the peer's socket.  */
 static void
-send_beacon (struct bed *bed, const char *name, const char *ip)
+receive (struct bed *bed, struct beacon *message)
+{
+  receive_all (bed, message, NULL);
+}
+
+/* Sends a beacon of VM NAME, at IP, from the peer's socket.  CONFIRMATIONS may
+   be NULL.  */
+static void
+send_confirmations (struct bed *bed, const char *name, const char *ip,
+                    guint32 sequence,
+                    const struct beacon_confirmations *confirmations)
 {
   struct beacon_caller callers[] = { { 21, 700 }, { 22, 5 } };
   struct beacon message
       = { .sender = { (char *)name, (char *)ip, (char *)"b" },
           .incarnation = 5,
-          .sequence = 1,
+          .sequence = sequence,
           .callers = { G_N_ELEMENTS (callers), callers } };
   g_autoptr (GSocketAddress) own = g_inet_socket_address_new_from_string (
       OWN_IP, bed->settings.beacon_port);
   guint8 data[BEACON_MAX_LENGTH];
   gsize length = beacon_encode (&message, data);
 
+  if (confirmations != NULL)
+    length = beacon_append_confirmations (confirmations, data, length);
   g_assert_cmpint (g_socket_send_to (bed->peer, own, (const char *)data,
                                      length, NULL, NULL),
                    ==, (gssize)length);
 }
 
+static void
+send_beacon (struct bed *bed, const char *name, const char *ip)
+{
+  send_confirmations (bed, name, ip, 1, NULL);
+}
+
 static void
 test_sent (void)
 {
@@ -245,6 +293,76 @@
   bed_free (bed);
 }
 
+/* Waits for a beacon that tells the peer that its beacon 1 was heard, with the
+   batch that is stopped.  Returns its sequence.  */
+static guint32
+wait_told (struct bed *bed)
+{
+  for (guint i = 0; i < N_BEACONS; i++)
+    {
+      struct beacon_confirmations got;
+      const struct beacon_confirmation *entry;
+      struct beacon message;
+      guint32 sequence = 0;
+
+      receive_all (bed, &message, &got);
+      entry = got.list.list_val;
+      if (got.list.list_len == 1 && entry->sequence == 1)
+        {
+          g_assert_cmpuint (entry->receiver, ==,
+                            hash64_pair (hash64_string ("peer"), 5));
+          g_assert_cmpuint (entry->revoked.revoked_len, ==, 1);
+          g_assert_cmpuint (entry->revoked.revoked_val[0], ==, 6);
+          sequence = message.sequence;
+        }
+      beacon_clear (&message);
+      beacon_clear_confirmations (&got);
+      if (sequence != 0)
+        return sequence;
+    }
+  g_assert_not_reached ();
+}
+
+/* A home tells an owner by beacons which batches it no longer wants, and which
+   of the owner's beacons it had heard by then, which tells the owner how old
+   that is by its own clock.  What names another incarnation, or a beacon that
+   was never sent, confirms nothing.  */
+static void
+test_confirmed (void)
+{
+  struct bed *bed = bed_new ();
+  guint revoked[] = { 1, 2 };
+  struct beacon_confirmation entry = { .revoked = { 2, revoked } };
+  const struct beacon_confirmations list = { { 1, &entry } };
+  gint64 began_us = clock_now_us ();
+  guint64 own = hash64_pair (hash64_string ("own"), INCARNATION);
+
+  loop_turn_follow ();
+  send_beacon (bed, "peer", PEER_IP);
+  while (bed->n_heard == 0)
+    g_main_context_iteration (NULL, TRUE);
+  vm_directory_begin_work (bed->directory, "peer", clock_now_us ());
+  entry.sequence = wait_told (bed);
+  entry.receiver = own + 1;
+  send_confirmations (bed, "peer", PEER_IP, 2, &list);
+  while (bed->n_heard == 1)
+    g_main_context_iteration (NULL, TRUE);
+  g_assert_cmpuint (bed->n_revoked, ==, 0);
+  entry.receiver = own;
+  send_confirmations (bed, "peer", PEER_IP, 3, &list);
+  while (bed->n_heard == 2)
+    g_main_context_iteration (NULL, TRUE);
+  g_assert_cmpuint (bed->n_revoked, ==, 2);
+  g_assert_cmpint (bed->confirmed_us, >=, began_us);
+  g_assert_cmpint (bed->confirmed_us, <=, clock_now_us ());
+  entry.sequence += 1000;
+  send_confirmations (bed, "peer", PEER_IP, 4, &list);
+  while (bed->n_heard == 3)
+    g_main_context_iteration (NULL, TRUE);
+  g_assert_cmpint (bed->confirmed_us, ==, 0);
+  bed_free (bed);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -252,5 +370,6 @@
   g_test_add_func ("/fleet-beacon/sent", test_sent);
   g_test_add_func ("/fleet-beacon/heard", test_heard);
   g_test_add_func ("/fleet-beacon/told-of", test_told_of);
+  g_test_add_func ("/fleet-beacon/confirmed", test_confirmed);
   return g_test_run ();
 }
--- a/t/t5026-fleet-home.c
+++ b/t/t5026-fleet-home.c
@@ -1,5 +1,6 @@
 /* What a home makes of the results of its batches, without a network: the test
    stands in for the peer hub and for the owner of this VM.  */
+#include "base/error.h"
 #include "base/event_log.h"
 #include "base/hash64.h"
 #include "transport/fleet_home.h"
@@ -14,6 +15,8 @@
 #define INCARNATION 5
 #define N_TASKS 2
 #define MAX_BATCHES 8
+#define MAX_STOPS 8
+#define RESEND_US (1300 * USEC_PER_MSEC)
 
 /* A batch that the home has sent and that has not ended.  */
 struct sent_batch
@@ -35,6 +38,18 @@
   struct owner *owner;
 };
 
+/* A call that stops a batch.  */
+struct sent_stop
+{
+  guint number;
+  gboolean is_anew; /* over another connection */
+  peer_call_done_func *ended;
+  gpointer data; /* NULL once it has ended */
+};
+
+static guint n_dropped; /* checks of a silent connection */
+static struct sent_stop stops[MAX_STOPS];
+static guint n_stops;
 static struct sent_batch sent[MAX_BATCHES];
 static guint n_sent;
 static peer_handler_func *claim_handler;
@@ -65,6 +80,41 @@
   handler_data = data;
 }
 
+static void
+add_stop (const peer_stop_args *args, gboolean is_anew,
+          peer_call_done_func *ended, gpointer data)
+{
+  g_assert_cmpuint (n_stops, <, MAX_STOPS);
+  g_assert_cmpuint (args->incarnation, ==, INCARNATION);
+  stops[n_stops++] = (struct sent_stop){ args->number, is_anew, ended, data };
+}
+
+static void
+end_stop (guint index, const peer_stop_result *result)
+{
+  gpointer data = stops[index].data;
+
+  stops[index].data = NULL;
+  if (data != NULL)
+    stops[index].ended (result, NULL, data);
+}
+
+void
+peer_hub_abort_silent (struct peer_hub *hub, const char *vm, gint64 since_us)
+{
+  g_assert_cmpint (since_us, <=, clock_now_us ());
+  n_dropped++;
+}
+
+void
+peer_hub_call_anew (struct peer_hub *hub, const char *vm, guint procedure,
+                    const void *arguments, gint64 deadline_us,
+                    peer_call_done_func *ended, gpointer data)
+{
+  g_assert_cmpuint (procedure, ==, PEER_STOP_BATCH);
+  add_stop (arguments, TRUE, ended, data);
+}
+
 void
 peer_hub_call (struct peer_hub *hub, const char *vm, guint procedure,
                const void *arguments, gint64 deadline_us,
@@ -73,6 +123,8 @@
   const peer_batch_args *args = arguments;
   struct sent_batch *added;
 
+  if (procedure == PEER_STOP_BATCH)
+    add_stop (arguments, FALSE, ended, data);
   if (procedure != PEER_RUN_BATCH)
     return;
   added = add_sent (args->number);
@@ -244,6 +296,8 @@
   struct bed *bed = g_new0 (struct bed, 1);
 
   n_sent = 0;
+  n_stops = 0;
+  n_dropped = 0;
   bed->handler.answer = on_answer;
   bed->log_fd = g_file_open_tmp (NULL, &bed->log_path, NULL);
   event_log_set_output (bed->log_fd, "vm-a");
@@ -269,6 +323,8 @@
 static void
 bed_free (struct bed *bed)
 {
+  for (guint i = 0; i < n_stops; i++)
+    end_stop (i, NULL);
   fleet_home_free (bed->home);
   fleet_admission_free (bed->admission);
   owner_free (bed->owner.owner);
@@ -514,6 +570,87 @@
   bed_free (bed);
 }
 
+/* What the home tells vm-b of its batches there.  */
+static struct owner_confirmation
+get_confirmation (struct bed *bed)
+{
+  struct owner_confirmation list[CONFIRMATIONS_MAX];
+
+  g_assert_cmpuint (
+      fleet_home_list_confirmed (bed->home, list, CONFIRMATIONS_MAX), ==, 1);
+  g_assert_cmpstr (list[0].vm, ==, "vm-b");
+  g_assert_true (list[0].is_complete);
+  return list[0];
+}
+
+static gboolean
+has_confirmation (struct bed *bed)
+{
+  struct owner_confirmation list[CONFIRMATIONS_MAX];
+
+  return fleet_home_list_confirmed (bed->home, list, CONFIRMATIONS_MAX) > 0;
+}
+
+static void
+cancel (struct bed *bed)
+{
+  fleet_home_cancel_job (
+      bed->home, g_hash_table_lookup (fleet_home_get_jobs (bed->home), JOB));
+}
+
+/* An owner that does not hear a stop would run on beside the job that is sent
+   again: the stop is repeated over another connection, and beacons name the
+   batch, until its owner has answered.  */
+static void
+test_stop_repeated (void)
+{
+  static const peer_stop_result answer = { .is_known = TRUE };
+  struct bed *bed = bed_new (FALSE);
+
+  g_assert_cmpuint (get_confirmation (bed).n_revoked, ==, 0);
+  cancel (bed);
+  g_assert_cmpuint (n_stops, ==, 1);
+  g_assert_cmpuint (get_confirmation (bed).n_revoked, ==, 1);
+  g_assert_cmpuint (get_confirmation (bed).revoked[0], ==, sent[0].number);
+  end_stop (0, NULL);
+  fleet_home_advance (bed->home, clock_now_us ());
+  g_assert_cmpuint (n_stops, ==, 2);
+  g_assert_true (stops[1].is_anew);
+  g_assert_cmpuint (stops[1].number, ==, sent[0].number);
+  end_stop (1, &answer);
+  fleet_home_advance (bed->home, clock_now_us ());
+  g_assert_cmpuint (n_stops, ==, 2);
+  g_assert_cmpuint (get_confirmation (bed).n_revoked, ==, 1);
+  finish (0, NULL, 0);
+  g_assert_false (has_confirmation (bed));
+  bed_free (bed);
+}
+
+/* The connection breaks, so that the owner can answer no more: beacons name
+   the batch until nothing of it can run any longer, and no further.  What may
+   still be on its way over a silent connection is dropped with that.  */
+static void
+test_revoked_until_void (void)
+{
+  struct bed *bed = bed_new (FALSE);
+  gint64 now_us = clock_now_us ();
+  g_autoptr (GError) error = NULL;
+
+  cancel (bed);
+  error_set (&error, ERROR_UNAVAILABLE, "the connection broke");
+  sent[0].ended (NULL, error, sent[0].data);
+  fleet_home_advance (bed->home, now_us + RESEND_US / 4);
+  g_assert_cmpuint (n_dropped, ==, 0);
+  fleet_home_advance (bed->home, now_us + RESEND_US / 2);
+  g_assert_cmpuint (n_dropped, ==, 1);
+  fleet_home_advance (bed->home, now_us + RESEND_US);
+  g_assert_cmpuint (n_dropped, ==, 1);
+  g_assert_cmpuint (get_confirmation (bed).n_revoked, ==, 1);
+  fleet_home_advance (bed->home, now_us + 3 * RESEND_US);
+  g_assert_false (has_confirmation (bed));
+  bed_free (bed);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -533,5 +670,7 @@
                         test_crashes_carried);
   g_test_add_data_func ("/fleet-home/crashes-carried-local",
                         GINT_TO_POINTER (TRUE), test_crashes_carried);
+  g_test_add_func ("/fleet-home/stop-repeated", test_stop_repeated);
+  g_test_add_func ("/fleet-home/revoked-until-void", test_revoked_until_void);
   return g_test_run ();
 }
--- a/t/t9102-peer-keys.c
+++ b/t/t9102-peer-keys.c
@@ -248,7 +248,7 @@
   };
 
   return rpc_build_call (mac, 7, rpc_procedure_find (PEER_PING), &credential,
-                         &arguments);
+                         NULL, &arguments);
 }
 
 /* Whether a record sent over a fresh connection is answered.  */
--- a/transport/fleet.c
+++ b/transport/fleet.c
@@ -1,6 +1,7 @@
 #include "transport/fleet_private.h"
 
 #include "base/event_log.h"
+#include "base/loop_turn.h"
 #include "base/metrics.h"
 
 #include <glib-unix.h>
@@ -161,6 +162,8 @@
                     FIELD_INT ("silent_us", now_us - vm->heard_us));
   owner_stop_home_batches (fleet_owner_get_owner (fleet->owner), home, now_us);
   fleet_home_handle_vm_lost (fleet->home, vm->name, incarnation);
+  /* What a partition holds up is void: its jobs are answered.  */
+  peer_hub_abort (fleet->hub, vm->name);
 }
 
 static const struct vm_directory_listener_ops directory_ops = {
@@ -317,8 +320,29 @@
   fetch_routes (fleet, vm);
 }
 
+static guint
+list_confirmed (struct fleet_beacon_owner *owner,
+                struct owner_confirmation *list)
+{
+  struct fleet *fleet = list_entry (owner, struct fleet, beacon_owner);
+
+  return fleet_home_list_confirmed (fleet->home, list, CONFIRMATIONS_MAX);
+}
+
+static void
+on_confirmed (struct fleet_beacon_owner *owner, const struct vm *vm,
+              gint64 confirmed_us, const guint *revoked, guint n_revoked)
+{
+  struct fleet *fleet = list_entry (owner, struct fleet, beacon_owner);
+
+  fleet_owner_confirm_home (fleet->owner, vm, confirmed_us, revoked,
+                            n_revoked);
+}
+
 static const struct fleet_beacon_owner_ops beacon_ops = {
   .fill_beacon = fill_beacon,
+  .list_confirmed = list_confirmed,
+  .confirmed = on_confirmed,
   .beacon_received = on_beacon_received,
 };
 
@@ -601,6 +625,7 @@
     .max_lease_ms = settings->max_lease_ms,
     .clock_drift_ppm = CLOCK_DRIFT_PPM,
     .placement_by_speed = settings->placement_by_speed,
+    .resend_ms = settings->caller_retry_ms,
   };
 
   fleet->shards
@@ -618,6 +643,7 @@
                                 settings->availability_zone,
                                 settings->far_factor, fleet->directory,
                                 fleet->hub, fleet->owner, fleet->admission);
+  fleet_home_set_resend_ms (fleet->home, settings->caller_retry_ms);
   fleet_home_set_evacuation (fleet->home, &fleet->evacuation);
   set_waiting (fleet);
   fleet->listing = fleet_listing_new (settings, fleet->platform,
@@ -649,6 +675,16 @@
   return fleet->metrics_server != NULL;
 }
 
+/* Lets the messages between VMs tell how old they are.  */
+static void
+use_beacon (struct fleet *fleet)
+{
+  loop_turn_follow ();
+  fleet_owner_set_beacon (fleet->owner, fleet->beacon);
+  peer_hub_set_heard_source (fleet->hub,
+                             fleet_beacon_get_heard_source (fleet->beacon));
+}
+
 struct fleet *
 fleet_new (const struct fleet_settings *settings,
            struct fleet_platform *platform, GError **error)
@@ -673,6 +709,8 @@
     fleet->beacon
         = fleet_beacon_new (settings, fleet->incarnation, fleet->directory,
                             &fleet->beacon_owner, error);
+  if (fleet->beacon != NULL)
+    use_beacon (fleet);
   if (fleet->beacon != NULL && open_metrics (fleet, error))
     return fleet;
   fleet_free (fleet);
--- a/transport/fleet_beacon.c
+++ b/transport/fleet_beacon.c
@@ -1,7 +1,10 @@
 #include "transport/fleet_beacon.h"
 
+#include "base/hash64.h"
 #include "base/list.h"
+#include "base/loop_turn.h"
 #include "coordination/beacon_rate.h"
+#include "coordination/sent_beacons.h"
 #include "protocol/beacon.h"
 #include "transport/peer_socket.h"
 
@@ -23,16 +26,20 @@
 G_STATIC_ASSERT (ROOM_PRIORITIES == BEACON_PRIORITIES);
 G_STATIC_ASSERT (EVACUATION_MAX_ZONES == BEACON_ZONES_MAX);
 G_STATIC_ASSERT (CALLER_LIST_MAX == BEACON_CALLERS_MAX);
+G_STATIC_ASSERT (CONFIRMATIONS_MAX == BEACON_CONFIRMATIONS_MAX);
+G_STATIC_ASSERT (REVOKED_MAX == BEACON_REVOKED_MAX);
 
 struct fleet_beacon
 {
   struct peer_socket_owner socket_owner;
+  struct peer_heard_source heard_source;
   struct peer_socket *socket;
   const struct fleet_settings *settings;
   struct vm_directory *directory;
   struct fleet_beacon_owner *owner;
   guint64 incarnation;
   guint32 sequence;
+  struct sent_beacons sent;
   guint next_gossip; /* index in the directory of the next VM to name */
   guint timer;
   GHashTable *addresses; /* ip -> GSocketAddress */
@@ -111,8 +118,34 @@
                                     from->callers[i].demand_milli };
 }
 
+/* Identifies a VM and its incarnation in confirmations.  */
+static guint64
+hash_receiver (const char *vm, guint64 incarnation)
+{
+  return hash64_pair (hash64_string (vm), incarnation);
+}
+
+/* Passes on what LIST, of a beacon from VM, says to this VM.  */
 static void
-handle_beacon (struct fleet_beacon *b, const struct beacon *message)
+handle_confirmations (struct fleet_beacon *b, const struct vm *vm,
+                      const struct beacon_confirmations *list)
+{
+  guint64 own = hash_receiver (b->settings->vm, b->incarnation);
+
+  for (guint i = 0; i < list->list.list_len; i++)
+    {
+      const struct beacon_confirmation *entry = &list->list.list_val[i];
+
+      if (entry->receiver == own)
+        b->owner->ops->confirmed (
+            b->owner, vm, sent_beacons_get_us (&b->sent, entry->sequence),
+            entry->revoked.revoked_val, entry->revoked.revoked_len);
+    }
+}
+
+static void
+handle_beacon (struct fleet_beacon *b, const struct beacon *message,
+               const struct beacon_confirmations *confirmations)
 {
   struct vm_room rooms[VM_ROOMS_MAX];
   struct vm_beacon received = {
@@ -151,8 +184,10 @@
                           known->availability_zone, now_us);
     }
   vm = vm_directory_handle_beacon (b->directory, &received, now_us);
-  if (vm != NULL)
-    b->owner->ops->beacon_received (b->owner, vm);
+  if (vm == NULL)
+    return;
+  handle_confirmations (b, vm, confirmations);
+  b->owner->ops->beacon_received (b->owner, vm);
 }
 
 static void
@@ -160,12 +195,14 @@
 {
   struct fleet_beacon *b
       = list_entry (owner, struct fleet_beacon, socket_owner);
+  struct beacon_confirmations confirmations;
   struct beacon message;
 
-  if (!beacon_decode (data, length, &message))
+  if (!beacon_decode (data, length, &message, &confirmations))
     return;
-  handle_beacon (b, &message);
+  handle_beacon (b, &message, &confirmations);
   beacon_clear (&message);
+  beacon_clear_confirmations (&confirmations);
 }
 
 static const struct peer_socket_owner_ops socket_ops = {
@@ -209,6 +246,69 @@
   return n;
 }
 
+static peer_credential_heard
+get_heard (struct fleet_beacon *b, const char *name)
+{
+  const struct vm *vm = vm_directory_find (b->directory, name);
+  peer_credential_heard heard = { 0 };
+
+  if (vm == NULL)
+    return heard;
+  heard.incarnation = vm->incarnation;
+  heard.sequence = vm_get_settled_sequence (vm, loop_turn_get_settled_us ());
+  return heard;
+}
+
+static peer_credential_heard
+source_get_heard (struct peer_heard_source *source, const char *vm)
+{
+  return get_heard (list_entry (source, struct fleet_beacon, heard_source),
+                    vm);
+}
+
+static const struct peer_heard_source_ops heard_source_ops = {
+  .get_heard = source_get_heard,
+};
+
+struct peer_heard_source *
+fleet_beacon_get_heard_source (struct fleet_beacon *b)
+{
+  return &b->heard_source;
+}
+
+gint64
+fleet_beacon_get_sent_us (const struct fleet_beacon *b,
+                          const peer_credential_heard *heard)
+{
+  if (heard->incarnation != b->incarnation)
+    return 0;
+  return sent_beacons_get_us (&b->sent, heard->sequence);
+}
+
+/* Appends what this VM, as a home, tells owners to the beacon of LENGTH bytes
+   in DATA.  Returns the new length.  */
+static gsize
+append_confirmations (struct fleet_beacon *b, guint8 data[BEACON_MAX_LENGTH],
+                      gsize length)
+{
+  struct owner_confirmation list[CONFIRMATIONS_MAX];
+  struct beacon_confirmation entries[CONFIRMATIONS_MAX];
+  guint n = b->owner->ops->list_confirmed (b->owner, list);
+  const struct beacon_confirmations message = { { n, entries } };
+
+  for (guint i = 0; i < n; i++)
+    {
+      peer_credential_heard heard = get_heard (b, list[i].vm);
+
+      entries[i] = (struct beacon_confirmation){
+        .receiver = hash_receiver (list[i].vm, heard.incarnation),
+        .sequence = list[i].is_complete ? heard.sequence : 0,
+        .revoked = { list[i].n_revoked, list[i].revoked },
+      };
+    }
+  return n > 0 ? beacon_append_confirmations (&message, data, length) : length;
+}
+
 /* Encodes OWN, the state of this VM, for receivers that get a beacon every
    INTERVAL_MS.  At the full rate only some name other VMs.  */
 static gsize
@@ -294,6 +394,9 @@
   if (to->len == 0)
     return;
   length = encode_beacon (b, own, interval_ms, class == BEACON_FULL, data);
+  /* Owners that have work of this VM get beacons at the full rate.  */
+  if (length > 0 && class == BEACON_FULL)
+    length = append_confirmations (b, data, length);
   if (length > 0)
     peer_socket_send_all (b->socket, to, data, length);
 }
@@ -318,7 +421,7 @@
   struct vm_beacon own = { .rooms = rooms };
   struct beacon_rate rate;
 
-  b->sequence++;
+  sent_beacons_add (&b->sent, ++b->sequence, clock_now_us ());
   b->owner->ops->fill_beacon (b->owner, &own, rooms);
   rate = get_rate (b, &own);
   for (guint class = 0; class < N_BEACON_CLASSES; class ++)
@@ -352,6 +455,7 @@
   struct fleet_beacon *b = g_new0 (struct fleet_beacon, 1);
 
   b->socket_owner.ops = &socket_ops;
+  b->heard_source.ops = &heard_source_ops;
   b->settings = settings;
   b->incarnation = incarnation;
   b->directory = directory;
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -21,6 +21,9 @@
 #define MIN_RETRY_MS RETRY_SPREAD_MIN_MS
 #define MAX_RETRY_MS RETRY_SPREAD_MAX_MS
 
+/* The time after which callers may send a job again, if it is not set.  */
+#define DEFAULT_RESEND_MS 1300
+
 static void on_return_tasks (struct peer_request *request,
                              const void *arguments, gpointer data);
 static void on_claim_tasks (struct peer_request *request,
@@ -44,16 +47,25 @@
   home->owner = owner;
   home->admission = admission;
   home->jobs = g_hash_table_new (g_str_hash, g_str_equal);
+  home->peers = fleet_home_new_peers ();
+  home->resend_ms = DEFAULT_RESEND_MS;
   waiting_jobs_init (&home->waiting.jobs, 0, 0);
   peer_hub_serve (hub, PEER_RETURN_TASKS, on_return_tasks, home);
   peer_hub_serve (hub, PEER_CLAIM_TASKS, on_claim_tasks, home);
   return home;
 }
 
+void
+fleet_home_set_resend_ms (struct fleet_home *home, guint resend_ms)
+{
+  home->resend_ms = resend_ms;
+}
+
 void
 fleet_home_free (struct fleet_home *home)
 {
   g_hash_table_unref (home->jobs);
+  g_hash_table_unref (home->peers);
   g_free (home->vm);
   g_free (home->name);
   g_free (home->availability_zone);
@@ -484,7 +496,9 @@
   const peer_batch_result *reply = result;
   struct fleet_part *part = data;
 
-  vm_directory_end_work (part->job->home->directory, part->owner);
+  fleet_home_end_call (part->job->home, part->owner, part->number,
+                       reply != NULL
+                           || error_get_kind (error) == ERROR_NOT_RUN);
   if (reply != NULL)
     vm_directory_note_message (part->job->home->directory, part->owner,
                                clock_now_us ());
@@ -795,6 +809,7 @@
   g_autoptr (GPtrArray) jobs = list_jobs (home);
 
   fleet_home_advance_waiting (home, now_us);
+  fleet_home_advance_revocations (home, now_us);
   for (guint i = 0; i < jobs->len; i++)
     {
       struct fleet_job *job = g_ptr_array_index (jobs, i);
--- a/transport/fleet_home.h
+++ b/transport/fleet_home.h
@@ -12,6 +12,7 @@
 
 #include "coordination/vm_directory.h"
 #include "state/document.h"
+#include "transport/fleet_beacon.h"
 #include "transport/fleet_owner.h"
 #include "transport/peer_hub.h"
 
@@ -142,6 +143,15 @@
 void fleet_home_handle_vm_lost (struct fleet_home *home, const char *vm,
                                 guint64 incarnation);
 
+/* A caller that has no answer sends its job again after RESEND_MS at the
+   earliest; 1,300 unless it is set.  */
+void fleet_home_set_resend_ms (struct fleet_home *home, guint resend_ms);
+
+/* Fills LIST with up to MAX owners that have batches of HOME.  Returns their
+   number.  The names are valid until the next call.  */
+guint fleet_home_list_confirmed (struct fleet_home *home,
+                                 struct owner_confirmation *list, guint max);
+
 /* Gives up jobs whose deadline has passed at NOW_US; to be called several
    times a second.  */
 void fleet_home_advance (struct fleet_home *home, gint64 now_us);
--- a/transport/fleet_home_private.h
+++ b/transport/fleet_home_private.h
@@ -42,8 +42,10 @@
   GHashTable *jobs;    /* id -> struct fleet_job that is not answered */
   gboolean is_leaving; /* this VM shuts down */
   struct home_waiting waiting;
-  guint n_parts; /* of all jobs, which numbers them: batches of a job that
-                    was sent again must not be taken for its former ones */
+  guint resend_ms;   /* see fleet_home_set_resend_ms () */
+  GHashTable *peers; /* name -> struct home_peer, for fleet_home_confirm.c */
+  guint n_parts;     /* of all jobs, which numbers them: batches of a job that
+                        was sent again must not be taken for its former ones */
 };
 
 /* fleet_home_rooms.c */
@@ -94,6 +96,27 @@
 /* Refuses the jobs that have waited too long, and assigns others to slots.  */
 void fleet_home_advance_waiting (struct fleet_home *home, gint64 now_us);
 
+/* fleet_home_confirm.c: which batches at other owners are still wanted.  */
+
+/* A new table for home->peers.  */
+GHashTable *fleet_home_new_peers (void);
+
+/* A call that runs a batch at the owner VM begins.  Each needs its end.  */
+void fleet_home_begin_call (struct fleet_home *home, const char *vm);
+
+/* The call for the batch NUMBER at VM has ended.  IS_ANSWERED: VM has told
+   that nothing of it runs.  */
+void fleet_home_end_call (struct fleet_home *home, const char *vm,
+                          guint number, gboolean is_answered);
+
+/* Stops the batch NUMBER of JOB at VM.  VM is told until it has answered the
+   batch or can't run it any longer.  */
+void fleet_home_revoke (struct fleet_home *home, const char *vm,
+                        const char *job, guint number);
+
+/* Repeats stops that were not answered, and forgets old ones.  */
+void fleet_home_advance_revocations (struct fleet_home *home, gint64 now_us);
+
 /* fleet_part.c: how parts of jobs reach their owners.  */
 
 /* Hands PART to its owner.  If that is another VM, ENDED is called with PART
--- a/transport/fleet_owner.c
+++ b/transport/fleet_owner.c
@@ -3,6 +3,7 @@
 #include "base/event_log.h"
 #include "base/hash64.h"
 #include "base/loop_timer.h"
+#include "base/loop_turn.h"
 #include "base/metrics.h"
 
 #include <string.h>
@@ -123,6 +124,8 @@
 {
   struct batch_sink *sink = batch->user_data;
 
+  if (batch->reason == owner_reason_unconfirmed)
+    metrics_count (METRIC_BATCHES_UNCONFIRMED);
   if (batch->first_started_us != 0)
     metrics_record (METRIC_QUEUE_SECONDS,
                     batch->first_started_us - batch->queued_us);
@@ -372,7 +375,9 @@
   struct fleet_owner *owner = data;
   gint64 now_us = clock_now_us ();
 
+  owner_confirm_local (owner->owner, loop_turn_get_settled_us ());
   fleet_owner_stop_unreachable (owner, now_us);
+  fleet_owner_check_unconfirmed (owner, now_us);
   owner_advance (owner->owner, now_us);
   rebalance (owner, now_us);
   return_stranded (owner, now_us);
@@ -389,6 +394,7 @@
   owner->driver.ops = &driver_ops;
   owner->platform = platform;
   owner->directory = directory;
+  owner->resend_ms = limits->resend_ms;
   owner->listener = listener;
   owner->remote_batches = g_hash_table_new (g_str_hash, g_str_equal);
   owner->timer = loop_timer_new (on_timer, owner);
@@ -415,6 +421,13 @@
   g_free (owner);
 }
 
+void
+fleet_owner_set_beacon (struct fleet_owner *owner,
+                        const struct fleet_beacon *source)
+{
+  owner->beacon = source;
+}
+
 struct owner *
 fleet_owner_get_owner (struct fleet_owner *owner)
 {
@@ -440,5 +453,6 @@
   batch->user_data = sink;
   owner->n_batches++;
   fleet_owner_log_batch_accepted (batch);
+  owner_confirm_local (owner->owner, loop_turn_get_settled_us ());
   owner_submit_batch (owner->owner, batch, clock_now_us ());
 }
--- a/transport/fleet_owner.h
+++ b/transport/fleet_owner.h
@@ -8,6 +8,7 @@
 
 #include "coordination/owner.h"
 #include "coordination/vm_directory.h"
+#include "transport/fleet_beacon.h"
 #include "transport/fleet_owner_log.h"
 #include "transport/fleet_platform.h"
 #include "transport/peer_hub.h"
@@ -64,6 +65,18 @@
 /* Starts to serve batches that peers send through HUB.  */
 void fleet_owner_serve (struct fleet_owner *owner, struct peer_hub *hub);
 
+/* SOURCE tells how old a batch is that a peer has sent; see
+   owner_confirm_batch ().  Before, each is checked with its home.  */
+void fleet_owner_set_beacon (struct fleet_owner *owner,
+                             const struct fleet_beacon *source);
+
+/* The home VM wants all batches here but the N_REVOKED ones with the numbers
+   REVOKED, and wanted them at CONFIRMED_US or later, on the clock of this VM;
+   0 if none is confirmed.  */
+void fleet_owner_confirm_home (struct fleet_owner *owner, const struct vm *vm,
+                               gint64 confirmed_us, const guint *revoked,
+                               guint n_revoked);
+
 /* The decision module that this owner drives.  */
 struct owner *fleet_owner_get_owner (struct fleet_owner *owner);
 
--- a/transport/fleet_owner_peers.c
+++ b/transport/fleet_owner_peers.c
@@ -1,5 +1,7 @@
 #include "transport/fleet_owner_private.h"
 
+#include "base/metrics.h"
+
 /* CPUs and factors are received from peers as integers, in thousandths.  */
 #define MILLI 1000.0
 
@@ -10,8 +12,20 @@
    until it ends.  */
 #define CLAIM_TIMEOUT_US (250 * USEC_PER_MSEC)
 
-/* The reason for refusing a batch whose home is not live.  */
+/* The timeout of a call that asks a home whether it wants a batch.  */
+#define CHECK_TIMEOUT_US (250 * USEC_PER_MSEC)
+
+/* A batch whose home is known to have wanted it within this share of the
+   resend time is started without a check.  */
+#define FRESH_SHARE 0.23
+
+/* A batch that was not confirmed for this share of the resend time is checked
+   with its home.  */
+#define CHECK_SHARE 0.35
+
+/* Reasons for refusing or stopping a batch.  */
 #define REASON_HOME_NOT_LIVE "no beacons of its home are received here"
+#define REASON_NOT_WANTED "its home no longer wants it"
 
 /* A batch that a peer has sent.  */
 struct remote_batch
@@ -23,6 +37,10 @@
   char *key;           /* "HOME/JOB/NUMBER" */
   char *vm;            /* name of the home */
   guint64 incarnation; /* of the home */
+  gboolean is_running; /* the owner has it */
+  gboolean is_stopped; /* the home has stopped it before that */
+  gboolean is_checking;
+  gint64 check_due_us; /* when the home may be asked next */
 };
 
 static void
@@ -49,6 +67,17 @@
   peer_request_reply (request, &result);
 }
 
+/* Ends REMOTE, which does not run.  */
+static void
+forget_remote (struct remote_batch *remote)
+{
+  if (g_hash_table_lookup (remote->owner->remote_batches, remote->key)
+      == remote)
+    g_hash_table_remove (remote->owner->remote_batches, remote->key);
+  vm_directory_end_work (remote->owner->directory, remote->vm);
+  remote_batch_free (remote);
+}
+
 static void
 on_remote_ended (struct batch_sink *sink, const struct batch *batch)
 {
@@ -68,21 +97,36 @@
     .suspects = { batch_list_crashed (batch, TRUE, suspects), suspects },
   };
 
-  if (g_hash_table_lookup (remote->owner->remote_batches, remote->key)
-      == remote)
-    g_hash_table_remove (remote->owner->remote_batches, remote->key);
-  vm_directory_end_work (remote->owner->directory, remote->vm);
   peer_request_reply (remote->request, &result);
-  remote_batch_free (remote);
+  forget_remote (remote);
 }
 
-/* A PEER_CLAIM_TASKS call to a home.  */
-struct remote_claim
+/* A call to the home of a batch.  */
+struct home_call
 {
   struct fleet_owner *owner;
   char *key; /* of the remote batch, which may have ended since */
+  gint64 sent_us;
 };
 
+static struct home_call *
+home_call_new (const struct remote_batch *remote)
+{
+  struct home_call *call = g_new0 (struct home_call, 1);
+
+  call->owner = remote->owner;
+  call->key = g_strdup (remote->key);
+  call->sent_us = clock_now_us ();
+  return call;
+}
+
+static void
+home_call_free (struct home_call *call)
+{
+  g_free (call->key);
+  g_free (call);
+}
+
 /* An offer is sent without the spec, which comes with what is granted.  */
 static void
 set_spec (struct batch *batch, const char *spec)
@@ -97,7 +141,7 @@
 on_claim_answered (const void *result, const GError *error, gpointer data)
 {
   const peer_claim_result *reply = result;
-  struct remote_claim *claim = data;
+  struct home_call *claim = data;
   const struct remote_batch *remote
       = g_hash_table_lookup (claim->owner->remote_batches, claim->key);
   gint64 now_us = clock_now_us ();
@@ -106,6 +150,9 @@
     {
       vm_directory_note_message (claim->owner->directory, remote->vm, now_us);
       set_spec (remote->batch, reply->spec);
+      if (reply->granted.granted_len > 0)
+        owner_confirm_batch (claim->owner->owner, remote->batch,
+                             claim->sent_us, now_us);
     }
   if (remote != NULL && remote->batch->is_claiming && reply != NULL)
     owner_claim_ended (claim->owner->owner, remote->batch,
@@ -113,24 +160,21 @@
                        reply->is_exhausted, now_us);
   else if (remote != NULL && remote->batch->is_claiming)
     owner_claim_failed (claim->owner->owner, remote->batch, now_us);
-  g_free (claim->key);
-  g_free (claim);
+  home_call_free (claim);
 }
 
 static void
 on_remote_claimed (struct batch_sink *sink, struct batch *batch, guint n_tasks)
 {
   struct remote_batch *remote = list_entry (sink, struct remote_batch, sink);
-  struct remote_claim *claim = g_new0 (struct remote_claim, 1);
   peer_claim_args args = { .incarnation = remote->incarnation,
                            .job = batch->job,
                            .number = batch->number,
                            .n_tasks = n_tasks };
 
-  claim->owner = remote->owner;
-  claim->key = g_strdup (remote->key);
   peer_hub_call (remote->owner->hub, remote->vm, PEER_CLAIM_TASKS, &args,
-                 clock_now_us () + CLAIM_TIMEOUT_US, on_claim_answered, claim);
+                 clock_now_us () + CLAIM_TIMEOUT_US, on_claim_answered,
+                 home_call_new (remote));
 }
 
 /* The reply to PEER_RETURN_TASKS is not used.  */
@@ -214,6 +258,154 @@
   return home != NULL && home->is_live && home->incarnation == incarnation;
 }
 
+/* Runs REMOTE, whose home wanted it at CONFIRMED_US or later.  */
+static void
+run_remote (struct remote_batch *remote, gint64 confirmed_us)
+{
+  remote->is_running = TRUE;
+  remote->batch->confirmed_us = confirmed_us;
+  fleet_owner_run (remote->owner, remote->batch, &remote->sink);
+}
+
+/* Refuses REMOTE, which does not run.  */
+static void
+refuse_remote (struct remote_batch *remote, const char *reason)
+{
+  metrics_count (METRIC_BATCHES_LATE);
+  fleet_owner_log_batch_refused (remote->batch->job, remote->batch->number,
+                                 remote->vm, reason);
+  refuse_batch (remote->request, reason);
+  batch_free (remote->batch);
+  forget_remote (remote);
+}
+
+/* The home of REMOTE, asked at SENT_US, wants it if IS_WANTED.  */
+static void
+apply_check (struct remote_batch *remote, gboolean is_wanted, gint64 sent_us)
+{
+  struct owner *owner = remote->owner->owner;
+
+  if (remote->is_running && is_wanted)
+    owner_confirm_batch (owner, remote->batch, sent_us, clock_now_us ());
+  else if (remote->is_running)
+    owner_stop_batch (owner, remote->batch, REASON_NOT_WANTED,
+                      clock_now_us ());
+  else if (!is_wanted || remote->is_stopped)
+    refuse_remote (remote, REASON_NOT_WANTED);
+  else if (!is_home_live (remote->owner, remote->vm, remote->incarnation)
+           || !peer_request_is_connected (remote->request))
+    refuse_remote (remote, REASON_HOME_NOT_LIVE);
+  else
+    run_remote (remote, sent_us);
+}
+
+static void
+on_check_answered (const void *result, const GError *error, gpointer data)
+{
+  const peer_return_result *reply = result;
+  struct home_call *check = data;
+  struct remote_batch *remote
+      = g_hash_table_lookup (check->owner->remote_batches, check->key);
+
+  if (remote != NULL)
+    {
+      remote->is_checking = FALSE;
+      remote->check_due_us = check->sent_us + CHECK_TIMEOUT_US;
+    }
+  if (remote != NULL && reply != NULL)
+    {
+      vm_directory_note_message (check->owner->directory, remote->vm,
+                                 clock_now_us ());
+      apply_check (remote, reply->is_known, check->sent_us);
+    }
+  else if (remote != NULL && !remote->is_running)
+    refuse_remote (remote, owner_reason_unconfirmed);
+  home_call_free (check);
+}
+
+/* Asks the home of REMOTE whether it wants the batch: a return of no task,
+   which the home answers with whether the batch is open.  */
+static void
+check_remote (struct remote_batch *remote)
+{
+  peer_return_args args = { .incarnation = remote->incarnation,
+                            .job = remote->batch->job,
+                            .number = remote->batch->number,
+                            .has_started = remote->batch->n_started > 0 };
+
+  metrics_count (METRIC_BATCH_CHECKS);
+  remote->is_checking = TRUE;
+  peer_hub_call (remote->owner->hub, remote->vm, PEER_RETURN_TASKS, &args,
+                 clock_now_us () + CHECK_TIMEOUT_US, on_check_answered,
+                 home_call_new (remote));
+}
+
+/* The time after which, without a confirmation, SHARE of the resend time is
+   over.  */
+static gint64
+get_share_us (const struct fleet_owner *owner, gdouble share)
+{
+  return (gint64)(owner->resend_ms * share) * USEC_PER_MSEC;
+}
+
+void
+fleet_owner_check_unconfirmed (struct fleet_owner *owner, gint64 now_us)
+{
+  gint64 before_us = now_us - get_share_us (owner, CHECK_SHARE);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, owner->remote_batches);
+  while (owner->resend_ms != 0 && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct remote_batch *remote = value;
+
+      if (remote->is_running && !remote->batch->is_ending
+          && !remote->batch->is_finished && !remote->is_checking
+          && remote->check_due_us <= now_us
+          && owner_get_confirmed_us (owner->owner, remote->batch) < before_us)
+        check_remote (remote);
+    }
+}
+
+static gboolean
+is_revoked (const struct remote_batch *remote, const guint *revoked,
+            guint n_revoked)
+{
+  for (guint i = 0; i < n_revoked; i++)
+    if (remote->batch->number == revoked[i])
+      return TRUE;
+  return FALSE;
+}
+
+void
+fleet_owner_confirm_home (struct fleet_owner *owner, const struct vm *vm,
+                          gint64 confirmed_us, const guint *revoked,
+                          guint n_revoked)
+{
+  gint64 now_us = clock_now_us ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, owner->remote_batches);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct remote_batch *remote = value;
+
+      if (remote->incarnation != vm->incarnation
+          || !g_str_equal (remote->vm, vm->name))
+        continue;
+      if (!remote->is_running)
+        remote->is_stopped |= is_revoked (remote, revoked, n_revoked);
+      else if (is_revoked (remote, revoked, n_revoked))
+        owner_stop_batch (owner->owner, remote->batch,
+                          "its home has revoked it", now_us);
+      else
+        owner_confirm_batch (owner->owner, remote->batch, confirmed_us,
+                             now_us);
+    }
+}
+
 static void
 on_run_batch (struct peer_request *request, const void *arguments,
               gpointer data)
@@ -222,6 +414,7 @@
   const peer_batch_args *args = arguments;
   const char *vm = peer_request_get_sender (request);
   g_autofree char *home = fleet_format_home (vm, args->incarnation);
+  gint64 sent_after_us = 0; /* by the beacon that the home had heard */
   struct remote_batch *remote;
 
   vm_directory_note_message (owner->directory, vm, clock_now_us ());
@@ -245,7 +438,14 @@
   remote->batch = build_batch (args, home);
   vm_directory_begin_work (owner->directory, vm, clock_now_us ());
   g_hash_table_replace (owner->remote_batches, remote->key, remote);
-  fleet_owner_run (owner, remote->batch, &remote->sink);
+  if (owner->beacon != NULL)
+    sent_after_us = fleet_beacon_get_sent_us (
+        owner->beacon, peer_request_get_heard (request));
+  if (owner->resend_ms == 0
+      || sent_after_us >= clock_now_us () - get_share_us (owner, FRESH_SHARE))
+    run_remote (remote, sent_after_us);
+  else
+    check_remote (remote);
 }
 
 static void
@@ -263,9 +463,11 @@
 
   vm_directory_note_message (
       owner->directory, peer_request_get_sender (request), clock_now_us ());
-  if (remote != NULL)
+  if (remote != NULL && remote->is_running)
     owner_stop_batch (owner->owner, remote->batch, "its home has stopped it",
                       clock_now_us ());
+  else if (remote != NULL)
+    remote->is_stopped = TRUE;
   peer_request_reply (request, &result);
 }
 
@@ -286,7 +488,7 @@
     {
       const struct remote_batch *remote = value;
 
-      if (!peer_request_is_connected (remote->request))
+      if (remote->is_running && !peer_request_is_connected (remote->request))
         owner_stop_batch (owner->owner, remote->batch,
                           "the connection to its home broke", now_us);
     }
--- a/transport/fleet_owner_private.h
+++ b/transport/fleet_owner_private.h
@@ -14,6 +14,8 @@
   struct fleet_platform *platform;
   struct vm_directory *directory;
   struct peer_hub *hub;
+  const struct fleet_beacon *beacon; /* NULL before it is set */
+  guint resend_ms;                   /* 0: batches need no confirmation */
   struct fleet_owner_listener *listener;
   GHashTable *remote_batches; /* "HOME/JOB/NUMBER" -> struct remote_batch */
   struct loop_timer *timer;   /* set by wake_at () */
@@ -37,6 +39,9 @@
    caller may then send the job again.  */
 void fleet_owner_stop_unreachable (struct fleet_owner *owner, gint64 now_us);
 
+/* Checks the batches with their homes that were not confirmed for long.  */
+void fleet_owner_check_unconfirmed (struct fleet_owner *owner, gint64 now_us);
+
 /* Frees what is known of the batches of peers.  */
 void fleet_owner_free_remote (struct fleet_owner *owner);
 
--- a/transport/fleet_part.c
+++ b/transport/fleet_part.c
@@ -4,30 +4,17 @@
    batch may take by this margin.  */
 #define CALL_MARGIN_US (5 * USEC_PER_SEC)
 
-/* The timeout of a call that stops a batch.  */
-#define STOP_TIMEOUT_US (1 * USEC_PER_SEC)
-
 /* CPUs and factors are sent to peers as integers, in thousandths.  */
 #define MILLI 1000
 
-/* The reply to PEER_STOP_BATCH is not used: the end of the part is reported by
-   the reply to PEER_RUN_BATCH.  */
-static void
-on_stop_answered (const void *result, const GError *error, gpointer data)
-{
-}
-
 void
 fleet_part_stop (struct fleet_part *part)
 {
   struct fleet_home *home = part->job->home;
-  peer_stop_args args = { .incarnation = home->incarnation,
-                          .job = part->job->submission->job,
-                          .number = part->number };
 
   if (part->owner != NULL)
-    peer_hub_call (home->hub, part->owner, PEER_STOP_BATCH, &args,
-                   clock_now_us () + STOP_TIMEOUT_US, on_stop_answered, NULL);
+    fleet_home_revoke (home, part->owner, part->job->submission->job,
+                       part->number);
   else if (part->batch != NULL)
     owner_stop_batch (fleet_owner_get_owner (home->owner), part->batch,
                       "its home has stopped it", clock_now_us ());
@@ -106,6 +93,7 @@
   batch->attempts = s->attempts;
   batch->is_settled = job->n_assignments > FLEET_MAX_MOVABLE_ASSIGNMENTS;
   batch->is_part = is_part_of_begun (part);
+  batch->is_local = TRUE;
   batch->start_by_us = job->start_by_us;
   batch->end_by_us = job->end_by_us;
   batch->needs_free_slots = needs_free_slots (part);
@@ -153,7 +141,7 @@
     = { list_common (&job->suspects, indexes, n_tasks, suspects), suspects },
   };
 
-  vm_directory_begin_work (job->home->directory, part->owner, now_us);
+  fleet_home_begin_call (job->home, part->owner);
   peer_hub_call (job->home->hub, part->owner, PEER_RUN_BATCH, &args,
                  job->end_by_us + s->estimate_us * FLEET_LATE_FACTOR
                      + CALL_MARGIN_US,
--- a/transport/peer_hub.c
+++ b/transport/peer_hub.c
@@ -42,6 +42,8 @@
       link->address = peer_address_parse (peer->address);
       if (link->rpc != NULL)
         peer_rpc_set_address (link->rpc, peer->address);
+      if (link->spare_rpc != NULL)
+        peer_rpc_set_address (link->spare_rpc, peer->address);
     }
   return link;
 }
@@ -112,6 +114,8 @@
     return;
   if (link->rpc != NULL)
     peer_rpc_free (link->rpc);
+  if (link->spare_rpc != NULL)
+    peer_rpc_free (link->spare_rpc);
   g_clear_object (&link->address);
   g_free (link->address_text);
   g_free (link);
@@ -174,8 +178,12 @@
     .sequence = peer != NULL ? ++peer_hub_get_link (peer)->call_sequence : 1,
     .sent_unix_ms = (guint64)clock_unix_ms (),
   };
+  peer_credential_heard heard = { 0 };
 
-  return rpc_build_call (hub->mac, xid, procedure, &credential, arguments);
+  if (hub->heard_source != NULL)
+    heard = hub->heard_source->ops->get_heard (hub->heard_source, vm);
+  return rpc_build_call (hub->mac, xid, procedure, &credential, &heard,
+                         arguments);
 }
 
 static void
@@ -465,16 +473,27 @@
   return G_SOURCE_REMOVE;
 }
 
-void
-peer_hub_call (struct peer_hub *hub, const char *vm, guint procedure,
-               const void *arguments, gint64 deadline_us,
-               peer_call_done_func *ended, gpointer data)
+/* The link to the VM named VM, or NULL if it can't be called.  */
+static struct peer_link *
+find_link (struct peer_hub *hub, const char *vm)
 {
   struct peer *peer = membership_find (hub->membership, vm);
-  struct unroutable_call *unroutable;
-  struct peer_link *link;
 
   if (hub->is_closing || peer == NULL || peer->address == NULL)
+    return NULL;
+  return peer_hub_get_link (peer);
+}
+
+/* Calls PROCEDURE over *RPC, a connection of LINK, which is NULL before the
+   first call.  */
+static void
+call_over (struct peer_hub *hub, struct peer_link *link, struct peer_rpc **rpc,
+           const char *vm, guint procedure, const void *arguments,
+           gint64 deadline_us, peer_call_done_func *ended, gpointer data)
+{
+  struct unroutable_call *unroutable;
+
+  if (link == NULL)
     {
       unroutable = g_new0 (struct unroutable_call, 1);
       unroutable->vm = g_strdup (vm);
@@ -484,11 +503,61 @@
                        NULL);
       return;
     }
-  link = peer_hub_get_link (peer);
-  if (link->rpc == NULL)
-    link->rpc = peer_rpc_new (&hub->rpc_owner, peer->name, peer->address);
-  peer_rpc_call (link->rpc, rpc_procedure_find (procedure), arguments,
-                 deadline_us, ended, data);
+  if (*rpc == NULL)
+    *rpc = peer_rpc_new (&hub->rpc_owner, vm, link->address_text);
+  peer_rpc_call (*rpc, rpc_procedure_find (procedure), arguments, deadline_us,
+                 ended, data);
+}
+
+void
+peer_hub_call (struct peer_hub *hub, const char *vm, guint procedure,
+               const void *arguments, gint64 deadline_us,
+               peer_call_done_func *ended, gpointer data)
+{
+  struct peer_link *link = find_link (hub, vm);
+
+  call_over (hub, link, link != NULL ? &link->rpc : NULL, vm, procedure,
+             arguments, deadline_us, ended, data);
+}
+
+void
+peer_hub_call_anew (struct peer_hub *hub, const char *vm, guint procedure,
+                    const void *arguments, gint64 deadline_us,
+                    peer_call_done_func *ended, gpointer data)
+{
+  struct peer_link *link = find_link (hub, vm);
+
+  if (link != NULL && link->spare_rpc != NULL
+      && !peer_rpc_is_answering (link->spare_rpc))
+    peer_rpc_reset (link->spare_rpc);
+  call_over (hub, link, link != NULL ? &link->spare_rpc : NULL, vm, procedure,
+             arguments, deadline_us, ended, data);
+}
+
+void
+peer_hub_abort (struct peer_hub *hub, const char *vm)
+{
+  struct peer_link *link = find_link (hub, vm);
+
+  if (link != NULL && link->rpc != NULL)
+    peer_rpc_abort (link->rpc);
+}
+
+void
+peer_hub_abort_silent (struct peer_hub *hub, const char *vm, gint64 since_us)
+{
+  struct peer_link *link = find_link (hub, vm);
+
+  if (link != NULL && link->rpc != NULL
+      && peer_rpc_get_received_us (link->rpc) < since_us)
+    peer_rpc_abort (link->rpc);
+}
+
+void
+peer_hub_set_heard_source (struct peer_hub *hub,
+                           struct peer_heard_source *source)
+{
+  hub->heard_source = source;
 }
 
 guint
--- a/transport/peer_hub.h
+++ b/transport/peer_hub.h
@@ -132,6 +132,7 @@
  * Handlers use these functions of peer_service.h:
  *
  * peer_request_get_sender () returns the name of the calling VM.
+ * peer_request_get_heard () returns what the call names of this VM's beacons.
  * peer_request_is_connected () tells whether a reply could still reach it.
  * peer_request_reply () sends a result of the type declared in peer.x and
  *   frees the request.  The result is serialised before the function returns.
@@ -154,6 +155,40 @@
                     const void *arguments, gint64 deadline_us,
                     peer_call_done_func *ended, gpointer data);
 
+/* The same, over another connection than that of the other calls, for a call
+   that must reach VM even if that has gone silent.  It is a new one if the
+   last call over it had no answer.  */
+void peer_hub_call_anew (struct peer_hub *hub, const char *vm, guint procedure,
+                         const void *arguments, gint64 deadline_us,
+                         peer_call_done_func *ended, gpointer data);
+
+/* Drops the connection for calls to VM, which is lost, and what the kernel
+   still holds of it.  The calls end from the main loop.  */
+void peer_hub_abort (struct peer_hub *hub, const char *vm);
+
+/* The same if nothing was received over that connection since SINCE_US, a
+   reading of clock_now_us ().  */
+void peer_hub_abort_silent (struct peer_hub *hub, const char *vm,
+                            gint64 since_us);
+
+/* The sender of beacons that tells what calls name of them.  */
+struct peer_heard_source;
+struct peer_heard_source_ops
+{
+  /* The latest beacon of the VM named VM that was heard; see peer.x.  */
+  peer_credential_heard (*get_heard) (struct peer_heard_source *source,
+                                      const char *vm);
+};
+struct peer_heard_source
+{
+  const struct peer_heard_source_ops *ops;
+};
+
+/* Calls name the beacons that SOURCE tells.  Before, they name none.  SOURCE
+   must outlive HUB.  */
+void peer_hub_set_heard_source (struct peer_hub *hub,
+                                struct peer_heard_source *source);
+
 /* The number of calls from peers that wait for this VM's reply.  */
 guint peer_hub_count_requests (const struct peer_hub *hub);
 
--- a/transport/peer_hub_private.h
+++ b/transport/peer_hub_private.h
@@ -17,6 +17,7 @@
   struct peer_socket_owner socket_owner;
   struct peer_rpc_owner rpc_owner;
   struct vm_list_owner list_owner;
+  struct peer_heard_source *heard_source; /* NULL for none */
   const struct settings *settings;
   guint64 incarnation;
   guint64 name_hash; /* of this VM's name, as heartbeats carry it */
@@ -47,7 +48,8 @@
   char *address_text;
   GSocketAddress *address;
   struct heartbeat_progress progress;
-  struct peer_rpc *rpc;  /* NULL before the first call */
+  struct peer_rpc *rpc;       /* NULL before the first call */
+  struct peer_rpc *spare_rpc; /* for peer_hub_call_anew (); NULL before */
   guint64 call_sequence; /* of the last call to the peer, on any connection */
   guint64 incarnation;   /* this, state and is_leaving: as last passed to
                             the listeners */
--- a/transport/peer_rpc.c
+++ b/transport/peer_rpc.c
@@ -34,6 +34,7 @@
   GSequence *deadlines; /* struct call by deadline_us */
   struct loop_timer *timer;
   gboolean was_refused;
+  gboolean is_unanswered; /* the latest call that has ended */
 };
 
 struct call
@@ -55,6 +56,7 @@
 {
   g_hash_table_remove (rpc->calls, GUINT_TO_POINTER (call->xid));
   g_sequence_remove (call->iter);
+  rpc->is_unanswered = result == NULL;
   call->ended (result, error, call->data);
   g_clear_error (&call->error);
   g_free (call);
@@ -148,6 +150,26 @@
   drop_stream (rpc);
 }
 
+void
+peer_rpc_abort (struct peer_rpc *rpc)
+{
+  if (rpc->stream != NULL)
+    rpc_stream_discard_on_close (rpc->stream);
+  drop_stream (rpc);
+}
+
+gint64
+peer_rpc_get_received_us (const struct peer_rpc *rpc)
+{
+  return rpc->stream != NULL ? rpc_stream_get_received_us (rpc->stream) : 0;
+}
+
+gboolean
+peer_rpc_is_answering (const struct peer_rpc *rpc)
+{
+  return !rpc->is_unanswered;
+}
+
 static struct peer_rpc *
 rpc_from_stream_owner (struct rpc_stream_owner *owner)
 {
--- a/transport/peer_rpc.h
+++ b/transport/peer_rpc.h
@@ -59,6 +59,16 @@
 /* Drops the connection.  Its calls end, from the main loop.  */
 void peer_rpc_reset (struct peer_rpc *rpc);
 
+/* The same, and discards what the kernel has not delivered yet.  */
+void peer_rpc_abort (struct peer_rpc *rpc);
+
+/* When something was last received over the present connection; 0 if there is
+   none.  */
+gint64 peer_rpc_get_received_us (const struct peer_rpc *rpc);
+
+/* Whether the latest call that has ended, if any, was answered.  */
+gboolean peer_rpc_is_answering (const struct peer_rpc *rpc);
+
 /* See peer_hub_call ().  */
 void peer_rpc_call (struct peer_rpc *rpc,
                     const struct rpc_procedure *procedure,
--- a/transport/peer_service.c
+++ b/transport/peer_service.c
@@ -66,6 +66,7 @@
   guint32 xid;
   const struct rpc_procedure *procedure;
   char *sender;
+  peer_credential_heard heard;
 };
 
 /* A calling VM, for the detection of replayed calls.  */
@@ -182,6 +183,7 @@
   request->xid = call->xid;
   request->procedure = call->procedure;
   request->sender = g_strdup (call->credential.sender);
+  request->heard = call->heard;
   list_append (&connection->requests, &request->link);
   list_append (&connection->service->requests, &request->service_link);
   connection->service->n_pending++;
@@ -386,6 +388,12 @@
   return request->sender;
 }
 
+const peer_credential_heard *
+peer_request_get_heard (const struct peer_request *request)
+{
+  return &request->heard;
+}
+
 gboolean
 peer_request_is_connected (const struct peer_request *request)
 {
--- a/transport/peer_service.h
+++ b/transport/peer_service.h
@@ -52,6 +52,8 @@
 
 /* See peer_hub.h.  */
 const char *peer_request_get_sender (const struct peer_request *request);
+const peer_credential_heard *
+peer_request_get_heard (const struct peer_request *request);
 gboolean peer_request_is_connected (const struct peer_request *request);
 void peer_request_reply (struct peer_request *request, const void *result);
 void peer_request_fail (struct peer_request *request);
--- a/transport/rpc_stream.c
+++ b/transport/rpc_stream.c
@@ -47,6 +47,16 @@
   g_clear_pointer (&stream->watch, socket_watch_free);
 }
 
+void
+rpc_stream_discard_on_close (struct rpc_stream *stream)
+{
+  const struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+  if (stream->socket != NULL)
+    setsockopt (g_socket_get_fd (stream->socket), SOL_SOCKET, SO_LINGER,
+                &linger, sizeof linger);
+}
+
 void
 rpc_stream_close (struct rpc_stream *stream)
 {
--- a/transport/rpc_stream.h
+++ b/transport/rpc_stream.h
@@ -41,6 +41,10 @@
 struct rpc_stream *rpc_stream_accept (GSocket *socket,
                                       struct rpc_stream_owner *owner);
 
+/* STREAM resets its connection when it is closed: what was sent and not
+   delivered by then is lost, in place of being delivered later.  */
+void rpc_stream_discard_on_close (struct rpc_stream *stream);
+
 /* Closes the connection and frees the stream, without a callback.  */
 void rpc_stream_close (struct rpc_stream *stream);
 
