transport: a job that comes again waits until its former attempt has ended

What callers would see: a job whose caller has lost its connection without the home's noticing comes again, after 1.3 s, to the same home.

Cause: the same as with the silent and late connections; a stop that was sent is not a stop that has had effect, and here no time passes between the two.

Change: a home remembers a job that is closed while owners may still run tasks of it, until each of its parts has ended for certain or the resend time is over, after which nothing of it can run. A job with the same id is assigned then. Usual delay: the time of a stop, 50 ms at most.

--- a/t/t9650-void-batches.c
+++ b/t/t9650-void-batches.c
@@ -61,20 +61,22 @@
   return call;
 }
 
-/* Sets the faults of the connections to all VMs' ports for peers.  */
 static void
-set_peer_faults (struct fleet_bed *bed, const char *faults)
+set_faults (struct fleet_bed *bed, guint route, const char *faults)
 {
   g_autofree char *url
       = http_url (bed->proxy->ports[bed->proxy->n_ports - 1], "/test/faults");
+  g_autofree char *body = g_strdup_printf ("{\"route\":%u,%s}", route, faults);
 
-  for (guint vm = 0; vm < N_VMS; vm++)
-    {
-      g_autofree char *body = g_strdup_printf (
-          "{\"route\":%u,%s}", fleet_bed_peer_route (bed, vm), faults);
+  http_post (url, body);
+}
 
-      http_post (url, body);
-    }
+/* Sets the faults of the connections to all VMs' ports for peers.  */
+static void
+set_peer_faults (struct fleet_bed *bed, const char *faults)
+{
+  for (guint vm = 0; vm < N_VMS; vm++)
+    set_faults (bed, fleet_bed_peer_route (bed, vm), faults);
 }
 
 /* The caller waits until it has waited for PATIENCE_MS in all, and leaves if
@@ -94,14 +96,14 @@
   call->call = NULL;
 }
 
-/* Sends the job of CALL again, as its caller may, and lets it run.  */
+/* Sends the job of CALL again to VM, as its caller may, and lets it run.  */
 static void
-send_again (struct fleet_bed *bed, struct fleet_call *call)
+send_again (struct fleet_bed *bed, struct fleet_call *call, guint vm)
 {
   gint64 began_us;
 
   fleet_bed_pass (FLEET_BED_RESEND_MS);
-  fleet_call_repeat (bed, call, OTHER);
+  fleet_call_repeat (bed, call, vm);
   began_us = g_get_monotonic_time ();
   wait_and_leave (call, began_us);
   fleet_bed_pass (DELAY_MS);
@@ -124,7 +126,7 @@
   g_assert_true (fleet_bed_run (bed, HOME, N_TASKS, 50));
   set_peer_faults (bed, "\"silence_existing\":true");
   wait_and_leave (call, began_us);
-  send_again (bed, call);
+  send_again (bed, call, OTHER);
   fleet_call_free (call);
   fleet_call_free (filler);
   fleet_bed_stop (bed);
@@ -146,12 +148,34 @@
   began_us = g_get_monotonic_time ();
   call = fleet_bed_begin (bed, HOME, FLEET_BED_PATIENT, N_TASKS, 2000);
   wait_and_leave (call, began_us);
-  send_again (bed, call);
+  send_again (bed, call, OTHER);
   fleet_call_free (call);
   fleet_call_free (filler);
   fleet_bed_stop (bed);
 }
 
+/* The caller's connection goes silent, and the job comes again to the VM that
+   still runs it for the caller that has left.  Nothing is started before what
+   runs has ended.  */
+static void
+test_same_home (void)
+{
+  struct fleet_bed *bed = start_bed (BUILD_NEW);
+  gint64 began_us = g_get_monotonic_time ();
+  struct fleet_call *call
+      = fleet_bed_begin (bed, HOME, FLEET_BED_PATIENT, 4 * N_TASKS, 4000);
+
+  fleet_bed_pass (FAULT_AFTER_MS);
+  g_assert_cmpuint (fleet_bed_count_starts (bed, call->id), ==, 4 * N_TASKS);
+  set_faults (bed, fleet_bed_caller_route (bed, HOME),
+              "\"silence_existing\":true");
+  wait_and_leave (call, began_us);
+  send_again (bed, call, HOME);
+  g_assert_cmpuint (fleet_bed_count_starts (bed, call->id), ==, 8 * N_TASKS);
+  fleet_call_free (call);
+  fleet_bed_stop (bed);
+}
+
 static void
 add (const char *name, guint former_vms, GTestDataFunc function)
 {
@@ -170,5 +194,6 @@
   add ("late", BUILD_NEW, test_late);
   add ("late-former-home", BUILD_FORMER_HOME, test_late);
   add ("late-former-owners", BUILD_FORMER_OWNERS, test_late);
+  g_test_add_func ("/void-batches/same-home", test_same_home);
   return g_test_run ();
 }
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -48,6 +48,7 @@
   home->admission = admission;
   home->jobs = g_hash_table_new (g_str_hash, g_str_equal);
   home->peers = fleet_home_new_peers ();
+  home->ending = fleet_home_new_ending ();
   home->resend_ms = DEFAULT_RESEND_MS;
   waiting_jobs_init (&home->waiting.jobs, 0, 0);
   peer_hub_serve (hub, PEER_RETURN_TASKS, on_return_tasks, home);
@@ -66,6 +67,7 @@
 {
   g_hash_table_unref (home->jobs);
   g_hash_table_unref (home->peers);
+  g_hash_table_unref (home->ending);
   g_free (home->vm);
   g_free (home->name);
   g_free (home->availability_zone);
@@ -136,6 +138,7 @@
   job->is_closed = TRUE;
   if (g_hash_table_lookup (home->jobs, job->submission->job) == job)
     g_hash_table_remove (home->jobs, job->submission->job);
+  fleet_home_keep_ending (job);
   stop_parts (job);
   fleet_job_unref (job);
 }
@@ -486,6 +489,7 @@
   };
 
   part->batch = NULL;
+  fleet_home_end_part (part->job);
   handle_result (part, &result, batch->reason != NULL ? batch->reason : "");
   fleet_part_free (part);
 }
@@ -495,10 +499,12 @@
 {
   const peer_batch_result *reply = result;
   struct fleet_part *part = data;
+  gboolean has_ended
+      = reply != NULL || error_get_kind (error) == ERROR_NOT_RUN;
 
-  fleet_home_end_call (part->job->home, part->owner, part->number,
-                       reply != NULL
-                           || error_get_kind (error) == ERROR_NOT_RUN);
+  fleet_home_end_call (part->job->home, part->owner, part->number, has_ended);
+  if (has_ended)
+    fleet_home_end_part (part->job);
   if (reply != NULL)
     vm_directory_note_message (part->job->home->directory, part->owner,
                                clock_now_us ());
@@ -770,7 +776,7 @@
   fleet_home_init_waiting (job);
   fleet_admission_note_job (home->admission, job);
   g_hash_table_insert (home->jobs, submission->job, job);
-  if (!fleet_home_wait_behind (job))
+  if (!fleet_home_wait_for_former (job) && !fleet_home_wait_behind (job))
     fleet_home_assign_all (job);
   is_closed = job->is_closed;
   fleet_job_unref (job);
@@ -810,6 +816,7 @@
 
   fleet_home_advance_waiting (home, now_us);
   fleet_home_advance_revocations (home, now_us);
+  fleet_home_advance_ending (home, now_us);
   for (guint i = 0; i < jobs->len; i++)
     {
       struct fleet_job *job = g_ptr_array_index (jobs, i);
--- a/transport/fleet_home_private.h
+++ b/transport/fleet_home_private.h
@@ -42,10 +42,11 @@
   GHashTable *jobs;    /* id -> struct fleet_job that is not answered */
   gboolean is_leaving; /* this VM shuts down */
   struct home_waiting waiting;
-  guint resend_ms;   /* see fleet_home_set_resend_ms () */
-  GHashTable *peers; /* name -> struct home_peer, for fleet_home_confirm.c */
-  guint n_parts;     /* of all jobs, which numbers them: batches of a job that
-                        was sent again must not be taken for its former ones */
+  guint resend_ms;    /* see fleet_home_set_resend_ms () */
+  GHashTable *ending; /* id -> struct ending_job, for fleet_home_resent.c */
+  GHashTable *peers;  /* name -> struct home_peer, for fleet_home_confirm.c */
+  guint n_parts;      /* of all jobs, which numbers them: batches of a job that
+                         was sent again must not be taken for its former ones */
 };
 
 /* fleet_home_rooms.c */
@@ -96,6 +97,25 @@
 /* Refuses the jobs that have waited too long, and assigns others to slots.  */
 void fleet_home_advance_waiting (struct fleet_home *home, gint64 now_us);
 
+/* fleet_home_resent.c: a job that comes again while tasks that were started
+   for it may still run.  */
+
+/* A new table for home->ending.  */
+GHashTable *fleet_home_new_ending (void);
+
+/* JOB is closed: remembers it until nothing of it can run any more.  */
+void fleet_home_keep_ending (struct fleet_job *job);
+
+/* Whether JOB, a new one, has to wait for the end of a former one with its id.
+   It is assigned then.  */
+gboolean fleet_home_wait_for_former (struct fleet_job *job);
+
+/* A part of JOB has ended for certain.  */
+void fleet_home_end_part (struct fleet_job *job);
+
+/* Forgets the jobs of which nothing can run any more at NOW_US.  */
+void fleet_home_advance_ending (struct fleet_home *home, gint64 now_us);
+
 /* fleet_home_confirm.c: which batches at other owners are still wanted.  */
 
 /* A new table for home->peers.  */
--- a/transport/fleet_job.h
+++ b/transport/fleet_job.h
@@ -44,6 +44,7 @@
                              when to answer it at the latest */
   guint first_number;     /* of its first part */
   guint n_parts;          /* created so far */
+  guint n_sent_parts;     /* at owners, and not known to have ended */
   guint n_logged_parts;   /* the first parts, which the log line of the
                              acceptance contains */
   GString *trail;         /* steps for the log line of the answer */
--- a/transport/fleet_part.c
+++ b/transport/fleet_part.c
@@ -151,6 +151,7 @@
 void
 fleet_part_send (struct fleet_part *part, peer_call_done_func *ended)
 {
+  part->job->n_sent_parts++;
   if (part->owner != NULL)
     {
       send_remote (part, ended);
