t: long tasks of a well home are not stopped, with both builds

Guards against a bound that stops sound runs: with the check of running batches switched off, the owner stops those of a home of after 0.9 s.

--- a/t/t9650-void-batches.c
+++ b/t/t9650-void-batches.c
@@ -20,6 +20,7 @@
 
 #define PATIENCE_MS 1500 /* of the caller */
 #define FAULT_AFTER_MS 300
+#define LONG_MS 3000
 #define DELAY_MS 3200 /* the late batch finds the job running again */
 
 /* Which VMs run the former build, as bits.  */
@@ -154,6 +155,19 @@
   fleet_bed_stop (bed);
 }
 
+/* Long tasks of a home that is well, and can't be confirmed by beacons if one
+   of the two runs the former build, are not stopped.  */
+static void
+test_long (gconstpointer data)
+{
+  struct fleet_bed *bed = start_bed (GPOINTER_TO_UINT (data));
+  struct fleet_call *filler = fill_home (bed);
+
+  g_assert_true (fleet_bed_run (bed, HOME, N_TASKS, LONG_MS));
+  fleet_call_free (filler);
+  fleet_bed_stop (bed);
+}
+
 /* The caller's connection goes silent, and the job comes again to the VM that
    still runs it for the caller that has left.  Nothing is started before what
    runs has ended.  */
@@ -194,6 +208,9 @@
   add ("late", BUILD_NEW, test_late);
   add ("late-former-home", BUILD_FORMER_HOME, test_late);
   add ("late-former-owners", BUILD_FORMER_OWNERS, test_late);
+  add ("long", BUILD_NEW, test_long);
+  add ("long-former-home", BUILD_FORMER_HOME, test_long);
+  add ("long-former-owners", BUILD_FORMER_OWNERS, test_long);
   g_test_add_func ("/void-batches/same-home", test_same_home);
   return g_test_run ();
 }
