coordination: tasks on one upstream are counted by job and step

Cause: the owner counted the runs of a batch. What does not fit comes back to the home, which may send it to the same owner as another batch, whose count began at 0.

Change: runs and claimed slots on an upstream are counted for the step of the job, in whichever batch they came.

--- a/coordination/owned.c
+++ b/coordination/owned.c
@@ -362,6 +362,7 @@
   struct slot_hold *hold = g_new0 (struct slot_hold, 1);
 
   hold->upstream = owned_ref (upstream);
+  hold->batch = batch;
   hold->need = batch->need;
   list_append (&upstream->holds, &hold->link);
   list_append (&batch->holds, &hold->batch_link);
--- a/coordination/owner.h
+++ b/coordination/owner.h
@@ -120,8 +120,9 @@
    is meant.  */
 struct slot_hold
 {
-  struct list_node link;           /* in upstream->holds */
-  struct list_node batch_link;     /* in batch->holds */
+  struct list_node link;       /* in upstream->holds */
+  struct list_node batch_link; /* in batch->holds */
+  struct batch *batch;
   struct owned_upstream *upstream; /* holds a reference */
   struct shape need;
 };
@@ -269,8 +270,8 @@
   struct run_work work; /* what the runs that have ended here tell of it */
   gdouble far_factor;   /* how many times longer a task runs off the preferred
                            rack */
-  guint per_upstream;   /* most tasks of the batch that may run on one upstream
-                           at once; 0 for no limit */
+  guint per_upstream;   /* most tasks of the step, in whichever batches, that
+                           may run on one upstream at once; 0 for no limit */
   guint priority;       /* 0 goes first; late batches go after all others */
   guint attempts;       /* failures of one task that end the batch */
   gint64 start_by_us;   /* latest start that meets the objective */
--- a/coordination/owner_batches.c
+++ b/coordination/owner_batches.c
@@ -422,7 +422,14 @@
   return FALSE;
 }
 
-/* The runs and holds of BATCH on UPSTREAM.  */
+static gboolean
+is_same_step (const struct batch *a, const struct batch *b)
+{
+  return a == b || (a->step == b->step && g_str_equal (a->job, b->job));
+}
+
+/* The runs and holds on UPSTREAM of the step of BATCH.  A job may have several
+   batches here, as what does not fit comes back to its home.  */
 static guint
 count_runs_of (const struct owned_upstream *upstream,
                const struct batch *batch)
@@ -434,10 +441,12 @@
     {
       const struct run *run = list_entry (node, struct run, link);
 
-      n += run->task != NULL && run->task->batch == batch ? 1 : 0;
+      n += run->task != NULL && is_same_step (run->task->batch, batch);
     }
-  for (node = batch->holds.next; node != &batch->holds; node = node->next)
-    n += list_entry (node, struct slot_hold, batch_link)->upstream == upstream;
+  for (node = upstream->holds.next; node != &upstream->holds;
+       node = node->next)
+    n += is_same_step (list_entry (node, struct slot_hold, link)->batch,
+                       batch);
   return n;
 }
 
--- a/t/t2111-owner-single.c
+++ b/t/t2111-owner-single.c
@@ -1165,6 +1165,40 @@
     }
 }
 
+/* What does not fit comes back to its home, which may send it here again as
+   another batch: the limit of tasks on one upstream holds for both together,
+   and not for the next step or another job.  */
+static void
+test_limit_across_batches (void)
+{
+  struct single_bed bed = { .driver.ops = &ops };
+  struct owner *owner = owner_new (&bed.driver, &limits);
+  struct owned_upstream *upstream = take (owner);
+  struct batch *batches[]
+      = { make_batch (), make_batch (), make_batch (), make_other_batch () };
+
+  for (guint i = 0; i < G_N_ELEMENTS (batches); i++)
+    {
+      batches[i]->number = i;
+      batches[i]->tasks[0].index = i;
+      batches[i]->per_upstream = 1;
+      batches[i]->need.cpus = 0.5;
+    }
+  batches[2]->step = 1;
+  owner_submit_batch (owner, batches[0], START_US);
+  g_assert_cmpuint (upstream->n_runs, ==, 1);
+  owner_submit_batch (owner, batches[1], START_US);
+  g_assert_cmpuint (upstream->n_runs, ==, 1);
+  owner_submit_batch (owner, batches[2], START_US);
+  g_assert_cmpuint (upstream->n_runs, ==, 2);
+  owner_submit_batch (owner, batches[3], START_US);
+  g_assert_cmpuint (upstream->n_runs, ==, 3);
+  owner_start_ended (owner, upstream, TASK, 1, ORDER_REJECTED, 5000, START_US);
+  g_assert_cmpuint (upstream->n_runs, ==, 3);
+  g_assert_cmpuint (batches[0]->n_active + batches[1]->n_active, ==, 1);
+  finish (&bed, owner);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -1214,5 +1248,6 @@
   g_test_add_func ("/owner/misfits-return", test_misfits_return);
   g_test_add_func ("/owner/fitting-stay", test_fitting_stay);
   g_test_add_func ("/owner/tiny-tasks", test_tiny_tasks);
+  g_test_add_func ("/owner/limit-across-batches", test_limit_across_batches);
   return g_test_run ();
 }
