--- a/t/t9650-void-batches.c
+++ b/t/t9650-void-batches.c
@@ -107,7 +107,6 @@
   fleet_call_repeat (bed, call, vm);
   began_us = g_get_monotonic_time ();
   wait_and_leave (call, began_us);
-  fleet_bed_pass (DELAY_MS);
 }
 
 /* The connections go silent while a job runs.  Its home has given it up, and
@@ -150,6 +149,7 @@
   call = fleet_bed_begin (bed, HOME, FLEET_BED_PATIENT, N_TASKS, 2000);
   wait_and_leave (call, began_us);
   send_again (bed, call, OTHER);
+  fleet_bed_pass (DELAY_MS);
   fleet_call_free (call);
   fleet_call_free (filler);
   fleet_bed_stop (bed);
