soak: an outage is not read after the list of outages has grown

Cause: end_vm_fault () kept a pointer into the array of outages over follow_leaving (), which appends to it. When the array moved, what was freed decided whether a VM that had ended was sent SIGCONT.

--- a/t/soak/faults.c
+++ b/t/soak/faults.c
@@ -379,8 +379,9 @@
 
   if (outage == NULL)
     return TRUE;
-  if (outage->kind == OUTAGE_LEAVING && !follow_leaving (faults, outage, vm))
-    return FALSE;
+  /* OUTAGE is not valid after follow_leaving (), which adds another.  */
+  if (outage->kind == OUTAGE_LEAVING)
+    return follow_leaving (faults, outage, vm) && restart (faults, vm);
   if (outage->kind != OUTAGE_PAUSED)
     return restart (faults, vm);
   process_signal (faults->bed->vms[vm], SIGCONT);
