transport: a home confirms nothing for a caller that has left unnoticed

Cause: a home that was paused may find a claim, or an owner's question whether it wants a batch, before the end of the caller's connection. The owner takes the answer for a confirmation as of its question, which is later than the caller's leaving: the bound of void-batches.md did not follow for these two. Beacons and batches name only what was handled, and are not concerned.

Change: both are answered after a look at the caller's connection and time, as it is done before a job that has waited is assigned. An owner that is freed frees the batches that wait for a check.

Test: t5026 /fleet-home/caller-left-unnoticed; fails before (is_known).

--- a/t/t5026-fleet-home.c
+++ b/t/t5026-fleet-home.c
@@ -58,6 +58,7 @@
 static const char *sender = "vm-b"; /* of the calls to the home */
 static guint n_granted;             /* by the last reply to a claim */
 static gboolean is_returning;
+static gboolean is_known; /* as the last reply to a return said */
 
 static struct sent_batch *
 add_sent (guint number)
@@ -148,7 +149,9 @@
 void
 peer_request_reply (struct peer_request *request, const void *result)
 {
-  if (!is_returning)
+  if (is_returning)
+    is_known = ((const peer_return_result *)result)->is_known;
+  else
     n_granted = ((const peer_claim_result *)result)->granted.granted_len;
 }
 
@@ -651,6 +654,41 @@
   bed_free (bed);
 }
 
+static gboolean
+on_is_connected (struct fleet_answer_handler *handler)
+{
+  return FALSE;
+}
+
+/* A home that was paused finds a claim, or a question whether it wants a
+   batch, before it has noticed that the caller has left meanwhile.  What it
+   answers would let tasks run that the caller has sent again.  */
+static void
+test_caller_left_unnoticed (void)
+{
+  struct bed *bed = bed_new (FALSE);
+  peer_return_args check = { .incarnation = INCARNATION,
+                             .job = (char *)JOB,
+                             .number = sent[0].number };
+
+  is_returning = TRUE;
+  return_handler (NULL, &check, handler_data);
+  g_assert_true (is_known);
+  bed->handler.is_connected = on_is_connected;
+  return_handler (NULL, &check, handler_data);
+  g_assert_false (is_known);
+  is_returning = FALSE;
+  n_granted = 9;
+  claim_handler (NULL,
+                 &(peer_claim_args){ .incarnation = INCARNATION,
+                                     .job = (char *)JOB,
+                                     .number = sent[0].number,
+                                     .n_tasks = 1 },
+                 handler_data);
+  g_assert_cmpuint (n_granted, ==, 0);
+  bed_free (bed);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -672,5 +710,7 @@
                         GINT_TO_POINTER (TRUE), test_crashes_carried);
   g_test_add_func ("/fleet-home/stop-repeated", test_stop_repeated);
   g_test_add_func ("/fleet-home/revoked-until-void", test_revoked_until_void);
+  g_test_add_func ("/fleet-home/caller-left-unnoticed",
+                   test_caller_left_unnoticed);
   return g_test_run ();
 }
--- a/transport/fleet_home.c
+++ b/transport/fleet_home.c
@@ -923,7 +923,8 @@
   const peer_return_args *args = arguments;
   struct fleet_part *part = find_sent_part (home, request, args->job,
                                             args->incarnation, args->number);
-  peer_return_result result = { .is_known = part != NULL };
+  peer_return_result result
+      = { .is_known = part != NULL && fleet_job_is_awaited (part->job) };
 
   vm_directory_note_message (
       home->directory, peer_request_get_sender (request), clock_now_us ());
@@ -947,7 +948,7 @@
 
   vm_directory_note_message (
       home->directory, peer_request_get_sender (request), clock_now_us ());
-  if (part != NULL)
+  if (part != NULL && fleet_job_is_awaited (part->job))
     {
       result.granted.granted_len = grant_tasks (part, args->n_tasks, granted);
       result.is_exhausted
--- a/transport/fleet_home_waiting.c
+++ b/transport/fleet_home_waiting.c
@@ -239,14 +239,6 @@
   fleet_job_ref (job_from_waiting (data));
 }
 
-static gboolean
-is_connected (const struct fleet_job *job)
-{
-  struct fleet_answer_handler *handler = job->handler;
-
-  return handler->is_connected == NULL || handler->is_connected (handler);
-}
-
 /* Assigns the jobs of LIST, struct waiting_job, that still wait and whose
    callers do.  */
 static void
@@ -258,7 +250,7 @@
       struct waiting_job *waiting = g_ptr_array_index (list, i);
 
       if (waiting_job_is_waiting (waiting)
-          && is_connected (job_from_waiting (waiting)))
+          && fleet_job_is_awaited (job_from_waiting (waiting)))
         fleet_home_assign_all (job_from_waiting (waiting));
       fleet_job_unref (job_from_waiting (waiting));
     }
--- a/transport/fleet_job.c
+++ b/transport/fleet_job.c
@@ -125,6 +125,15 @@
   return job->done.n == job->submission->n_tasks;
 }
 
+gboolean
+fleet_job_is_awaited (const struct fleet_job *job)
+{
+  struct fleet_answer_handler *handler = job->handler;
+
+  return clock_now_us () < job->deadline_us
+         && (handler->is_connected == NULL || handler->is_connected (handler));
+}
+
 struct fleet_part *
 fleet_job_find_part (const struct fleet_job *job, guint number)
 {
--- a/transport/fleet_job.h
+++ b/transport/fleet_job.h
@@ -76,6 +76,11 @@
 /* Whether an open part of JOB may still claim tasks.  */
 gboolean fleet_job_has_offers (const struct fleet_job *job);
 
+/* Whether the caller of JOB, which is open, still waits.  Events that have
+   reached this process may not have been handled, as after a pause: the
+   connection is asked.  */
+gboolean fleet_job_is_awaited (const struct fleet_job *job);
+
 /* The open part of JOB with NUMBER, or NULL.  */
 struct fleet_part *fleet_job_find_part (const struct fleet_job *job,
                                         guint number);
--- a/transport/fleet_owner_peers.c
+++ b/transport/fleet_owner_peers.c
@@ -502,7 +502,14 @@
 
   g_hash_table_iter_init (&iter, owner->remote_batches);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    remote_batch_free (value);
+    {
+      struct remote_batch *remote = value;
+
+      /* The others are freed with the owner that has them.  */
+      if (!remote->is_running)
+        batch_free (remote->batch);
+      remote_batch_free (remote);
+    }
   g_hash_table_unref (owner->remote_batches);
 }
 
