--- a/review/common-2/rig.c
+++ b/review/common-2/rig.c
@@ -35,6 +35,7 @@
   pid_t workers[RIG_MAX_VMS];
   int control_ports[RIG_MAX_VMS];
   pid_t vms[RIG_MAX_VMS];
+  gboolean is_quiet;
 } rig;
 
 gboolean
@@ -49,6 +50,12 @@
   return (double)(g_get_monotonic_time () - rig.start_us) / 1000;
 }
 
+void
+rig_set_quiet (gboolean is_quiet)
+{
+  rig.is_quiet = is_quiet;
+}
+
 gint64
 rig_boot_ms (void)
 {
@@ -74,8 +81,11 @@
 static void
 note (const char *format, va_list list)
 {
-  g_autofree char *text = g_strdup_vprintf (format, list);
+  g_autofree char *text = NULL;
 
+  if (rig.is_quiet)
+    return;
+  text = g_strdup_vprintf (format, list);
   fprintf (rig.record, "%9.1f ms  %s\n", rig_now_ms (), text);
   fflush (rig.record);
 }
@@ -459,19 +469,25 @@
   rig_note ("vm-%d is started", vm);
 }
 
+int
+rig_get_ready_status (int vm)
+{
+  char ip[32];
+
+  format_ip (vm, ip);
+  return request (ip, rig.base + 1,
+                  "GET /radishchute/readyz HTTP/1.1\r\nHost: a\r\n", "", 500,
+                  NULL);
+}
+
 void
 rig_wait_ready (int vm)
 {
   double end_ms = rig_now_ms () + 15000;
-  char ip[32];
 
-  format_ip (vm, ip);
   while (rig_now_ms () < end_ms)
     {
-      if (request (ip, rig.base + 1,
-                   "GET /radishchute/readyz HTTP/1.1\r\nHost: a\r\n", "", 500,
-                   NULL)
-          == 200)
+      if (rig_get_ready_status (vm) == 200)
         {
           rig_note ("vm-%d is ready", vm);
           return;
--- a/review/common-2/rig.h
+++ b/review/common-2/rig.h
@@ -52,6 +52,9 @@
 /* Writes a line, with the milliseconds since the start, to the record.  */
 void rig_note (const char *format, ...) G_GNUC_PRINTF (1, 2);
 
+/* Leaves the lines of requests and answers out of the record.  */
+void rig_set_quiet (gboolean is_quiet);
+
 /* Milliseconds since the start of the case.  */
 double rig_now_ms (void);
 /* Milliseconds of CLOCK_BOOTTIME, as in the record of the workers.  */
@@ -61,6 +64,9 @@
 
 void rig_start_vm (int vm);
 void rig_wait_ready (int vm);
+/* What VM answers to the platform's question whether it is ready; 0 for no
+   answer.  */
+int rig_get_ready_status (int vm);
 void rig_signal_vm (int vm, int signal_number);
 /* Sends SIGKILL and waits for the end.  */
 void rig_kill_vm (int vm);
