--- a/review/common-3/driver.c
+++ b/review/common-3/driver.c
@@ -22,7 +22,6 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
-#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <time.h>
@@ -61,7 +60,6 @@
 static int trouble = 1;
 static int base_port;
 static int n_vms = 3;
-static int max_fds; /* of an entry VM; 0: as inherited */
 static struct child store, workers;
 static struct vm vms[MAX_VMS];
 static double began;
@@ -124,7 +122,7 @@
 }
 
 static pid_t
-spawn (const char *const *argv, int out, const char *log, int n_files)
+spawn (const char *const *argv, int out, const char *log)
 {
   pid_t pid = fork ();
 
@@ -138,12 +136,6 @@
     dup2 (open (log, O_WRONLY | O_CREAT | O_APPEND, 0600), STDERR_FILENO);
   for (int fd = 3; fd < 4096; fd++)
     close (fd);
-  if (n_files > 0)
-    {
-      struct rlimit limit = { (rlim_t)n_files, (rlim_t)n_files };
-
-      setrlimit (RLIMIT_NOFILE, &limit);
-    }
   execv (argv[0], (char *const *)argv);
   _exit (127);
 }
@@ -161,7 +153,7 @@
   if (pipe (fds) != 0)
     finish (2);
   snprintf (log, sizeof log, "%s/standin.log", work);
-  child->pid = spawn (argv, fds[1], log, 0);
+  child->pid = spawn (argv, fds[1], log);
   close (fds[1]);
   in = fdopen (fds[0], "r");
   if (fgets (line, sizeof line, in) == NULL
@@ -372,7 +364,7 @@
            base_port + PORT_BEACON, ip, base_port + PORT_METRICS,
            store.ports[vm]);
   fclose (f);
-  vms[vm].pid = spawn (argv, -1, log, max_fds);
+  vms[vm].pid = spawn (argv, -1, log);
 }
 
 static int
@@ -624,92 +616,7 @@
   finish (vms[0].n_ends >= 3 && vms[1].n_ends >= 3);
 }
 
-/* Case 14: the probes of the balancer.  */
-
-#define N_PROBES 4200
-
-struct prober
-{
-  int vm;
-  int n_answered;
-  int n_sent;
-};
-
-static void *
-probe (void *data)
-{
-  static const char request[]
-      = "GET /radishchute/readyz HTTP/1.1\r\nHost: edge\r\n\r\n";
-  struct prober *p = data;
-  char ip[32], text[4096];
-  int s = -1;
-
-  vm_ip (p->vm, ip);
-  for (; p->n_sent < N_PROBES; p->n_sent++)
-    {
-      if (s < 0)
-        s = dial (ip, base_port + PORT_READINESS, 1000);
-      if (s >= 0 && send_all (s, request, sizeof request - 1)
-          && read_answer (s, text, sizeof text, NULL) == 200)
-        p->n_answered++;
-      else if (s >= 0)
-        {
-          note ("probe %d of VM %d got no answer", p->n_sent + 1, p->vm + 1);
-          close (s);
-          return NULL;
-        }
-      if (trouble || s < 0)
-        {
-          if (s >= 0)
-            close (s);
-          s = -1;
-        }
-      if (p->n_sent % 500 == 499)
-        note ("%d probes of VM %d, %d answered", p->n_sent + 1, p->vm + 1,
-              p->n_answered);
-      nap (0.008);
-    }
-  if (s >= 0)
-    close (s);
-  return NULL;
-}
-
-static void
-case_probes (void)
-{
-  struct prober probers[MAX_VMS];
-  pthread_t threads[MAX_VMS];
-  int n_before = 0, n_served = 0, n_jobs = 0;
-
-  max_fds = 4100;
-  start_deployment (4);
-  for (int vm = 0; vm < n_vms; vm++)
-    n_before += run_job (vm, 2, 20, 1000, 1500) == 200;
-  if (n_before < n_vms)
-    finish (2);
-  for (int vm = 0; vm < n_vms; vm++)
-    {
-      probers[vm] = (struct prober){ .vm = vm };
-      pthread_create (&threads[vm], NULL, probe, &probers[vm]);
-    }
-  for (int vm = 0; vm < n_vms; vm++)
-    pthread_join (threads[vm], NULL);
-  note ("the probes are over; no channel to an entry VM is open; 10 s pass");
-  nap (10);
-  for (int i = 0; i < 4; i++)
-    {
-      for (int vm = 0; vm < n_vms; vm++, n_jobs++)
-        n_served += run_job (vm, 2, 20, 1000, 1500) == 200;
-    }
-  for (int vm = 0; vm < n_vms; vm++)
-    note ("VM %d: %s, probe: %s", vm + 1,
-          waitpid (vms[vm].pid, NULL, WNOHANG) == 0 ? "runs" : "has ended",
-          is_ready (vm) ? "200" : "no answer");
-  note ("%d of %d requests served", n_served, n_jobs);
-  finish (n_served == 0);
-}
-
-/* Case 13: an entry from another writer, with a field missing.  */
+/* Case 12: an entry from another writer, with a field missing.  */
 
 static double traffic_end;
 
@@ -803,124 +710,6 @@
   _exit (2);
 }
 
-/* Case 12: callers that leave while their jobs run.  */
-
-#define CALLS_PER_S 141
-#define N_SENDERS 40
-#define PERIOD_S 12.0 /* of callers that leave */
-#define PAUSE_S 2.0
-#define N_PERIODS 6
-#define LEAVING_PERCENT 35
-
-static double traffic_began;
-static pthread_mutex_t count_lock = PTHREAD_MUTEX_INITIALIZER;
-static int n_calls, n_call_left, n_call_done, n_call_other;
-
-/* One caller: hands in a job of two tasks, and leaves after 25 ms if it
-   LEAVES.  Returns the status of the answer.  */
-static int
-hand_in_once (int leaves)
-{
-  char ip[32], id[17], text[8192];
-  char content[256], request[1024];
-  int s, status = 0;
-
-  vm_ip (0, ip);
-  draw_id (id);
-  snprintf (content, sizeof content,
-            "{\"spec\":\"60 cpu=1000 memMb=64\",\"steps\":[{\"count\":2,"
-            "\"cpu\":1000,\"memMb\":64,\"estMs\":60}],\"bestEffort\":true}");
-  snprintf (request, sizeof request,
-            "POST /jobs/%s HTTP/1.1\r\nHost: " HOST
-            "\r\nRadishchute-Deadline-Ms: 1500\r\nContent-Type: "
-            "application/json\r\nContent-Length: %zu\r\n\r\n%s",
-            id, strlen (content), content);
-  s = dial (ip, base_port + PORT_CALLERS, 1500);
-  if (s < 0)
-    return 0;
-  if (send_all (s, request, strlen (request)))
-    {
-      if (leaves)
-        nap (0.025);
-      else
-        status = read_answer (s, text, sizeof text, NULL);
-    }
-  close (s);
-  return status;
-}
-
-static void *
-send_calls (void *data)
-{
-  for (;;)
-    {
-      double at, in_period;
-      int k, leaves, status;
-
-      pthread_mutex_lock (&count_lock);
-      k = n_calls++;
-      pthread_mutex_unlock (&count_lock);
-      at = traffic_began + (double)k / CALLS_PER_S;
-      if (at >= traffic_end)
-        return NULL;
-      if (at > now ())
-        nap (at - now ());
-      in_period = at - traffic_began;
-      while (in_period >= PERIOD_S + PAUSE_S)
-        in_period -= PERIOD_S + PAUSE_S;
-      leaves = trouble && in_period < PERIOD_S
-               && k * 37 % 100 < LEAVING_PERCENT;
-      status = hand_in_once (leaves);
-      pthread_mutex_lock (&count_lock);
-      if (leaves)
-        n_call_left++;
-      else if (status == 200)
-        n_call_done++;
-      else
-        n_call_other++;
-      pthread_mutex_unlock (&count_lock);
-    }
-}
-
-static void
-case_giveup (void)
-{
-  pthread_t threads[N_SENDERS];
-  int n_served = 0;
-
-  n_vms = 1;
-  max_fds = 4100;
-  start_deployment (8);
-  traffic_began = now ();
-  traffic_end = traffic_began + N_PERIODS * (PERIOD_S + PAUSE_S) - PAUSE_S;
-  for (int k = 0; k < N_SENDERS; k++)
-    pthread_create (&threads[k], NULL, send_calls, NULL);
-  while (now () < traffic_end)
-    {
-      nap (7);
-      pthread_mutex_lock (&count_lock);
-      note ("callers: %d answered 200, %d left, %d got no answer or another",
-            n_call_done, n_call_left, n_call_other);
-      pthread_mutex_unlock (&count_lock);
-    }
-  for (int k = 0; k < N_SENDERS; k++)
-    pthread_join (threads[k], NULL);
-  note ("callers: %d answered 200, %d left, %d got no answer or another; all "
-        "have closed their channels",
-        n_call_done, n_call_left, n_call_other);
-  nap (12.5);
-  for (int i = 0; i < 8; i++)
-    {
-      n_served += run_job (0, 2, 60, 1000, 1500) == 200;
-      nap (0.2);
-    }
-  note ("VM 1: %s, probe of the balancer: %s; %d of 8 requests served after the "
-        "callers have left",
-        waitpid (vms[0].pid, NULL, WNOHANG) == 0 ? "runs" : "has ended",
-        is_ready (0) ? "200" : "not 200", n_served);
-  finish (n_served < 2);
-}
-
 int
 main (int argc, char **argv)
 {
@@ -942,10 +731,6 @@
   alarm (118);
   if (strcmp (argv[1], "leave") == 0)
     case_leave ();
-  else if (strcmp (argv[1], "give-up") == 0)
-    case_giveup ();
-  else if (strcmp (argv[1], "probes") == 0)
-    case_probes ();
   else if (strcmp (argv[1], "entry") == 0)
     case_entry ();
   return 2;
