--- a/t/support/fleet_bed.c
+++ b/t/support/fleet_bed.c
@@ -198,11 +198,13 @@
   if (bed->plan.log_directory != NULL)
     log = g_strdup_printf ("%s/vm-%u.%u.log", bed->plan.log_directory, vm + 1,
                            ++bed->n_starts);
+  process_set_limits (bed->plan.vm_descriptors, bed->plan.vm_bytes);
   bed->vms[vm] = process_start_logged (log,
                                        (bed->plan.former_vms & 1u << vm) != 0
                                            ? "former/radishchute"
                                            : "radishchute",
                                        "fleet", "--settings", path, NULL);
+  process_set_limits (0, 0);
 }
 
 guint
@@ -413,6 +415,30 @@
   return build_url (bed, vm, PORT_CALLERS, path);
 }
 
+char *
+fleet_bed_vm_ip (guint vm)
+{
+  return format_ip (NETWORK_PUBLIC, vm);
+}
+
+guint16
+fleet_bed_get_callers_port (const struct fleet_bed *bed)
+{
+  return bed->ports[PORT_CALLERS];
+}
+
+guint16
+fleet_bed_get_readiness_port (const struct fleet_bed *bed)
+{
+  return bed->ports[PORT_READINESS];
+}
+
+guint16
+fleet_bed_get_metrics_port (const struct fleet_bed *bed)
+{
+  return bed->ports[PORT_METRICS];
+}
+
 /* NULL before the VM answers.  */
 static json_t *
 try_dump (struct fleet_bed *bed, guint vm)
--- a/t/support/fleet_bed.h
+++ b/t/support/fleet_bed.h
@@ -44,6 +44,8 @@
   guint former_vms;          /* those that run the former build, as bits */
   const gdouble *cpu_shares; /* of the VMs, in cores, by which shards are
                                 divided; NULL: evenly */
+  guint vm_descriptors;      /* limits of the VMs' processes; 0: the test's */
+  gsize vm_bytes;
 };
 
 struct fleet_bed
@@ -116,6 +118,14 @@
    owns it.  */
 char *fleet_bed_url (struct fleet_bed *bed, guint vm, const char *path);
 
+/* The address of VM, the same for all its ports.  The caller owns it.  */
+char *fleet_bed_vm_ip (guint vm);
+
+/* The ports of the VMs for callers, readiness checks and scrapes.  */
+guint16 fleet_bed_get_callers_port (const struct fleet_bed *bed);
+guint16 fleet_bed_get_readiness_port (const struct fleet_bed *bed);
+guint16 fleet_bed_get_metrics_port (const struct fleet_bed *bed);
+
 /* What VM says of itself.  The caller owns it.  */
 json_t *fleet_bed_dump (struct fleet_bed *bed, guint vm);
 
--- a/t/support/process.c
+++ b/t/support/process.c
@@ -3,11 +3,34 @@
 #include <jansson.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
+
+/* The limits of the processes to start; 0 for those of this process.  */
+static rlim_t limit_descriptors;
+static rlim_t limit_bytes;
+
+static void
+set_limit (int resource, rlim_t value)
+{
+  struct rlimit limit = { value, value };
+
+  if (value != 0)
+    setrlimit (resource, &limit);
+}
 
 static void
-die_with_parent (gpointer data)
+prepare_child (gpointer data)
 {
   prctl (PR_SET_PDEATHSIG, SIGKILL);
+  set_limit (RLIMIT_NOFILE, limit_descriptors);
+  set_limit (RLIMIT_RSS, limit_bytes);
+}
+
+void
+process_set_limits (guint max_descriptors, gsize max_bytes)
+{
+  limit_descriptors = max_descriptors;
+  limit_bytes = max_bytes;
 }
 
 static struct process *
@@ -18,8 +41,7 @@
   g_autoptr (GSubprocessLauncher) launcher = g_subprocess_launcher_new (
       G_SUBPROCESS_FLAGS_STDIN_PIPE | G_SUBPROCESS_FLAGS_STDOUT_PIPE);
 
-  g_subprocess_launcher_set_child_setup (launcher, die_with_parent, NULL,
-                                         NULL);
+  g_subprocess_launcher_set_child_setup (launcher, prepare_child, NULL, NULL);
   if (log != NULL)
     {
       g_subprocess_launcher_set_flags (launcher,
--- a/t/support/process.h
+++ b/t/support/process.h
@@ -47,6 +47,14 @@
 struct process *process_start_standin (const char *subcommand,
                                        ...) G_GNUC_NULL_TERMINATED;
 
+/*
+ * Processes that are started from now on find MAX_DESCRIPTORS and MAX_BYTES as
+ * the limits of their descriptors (RLIMIT_NOFILE) and of their machine's
+ * memory (RLIMIT_RSS, which Linux tells but does not enforce); 0 for those of
+ * the test.
+ */
+void process_set_limits (guint max_descriptors, gsize max_bytes);
+
 /* Sends a signal, as in SIGSTOP, to the child.  */
 void process_signal (struct process *process, int signal_number);
 
