settings: the machine's memory and descriptors

"fleet" takes memory_mb and max_descriptors, which the operators' platform fills in from its limits memoryMb and maxFds; "entry" takes limits.memory_mb and limits.descriptors. Without them a process goes by what it finds. t1001 and t1020 read the defaults, the template and values out of range.

--- a/protocol/fleet_settings.c
+++ b/protocol/fleet_settings.c
@@ -11,6 +11,10 @@
 #define MAX_SHARDS 64
 #define MAX_DURATION_MS 600000
 #define MAX_CONNECTIONS 1000000
+#define MIN_MEMORY_MB 16
+#define MAX_MEMORY_MB 16777216
+#define MIN_DESCRIPTORS 64
+#define MAX_DESCRIPTORS 1000000000
 #define MAX_WAITING_JOBS 1000000
 #define MAX_WAITING_KB 16777216
 
@@ -49,6 +53,8 @@
                                     "caller_retry_ms",
                                     "grace_s",
                                     "max_connections",
+                                    "memory_mb",
+                                    "max_descriptors",
                                     "far_factor",
                                     "log_level",
                                     "share_by_caller",
@@ -149,6 +155,10 @@
              MAX_DURATION_MS, &s->caller_retry_ms);
   read_uint (check, root, "max_connections", 1, MAX_CONNECTIONS,
              &s->max_connections);
+  read_uint (check, root, "memory_mb", MIN_MEMORY_MB, MAX_MEMORY_MB,
+             &s->memory_mb);
+  read_uint (check, root, "max_descriptors", MIN_DESCRIPTORS, MAX_DESCRIPTORS,
+             &s->max_descriptors);
   read_uint (check, root, "max_waiting_jobs", 0, MAX_WAITING_JOBS,
              &s->max_waiting_jobs);
   read_uint (check, root, "max_waiting_kb", 0, MAX_WAITING_KB,
--- a/protocol/fleet_settings.h
+++ b/protocol/fleet_settings.h
@@ -33,6 +33,8 @@
                              relative to the one on it; 1 or more */
   guint grace_ms;         /* from a stop signal to the end of the process */
   guint max_connections;  /* of callers */
+  guint memory_mb;        /* of the machine; 0: what the process finds */
+  guint max_descriptors;  /* of the machine; 0: what the process finds */
   guint max_waiting_jobs; /* jobs that wait for slots; 0: none may wait */
   guint max_waiting_kb;   /* memory of these jobs */
   gboolean share_by_caller;    /* while tasks wait for slots, the requests by
--- a/protocol/settings.c
+++ b/protocol/settings.c
@@ -13,6 +13,10 @@
 #define DEFAULT_STATE_BYTES (32 * 1024 * 1024)
 #define MAX_CALLER_CONNECTIONS 1000000
 #define DEFAULT_CALLER_CONNECTIONS 4096
+#define MIN_MEMORY_MB 16
+#define MAX_MEMORY_MB (16 * 1024 * 1024)
+#define MIN_DESCRIPTORS 64
+#define MAX_DESCRIPTORS 1000000000
 #define MIN_REQUEST_TIMEOUT_MS 100
 #define MAX_REQUEST_TIMEOUT_MS 600000
 #define DEFAULT_REQUEST_TIMEOUT_MS 10000
@@ -44,11 +48,10 @@
 static const char *const tls_keys[] = { "certificate", "key", NULL };
 static const char *const log_keys[] = { "level", "format", NULL };
 static const char *const limit_keys[]
-    = { "body_bytes",       "state_bytes",
-        "connections",      "request_timeout_ms",
-        "drain_timeout_ms", "snapshot_interval_s",
-        "snapshot_records", "entry_vms",
-        "entry_number",     NULL };
+    = { "body_bytes",         "state_bytes",      "connections",
+        "request_timeout_ms", "drain_timeout_ms", "snapshot_interval_s",
+        "snapshot_records",   "entry_vms",        "entry_number",
+        "memory_mb",          "descriptors",      NULL };
 
 /* Whether TEXT is an http or https URL with an IP address.  Host names are not
    allowed.  */
@@ -201,6 +204,10 @@
                   MAX_STATE_BYTES, &settings->max_state_bytes);
   json_read_uint (check, "limits", limits, "connections", 1,
                   MAX_CALLER_CONNECTIONS, &settings->max_connections);
+  json_read_uint (check, "limits", limits, "memory_mb", MIN_MEMORY_MB,
+                  MAX_MEMORY_MB, &settings->memory_mb);
+  json_read_uint (check, "limits", limits, "descriptors", MIN_DESCRIPTORS,
+                  MAX_DESCRIPTORS, &settings->max_descriptors);
   json_read_uint (check, "limits", limits, "request_timeout_ms",
                   MIN_REQUEST_TIMEOUT_MS, MAX_REQUEST_TIMEOUT_MS,
                   &settings->request_timeout_ms);
--- a/protocol/settings.h
+++ b/protocol/settings.h
@@ -37,6 +37,8 @@
   guint max_body_bytes;      /* of one request of a caller */
   guint max_state_bytes;     /* of all jobs in memory */
   guint max_connections;     /* of callers */
+  guint memory_mb;           /* of the machine; 0: what the process finds */
+  guint max_descriptors;     /* of the machine; 0: what the process finds */
   guint request_timeout_ms;  /* to receive one complete request */
   guint drain_timeout_ms;    /* the longest time that a drain waits */
   guint snapshot_interval_s; /* longest time between two snapshots */
--- a/t/t1001-settings.c
+++ b/t/t1001-settings.c
@@ -67,6 +67,10 @@
                   "log: 'level' must be one of: error");
   assert_problem ("{" REQUIRED ",\"limits\":{\"connections\":0}}",
                   "'connections' must be a whole number from 1");
+  assert_problem ("{" REQUIRED ",\"limits\":{\"memory_mb\":15}}",
+                  "'memory_mb' must be a whole number from 16");
+  assert_problem ("{" REQUIRED ",\"limits\":{\"descriptors\":63}}",
+                  "'descriptors' must be a whole number from 64");
   assert_problem ("{" REQUIRED ",\"tls\":{\"key\":\"k\"}}",
                   "'certificate' is missing");
 }
--- a/t/t1020-fleet-settings.c
+++ b/t/t1020-fleet-settings.c
@@ -40,6 +40,10 @@
     "  \"cpu_share\": 0.25,\n" },
   { "{{#limits.cores}}  \"cpu_cores\": {{.}},\n{{/limits.cores}}",
     "  \"cpu_cores\": 2,\n" },
+  { "{{#limits.memoryMb}}  \"memory_mb\": {{.}},\n{{/limits.memoryMb}}",
+    "  \"memory_mb\": 260,\n" },
+  { "{{#limits.maxFds}}  \"max_descriptors\": {{.}},\n{{/limits.maxFds}}",
+    "  \"max_descriptors\": 4100,\n" },
 };
 
 static char *
@@ -105,6 +109,8 @@
   g_assert_true (s->spread_retries);
   g_assert_cmpuint (s->max_waiting_jobs, ==, 1000);
   g_assert_cmpuint (s->max_waiting_kb, ==, 8192);
+  g_assert_cmpuint (s->memory_mb, ==, 260);
+  g_assert_cmpuint (s->max_descriptors, ==, 4100);
   g_assert_true (s->placement_by_speed);
   fleet_settings_free (s);
   s = parse ("{" REQUIRED "}");
@@ -136,6 +142,8 @@
   g_assert_cmpuint (s->max_lease_ms, ==, 1000);
   g_assert_cmpuint (s->caller_retry_ms, ==, 1300);
   g_assert_cmpuint (s->max_connections, ==, 3000);
+  g_assert_cmpuint (s->memory_mb, ==, 0);
+  g_assert_cmpuint (s->max_descriptors, ==, 0);
   g_assert_false (s->share_by_caller);
   g_assert_false (s->spread_retries);
   g_assert_cmpuint (s->max_waiting_jobs, ==, 0);
@@ -223,6 +231,10 @@
   assert_problem ("{" REQUIRED ",\"vm\":\"b\"}", "duplicate");
   assert_problem ("{" REQUIRED ",\"vmm\":1}",
                   "unknown member 'vmm'; remove it");
+  assert_problem ("{" REQUIRED ",\"memory_mb\":15}",
+                  "'memory_mb' must be a number from 16");
+  assert_problem ("{" REQUIRED ",\"max_descriptors\":63}",
+                  "'max_descriptors' must be a number from 64");
   assert_problem ("{\"vm\":7}", "'vm' must be a string");
   assert_problem ("{\"vm\":\"\"}", "must not be empty");
   assert_problem ("{\"vm\":\"entry@1\"}", "must not contain a '@'");
