protocol: bound the values and the problems of a JSON text

Cause: a text of 256 KiB may have 87,000 objects, which take about 230 bytes each once parsed; an unknown member may cost a line in the error.

--- a/protocol/json_read.c
+++ b/protocol/json_read.c
@@ -17,6 +17,10 @@
 {
   gboolean ok = check->n_problems == 0;
 
+  if (check->n_problems > JSON_MAX_PROBLEMS)
+    g_string_append_printf (check->problems, "\n%s: %u more problems",
+                            check->source,
+                            check->n_problems - JSON_MAX_PROBLEMS);
   if (!ok)
     error_set (error, ERROR_INVALID, "%s", check->problems->str);
   g_string_free (check->problems, TRUE);
@@ -29,7 +33,9 @@
 {
   va_list args;
 
-  if (check->n_problems++ > 0)
+  if (check->n_problems++ >= JSON_MAX_PROBLEMS)
+    return;
+  if (check->n_problems > 1)
     g_string_append_c (check->problems, '\n');
   g_string_append_printf (check->problems, "%s: %s: ", check->source, path);
   va_start (args, format);
@@ -63,6 +69,27 @@
   return i;
 }
 
+gboolean
+json_limit_values (const char *text, gsize length, gsize max, GError **error)
+{
+  gsize n = 1;
+
+  for (gsize i = 0; i < length && n <= max; i++)
+    {
+      if (text[i] == '"')
+        i = skip_string (text, length, i);
+      else if (text[i] == ',' || text[i] == '[' || text[i] == '{')
+        n++;
+    }
+  if (n <= max)
+    return TRUE;
+  error_set (error, ERROR_TOO_LARGE,
+             "the request has more than %" G_GSIZE_FORMAT
+             " values; nothing was run; send fewer or simpler tasks",
+             max);
+  return FALSE;
+}
+
 /* Replaces the comment that starts at TEXT[I], if there is one, by spaces.
    Returns its last position, or I.  Line ends are kept, so that the line
    numbers in error messages are right.  */
--- a/protocol/json_read.h
+++ b/protocol/json_read.h
@@ -12,10 +12,13 @@
 #include <glib.h>
 #include <jansson.h>
 
+/* How many problems of one input are listed; the others are counted.  */
+#define JSON_MAX_PROBLEMS 100
+
 struct json_check
 {
   const char *source; /* names the input in messages; not owned */
-  GString *problems;  /* one a line */
+  GString *problems;  /* one a line, JSON_MAX_PROBLEMS at most */
   guint n_problems;
 };
 
@@ -40,8 +43,14 @@
  */
 json_t *json_parse (const char *text, gsize length, GError **error);
 
-/* The same for a text in which // and slash-star comments are allowed.  TEXT
-   must not be NULL.  */
+/* Whether the JSON text of LENGTH bytes has at most MAX values and members,
+   which take far more memory once they are parsed.  Returns FALSE with
+   ERROR_TOO_LARGE.  */
+gboolean json_limit_values (const char *text, gsize length, gsize max,
+                            GError **error);
+
+/* Like json_parse () for a text in which // and slash-star comments are
+   allowed.  TEXT must not be NULL.  */
 json_t *json_parse_with_comments (const char *text, gsize length,
                                   GError **error);
 
