transport: a listener that keeps clients within limits

What callers saw: a crowd of clients could take all descriptors, after which nothing was accepted any more, or run the process out of memory.

Cause: libsoup's listener stops for good when accept fails, keeps a reference to each accepted socket, does not notice some closes between two requests, and reads a body whole before it can be refused. The guard of caller_server could only react after that.

Change: the connections are accepted here and handed to libsoup as streams of our own.

--- a/base/metrics.c
+++ b/base/metrics.c
@@ -57,6 +57,9 @@
 static const char *const refusal_names[REFUSAL_COUNT]
     = { "other", "wait-too-long", "no-owner", "over-share" };
 
+static const char *const limit_names[CLIENT_LIMIT_COUNT]
+    = { "connections", "memory", "descriptors", "header", "body", "time" };
+
 static const char *const order_names[UPSTREAM_ORDER_COUNT]
     = { "start", "stop", "ask" };
 
@@ -98,6 +101,8 @@
       .second_key = "outcome", .second_names = store_outcome_names,
       .n_second = STORE_OUTCOME_COUNT },
   [METRIC_LABEL_REFUSAL] = { "cause", REFUSAL_COUNT, .names = refusal_names },
+  [METRIC_LABEL_CLIENT_LIMIT]
+  = { "limit", CLIENT_LIMIT_COUNT, .names = limit_names },
 };
 
 const char *
@@ -106,6 +111,12 @@
   return refusal_names[cause];
 }
 
+const char *
+client_limit_name (enum client_limit limit)
+{
+  return limit_names[limit];
+}
+
 void
 metrics_count (enum metric metric)
 {
--- a/base/metrics.h
+++ b/base/metrics.h
@@ -33,14 +33,15 @@
 enum metric_label
 {
   METRIC_LABEL_NONE,
-  METRIC_LABEL_ERROR_KIND, /* enum error_kind */
-  METRIC_LABEL_LOG_LEVEL,  /* enum log_level */
-  METRIC_LABEL_MESSAGE,    /* enum upstream_message */
-  METRIC_LABEL_LOG_CLASS,  /* enum log_class */
-  METRIC_LABEL_OUTCOME,    /* enum job_outcome */
-  METRIC_LABEL_ORDER,      /* enum upstream_order */
-  METRIC_LABEL_STORE_CALL, /* enum store_call and enum store_outcome */
-  METRIC_LABEL_REFUSAL,    /* enum refusal_cause */
+  METRIC_LABEL_ERROR_KIND,   /* enum error_kind */
+  METRIC_LABEL_LOG_LEVEL,    /* enum log_level */
+  METRIC_LABEL_MESSAGE,      /* enum upstream_message */
+  METRIC_LABEL_LOG_CLASS,    /* enum log_class */
+  METRIC_LABEL_OUTCOME,      /* enum job_outcome */
+  METRIC_LABEL_ORDER,        /* enum upstream_order */
+  METRIC_LABEL_STORE_CALL,   /* enum store_call and enum store_outcome */
+  METRIC_LABEL_REFUSAL,      /* enum refusal_cause */
+  METRIC_LABEL_CLIENT_LIMIT, /* enum client_limit */
 };
 
 /* Requests that an entry VM's dispatcher sends to an upstream.  */
@@ -74,6 +75,18 @@
   REFUSAL_COUNT
 };
 
+/* Limits for which a client is refused or its connection closed.  */
+enum client_limit
+{
+  CLIENT_LIMIT_CONNECTIONS, /* of its class, or of the process */
+  CLIENT_LIMIT_MEMORY,      /* of the process */
+  CLIENT_LIMIT_DESCRIPTORS, /* of the machine: accepting has failed */
+  CLIENT_LIMIT_HEADER,      /* length and fields of a header */
+  CLIENT_LIMIT_BODY,        /* length of a body */
+  CLIENT_LIMIT_TIME,        /* to send a request or to read an answer */
+  CLIENT_LIMIT_COUNT
+};
+
 /* Orders that an owner sends to an upstream.  */
 enum upstream_order
 {
@@ -105,6 +118,9 @@
 /* The name of CAUSE in logs and metrics.  Static.  */
 const char *refusal_cause_name (enum refusal_cause cause);
 
+/* The name of LIMIT in logs and metrics.  Static.  */
+const char *client_limit_name (enum client_limit limit);
+
 /* Adds one to a counter without labels.  */
 void metrics_count (enum metric metric);
 
--- /dev/null
+++ b/t/t7110-client-listener.c
@@ -0,0 +1,357 @@
+/*
+ * What a client that exceeds a limit is answered, and that its request is
+ * never handled.
+ */
+#include "base/error.h"
+#include "base/metrics.h"
+#include "protocol/job_json.h"
+#include "transport/client_listener.h"
+#include "transport/listener.h"
+
+#include <string.h>
+
+#define BODY_LIMIT 1000
+#define MACHINE_BYTES (4 * 1024 * 1024)
+#define DESCRIPTORS 64
+#define MAX_ANSWER 4096
+
+struct bed
+{
+  struct client_budget budget;
+  SoupServer *soup;
+  struct client_listener *listener;
+  guint16 port;
+  guint n_handled;
+  gsize n_received; /* bytes of the last body */
+};
+
+static void
+on_request (SoupServer *soup, SoupServerMessage *message, const char *path,
+            GHashTable *query, gpointer data)
+{
+  struct bed *bed = data;
+  g_autoptr (GBytes) body = client_message_take_body (message);
+
+  bed->n_handled++;
+  bed->n_received = g_bytes_get_size (body);
+  soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
+}
+
+static gsize
+get_body_limit (gpointer data, SoupServerMessage *message, GError **error)
+{
+  const char *path = g_uri_get_path (soup_server_message_get_uri (message));
+
+  if (g_str_equal (path, "/none"))
+    error_set (error, ERROR_NOT_FOUND, "no such path");
+  if (g_str_equal (path, "/large"))
+    return MACHINE_BYTES;
+  return g_str_equal (path, "/job") ? BODY_LIMIT : 0;
+}
+
+static GBytes *
+format_error (gpointer data, const GError *error)
+{
+  return error_format_answer (error, NULL);
+}
+
+static const struct client_listener_ops ops = { get_body_limit, format_error };
+
+static struct bed *
+start (guint max_callers)
+{
+  const struct machine_limits limits = { MACHINE_BYTES, DESCRIPTORS };
+  const struct endpoint endpoint = { .ip = (char[]){ "127.0.0.1" } };
+  struct bed *bed = g_new0 (struct bed, 1);
+  struct client_listener_options options = {
+    .ops = &ops,
+    .budget = &bed->budget,
+    .class = CLIENT_CALLERS,
+    .request_timeout_ms = 300,
+    .idle_timeout_ms = 60000,
+  };
+  g_autoptr (GSocket) socket = listener_open (&endpoint, NULL);
+
+  client_budget_init (&bed->budget, &limits, max_callers);
+  bed->soup = soup_server_new (NULL, NULL);
+  soup_server_add_handler (bed->soup, NULL, on_request, bed, NULL);
+  bed->port = (guint16)listener_get_port (socket);
+  bed->listener = client_listener_new (bed->soup, socket, &options);
+  return bed;
+}
+
+static void
+wait_until_open (struct bed *bed, guint n)
+{
+  while (client_listener_count_open (bed->listener) != n)
+    g_main_context_iteration (NULL, TRUE);
+}
+
+static void
+stop (struct bed *bed)
+{
+  wait_until_open (bed, 0);
+  g_assert_cmpuint (bed->budget.n_bytes, ==, 0);
+  g_assert_cmpuint (client_listener_count_requests (bed->listener), ==, 0);
+  client_listener_free (bed->listener);
+  g_object_unref (bed->soup);
+  g_free (bed);
+}
+
+static GSocket *
+connect_client (const struct bed *bed)
+{
+  g_autoptr (GSocketAddress) address
+      = g_inet_socket_address_new_from_string ("127.0.0.1", bed->port);
+  GSocket *socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                                  G_SOCKET_PROTOCOL_TCP, NULL);
+
+  g_assert_true (g_socket_connect (socket, address, NULL, NULL));
+  g_socket_set_blocking (socket, FALSE);
+  return socket;
+}
+
+static void
+send_text (GSocket *socket, const char *text)
+{
+  gsize length = strlen (text);
+
+  while (length > 0)
+    {
+      gssize n = g_socket_send (socket, text, length, NULL, NULL);
+
+      if (n > 0)
+        {
+          text += n;
+          length -= (gsize)n;
+        }
+      g_main_context_iteration (NULL, FALSE);
+    }
+}
+
+/* Whether the connection has ended.  Adds what was received to ANSWER.  */
+static gboolean
+receive (GSocket *socket, GString *answer)
+{
+  char buffer[MAX_ANSWER];
+  g_autoptr (GError) error = NULL;
+  gssize n = g_socket_receive (socket, buffer, sizeof buffer, NULL, &error);
+
+  if (n > 0)
+    g_string_append_len (answer, buffer, n);
+  return n == 0
+         || (n < 0
+             && !g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK));
+}
+
+/* Runs the server until it has closed the connection.  */
+static char *
+read_to_end (GSocket *socket)
+{
+  GString *answer = g_string_new (NULL);
+
+  while (!receive (socket, answer))
+    g_main_context_iteration (NULL, FALSE);
+  return g_string_free (answer, FALSE);
+}
+
+/* Sends TEXT and returns all that comes back until the connection ends.  */
+static char *
+exchange (struct bed *bed, const char *text)
+{
+  g_autoptr (GSocket) socket = connect_client (bed);
+
+  send_text (socket, text);
+  return read_to_end (socket);
+}
+
+static void
+assert_refused (struct bed *bed, const char *text, const char *status,
+                enum client_limit limit)
+{
+  guint64 before = metrics_get (METRIC_CLIENTS_LIMITED, limit);
+  g_autofree char *answer = exchange (bed, text);
+
+  g_assert_true (g_str_has_prefix (answer, status));
+  g_assert_cmpuint (bed->n_handled, ==, 0);
+  if (limit != CLIENT_LIMIT_COUNT)
+    g_assert_cmpuint (metrics_get (METRIC_CLIENTS_LIMITED, limit), ==,
+                      before + 1);
+}
+
+/* The body is complete when the refusal is decided: it must not be handled
+   after the client was told that nothing was run.  */
+static void
+test_refused_is_never_handled (void)
+{
+  struct bed *bed = start (10);
+  g_autofree char *body = g_strnfill (BODY_LIMIT + 1, ' ');
+  g_autofree char *whole = g_strdup_printf ("POST /job HTTP/1.1\r\nHost: a\r\n"
+                                            "Content-Length: %d\r\n\r\n%s",
+                                            BODY_LIMIT + 1, body);
+  g_autofree char *chunked
+      = g_strdup_printf ("POST /job HTTP/1.1\r\nHost: a\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n"
+                         "0\r\n\r\n",
+                         BODY_LIMIT + 1, body);
+
+  assert_refused (bed, whole, "HTTP/1.1 413 ", CLIENT_LIMIT_BODY);
+  assert_refused (bed, chunked, "HTTP/1.1 413 ", CLIENT_LIMIT_BODY);
+  stop (bed);
+}
+
+/* Refused from the header: the client sends no body at all.  */
+static void
+test_refused_from_header (void)
+{
+  struct bed *bed = start (10);
+
+  assert_refused (bed,
+                  "POST /job HTTP/1.1\r\nHost: a\r\n"
+                  "Content-Length: 1001\r\n\r\n",
+                  "HTTP/1.1 413 ", CLIENT_LIMIT_BODY);
+  assert_refused (bed,
+                  "POST /none HTTP/1.1\r\nHost: a\r\n"
+                  "Content-Length: 1\r\n\r\n",
+                  "HTTP/1.1 404 ", CLIENT_LIMIT_COUNT);
+  assert_refused (bed,
+                  "GET /other HTTP/1.1\r\nHost: a\r\n"
+                  "Content-Length: 100000\r\n\r\n",
+                  "HTTP/1.1 413 ", CLIENT_LIMIT_BODY);
+  stop (bed);
+}
+
+static void
+test_header (void)
+{
+  struct bed *bed = start (10);
+  g_autoptr (GString) fields = g_string_new ("GET / HTTP/1.1\r\nHost: a\r\n");
+  g_autofree char *value = g_strnfill (CLIENT_HEADER_BYTES * 2, 'x');
+  g_autofree char *endless
+      = g_strdup_printf ("GET / HTTP/1.1\r\nHost: %s", value);
+
+  for (guint i = 0; i < CLIENT_MAX_FIELDS; i++)
+    g_string_append_printf (fields, "a%u: b\r\n", i);
+  g_string_append (fields, "\r\n");
+  assert_refused (bed, fields->str, "HTTP/1.1 431 ", CLIENT_LIMIT_HEADER);
+  assert_refused (bed, endless, "HTTP/1.1 431 ", CLIENT_LIMIT_HEADER);
+  stop (bed);
+}
+
+/* Half a request is not waited for forever.  */
+static void
+test_time (void)
+{
+  struct bed *bed = start (10);
+
+  assert_refused (bed, "POST /job HTTP/1.1\r\nHo", "", CLIENT_LIMIT_TIME);
+  stop (bed);
+}
+
+/* Bodies within the limits arrive whole, in any form.  */
+static void
+test_bodies (void)
+{
+  struct bed *bed = start (10);
+  g_autofree char *body = g_strnfill (BODY_LIMIT, ' ');
+  g_autofree char *whole = g_strdup_printf ("POST /job HTTP/1.1\r\nHost: a\r\n"
+                                            "Connection: close\r\n"
+                                            "Content-Length: %d\r\n\r\n%s",
+                                            BODY_LIMIT, body);
+  g_autoptr (GString) chunked
+      = g_string_new ("POST /job HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n");
+  g_autofree char *first = exchange (bed, whole);
+  g_autofree char *second = NULL;
+
+  g_assert_true (g_str_has_prefix (first, "HTTP/1.1 200 "));
+  g_assert_cmpuint (bed->n_received, ==, BODY_LIMIT);
+  for (guint i = 0; i < BODY_LIMIT; i++)
+    g_string_append (chunked, "1\r\n \r\n");
+  g_string_append (chunked, "0\r\n\r\n");
+  second = exchange (bed, chunked->str);
+  g_assert_true (g_str_has_prefix (second, "HTTP/1.1 200 "));
+  g_assert_cmpuint (bed->n_received, ==, BODY_LIMIT);
+  g_assert_cmpuint (bed->n_handled, ==, 2);
+  stop (bed);
+}
+
+/* When all connections are taken, the one that has been idle the longest is
+   closed for a new one.  */
+static void
+test_idle_gives_way (void)
+{
+  static const char request[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  struct bed *bed = start (2);
+  g_autoptr (GSocket) idle = connect_client (bed);
+  g_autoptr (GSocket) second = NULL;
+  g_autoptr (GSocket) third = NULL;
+  g_autoptr (GString) answer = g_string_new (NULL);
+
+  send_text (idle, request);
+  while (bed->n_handled < 1)
+    g_main_context_iteration (NULL, TRUE);
+  second = connect_client (bed);
+  wait_until_open (bed, 2);
+  third = connect_client (bed);
+  send_text (third, request);
+  while (bed->n_handled < 2)
+    g_main_context_iteration (NULL, FALSE);
+  while (!receive (idle, answer))
+    g_main_context_iteration (NULL, FALSE);
+  g_assert_cmpuint (client_listener_count_open (bed->listener), ==, 2);
+  g_clear_object (&second);
+  g_clear_object (&third);
+  stop (bed);
+}
+
+/* Bodies that do not fit together: the client whose request holds the most is
+   told that nothing was run, and the others go on.  */
+static void
+test_largest_gives_way (void)
+{
+  struct bed *bed = start (20);
+  gsize length = client_budget_get_max_body (&bed->budget, MACHINE_BYTES);
+  g_autofree char *body = g_strnfill (length - 1, ' ');
+  g_autofree char *text
+      = g_strdup_printf ("POST /large HTTP/1.1\r\nHost: a\r\n"
+                         "Content-Length: %" G_GSIZE_FORMAT "\r\n\r\n%s",
+                         length, body);
+  GSocket *sockets[6];
+  guint n_refused = 0;
+
+  for (guint i = 0; i < G_N_ELEMENTS (sockets); i++)
+    {
+      sockets[i] = connect_client (bed);
+      send_text (sockets[i], text);
+    }
+  for (guint i = 0; i < G_N_ELEMENTS (sockets); i++)
+    {
+      g_autofree char *answer = read_to_end (sockets[i]);
+
+      n_refused += g_str_has_prefix (answer, "HTTP/1.1 503 ") ? 1 : 0;
+      if (answer[0] != '\0')
+        g_assert_nonnull (strstr (answer, "\r\nRetry-After: 1\r\n"));
+      g_object_unref (sockets[i]);
+    }
+  g_assert_cmpuint (n_refused, >, 0);
+  g_assert_cmpuint (bed->n_handled, ==, 0);
+  stop (bed);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/client-listener/refused-is-never-handled",
+                   test_refused_is_never_handled);
+  g_test_add_func ("/client-listener/refused-from-header",
+                   test_refused_from_header);
+  g_test_add_func ("/client-listener/header", test_header);
+  g_test_add_func ("/client-listener/time", test_time);
+  g_test_add_func ("/client-listener/bodies", test_bodies);
+  g_test_add_func ("/client-listener/idle-gives-way", test_idle_gives_way);
+  g_test_add_func ("/client-listener/largest-gives-way",
+                   test_largest_gives_way);
+  return g_test_run ();
+}
