fleet: keep clients within the machine

What callers saw: with 400 clients that stop a byte short of 256 KiB a VM of a fleet took 131 MiB on a machine of 64 MiB, with tiny chunks 1.3 GiB at a route and 5.6 GiB at the readiness port, and with 250 silent clients on 192 descriptors it accepted nothing more until its end.

Cause: each server had limits of its own or none; a body was read whole at any path, also at the readiness and the metrics port.

Change: callers, checks of readiness and scrapes are accepted by client_listener and draw on one budget, from memory_mb, max_descriptors and the process's limits.

--- a/t/t7102-metrics-server.c
+++ b/t/t7102-metrics-server.c
@@ -24,13 +24,24 @@
 static const struct metrics_source_ops source_ops = { set_rooms, dump_rooms };
 static const struct metrics_source_ops mute_ops = { NULL, NULL };
 
+static struct client_budget *
+get_budget (void)
+{
+  static struct client_budget budget;
+  const struct machine_limits limits = { G_MAXUINT32, 1024 };
+
+  if (budget.max_bytes == 0)
+    client_budget_init (&budget, &limits, 1);
+  return &budget;
+}
+
 static struct metrics_server *
 start_server (struct metrics_source *source)
 {
   struct endpoint endpoint = { .ip = (char[]){ "127.0.0.1" } };
   g_autoptr (GError) error = NULL;
   struct metrics_server *server
-      = metrics_server_new (&endpoint, source, &error);
+      = metrics_server_new (&endpoint, source, get_budget (), &error);
 
   g_assert_no_error (error);
   return server;
@@ -100,7 +111,8 @@
       = { (char[]){ "127.0.0.1" }, metrics_server_get_port (server) };
   g_autoptr (GError) error = NULL;
 
-  g_assert_null (metrics_server_new (&endpoint, &source, &error));
+  g_assert_null (
+      metrics_server_new (&endpoint, &source, get_budget (), &error));
   g_assert_nonnull (error);
   metrics_server_free (server);
 }
--- a/transport/fleet.c
+++ b/transport/fleet.c
@@ -52,6 +52,12 @@
   return fleet->home;
 }
 
+struct client_budget *
+fleet_get_client_budget (struct fleet *fleet)
+{
+  return &fleet->client_budget;
+}
+
 const struct route_table *
 fleet_get_routes (const struct fleet *fleet)
 {
@@ -661,6 +667,20 @@
   return ((guint64)clock_unix_ms () << INCARNATION_RANDOM_BITS) | random;
 }
 
+/* Sets what clients may use of the machine.  */
+static void
+divide_machine (struct fleet *fleet)
+{
+  const struct fleet_settings *settings = fleet->settings;
+  struct machine_limits limits;
+
+  machine_limits_read (
+      &limits, (guint64)settings->memory_mb * BYTES_PER_KB * BYTES_PER_KB,
+      settings->max_descriptors);
+  client_budget_init (&fleet->client_budget, &limits,
+                      settings->max_connections);
+}
+
 static gboolean
 open_metrics (struct fleet *fleet, GError **error)
 {
@@ -670,8 +690,8 @@
   if (endpoint->port == 0)
     return TRUE;
   fleet->metrics_source.ops = &fleet_metrics_ops;
-  fleet->metrics_server
-      = metrics_server_new (endpoint, &fleet->metrics_source, error);
+  fleet->metrics_server = metrics_server_new (endpoint, &fleet->metrics_source,
+                                              &fleet->client_budget, error);
   return fleet->metrics_server != NULL;
 }
 
@@ -698,6 +718,7 @@
   fleet->settings = settings;
   fleet->platform = platform;
   fleet->incarnation = choose_incarnation ();
+  divide_machine (fleet);
   fleet->loop = g_main_loop_new (NULL, FALSE);
   fleet->directory
       = vm_directory_new (&fleet->directory_listener, settings->vm);
--- a/transport/fleet.h
+++ b/transport/fleet.h
@@ -9,6 +9,7 @@
 #ifndef TRANSPORT_FLEET_H
 #define TRANSPORT_FLEET_H
 
+#include "coordination/client_budget.h"
 #include "protocol/fleet_settings.h"
 #include "transport/fleet_admission.h"
 #include "transport/fleet_home.h"
@@ -28,6 +29,9 @@
    drain is complete.  */
 void fleet_run (struct fleet *fleet);
 
+/* What the clients of this process share; the fleet owns it.  */
+struct client_budget *fleet_get_client_budget (struct fleet *fleet);
+
 struct fleet_home *fleet_get_home (struct fleet *fleet);
 
 /* The routes in force, or NULL before any are known.  The fleet owns the
--- a/transport/fleet_private.h
+++ b/transport/fleet_private.h
@@ -4,6 +4,7 @@
 #ifndef TRANSPORT_FLEET_PRIVATE_H
 #define TRANSPORT_FLEET_PRIVATE_H
 
+#include "coordination/client_budget.h"
 #include "coordination/vm_capacity.h"
 #include "transport/fleet.h"
 #include "transport/fleet_admission.h"
@@ -23,6 +24,7 @@
   struct metrics_server *metrics_server; /* NULL for none */
   struct loop_delay *loop_delay;
   struct vm_capacity capacity;
+  struct client_budget client_budget;
   const struct fleet_settings *settings;
   struct fleet_platform *platform;
   struct settings hub_settings; /* what the hub needs of SETTINGS */
--- a/transport/fleet_report.c
+++ b/transport/fleet_report.c
@@ -73,6 +73,9 @@
   metrics_set (METRIC_JOBS_WAITING, count_waiting (fleet));
   metrics_set (METRIC_TASKS_QUEUED, owner_room_count_queued (&room));
   metrics_set (METRIC_TASKS_RUNNING, room.n_running);
+  metrics_set (METRIC_CLIENT_CONNECTIONS,
+               client_budget_count (&fleet->client_budget));
+  metrics_set (METRIC_CLIENT_BYTES, fleet->client_budget.n_bytes);
   metrics_set (METRIC_DRAINING, fleet->is_draining ? 1 : 0);
 }
 
--- a/transport/metrics_server.c
+++ b/transport/metrics_server.c
@@ -1,7 +1,7 @@
 #include "transport/metrics_server.h"
 
 #include "base/metrics.h"
-#include "transport/connection_guard.h"
+#include "transport/client_listener.h"
 #include "transport/listener.h"
 
 #include <libsoup/soup.h>
@@ -11,17 +11,14 @@
 #define JSON_TYPE "application/json"
 #define METRICS_TYPE "text/plain; version=0.0.4; charset=utf-8"
 
-static const struct connection_limits limits = {
-  .max_connections = 32,
-  .request_timeout_ms = 5000,
-  .idle_timeout_ms = 120000,
-};
+#define REQUEST_TIMEOUT_MS 5000
+#define IDLE_TIMEOUT_MS 120000
 
 struct metrics_server
 {
   struct metrics_source *source;
   SoupServer *soup;
-  struct connection_guard *guard;
+  struct client_listener *listener;
   guint port;
 };
 
@@ -87,8 +84,15 @@
 
 struct metrics_server *
 metrics_server_new (const struct endpoint *endpoint,
-                    struct metrics_source *source, GError **error)
+                    struct metrics_source *source,
+                    struct client_budget *budget, GError **error)
 {
+  const struct client_listener_options options = {
+    .budget = budget,
+    .class = CLIENT_METRICS,
+    .request_timeout_ms = REQUEST_TIMEOUT_MS,
+    .idle_timeout_ms = IDLE_TIMEOUT_MS,
+  };
   g_autoptr (GSocket) socket = listener_open (endpoint, error);
   struct metrics_server *server;
 
@@ -98,21 +102,15 @@
   server->source = source;
   server->port = listener_get_port (socket);
   server->soup = soup_server_new ("server-header", "radishchute", NULL);
-  server->guard = connection_guard_new (server->soup, &limits);
   soup_server_add_handler (server->soup, NULL, on_request, server, NULL);
-  if (!soup_server_listen_socket (server->soup, socket, 0, error))
-    {
-      metrics_server_free (server);
-      return NULL;
-    }
+  server->listener = client_listener_new (server->soup, socket, &options);
   return server;
 }
 
 void
 metrics_server_free (struct metrics_server *server)
 {
-  soup_server_disconnect (server->soup);
-  connection_guard_free (server->guard);
+  client_listener_free (server->listener);
   g_object_unref (server->soup);
   g_free (server);
 }
--- a/transport/metrics_server.h
+++ b/transport/metrics_server.h
@@ -4,13 +4,14 @@
  *   GET /metrics   the text exposition format, version 0.0.4
  *   GET /dump      the state as JSON
  *
- * The number of connections is limited, and responses are built from memory
- * without I/O.  Requests need no token, so callers must not be able to reach
- * the address.
+ * Clients are kept within the limits of the process; see
+ * transport/client_listener.h.  Responses are built from memory without I/O.
+ * Requests need no token, so callers must not be able to reach the address.
  */
 #ifndef TRANSPORT_METRICS_SERVER_H
 #define TRANSPORT_METRICS_SERVER_H
 
+#include "coordination/client_budget.h"
 #include "protocol/settings.h"
 
 #include <jansson.h>
@@ -39,10 +40,12 @@
 
 struct metrics_server;
 
-/* Listens on ENDPOINT; SOURCE must outlive the result.  Returns NULL with
-   ERROR_UNAVAILABLE when the address is not free.  */
+/* Listens on ENDPOINT for clients, who draw on BUDGET; SOURCE and BUDGET must
+   outlive the result.  Returns NULL with ERROR_UNAVAILABLE when the address is
+   not free.  */
 struct metrics_server *metrics_server_new (const struct endpoint *endpoint,
                                            struct metrics_source *source,
+                                           struct client_budget *budget,
                                            GError **error);
 void metrics_server_free (struct metrics_server *server);
 
