entry: keep clients within the machine, with TLS too

What callers saw: with 64 clients that stop a byte short of 2 MiB "entry" took 145 MiB on a machine of 96 MiB, at any path; over TLS an ordinary job was not answered beside tiny chunks; with 250 clients on 192 descriptors nothing was accepted any more.

Change: caller_server uses client_listener, also for operators' paths. Bodies are taken for jobs and for the operators' PUT only. Kept jobs take a quarter of the machine's memory at most. connection_guard serves only the stand-ins now and moves to them.

--- a/transport/connection_guard.c
+++ b/t/standin/connection_guard.c
@@ -1,4 +1,4 @@
-#include "transport/connection_guard.h"
+#include "t/standin/connection_guard.h"
 
 #include "base/clock.h"
 #include "base/list.h"
--- a/transport/connection_guard.h
+++ b/t/standin/connection_guard.h
@@ -5,8 +5,8 @@
  * connection that does not deliver a whole request before its deadline is
  * closed, so that a slow client cannot hold a connection for long.
  */
-#ifndef TRANSPORT_CONNECTION_GUARD_H
-#define TRANSPORT_CONNECTION_GUARD_H
+#ifndef T_STANDIN_CONNECTION_GUARD_H
+#define T_STANDIN_CONNECTION_GUARD_H
 
 #include <gio/gio.h>
 #include <libsoup/soup.h>
--- a/t/standin/listener.h
+++ b/t/standin/listener.h
@@ -5,7 +5,7 @@
 #ifndef T_STANDIN_LISTENER_H
 #define T_STANDIN_LISTENER_H
 
-#include "transport/connection_guard.h"
+#include "t/standin/connection_guard.h"
 
 #include <jansson.h>
 #include <libsoup/soup.h>
--- a/transport/caller_server.c
+++ b/transport/caller_server.c
@@ -2,9 +2,10 @@
 
 #include "base/clock.h"
 #include "base/event_log.h"
+#include "base/metrics.h"
 #include "protocol/json_read.h"
 #include "transport/caller_forward.h"
-#include "transport/connection_guard.h"
+#include "transport/client_listener.h"
 #include "transport/http_answer.h"
 #include "transport/listener.h"
 #include "transport/peer_dump.h"
@@ -13,6 +14,10 @@
 #include <string.h>
 
 #define JOBS_PATH "/v1/jobs"
+#define BYTES_PER_KB 1024
+
+/* The longest body of a request that is not a job.  */
+#define OPERATOR_BODY_BYTES 16384
 
 /* How long a connection may stay idle between two requests.  */
 #define IDLE_TIMEOUT_MS 75000
@@ -22,22 +27,16 @@
   const struct settings *settings;
   struct home *home;
   SoupServer *soup;
-  struct connection_guard *guard;
-  struct forward *forward; /* NULL when there are no peers */
-  guint n_requests;        /* requests being received or answered */
+  struct client_budget budget;
+  struct client_listener *clients;
+  GTlsCertificate *certificate; /* NULL for plain HTTP */
+  GPtrArray *paths;             /* that have handlers */
+  struct forward *forward;      /* NULL when there are no peers */
   guint port;
   GSocket *listener;
   gboolean has_stopped_accepting;
 };
 
-/* A request whose body is being received.  */
-struct upload
-{
-  struct caller_server *server;
-  GByteArray *body;
-  gboolean is_rejected; /* the body is too large; the rest is discarded */
-};
-
 /* A caller that waits for its job to finish.  */
 struct caller
 {
@@ -47,14 +46,20 @@
   gulong finished_handler;
 };
 
+static void
+set_unknown_path (GError **error)
+{
+  error_set (error, ERROR_NOT_FOUND,
+             "this path does not exist; submit jobs to " JOBS_PATH);
+}
+
 static void
 handle_unknown_path (SoupServer *soup, SoupServerMessage *message,
                      const char *path, GHashTable *query, gpointer data)
 {
   g_autoptr (GError) error = NULL;
 
-  error_set (&error, ERROR_NOT_FOUND,
-             "this path does not exist; submit jobs to " JOBS_PATH);
+  set_unknown_path (&error);
   http_answer_error (message, error);
 }
 
@@ -131,99 +136,6 @@
   home_add_waiter (server->home, job, &caller->waiter);
 }
 
-static void
-upload_free (gpointer data)
-{
-  struct upload *upload = data;
-
-  g_byte_array_unref (upload->body);
-  g_free (upload);
-}
-
-static GBytes *
-format_too_large_error (const struct caller_server *server)
-{
-  g_autoptr (GError) error = NULL;
-
-  error_set (&error, ERROR_TOO_LARGE,
-             "the request body exceeds %u bytes; send fewer or smaller tasks",
-             server->settings->max_body_bytes);
-  return error_format_answer (error, NULL);
-}
-
-/*
- * Rejects a request whose body is too large.  Without TLS it is answered at
- * once and its connection is closed.  With TLS the rest of the body is read
- * and discarded, and submit_job () answers.
- */
-static void
-reject_upload (SoupServerMessage *message, struct upload *upload)
-{
-  g_autoptr (GBytes) body = format_too_large_error (upload->server);
-  g_autofree char *response = g_strdup_printf (
-      "HTTP/1.1 413 Content Too Large\r\nContent-Type: " HTTP_JSON_TYPE
-      "\r\nContent-Length: %" G_GSIZE_FORMAT
-      "\r\nConnection: close\r\n\r\n%.*s",
-      g_bytes_get_size (body), (int)g_bytes_get_size (body),
-      (const char *)g_bytes_get_data (body, NULL));
-
-  upload->is_rejected = TRUE;
-  g_byte_array_set_size (upload->body, 0);
-  if (upload->server->settings->tls_certificate == NULL)
-    connection_guard_reject (upload->server->guard, message, response);
-}
-
-static void
-on_got_chunk (SoupServerMessage *message, GBytes *chunk, gpointer data)
-{
-  struct upload *upload = data;
-  gsize length = g_bytes_get_size (chunk);
-
-  if (upload->is_rejected)
-    return;
-  if (upload->body->len + length > upload->server->settings->max_body_bytes)
-    {
-      reject_upload (message, upload);
-      return;
-    }
-  g_byte_array_append (upload->body, g_bytes_get_data (chunk, NULL),
-                       (guint)length);
-}
-
-static void
-on_finished (SoupServerMessage *message, gpointer data)
-{
-  struct caller_server *server = data;
-
-  server->n_requests--;
-}
-
-/* Called when the headers of a request are read: starts to collect the body
-   and rejects one that exceeds the limit.  */
-static void
-begin_upload (SoupServer *soup, SoupServerMessage *message, const char *path,
-              GHashTable *query, gpointer data)
-{
-  struct caller_server *server = data;
-  SoupMessageHeaders *headers
-      = soup_server_message_get_request_headers (message);
-  struct upload *upload = g_new0 (struct upload, 1);
-
-  server->n_requests++;
-  g_signal_connect (message, "finished", G_CALLBACK (on_finished), server);
-  upload->server = server;
-  upload->body = g_byte_array_new ();
-  soup_message_body_set_accumulate (
-      soup_server_message_get_request_body (message), FALSE);
-  g_object_set_data_full (G_OBJECT (message), "upload", upload, upload_free);
-  g_signal_connect (message, "got-chunk", G_CALLBACK (on_got_chunk), upload);
-  if (soup_message_headers_get_encoding (headers)
-          == SOUP_ENCODING_CONTENT_LENGTH
-      && soup_message_headers_get_content_length (headers)
-             > server->settings->max_body_bytes)
-    reject_upload (message, upload);
-}
-
 static gboolean
 prefers_async (SoupServerMessage *message)
 {
@@ -247,22 +159,15 @@
 static void
 submit_job (struct caller_server *server, SoupServerMessage *message)
 {
-  struct upload *upload = g_object_get_data (G_OBJECT (message), "upload");
-  g_autoptr (GBytes) body
-      = g_bytes_new_static (upload->body->data, upload->body->len);
+  g_autoptr (GBytes) body = client_message_take_body (message);
   g_autoptr (GError) error = NULL;
   struct submission *submission = NULL;
   struct job *job = NULL;
 
-  if (upload->is_rejected)
-    {
-      g_autoptr (GBytes) answer = format_too_large_error (server);
-
-      http_answer_bytes (message, error_kind_http_status (ERROR_TOO_LARGE),
-                         HTTP_JSON_TYPE, answer);
-      return;
-    }
-  submission = submission_parse (body, clock_now_us (), &error);
+  if (json_limit_values (
+          g_bytes_get_data (body, NULL), g_bytes_get_size (body),
+          client_budget_get_max_values (&server->budget), &error))
+    submission = submission_parse (body, clock_now_us (), &error);
   if (submission != NULL && submission->ticket != NULL
       && caller_forward (server->forward, message, PEER_FORWARD_SUBMIT,
                          submission->ticket, prefers_async (message), body))
@@ -433,41 +338,96 @@
 caller_server_add_handler (struct caller_server *server, const char *path,
                            SoupServerCallback handler, gpointer data)
 {
-  soup_server_add_early_handler (server->soup, path, begin_upload, server,
-                                 NULL);
+  g_ptr_array_add (server->paths, g_strdup (path));
   soup_server_add_handler (server->soup, path, handler, data, NULL);
 }
 
-GBytes *
-caller_server_get_body (SoupServerMessage *message)
-{
-  const struct upload *upload
-      = g_object_get_data (G_OBJECT (message), "upload");
-
-  return g_bytes_new (upload->body->data, upload->body->len);
-}
-
 static void
 add_handlers (struct caller_server *server)
 {
-  caller_server_add_handler (server, "/", handle_unknown_path, server);
+  soup_server_add_handler (server->soup, NULL, handle_unknown_path, server,
+                           NULL);
   caller_server_add_handler (server, JOBS_PATH, handle_jobs, server);
   caller_server_add_handler (server, "/v1/tickets", handle_tickets, server);
   caller_server_add_handler (server, "/v1/health", handle_health, server);
 }
 
+/* Whether PATH is PARENT or below it.  */
+static gboolean
+is_below (const char *path, const char *parent)
+{
+  gsize length = strlen (parent);
+
+  return strncmp (path, parent, length) == 0
+         && (path[length] == '\0' || path[length] == '/');
+}
+
+static gboolean
+is_served (const struct caller_server *server, const char *path)
+{
+  for (guint i = 0; i < server->paths->len; i++)
+    if (is_below (path, g_ptr_array_index (server->paths, i)))
+      return TRUE;
+  return FALSE;
+}
+
+/* Jobs may have large bodies, operators' requests short ones.  */
+static gsize
+get_body_limit (gpointer data, SoupServerMessage *message, GError **error)
+{
+  struct caller_server *server = data;
+  const char *path = g_uri_get_path (soup_server_message_get_uri (message));
+  const char *method = soup_server_message_get_method (message);
+
+  if (!is_served (server, path))
+    {
+      set_unknown_path (error);
+      return 0;
+    }
+  if (is_below (path, JOBS_PATH))
+    return g_str_equal (method, SOUP_METHOD_POST)
+               ? server->settings->max_body_bytes
+               : 0;
+  return g_str_equal (method, SOUP_METHOD_PUT) ? OPERATOR_BODY_BYTES : 0;
+}
+
+static GBytes *
+format_error (gpointer data, const GError *error)
+{
+  return error_format_answer (error, NULL);
+}
+
+static const struct client_listener_ops listener_ops = {
+  .get_body_limit = get_body_limit,
+  .format_error = format_error,
+};
+
+/* Sets what clients may use of the machine.  */
+static void
+divide_machine (struct caller_server *server)
+{
+  const struct settings *settings = server->settings;
+  struct machine_limits limits;
+
+  machine_limits_read (
+      &limits, (guint64)settings->memory_mb * BYTES_PER_KB * BYTES_PER_KB,
+      settings->max_descriptors);
+  client_budget_init (&server->budget, &limits, settings->max_connections);
+}
+
 struct caller_server *
 caller_server_new (const struct settings *settings, struct home *home,
                    GError **error)
 {
   g_autoptr (GSocket) socket = listener_open (&settings->listen, error);
   g_autoptr (GTlsCertificate) certificate = NULL;
-  struct caller_server *server;
-  struct connection_limits limits = {
-    .max_connections = settings->max_connections,
+  struct client_listener_options options = {
+    .ops = &listener_ops,
+    .class = CLIENT_CALLERS,
     .request_timeout_ms = settings->request_timeout_ms,
     .idle_timeout_ms = IDLE_TIMEOUT_MS,
   };
+  struct caller_server *server;
 
   if (socket == NULL)
     return NULL;
@@ -482,27 +442,26 @@
   server->home = home;
   server->listener = g_object_ref (socket);
   server->port = listener_get_port (socket);
+  server->paths = g_ptr_array_new_with_free_func (g_free);
+  server->certificate = g_steal_pointer (&certificate);
   server->soup = soup_server_new ("server-header", "radishchute", NULL);
   add_handlers (server);
-  soup_server_set_tls_certificate (server->soup, certificate);
-  server->guard = connection_guard_new (server->soup, &limits);
-  if (!soup_server_listen_socket (
-          server->soup, socket,
-          certificate != NULL ? SOUP_SERVER_LISTEN_HTTPS : 0, error))
-    {
-      caller_server_free (server);
-      return NULL;
-    }
+  divide_machine (server);
+  options.data = server;
+  options.budget = &server->budget;
+  options.certificate = server->certificate;
+  server->clients = client_listener_new (server->soup, socket, &options);
   return server;
 }
 
 void
 caller_server_free (struct caller_server *server)
 {
-  soup_server_disconnect (server->soup);
-  connection_guard_free (server->guard);
+  client_listener_free (server->clients);
   g_object_unref (server->soup);
+  g_clear_object (&server->certificate);
   g_object_unref (server->listener);
+  g_ptr_array_unref (server->paths);
   g_free (server);
 }
 
@@ -520,13 +479,13 @@
     peer_dump_add (forward_get_hub (server->forward), state);
   json_object_set_new (
       state, "connections",
-      json_integer (connection_guard_count_open (server->guard)));
+      json_integer (client_listener_count_open (server->clients)));
 }
 
 guint
 caller_server_count_requests (const struct caller_server *server)
 {
-  return server->n_requests;
+  return client_listener_count_requests (server->clients);
 }
 
 void
@@ -537,6 +496,14 @@
   server->has_stopped_accepting = listener_ignore_connects (server->listener);
 }
 
+void
+caller_server_set_gauges (const struct caller_server *server)
+{
+  metrics_set (METRIC_CLIENT_CONNECTIONS,
+               client_budget_count (&server->budget));
+  metrics_set (METRIC_CLIENT_BYTES, server->budget.n_bytes);
+}
+
 guint
 caller_server_get_port (const struct caller_server *server)
 {
--- a/transport/caller_server.h
+++ b/transport/caller_server.h
@@ -34,6 +34,9 @@
 /* The number of requests that are being received or answered.  */
 guint caller_server_count_requests (const struct caller_server *server);
 
+/* Sets the gauges of the clients.  */
+void caller_server_set_gauges (const struct caller_server *server);
+
 /* Stops taking new connections.  Open connections go on, and so do those that
    still wait in the listen backlog.  */
 void caller_server_stop_accepting (struct caller_server *server);
@@ -46,8 +49,4 @@
 void caller_server_add_handler (struct caller_server *server, const char *path,
                                 SoupServerCallback handler, gpointer data);
 
-/* The request body of MESSAGE, whose path was added by
-   caller_server_add_handler ().  The caller owns the reference.  */
-GBytes *caller_server_get_body (SoupServerMessage *message);
-
 #endif
--- a/transport/home.c
+++ b/transport/home.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/event_log.h"
+#include "base/machine_limits.h"
 #include "base/metrics.h"
 #include "protocol/job_id_mac.h"
 
@@ -19,6 +20,11 @@
    measured.  */
 #define UNIX_OFFSET_INTERVAL_SEC 1
 
+/* The share of the machine's memory that jobs may take.  */
+#define MEMORY_SHARE 4
+
+#define BYTES_PER_KB 1024
+
 struct home
 {
   struct dispatcher_driver driver;
@@ -262,13 +268,26 @@
   return G_SOURCE_CONTINUE;
 }
 
+/* The memory of jobs: what the settings allow, and at most a quarter of the
+   machine's.  */
+static guint
+get_max_bytes (const struct settings *settings)
+{
+  struct machine_limits limits;
+
+  machine_limits_read (
+      &limits, (guint64)settings->memory_mb * BYTES_PER_KB * BYTES_PER_KB, 0);
+  return (guint)MIN (settings->max_state_bytes,
+                     limits.memory_bytes / MEMORY_SHARE);
+}
+
 struct home *
 home_new (const struct settings *settings)
 {
   struct home *home = g_new0 (struct home, 1);
   struct dispatcher_config config = {
     .seed = g_random_int (),
-    .max_bytes = settings->max_state_bytes,
+    .max_bytes = get_max_bytes (settings),
     .availability_zone = settings->availability_zone,
   };
 
--- a/transport/operator_server.c
+++ b/transport/operator_server.c
@@ -3,6 +3,7 @@
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "protocol/json_read.h"
+#include "transport/client_listener.h"
 #include "transport/http_answer.h"
 #include "transport/state_dump.h"
 
@@ -78,6 +79,7 @@
   metrics_set (METRIC_TASKS_QUEUED, load.n_queued_tasks);
   metrics_set (METRIC_TASKS_RUNNING, load.n_running_tasks);
   metrics_set (METRIC_JOB_BYTES, load.job_bytes);
+  caller_server_set_gauges (server->callers);
   metrics_set (METRIC_DRAINING, dispatcher_is_draining (dispatcher) ? 1 : 0);
 }
 
@@ -96,7 +98,7 @@
 static gboolean
 parse_level (SoupServerMessage *message, enum log_level *level, GError **error)
 {
-  g_autoptr (GBytes) bytes = caller_server_get_body (message);
+  g_autoptr (GBytes) bytes = client_message_take_body (message);
   gsize length;
   const char *text = g_bytes_get_data (bytes, &length);
   json_t *root = json_parse (text != NULL ? text : "", length, error);
