--- a/t/t7110-client-listener.c
+++ b/t/t7110-client-listener.c
@@ -9,6 +9,8 @@
 #include "transport/listener.h"
 
 #include <string.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #define BODY_LIMIT 1000
 #define MACHINE_BYTES (4 * 1024 * 1024)
@@ -276,6 +278,55 @@
   stop (bed);
 }
 
+/* The limit of a path holds for its escaped form.  */
+static void
+test_escaped_path (void)
+{
+  struct bed *bed = start (10);
+  g_autofree char *answer
+      = exchange (bed, "POST /%6aob HTTP/1.1\r\nHost: a\r\n"
+                       "Connection: close\r\nContent-Length: 2\r\n\r\n{}");
+
+  g_assert_true (g_str_has_prefix (answer, "HTTP/1.1 200 "));
+  g_assert_cmpuint (bed->n_received, ==, 2);
+  stop (bed);
+}
+
+static void
+set_max_descriptors (rlim_t n)
+{
+  struct rlimit limit;
+
+  g_assert_cmpint (getrlimit (RLIMIT_NOFILE, &limit), ==, 0);
+  limit.rlim_cur = n;
+  g_assert_cmpint (setrlimit (RLIMIT_NOFILE, &limit), ==, 0);
+}
+
+/* Once descriptors are free again, a server whose accept has failed accepts
+   those that wait.  */
+static void
+test_accept_fails (void)
+{
+  struct bed *bed = start (10);
+  g_autoptr (GSocket) client = connect_client (bed);
+  g_autofree char *answer = NULL;
+  struct rlimit before;
+  int lowest = dup (0);
+
+  close (lowest);
+  getrlimit (RLIMIT_NOFILE, &before);
+  set_max_descriptors ((rlim_t)lowest);
+  while (metrics_get (METRIC_CLIENTS_LIMITED, CLIENT_LIMIT_DESCRIPTORS) == 0)
+    g_main_context_iteration (NULL, TRUE);
+  g_assert_cmpuint (client_listener_count_open (bed->listener), ==, 0);
+  set_max_descriptors (before.rlim_cur);
+  send_text (client, "GET / HTTP/1.1\r\nHost: a\r\n"
+                     "Connection: close\r\n\r\n");
+  answer = read_to_end (client);
+  g_assert_true (g_str_has_prefix (answer, "HTTP/1.1 200 "));
+  stop (bed);
+}
+
 /* When all connections are taken, the one that has been idle the longest is
    closed for a new one.  */
 static void
@@ -350,6 +401,8 @@
   g_test_add_func ("/client-listener/header", test_header);
   g_test_add_func ("/client-listener/time", test_time);
   g_test_add_func ("/client-listener/bodies", test_bodies);
+  g_test_add_func ("/client-listener/escaped-path", test_escaped_path);
+  g_test_add_func ("/client-listener/accept-fails", test_accept_fails);
   g_test_add_func ("/client-listener/idle-gives-way", test_idle_gives_way);
   g_test_add_func ("/client-listener/largest-gives-way",
                    test_largest_gives_way);
