transport: limit the header of each request of a connection

What callers saw: a header of any length was read, kept and handled when it came as the second request of a connection.

Cause: the state of the former request was reset by libsoup's "request-started", which comes only once the next header is complete, except for the first request.

Change: it is reset when a request has been answered. A request that begins after its connection was refused gets a status, so that its handler is not called.

Measured: t7110 /client-listener/second-header hangs before, since the request is handled and the connection kept, and passes with the change.

--- a/t/t7110-client-listener.c
+++ b/t/t7110-client-listener.c
@@ -240,6 +240,29 @@
   stop (bed);
 }
 
+/* The limits hold for the second request of a connection too: the server
+   learns of it only when its header is complete.  */
+static void
+test_second_header (void)
+{
+  static const char first[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  struct bed *bed = start (10);
+  g_autofree char *value = g_strnfill (CLIENT_HEADER_BYTES, 'x');
+  g_autofree char *second
+      = g_strdup_printf ("GET / HTTP/1.1\r\nHost: %s\r\n\r\n", value);
+  g_autoptr (GSocket) client = connect_client (bed);
+  g_autofree char *answers = NULL;
+
+  send_text (client, first);
+  while (bed->n_handled < 1)
+    g_main_context_iteration (NULL, TRUE);
+  send_text (client, second);
+  answers = read_to_end (client);
+  g_assert_nonnull (strstr (answers, "HTTP/1.1 431 "));
+  g_assert_cmpuint (bed->n_handled, ==, 1);
+  stop (bed);
+}
+
 /* Half a request is not waited for forever.  */
 static void
 test_time (void)
@@ -399,6 +422,7 @@
   g_test_add_func ("/client-listener/refused-from-header",
                    test_refused_from_header);
   g_test_add_func ("/client-listener/header", test_header);
+  g_test_add_func ("/client-listener/second-header", test_second_header);
   g_test_add_func ("/client-listener/time", test_time);
   g_test_add_func ("/client-listener/bodies", test_bodies);
   g_test_add_func ("/client-listener/escaped-path", test_escaped_path);
--- a/transport/client_listener.c
+++ b/transport/client_listener.c
@@ -614,18 +614,24 @@
   connection->body_length += n;
 }
 
-/* The server waits for a request on a connection.  */
+/* A request begins: the first when its connection is served, the others once
+   their first bytes are read.  */
 static void
 on_request_started (SoupServer *server, SoupServerMessage *message,
                     gpointer data)
 {
   struct connection *connection = find_connection (message);
 
-  if (connection == NULL || is_over (connection))
+  if (connection == NULL)
     return;
+  if (is_over (connection))
+    {
+      /* Refused while its header was read: it must not be handled.  */
+      soup_server_message_set_status (message, SOUP_STATUS_SERVICE_UNAVAILABLE,
+                                      NULL);
+      return;
+    }
   connection->message = message;
-  connection->has_header = FALSE;
-  connection->header_bytes = 0;
   soup_message_body_set_accumulate (
       soup_server_message_get_request_body (message), FALSE);
   g_signal_connect (message, "got-headers", G_CALLBACK (on_got_headers), NULL);
@@ -659,6 +665,8 @@
   if (is_over (connection))
     return;
   clear_body (connection);
+  connection->has_header = FALSE;
+  connection->header_bytes = 0;
   connection->stalled_us = 0;
   connection->deadline_us
       = clock_now_us ()
