coordination: callers give way to callers only

What clients saw: when callers' requests had used up the memory, the first to be disconnected was a readiness check's idle connection, and a check whose header arrived then was refused with 503.

Cause: a growing request chose any class, and the memory of callers counted against the header of a check, although both classes have shares of their own.

Change: one choice, within the class; only callers' requests are bounded by the memory, as their connections are. The second choice is gone.

--- a/coordination/client_budget.c
+++ b/coordination/client_budget.c
@@ -43,20 +43,21 @@
 }
 
 gboolean
-client_budget_may_grow (const struct client_budget *budget, gsize n_bytes)
+client_budget_may_grow (const struct client_budget *budget,
+                        enum client_class class, gsize n_bytes)
 {
-  return budget->n_bytes + n_bytes <= budget->max_bytes;
+  /* The shares of the other classes are small: callers' memory does not keep
+     them out.  */
+  return class != CLIENT_CALLERS
+         || budget->n_bytes + n_bytes <= budget->max_bytes;
 }
 
 gboolean
 client_budget_has_room (const struct client_budget *budget,
                         enum client_class class, gsize n_bytes)
 {
-  if (budget->n_connections[class] >= budget->max_connections[class])
-    return FALSE;
-  /* The shares of the other classes are small: callers' memory does not keep
-     them out.  */
-  return class != CLIENT_CALLERS || client_budget_may_grow (budget, n_bytes);
+  return budget->n_connections[class] < budget->max_connections[class]
+         && client_budget_may_grow (budget, class, n_bytes);
 }
 
 void
@@ -116,9 +117,8 @@
   return client->state == CLIENT_READING && client->n_bytes > other->n_bytes;
 }
 
-/* CLASS is CLIENT_N_CLASSES for any.  */
-static struct client *
-choose (struct client_budget *budget, enum client_class class)
+struct client *
+client_budget_choose (struct client_budget *budget, enum client_class class)
 {
   struct client *chosen = NULL;
   struct list_node *node;
@@ -128,8 +128,7 @@
     {
       struct client *client = list_entry (node, struct client, link);
 
-      if (client->state >= CLIENT_ANSWERING
-          || (class != CLIENT_N_CLASSES && client->class != class))
+      if (client->class != class || client->state >= CLIENT_ANSWERING)
         continue;
       if (chosen == NULL || gives_way_before (client, chosen))
         chosen = client;
@@ -137,18 +136,6 @@
   return chosen;
 }
 
-struct client *
-client_budget_choose (struct client_budget *budget, enum client_class class)
-{
-  return choose (budget, class);
-}
-
-struct client *
-client_budget_choose_for_bytes (struct client_budget *budget)
-{
-  return choose (budget, CLIENT_N_CLASSES);
-}
-
 gsize
 client_budget_get_max_body (const struct client_budget *budget, gsize limit)
 {
--- a/coordination/client_budget.h
+++ b/coordination/client_budget.h
@@ -7,8 +7,8 @@
  * their own, so that callers cannot take them.
  *
  * A client is charged for its connection, and for the bytes of its request
- * that are kept.  When a charge does not fit, other clients give way: first
- * those that are only being closed, then those that have been idle the
+ * that are kept.  When a charge does not fit, others of its class give way:
+ * first those that are only being closed, then those that have been idle the
  * longest, then the one whose unfinished request holds the most.  A client
  * whose request is being answered never gives way.
  *
@@ -67,9 +67,9 @@
 gboolean client_budget_has_room (const struct client_budget *budget,
                                  enum client_class class, gsize n_bytes);
 
-/* Whether CLIENT may keep N_BYTES more of its request.  */
+/* Whether a client of CLASS may keep N_BYTES more of its request.  */
 gboolean client_budget_may_grow (const struct client_budget *budget,
-                                 gsize n_bytes);
+                                 enum client_class class, gsize n_bytes);
 
 /* Adds CLIENT, whose class and connection_bytes are set; its state is
    CLIENT_READING.  The budget may be exceeded.  */
@@ -89,14 +89,11 @@
 void client_budget_set_bytes (struct client_budget *budget,
                               struct client *client, gsize n_bytes);
 
-/* The client that gives way to a connection of CLASS, or NULL.  */
+/* The client of CLASS that gives way next, or NULL.  When a request is to
+   grow, that may be its own client.  */
 struct client *client_budget_choose (struct client_budget *budget,
                                      enum client_class class);
 
-/* The client that gives way to a request that grows, which may be that
-   request's own; NULL for none.  */
-struct client *client_budget_choose_for_bytes (struct client_budget *budget);
-
 /* The largest body that a process may take, in bytes, if LIMIT is what its
    settings allow.  */
 gsize client_budget_get_max_body (const struct client_budget *budget,
--- a/t/t2200-client-budget.c
+++ b/t/t2200-client-budget.c
@@ -68,20 +68,28 @@
                  == &callers[0]);
 }
 
-/* Callers' bodies do not keep a check of readiness out.  */
+/* Callers' bodies neither keep a check of readiness out nor close its idle
+   connection.  */
 static void
 test_memory_of_callers (void)
 {
   struct client_budget budget;
   struct client caller;
+  struct client check;
 
   init (&budget, 64, 192, 3000);
+  add (&budget, &check, CLIENT_READINESS);
+  client_budget_set_state (&budget, &check, CLIENT_IDLE);
   add (&budget, &caller, CLIENT_CALLERS);
   client_budget_set_bytes (&budget, &caller, budget.max_bytes);
   g_assert_false (
       client_budget_has_room (&budget, CLIENT_CALLERS, CONNECTION_BYTES));
   g_assert_true (
       client_budget_has_room (&budget, CLIENT_READINESS, CONNECTION_BYTES));
+  g_assert_false (client_budget_may_grow (&budget, CLIENT_CALLERS, 1));
+  g_assert_true (client_budget_may_grow (&budget, CLIENT_READINESS, 1));
+  g_assert_true (client_budget_choose (&budget, CLIENT_CALLERS) == &caller);
+  client_budget_remove (&budget, &check);
   client_budget_remove (&budget, &caller);
   g_assert_cmpuint (budget.n_bytes, ==, 0);
   g_assert_cmpuint (client_budget_count (&budget), ==, 0);
@@ -90,7 +98,7 @@
 static void
 assert_next (struct client_budget *budget, struct client *client)
 {
-  g_assert_true (client_budget_choose_for_bytes (budget) == client);
+  g_assert_true (client_budget_choose (budget, CLIENT_CALLERS) == client);
   client_budget_end (budget, client);
 }
 
@@ -115,7 +123,7 @@
   assert_next (&budget, &clients[3]);
   assert_next (&budget, &clients[2]);
   assert_next (&budget, &clients[0]);
-  g_assert_null (client_budget_choose_for_bytes (&budget));
+  g_assert_null (client_budget_choose (&budget, CLIENT_CALLERS));
   g_assert_cmpuint (budget.n_bytes, ==, CONNECTION_BYTES);
   g_assert_cmpuint (client_budget_count (&budget), ==, 6);
   for (guint i = 0; i < G_N_ELEMENTS (clients); i++)
--- a/transport/client_listener.c
+++ b/transport/client_listener.c
@@ -435,9 +435,10 @@
   struct client_listener *listener = connection->listener;
   struct client_budget *budget = listener->options.budget;
 
-  while (!client_budget_may_grow (budget, n_bytes))
+  while (!client_budget_may_grow (budget, listener->options.class, n_bytes))
     {
-      struct client *client = client_budget_choose_for_bytes (budget);
+      struct client *client
+          = client_budget_choose (budget, listener->options.class);
 
       count_limited (listener, CLIENT_LIMIT_MEMORY);
       if (client == NULL || client == &connection->client)
