transport: deadlines for unread answers and for log lines

The listener stored since when an answer was unread and when a limit was logged; it stores the deadlines now, as the other modules do. How long an answer may stay unread is an option beside the other timeouts, 10 s in all servers as before, so that a test can lower it.

Measured: t7110 /client-listener/unread-answer, new: a client that reads nothing of 8 MiB is disconnected, and the next one gets all of it.

--- a/t/t7110-client-listener.c
+++ b/t/t7110-client-listener.c
@@ -16,6 +16,7 @@
 #define MACHINE_BYTES (4 * 1024 * 1024)
 #define DESCRIPTORS 64
 #define MAX_ANSWER 4096
+#define LONG_ANSWER (8 * 1024 * 1024)
 
 struct bed
 {
@@ -37,6 +38,10 @@
   bed->n_handled++;
   bed->n_received = g_bytes_get_size (body);
   soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
+  if (g_str_equal (path, "/long"))
+    soup_server_message_set_response (message, "text/plain", SOUP_MEMORY_TAKE,
+                                      g_strnfill (LONG_ANSWER, 'x'),
+                                      LONG_ANSWER);
 }
 
 static gsize
@@ -70,6 +75,7 @@
     .budget = &bed->budget,
     .class = CLIENT_CALLERS,
     .request_timeout_ms = 300,
+    .answer_timeout_ms = 300,
     .idle_timeout_ms = 60000,
   };
   g_autoptr (GSocket) socket = listener_open (&endpoint, NULL);
@@ -273,6 +279,30 @@
   stop (bed);
 }
 
+/* A client that leaves its answer unread is disconnected; one that reads it
+   gets all of it.  */
+static void
+test_unread_answer (void)
+{
+  struct bed *bed = start (10);
+  guint64 before = metrics_get (METRIC_CLIENTS_LIMITED, CLIENT_LIMIT_TIME);
+  g_autoptr (GSocket) client = connect_client (bed);
+  g_autofree char *answer = NULL;
+
+  send_text (client, "GET /long HTTP/1.1\r\nHost: a\r\n\r\n");
+  while (metrics_get (METRIC_CLIENTS_LIMITED, CLIENT_LIMIT_TIME) == before)
+    g_main_context_iteration (NULL, TRUE);
+  wait_until_open (bed, 0);
+  answer = read_to_end (client);
+  g_assert_true (g_str_has_prefix (answer, "HTTP/1.1 200 "));
+  g_assert_cmpuint (strlen (answer), <, LONG_ANSWER);
+  g_clear_pointer (&answer, g_free);
+  answer = exchange (bed, "GET /long HTTP/1.1\r\nHost: a\r\n"
+                          "Connection: close\r\n\r\n");
+  g_assert_cmpuint (strlen (answer), >, LONG_ANSWER);
+  stop (bed);
+}
+
 /* Bodies within the limits arrive whole, in any form.  */
 static void
 test_bodies (void)
@@ -424,6 +454,7 @@
   g_test_add_func ("/client-listener/header", test_header);
   g_test_add_func ("/client-listener/second-header", test_second_header);
   g_test_add_func ("/client-listener/time", test_time);
+  g_test_add_func ("/client-listener/unread-answer", test_unread_answer);
   g_test_add_func ("/client-listener/bodies", test_bodies);
   g_test_add_func ("/client-listener/escaped-path", test_escaped_path);
   g_test_add_func ("/client-listener/accept-fails", test_accept_fails);
--- a/transport/caller_server.c
+++ b/transport/caller_server.c
@@ -425,6 +425,7 @@
     .ops = &listener_ops,
     .class = CLIENT_CALLERS,
     .request_timeout_ms = settings->request_timeout_ms,
+    .answer_timeout_ms = CLIENT_ANSWER_TIMEOUT_MS,
     .idle_timeout_ms = IDLE_TIMEOUT_MS,
   };
   struct caller_server *server;
--- a/transport/client_connection.c
+++ b/transport/client_connection.c
@@ -119,7 +119,7 @@
   if (connection->client.state == CLIENT_ENDING)
     return;
   connection->deadline_us = DEADLINE_NEVER;
-  connection->stalled_us = 0;
+  connection->answer_deadline_us = DEADLINE_NEVER;
   client_budget_end (listener->options.budget, &connection->client);
   listener->n_ending++;
   client_connection_clear_body (connection);
@@ -186,10 +186,14 @@
 {
   struct connection *connection = from_owner (owner);
 
+  if (connection->listener == NULL)
+    return;
   if (!is_blocked)
-    connection->stalled_us = 0;
-  else if (connection->stalled_us == 0)
-    connection->stalled_us = clock_now_us ();
+    connection->answer_deadline_us = DEADLINE_NEVER;
+  else if (connection->answer_deadline_us == DEADLINE_NEVER)
+    connection->answer_deadline_us
+        = clock_now_us ()
+          + connection->listener->options.answer_timeout_ms * USEC_PER_MSEC;
 }
 
 /* Frees the memory of CONNECTION's request, which is refused.  */
@@ -311,6 +315,7 @@
       = G_IO_STREAM (g_socket_connection_factory_create_connection (socket));
   connection->deadline_us
       = clock_now_us () + listener->options.request_timeout_ms * USEC_PER_MSEC;
+  connection->answer_deadline_us = DEADLINE_NEVER;
   client_budget_add (listener->options.budget, &connection->client);
   list_append (&listener->connections, &connection->link);
   listener->n_connections++;
--- a/transport/client_listener.c
+++ b/transport/client_listener.c
@@ -14,12 +14,8 @@
 /* How many connections are accepted at once before requests are served.  */
 #define ACCEPT_BATCH 16
 
-/* How long a client may leave its answer unread.  */
-#define ANSWER_STALL_US (10 * USEC_PER_SEC)
-
 /* The kernel's buffers of a connection.  They are memory of this process.  */
 #define RECEIVE_BUFFER_BYTES 8192
-
 #define SEND_BUFFER_BYTES 16384
 
 static const char *const class_names[CLIENT_N_CLASSES]
@@ -33,15 +29,14 @@
 
   metrics_count_label (METRIC_CLIENTS_LIMITED, limit);
   listener->n_limited[limit]++;
-  if (listener->logged_us[limit] != 0
-      && now_us - listener->logged_us[limit] < CLIENT_LOG_INTERVAL_US)
+  if (now_us < listener->log_due_us[limit])
     return;
   event_log_fields (EVENT_CLIENTS_LIMITED,
                     FIELD_TEXT ("limit", client_limit_name (limit)),
                     FIELD_TEXT ("class", class_names[listener->options.class]),
                     FIELD_INT ("count", listener->n_limited[limit]),
                     FIELD_INT ("open", listener->n_connections));
-  listener->logged_us[limit] = now_us;
+  listener->log_due_us[limit] = now_us + CLIENT_LOG_INTERVAL_US;
   listener->n_limited[limit] = 0;
 }
 
@@ -184,13 +179,11 @@
     {
       struct connection *connection
           = list_entry (node, struct connection, link);
-      gboolean is_stalled
-          = connection->stalled_us != 0
-            && now_us - connection->stalled_us >= ANSWER_STALL_US;
+      gboolean is_unread = connection->answer_deadline_us <= now_us;
 
-      if (connection->deadline_us > now_us && !is_stalled)
+      if (connection->deadline_us > now_us && !is_unread)
         continue;
-      if (is_stalled || connection->client.state == CLIENT_READING)
+      if (is_unread || connection->client.state == CLIENT_READING)
         client_listener_count_limited (listener, CLIENT_LIMIT_TIME);
       client_connection_cut (connection);
     }
--- a/transport/client_listener.h
+++ b/transport/client_listener.h
@@ -30,6 +30,9 @@
 #define CLIENT_MAX_FIELDS 128
 #define CLIENT_LOG_INTERVAL_US (10 * USEC_PER_SEC)
 
+/* How long the servers wait for a client to go on reading its answer.  */
+#define CLIENT_ANSWER_TIMEOUT_MS 10000
+
 struct client_listener;
 
 struct client_listener_ops
@@ -53,6 +56,7 @@
   enum client_class class;
   GTlsCertificate *certificate; /* NULL for plain HTTP */
   guint request_timeout_ms; /* from its first byte to the end of a request */
+  guint answer_timeout_ms;  /* while the client reads nothing of an answer */
   guint idle_timeout_ms;    /* between two requests */
 };
 
--- a/transport/client_listener_private.h
+++ b/transport/client_listener_private.h
@@ -43,7 +43,7 @@
   guint n_ending; /* of them, ended by force and not closed yet */
   guint n_requests;
   gsize turn_bytes; /* of bodies that may still be read in this turn */
-  gint64 logged_us[CLIENT_LIMIT_COUNT];
+  gint64 log_due_us[CLIENT_LIMIT_COUNT]; /* of the next line */
   guint64 n_limited[CLIENT_LIMIT_COUNT]; /* since that was logged */
 };
 
@@ -64,9 +64,10 @@
   gsize body_length;
   gsize body_size;
   gsize body_limit;
-  gsize header_bytes; /* read of the header so far */
-  gint64 deadline_us;
-  gint64 stalled_us; /* since when the answer is not read; 0: it is */
+  gsize header_bytes;        /* read of the header so far */
+  gint64 deadline_us;        /* DEADLINE_NEVER while answering */
+  gint64 answer_deadline_us; /* to go on reading the answer; DEADLINE_NEVER
+                                unless it is left unread */
   gboolean has_header;
   gboolean has_request; /* counted in n_requests */
   gboolean is_needed;   /* the body */
--- a/transport/client_request.c
+++ b/transport/client_request.c
@@ -286,7 +286,7 @@
   client_connection_clear_body (connection);
   connection->has_header = FALSE;
   connection->header_bytes = 0;
-  connection->stalled_us = 0;
+  connection->answer_deadline_us = DEADLINE_NEVER;
   connection->deadline_us
       = clock_now_us ()
         + connection->listener->options.idle_timeout_ms * USEC_PER_MSEC;
--- a/transport/metrics_server.c
+++ b/transport/metrics_server.c
@@ -91,6 +91,7 @@
     .budget = budget,
     .class = CLIENT_METRICS,
     .request_timeout_ms = REQUEST_TIMEOUT_MS,
+    .answer_timeout_ms = CLIENT_ANSWER_TIMEOUT_MS,
     .idle_timeout_ms = IDLE_TIMEOUT_MS,
   };
   g_autoptr (GSocket) socket = listener_open (endpoint, error);
