transport: double the buffer of a body

Cause: 400 bodies that arrive in pieces grew in steps of 4 KiB side by side, so that each was copied 64 times; ASan's allocator keeps the blocks of each size that they left. Without ASan the test took 43,088 KiB of 65,536.

Change: the buffer doubles, up to the limit of the body.

--- a/transport/client_request.c
+++ b/transport/client_request.c
@@ -7,8 +7,8 @@
 /* How much of a body that nobody needs is read.  */
 #define UNNEEDED_BODY_BYTES 16384
 
-/* By this much a body's buffer grows.  */
-#define BODY_STEP_BYTES 4096
+/* The first size of a body's buffer.  */
+#define MIN_BODY_BYTES 4096
 
 #define RETRY_AFTER_S 1
 
@@ -194,13 +194,16 @@
     refuse_body (connection);
 }
 
-/* Makes the buffer large enough for LENGTH bytes.  */
+/* Makes the buffer large enough for LENGTH bytes, which are within the limit.
+   It doubles, so that a body in small pieces is copied a few times only.  */
 static gboolean
 resize_body (struct connection *connection, gsize length)
 {
-  gsize size
-      = (length + BODY_STEP_BYTES - 1) / BODY_STEP_BYTES * BODY_STEP_BYTES;
+  gsize size = MAX (connection->body_size, MIN_BODY_BYTES);
 
+  while (size < length)
+    size *= 2;
+  size = MIN (size, connection->body_limit);
   if (size <= connection->body_size)
     return TRUE;
   if (!client_connection_make_room (connection, size - connection->body_size))
