--- a/base/machine_limits.c
+++ b/base/machine_limits.c
@@ -3,6 +3,8 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#define BYTES_PER_MB G_GUINT64_CONSTANT (1048576)
+
 /* The lower of VALUE and the process's limit of RESOURCE.  */
 static guint64
 apply_limit (guint64 value, __rlimit_resource_t resource)
@@ -26,14 +28,14 @@
 }
 
 void
-machine_limits_read (struct machine_limits *limits, guint64 memory_bytes,
+machine_limits_read (struct machine_limits *limits, guint memory_mb,
                      guint descriptors)
 {
   guint64 bytes = get_physical_bytes ();
   guint64 n = descriptors > 0 ? descriptors : G_MAXUINT;
 
-  if (memory_bytes > 0)
-    bytes = MIN (bytes, memory_bytes);
+  if (memory_mb > 0)
+    bytes = MIN (bytes, memory_mb * BYTES_PER_MB);
   bytes = apply_limit (bytes, RLIMIT_AS);
   bytes = apply_limit (bytes, RLIMIT_DATA);
   limits->memory_bytes = apply_limit (bytes, RLIMIT_RSS);
--- a/base/machine_limits.h
+++ b/base/machine_limits.h
@@ -13,11 +13,11 @@
 };
 
 /*
- * Reads the lowest of MEMORY_BYTES, the machine's memory, and the process's
- * limits RLIMIT_AS, RLIMIT_DATA and RLIMIT_RSS; and the lower of DESCRIPTORS
- * and RLIMIT_NOFILE.  0 for an argument that is not known.
+ * Reads the lowest of MEMORY_MB, the physical memory, and the process's limits
+ * RLIMIT_AS, RLIMIT_DATA and RLIMIT_RSS; and the lower of DESCRIPTORS and
+ * RLIMIT_NOFILE.  0 for an argument that is not known.
  */
-void machine_limits_read (struct machine_limits *limits, guint64 memory_bytes,
+void machine_limits_read (struct machine_limits *limits, guint memory_mb,
                           guint descriptors);
 
 #endif
--- a/t/t2200-client-budget.c
+++ b/t/t2200-client-budget.c
@@ -139,7 +139,7 @@
   struct machine_limits lower;
 
   machine_limits_read (&limits, 0, 0);
-  machine_limits_read (&lower, MB, 7);
+  machine_limits_read (&lower, 1, 7);
   g_assert_cmpuint (limits.memory_bytes, >, MB);
   g_assert_cmpuint (limits.descriptors, >, 7);
   g_assert_cmpuint (lower.memory_bytes, ==, MB);
--- a/transport/caller_server.c
+++ b/transport/caller_server.c
@@ -14,7 +14,6 @@
 #include <string.h>
 
 #define JOBS_PATH "/v1/jobs"
-#define BYTES_PER_KB 1024
 
 /* The longest body of a request that is not a job.  */
 #define OPERATOR_BODY_BYTES 16384
@@ -409,9 +408,8 @@
   const struct settings *settings = server->settings;
   struct machine_limits limits;
 
-  machine_limits_read (
-      &limits, (guint64)settings->memory_mb * BYTES_PER_KB * BYTES_PER_KB,
-      settings->max_descriptors);
+  machine_limits_read (&limits, settings->memory_mb,
+                       settings->max_descriptors);
   client_budget_init (&server->budget, &limits, settings->max_connections);
 }
 
--- a/transport/fleet.c
+++ b/transport/fleet.c
@@ -674,9 +674,8 @@
   const struct fleet_settings *settings = fleet->settings;
   struct machine_limits limits;
 
-  machine_limits_read (
-      &limits, (guint64)settings->memory_mb * BYTES_PER_KB * BYTES_PER_KB,
-      settings->max_descriptors);
+  machine_limits_read (&limits, settings->memory_mb,
+                       settings->max_descriptors);
   client_budget_init (&fleet->client_budget, &limits,
                       settings->max_connections);
 }
--- a/transport/home.c
+++ b/transport/home.c
@@ -23,8 +23,6 @@
 /* The share of the machine's memory that jobs may take.  */
 #define MEMORY_SHARE 4
 
-#define BYTES_PER_KB 1024
-
 struct home
 {
   struct dispatcher_driver driver;
@@ -275,8 +273,7 @@
 {
   struct machine_limits limits;
 
-  machine_limits_read (
-      &limits, (guint64)settings->memory_mb * BYTES_PER_KB * BYTES_PER_KB, 0);
+  machine_limits_read (&limits, settings->memory_mb, 0);
   return (guint)MIN (settings->max_state_bytes,
                      limits.memory_bytes / MEMORY_SHARE);
 }
