t: crowds with long strings, many tasks, half a handshake, slow reading

The matrix had no complete requests with one long string or name, none with as many tasks as are legal, no client that stops inside a TLS handshake, and none that reads its answers a few bytes at a time. The crowds and the bounds that stood are unchanged.

--- a/t/support/crowd.c
+++ b/t/support/crowd.c
@@ -5,6 +5,7 @@
 #include <dirent.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define PIECE_BYTES 997
 #define LARGE_CHUNK_BYTES 4096
@@ -21,6 +22,10 @@
 #define SERVED_TIMEOUT_US (15 * USEC_PER_SEC)
 #define RETRY_INTERVAL_US (50 * USEC_PER_MSEC)
 
+/* How much a client of CROWD_SIP reads at once, and what its socket holds.  */
+#define SIP_BYTES 256
+#define SIP_BUFFER_BYTES 4096
+
 #define TCP_STATE_LISTEN 0x0A
 
 struct client
@@ -45,7 +50,8 @@
 
 static const char *const names[CROWD_N_KINDS]
     = { "whole",  "pieces",  "chunks", "oversized", "endless",
-        "fields", "members", "ahead",  "drip",      "silent" };
+        "fields", "members", "ahead",  "drip",      "silent",
+        "long",   "key",     "wide",   "hello",     "sip" };
 
 const char *
 crowd_kind_name (enum crowd_kind kind)
@@ -163,6 +169,42 @@
     }
 }
 
+static void
+append_complete (GByteArray *text, const struct crowd_target *target,
+                 const char *body)
+{
+  append_body_head (text, target, (gint64)strlen (body));
+  append (text, body);
+}
+
+/* Appends a request with a body of N_BYTES that begins with BEGIN and ends
+   with END.  */
+static void
+append_filled (GByteArray *text, const struct crowd_target *target,
+               const char *begin, const char *end, gsize n_bytes)
+{
+  g_autofree char *filler
+      = g_strnfill (n_bytes - strlen (begin) - strlen (end), 'x');
+  g_autofree char *body = g_strconcat (begin, filler, end, NULL);
+
+  append_complete (text, target, body);
+}
+
+/* Appends what a TLS client sends before it needs an answer.  */
+static void
+append_hello (GByteArray *text)
+{
+  g_autoptr (GInputStream) input = g_memory_input_stream_new ();
+  g_autoptr (GOutputStream) output = g_memory_output_stream_new_resizable ();
+  g_autoptr (GIOStream) plain = g_simple_io_stream_new (input, output);
+  g_autoptr (GIOStream) tls = g_tls_client_connection_new (plain, NULL, NULL);
+  GMemoryOutputStream *memory = G_MEMORY_OUTPUT_STREAM (output);
+
+  g_tls_connection_handshake (G_TLS_CONNECTION (tls), NULL, NULL);
+  g_byte_array_append (text, g_memory_output_stream_get_data (memory),
+                       (guint)g_memory_output_stream_get_data_size (memory));
+}
+
 static GByteArray *
 make_text (const struct crowd *crowd, guint index)
 {
@@ -195,6 +237,7 @@
       append_members (text, target, body_bytes);
       break;
     case CROWD_AHEAD:
+    case CROWD_SIP:
       while (text->len < AHEAD_BYTES)
         append_ordinary (text, target);
       break;
@@ -202,6 +245,22 @@
       append_body_head (text, target, (gint64)body_bytes);
       g_byte_array_set_size (text, MIN (text->len, DRIP_BYTES));
       break;
+    case CROWD_LONG:
+      append_filled (text, target,
+                     target->long_begin != NULL ? target->long_begin : "[\"",
+                     target->long_begin != NULL ? target->long_end : "\"]",
+                     body_bytes);
+      break;
+    case CROWD_KEY:
+      append_filled (text, target, "{\"", "\":0}", body_bytes);
+      break;
+    case CROWD_WIDE:
+      append_complete (text, target,
+                       target->wide_body != NULL ? target->wide_body : "");
+      break;
+    case CROWD_HELLO:
+      append_hello (text);
+      break;
     default:
       if (index % 2 == 0)
         append_ordinary (text, target);
@@ -244,7 +303,7 @@
 }
 
 static GIOStream *
-open_stream (const struct crowd_target *target)
+open_stream (const struct crowd_target *target, int receive_bytes)
 {
   g_autoptr (GSocketAddress) address
       = g_inet_socket_address_new_from_string (target->ip, target->port);
@@ -255,6 +314,8 @@
   if (socket == NULL)
     return NULL;
   g_socket_set_timeout (socket, REQUEST_TIMEOUT_S);
+  if (receive_bytes > 0)
+    g_socket_set_option (socket, SOL_SOCKET, SO_RCVBUF, receive_bytes, NULL);
   if (!g_socket_connect (socket, address, NULL, NULL))
     return NULL;
   plain = G_IO_STREAM (g_socket_connection_factory_create_connection (socket));
@@ -266,9 +327,14 @@
            guint n_clients, gsize body_bytes)
 {
   struct crowd *crowd = g_new0 (struct crowd, 1);
-  gboolean is_shared = kind != CROWD_AHEAD || !target->has_ids;
+  gboolean has_own_jobs = kind == CROWD_AHEAD || kind == CROWD_SIP
+                          || kind == CROWD_LONG || kind == CROWD_KEY
+                          || kind == CROWD_WIDE;
+  gboolean is_shared = !has_own_jobs || !target->has_ids;
 
   crowd->target = *target;
+  if (kind == CROWD_HELLO)
+    crowd->target.is_tls = FALSE;
   crowd->kind = kind;
   crowd->n_clients = n_clients;
   crowd->body_bytes = body_bytes;
@@ -282,7 +348,8 @@
         client->text = g_byte_array_ref (crowd->clients[i % 2].text);
       else
         client->text = make_text (crowd, i);
-      client->stream = open_stream (target);
+      client->stream = open_stream (&crowd->target,
+                                    kind == CROWD_SIP ? SIP_BUFFER_BYTES : 0);
       client->has_ended = client->stream == NULL;
     }
   return crowd;
@@ -340,6 +407,20 @@
   return has_sent;
 }
 
+void
+crowd_sip (struct crowd *crowd)
+{
+  char bytes[SIP_BYTES];
+
+  for (guint i = 0; i < crowd->n_clients && crowd->kind == CROWD_SIP; i++)
+    if (crowd->clients[i].stream != NULL)
+      g_pollable_input_stream_read_nonblocking (
+          G_POLLABLE_INPUT_STREAM (
+              g_io_stream_get_input_stream (crowd->clients[i].stream)),
+          bytes, sizeof bytes, NULL, NULL);
+  crowd_send (crowd);
+}
+
 /* A value in kB of /proc/PID/status, in bytes; 0 without one.  */
 static gsize
 read_status (pid_t pid, const char *key)
@@ -476,7 +557,7 @@
 crowd_request (const struct crowd_target *target, gsize padding,
                gsize chunk_bytes)
 {
-  g_autoptr (GIOStream) stream = open_stream (target);
+  g_autoptr (GIOStream) stream = open_stream (target, 0);
   g_autoptr (GByteArray) text = g_byte_array_new ();
 
   if (stream == NULL)
@@ -494,7 +575,8 @@
 }
 
 gboolean
-crowd_request_until_served (const struct crowd_target *target)
+crowd_request_until_served (const struct crowd_target *target,
+                            struct crowd *crowd)
 {
   gint64 end_us = clock_now_us () + SERVED_TIMEOUT_US;
 
@@ -502,6 +584,8 @@
     {
       if (crowd_request (target, 0, 0) == 200)
         return TRUE;
+      if (crowd != NULL)
+        crowd_sip (crowd);
       g_usleep ((gulong)RETRY_INTERVAL_US);
     }
   return FALSE;
--- a/t/support/crowd.h
+++ b/t/support/crowd.h
@@ -2,8 +2,8 @@
  * Crowds of HTTP clients that misuse a server, and what the server's process
  * uses meanwhile.
  *
- * The clients of a crowd share one thread, never wait for the server, and read
- * nothing.  Their connections stay open until crowd_free ().
+ * The clients of a crowd share one thread and never wait for the server.  Only
+ * those of CROWD_SIP read.  Their connections stay open until crowd_free ().
  */
 #ifndef T_SUPPORT_CROWD_H
 #define T_SUPPORT_CROWD_H
@@ -26,6 +26,13 @@
   CROWD_DRIP,      /* a byte at a time, on very many connections */
   CROWD_SILENT,    /* very many connections; every second client sends half a
                       request */
+  CROWD_LONG,      /* complete requests whose body is one long string */
+  CROWD_KEY,       /* the same with one long name of an unknown member */
+  CROWD_WIDE,      /* complete requests with as many tasks as are legal */
+  CROWD_HELLO,     /* very many connections; the first message of a TLS
+                      handshake, and nothing after it */
+  CROWD_SIP,       /* very many connections; many requests on each, and the
+                      answers read very slowly */
   CROWD_N_KINDS
 };
 
@@ -40,11 +47,15 @@
   guint16 port;
   gboolean is_tls;
   const char *method;
-  const char *host;     /* of the header Host */
-  const char *path;     /* ends before the id if has_ids */
-  gboolean has_ids;     /* each request has an id of its own */
-  const char *body;     /* of an ordinary request; NULL for none */
-  gboolean is_answered; /* an ordinary request is answered with 200 */
+  const char *host;       /* of the header Host */
+  const char *path;       /* ends before the id if has_ids */
+  gboolean has_ids;       /* each request has an id of its own */
+  const char *body;       /* of an ordinary request; NULL for none */
+  const char *long_begin; /* of a legal body that goes on with one string of
+                             any length; NULL for none */
+  const char *long_end;
+  const char *wide_body; /* a legal body with many tasks; NULL for none */
+  gboolean is_answered;  /* an ordinary request is answered with 200 */
 };
 
 struct crowd;
@@ -60,6 +71,9 @@
 /* Lets each client send once.  Returns FALSE when no client could.  */
 gboolean crowd_send (struct crowd *crowd);
 
+/* Lets each client of CROWD_SIP read a little.  */
+void crowd_sip (struct crowd *crowd);
+
 /* Memory and descriptors of a process.  */
 struct crowd_usage
 {
@@ -86,7 +100,8 @@
                      gsize chunk_bytes);
 
 /* Repeats an ordinary request until it is answered with 200; returns FALSE
-   after very many tries.  */
-gboolean crowd_request_until_served (const struct crowd_target *target);
+   after very many tries.  The clients of CROWD, if any, go on meanwhile.  */
+gboolean crowd_request_until_served (const struct crowd_target *target,
+                                     struct crowd *crowd);
 
 #endif
--- a/t/support/crowd_matrix.c
+++ b/t/support/crowd_matrix.c
@@ -40,7 +40,8 @@
 static gboolean
 is_of_connections (enum crowd_kind kind)
 {
-  return kind == CROWD_DRIP || kind == CROWD_SILENT;
+  return kind == CROWD_DRIP || kind == CROWD_SILENT || kind == CROWD_HELLO
+         || kind == CROWD_SIP;
 }
 
 static guint
@@ -98,11 +99,11 @@
 }
 
 static void
-check_targets (const struct crowd_host *host)
+check_targets (const struct crowd_host *host, struct crowd *crowd)
 {
   for (guint i = 0; i < host->n_targets && !g_test_failed (); i++)
     if (host->targets[i].is_answered
-        && !crowd_request_until_served (&host->targets[i]))
+        && !crowd_request_until_served (&host->targets[i], crowd))
       g_test_fail_printf ("an ordinary request to %s is not answered with 200",
                           host->targets[i].name);
 }
@@ -139,7 +140,7 @@
   crowd = crowd_new (&host->targets[test->target], test->kind,
                      get_n_clients (host, test->kind), host->body_bytes);
   run_crowd (crowd, test->kind, &usage);
-  check_targets (host);
+  check_targets (host, crowd);
   crowd_usage_sample (&usage);
   check_usage (host, &usage);
   crowd_free (crowd);
@@ -156,7 +157,7 @@
   gsize padding = host->body_bytes - strlen (target->body);
 
   start (host, MANY_DESCRIPTORS);
-  check_targets (host);
+  check_targets (host, NULL);
   g_assert_cmpuint (crowd_request (target, padding, 0), ==, 200);
   g_assert_cmpuint (crowd_request (target, padding, 2), ==, 200);
   g_assert_cmpuint (crowd_request (target, padding, 65536), ==, 200);
--- a/t/support/entry_crowds.c
+++ b/t/support/entry_crowds.c
@@ -7,6 +7,12 @@
 #define BODY_BYTES (2 * 1024 * 1024)
 #define REQUEST_TIMEOUT_MS 5000
 #define N_CLIENTS 64
+#define N_TASKS 130
+
+static const char long_begin[]
+    = "{\"team\":\"" DEPLOYMENT_TEAM "\",\"service\":\"" DEPLOYMENT_SERVICE
+      "\",\"tasks\":[{\"input\":{\"run_ms\":1,\"value\":1,\"text\":\"";
+static const char long_end[] = "\"}}]}";
 
 static const struct crowd_target targets[] = {
   { .name = "route",
@@ -61,7 +67,7 @@
   deployment_publish (d, document);
   d->n_entries = 1;
   json_decref (document);
-  g_assert_true (crowd_request_until_served (&entry->host.targets[0]));
+  g_assert_true (crowd_request_until_served (&entry->host.targets[0], NULL));
 }
 
 static void
@@ -100,6 +106,7 @@
 entry_crowds_run (const char *name, gboolean has_tls, int argc, char **argv)
 {
   g_autofree char *job = deployment_job (1, 1, 0);
+  g_autofree char *wide_job = deployment_job (N_TASKS, 1, 0);
   struct entry_host entry = {
     .host = { .ops = &ops,
               .name = name,
@@ -118,5 +125,8 @@
       entry.host.targets[i].is_tls = has_tls;
     }
   entry.host.targets[0].body = job;
+  entry.host.targets[0].long_begin = long_begin;
+  entry.host.targets[0].long_end = long_end;
+  entry.host.targets[0].wide_body = wide_job;
   return crowd_matrix_run (&entry.host, argc, argv);
 }
--- a/t/t9800-fleet-crowds.c
+++ b/t/t9800-fleet-crowds.c
@@ -7,18 +7,29 @@
 
 #define MACHINE_BYTES (64 * 1024 * 1024)
 #define BODY_BYTES (256 * 1024)
+#define SPEC_BYTES 4000
 #define N_CLIENTS 400
 
 static const char job[]
     = "{\"bestEffort\":true,\"spec\":\"1\",\"steps\":[{\"count\":1,"
       "\"cpu\":1000,\"memMb\":64,\"estMs\":1}]}";
 
+static const char long_begin[]
+    = "{\"bestEffort\":true,\"spec\":\"1\",\"steps\":[{\"count\":1,"
+      "\"cpu\":1000,\"memMb\":64,\"estMs\":1,\"affinity\":\"";
+static const char long_end[] = "\"}]}";
+static const char wide_begin[] = "{\"bestEffort\":true,\"spec\":\"";
+static const char wide_end[] = "\",\"steps\":[{\"count\":130,"
+                               "\"cpu\":1000,\"memMb\":64,\"estMs\":100}]}";
+
 static const struct crowd_target targets[] = {
   { .name = "route",
     .method = "POST",
     .path = FLEET_BED_PATIENT,
     .has_ids = TRUE,
     .body = job,
+    .long_begin = long_begin,
+    .long_end = long_end,
     .is_answered = TRUE },
   { .name = "no-route",
     .method = "POST",
@@ -105,6 +116,8 @@
 int
 main (int argc, char **argv)
 {
+  g_autofree char *spec = g_strdup_printf ("%0*d", SPEC_BYTES, 1);
+  g_autofree char *wide_job = g_strconcat (wide_begin, spec, wide_end, NULL);
   struct fleet_host fleet = {
     .host = { .ops = &ops,
               .name = "fleet",
@@ -116,5 +129,6 @@
 
   for (guint i = 0; i < G_N_ELEMENTS (targets); i++)
     fleet.host.targets[i] = targets[i];
+  fleet.host.targets[0].wide_body = wide_job;
   return crowd_matrix_run (&fleet.host, argc, argv);
 }
