transport: read long headers in turns of the main loop

Callers saw 503 "no upstream is owned by a live VM" for more than 15 s after 400 clients had sent headers of 10,000 short fields, also clients of the readiness port. The log of the VM (build with ASan) has loop-late 3177 ms: the HTTP server reads a header line by line, and one turn of the loop read what all connections had. Polls of upstreams were late, and all were mute.

Only bodies were limited in a turn. The bytes of headers now count too. The first 512 bytes of a header are always read, so that ordinary requests do not wait for long ones.

--- a/transport/client_connection.c
+++ b/transport/client_connection.c
@@ -243,7 +243,7 @@
           = clock_now_us ()
             + listener->options.request_timeout_ms * USEC_PER_MSEC;
     }
-  if (connection->client.state == CLIENT_READING && connection->has_header)
+  if (connection->client.state == CLIENT_READING)
     listener->turn_bytes -= MIN (MAX (n, READ_BYTES), listener->turn_bytes);
   if (connection->client.state != CLIENT_READING || connection->has_header)
     return;
@@ -254,16 +254,21 @@
     client_connection_charge (connection);
 }
 
-/* Requests in very many chunks must not keep the loop from other work.  */
+/* Requests in very many fields or chunks must not keep the loop from other
+   work.  The first bytes of a header are always read: short requests do not
+   wait for long ones.  */
 static gsize
 limit_read (struct client_stream_owner *owner, gsize count)
 {
   const struct connection *connection = from_owner (owner);
+  gsize n_short = 0;
 
-  if (connection->listener == NULL || !connection->has_header
-      || connection->client.state != CLIENT_READING)
+  if (connection->listener == NULL
+      || connection->client.state > CLIENT_READING)
     return count;
-  return MIN (count, connection->listener->turn_bytes);
+  if (!connection->has_header && connection->header_bytes < SHORT_HEADER_BYTES)
+    n_short = SHORT_HEADER_BYTES - connection->header_bytes;
+  return MIN (count, MAX (connection->listener->turn_bytes, n_short));
 }
 
 static const struct client_stream_owner_ops owner_ops = {
--- a/transport/client_listener.c
+++ b/transport/client_listener.c
@@ -201,7 +201,7 @@
 on_turn (GSource *source, int *timeout_ms)
 {
   ((struct turn_source *)(void *)source)->listener->turn_bytes
-      = BODY_BYTES_PER_TURN;
+      = BYTES_PER_TURN;
   *timeout_ms = -1;
   return FALSE;
 }
--- a/transport/client_listener_private.h
+++ b/transport/client_listener_private.h
@@ -18,16 +18,23 @@
 #define CONNECTION_BYTES (40 * 1024)
 #define TLS_CONNECTION_BYTES (96 * 1024)
 
-/* How much of all bodies is read in one turn of the main loop.  A read counts
-   as READ_BYTES at least: the HTTP server makes three for a chunk of a few
-   bytes.  */
-#define BODY_BYTES_PER_TURN (64 * 1024)
+/* How much of all requests is read in one turn of the main loop.  A read
+   counts as READ_BYTES at least: the HTTP server makes three for a chunk of a
+   few bytes.  */
+#define BYTES_PER_TURN (64 * 1024)
 #define READ_BYTES 256
 
+/* A header up to this length is read beyond that.  */
+#define SHORT_HEADER_BYTES 512
+
 /* How long a refused client has to read its answer before its connection is
    closed.  */
 #define LINGER_US USEC_PER_SEC
 
+/* How long a client may take to read an answer before it gives way to
+   others.  */
+#define SLOW_ANSWER_US USEC_PER_SEC
+
 struct client_listener
 {
   struct client_listener_options options;
