coordination: keep 64 descriptors from clients on small machines

A VM with 192 descriptors had 181 in use under a crowd of slow readers: clients took four fifths, and jobs with their connections to upstreams, which do not shrink with the machine, nearly all of the rest.

Clients now get all but 64 of fewer than 320, and half at least.

--- a/coordination/client_budget.c
+++ b/coordination/client_budget.c
@@ -2,10 +2,14 @@
 
 #include <string.h>
 
-/* The shares of clients in the memory and the descriptors.  */
+/* The share of clients in the memory.  */
 #define MEMORY_SHARE 2
-#define DESCRIPTORS_NUMERATOR 4
-#define DESCRIPTORS_DENOMINATOR 5
+
+/* The share of the descriptors that is kept from clients, and its lower limit:
+   what a process needs of them does not shrink with the machine.  Clients get
+   half of them at least.  */
+#define DESCRIPTORS_KEPT_SHARE 5
+#define MIN_DESCRIPTORS_KEPT 64
 
 /* The shares of checks and scrapes in the clients' descriptors, with their
    upper limits.  */
@@ -26,8 +30,9 @@
 client_budget_init (struct client_budget *budget,
                     const struct machine_limits *limits, guint max_callers)
 {
-  guint n = (guint)((guint64)limits->descriptors * DESCRIPTORS_NUMERATOR
-                    / DESCRIPTORS_DENOMINATOR);
+  guint n_kept = MAX (limits->descriptors / DESCRIPTORS_KEPT_SHARE,
+                      MIN_DESCRIPTORS_KEPT);
+  guint n = limits->descriptors - MIN (n_kept, limits->descriptors / 2);
   guint n_readiness = CLAMP (n / READINESS_SHARE, 1, MAX_READINESS);
   guint n_metrics = CLAMP (n / METRICS_SHARE, 1, MAX_METRICS);
   guint n_other = n_readiness + n_metrics;
--- a/coordination/client_budget.h
+++ b/coordination/client_budget.h
@@ -2,15 +2,16 @@
  * The memory and the descriptors that the clients of one process share.
  *
  * Clients get half of the machine's memory and four fifths of its
- * descriptors.  The rest is kept for peers, beacons, the store, upstreams and
- * the jobs themselves.  Checks of readiness and scrapes have small shares of
- * their own, so that callers cannot take them.
+ * descriptors, or all but 64 of few.  The rest is kept for peers, beacons, the
+ * store, upstreams and the jobs themselves.  Checks of readiness and scrapes
+ * have small shares of their own, so that callers cannot take them.
  *
  * A client is charged for its connection, and for the bytes of its request
  * that are kept.  When a charge does not fit, others of its class give way:
  * first those that are only being closed, then those that have been idle the
- * longest, then the one whose unfinished request holds the most.  A client
- * whose request is being answered never gives way.
+ * longest, then those that leave an answer unread, then the one whose
+ * unfinished request holds the most.  A client whose request is being worked
+ * on never gives way.
  *
  * Pure decisions: nothing here knows sockets or the clock.
  */
--- a/t/t2200-client-budget.c
+++ b/t/t2200-client-budget.c
@@ -42,7 +42,12 @@
   g_assert_cmpuint (budget.max_connections[CLIENT_CALLERS]
                         + budget.max_connections[CLIENT_READINESS]
                         + budget.max_connections[CLIENT_METRICS],
-                    ==, 153);
+                    ==, 192 - 64);
+  init (&budget, 64, 100, 3000);
+  g_assert_cmpuint (budget.max_connections[CLIENT_CALLERS]
+                        + budget.max_connections[CLIENT_READINESS]
+                        + budget.max_connections[CLIENT_METRICS],
+                    ==, 50);
   init (&budget, 1, 1, 1);
   for (guint i = 0; i < CLIENT_N_CLASSES; i++)
     g_assert_cmpuint (budget.max_connections[i], ==, 1);
