--- a/t/t5020-job-body.c
+++ b/t/t5020-job-body.c
@@ -68,6 +68,22 @@
   assert_refused (text, kind, part);
 }
 
+/* Peers cannot exchange longer labels: a job that requires one never runs, and
+   one that prefers such a rack runs anywhere.  */
+static void
+test_long_labels (void)
+{
+  g_autofree char *label = g_strnfill (PEER_NAME_MAX + 1, 'x');
+  g_autofree char *affinity = g_strdup_printf (",'affinity':'%s'", label);
+  g_autofree char *required = g_strdup_printf (",'requires':'%s'", label);
+  g_autofree char *text = make_job ("", affinity);
+  struct fleet_submission *s = parse (text);
+
+  g_assert_cmpstr (s->affinity, ==, NULL);
+  fleet_submission_free (s);
+  assert_job_refused ("", required, ERROR_NEVER_RUNS, "at most");
+}
+
 static void
 test_whole_job (void)
 {
@@ -245,6 +261,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/job-body/whole-job", test_whole_job);
+  g_test_add_func ("/job-body/long-labels", test_long_labels);
   g_test_add_func ("/job-body/least-job", test_least_job);
   g_test_add_func ("/job-body/spec-size", test_spec_size);
   g_test_add_func ("/job-body/malformed", test_malformed);
