protocol: bound the names that error messages quote

The answer to a job with one unknown member of 2 MiB quoted all of it, and the error of an unknown team its whole name: a client that did not read its answer held twice its request. A problem is cut after 2,048 bytes, and names of teams and services in jobs have 255 at most.

t4010 /json-read/long-problem is new (it does not build before).

--- a/protocol/job_json.c
+++ b/protocol/job_json.c
@@ -11,6 +11,9 @@
 #define MAX_ACCELERATORS 64
 #define DEFAULT_DEADLINE_MS 60000
 
+/* Names of teams and of services; error messages quote them.  */
+#define MAX_NAME_BYTES 255
+
 static const char *const job_keys[]
     = { "ticket",           "team",       "service", "deadline_ms",
         "deadline_unix_ms", "idempotent", "tasks",   NULL };
@@ -48,6 +51,21 @@
   task->input = g_bytes_new_take (text, strlen (text));
 }
 
+static void
+read_name (struct json_check *check, json_t *root, const char *key,
+           const char **name)
+{
+  const char *value = NULL;
+
+  if (!json_read_string (check, "job", root, key, TRUE, &value))
+    return;
+  if (strlen (value) <= MAX_NAME_BYTES)
+    *name = value;
+  else
+    json_check_add_problem (check, "job", "'%s' must have at most %d bytes",
+                            key, MAX_NAME_BYTES);
+}
+
 static void
 parse_deadline (struct json_check *check, json_t *root, struct job *job,
                 gint64 now_us)
@@ -77,8 +95,8 @@
   struct job *job;
 
   json_check_keys (check, "job", root, job_keys);
-  json_read_string (check, "job", root, "team", TRUE, &team);
-  json_read_string (check, "job", root, "service", TRUE, &service);
+  read_name (check, root, "team", &team);
+  read_name (check, root, "service", &service);
   json_read_boolean (check, "job", root, "idempotent", &is_idempotent);
   if (!json_read_array (check, "job", root, "tasks", TRUE, &tasks))
     return NULL;
--- a/protocol/json_read.c
+++ b/protocol/json_read.c
@@ -27,20 +27,37 @@
   return ok;
 }
 
+/* Shortens the UTF-8 text from START on to LENGTH bytes.  */
+static void
+shorten (GString *text, gsize start, gsize length)
+{
+  gsize end = start + length;
+
+  if (text->len <= end)
+    return;
+  while (end > start && ((guint8)text->str[end] & 0xC0) == 0x80)
+    end--;
+  g_string_truncate (text, end);
+  g_string_append (text, "...");
+}
+
 void
 json_check_add_problem (struct json_check *check, const char *path,
                         const char *format, ...)
 {
   va_list args;
+  gsize start;
 
   if (check->n_problems++ >= JSON_MAX_PROBLEMS)
     return;
   if (check->n_problems > 1)
     g_string_append_c (check->problems, '\n');
+  start = check->problems->len;
   g_string_append_printf (check->problems, "%s: %s: ", check->source, path);
   va_start (args, format);
   g_string_append_vprintf (check->problems, format, args);
   va_end (args);
+  shorten (check->problems, start, JSON_MAX_PROBLEM_BYTES);
 }
 
 json_t *
--- a/protocol/json_read.h
+++ b/protocol/json_read.h
@@ -15,6 +15,9 @@
 /* How many problems of one input are listed; the others are counted.  */
 #define JSON_MAX_PROBLEMS 100
 
+/* The length of one problem; the names in it may be as long as the input.  */
+#define JSON_MAX_PROBLEM_BYTES 2048
+
 struct json_check
 {
   const char *source; /* names the input in messages; not owned */
--- a/t/t4010-json-read.c
+++ b/t/t4010-json-read.c
@@ -56,6 +56,23 @@
   g_assert_true (g_str_has_suffix (error->message, "7 more problems"));
 }
 
+/* A problem quotes names that are as long as the client likes.  */
+static void
+test_long_problem (void)
+{
+  g_autofree char *name = g_strnfill (JSON_MAX_PROBLEM_BYTES, 'x');
+  struct json_check check;
+  g_autoptr (GError) error = NULL;
+
+  json_check_init (&check, "the job");
+  json_check_add_problem (&check, "job", "%s\xc3\xa9", name);
+  json_check_add_problem (&check, "job", "the second");
+  g_assert_false (json_check_end (&check, &error));
+  g_assert_true (g_utf8_validate (error->message, -1, NULL));
+  g_assert_cmpuint (strlen (error->message), <, JSON_MAX_PROBLEM_BYTES + 50);
+  g_assert_true (g_str_has_suffix (error->message, "the second"));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -63,5 +80,6 @@
   g_test_add_func ("/json-read/values", test_values);
   g_test_add_func ("/json-read/strings", test_strings);
   g_test_add_func ("/json-read/problems", test_problems);
+  g_test_add_func ("/json-read/long-problem", test_long_problem);
   return g_test_run ();
 }
