transport: charge clients for what is kept until they have read it

Over TLS no ordinary request was answered for 15 s under a crowd that reads its answers a few bytes at a time: such a client is never late, and a connection that was being answered never gave way. Besides, a body was no longer charged once the server had taken it, though jobs and forwarded requests keep it, and an answer that its client did not read was never charged.

A body stays charged until its request is answered, and an answer from when its client leaves some of it unread. Answers that do not fit together are broken off. A client that has not read its answer after 1 s gives way to others; one that is being worked on still never does.

--- a/coordination/client_budget.h
+++ b/coordination/client_budget.h
@@ -34,6 +34,7 @@
 {
   CLIENT_CLOSING, /* refused; its answer is on its way */
   CLIENT_IDLE,    /* between two requests */
+  CLIENT_UNREAD,  /* it reads its answer slowly, or not at all */
   CLIENT_READING, /* its request is not complete */
   CLIENT_ANSWERING,
   CLIENT_ENDING /* has given way, and is charged no memory any more */
--- a/t/t2200-client-budget.c
+++ b/t/t2200-client-budget.c
@@ -112,7 +112,7 @@
 test_order (void)
 {
   struct client_budget budget;
-  struct client clients[6];
+  struct client clients[7];
 
   init (&budget, 64, 1024, 3000);
   for (guint i = 0; i < G_N_ELEMENTS (clients); i++)
@@ -123,14 +123,16 @@
   client_budget_set_state (&budget, &clients[4], CLIENT_IDLE);
   client_budget_set_state (&budget, &clients[3], CLIENT_IDLE);
   client_budget_set_state (&budget, &clients[5], CLIENT_CLOSING);
+  client_budget_set_state (&budget, &clients[6], CLIENT_UNREAD);
   assert_next (&budget, &clients[5]);
   assert_next (&budget, &clients[4]);
   assert_next (&budget, &clients[3]);
+  assert_next (&budget, &clients[6]);
   assert_next (&budget, &clients[2]);
   assert_next (&budget, &clients[0]);
   g_assert_null (client_budget_choose (&budget, CLIENT_CALLERS));
   g_assert_cmpuint (budget.n_bytes, ==, CONNECTION_BYTES);
-  g_assert_cmpuint (client_budget_count (&budget), ==, 6);
+  g_assert_cmpuint (client_budget_count (&budget), ==, 7);
   for (guint i = 0; i < G_N_ELEMENTS (clients); i++)
     client_budget_remove (&budget, &clients[i]);
   g_assert_cmpuint (budget.n_bytes, ==, 0);
--- a/t/t7110-client-listener.c
+++ b/t/t7110-client-listener.c
@@ -18,6 +18,9 @@
 #define MAX_ANSWER 4096
 #define LONG_ANSWER (8 * 1024 * 1024)
 
+/* Half of the clients' memory.  */
+#define HALF_ANSWER (MACHINE_BYTES / 4)
+#define SLOW_READ_INTERVAL_US 20000
 struct bed
 {
   struct client_budget budget;
@@ -25,9 +28,17 @@
   struct client_listener *listener;
   guint16 port;
   guint n_handled;
-  gsize n_received; /* bytes of the last body */
+  gsize n_received;           /* bytes of the last body */
+  SoupServerMessage *waiting; /* the last request of /wait */
 };
 
+static void
+set_answer (SoupServerMessage *message, gsize length)
+{
+  soup_server_message_set_response (message, "text/plain", SOUP_MEMORY_TAKE,
+                                    g_strnfill (length, 'x'), length);
+}
+
 static void
 on_request (SoupServer *soup, SoupServerMessage *message, const char *path,
             GHashTable *query, gpointer data)
@@ -38,10 +49,16 @@
   bed->n_handled++;
   bed->n_received = g_bytes_get_size (body);
   soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
+  if (g_str_equal (path, "/wait"))
+    {
+      soup_server_message_pause (message);
+      g_clear_object (&bed->waiting);
+      bed->waiting = g_object_ref (message);
+    }
   if (g_str_equal (path, "/long"))
-    soup_server_message_set_response (message, "text/plain", SOUP_MEMORY_TAKE,
-                                      g_strnfill (LONG_ANSWER, 'x'),
-                                      LONG_ANSWER);
+    set_answer (message, LONG_ANSWER);
+  if (g_str_equal (path, "/half"))
+    set_answer (message, HALF_ANSWER);
 }
 
 static gsize
@@ -53,7 +70,8 @@
     error_set (error, ERROR_NOT_FOUND, "no such path");
   if (g_str_equal (path, "/large"))
     return MACHINE_BYTES;
-  return g_str_equal (path, "/job") ? BODY_LIMIT : 0;
+  return g_str_equal (path, "/job") || g_str_equal (path, "/wait") ? BODY_LIMIT
+                                                                   : 0;
 }
 
 static GBytes *
@@ -303,6 +321,90 @@
   stop (bed);
 }
 
+/* Answers that are left unread together must not take more than the clients'
+   memory: all but the first are given up.  */
+static void
+test_unread_answers (void)
+{
+  struct bed *bed = start (10);
+  guint64 before = metrics_get (METRIC_CLIENTS_LIMITED, CLIENT_LIMIT_MEMORY);
+  GSocket *sockets[4];
+  for (guint i = 0; i < G_N_ELEMENTS (sockets); i++)
+    sockets[i] = connect_client (bed);
+  wait_until_open (bed, G_N_ELEMENTS (sockets));
+  for (guint i = 0; i < G_N_ELEMENTS (sockets); i++)
+    send_text (sockets[i], "GET /half HTTP/1.1\r\nHost: a\r\n\r\n");
+  while (bed->n_handled < G_N_ELEMENTS (sockets))
+    g_main_context_iteration (NULL, TRUE);
+  wait_until_open (bed, 1);
+  g_assert_cmpuint (metrics_get (METRIC_CLIENTS_LIMITED, CLIENT_LIMIT_MEMORY),
+                    ==, before + G_N_ELEMENTS (sockets) - 1);
+  for (guint i = 0; i < G_N_ELEMENTS (sockets); i++)
+    g_object_unref (sockets[i]);
+  stop (bed);
+}
+
+/* Whether an ordinary request is answered; a connection without room is closed
+   at once.  */
+static gboolean
+is_served (struct bed *bed)
+{
+  g_autofree char *answer = exchange (
+      bed, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+
+  return g_str_has_prefix (answer, "HTTP/1.1 200 ");
+}
+
+/* A client that reads its answer a few bytes at a time is never late, and must
+   not keep its connection from others.  */
+static void
+test_slow_reader_gives_way (void)
+{
+  struct bed *bed = start (1);
+  g_autoptr (GSocket) slow = connect_client (bed);
+  g_autoptr (GString) answer = g_string_new (NULL);
+
+  send_text (slow, "GET /long HTTP/1.1\r\nHost: a\r\n\r\n");
+  while (bed->n_handled == 0)
+    g_main_context_iteration (NULL, TRUE);
+  while (!is_served (bed))
+    {
+      g_usleep (SLOW_READ_INTERVAL_US);
+      receive (slow, answer);
+    }
+  while (!receive (slow, answer))
+    g_main_context_iteration (NULL, FALSE);
+  g_assert_cmpuint (answer->len, <, LONG_ANSWER);
+  stop (bed);
+}
+
+/* The server keeps the body of a request that it answers later.  */
+static void
+test_kept_body_is_charged (void)
+{
+  struct bed *bed = start (10);
+  g_autofree char *body = g_strnfill (BODY_LIMIT, ' ');
+  g_autofree char *text = g_strdup_printf ("POST /wait HTTP/1.1\r\nHost: a\r\n"
+                                           "Connection: close\r\n"
+                                           "Content-Length: %d\r\n\r\n%s",
+                                           BODY_LIMIT, body);
+  g_autoptr (GSocket) client = connect_client (bed);
+  g_autofree char *answer = NULL;
+  gsize before;
+
+  wait_until_open (bed, 1);
+  before = bed->budget.n_bytes;
+  send_text (client, text);
+  while (bed->waiting == NULL)
+    g_main_context_iteration (NULL, TRUE);
+  g_assert_cmpuint (bed->budget.n_bytes, ==, before + BODY_LIMIT);
+  soup_server_message_unpause (bed->waiting);
+  g_clear_object (&bed->waiting);
+  answer = read_to_end (client);
+  g_assert_true (g_str_has_prefix (answer, "HTTP/1.1 200 "));
+  stop (bed);
+}
+
 /* Bodies within the limits arrive whole, in any form.  */
 static void
 test_bodies (void)
@@ -455,6 +557,11 @@
   g_test_add_func ("/client-listener/second-header", test_second_header);
   g_test_add_func ("/client-listener/time", test_time);
   g_test_add_func ("/client-listener/unread-answer", test_unread_answer);
+  g_test_add_func ("/client-listener/unread-answers", test_unread_answers);
+  g_test_add_func ("/client-listener/slow-reader-gives-way",
+                   test_slow_reader_gives_way);
+  g_test_add_func ("/client-listener/kept-body-is-charged",
+                   test_kept_body_is_charged);
   g_test_add_func ("/client-listener/bodies", test_bodies);
   g_test_add_func ("/client-listener/escaped-path", test_escaped_path);
   g_test_add_func ("/client-listener/accept-fails", test_accept_fails);
--- a/transport/client_connection.c
+++ b/transport/client_connection.c
@@ -48,16 +48,27 @@
 {
   client_budget_set_bytes (
       connection->listener->options.budget, &connection->client,
-      connection->body_size
+      connection->body_size + connection->taken_bytes
+          + connection->answer_bytes
           + (connection->has_header ? 0 : connection->header_bytes));
 }
 
+static void
+forget_answer (struct connection *connection, struct client_listener *listener)
+{
+  if (connection->answer_bytes > 0)
+    listener->n_unread_answers--;
+  connection->answer_bytes = 0;
+}
+
 void
-client_connection_clear_body (struct connection *connection)
+client_connection_clear_request (struct connection *connection)
 {
   g_clear_pointer (&connection->body, g_free);
   connection->body_length = 0;
   connection->body_size = 0;
+  connection->taken_bytes = 0;
+  forget_answer (connection, connection->listener);
   if (connection->client.state != CLIENT_ENDING)
     client_connection_charge (connection);
 }
@@ -88,6 +99,7 @@
     listener->n_requests--;
   if (connection->client.state == CLIENT_ENDING)
     listener->n_ending--;
+  forget_answer (connection, listener);
   client_budget_remove (listener->options.budget, &connection->client);
   list_remove (&connection->link);
   listener->n_connections--;
@@ -120,9 +132,10 @@
     return;
   connection->deadline_us = DEADLINE_NEVER;
   connection->answer_deadline_us = DEADLINE_NEVER;
+  connection->slow_deadline_us = DEADLINE_NEVER;
   client_budget_end (listener->options.budget, &connection->client);
   listener->n_ending++;
-  client_connection_clear_body (connection);
+  client_connection_clear_request (connection);
   if (connection->cancellable != NULL)
     g_cancellable_cancel (connection->cancellable);
   else if (connection->stream != NULL)
@@ -181,19 +194,55 @@
     client_connection_free (connection);
 }
 
+/* Charges the client for an answer that it leaves unread, or ends its
+   connection if that does not fit.  The only such answer always fits: its
+   client may only be slow.  */
+static void
+keep_answer (struct connection *connection)
+{
+  struct client_listener *listener = connection->listener;
+  gsize n_bytes;
+
+  if (connection->message == NULL)
+    return;
+  n_bytes = (gsize)soup_server_message_get_response_body (connection->message)
+                ->length;
+  if (n_bytes == 0)
+    return;
+  if (listener->n_unread_answers > 0
+      && !client_budget_may_grow (listener->options.budget,
+                                  listener->options.class, n_bytes))
+    {
+      client_listener_count_limited (listener, CLIENT_LIMIT_MEMORY);
+      client_connection_cut (connection);
+      return;
+    }
+  connection->answer_bytes = n_bytes;
+  listener->n_unread_answers++;
+  client_connection_charge (connection);
+}
+
 static void
 on_stream_sent (struct client_stream_owner *owner, gboolean is_blocked)
 {
   struct connection *connection = from_owner (owner);
 
-  if (connection->listener == NULL)
+  if (connection->listener == NULL
+      || connection->client.state == CLIENT_ENDING)
     return;
   if (!is_blocked)
-    connection->answer_deadline_us = DEADLINE_NEVER;
-  else if (connection->answer_deadline_us == DEADLINE_NEVER)
+    {
+      connection->answer_deadline_us = DEADLINE_NEVER;
+      return;
+    }
+  if (connection->answer_deadline_us == DEADLINE_NEVER)
     connection->answer_deadline_us
         = clock_now_us ()
           + connection->listener->options.answer_timeout_ms * USEC_PER_MSEC;
+  if (connection->slow_deadline_us == DEADLINE_NEVER)
+    connection->slow_deadline_us = clock_now_us () + SLOW_ANSWER_US;
+  if (connection->answer_bytes == 0)
+    keep_answer (connection);
 }
 
 /* Frees the memory of CONNECTION's request, which is refused.  */
@@ -321,6 +370,7 @@
   connection->deadline_us
       = clock_now_us () + listener->options.request_timeout_ms * USEC_PER_MSEC;
   connection->answer_deadline_us = DEADLINE_NEVER;
+  connection->slow_deadline_us = DEADLINE_NEVER;
   client_budget_add (listener->options.budget, &connection->client);
   list_append (&listener->connections, &connection->link);
   listener->n_connections++;
--- a/transport/client_listener.c
+++ b/transport/client_listener.c
@@ -181,6 +181,9 @@
           = list_entry (node, struct connection, link);
       gboolean is_unread = connection->answer_deadline_us <= now_us;
 
+      if (connection->slow_deadline_us <= now_us
+          && connection->client.state == CLIENT_ANSWERING)
+        client_connection_set_state (connection, CLIENT_UNREAD);
       if (connection->deadline_us > now_us && !is_unread)
         continue;
       if (is_unread || connection->client.state == CLIENT_READING)
--- a/transport/client_listener.h
+++ b/transport/client_listener.h
@@ -79,8 +79,8 @@
 /* The connection of MESSAGE, or NULL when it has been closed.  */
 GSocket *client_message_get_socket (SoupServerMessage *message);
 
-/* Takes the body of MESSAGE, which is not charged to its client any more.  The
-   caller owns the reference.  */
+/* Takes the body of MESSAGE, which is charged to its client until the request
+   is answered.  The caller owns the reference.  */
 GBytes *client_message_take_body (SoupServerMessage *message);
 
 /* The length of the body of MESSAGE, in bytes.  */
--- a/transport/client_listener_private.h
+++ b/transport/client_listener_private.h
@@ -49,7 +49,8 @@
   guint n_connections;
   guint n_ending; /* of them, ended by force and not closed yet */
   guint n_requests;
-  gsize turn_bytes; /* of bodies that may still be read in this turn */
+  guint n_unread_answers; /* that their clients are charged for */
+  gsize turn_bytes;       /* of requests that may still be read in this turn */
   gint64 log_due_us[CLIENT_LIMIT_COUNT]; /* of the next line */
   guint64 n_limited[CLIENT_LIMIT_COUNT]; /* since that was logged */
 };
@@ -71,10 +72,14 @@
   gsize body_length;
   gsize body_size;
   gsize body_limit;
+  gsize taken_bytes;         /* of the body, which the server keeps */
+  gsize answer_bytes;        /* of an answer that the client leaves unread */
   gsize header_bytes;        /* read of the header so far */
   gint64 deadline_us;        /* DEADLINE_NEVER while answering */
   gint64 answer_deadline_us; /* to go on reading the answer; DEADLINE_NEVER
                                 unless it is left unread */
+  gint64 slow_deadline_us;   /* to have read the answer; DEADLINE_NEVER until
+                                it is left unread */
   gboolean has_header;
   gboolean has_request; /* counted in n_requests */
   gboolean is_needed;   /* the body */
@@ -129,7 +134,7 @@
 void client_connection_set_state (struct connection *connection,
                                   enum client_state state);
 
-/* Charges the client for what is kept of its request.  */
+/* Charges the client for what is kept of its request and of its answer.  */
 void client_connection_charge (struct connection *connection);
 
 /* Makes room for N_BYTES more of CONNECTION's request.  Refuses it and returns
@@ -137,7 +142,8 @@
 gboolean client_connection_make_room (struct connection *connection,
                                       gsize n_bytes);
 
-void client_connection_clear_body (struct connection *connection);
+/* Frees what is kept of the request.  */
+void client_connection_clear_request (struct connection *connection);
 void client_connection_end_request (struct connection *connection);
 
 /* client_request.c  */
--- a/transport/client_request.c
+++ b/transport/client_request.c
@@ -64,7 +64,7 @@
 
   if (connection->message != NULL)
     soup_server_message_set_status (connection->message, status, NULL);
-  client_connection_clear_body (connection);
+  client_connection_clear_request (connection);
   g_pollable_output_stream_write_nonblocking (output, answer->str, answer->len,
                                               NULL, NULL);
   g_socket_shutdown (connection->socket, FALSE, TRUE, NULL);
@@ -286,10 +286,11 @@
     client_stream_begin_request (connection->stream);
   if (client_connection_is_over (connection))
     return;
-  client_connection_clear_body (connection);
+  client_connection_clear_request (connection);
   connection->has_header = FALSE;
   connection->header_bytes = 0;
   connection->answer_deadline_us = DEADLINE_NEVER;
+  connection->slow_deadline_us = DEADLINE_NEVER;
   connection->deadline_us
       = clock_now_us ()
         + connection->listener->options.idle_timeout_ms * USEC_PER_MSEC;
@@ -339,7 +340,10 @@
     return g_bytes_new (NULL, 0);
   body = g_bytes_new_take (g_steal_pointer (&connection->body),
                            connection->body_length);
-  client_connection_clear_body (connection);
+  connection->taken_bytes = connection->body_length;
+  connection->body_size = 0;
+  if (!client_connection_is_over (connection))
+    client_connection_charge (connection);
   return body;
 }
 
