--- a/t/t5020-job-body.c
+++ b/t/t5020-job-body.c
@@ -10,6 +10,7 @@
 #define ID "5c0e7a21d94b36f8"
 #define STEP "{'count':4,'cpu':500,'memMb':256,'estMs':900}"
 #define MAX_SPEC_BYTES 4000
+#define MAX_VALUES 16384
 
 static const struct route route = {
   .service = (char *)"thumbnails",
@@ -68,6 +69,20 @@
   assert_refused (text, kind, part);
 }
 
+/* A legal body of very many short members must not hold the loop.  */
+static void
+test_many_values (void)
+{
+  g_autoptr (GString) members = g_string_new (",'x':[0");
+  g_autofree char *text = NULL;
+
+  for (guint i = 0; i < MAX_VALUES; i++)
+    g_string_append (members, ",0");
+  g_string_append_c (members, ']');
+  text = make_job (members->str, "");
+  assert_refused (text, ERROR_TOO_LARGE, "values");
+}
+
 /* Peers cannot exchange longer labels: a job that requires one never runs, and
    one that prefers such a rack runs anywhere.  */
 static void
@@ -262,6 +277,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/job-body/whole-job", test_whole_job);
   g_test_add_func ("/job-body/long-labels", test_long_labels);
+  g_test_add_func ("/job-body/many-values", test_many_values);
   g_test_add_func ("/job-body/least-job", test_least_job);
   g_test_add_func ("/job-body/spec-size", test_spec_size);
   g_test_add_func ("/job-body/malformed", test_malformed);
