--- a/transport/client_stream.c
+++ b/transport/client_stream.c
@@ -218,7 +218,7 @@
 
 /* Makes SOURCE ready when the connection of STREAM is.  */
 static void
-watch_base (GSource *source, ClientStream *stream, GCancellable *cancellable)
+watch_base (GSource *source, ClientStream *stream)
 {
   if (G_IS_SOCKET_CONNECTION (stream->base))
     g_source_add_unix_fd (source,
@@ -227,7 +227,7 @@
                           G_IO_IN | G_IO_HUP | G_IO_ERR);
   else
     add_child (source, g_pollable_input_stream_create_source (
-                           get_base_input (stream), cancellable));
+                           get_base_input (stream), NULL));
 }
 
 static GSource *
@@ -243,9 +243,11 @@
      dispatch, which takes milliseconds when there are thousands.  */
   g_source_set_can_recurse (source, TRUE);
   if (!is_ended (stream))
-    watch_base (source, stream, cancellable);
+    watch_base (source, stream);
   if (stream != NULL)
     add_child (source, g_cancellable_source_new (stream->wake));
+  if (cancellable != NULL)
+    add_child (source, g_cancellable_source_new (cancellable));
   return source;
 }
 
