--- a/coordination/client_budget.c
+++ b/coordination/client_budget.c
@@ -6,10 +6,11 @@
 #define MEMORY_SHARE 2
 
 /* The share of the descriptors that is kept from clients, and its lower limit:
-   what a process needs of them does not shrink with the machine.  Clients get
-   half of them at least.  */
+   what a process needs of them does not shrink with the machine, as each
+   upstream may take eight connections and more.  Clients get half of them at
+   least.  */
 #define DESCRIPTORS_KEPT_SHARE 5
-#define MIN_DESCRIPTORS_KEPT 64
+#define MIN_DESCRIPTORS_KEPT 96
 
 /* The shares of checks and scrapes in the clients' descriptors, with their
    upper limits.  */
--- a/coordination/client_budget.h
+++ b/coordination/client_budget.h
@@ -2,7 +2,7 @@
  * The memory and the descriptors that the clients of one process share.
  *
  * Clients get half of the machine's memory and four fifths of its
- * descriptors, or all but 64 of few.  The rest is kept for peers, beacons, the
+ * descriptors, or all but 96 of few.  The rest is kept for peers, beacons, the
  * store, upstreams and the jobs themselves.  Checks of readiness and scrapes
  * have small shares of their own, so that callers cannot take them.
  *
--- a/t/t2200-client-budget.c
+++ b/t/t2200-client-budget.c
@@ -42,7 +42,7 @@
   g_assert_cmpuint (budget.max_connections[CLIENT_CALLERS]
                         + budget.max_connections[CLIENT_READINESS]
                         + budget.max_connections[CLIENT_METRICS],
-                    ==, 192 - 64);
+                    ==, 192 - 96);
   init (&budget, 64, 100, 3000);
   g_assert_cmpuint (budget.max_connections[CLIENT_CALLERS]
                         + budget.max_connections[CLIENT_READINESS]
